Meta: Lay out the workspace, the check script and LibCore

Cause: an empty repository; every later part needs one build, one formatter and linter, and one error type that says whether a request may have run. Conclusion: parts can now be written side by side.

--- /dev/null
+++ b/Libraries/LibCore/EventLog.cpp
@@ -0,0 +1,90 @@
+#include <LibCore/EventLog.h>
+#include <cstdio>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <type_traits>
+
+namespace Core {
+
+namespace {
+
+log4cxx::LoggerPtr const& logger()
+{
+    static log4cxx::LoggerPtr const instance = log4cxx::Logger::getLogger("currantvale");
+    return instance;
+}
+
+log4cxx::LevelPtr levelOf(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return log4cxx::Level::getDebug();
+    case Severity::Info:
+        return log4cxx::Level::getInfo();
+    case Severity::Warning:
+        return log4cxx::Level::getWarn();
+    case Severity::Error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+bool needsQuotes(std::string_view text)
+{
+    return text.empty() || text.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+}
+
+void appendValue(std::string& line, std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += (c == '\n' || c == '\r') ? ' ' : c;
+    }
+    line += '"';
+}
+
+}
+
+void startEventLog(Severity threshold)
+{
+    log4cxx::LayoutPtr layout(new log4cxx::PatternLayout("%d{ISO8601} %-5p %m%n"));
+    log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(levelOf(threshold));
+}
+
+bool isLogged(Severity severity)
+{
+    return logger()->isEnabledFor(levelOf(severity));
+}
+
+void logEvent(Severity severity, Event event, std::initializer_list<EventField> fields)
+{
+    if (!isLogged(severity))
+        return;
+    logger()->forcedLog(levelOf(severity), formatEvent(event, fields));
+}
+
+std::string formatEvent(Event event, std::initializer_list<EventField> fields)
+{
+    std::string line = "event=" + std::to_string(static_cast<std::underlying_type_t<Event>>(event));
+    line += " name=";
+    line += nameOf(eventNames, event);
+    for (EventField const& field : fields) {
+        line += ' ';
+        line += field.first;
+        line += '=';
+        appendValue(line, field.second);
+    }
+    return line;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/EventLog.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibCore/Event.h>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Core {
+
+/// One field of a log line. The value is quoted when it holds white space, quotes or '='.
+using EventField = std::pair<std::string_view, std::string>;
+
+/// Severity of an event line.
+enum class Severity : std::uint8_t { Debug,
+    Info,
+    Warning,
+    Error };
+
+inline constexpr EnumNames<Severity, 4> severityNames { {
+    { Severity::Debug, "debug" },
+    { Severity::Info, "info" },
+    { Severity::Warning, "warning" },
+    { Severity::Error, "error" },
+} };
+
+/// Sets up log4cxx to write to standard error, lines at or above `threshold` only.
+/// Precondition: called once, before threads start.
+void startEventLog(Severity threshold);
+
+/// Returns whether lines of this severity are written: callers skip costly fields otherwise. Thread-safe.
+bool isLogged(Severity);
+
+/// Writes one line: `event=2001 name=route-decided key=value ...`. Thread-safe.
+void logEvent(Severity, Event, std::initializer_list<EventField>);
+
+/// Returns the line that `logEvent` writes, without its time and severity. Thread-safe.
+std::string formatEvent(Event, std::initializer_list<EventField>);
+
+}
--- /dev/null
+++ b/Meta/check.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# The whole check: packages, format, lint, then build and test plainly, under the address and
+# undefined-behaviour sanitizers, and (tests that use threads) under the thread sanitizer.
+# Usage: Meta/check.sh [format|lint|plain|address|thread ...]   (no argument: everything)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly formatter=clang-format-19
+readonly linter=clang-tidy-19
+jobs=$(nproc)
+export RC_PARAMS="seed=20261202"
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
+
+sources() { git ls-files --cached --others --exclude-standard '*.h' '*.cpp' | grep -v '\.pb\.' | while read -r f; do [ -e "$f" ] && echo "$f"; done; }
+
+configure() { # folder, sanitizer
+    cmake -S . -B "$1" -G Ninja -DCURRANTVALE_SANITIZER="$2" \
+        -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >"$1.configure.log" 2>&1 || { cat "$1.configure.log"; exit 1; }
+}
+
+build_and_test() { # name, sanitizer, further ctest arguments
+    local folder="Build/$1" sanitizer="$2"
+    shift 2
+    configure "$folder" "$sanitizer"
+    cmake --build "$folder" -j "$jobs" >"$folder.build.log" 2>&1 || { grep -E 'error|FAILED|undefined' -A5 "$folder.build.log" | head -100; exit 1; }
+    ctest --test-dir "$folder" -j 6 --output-on-failure --no-tests=error "$@"
+}
+
+run_format() { sources | xargs "$formatter" --dry-run --Werror; }
+
+run_lint() {
+    configure Build/plain ""
+    sources | grep '\.cpp$' | xargs -P "$jobs" -n 1 "$linter" -p Build/plain --quiet 2>/dev/null
+}
+
+step() { echo "== $1 ($(date +%T))"; "run_$1"; }
+run_plain() { build_and_test plain ""; }
+run_address() { build_and_test address address; }
+run_thread() { build_and_test thread thread -L threads; }
+
+mkdir -p Build
+Meta/packages.sh
+steps=("$@")
+[ ${#steps[@]} -gt 0 ] || steps=(format lint plain address thread)
+for it in "${steps[@]}"; do step "$it"; done
+echo "== all checks passed: ${steps[*]}"
