LibHttp: Add the HTTP/1.1 listener and client

Cause: callers, operators, targets and the platform are all met over HTTP/1.1. Change: a Beast listener with a coroutine handler and a streaming response writer, and a pooling client whose errors carry a verdict (not run until the first byte is written). Beast's own timeout closed the socket before a slow sender could be told so; a timer that only cancels the read answers 408.

--- /dev/null
+++ b/Libraries/LibHttp/Client.cpp
@@ -0,0 +1,164 @@
+#include <LibHttp/Client.h>
+#include <LibHttp/Exchange.h>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <map>
+#include <sys/socket.h>
+#include <vector>
+
+namespace Http {
+
+namespace {
+
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+
+// Idle connections by endpoint. Exchanges hold it weakly, so that they may outlive the client.
+struct Pool {
+    std::map<Tcp::endpoint, Connections> idle;
+};
+
+// A server that has closed a kept connection shows as readable: nothing may be waiting there.
+bool isQuiet(ClientConnection& connection)
+{
+    char byte = 0;
+    ssize_t n = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+class PoolingClient final : public Client {
+public:
+    PoolingClient(Asio::io_context& context, ClientSettings const& settings)
+        : m_context(context)
+        , m_settings(settings)
+        , m_pool(std::make_shared<Pool>())
+    {
+    }
+
+    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
+    {
+        using Opened = Core::Result<std::unique_ptr<Exchange>>;
+        std::unique_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint) : nullptr;
+        if (!connection) {
+            Core::Result<std::unique_ptr<ClientConnection>> opened = co_await connect(endpoint, slot);
+            if (opened.has_error())
+                co_return Opened(opened.error());
+            connection = std::move(opened.value());
+        }
+        if (slot && slot->isCanceled)
+            co_return Opened(Core::makeError(Core::ErrorCode::Canceled, "canceled before the request was sent"));
+        std::unique_ptr<ConnectionExchange> exchange = std::make_unique<ConnectionExchange>(std::move(connection), m_settings, returnTo(endpoint));
+        if (slot)
+            slot->cancel = [raw = exchange.get()] { raw->cancel(); };
+        Core::Result<void> started = co_await exchange->start(request);
+        if (slot)
+            slot->cancel = nullptr;
+        if (started.has_error())
+            co_return Opened(started.error());
+        co_return Opened(std::unique_ptr<Exchange>(std::move(exchange)));
+    }
+
+    Asio::awaitable<Core::Result<Response>> fetch(Tcp::endpoint endpoint, Request request, std::size_t bodyLimit) override
+    {
+        Core::Result<std::unique_ptr<Exchange>> opened = co_await open(endpoint, std::move(request), ConnectionChoice::Kept, nullptr);
+        if (opened.has_error())
+            co_return Core::Result<Response>(opened.error());
+        Exchange& exchange = *opened.value();
+        Response response { exchange.head().status, exchange.head().fields, {} };
+        while (true) {
+            Core::Result<std::optional<std::string>> piece = co_await exchange.read();
+            if (piece.has_error())
+                co_return Core::Result<Response>(piece.error());
+            if (!piece.value())
+                co_return response;
+            response.body += *piece.value();
+            if (response.body.size() > bodyLimit)
+                co_return Core::Result<Response>(Core::makeUncertainError(Core::ErrorCode::BadInput, "the response is larger than " + std::to_string(bodyLimit) + " bytes"));
+        }
+    }
+
+private:
+    std::unique_ptr<ClientConnection> takeKept(Tcp::endpoint const& endpoint)
+    {
+        Connections& kept = m_pool->idle[endpoint];
+        std::chrono::steady_clock::time_point oldest = std::chrono::steady_clock::now() - m_settings.keepTime;
+        while (!kept.empty()) {
+            std::unique_ptr<ClientConnection> connection = std::move(kept.back());
+            kept.pop_back();
+            if (connection->keptSince >= oldest && isQuiet(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    ConnectionReturn returnTo(Tcp::endpoint const& endpoint)
+    {
+        return [pool = std::weak_ptr<Pool>(m_pool), endpoint, limit = m_settings.keptPerEndpoint](std::unique_ptr<ClientConnection> connection) {
+            std::shared_ptr<Pool> alive = pool.lock();
+            if (!alive)
+                return;
+            Connections& kept = alive->idle[endpoint];
+            connection->keptSince = std::chrono::steady_clock::now();
+            if (kept.size() >= limit)
+                kept.erase(kept.begin());
+            kept.push_back(std::move(connection));
+        };
+    }
+
+    Asio::awaitable<Core::Result<std::unique_ptr<ClientConnection>>> connect(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
+    {
+        std::unique_ptr<ClientConnection> connection = std::make_unique<ClientConnection>(m_context.get_executor());
+        if (slot)
+            slot->cancel = [raw = connection.get()] { raw->stream.cancel(); };
+        connection->stream.expires_after(m_settings.connectTimeout);
+        boost::system::error_code ec;
+        co_await connection->stream.async_connect(endpoint, Asio::redirect_error(Asio::use_awaitable, ec));
+        if (slot)
+            slot->cancel = nullptr;
+        if (ec) {
+            bool isTimeout = ec == boost::beast::error::timeout;
+            Core::ErrorCode code = isTimeout ? Core::ErrorCode::Timeout : Core::ErrorCode::Unavailable;
+            co_return Core::Result<std::unique_ptr<ClientConnection>>(Core::makeError(code, "cannot connect to " + Http::toString(endpoint) + ": " + ec.message()));
+        }
+        connection->stream.socket().set_option(Tcp::no_delay(true), ec);
+        co_return std::move(connection);
+    }
+
+    Asio::io_context& m_context;
+    ClientSettings m_settings;
+    std::shared_ptr<Pool> m_pool;
+};
+
+}
+
+std::unique_ptr<Client> Client::create(Asio::io_context& context, ClientSettings const& settings)
+{
+    return std::make_unique<PoolingClient>(context, settings);
+}
+
+Core::Result<Tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    std::size_t colon = text.rfind(':');
+    std::string_view host = text.substr(0, colon);
+    std::string_view digits = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
+    if (host.size() >= 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code ec;
+    Asio::ip::address address = Asio::ip::make_address(std::string(host), ec);
+    std::uint16_t port = 0;
+    std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (ec || digits.empty() || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+        return Core::fail(Core::ErrorCode::BadInput, "read \"" + std::string(text) + "\"; allowed is an IP address and a port, such as 127.0.0.1:8080 or [::1]:8080");
+    return Tcp::endpoint(address, port);
+}
+
+std::string toString(Tcp::endpoint const& endpoint)
+{
+    std::string host = endpoint.address().to_string();
+    return (endpoint.address().is_v6() ? "[" + host + "]" : host) + ":" + std::to_string(endpoint.port());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/Client.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibHttp/Message.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace Http {
+
+/// How long a client waits at each step, and for how long an unused connection is kept.
+struct ClientSettings {
+    std::chrono::milliseconds connectTimeout { 1'000 };
+    std::chrono::milliseconds writeTimeout { 5'000 };
+    std::chrono::milliseconds headTimeout { 30'000 }; ///< From the end of the request to the response's head.
+    std::chrono::milliseconds pieceTimeout { 10'000 }; ///< Between two pieces of the body.
+    std::chrono::milliseconds keepTime { 20'000 };
+    std::size_t keptPerEndpoint { 64 };
+};
+
+/// One request and its response on a connection of its own. Use from the client's thread only.
+/// When the response was read to its end the connection is kept for reuse; otherwise it is closed.
+class Exchange {
+public:
+    virtual ~Exchange() = default;
+
+    /// Returns the response's head.
+    virtual ResponseHead const& head() const = 0;
+
+    /// Returns the next piece of the body, or nothing at its end.
+    /// Errors: Timeout after silence, Unavailable when the connection breaks before the end, Canceled.
+    virtual boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() = 0;
+
+    /// Sets the time that `read` waits for a piece.
+    virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
+
+    /// Closes the connection; a waiting `read` returns Canceled.
+    virtual void cancel() = 0;
+};
+
+/// Lets somebody else end an `open` that is still waiting. Use from the client's thread only.
+struct CancelSlot {
+    std::function<void()> cancel; ///< Set while there is something to cancel.
+    bool isCanceled { false };
+
+    /// Ends the operation now, or as soon as it starts.
+    void trigger()
+    {
+        isCanceled = true;
+        if (cancel)
+            cancel();
+    }
+};
+
+/// Whether an exchange may use a connection kept from an earlier one. A kept connection may have been
+/// closed by the other side meanwhile, which leaves a doubt about the request: requests that may not be
+/// repeated take a fresh one.
+enum class ConnectionChoice : std::uint8_t { Kept,
+    Fresh };
+
+/// An HTTP/1.1 client with a pool of connections, on one io_context that one thread runs.
+/// Errors carry the verdict: NotRun until the first byte was written, MayHaveRun after.
+/// Thread safety: use from that thread only.
+class Client {
+public:
+    /// Creates a client; nothing is opened yet. Precondition: the io_context outlives it.
+    static std::unique_ptr<Client> create(boost::asio::io_context&, ClientSettings const&);
+
+    virtual ~Client() = default;
+
+    /// Sends a request and reads the response's head.
+    /// Errors: Unavailable (cannot connect, connection broke), Timeout, Canceled, BadInput (malformed response).
+    virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(boost::asio::ip::tcp::endpoint, Request, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
+
+    /// Sends a request and reads the whole response, of `bodyLimit` bytes at most.
+    virtual boost::asio::awaitable<Core::Result<Response>> fetch(boost::asio::ip::tcp::endpoint, Request, std::size_t bodyLimit = 64 * 1024 * 1024) = 0;
+};
+
+/// Reads "IP:PORT" or "[IPv6]:PORT". Errors: BadInput, naming what was read. Thread-safe.
+Core::Result<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
+
+/// Returns the form that `parseEndpoint` reads. Thread-safe.
+std::string toString(boost::asio::ip::tcp::endpoint const&);
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/Server.cpp
@@ -0,0 +1,122 @@
+#include <LibHttp/Server.h>
+#include <LibHttp/ServerConnection.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/socket.h>
+#include <vector>
+
+namespace Http {
+
+namespace {
+
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+using PortSharing = Asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+constexpr std::chrono::milliseconds acceptPause { 50 };
+
+class ListeningServer final : public Server {
+public:
+    ListeningServer(Tcp::acceptor acceptor, std::shared_ptr<ServerShared> shared)
+        : m_acceptor(std::make_shared<Tcp::acceptor>(std::move(acceptor)))
+        , m_shared(std::move(shared))
+        , m_idle(std::make_shared<Connections>())
+    {
+    }
+
+    ~ListeningServer() override { stop(); }
+
+    void start() override
+    {
+        Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_idle), Asio::detached);
+    }
+
+    std::uint16_t port() const override { return m_port; }
+    void setPort(std::uint16_t port) { m_port = port; }
+    void beginDraining() override { m_shared->isDraining = true; }
+    std::size_t activeRequests() const override { return m_shared->activeRequests; }
+
+    void stop() override
+    {
+        m_shared->isDraining = true;
+        m_shared->isStopped = true;
+        boost::system::error_code ec;
+        m_acceptor->close(ec);
+        for (std::weak_ptr<IdleCloser> const& it : *m_idle) {
+            if (std::shared_ptr<IdleCloser> connection = it.lock())
+                connection->closeIfIdle();
+        }
+        m_idle->clear();
+    }
+
+private:
+    using Connections = std::vector<std::weak_ptr<IdleCloser>>;
+
+    static void forgetClosed(Connections& connections)
+    {
+        std::erase_if(connections, [](std::weak_ptr<IdleCloser> const& it) { return it.expired(); });
+    }
+
+    static Asio::awaitable<void> accept(std::shared_ptr<Tcp::acceptor> acceptor, std::shared_ptr<ServerShared> shared, std::shared_ptr<Connections> connections)
+    {
+        std::size_t sweepAt = 64;
+        while (!shared->isStopped) {
+            boost::system::error_code ec;
+            Tcp::socket socket = co_await acceptor->async_accept(Asio::redirect_error(Asio::use_awaitable, ec));
+            if (shared->isStopped)
+                co_return;
+            if (ec) {
+                // Out of descriptors, most likely: accepting at once again would only spin.
+                Asio::steady_timer timer(acceptor->get_executor(), acceptPause);
+                co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+                continue;
+            }
+            if (shared->connections >= shared->settings.connectionLimit)
+                continue;
+            socket.set_option(Tcp::no_delay(true), ec);
+            connections->push_back(serveConnection(shared, std::move(socket)));
+            if (connections->size() >= sweepAt) {
+                forgetClosed(*connections);
+                sweepAt = 64 + 2 * connections->size();
+            }
+        }
+    }
+
+    std::shared_ptr<Tcp::acceptor> m_acceptor;
+    std::shared_ptr<ServerShared> m_shared;
+    std::shared_ptr<Connections> m_idle;
+    std::uint16_t m_port { 0 };
+};
+
+}
+
+Core::Result<std::unique_ptr<Server>> Server::create(Asio::io_context& context, Tcp::endpoint const& endpoint, ServerSettings const& settings, Handler handler, RejectionHandler rejection)
+{
+    boost::system::error_code ec;
+    Tcp::acceptor acceptor(context);
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+    if (!ec && settings.isPortShared)
+        acceptor.set_option(PortSharing(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(Asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Core::fail(Core::ErrorCode::Unavailable, "cannot listen on " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + ec.message());
+
+    std::uint16_t port = acceptor.local_endpoint().port();
+    std::shared_ptr<ServerShared> shared = std::make_shared<ServerShared>();
+    shared->settings = settings;
+    shared->handler = std::move(handler);
+    shared->rejection = std::move(rejection);
+    std::unique_ptr<ListeningServer> server = std::make_unique<ListeningServer>(std::move(acceptor), std::move(shared));
+    server->setPort(port);
+    return std::unique_ptr<Server>(std::move(server));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/Server.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibHttp/ResponseWriter.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace Http {
+
+/// Serves one complete request. Called on the server's thread; both arguments outlive the coroutine.
+using Handler = std::function<boost::asio::awaitable<void>(Request&, ResponseWriter&)>;
+
+/// Builds the response to input that cannot be served: the status and one sentence for the caller.
+using RejectionHandler = std::function<Response(Status, std::string_view message)>;
+
+/// Limits and timeouts of a listener.
+struct ServerSettings {
+    std::size_t headLimit { 16 * 1024 }; ///< Bytes of request line and fields.
+    std::size_t bodyLimit { 8 * 1024 * 1024 }; ///< Bytes of a request body.
+    std::chrono::milliseconds headTimeout { 10'000 }; ///< From the first wait to the end of the head.
+    std::chrono::milliseconds bodyTimeout { 30'000 }; ///< From the end of the head to that of the body.
+    std::chrono::milliseconds idleTimeout { 75'000 }; ///< Between requests on a connection.
+    std::chrono::milliseconds writeTimeout { 30'000 }; ///< For the peer to take one piece.
+    std::size_t connectionLimit { 20'000 };
+    bool isPortShared { false }; ///< SO_REUSEPORT: several servers of this process share the port.
+};
+
+/// An HTTP/1.1 listener (RFC 9112) on one io_context that one thread runs. Input that breaks the protocol
+/// or a limit gets the rejection handler's response and its connection is closed.
+/// Thread safety: use from the thread that runs the io_context, or before it runs.
+class Server {
+public:
+    /// Binds and listens. Errors: Unavailable when the address cannot be bound.
+    static Core::Result<std::unique_ptr<Server>> create(boost::asio::io_context&, boost::asio::ip::tcp::endpoint const&, ServerSettings const&, Handler, RejectionHandler);
+
+    virtual ~Server() = default;
+
+    /// Begins to accept connections. Precondition: called once.
+    virtual void start() = 0;
+
+    /// Returns the bound port, also when port 0 was asked for.
+    virtual std::uint16_t port() const = 0;
+
+    /// Announces `Connection: close` on further responses; connections are still accepted.
+    virtual void beginDraining() = 0;
+
+    /// Stops accepting and closes connections that serve no request.
+    virtual void stop() = 0;
+
+    /// Returns how many requests are being served.
+    virtual std::size_t activeRequests() const = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -0,0 +1,366 @@
+#include <LibHttp/ServerConnection.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sys/socket.h>
+
+namespace Http {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+using Tcp = Asio::ip::tcp;
+using Parser = Beast::http::request_parser<Beast::http::string_body>;
+
+constexpr unsigned httpVersion11 = 11;
+
+std::string toString(Beast::string_view text) { return { text.data(), text.size() }; }
+
+Request takeRequest(Parser& parser)
+{
+    Request request;
+    request.method = toString(parser.get().method_string());
+    request.target = toString(parser.get().target());
+    for (Beast::http::fields::value_type const& field : parser.get())
+        request.fields.add(toString(field.name_string()), toString(field.value()));
+    request.body = std::move(parser.get().body());
+    return request;
+}
+
+Beast::http::response_header<> makeHead(std::uint16_t status, Fields const& fields, unsigned version)
+{
+    Beast::http::response_header<> head;
+    head.version(version);
+    head.result(status);
+    for (Fields::Entry const& entry : fields.entries())
+        head.insert(entry.first, entry.second);
+    return head;
+}
+
+class Connection final : public IdleCloser, public ResponseWriter, public std::enable_shared_from_this<Connection> {
+public:
+    Connection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
+        : m_shared(std::move(shared))
+        , m_stream(std::move(socket))
+        , m_readTimer(m_stream.get_executor())
+    {
+        ++m_shared->connections;
+    }
+
+    ~Connection() override { --m_shared->connections; }
+
+    Asio::awaitable<void> run()
+    {
+        while (co_await serveOne()) { }
+        boost::system::error_code ec;
+        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+    }
+
+    void closeIfIdle() override
+    {
+        if (!m_isServing)
+            abort();
+    }
+
+    Asio::awaitable<Core::Result<void>> send(Response response) override
+    {
+        m_hasBegun = true;
+        Beast::http::response<Beast::http::string_body> message(makeHead(response.status, response.fields, m_version));
+        message.body() = std::move(response.body);
+        message.keep_alive(keepsAlive());
+        if (response.status != static_cast<std::uint16_t>(Status::NoContent))
+            message.content_length(message.body().size());
+        if (m_isHeadMethod)
+            message.body().clear();
+        m_isEnded = true;
+        co_return co_await sendMessage(message);
+    }
+
+    Asio::awaitable<Core::Result<void>> begin(ResponseHead head) override
+    {
+        m_hasBegun = true;
+        Beast::http::response<Beast::http::empty_body> message(makeHead(head.status, head.fields, m_version));
+        if (m_version < httpVersion11)
+            m_isLastRequest = true; // HTTP/1.0 knows no chunks: the end of the connection ends the body.
+        else
+            message.chunked(true);
+        message.keep_alive(keepsAlive());
+        Beast::http::response_serializer<Beast::http::empty_body> serializer(message);
+        m_stream.expires_after(m_shared->settings.writeTimeout);
+        boost::system::error_code ec;
+        co_await Beast::http::async_write_header(m_stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return outcomeOf(ec);
+    }
+
+    Asio::awaitable<Core::Result<void>> write(std::string_view piece) override
+    {
+        if (piece.empty() || m_isHeadMethod)
+            co_return Core::ok();
+        m_stream.expires_after(m_shared->settings.writeTimeout);
+        boost::system::error_code ec;
+        if (m_version < httpVersion11)
+            co_await Asio::async_write(m_stream, Asio::buffer(piece), Asio::redirect_error(Asio::use_awaitable, ec));
+        else
+            co_await Asio::async_write(m_stream, Beast::http::make_chunk(Asio::buffer(piece)), Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return outcomeOf(ec);
+    }
+
+    Asio::awaitable<Core::Result<void>> finish() override
+    {
+        m_isEnded = true;
+        if (m_version < httpVersion11 || m_isHeadMethod)
+            co_return Core::ok();
+        m_stream.expires_after(m_shared->settings.writeTimeout);
+        boost::system::error_code ec;
+        co_await Asio::async_write(m_stream, Beast::http::make_chunk_last(), Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return outcomeOf(ec);
+    }
+
+    void abort() override
+    {
+        m_isLastRequest = true;
+        boost::system::error_code ec;
+        m_stream.socket().close(ec);
+    }
+
+    void onCallerGone(std::function<void()> hook) override
+    {
+        m_onCallerGone = std::move(hook);
+        if (m_onCallerGone && !m_isWatching)
+            watchCaller();
+    }
+
+    bool hasBegun() const override { return m_hasBegun; }
+
+private:
+    bool keepsAlive()
+    {
+        m_isLastRequest = m_isLastRequest || m_shared->isDraining || !m_callerKeepsAlive;
+        return !m_isLastRequest;
+    }
+
+    template <typename Message>
+    Asio::awaitable<Core::Result<void>> sendMessage(Message& message)
+    {
+        m_stream.expires_after(m_shared->settings.writeTimeout);
+        boost::system::error_code ec;
+        co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return outcomeOf(ec);
+    }
+
+    Core::Result<void> outcomeOf(boost::system::error_code ec)
+    {
+        if (!ec)
+            return Core::ok();
+        m_isLastRequest = true;
+        return Core::fail(Core::ErrorCode::Canceled, "the caller's connection failed: " + ec.message());
+    }
+
+    // Waits until the socket can be read: either the caller closed it or it has pipelined a request.
+    void watchCaller()
+    {
+        m_isWatching = true;
+        m_stream.socket().async_wait(Tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code ec) {
+            self->m_isWatching = false;
+            if (ec || !self->m_onCallerGone || !self->isClosedByCaller())
+                return;
+            std::function<void()> hook = std::exchange(self->m_onCallerGone, nullptr);
+            hook();
+        });
+    }
+
+    bool isClosedByCaller()
+    {
+        char byte = 0;
+        ssize_t n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
+    void endWatch()
+    {
+        m_onCallerGone = nullptr;
+        if (m_isWatching) {
+            boost::system::error_code ec;
+            m_stream.socket().cancel(ec);
+        }
+    }
+
+    Asio::awaitable<bool> serveOne()
+    {
+        m_hasBegun = false;
+        m_isEnded = false;
+        std::optional<Request> request = co_await readRequest();
+        if (!request)
+            co_return false;
+        m_isServing = true;
+        ++m_shared->activeRequests;
+        co_await m_shared->handler(*request, *this);
+        --m_shared->activeRequests;
+        m_isServing = false;
+        endWatch();
+        if (!m_isEnded)
+            abort(); // A handler that gave up in mid-answer must not look like one that ended it.
+        co_return !m_isLastRequest && !m_shared->isStopped;
+    }
+
+    Asio::awaitable<std::optional<Request>> readRequest()
+    {
+        boost::system::error_code ec;
+        if (m_buffer.size() == 0) {
+            m_stream.expires_after(m_shared->settings.idleTimeout);
+            std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
+            if (ec)
+                co_return std::nullopt;
+            m_buffer.commit(n);
+        }
+        Parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_shared->settings.headLimit));
+        parser.body_limit(m_shared->settings.bodyLimit);
+        m_stream.expires_never();
+        armReadTimer(m_shared->settings.headTimeout);
+        co_await Beast::http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+        if (!ec)
+            ec = co_await readBody(parser);
+        m_readTimer.cancel();
+        if (ec) {
+            co_await reject(ec);
+            co_return std::nullopt;
+        }
+        m_version = parser.get().version();
+        m_callerKeepsAlive = parser.get().keep_alive();
+        m_isHeadMethod = parser.get().method() == Beast::http::verb::head;
+        Request request = takeRequest(parser);
+        if (std::string_view problem = problemOf(request); !problem.empty()) {
+            co_await sendRejection(Status::BadRequest, problem);
+            co_return std::nullopt;
+        }
+        co_return request;
+    }
+
+    // Beast's own timeout closes the socket, which leaves no way to tell a slow sender so.
+    void armReadTimer(std::chrono::milliseconds timeout)
+    {
+        m_isReadTimedOut = false;
+        m_readTimer.expires_after(timeout);
+        m_readTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            std::shared_ptr<Connection> self = weak.lock();
+            if (ec || !self)
+                return;
+            self->m_isReadTimedOut = true;
+            self->m_stream.cancel();
+        });
+    }
+
+    Asio::awaitable<boost::system::error_code> readBody(Parser& parser)
+    {
+        boost::system::error_code ec;
+        if (parser.is_done())
+            co_return ec;
+        armReadTimer(m_shared->settings.bodyTimeout);
+        // RFC 9110, section 10.1.1: answer the expectation before waiting for the body.
+        if (Beast::iequals(parser.get()[Beast::http::field::expect], "100-continue")) {
+            Beast::http::response<Beast::http::empty_body> message(Beast::http::status::continue_, httpVersion11);
+            co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
+        }
+        if (!ec)
+            co_await Beast::http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+        co_return ec;
+    }
+
+    // Returns what makes a well-formed message unacceptable: RFC 9112, sections 3.2 and 6.1.
+    std::string_view problemOf(Request const& request) const
+    {
+        std::size_t hosts = 0;
+        for (Fields::Entry const& entry : request.fields.entries())
+            hosts += isSameFieldName(entry.first, "Host") ? 1 : 0;
+        if (hosts > 1 || (hosts == 0 && m_version >= httpVersion11))
+            return "exactly one Host field is required";
+        std::optional<std::string_view> coding = request.fields.find("Transfer-Encoding");
+        if (coding && !isSameFieldName(*coding, "chunked"))
+            return "the only transfer coding allowed is chunked";
+        if (request.target.empty() || (request.target.front() != '/' && request.target != "*"))
+            return "the request target must be a path";
+        return {};
+    }
+
+    Asio::awaitable<void> reject(boost::system::error_code ec)
+    {
+        using Problem = Beast::http::error;
+        if (m_isReadTimedOut) {
+            co_await sendRejection(Status::RequestTimeout, "the request did not arrive whole in time");
+            co_return;
+        }
+        if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset)
+            co_return;
+        if (ec == Problem::body_limit)
+            co_await sendRejection(Status::ContentTooLarge, "the body is larger than " + std::to_string(m_shared->settings.bodyLimit) + " bytes, which is the limit");
+        else if (ec == Problem::header_limit)
+            co_await sendRejection(Status::HeaderFieldsTooLarge, "the head is larger than " + std::to_string(m_shared->settings.headLimit) + " bytes, which is the limit");
+        else if (ec == Problem::partial_message)
+            co_await sendRejection(Status::BadRequest, "the connection ended before the request was whole");
+        else
+            co_await sendRejection(Status::BadRequest, "malformed HTTP: " + ec.message());
+    }
+
+    Asio::awaitable<void> sendRejection(Status status, std::string_view message)
+    {
+        m_isLastRequest = true;
+        if (!m_stream.socket().is_open())
+            co_return;
+        Core::Result<void> sent = co_await send(m_shared->rejection(status, message));
+        if (sent.has_error())
+            co_return;
+        co_await discardInput();
+    }
+
+    // Closing while unread bytes wait would reset the connection and destroy the response on its way.
+    Asio::awaitable<void> discardInput()
+    {
+        boost::system::error_code ec;
+        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+        m_stream.expires_after(discardTime);
+        std::array<char, 16 * 1024> waste;
+        for (std::size_t total = 0; !ec && total < discardLimit;)
+            total += co_await m_stream.async_read_some(Asio::buffer(waste), Asio::redirect_error(Asio::use_awaitable, ec));
+    }
+
+    static constexpr std::size_t readSize = 4 * 1024;
+    static constexpr std::size_t discardLimit = 16 * 1024 * 1024;
+    static constexpr std::chrono::seconds discardTime { 2 };
+
+    std::shared_ptr<ServerShared> m_shared;
+    Beast::tcp_stream m_stream;
+    Asio::steady_timer m_readTimer;
+    Beast::flat_buffer m_buffer;
+    std::function<void()> m_onCallerGone;
+    unsigned m_version { httpVersion11 };
+    bool m_callerKeepsAlive { true };
+    bool m_isHeadMethod { false };
+    bool m_isServing { false };
+    bool m_isWatching { false };
+    bool m_isReadTimedOut { false };
+    bool m_isLastRequest { false };
+    bool m_hasBegun { false };
+    bool m_isEnded { false };
+};
+
+}
+
+std::weak_ptr<IdleCloser> serveConnection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
+{
+    Asio::any_io_executor executor = socket.get_executor();
+    std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket));
+    Asio::co_spawn(
+        executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
+    return connection;
+}
+
+}
--- /dev/null
+++ b/Tests/LibHttp/TestServer.cpp
@@ -0,0 +1,193 @@
+#include <LibHttp/Client.h>
+#include <LibHttp/Server.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace {
+
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+
+Http::Response rejection(Http::Status status, std::string_view message)
+{
+    return Http::Response { static_cast<std::uint16_t>(status), {}, std::string(message) };
+}
+
+// A server and a client on one io_context, run until a coroutine of the test has ended.
+class HttpServer : public testing::Test {
+protected:
+    Http::Server& start(Http::Handler handler, Http::ServerSettings settings = {})
+    {
+        m_server = Http::Server::create(m_context, Tcp::endpoint(Asio::ip::address_v4::loopback(), 0), settings, std::move(handler), rejection).value();
+        m_server->start();
+        m_endpoint = Tcp::endpoint(Asio::ip::address_v4::loopback(), m_server->port());
+        return *m_server;
+    }
+
+    void run(std::function<Asio::awaitable<void>()> body)
+    {
+        Asio::co_spawn(m_context, std::move(body), [this](std::exception_ptr const& problem) {
+            EXPECT_FALSE(problem);
+            m_context.stop();
+        });
+        m_context.run();
+    }
+
+    // Sends raw bytes from a thread of its own and returns all that comes back until the server closes.
+    std::string exchangeRaw(std::string const& bytes)
+    {
+        std::string answer;
+        std::thread sender([&] {
+            Asio::io_context context;
+            Tcp::socket socket(context);
+            socket.connect(m_endpoint);
+            boost::system::error_code ec;
+            Asio::write(socket, Asio::buffer(bytes), ec);
+            Asio::read(socket, Asio::dynamic_buffer(answer), ec);
+            m_context.stop();
+        });
+        m_context.run();
+        sender.join();
+        return answer;
+    }
+
+    Asio::io_context m_context;
+    std::unique_ptr<Http::Server> m_server;
+    std::unique_ptr<Http::Client> m_client { Http::Client::create(m_context, {}) };
+    Tcp::endpoint m_endpoint;
+};
+
+Http::Response echoOf(Http::Request const& request)
+{
+    return { 200, { { "X-Method", request.method } }, request.body };
+}
+
+Asio::awaitable<void> echo(Http::Request& request, Http::ResponseWriter& writer)
+{
+    Core::Result<void> sent = co_await writer.send(echoOf(request));
+    EXPECT_TRUE(sent.has_value());
+}
+
+}
+
+TEST_F(HttpServer, WholeAndKeptConnection)
+{
+    start(echo);
+    run([this]() -> Asio::awaitable<void> {
+        Http::Request request { "POST", "/a", {}, std::string(100'000, 'x') };
+        for (int n = 0; n < 3; ++n) {
+            Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, request);
+            EXPECT_EQ(response.value().status, 200);
+            EXPECT_EQ(response.value().body.size(), 100'000U);
+            EXPECT_EQ(response.value().fields.find("x-method"), "POST");
+        }
+    });
+}
+
+TEST_F(HttpServer, StreamArrivesInPieces)
+{
+    start([](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        EXPECT_TRUE((co_await writer.begin(Http::ResponseHead())).has_value());
+        std::vector<std::string> pieces(3, "piece ");
+        for (std::string const& piece : pieces)
+            EXPECT_TRUE((co_await writer.write(piece)).has_value());
+        EXPECT_TRUE((co_await writer.finish()).has_value());
+    });
+    run([this]() -> Asio::awaitable<void> {
+        Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_EQ(response.value().body, "piece piece piece ");
+    });
+}
+
+TEST_F(HttpServer, BrokenStreamIsAnErrorThatMayHaveRun)
+{
+    start([](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        EXPECT_TRUE((co_await writer.begin(Http::ResponseHead())).has_value());
+        EXPECT_TRUE((co_await writer.write("part")).has_value());
+        // Returning without finish() must not look like an end.
+    });
+    run([this]() -> Asio::awaitable<void> {
+        Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_TRUE(response.has_error());
+        EXPECT_EQ(response.error().verdict, Core::Verdict::MayHaveRun);
+    });
+}
+
+TEST_F(HttpServer, RefusedConnectionDidNotRun)
+{
+    start(echo);
+    m_server->stop();
+    run([this]() -> Asio::awaitable<void> {
+        Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_TRUE(response.has_error());
+        EXPECT_EQ(response.error().verdict, Core::Verdict::NotRun);
+    });
+}
+
+TEST_F(HttpServer, CallerThatGoesAwayIsNoticed)
+{
+    bool isNoticed = false;
+    start([&](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        Asio::steady_timer timer(m_context, std::chrono::hours(1));
+        writer.onCallerGone([&] {
+            isNoticed = true;
+            timer.cancel();
+        });
+        boost::system::error_code ec;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        m_context.stop();
+    });
+    std::thread caller([this] {
+        Asio::io_context context;
+        Tcp::socket socket(context);
+        socket.connect(m_endpoint);
+        Asio::write(socket, Asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    });
+    m_context.run();
+    caller.join();
+    EXPECT_TRUE(isNoticed);
+}
+
+TEST_F(HttpServer, BadInputIsRejected)
+{
+    struct Case {
+        std::string input;
+        std::string status;
+    };
+    std::vector<Case> cases {
+        { "GARBAGE\r\n\r\n", "400" },
+        { "GET / HTTP/1.1\r\n\r\n", "400" },
+        { "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "400" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n", "400" },
+        { "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(20'000, 'x') + "\r\n\r\n", "431" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x'), "413" },
+        { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n64\r\n" + std::string(100, 'x') + "\r\n0\r\n\r\n", "413" },
+    };
+    Http::ServerSettings settings;
+    settings.bodyLimit = 50;
+    start(echo, settings);
+    for (Case const& it : cases) {
+        m_context.restart();
+        std::string answer = exchangeRaw(it.input);
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 " + it.status) << it.input.substr(0, 80);
+    }
+}
+
+TEST_F(HttpServer, SlowSenderIsCutOff)
+{
+    Http::ServerSettings settings;
+    settings.headTimeout = std::chrono::milliseconds(50);
+    start(echo, settings);
+    EXPECT_EQ(exchangeRaw("GET / HTTP/1.1\r\nHo").substr(0, 12), "HTTP/1.1 408");
+}
