LibRequest: Decide a request's dispatch, retry, resume and end in one place

Cause: whether a request ran, may have run or did not has to be decided once, whatever order cancels, timeouts, losses and answers come in, and a request that may not be repeated must run at most once.

All are functions of events and a time handed in.

--- /dev/null
+++ b/Libraries/LibRequest/Home.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibRequest/AnswerStore.h>
+#include <LibRequest/OnceTable.h>
+#include <string_view>
+
+namespace Request {
+
+/// What a daemon keeps as the home of tickets: which were sent, and the answers. The two bounds are apart, so
+/// dropping an answer never lets its request run again. Not thread-safe: one mutex around it.
+class Home {
+public:
+    /// Errors: as `AnswerStore::create` and `OnceTable::create`.
+    static Core::Result<Home> create(AnswerStore::Limits, OnceTable::Settings);
+
+    struct Begun {
+        OnceDecision decision { OnceDecision::Run };
+        std::vector<DroppedAnswer> dropped; ///< Given up to make room; log them.
+    };
+
+    /// Decides on a send (see `OnceTable::begin`) and opens its answer when it is to run.
+    Core::Result<Begun> begin(Ticket const&, Fingerprint const&, std::string_view organisation, TimePoint now);
+
+    /// Keeps a piece that the machine delivered. Returns what was dropped for it.
+    std::vector<DroppedAnswer> append(TicketNonce const&, std::uint64_t position, std::string_view bytes);
+
+    /// Keeps the machine's `Finish`.
+    void finish(TicketNonce const&, AnswerEnd, TimePoint now);
+
+    /// Reads a kept answer. Errors: NotFound with the request's own verdict when the answer is no longer kept, as
+    /// `AnswerStore::read` else. Precondition: whoever asks showed the ticket and it passed `verify`.
+    Core::Result<AnswerPart> read(TicketNonce const&, AnswerOffset, std::uint64_t maxBytes) const;
+
+    /// Notes that the caller has the whole answer; it may be forgotten.
+    void collected(TicketNonce const&);
+
+    /// Call about once a second; returns the answers that expired.
+    std::vector<DroppedAnswer> expire(TimePoint now);
+
+    std::uint64_t keptBytes() const { return m_answers.bytes(); }
+    std::size_t keptAnswers() const { return m_answers.size(); }
+    std::size_t rememberedTickets() const { return m_once.size(); }
+
+private:
+    Home(AnswerStore, OnceTable);
+
+    AnswerStore m_answers;
+    OnceTable m_once;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/OnceTable.cpp
@@ -0,0 +1,96 @@
+#include <LibRequest/OnceTable.h>
+#include <algorithm>
+#include <utility>
+
+namespace Request {
+
+namespace {
+
+/// Rounded up, so that nothing is forgotten early.
+std::int64_t secondOf(TimePoint time)
+{
+    return std::chrono::ceil<std::chrono::seconds>(time.time_since_epoch()).count();
+}
+
+}
+
+Core::Result<OnceTable> OnceTable::create(Settings settings)
+{
+    if (settings.ticketLifetime.count() <= 0 || settings.keepAfterEnd.count() <= 0 || settings.maxTickets == 0)
+        return Core::fail(Core::ErrorCode::BadInput, "The tickets' lifetime and number must be more than 0.");
+    return OnceTable(settings);
+}
+
+OnceTable::OnceTable(Settings settings)
+    : m_settings(settings)
+{
+}
+
+Core::Result<OnceDecision> OnceTable::begin(Ticket const& ticket, Fingerprint const& fingerprint, TimePoint now)
+{
+    expire(now);
+    auto it = m_entries.find(ticket.nonce);
+    if (it != m_entries.end()) {
+        if (it->second.fingerprint != fingerprint)
+            return Core::fail(Core::ErrorCode::Conflict, "The ticket was used for another request; this one was not run.");
+        return it->second.isRunning ? OnceDecision::Join : OnceDecision::Replay;
+    }
+    // Whether an expired ticket was used can't be known once it may have been forgotten.
+    TimePoint expiry = ticket.issuedAt + m_settings.ticketLifetime;
+    if (expiry <= now) {
+        return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Timeout,
+            "The ticket has expired; whether its request ran is no longer known."));
+    }
+    // A refusal for want of room leaves no trace, so a copy that comes later must be refused as well: all
+    // unseen tickets as old as the refused one are.
+    if (m_entries.size() >= m_settings.maxTickets)
+        m_refusedBefore = now;
+    if (m_refusedBefore && ticket.issuedAt <= *m_refusedBefore)
+        return Core::fail(Core::ErrorCode::Overloaded, "Too many tickets are in use; ask for a fresh one.");
+    m_entries.emplace(ticket.nonce, Entry { fingerprint, true, Core::Verdict::MayHaveRun, expiry });
+    schedule(ticket.nonce, expiry);
+    return OnceDecision::Run;
+}
+
+void OnceTable::finish(TicketNonce const& nonce, Core::Verdict verdict, TimePoint now)
+{
+    auto it = m_entries.find(nonce);
+    if (it == m_entries.end() || !it->second.isRunning)
+        return;
+    it->second.isRunning = false;
+    it->second.verdict = verdict;
+    it->second.expiresAt = std::max(it->second.expiresAt, now + m_settings.keepAfterEnd);
+}
+
+std::optional<Core::Verdict> OnceTable::verdictOf(TicketNonce const& nonce) const
+{
+    auto it = m_entries.find(nonce);
+    if (it == m_entries.end() || it->second.isRunning)
+        return std::nullopt;
+    return it->second.verdict;
+}
+
+void OnceTable::schedule(TicketNonce const& nonce, TimePoint expiry)
+{
+    m_expiries[secondOf(expiry)].push_back(nonce);
+}
+
+void OnceTable::expire(TimePoint now)
+{
+    while (!m_expiries.empty() && std::chrono::seconds(m_expiries.begin()->first) <= now.time_since_epoch()) {
+        std::vector<TicketNonce> due = std::move(m_expiries.begin()->second);
+        m_expiries.erase(m_expiries.begin());
+        for (TicketNonce const& nonce : due) {
+            auto it = m_entries.find(nonce);
+            // What still runs is looked at again later; it is never forgotten before it ends.
+            if (it->second.isRunning)
+                schedule(nonce, now + m_settings.keepAfterEnd);
+            else if (it->second.expiresAt > now)
+                schedule(nonce, it->second.expiresAt);
+            else
+                m_entries.erase(it);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/OnceTable.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibRequest/Fingerprint.h>
+#include <LibRequest/Ticket.h>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Request {
+
+/// What the home does with a request that came with one of its tickets.
+enum class OnceDecision : std::uint8_t {
+    Run, ///< First send: run it, then call `finish`.
+    Join, ///< It is running: follow its answer.
+    Replay, ///< It ended: give the kept answer, or say its verdict when the answer is no longer kept.
+};
+
+inline constexpr Core::EnumNames<OnceDecision, 3> onceDecisionNames { {
+    { OnceDecision::Run, "run" },
+    { OnceDecision::Join, "join" },
+    { OnceDecision::Replay, "replay" },
+} };
+
+/// Remembers at the home which tickets were sent, for as long as they may be sent, so that a repeat never runs
+/// again. When it is full new sends are refused; nothing is forgotten early. Not thread-safe.
+class OnceTable {
+public:
+    struct Settings {
+        std::chrono::milliseconds ticketLifetime { std::chrono::minutes(10) };
+        std::chrono::milliseconds keepAfterEnd { std::chrono::minutes(5) }; ///< As long as answers are kept.
+        std::size_t maxTickets { 200'000 };
+    };
+
+    /// Errors: BadInput when a setting is 0.
+    static Core::Result<OnceTable> create(Settings);
+
+    /// Decides on a send. Precondition: the ticket passed `TicketIssuer::verify`; `now` never goes back.
+    /// Errors: Conflict (not run: another request has this ticket), Timeout (may have run: expired and no longer
+    /// remembered), Overloaded (not run: table full, or this ticket is older than a refusal for that reason; a
+    /// fresh ticket is needed).
+    Core::Result<OnceDecision> begin(Ticket const&, Fingerprint const&, TimePoint now);
+
+    /// Notes the final verdict of a request that `begin` let run. A ticket told 'not run' never runs later either.
+    void finish(TicketNonce const&, Core::Verdict, TimePoint now);
+
+    /// Returns the final verdict, or nothing while it runs or when it is unknown here.
+    std::optional<Core::Verdict> verdictOf(TicketNonce const&) const;
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct Entry {
+        Fingerprint fingerprint;
+        bool isRunning { true };
+        Core::Verdict verdict { Core::Verdict::MayHaveRun };
+        TimePoint expiresAt; ///< Once it has ended.
+    };
+
+    explicit OnceTable(Settings);
+    void schedule(TicketNonce const&, TimePoint expiry);
+    void expire(TimePoint now);
+
+    Settings m_settings;
+    boost::unordered_flat_map<TicketNonce, Entry, TicketNonceHash> m_entries;
+    std::map<std::int64_t, std::vector<TicketNonce>> m_expiries; ///< By second of expiry, rounded up.
+    std::optional<TimePoint> m_refusedBefore; ///< Unseen tickets issued up to here never run.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace Request {
+
+/// One connection of one attempt. Attempts count from 1 in a request; connections from 1 in an attempt
+/// (the second and later ones resume the first one's stream).
+struct Leg {
+    std::uint32_t attempt { 0 };
+    std::uint32_t connection { 0 };
+
+    bool operator==(Leg const&) const = default;
+};
+
+/// What a target answered to a cancel.
+enum class CancelOutcome : std::uint8_t {
+    Canceled, ///< It was running and has been stopped.
+    Finished, ///< It had run to its end.
+    NeverSeen, ///< The incarnation that was sent to has not seen it and will refuse it later: certainly not run.
+    Unknown, ///< No answer, or from another incarnation of the target.
+};
+
+inline constexpr Core::EnumNames<CancelOutcome, 4> cancelOutcomeNames { {
+    { CancelOutcome::Canceled, "canceled" },
+    { CancelOutcome::Finished, "finished" },
+    { CancelOutcome::NeverSeen, "never-seen" },
+    { CancelOutcome::Unknown, "unknown" },
+} };
+
+/// Admission let the request through.
+struct Admitted { };
+/// Admission refused it or its time in the queue ran out. `error` must say not run.
+struct Refused {
+    Core::Error error;
+    std::chrono::milliseconds retryAfter { 0 };
+};
+/// Routing chose `target` for the attempt.
+struct TargetPicked {
+    std::uint32_t attempt { 0 };
+    std::string target;
+};
+/// Routing found no target for the attempt.
+struct NoTarget {
+    std::uint32_t attempt { 0 };
+    Core::Error error;
+    std::chrono::milliseconds retryAfter { 0 };
+};
+/// A connection stands and nothing has been written on it. Write only if the answer is `WriteRequest`.
+struct Connected {
+    Leg leg;
+};
+/// No connection, or the first write certainly wrote nothing.
+struct ConnectFailed {
+    Leg leg;
+};
+/// The target said explicitly that it did not run the request.
+struct TargetRefused {
+    Leg leg;
+};
+/// The status line and headers of the answer came.
+struct ResponseHead {
+    Leg leg;
+    int status { 0 };
+};
+/// A part of the answer. `index` counts the attempt's pieces from 0, on whatever connection they come.
+struct Piece {
+    Leg leg;
+    std::uint64_t index { 0 };
+    std::string bytes;
+    bool endsEvent { false }; ///< The piece ends a whole server-sent event.
+};
+/// The answer ended as its framing says (length, last chunk, [DONE]) after `count` pieces of the attempt.
+struct StreamEnded {
+    Leg leg;
+    std::uint64_t count { 0 };
+};
+/// The connection ended before the answer did, after something was written.
+struct StreamBroken {
+    Leg leg;
+};
+/// Heartbeats on the connection went unanswered, or a probe over a new one found that it is dead.
+struct SilentConnection {
+    Leg leg;
+};
+/// The target goes on with the stream on this new connection.
+struct ResumeAccepted {
+    Leg leg;
+};
+/// The target does not know the stream.
+struct ResumeUnknown {
+    Leg leg;
+};
+/// The target's answer to `CancelAtTarget`, or `Unknown` when none came.
+struct CancelAcknowledged {
+    std::uint32_t attempt { 0 };
+    CancelOutcome outcome { CancelOutcome::Unknown };
+};
+/// A home's final answer to an entry that forwarded to it: the error and verdict that the caller gets.
+struct HomeAnswered {
+    Leg leg;
+    Core::Error error;
+    std::chrono::milliseconds retryAfter { 0 };
+};
+/// The caller's connection ended.
+struct CallerGone { };
+/// The deadline passed.
+struct DeadlineReached { };
+/// The daemon has to end before the request does.
+struct ShutdownForced { };
+
+/// Everything that can happen to a request.
+using RequestEvent = std::variant<Admitted, Refused, TargetPicked, NoTarget, Connected, ConnectFailed, TargetRefused,
+    ResponseHead, Piece, StreamEnded, StreamBroken, SilentConnection, ResumeAccepted, ResumeUnknown,
+    CancelAcknowledged, HomeAnswered, CallerGone, DeadlineReached, ShutdownForced>;
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <LibRequest/RequestAction.h>
+#include <LibRequest/RequestEvent.h>
+#include <LibRequest/RetryBudget.h>
+#include <LibRequest/Ticket.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Request {
+
+/// What may be done with a request; decided once, from its labels, method and ticket.
+struct RequestProfile {
+    bool isRepeatable { false }; ///< It may run more than once.
+    bool mayContinue { false }; ///< An answer cut in the middle may go on from the prompt and the text sent.
+    bool canResume { false }; ///< Its targets keep streams and resume them.
+    bool canCancel { false }; ///< Its targets take cancels and fence the request's id.
+    bool outlivesCaller { false }; ///< It has a ticket: it goes on and its answer is kept when the caller goes.
+    bool goesToHome { false }; ///< It is forwarded to its ticket's home, which alone may say 'not run'.
+    std::uint32_t maxAttempts { 4 };
+    std::uint32_t maxResumes { 4 }; ///< New connections in a row that bring no new piece.
+    TimePoint deadline;
+};
+
+/// Returns whether RFC 9110 (section 9.2.2) calls the method idempotent. Names are case-sensitive. Thread-safe.
+bool isIdempotentMethod(std::string_view method);
+
+/// Decides dispatch, cancel, retry, resume, verdict and end of one request, and nothing else does: a pure function
+/// of its events and their times. Not thread-safe: one thread at a time.
+///
+/// Events of a former attempt, repeated or out-of-order ones and all that come after `Finish` change nothing.
+class RequestMachine {
+public:
+    enum class Phase : std::uint8_t {
+        Queued,
+        Connecting, ///< A target is being picked or connected to; nothing written.
+        AwaitingHead,
+        Streaming,
+        Resuming,
+        Fencing, ///< Waits for the target to say that it never saw the attempt.
+        Finished,
+    };
+
+    /// Precondition: `budget` outlives the machine.
+    RequestMachine(RequestProfile, RetryBudget& budget);
+
+    /// Takes one event. Carry out the actions in their order before the next event is handed in.
+    RequestActions handle(RequestEvent, TimePoint now);
+
+    Phase phase() const { return m_phase; }
+    bool isFinished() const { return m_phase == Phase::Finished; }
+
+    /// The current attempt's number; 0 before the first.
+    std::uint32_t attempt() const { return m_attempt; }
+
+    /// How many pieces have been delivered.
+    std::uint64_t deliveredPieces() const { return m_delivered; }
+
+    /// What is certain about the request now, were it to end with an error.
+    Core::Verdict verdict() const;
+
+    /// When `DeadlineReached` is due.
+    TimePoint deadline() const { return m_profile.deadline; }
+
+private:
+    void on(Admitted&&, TimePoint);
+    void on(Refused&&, TimePoint);
+    void on(TargetPicked&&, TimePoint);
+    void on(NoTarget&&, TimePoint);
+    void on(Connected&&, TimePoint);
+    void on(ConnectFailed&&, TimePoint);
+    void on(TargetRefused&&, TimePoint);
+    void on(ResponseHead&&, TimePoint);
+    void on(Piece&&, TimePoint);
+    void on(StreamEnded&&, TimePoint);
+    void on(StreamBroken&&, TimePoint);
+    void on(SilentConnection&&, TimePoint);
+    void on(ResumeAccepted&&, TimePoint);
+    void on(ResumeUnknown&&, TimePoint);
+    void on(CancelAcknowledged&&, TimePoint);
+    void on(HomeAnswered&&, TimePoint);
+    void on(CallerGone&&, TimePoint);
+    void on(DeadlineReached&&, TimePoint);
+    void on(ShutdownForced&&, TimePoint);
+
+    bool isCurrent(Leg const&) const;
+    bool isAnswering() const;
+    void connectionLost(TimePoint);
+    void resume();
+    void attemptLost(TimePoint);
+    bool startAttempt(TimePoint);
+    void retryOrFinish(TimePoint, Core::ErrorCode, std::string_view message);
+    void deliverHeadOnce();
+    void cancelAttempt(bool needsOutcome);
+    void finishWhole();
+    void finishWith(Core::ErrorCode, std::string_view message, std::chrono::milliseconds retryAfter = {});
+
+    RequestProfile m_profile;
+    RetryBudget* m_budget;
+    RequestActions* m_actions { nullptr }; ///< Where `handle` collects; null outside it.
+    Phase m_phase { Phase::Queued };
+    bool m_wasWritten { false }; ///< The current attempt has been written and not been proven not run.
+    bool m_mayHaveRunBefore { false }; ///< An earlier attempt, or an earlier send of the ticket, may have run.
+    bool m_headDelivered { false };
+    bool m_endsEvent { true }; ///< What has been delivered ends a whole event.
+    std::uint32_t m_attempt { 0 };
+    std::uint32_t m_connection { 0 };
+    std::uint32_t m_resumes { 0 };
+    int m_status { 0 }; ///< Of the current attempt's head; 0 before it.
+    std::uint64_t m_base { 0 }; ///< Pieces delivered before the current attempt.
+    std::uint64_t m_delivered { 0 };
+    std::string m_target;
+    std::vector<std::string> m_excluded;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/RetryBudget.cpp
@@ -0,0 +1,36 @@
+#include <LibRequest/RetryBudget.h>
+#include <algorithm>
+
+namespace Request {
+
+RetryBudget::RetryBudget(Settings settings)
+    : m_settings(settings)
+    , m_tokens(settings.burst)
+{
+}
+
+void RetryBudget::earn()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_tokens = std::min(m_settings.burst, m_tokens + m_settings.ratio);
+}
+
+bool RetryBudget::take(TimePoint now)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_refilledAt == TimePoint())
+        m_refilledAt = now;
+    if (now > m_refilledAt) {
+        double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+        m_tokens = std::min(m_settings.burst, m_tokens + seconds * m_settings.floorPerSecond);
+        m_refilledAt = now;
+    }
+    // Sums of tenths fall a little short of whole numbers.
+    constexpr double tolerance = 1e-6;
+    if (m_tokens + tolerance < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+}
