LibRouting: Add the router, the load table and the prefix index

Cause: every daemon needs one pure place that chooses a target among the candidates that selectors allow, with load that is always seen late.

Change: six policies behind Router::decide(), each with a zone penalty; LoadTable adds to a report what was sent since the state that it shows; PrefixIndex is a bounded belief of who holds which prefix. Nothing is allocated per decision.

--- /dev/null
+++ b/Libraries/LibRouting/Candidate.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibRouting/Load.h>
+#include <LibRouting/TargetRole.h>
+#include <LibRouting/ZoneDistance.h>
+
+namespace Routing {
+
+/// A target that labels and selectors allow for the request at hand. The caller of the router drops all
+/// others beforehand: nothing selected means nothing allowed.
+struct Candidate {
+    std::uint32_t target { 0 }; ///< The caller's own number for it.
+    TargetRole role { TargetRole::Mixed };
+    ZoneDistance distance { ZoneDistance::SameZone };
+    bool closed { false }; ///< Draining, changing, leaving, suspected or at its limit: gets no new work.
+    std::uint32_t prefixMatchTokens { 0 }; ///< Prompt tokens whose KV cache it is believed to hold.
+    Load load;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/LoadTable.cpp
@@ -0,0 +1,97 @@
+#include <LibRouting/LoadTable.h>
+#include <algorithm>
+#include <cassert>
+
+namespace Routing {
+
+Core::Result<LoadTable> LoadTable::create(Settings settings)
+{
+    if (settings.interval.count() <= 0 || settings.intervals == 0)
+        return Core::fail(Core::ErrorCode::BadInput, "A load table needs an interval and a number of intervals above 0.");
+    return LoadTable(settings);
+}
+
+void LoadTable::resize(std::size_t n)
+{
+    std::size_t known = m_targets.size();
+    m_targets.resize(n);
+    for (std::size_t i = known; i < n; ++i)
+        m_targets[i].intervals.resize(m_settings.intervals);
+}
+
+std::int64_t LoadTable::intervalOf(Time time) const
+{
+    return time.time_since_epoch() / std::chrono::duration_cast<Time::duration>(m_settings.interval);
+}
+
+void LoadTable::take(Target& target, Interval& interval)
+{
+    target.requests -= interval.requests;
+    target.promptTokens -= interval.promptTokens;
+    interval = Interval {};
+}
+
+bool LoadTable::report(std::size_t target, LoadReport const& report)
+{
+    assert(target < m_targets.size());
+    Target& it = m_targets[target];
+    if (it.report && report.asOf <= it.report->asOf)
+        return false;
+    it.report = report;
+    // The interval that the report falls into stays counted: too much for a moment rather than too little.
+    it.firstKept = intervalOf(report.asOf);
+    for (Interval& interval : it.intervals) {
+        if (interval.number >= 0 && interval.number < it.firstKept)
+            take(it, interval);
+    }
+    return true;
+}
+
+void LoadTable::count(std::size_t target, LoadCounts const& counts, Time now)
+{
+    assert(target < m_targets.size());
+    Target& it = m_targets[target];
+    std::int64_t number = intervalOf(now);
+    if (number < it.firstKept)
+        return;
+    Interval& interval = it.intervals[static_cast<std::size_t>(number) % it.intervals.size()];
+    if (interval.number > number)
+        return;
+    if (interval.number != number) {
+        take(it, interval);
+        interval.number = number;
+    }
+    std::int32_t requests = static_cast<std::int32_t>(counts.requestsSent) - static_cast<std::int32_t>(counts.requestsEnded);
+    std::int32_t tokens = static_cast<std::int32_t>(counts.promptTokensSent) - static_cast<std::int32_t>(counts.promptTokensDone);
+    interval.requests += requests;
+    interval.promptTokens += tokens;
+    it.requests += requests;
+    it.promptTokens += tokens;
+}
+
+void LoadTable::forget(std::size_t target)
+{
+    assert(target < m_targets.size());
+    m_targets[target] = Target {};
+    m_targets[target].intervals.resize(m_settings.intervals);
+}
+
+Load LoadTable::load(std::size_t target, Time now) const
+{
+    assert(target < m_targets.size());
+    Target const& it = m_targets[target];
+    Load load;
+    if (it.report) {
+        load.running = it.report->running;
+        load.waiting = it.report->waiting;
+        load.waitingPromptTokens = it.report->waitingPromptTokens;
+        load.kvUsedTokens = it.report->kvUsedTokens;
+        load.kvCapacityTokens = it.report->kvCapacityTokens;
+        load.ageSeconds = std::max(0.0F, std::chrono::duration<float>(now - it.report->asOf).count());
+    }
+    load.requestsSince = it.requests;
+    load.promptTokensSince = it.promptTokens;
+    return load;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Phase.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCore/EnumNames.h>
+#include <cstdint>
+
+namespace Routing {
+
+/// The part of a request that is being placed.
+enum class Phase : std::uint8_t {
+    Whole, ///< Prompt and output, on a mixed target (or a plain service's call).
+    Prefill, ///< The prompt, on a prefill target; the output is placed by a later decision.
+    Decode, ///< The output, on a decode or mixed target, from an exported KV cache.
+    WholeOrPrefill, ///< Either way to start: the role of the target that wins says which.
+};
+
+inline constexpr Core::EnumNames<Phase, 4> phaseNames { {
+    { Phase::Whole, "whole" },
+    { Phase::Prefill, "prefill" },
+    { Phase::Decode, "decode" },
+    { Phase::WholeOrPrefill, "whole-or-prefill" },
+} };
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/PrefixIndex.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace Routing {
+
+/// One link of a prompt's chain of prefixes: the hash of the prompt's first `tokens` tokens.
+struct PrefixBlock {
+    std::uint64_t hash { 0 }; ///< Never 0.
+    std::uint32_t tokens { 0 };
+};
+
+/// A target believed to hold the KV cache of a prompt's first `tokens` tokens.
+struct PrefixMatch {
+    std::uint32_t target { 0 };
+    std::uint32_t tokens { 0 };
+};
+
+/// Which targets are believed to hold which prefixes: a bounded, set-associative table that forgets the
+/// least recently used. It is a belief: engines' cache events come late and with gaps, so what this
+/// daemon routed counts as stored at once, and an eviction that is never heard of costs one slow prefill.
+/// Allocates on creation only. Not thread-safe: one owner, or a lock around it.
+class PrefixIndex {
+public:
+    /// Creates an index for at least `capacity` prefixes (32 bytes each). Fails with `BadInput` when it is 0.
+    static Core::Result<PrefixIndex> create(std::size_t capacity);
+
+    /// Records that a prompt with this chain went to `target`, which will hold all its prefixes.
+    void routed(std::span<PrefixBlock const> chain, std::uint32_t target);
+
+    /// Records an engine's cache event: it holds this prefix.
+    void stored(std::uint64_t hash, std::uint32_t target);
+
+    /// Records an engine's cache event: it no longer holds this prefix.
+    void evicted(std::uint64_t hash, std::uint32_t target);
+
+    /// Forgets all of a target's prefixes, as after a gap in its cache events or a new incarnation. Linear.
+    void forget(std::uint32_t target);
+
+    /// Writes the targets that hold a prefix of this prompt, the longest first, each once. Returns how many.
+    std::size_t match(std::span<PrefixBlock const> chain, std::span<PrefixMatch> matches) const;
+
+private:
+    static constexpr std::size_t ways = 8;
+    static constexpr std::size_t holdersPerPrefix = 4;
+    static constexpr std::uint32_t noTarget = UINT32_MAX;
+
+    struct Entry {
+        std::uint64_t hash { 0 };
+        std::uint32_t lastUse { 0 };
+        std::array<std::uint32_t, holdersPerPrefix> targets { noTarget, noTarget, noTarget, noTarget };
+    };
+
+    explicit PrefixIndex(std::size_t sets)
+        : m_entries(sets * ways)
+    {
+    }
+
+    std::span<Entry> setOf(std::uint64_t hash);
+    Entry const* find(std::uint64_t hash) const;
+    Entry& findOrReplace(std::uint64_t hash);
+
+    std::vector<Entry> m_entries;
+    std::uint32_t m_useCount { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RequestShape.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibRouting/Phase.h>
+
+namespace Routing {
+
+/// What the router needs to know of a request.
+struct RequestShape {
+    Phase phase { Phase::Whole };
+    std::uint8_t priority { 5 }; ///< 0 is served first, 9 last.
+    std::uint32_t promptTokens { 0 };
+    std::uint32_t expectedOutputTokens { 0 };
+    std::uint64_t prefixHash { 0 }; ///< Of the longest reusable prefix; 0: none. Logged only; matches are in the candidates.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Router.cpp
@@ -0,0 +1,301 @@
+#include <LibRouting/Router.h>
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace Routing {
+
+namespace {
+
+constexpr std::size_t noPosition = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t maxSampleSize = 64;
+
+// Uniform over 0 .. n-1. The multiplication's bias is below n / 2^64.
+std::size_t uniform(std::mt19937_64& rng, std::size_t n)
+{
+    return static_cast<std::size_t>((static_cast<unsigned __int128>(rng()) * n) >> 64);
+}
+
+bool isOpen(Candidate const& candidate, Phase phase)
+{
+    return !candidate.closed && takes(candidate.role, phase);
+}
+
+}
+
+/// The two least scores seen so far. Equal scores are decided by an even draw, so that daemons with the
+/// same knowledge do not all choose the first.
+struct Router::Best {
+    std::size_t first { noPosition };
+    std::size_t second { noPosition };
+    double firstScore { std::numeric_limits<double>::infinity() };
+    double secondScore { std::numeric_limits<double>::infinity() };
+    std::uint32_t ties { 0 };
+    std::uint32_t considered { 0 };
+
+    void offer(std::size_t position, double score, std::mt19937_64& rng)
+    {
+        ++considered;
+        ties = score == firstScore ? ties + 1 : ties;
+        bool wins = score < firstScore || (score == firstScore && uniform(rng, ties + 1) == 0);
+        if (wins) {
+            ties = score < firstScore ? 0 : ties;
+            second = first;
+            secondScore = firstScore;
+            first = position;
+            firstScore = score;
+        } else if (score < secondScore) {
+            second = position;
+            secondScore = score;
+        }
+    }
+};
+
+/// Distinct open candidates, each set of its size being equally likely.
+struct Router::Sample {
+    std::array<std::size_t, maxSampleSize> positions {};
+    std::size_t size { 0 };
+
+    bool contains(std::size_t position) const
+    {
+        return std::find(positions.begin(), positions.begin() + static_cast<std::ptrdiff_t>(size), position) != positions.begin() + static_cast<std::ptrdiff_t>(size);
+    }
+
+    static Sample draw(std::span<Candidate const> candidates, Phase phase, std::size_t wanted, std::mt19937_64& rng)
+    {
+        Sample sample;
+        if (candidates.empty())
+            return sample;
+        // Rejection is cheap while most candidates are open; else one pass draws from all of them.
+        std::size_t tries = 8 * wanted;
+        while (sample.size < wanted && tries-- > 0) {
+            std::size_t position = uniform(rng, candidates.size());
+            if (isOpen(candidates[position], phase) && !sample.contains(position))
+                sample.positions[sample.size++] = position;
+        }
+        if (sample.size < wanted)
+            sample.drawInOnePass(candidates, phase, wanted, rng);
+        return sample;
+    }
+
+    void drawInOnePass(std::span<Candidate const> candidates, Phase phase, std::size_t wanted, std::mt19937_64& rng)
+    {
+        size = 0;
+        std::size_t seen = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (!isOpen(candidates[i], phase))
+                continue;
+            ++seen;
+            if (size < wanted) {
+                positions[size++] = i;
+                continue;
+            }
+            std::size_t place = uniform(rng, seen);
+            if (place < wanted)
+                positions[place] = i;
+        }
+        for (std::size_t i = size; i > 1; --i)
+            std::swap(positions[i - 1], positions[uniform(rng, i)]);
+    }
+};
+
+bool takes(TargetRole role, Phase phase)
+{
+    switch (phase) {
+    case Phase::Whole:
+        return role == TargetRole::Mixed;
+    case Phase::Prefill:
+        return role == TargetRole::Prefill;
+    case Phase::Decode:
+        return role != TargetRole::Prefill;
+    case Phase::WholeOrPrefill:
+        return role != TargetRole::Decode;
+    }
+    return false;
+}
+
+Core::Result<Router> Router::create(Settings settings)
+{
+    if (settings.sampleSize < 2 || settings.sampleSize > maxSampleSize)
+        return Core::fail(Core::ErrorCode::BadInput, "The sample size must be between 2 and 64.");
+    if (settings.wideSampleSize < 2 || settings.wideSampleSize > maxSampleSize)
+        return Core::fail(Core::ErrorCode::BadInput, "The wide sample size must be between 2 and 64.");
+    std::array<double, 8> seconds { settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
+        settings.secondsPerPromptToken, settings.secondsPerRequest, settings.fullPenaltySeconds, settings.secondsPerSlot, settings.imbalanceSeconds };
+    for (double n : seconds) {
+        if (!(n >= 0) || n > 3600)
+            return Core::fail(Core::ErrorCode::BadInput, "Penalties and rates of a router must be between 0 and 3600 seconds.");
+    }
+    return Router(settings);
+}
+
+double Router::zonePenalty(Candidate const& candidate) const
+{
+    return m_settings.zonePenaltySeconds[static_cast<std::size_t>(candidate.distance)];
+}
+
+double Router::prefillSeconds(Candidate const& candidate, RequestShape const& shape) const
+{
+    if (shape.phase == Phase::Decode)
+        return 0;
+    std::uint32_t cached = std::min(candidate.prefixMatchTokens, shape.promptTokens);
+    return (shape.promptTokens - cached) * m_settings.secondsPerPromptToken;
+}
+
+double Router::waitSeconds(Candidate const& candidate, RequestShape const& shape, bool isCorrected) const
+{
+    Load const& load = candidate.load;
+    double requests = load.running + static_cast<double>(load.waiting);
+    double tokens = load.waitingPromptTokens;
+    double kv = load.kvUsedTokens;
+    if (isCorrected) {
+        requests = std::max(0.0, requests + load.requestsSince);
+        tokens = std::max(0.0, tokens + load.promptTokensSince);
+        kv += std::max(0, load.promptTokensSince);
+    }
+    double wait = requests * m_settings.secondsPerRequest;
+    if (shape.phase != Phase::Decode)
+        wait += tokens * m_settings.secondsPerPromptToken;
+    if (m_settings.maxRunning != 0 && candidate.role != TargetRole::Prefill && requests >= m_settings.maxRunning)
+        wait += (requests - m_settings.maxRunning + 1) * m_settings.secondsPerSlot;
+    if (load.kvCapacityTokens != 0 && kv + shape.promptTokens + shape.expectedOutputTokens > load.kvCapacityTokens)
+        wait += m_settings.fullPenaltySeconds;
+    return wait;
+}
+
+Decision Router::finish(std::span<Candidate const> candidates, RequestShape const& shape, Best const& best, Reason reason) const
+{
+    Decision decision;
+    decision.considered = best.considered;
+    if (best.first == noPosition) {
+        auto fits = [&shape](Candidate const& it) { return takes(it.role, shape.phase); };
+        bool hasFitting = std::any_of(candidates.begin(), candidates.end(), fits);
+        decision.reason = candidates.empty() ? Reason::NoCandidate : hasFitting ? Reason::AllClosed
+                                                                                : Reason::NoFittingRole;
+        return decision;
+    }
+    Candidate const& chosen = candidates[best.first];
+    decision.chosen = best.first;
+    decision.target = chosen.target;
+    decision.role = chosen.role;
+    decision.reason = best.considered == 1 ? Reason::OnlyCandidate : reason;
+    decision.score = best.firstScore;
+    decision.waitSeconds = waitSeconds(chosen, shape, true) + prefillSeconds(chosen, shape);
+    if (best.second != noPosition) {
+        decision.runnerUp = best.second;
+        decision.runnerUpScore = best.secondScore;
+    }
+    return decision;
+}
+
+Decision Router::decide(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    bool isWide = candidates.size() > m_settings.scanLimit;
+    switch (m_settings.policy) {
+    case Policy::Random:
+        return decideRandom(candidates, shape, rng);
+    case Policy::LeastReported:
+        return decideScan(candidates, shape, rng, false);
+    case Policy::PeekTwo:
+    case Policy::PeekTwoRecheck:
+        return decidePair(candidates, shape, rng);
+    case Policy::LeastCorrected:
+        return isWide ? decideSample(candidates, shape, rng, m_settings.wideSampleSize) : decideScan(candidates, shape, rng, true);
+    case Policy::PrefixAffinity:
+        return decideAffinity(candidates, shape, rng);
+    }
+    return {};
+}
+
+Decision Router::decideRandom(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    // With a zone penalty the nearer of two draws is taken, the first one where they are equally near.
+    bool isNear = m_settings.zonePenaltySeconds[2] > 0;
+    Sample sample = Sample::draw(candidates, shape.phase, isNear ? 2 : 1, rng);
+    Best best;
+    for (std::size_t i = 0; i < sample.size; ++i) {
+        double score = zonePenalty(candidates[sample.positions[i]]);
+        if (i == 0 || score < best.firstScore)
+            best.first = sample.positions[i];
+        best.firstScore = i == 0 ? score : std::min(score, best.firstScore);
+        ++best.considered;
+    }
+    return finish(candidates, shape, best, Reason::RandomDraw);
+}
+
+Decision Router::decideScan(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng, bool isCorrected) const
+{
+    Best best;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (isOpen(candidates[i], shape.phase))
+            best.offer(i, waitSeconds(candidates[i], shape, isCorrected) + zonePenalty(candidates[i]), rng);
+    }
+    return finish(candidates, shape, best, Reason::LeastLoad);
+}
+
+Decision Router::decideSample(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng, std::size_t size) const
+{
+    Sample sample = Sample::draw(candidates, shape.phase, size, rng);
+    Best best;
+    for (std::size_t i = 0; i < sample.size; ++i) {
+        Candidate const& it = candidates[sample.positions[i]];
+        best.offer(sample.positions[i], waitSeconds(it, shape, true) + zonePenalty(it), rng);
+    }
+    return finish(candidates, shape, best, Reason::LessLoadedOfSample);
+}
+
+Decision Router::decidePair(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    Sample sample = Sample::draw(candidates, shape.phase, m_settings.sampleSize, rng);
+    Best best;
+    for (std::size_t i = 0; i < sample.size; ++i) {
+        Candidate const& it = candidates[sample.positions[i]];
+        best.offer(sample.positions[i], waitSeconds(it, shape, false) + zonePenalty(it), rng);
+    }
+    if (m_settings.policy == Policy::PeekTwo || best.second == noPosition)
+        return finish(candidates, shape, best, Reason::LessLoadedOfSample);
+    // Lin's paper, section 4.3, steps (a) to (c): the winner is kept unless what is known by now makes it
+    // worse than what the second showed.
+    Candidate const& winner = candidates[best.first];
+    double now = waitSeconds(winner, shape, true) + zonePenalty(winner);
+    if (now <= best.secondScore)
+        return finish(candidates, shape, best, Reason::RecheckKept);
+    std::swap(best.first, best.second);
+    best.firstScore = best.secondScore;
+    best.secondScore = now;
+    return finish(candidates, shape, best, Reason::RecheckMoved);
+}
+
+Decision Router::decideAffinity(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    // Of very many candidates only a sample is compared, and each that holds a prefix.
+    bool isWide = candidates.size() > m_settings.scanLimit;
+    Sample sample;
+    if (isWide)
+        sample = Sample::draw(candidates, shape.phase, m_settings.wideSampleSize, rng);
+    auto isCompared = [&](std::size_t i) {
+        return isOpen(candidates[i], shape.phase) && (!isWide || candidates[i].prefixMatchTokens > 0 || sample.contains(i));
+    };
+    Best least;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (isCompared(i))
+            least.offer(i, waitSeconds(candidates[i], shape, true) + zonePenalty(candidates[i]), rng);
+    }
+    if (least.first == noPosition)
+        return finish(candidates, shape, least, Reason::LeastLoad);
+
+    Best best;
+    double bound = least.firstScore + m_settings.imbalanceSeconds;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!isCompared(i))
+            continue;
+        double load = waitSeconds(candidates[i], shape, true) + zonePenalty(candidates[i]);
+        if (load <= bound)
+            best.offer(i, load + prefillSeconds(candidates[i], shape), rng);
+    }
+    bool isLonger = candidates[best.first].prefixMatchTokens > candidates[least.first].prefixMatchTokens;
+    best.considered = least.considered;
+    return finish(candidates, shape, best, isLonger ? Reason::CachedPrefix : Reason::LeastLoad);
+}
+
+}
--- /dev/null
+++ b/Tests/LibRouting/TestLoadTable.cpp
@@ -0,0 +1,91 @@
+#include <LibRouting/LoadTable.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using Routing::LoadReport;
+using Routing::LoadTable;
+using Routing::Time;
+using std::chrono::milliseconds;
+
+Time at(int ms)
+{
+    return Time(milliseconds(ms));
+}
+
+LoadTable makeTable()
+{
+    LoadTable table = LoadTable::create({}).value();
+    table.resize(2);
+    return table;
+}
+
+}
+
+TEST(LoadTable, AReportTakesAwayOnlyWhatItIncludes)
+{
+    LoadTable table = makeTable();
+    table.sent(0, 100, at(1000));
+    table.sent(0, 200, at(1500));
+    EXPECT_TRUE(table.report(0, { at(1300), 1, 0, 100, 0, 0 }));
+    Routing::Load load = table.load(0, at(2300));
+    EXPECT_EQ(load.running, 1U);
+    EXPECT_EQ(load.requestsSince, 1);
+    EXPECT_EQ(load.promptTokensSince, 200);
+    EXPECT_FLOAT_EQ(load.ageSeconds, 1.0F);
+    EXPECT_EQ(table.load(1, at(2300)).requestsSince, 0);
+}
+
+TEST(LoadTable, ALateReportChangesNothing)
+{
+    LoadTable table = makeTable();
+    EXPECT_TRUE(table.report(0, { at(2000), 5, 0, 0, 0, 0 }));
+    EXPECT_FALSE(table.report(0, { at(1000), 9, 0, 0, 0, 0 }));
+    EXPECT_FALSE(table.report(0, { at(2000), 9, 0, 0, 0, 0 }));
+    EXPECT_EQ(table.load(0, at(2000)).running, 5U);
+}
+
+TEST(LoadTable, CountsFromBeforeTheReportAreNotAddedTwice)
+{
+    LoadTable table = makeTable();
+    EXPECT_TRUE(table.report(0, { at(2000), 5, 0, 0, 0, 0 }));
+    table.count(0, { 3, 1, 700, 200 }, at(1500));
+    EXPECT_EQ(table.load(0, at(2100)).requestsSince, 0);
+    table.count(0, { 3, 1, 700, 200 }, at(2500));
+    EXPECT_EQ(table.load(0, at(2600)).requestsSince, 2);
+    EXPECT_EQ(table.load(0, at(2600)).promptTokensSince, 500);
+}
+
+TEST(LoadTable, OldCountsAreForgotten)
+{
+    LoadTable table = makeTable();
+    table.sent(0, 100, at(1000));
+    table.sent(0, 50, at(1000 + 6400));
+    EXPECT_EQ(table.load(0, at(7400)).promptTokensSince, 50);
+}
+
+// Against a list of all counts: the sums are those of the intervals not covered by the newest report.
+RC_GTEST_PROP(LoadTable, SumsMatchAListOfAllCounts, ())
+{
+    LoadTable table = makeTable();
+    std::vector<std::pair<int, int>> sent;
+    int newest = 0;
+    int now = 0;
+    for (int step = *rc::gen::inRange(0, 60); step > 0; --step) {
+        now += *rc::gen::inRange(0, 60);
+        if (*rc::gen::inRange(0, 4) == 0) {
+            int asOf = std::max(0, now - *rc::gen::inRange(0, 1000));
+            if (table.report(0, { at(asOf), 0, 0, 0, 0, 0 }))
+                newest = asOf;
+            continue;
+        }
+        int tokens = *rc::gen::inRange(1, 100);
+        table.sent(0, static_cast<std::uint32_t>(tokens), at(now));
+        sent.emplace_back(now, tokens);
+    }
+    int expected = 0;
+    for (auto const& [time, tokens] : sent)
+        expected += time / 100 >= newest / 100 ? tokens : 0;
+    RC_ASSERT(table.load(0, at(now)).promptTokensSince == expected);
+}
