LibStandIn: Add the state of the platform's stand-ins

Tests and the demonstration need a log service, a VM list, model engines, plain services and a weight store.

--- /dev/null
+++ b/Libraries/LibStandIn/Faults.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace StandIn {
+
+/// Faults that tests switch on. Each stand-in heeds those that its kind has.
+struct Faults {
+    bool isDown { false }; ///< Every call is answered with 503.
+    std::uint64_t loseReplies { 0 }; ///< So many calls take effect and are then cut off without an answer.
+    std::uint64_t delayMs { 0 }; ///< Each call waits so long before it takes effect.
+    bool crashesDuringChange { false }; ///< The engine ends half-way through its next change.
+    bool stalls { false }; ///< The engine takes requests but makes no progress.
+    bool refuses { false }; ///< The engine refuses every request as not serving.
+    std::uint64_t cutAfterEvents { 0 }; ///< Streams are cut after so many events; 0: never.
+};
+
+}
