LibSettings: Read and check the daemon's INI file in full

Cause: a daemon must not start on settings that are only partly understood. Change: one table of keys gives the reader, the printer and the reference; every problem of a file is reported at once with file, line, section, key, what was read and what is allowed.

--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -0,0 +1,273 @@
+#include <LibSettings/DaemonSettings.h>
+#include <LibSettings/IniReader.h>
+#include <LibSettings/Key.h>
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Settings {
+
+namespace {
+
+using Owned = DaemonSettings;
+using DaemonKey = Key<DaemonSettings>;
+
+constexpr std::uint64_t maximumBytes = 1U << 30U;
+constexpr std::uint64_t maximumMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::size_t maximumNameLength = 63;
+constexpr std::size_t minimumTokenLength = 16;
+
+auto const daemonOf = [](Owned& it) -> Owned::Daemon& { return it.daemon; };
+auto const callersOf = [](Owned& it) -> Owned::Callers& { return it.callers; };
+auto const serverOf = [](Owned& it) -> Http::ServerSettings& { return it.callers.server; };
+auto const operatorsOf = [](Owned& it) -> Owned::Operators& { return it.operators; };
+auto const peersOf = [](Owned& it) -> Owned::Peers& { return it.peers; };
+auto const platformOf = [](Owned& it) -> Owned::Platform& { return it.platform; };
+auto const limitsOf = [](Owned& it) -> Owned::Limits& { return it.limits; };
+auto const routingOf = [](Owned& it) -> Routing::Settings& { return it.routing; };
+
+template <typename Owner, typename Struct>
+DaemonKey endpointKey(std::string section, std::string name, std::string description, Owner owner, Owned::Endpoint Struct::* member)
+{
+    DaemonKey key { std::move(section), std::move(name), "an IP address and a port, such as 127.0.0.1:8080", std::move(description), true, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        BOOST_OUTCOME_TRY(Owned::Endpoint endpoint, Http::parseEndpoint(text));
+        owner(settings).*member = endpoint;
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return Http::toString(owner(const_cast<Owned&>(settings)).*member); };
+    return key;
+}
+
+template <typename Owner, typename Struct>
+DaemonKey nameKey(std::string section, std::string name, std::string description, Owner owner, std::string Struct::* member)
+{
+    DaemonKey key { std::move(section), std::move(name), "1 to 63 letters, digits, '-', '_' or '.'", std::move(description), true, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        bool isName = !text.empty() && text.size() <= maximumNameLength && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+            return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+        });
+        if (!isName)
+            return Core::fail(Core::ErrorCode::BadInput, "read \"" + std::string(text) + "\"; allowed is 1 to 63 letters, digits, '-', '_' or '.'");
+        owner(settings).*member = std::string(text);
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return owner(const_cast<Owned&>(settings)).*member; };
+    return key;
+}
+
+template <typename Owner, typename Struct>
+DaemonKey fractionKey(std::string section, std::string name, std::string description, double low, double high, Owner owner, double Struct::* member)
+{
+    DaemonKey key { std::move(section), std::move(name), "a number from " + printFraction(low) + " to " + printFraction(high), std::move(description), false, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        BOOST_OUTCOME_TRY(double number, readFraction(text, low, high));
+        owner(settings).*member = number;
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return printFraction(owner(const_cast<Owned&>(settings)).*member); };
+    return key;
+}
+
+template <typename Enum, std::size_t Size, typename Owner, typename Struct>
+DaemonKey choiceKey(std::string section, std::string name, std::string description, Core::EnumNames<Enum, Size> const& names, Owner owner, Enum Struct::* member)
+{
+    std::string allowed = "one of";
+    for (std::pair<Enum, std::string_view> const& entry : names)
+        allowed += " " + std::string(entry.second);
+    DaemonKey key { std::move(section), std::move(name), allowed, std::move(description), false, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        std::optional<Enum> value = Core::valueOf(names, text);
+        if (!value)
+            return Core::fail(Core::ErrorCode::BadInput, "read \"" + std::string(text) + "\"; allowed is " + allowed);
+        owner(settings).*member = *value;
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return std::string(Core::nameOf(names, owner(const_cast<Owned&>(settings)).*member)); };
+    return key;
+}
+
+DaemonKey tokenKey()
+{
+    std::string allowed = "16 or more printable characters without spaces";
+    DaemonKey key { "operators", "token", allowed, "The bearer token that operators show.", true, {}, {} };
+    key.read = [allowed](Owned& settings, std::string_view text) -> Core::Result<void> {
+        bool isToken = text.size() >= minimumTokenLength && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
+        if (!isToken)
+            return Core::fail(Core::ErrorCode::BadInput, "read " + std::to_string(text.size()) + " characters; allowed is " + allowed);
+        settings.operators.token = std::string(text);
+        return Core::ok();
+    };
+    key.print = [](Owned const&) { return std::string(); };
+    return key;
+}
+
+void addDaemonKeys(std::vector<DaemonKey>& keys)
+{
+    keys.push_back(nameKey("daemon", "name", "This daemon's name, as in the VM list.", daemonOf, &Owned::Daemon::name));
+    keys.push_back(nameKey("daemon", "availability_zone", "The availability zone of this VM.", daemonOf, &Owned::Daemon::availabilityZone));
+    keys.push_back(nameKey("daemon", "region", "The region of this VM.", daemonOf, &Owned::Daemon::region));
+    keys.push_back(numberKey<Owned>("daemon", "traffic_threads", "Threads that serve requests, beside the control thread.", 1, 64, daemonOf, &Owned::Daemon::trafficThreads));
+    keys.push_back(choiceKey("daemon", "log_level", "The least severity that is logged.", Core::severityNames, daemonOf, &Owned::Daemon::logLevel));
+}
+
+void addListenerKeys(std::vector<DaemonKey>& keys)
+{
+    keys.push_back(endpointKey("callers", "listen", "Where callers connect; also the address that they are told.", callersOf, &Owned::Callers::listen));
+    keys.push_back(numberKey<Owned>("callers", "head_limit_bytes", "Largest request line and fields.", 1024, maximumBytes, serverOf, &Http::ServerSettings::headLimit));
+    keys.push_back(numberKey<Owned>("callers", "body_limit_bytes", "Largest request body.", 1, maximumBytes, serverOf, &Http::ServerSettings::bodyLimit));
+    keys.push_back(numberKey<Owned>("callers", "head_timeout_ms", "Time for a request's head to arrive.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::headTimeout));
+    keys.push_back(numberKey<Owned>("callers", "body_timeout_ms", "Time for a request's body to arrive.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::bodyTimeout));
+    keys.push_back(numberKey<Owned>("callers", "idle_timeout_ms", "How long an unused connection is kept.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::idleTimeout));
+    keys.push_back(numberKey<Owned>("callers", "connection_limit", "Most open connections per traffic thread.", 1, 1'000'000, serverOf, &Http::ServerSettings::connectionLimit));
+    keys.push_back(numberKey<Owned>("callers", "list_hold_ms", "How long callers may keep the list of addresses; a leaving daemon serves at least that long.", 100, maximumMilliseconds, callersOf, &Owned::Callers::listHold));
+    keys.push_back(numberKey<Owned>("callers", "default_deadline_ms", "Deadline of a request that names none.", 1, maximumMilliseconds, callersOf, &Owned::Callers::defaultDeadline));
+    keys.push_back(numberKey<Owned>("callers", "longest_deadline_ms", "Longest deadline that a request may ask for.", 1, maximumMilliseconds, callersOf, &Owned::Callers::longestDeadline));
+    keys.push_back(endpointKey("operators", "listen", "Where operators, metrics and health checks connect.", operatorsOf, &Owned::Operators::listen));
+    keys.push_back(tokenKey());
+    keys.push_back(endpointKey("peers", "listen", "Where other daemons connect.", peersOf, &Owned::Peers::listen));
+}
+
+void addPlatformKeys(std::vector<DaemonKey>& keys)
+{
+    keys.push_back(endpointKey("platform", "log", "The platform's log service.", platformOf, &Owned::Platform::log));
+    keys.push_back(endpointKey("platform", "vms", "The platform's list of VMs.", platformOf, &Owned::Platform::vms));
+    keys.push_back(numberKey<Owned>("platform", "vms_interval_ms", "Time between two reads of the VM list.", 10, maximumMilliseconds, platformOf, &Owned::Platform::vmsInterval));
+    keys.push_back(numberKey<Owned>("platform", "state_interval_ms", "Time between two reads of a target's state.", 10, maximumMilliseconds, platformOf, &Owned::Platform::stateInterval));
+    keys.push_back(numberKey<Owned>("platform", "retry_delay_ms", "Time before another try when the platform does not answer.", 10, maximumMilliseconds, platformOf, &Owned::Platform::retryDelay));
+    keys.push_back(numberKey<Owned>("platform", "retained_records", "How many records the log keeps of a stream; 0: no such limit.", 0, UINT32_MAX, platformOf, &Owned::Platform::retainedRecords));
+}
+
+void addLimitKeys(std::vector<DaemonKey>& keys)
+{
+    keys.push_back(numberKey<Owned>("limits", "in_flight_per_target", "Requests that this daemon has open at one target.", 1, 1'000'000, limitsOf, &Owned::Limits::inFlightPerTarget));
+    keys.push_back(numberKey<Owned>("limits", "queued_per_target", "Requests that wait for one target.", 0, 1'000'000, limitsOf, &Owned::Limits::queuedPerTarget));
+    keys.push_back(numberKey<Owned>("limits", "in_flight_per_organisation", "Requests that one organisation has open here.", 1, 1'000'000, limitsOf, &Owned::Limits::inFlightPerOrganisation));
+    keys.push_back(numberKey<Owned>("limits", "queued_per_organisation", "Requests of one organisation that wait here.", 0, 1'000'000, limitsOf, &Owned::Limits::queuedPerOrganisation));
+    keys.push_back(numberKey<Owned>("limits", "kept_answer_bytes", "Memory for answers kept until they are collected.", 1024, maximumBytes, limitsOf, &Owned::Limits::keptAnswerBytes));
+    keys.push_back(fractionKey("limits", "retry_ratio", "Retries allowed per first send.", 0, 1, limitsOf, &Owned::Limits::retryRatio));
+    keys.push_back(choiceKey("routing", "policy", "How a target is chosen among the allowed ones.", Routing::policyNames, routingOf, &Routing::Settings::policy));
+    keys.push_back(fractionKey("routing", "imbalance_s", "Extra wait accepted for a cached prefix.", 0, 60, routingOf, &Routing::Settings::imbalanceSeconds));
+}
+
+std::vector<DaemonKey> const& daemonKeys()
+{
+    static std::vector<DaemonKey> const keys = [] {
+        std::vector<DaemonKey> all;
+        addDaemonKeys(all);
+        addListenerKeys(all);
+        addPlatformKeys(all);
+        addLimitKeys(all);
+        return all;
+    }();
+    return keys;
+}
+
+std::string place(std::string_view fileName, IniEntry const& entry)
+{
+    return std::string(fileName) + ":" + std::to_string(entry.line) + ": [" + entry.section + "] " + entry.key + ": ";
+}
+
+std::string allowedKeys(std::string const& section)
+{
+    std::string names;
+    for (DaemonKey const& key : daemonKeys()) {
+        if (key.section == section)
+            names += " " + key.name;
+    }
+    if (!names.empty())
+        return "allowed keys are" + names;
+    std::set<std::string> sections;
+    for (DaemonKey const& key : daemonKeys())
+        sections.insert(key.section);
+    for (std::string const& name : sections)
+        names += " [" + name + "]";
+    return "allowed sections are" + names;
+}
+
+DaemonKey const* findKey(IniEntry const& entry)
+{
+    for (DaemonKey const& key : daemonKeys()) {
+        if (key.section == entry.section && key.name == entry.key)
+            return &key;
+    }
+    return nullptr;
+}
+
+// Collects every problem of a file, so that one run of the check shows them all.
+class FileReader {
+public:
+    explicit FileReader(std::string_view fileName)
+        : m_fileName(fileName)
+    {
+    }
+
+    void read(IniFile const& file)
+    {
+        for (std::size_t line : file.malformedLines)
+            m_problems += std::string(m_fileName) + ":" + std::to_string(line) + ": not INI; allowed are [section], key = value and comments\n";
+        for (IniEntry const& entry : file.entries)
+            readEntry(entry);
+        for (DaemonKey const& key : daemonKeys()) {
+            if (key.isRequired && !m_lines.contains(&key))
+                m_problems += std::string(m_fileName) + ": [" + key.section + "] " + key.name + ": missing; allowed is " + key.allowed + "\n";
+        }
+        if (m_settings.callers.defaultDeadline > m_settings.callers.longestDeadline)
+            m_problems += std::string(m_fileName) + ": [callers] default_deadline_ms: larger than longest_deadline_ms\n";
+    }
+
+    std::string const& problems() const { return m_problems; }
+    DaemonSettings const& settings() const { return m_settings; }
+
+private:
+    void readEntry(IniEntry const& entry)
+    {
+        DaemonKey const* key = findKey(entry);
+        if (!key) {
+            m_problems += place(m_fileName, entry) + "unknown; " + allowedKeys(entry.section) + "\n";
+            return;
+        }
+        std::pair<std::map<DaemonKey const*, std::size_t>::iterator, bool> added = m_lines.emplace(key, entry.line);
+        if (!added.second) {
+            m_problems += place(m_fileName, entry) + "given before on line " + std::to_string(added.first->second) + "; allowed is once\n";
+            return;
+        }
+        Core::Result<void> outcome = key->read(m_settings, entry.value);
+        if (outcome.has_error())
+            m_problems += place(m_fileName, entry) + outcome.error().message + "\n";
+    }
+
+    std::string_view m_fileName;
+    std::string m_problems;
+    std::map<DaemonKey const*, std::size_t> m_lines;
+    DaemonSettings m_settings;
+};
+
+}
+
+Core::Result<DaemonSettings> DaemonSettings::parse(std::string_view text, std::string_view fileName)
+{
+    FileReader reader(fileName);
+    reader.read(readIni(text));
+    if (!reader.problems().empty())
+        return Core::fail(Core::ErrorCode::BadInput, reader.problems());
+    return reader.settings();
+}
+
+std::string DaemonSettings::print() const
+{
+    std::string text;
+    std::string section;
+    for (DaemonKey const& key : daemonKeys()) {
+        if (key.section != section) {
+            section = key.section;
+            text += "[" + section + "]\n";
+        }
+        std::string value = key.print(*this);
+        text += "# " + key.description + " Allowed: " + key.allowed + ".\n";
+        text += (value.empty() ? "# " : "") + key.name + " = " + value + "\n";
+    }
+    return text;
+}
+
+}
