LibHttp: Split connecting from sending

Cause: the request machine decides after the connection stands whether the request is still to be written; a client that connects and writes in one call leaves no place for that decision. Change: Client::connect writes nothing; Exchange::start writes and reads the head.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -38,27 +38,35 @@
     {
     }
 
-    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
+    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(Tcp::endpoint endpoint, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
     {
         using Opened = Core::Result<std::unique_ptr<Exchange>>;
         std::unique_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint) : nullptr;
         if (!connection) {
-            Core::Result<std::unique_ptr<ClientConnection>> opened = co_await connect(endpoint, slot);
+            Core::Result<std::unique_ptr<ClientConnection>> opened = co_await connectAnew(endpoint, slot);
             if (opened.has_error())
                 co_return Opened(opened.error());
             connection = std::move(opened.value());
         }
         if (slot && slot->isCanceled)
             co_return Opened(Core::makeError(Core::ErrorCode::Canceled, "canceled before the request was sent"));
-        std::unique_ptr<ConnectionExchange> exchange = std::make_unique<ConnectionExchange>(std::move(connection), m_settings, returnTo(endpoint));
+        co_return Opened(std::make_unique<ConnectionExchange>(std::move(connection), m_settings, returnTo(endpoint)));
+    }
+
+    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
+    {
+        Core::Result<std::unique_ptr<Exchange>> connected = co_await connect(endpoint, choice, slot);
+        if (connected.has_error())
+            co_return connected;
+        Exchange* exchange = connected.value().get();
         if (slot)
-            slot->cancel = [raw = exchange.get()] { raw->cancel(); };
+            slot->cancel = [exchange] { exchange->cancel(); };
         Core::Result<void> started = co_await exchange->start(request);
         if (slot)
             slot->cancel = nullptr;
         if (started.has_error())
-            co_return Opened(started.error());
-        co_return Opened(std::unique_ptr<Exchange>(std::move(exchange)));
+            co_return Core::Result<std::unique_ptr<Exchange>>(started.error());
+        co_return connected;
     }
 
     Asio::awaitable<Core::Result<Response>> fetch(Tcp::endpoint endpoint, Request request, std::size_t bodyLimit) override
@@ -108,7 +116,7 @@
         };
     }
 
-    Asio::awaitable<Core::Result<std::unique_ptr<ClientConnection>>> connect(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
+    Asio::awaitable<Core::Result<std::unique_ptr<ClientConnection>>> connectAnew(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
     {
         std::unique_ptr<ClientConnection> connection = std::make_unique<ClientConnection>(m_context.get_executor());
         if (slot)
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -27,7 +27,10 @@
 public:
     virtual ~Exchange() = default;
 
-    /// Returns the response's head.
+    /// Writes the request and reads the response's head. Precondition: called once, before all below.
+    virtual boost::asio::awaitable<Core::Result<void>> start(Request const&) = 0;
+
+    /// Returns the response's head. Precondition: `start` succeeded.
     virtual ResponseHead const& head() const = 0;
 
     /// Returns the next piece of the body, or nothing at its end.
@@ -37,7 +40,7 @@
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
-    /// Closes the connection; a waiting `read` returns Canceled.
+    /// Closes the connection; a waiting `start` or `read` returns Canceled.
     virtual void cancel() = 0;
 };
 
@@ -71,7 +74,11 @@
 
     virtual ~Client() = default;
 
-    /// Sends a request and reads the response's head.
+    /// Connects, or takes a kept connection, and writes nothing yet.
+    /// Errors, all NotRun: Unavailable, Timeout, Canceled.
+    virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(boost::asio::ip::tcp::endpoint, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
+
+    /// Connects, sends a request and reads the response's head.
     /// Errors: Unavailable (cannot connect, connection broke), Timeout, Canceled, BadInput (malformed response).
     virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(boost::asio::ip::tcp::endpoint, Request, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -30,9 +30,7 @@
     ConnectionExchange(std::unique_ptr<ClientConnection>, ClientSettings const&, ConnectionReturn);
     ~ConnectionExchange() override;
 
-    /// Writes the request and reads the response's head.
-    boost::asio::awaitable<Core::Result<void>> start(Request const&);
-
+    boost::asio::awaitable<Core::Result<void>> start(Request const&) override;
     ResponseHead const& head() const override { return m_head; }
     boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() override;
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
