--- /dev/null
+++ b/Libraries/LibState/Content.cpp
@@ -0,0 +1,207 @@
+#include <LibState/Content.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace State {
+
+namespace {
+
+constexpr std::size_t maximumNameLength = 63;
+constexpr std::size_t maximumFieldLength = 4096;
+constexpr std::size_t maximumWantedLength = 253;
+constexpr double maximumChangeCostSeconds = 86400;
+constexpr std::array<std::string_view, 5> platformLabels { "zone", "region", "kind", "name", "pool" };
+
+constexpr std::array<std::string_view, 1> targetKeys { "labels" };
+constexpr std::array<std::string_view, 2> requestRuleKeys { "when", "set" };
+constexpr std::array<std::string_view, 2> routeKeys { "requests", "targets" };
+constexpr std::array<std::string_view, 6> groupKeys { "targets", "roles", "change-cost", "model", "adapter", "version" };
+
+/// Adds the key to an error of its value.
+Core::Error inField(std::string_view key, Core::Error const& error)
+{
+    return Core::makeError(error.code, std::string(key) + ": " + error.message);
+}
+
+template <std::size_t Size>
+Core::Result<void> checkKeys(Fields const& fields, std::array<std::string_view, Size> const& allowed)
+{
+    for (Fields::value_type const& field : fields) {
+        if (std::find(allowed.begin(), allowed.end(), field.first) == allowed.end()) {
+            std::string message = "read key '" + field.first.substr(0, maximumNameLength) + "', allowed:";
+            for (std::string_view key : allowed)
+                message.append(" ").append(key);
+            return Core::fail(Core::ErrorCode::BadInput, std::move(message));
+        }
+        if (field.second.size() > maximumFieldLength) {
+            return inField(field.first, Core::makeError(Core::ErrorCode::BadInput, "read " + std::to_string(field.second.size()) + " bytes, allowed: at most " + std::to_string(maximumFieldLength)));
+        }
+    }
+    return Core::ok();
+}
+
+Core::Result<std::string> require(Fields const& fields, std::string const& key)
+{
+    Fields::const_iterator it = fields.find(key);
+    if (it == fields.end())
+        return Core::fail(Core::ErrorCode::BadInput, "key '" + key + "' is missing");
+    return it->second;
+}
+
+Core::Result<Label::Selector> requireSelector(Fields const& fields, std::string const& key)
+{
+    BOOST_OUTCOME_TRY(std::string text, require(fields, key));
+    Core::Result<Label::Selector> selector = Label::Selector::parse(text);
+    if (!selector)
+        return inField(key, selector.error());
+    return selector;
+}
+
+Core::Result<Label::LabelSet> requireLabels(Fields const& fields, std::string const& key)
+{
+    BOOST_OUTCOME_TRY(std::string text, require(fields, key));
+    Core::Result<Label::LabelSet> labels = Label::LabelSet::parse(text);
+    if (!labels)
+        return inField(key, labels.error());
+    return labels;
+}
+
+Core::Result<Content> parseTarget(Fields const& fields)
+{
+    BOOST_OUTCOME_TRY(checkKeys(fields, targetKeys));
+    BOOST_OUTCOME_TRY(Label::LabelSet labels, requireLabels(fields, "labels"));
+    for (Label::LabelEntry const& entry : labels) {
+        if (isPlatformLabel(entry.key))
+            return Core::fail(Core::ErrorCode::BadInput, "labels: read '" + entry.key + "', which the platform alone sets, as it does zone, region, kind, name and pool");
+    }
+    return Content(TargetContent { std::move(labels) });
+}
+
+Core::Result<Content> parseRequestRule(Fields const& fields)
+{
+    BOOST_OUTCOME_TRY(checkKeys(fields, requestRuleKeys));
+    BOOST_OUTCOME_TRY(Label::Selector when, requireSelector(fields, "when"));
+    BOOST_OUTCOME_TRY(Label::LabelSet set, requireLabels(fields, "set"));
+    if (set.empty())
+        return Core::fail(Core::ErrorCode::BadInput, "set: read nothing, allowed: at least one label such as tier=night");
+    return Content(RequestRuleContent { std::move(when), std::move(set) });
+}
+
+Core::Result<Content> parseRoute(Fields const& fields)
+{
+    BOOST_OUTCOME_TRY(checkKeys(fields, routeKeys));
+    BOOST_OUTCOME_TRY(Label::Selector requests, requireSelector(fields, "requests"));
+    BOOST_OUTCOME_TRY(Label::Selector targets, requireSelector(fields, "targets"));
+    return Content(RouteContent { std::move(requests), std::move(targets) });
+}
+
+Core::Result<std::optional<double>> parseChangeCost(Fields const& fields)
+{
+    Fields::const_iterator it = fields.find("change-cost");
+    if (it == fields.end())
+        return std::optional<double>();
+    double seconds = 0;
+    char const* end = it->second.data() + it->second.size();
+    std::from_chars_result result = std::from_chars(it->second.data(), end, seconds, std::chars_format::fixed);
+    if (result.ec != std::errc() || result.ptr != end || !std::isfinite(seconds) || std::signbit(seconds) || seconds > maximumChangeCostSeconds)
+        return Core::fail(Core::ErrorCode::BadInput, "change-cost: read '" + it->second.substr(0, maximumNameLength) + "', allowed: seconds from 0 to 86400, such as 7.5");
+    return std::optional<double>(seconds);
+}
+
+Core::Result<std::optional<std::string>> parseWanted(Fields const& fields, std::string const& key, std::size_t minimumLength)
+{
+    Fields::const_iterator it = fields.find(key);
+    if (it == fields.end())
+        return std::optional<std::string>();
+    std::string const& text = it->second;
+    bool isPrintable = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+    if (!isPrintable || text.size() < minimumLength || text.size() > maximumWantedLength)
+        return Core::fail(Core::ErrorCode::BadInput, key + ": allowed: " + std::to_string(minimumLength) + " to 253 printable ASCII characters without spaces");
+    return std::optional<std::string>(text);
+}
+
+Core::Result<Content> parseGroup(Fields const& fields)
+{
+    BOOST_OUTCOME_TRY(checkKeys(fields, groupKeys));
+    BOOST_OUTCOME_TRY(Label::Selector targets, requireSelector(fields, "targets"));
+    BOOST_OUTCOME_TRY(std::string roleText, require(fields, "roles"));
+    Core::Result<RoleSet> roles = RoleSet::parse(roleText);
+    if (!roles)
+        return inField("roles", roles.error());
+    BOOST_OUTCOME_TRY(std::optional<double> changeCost, parseChangeCost(fields));
+    BOOST_OUTCOME_TRY(std::optional<std::string> model, parseWanted(fields, "model", 1));
+    BOOST_OUTCOME_TRY(std::optional<std::string> adapter, parseWanted(fields, "adapter", 0));
+    BOOST_OUTCOME_TRY(std::optional<std::string> version, parseWanted(fields, "version", 1));
+    return Content(GroupContent { std::move(targets), roles.value(), changeCost, std::move(model), std::move(adapter), std::move(version) });
+}
+
+std::string printSeconds(double seconds)
+{
+    std::array<char, 64> buf {};
+    std::to_chars_result result = std::to_chars(buf.data(), buf.data() + buf.size(), seconds, std::chars_format::fixed);
+    return { buf.data(), result.ptr };
+}
+
+Fields print(TargetContent const& target) { return { { "labels", target.labels.toString() } }; }
+
+Fields print(RequestRuleContent const& rule) { return { { "when", rule.when.toString() }, { "set", rule.set.toString() } }; }
+
+Fields print(RouteContent const& route) { return { { "requests", route.requests.toString() }, { "targets", route.targets.toString() } }; }
+
+Fields print(GroupContent const& group)
+{
+    Fields fields { { "targets", group.targets.toString() }, { "roles", group.roles.toString() } };
+    if (group.changeCostSeconds)
+        fields["change-cost"] = printSeconds(*group.changeCostSeconds);
+    if (group.model)
+        fields["model"] = *group.model;
+    if (group.adapter)
+        fields["adapter"] = *group.adapter;
+    if (group.version)
+        fields["version"] = *group.version;
+    return fields;
+}
+
+}
+
+bool isPlatformLabel(std::string_view key)
+{
+    return std::find(platformLabels.begin(), platformLabels.end(), key) != platformLabels.end();
+}
+
+Core::Result<void> checkName(std::string_view name)
+{
+    Label::LabelSet labels;
+    if (name.empty() || name.size() > maximumNameLength || !labels.set("name", name) || labels.get("name") != name)
+        return Core::fail(Core::ErrorCode::BadInput, "read name '" + std::string(name.substr(0, maximumNameLength)) + "', allowed: 1 to 63 letters, digits, '-', '_' and '.', the first and last a letter or digit");
+    return Core::ok();
+}
+
+Core::Result<Content> parseContent(Kind kind, Fields const& fields)
+{
+    switch (kind) {
+    case Kind::Target:
+        return parseTarget(fields);
+    case Kind::RequestRule:
+        return parseRequestRule(fields);
+    case Kind::Route:
+        return parseRoute(fields);
+    case Kind::Group:
+        return parseGroup(fields);
+    }
+    return Core::fail(Core::ErrorCode::BadInput, "unknown kind");
+}
+
+Fields fieldsOf(Content const& content)
+{
+    return std::visit([](auto const& typed) { return print(typed); }, content);
+}
+
+Kind kindOf(Content const& content)
+{
+    return static_cast<Kind>(content.index());
+}
+
+}
