--- a/Libraries/LibStandIn/EngineCore.cpp
+++ b/Libraries/LibStandIn/EngineCore.cpp
@@ -25,8 +25,10 @@
 
 Core::Result<EngineCore> EngineCore::create(EngineSettings settings, Time now)
 {
-    if (settings.prefillTokensPerSecond <= 0 || settings.decodeTokensPerSecond <= 0 || settings.streamTokensPerSecond <= 0)
-        return Core::fail(Core::ErrorCode::BadInput, "Token rates must be above 0.");
+    for (double rate : { settings.prefillTokensPerSecond, settings.decodeTokensPerSecond, settings.streamTokensPerSecond }) {
+        if (!(rate > 0) || !std::isfinite(rate))
+            return Core::fail(Core::ErrorCode::BadInput, "Token rates must be above 0.");
+    }
     if (settings.maximumRunning == 0)
         return Core::fail(Core::ErrorCode::BadInput, "The number of running requests must be at least 1.");
     if (settings.kvCapacityTokens < PromptCache::tokensPerBlock)
@@ -69,6 +71,8 @@
     BOOST_OUTCOME_TRYV(checkTakes(request));
     EngineStream stream;
     stream.seed = answerSeed(request.prompt);
+    stream.model = m_control.configuration().model;
+    stream.isChat = request.isChat;
     stream.promptTokens = countTokens(request.prompt);
     stream.maximumTokens = request.isPrefillOnly ? 0 : request.maximumTokens;
     stream.isPrefillOnly = request.isPrefillOnly;
--- a/Libraries/LibStandIn/EngineCore.h
+++ b/Libraries/LibStandIn/EngineCore.h
@@ -38,6 +38,7 @@
     std::uint64_t maximumTokens { 16 };
     unsigned priority { 5 }; ///< 0 first, 9 last.
     std::string model {}; ///< Empty: any.
+    bool isChat { false }; ///< How the answer is written, kept for who resumes it.
     bool isPrefillOnly { false };
     bool hasImportedCache { false };
 };
@@ -45,6 +46,8 @@
 /// How far a request has come.
 struct EngineStream {
     std::uint64_t seed { 0 }; ///< Of the answer, see `answerToken`.
+    std::string model {};
+    bool isChat { false };
     std::uint64_t promptTokens { 0 };
     std::uint64_t maximumTokens { 0 };
     std::uint64_t tokens { 0 }; ///< Produced so far.
@@ -112,6 +115,8 @@
     EngineLoad reportedLoad(Time now);
     /// The load now.
     EngineLoad currentLoad() const;
+    /// How many requests were taken since the start.
+    std::uint64_t started() const { return m_arrivals; }
 
     EngineSettings const& settings() const { return m_settings; }
     EngineControl& control() { return m_control; }
--- /dev/null
+++ b/Libraries/LibStandIn/Forwarder.cpp
@@ -0,0 +1,162 @@
+#include <LibStandIn/Forwarder.h>
+
+#include <LibStandIn/Json.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace StandIn {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t pieceBytes = 16384;
+constexpr std::chrono::hours longestWait { 1 };
+constexpr auto resultTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+Core::Result<tcp::acceptor> bindTo(boost::asio::io_context& context, tcp::endpoint const& endpoint)
+{
+    tcp::acceptor acceptor(context);
+    boost::system::error_code ec;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Core::fail(Core::ErrorCode::Unavailable, "The forwarder's address cannot be bound: " + ec.message() + ".");
+    return acceptor;
+}
+
+void close(tcp::socket& socket)
+{
+    boost::system::error_code ec;
+    socket.close(ec);
+}
+
+}
+
+Core::Result<std::shared_ptr<Forwarder>> Forwarder::create(boost::asio::io_context& context, tcp::endpoint const& from, tcp::endpoint to)
+{
+    BOOST_OUTCOME_TRY(tcp::acceptor acceptor, bindTo(context, from));
+    std::shared_ptr<Forwarder> forwarder(new Forwarder(context, std::move(acceptor), std::move(to)));
+    boost::asio::co_spawn(context, accept(forwarder), boost::asio::detached);
+    return forwarder;
+}
+
+Forwarder::Forwarder(boost::asio::io_context& context, tcp::acceptor acceptor, tcp::endpoint to)
+    : m_context(context)
+    , m_acceptor(std::move(acceptor))
+    , m_to(std::move(to))
+{
+}
+
+boost::asio::awaitable<void> Forwarder::accept(std::shared_ptr<Forwarder> self)
+{
+    while (true) {
+        auto [ec, socket] = co_await self->m_acceptor.async_accept(resultTuple);
+        if (ec)
+            co_return;
+        std::shared_ptr<Pair> pair = std::make_shared<Pair>(Pair { std::move(socket), tcp::socket(self->m_context) });
+        std::erase_if(self->m_pairs, [](std::weak_ptr<Pair> const& it) { return it.expired(); });
+        self->m_pairs.push_back(pair);
+        boost::asio::co_spawn(self->m_context, connect(self, pair), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> Forwarder::connect(std::shared_ptr<Forwarder> self, std::shared_ptr<Pair> pair)
+{
+    while (self->m_isForwardPaused)
+        co_await self->m_changed.wait(Signal::Time::clock::now() + longestWait);
+    auto [ec] = co_await pair->server.async_connect(self->m_to, resultTuple);
+    if (ec) {
+        close(pair->client);
+        co_return;
+    }
+    boost::asio::co_spawn(self->m_context, copy(self, pair, true), boost::asio::detached);
+    boost::asio::co_spawn(self->m_context, copy(self, pair, false), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> Forwarder::copy(std::shared_ptr<Forwarder> self, std::shared_ptr<Pair> pair, bool isForward)
+{
+    tcp::socket& from = isForward ? pair->client : pair->server;
+    tcp::socket& to = isForward ? pair->server : pair->client;
+    bool const& isPaused = isForward ? self->m_isForwardPaused : self->m_isBackwardPaused;
+    std::string buf(pieceBytes, '\0');
+    boost::system::error_code ec;
+    boost::system::error_code ignored;
+    while (true) {
+        std::size_t n = co_await from.async_read_some(boost::asio::buffer(buf), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+        while (isPaused && from.is_open())
+            co_await self->m_changed.wait(Signal::Time::clock::now() + longestWait);
+        if (ec) {
+            to.shutdown(tcp::socket::shutdown_send, ignored);
+            co_return;
+        }
+        co_await boost::asio::async_write(to, boost::asio::buffer(buf.data(), n), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+        if (ec) {
+            from.shutdown(tcp::socket::shutdown_receive, ignored);
+            co_return;
+        }
+    }
+}
+
+void Forwarder::pause(bool forward, bool backward)
+{
+    m_isForwardPaused = m_isForwardPaused || forward;
+    m_isBackwardPaused = m_isBackwardPaused || backward;
+}
+
+void Forwarder::resume()
+{
+    m_isForwardPaused = false;
+    m_isBackwardPaused = false;
+    m_changed.notifyAll();
+}
+
+void Forwarder::cut()
+{
+    for (std::weak_ptr<Pair> const& it : m_pairs) {
+        if (std::shared_ptr<Pair> pair = it.lock()) {
+            close(pair->client);
+            close(pair->server);
+        }
+    }
+    m_changed.notifyAll();
+}
+
+boost::asio::awaitable<void> Forwarder::serve(Http::Request& request, Http::ResponseWriter& writer)
+{
+    Core::Result<void> result = request.method == "POST" ? command(parseTarget(request.target).path, request.body)
+                                                         : Core::Result<void>(Core::makeError(Core::ErrorCode::BadInput, "The forwarder takes POST only."));
+    (void)co_await writer.send(resultResponse(result));
+}
+
+Core::Result<void> Forwarder::command(std::string_view path, std::string_view body)
+{
+    if (path == "/resume") {
+        resume();
+        return Core::ok();
+    }
+    if (path == "/cut") {
+        cut();
+        return Core::ok();
+    }
+    if (path != "/pause")
+        return Core::fail(Core::ErrorCode::NotFound, "The forwarder has /pause, /resume and /cut.");
+    BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body.empty() ? "{}" : body));
+    BOOST_OUTCOME_TRY(std::optional<std::string> text, optionalString(object, "direction"));
+    std::string direction = text.value_or("both");
+    if (direction != "both" && direction != "forward" && direction != "backward")
+        return Core::fail(Core::ErrorCode::BadInput, "'direction' must be both, forward or backward.");
+    pause(direction != "backward", direction != "forward");
+    return Core::ok();
+}
+
+}
--- a/Tests/LibStandIn/TestEngineCore.cpp
+++ b/Tests/LibStandIn/TestEngineCore.cpp
@@ -49,6 +49,15 @@
     EXPECT_EQ(StandIn::countTokens("12345"), 2U);
 }
 
+TEST(EngineCore, SettingsOutOfRangeAreRefused)
+{
+    for (double rate : { 0.0, -1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity() }) {
+        StandIn::EngineSettings it = settings();
+        it.decodeTokensPerSecond = rate;
+        EXPECT_EQ(EngineCore::create(it, start).error().code, Core::ErrorCode::BadInput);
+    }
+}
+
 TEST(EngineCore, TokensComeAtTheRatesOfPrefillAndDecode)
 {
     EngineCore it = engine();
