--- /dev/null
+++ b/Libraries/LibDaemon/AnswerSink.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <LibHttp/Message.h>
+#include <LibRequest/RequestAction.h>
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+namespace Daemon {
+
+/// Where the answer of a request goes: to its caller's connection, to the store of kept answers, or to the
+/// daemon that forwarded the request. Called by one coroutine, in the order head, pieces, finish.
+class AnswerSink {
+public:
+    virtual ~AnswerSink() = default;
+
+    /// Takes the head of the target's answer.
+    virtual boost::asio::awaitable<void> head(Http::ResponseHead) = 0;
+
+    /// Takes piece `position` of the answer, counted from 0 without a gap.
+    virtual boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) = 0;
+
+    /// Takes the end; without an error the answer is whole.
+    virtual boost::asio::awaitable<void> finish(Request::Finish) = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -0,0 +1,125 @@
+#include <LibDaemon/AnswerSinks.h>
+#include <LibDaemon/HttpErrors.h>
+#include <tuple>
+
+namespace Daemon {
+
+namespace {
+
+constexpr std::size_t heldLimit = 256U * 1024;
+
+}
+
+CallerSink::CallerSink(Http::ResponseWriter& writer, std::string requestId, bool isRepeatable)
+    : m_writer(writer)
+    , m_requestId(std::move(requestId))
+    , m_isRepeatable(isRepeatable)
+{
+}
+
+boost::asio::awaitable<void> CallerSink::head(Http::ResponseHead head)
+{
+    m_isEventStream = head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
+    m_head = Http::ResponseHead { head.status, Http::withoutHopByHop(head.fields) };
+    m_head->fields.remove("Content-Length");
+    m_head->fields.set(std::string(requestIdHeader), m_requestId);
+    if (m_isEventStream)
+        co_await beginStream(Core::Verdict::MayHaveRun);
+}
+
+// The verdict in a stream's head is what is certain when it is sent.
+boost::asio::awaitable<void> CallerSink::beginStream(Core::Verdict verdict)
+{
+    m_isBegun = true;
+    m_head->fields.set(std::string(Request::verdictHeader), std::string(Core::toString(verdict)));
+    // A failed write is reported by the writer's caller-gone hook; the machine decides what follows.
+    std::ignore = co_await m_writer.begin(*m_head);
+}
+
+boost::asio::awaitable<void> CallerSink::piece(std::uint64_t, std::string bytes)
+{
+    if (!m_isBegun && m_held.size() + bytes.size() <= heldLimit) {
+        m_held += bytes;
+        co_return;
+    }
+    if (!m_isBegun) {
+        co_await beginStream(Core::Verdict::MayHaveRun);
+        std::string held = std::exchange(m_held, std::string());
+        std::ignore = co_await m_writer.write(held);
+    }
+    std::ignore = co_await m_writer.write(bytes);
+}
+
+boost::asio::awaitable<void> CallerSink::finish(Request::Finish finish)
+{
+    if (!finish.error) {
+        co_await finishWhole(finish.verdict);
+        co_return;
+    }
+    Core::Error error = *finish.error;
+    error.verdict = finish.verdict;
+    if (m_isBegun) {
+        co_await finishBroken(std::move(error));
+        co_return;
+    }
+    Request::HttpErrorContext context;
+    context.requestId = m_requestId;
+    context.isRepeatable = m_isRepeatable;
+    context.retryAfter = finish.retryAfter;
+    std::ignore = co_await m_writer.send(errorResponse(error, context));
+}
+
+boost::asio::awaitable<void> CallerSink::finishWhole(Core::Verdict verdict)
+{
+    if (m_isBegun) {
+        std::ignore = co_await m_writer.finish();
+        co_return;
+    }
+    Http::Response response;
+    if (m_head) {
+        response.status = m_head->status;
+        response.fields = std::move(m_head->fields);
+    }
+    response.fields.set(std::string(Request::verdictHeader), std::string(Core::toString(verdict)));
+    response.body = std::move(m_held);
+    std::ignore = co_await m_writer.send(std::move(response));
+}
+
+// A stream that can't be made whole ends with an explicit error event; any other body by a broken connection.
+boost::asio::awaitable<void> CallerSink::finishBroken(Core::Error error)
+{
+    if (!m_isEventStream) {
+        m_writer.abort();
+        co_return;
+    }
+    std::string event = Request::streamErrorEvent(error, m_requestId);
+    std::ignore = co_await m_writer.write(event);
+    std::ignore = co_await m_writer.finish();
+}
+
+KeeperSink::KeeperSink(AnswerKeeper& keeper, Request::TicketNonce const& nonce)
+    : m_keeper(keeper)
+    , m_nonce(nonce)
+{
+}
+
+boost::asio::awaitable<void> KeeperSink::head(Http::ResponseHead head)
+{
+    head.fields = Http::withoutHopByHop(head.fields);
+    m_keeper.head(m_nonce, std::move(head));
+    co_return;
+}
+
+boost::asio::awaitable<void> KeeperSink::piece(std::uint64_t position, std::string bytes)
+{
+    m_keeper.append(m_nonce, position, bytes);
+    co_return;
+}
+
+boost::asio::awaitable<void> KeeperSink::finish(Request::Finish finish)
+{
+    m_keeper.finish(m_nonce, Request::AnswerEnd { finish.verdict, std::move(finish.error) });
+    co_return;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/AnswerSinks.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibDaemon/AnswerKeeper.h>
+#include <LibDaemon/AnswerSink.h>
+#include <LibDaemon/Work.h>
+#include <LibHttp/ResponseWriter.h>
+
+namespace Daemon {
+
+/// Writes an answer to its caller's connection. Use from the traffic thread only.
+class CallerSink final : public AnswerSink {
+public:
+    /// Precondition: the writer outlives the sink.
+    CallerSink(Http::ResponseWriter&, std::string requestId, bool isRepeatable);
+
+    boost::asio::awaitable<void> head(Http::ResponseHead) override;
+    boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) override;
+    boost::asio::awaitable<void> finish(Request::Finish) override;
+
+private:
+    boost::asio::awaitable<void> beginStream(Core::Verdict);
+    boost::asio::awaitable<void> finishWhole(Core::Verdict);
+    boost::asio::awaitable<void> finishBroken(Core::Error);
+
+    Http::ResponseWriter& m_writer;
+    std::string m_requestId;
+    bool m_isRepeatable;
+    std::optional<Http::ResponseHead> m_head;
+    std::string m_held; ///< A body that is not streamed, until its end is known.
+    bool m_isBegun { false };
+    bool m_isEventStream { false };
+};
+
+/// Keeps an answer for collection by ticket. Use from the traffic thread only.
+class KeeperSink final : public AnswerSink {
+public:
+    /// Precondition: the keeper outlives the sink.
+    KeeperSink(AnswerKeeper&, Request::TicketNonce const&);
+
+    boost::asio::awaitable<void> head(Http::ResponseHead) override;
+    boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) override;
+    boost::asio::awaitable<void> finish(Request::Finish) override;
+
+private:
+    AnswerKeeper& m_keeper;
+    Request::TicketNonce m_nonce;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -0,0 +1,262 @@
+#include <LibDaemon/Dispatcher.h>
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <tuple>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t knownPrefixes = 16 * 1024;
+constexpr std::size_t mostMatches = 16;
+
+}
+
+/// A placement from `place` to `release`.
+struct Dispatcher::Waiter {
+    Waiter(PlacementRequest placement, boost::asio::any_io_executor const& executor)
+        : request(std::move(placement))
+        , timer(executor)
+    {
+    }
+
+    PlacementRequest request;
+    boost::asio::steady_timer timer;
+    PlacementOutcome outcome;
+    bool isResolved { false };
+    bool isPrefilled { false };
+};
+
+Core::Result<std::unique_ptr<Dispatcher>> Dispatcher::create(Settings::DaemonSettings const& settings, std::uint64_t seed)
+{
+    BOOST_OUTCOME_TRY(Routing::Router router, Routing::Router::create(settings.routing));
+    BOOST_OUTCOME_TRY(Routing::LoadTable loads, Routing::LoadTable::create(Routing::LoadTable::Settings()));
+    BOOST_OUTCOME_TRY(Routing::PrefixIndex prefixes, Routing::PrefixIndex::create(knownPrefixes));
+    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, std::move(router), std::move(loads), std::move(prefixes), seed));
+    Admission::Controller::Limits limits;
+    limits.inFlightPerOrganisation = settings.limits.inFlightPerOrganisation;
+    limits.queuedPerOrganisation = settings.limits.queuedPerOrganisation;
+    limits.queuedPerGroup = std::max<std::size_t>(settings.limits.queuedPerTarget, 1);
+    Dispatcher* raw = dispatcher.get();
+    BOOST_OUTCOME_TRY(dispatcher->m_admission, Admission::Controller::create(limits, [raw](Admission::RequestId id, Admission::GroupId) { return raw->chooseFor(id); }));
+    return dispatcher;
+}
+
+Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, std::uint64_t seed)
+    : m_inFlightPerTarget(settings.limits.inFlightPerTarget)
+    , m_router(std::move(router))
+    , m_loads(std::move(loads))
+    , m_prefixes(std::move(prefixes))
+    , m_random(seed)
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+std::uint64_t Dispatcher::nextId()
+{
+    std::lock_guard lock(m_mutex);
+    return ++m_lastId;
+}
+
+Admission::GroupId Dispatcher::groupOf(std::string const& work)
+{
+    return m_groups.emplace(work, static_cast<Admission::GroupId>(m_groups.size() + 1)).first->second;
+}
+
+Admission::Demand Dispatcher::demandOf(PlacementRequest const& request, std::uint64_t id)
+{
+    Admission::Demand demand;
+    demand.id = id;
+    demand.organisation = request.organisation;
+    demand.group = groupOf(request.work);
+    demand.priority = request.priority;
+    demand.tokens = request.shape.promptTokens + request.shape.expectedOutputTokens;
+    demand.latestStart = request.latestStart;
+    return demand;
+}
+
+// The place hook of admission; called with the mutex held.
+std::optional<Admission::TargetId> Dispatcher::chooseFor(Admission::RequestId id)
+{
+    Waiter& waiter = *m_waiters.at(id);
+    PlacementRequest const& request = waiter.request;
+    std::array<Routing::PrefixMatch, mostMatches> matches {};
+    std::size_t matched = m_prefixes.match(request.prefix, matches);
+    Clock::time_point now = Clock::now();
+    m_candidates.clear();
+    m_candidatePositions.clear();
+    for (std::uint32_t position : request.allowed) {
+        FleetTarget const& target = request.fleet->targets[position];
+        bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
+        if (isExcluded || !m_admission->hasRoom(target.id))
+            continue;
+        Routing::Candidate candidate { target.id, target.role, target.distance, target.isClosed(), 0, m_loads.load(target.id, now) };
+        for (std::size_t n = 0; n < matched; ++n) {
+            if (matches[n].target == target.id)
+                candidate.prefixMatchTokens = std::max(candidate.prefixMatchTokens, matches[n].tokens);
+        }
+        m_candidates.push_back(candidate);
+        m_candidatePositions.push_back(position);
+    }
+    waiter.outcome.decision = m_router.decide(m_candidates, request.shape, m_random);
+    if (!waiter.outcome.decision.chosen)
+        return std::nullopt;
+    waiter.outcome.position = m_candidatePositions[*waiter.outcome.decision.chosen];
+    return waiter.outcome.decision.target;
+}
+
+void Dispatcher::noteSent(Waiter& waiter)
+{
+    std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
+    m_loads.sent(id, waiter.request.shape.promptTokens, Clock::now());
+    m_prefixes.routed(waiter.request.prefix, id);
+}
+
+void Dispatcher::wake(std::shared_ptr<Waiter> const& waiter)
+{
+    waiter->isResolved = true;
+    boost::asio::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
+}
+
+void Dispatcher::resolve(std::vector<Admission::Grant> const& grants)
+{
+    for (Admission::Grant const& grant : grants) {
+        std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(grant.id);
+        if (it == m_waiters.end())
+            continue;
+        noteSent(*it->second);
+        wake(it->second);
+    }
+}
+
+void Dispatcher::resolve(std::vector<Admission::Refusal> const& refusals)
+{
+    for (Admission::Refusal const& refusal : refusals) {
+        std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(refusal.id);
+        if (it == m_waiters.end())
+            continue;
+        it->second->outcome.position.reset();
+        it->second->outcome.error = refusal.error;
+        it->second->outcome.retryAfter = refusal.retryAfter;
+        wake(it->second);
+        m_waiters.erase(it);
+    }
+}
+
+void Dispatcher::drainOutcomes()
+{
+    resolve(m_admission->takeGrants());
+    resolve(m_admission->takeRefusals());
+}
+
+boost::asio::awaitable<PlacementOutcome> Dispatcher::place(PlacementRequest request, boost::asio::any_io_executor executor, std::uint64_t id)
+{
+    std::shared_ptr<Waiter> waiter = std::make_shared<Waiter>(std::move(request), executor);
+    waiter->outcome.id = id;
+    {
+        std::lock_guard lock(m_mutex);
+        m_waiters.emplace(id, waiter);
+        Admission::Controller::Decision decision = m_admission->enter(demandOf(waiter->request, id), Clock::now());
+        if (Admission::Grant const* grant = std::get_if<Admission::Grant>(&decision)) {
+            std::ignore = grant;
+            noteSent(*waiter);
+            waiter->isResolved = true;
+        } else if (Admission::Refusal const* refusal = std::get_if<Admission::Refusal>(&decision)) {
+            waiter->outcome.position.reset();
+            waiter->outcome.error = refusal->error;
+            waiter->outcome.retryAfter = refusal->retryAfter;
+            waiter->isResolved = true;
+            m_waiters.erase(id);
+        }
+        drainOutcomes();
+        if (waiter->isResolved)
+            co_return waiter->outcome;
+    }
+    waiter->timer.expires_at(waiter->request.latestStart);
+    boost::system::error_code ec;
+    co_await waiter->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    std::lock_guard lock(m_mutex);
+    if (!waiter->isResolved)
+        resolve(m_admission->expire(Clock::now()));
+    if (!waiter->isResolved) {
+        // Released by its owner, or the clock is a hair before the deadline: either way it does not start.
+        std::ignore = m_admission->release(id, Clock::now());
+        m_waiters.erase(id);
+        waiter->outcome.position.reset();
+        waiter->outcome.error = Core::makeError(Core::ErrorCode::Timeout, "no target was free before the deadline");
+    }
+    co_return waiter->outcome;
+}
+
+void Dispatcher::release(std::uint64_t id)
+{
+    std::lock_guard lock(m_mutex);
+    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(id);
+    if (it == m_waiters.end())
+        return;
+    std::shared_ptr<Waiter> waiter = it->second;
+    m_waiters.erase(it);
+    if (waiter->isResolved && waiter->outcome.position) {
+        std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
+        if (!waiter->isPrefilled)
+            m_loads.prefilled(targetId, waiter->request.shape.promptTokens, Clock::now());
+        m_loads.ended(targetId, Clock::now());
+    } else {
+        waiter->outcome.position.reset();
+        waiter->outcome.error = Core::makeError(Core::ErrorCode::Canceled, "the caller went away");
+        wake(waiter);
+    }
+    resolve(m_admission->release(id, Clock::now()));
+    drainOutcomes();
+}
+
+void Dispatcher::prefilled(std::uint64_t id)
+{
+    std::lock_guard lock(m_mutex);
+    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(id);
+    if (it == m_waiters.end() || it->second->isPrefilled || !it->second->outcome.position)
+        return;
+    it->second->isPrefilled = true;
+    m_loads.prefilled(it->second->request.fleet->targets[*it->second->outcome.position].id, it->second->request.shape.promptTokens, Clock::now());
+}
+
+void Dispatcher::report(std::uint32_t targetId, Routing::LoadReport const& report)
+{
+    std::lock_guard lock(m_mutex);
+    if (targetId < m_loads.size())
+        m_loads.report(targetId, report);
+}
+
+void Dispatcher::setFleet(FleetPointer fleet)
+{
+    std::lock_guard lock(m_mutex);
+    std::uint32_t highest = 0;
+    std::vector<std::uint32_t> known;
+    for (FleetTarget const& target : fleet->targets) {
+        highest = std::max(highest, target.id);
+        known.push_back(target.id);
+    }
+    if (!fleet->targets.empty() && highest >= m_loads.size())
+        m_loads.resize(highest + 1);
+    for (std::uint32_t id : m_knownTargets) {
+        if (std::find(known.begin(), known.end(), id) == known.end())
+            m_admission->removeTarget(id);
+    }
+    m_knownTargets = std::move(known);
+    for (FleetTarget const& target : fleet->targets)
+        resolve(m_admission->setTarget(target.id, target.isClosed() ? 0 : m_inFlightPerTarget, { groupOf(target.work()) }));
+}
+
+std::uint32_t Dispatcher::inFlightAt(std::uint32_t targetId) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_admission->inFlightAt(targetId);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <LibAdmission/Controller.h>
+#include <LibDaemon/FleetSnapshot.h>
+#include <LibDaemon/Work.h>
+#include <LibRouting/LoadTable.h>
+#include <LibRouting/PrefixIndex.h>
+#include <LibRouting/Router.h>
+#include <LibSettings/DaemonSettings.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Daemon {
+
+/// What a request wants of the dispatcher.
+struct PlacementRequest {
+    std::string requestId;
+    std::string organisation;
+    std::string work; ///< The model's or service's name: requests of one name share a queue.
+    int priority { 5 };
+    Routing::RequestShape shape;
+    std::vector<Routing::PrefixBlock> prefix;
+    FleetPointer fleet;
+    std::vector<std::uint32_t> allowed;  ///< Positions in the fleet's targets.
+    std::vector<std::string> excluded;   ///< Names of targets that were tried.
+    std::chrono::steady_clock::time_point latestStart;
+};
+
+/// Where a request may go, or why nowhere.
+struct PlacementOutcome {
+    std::uint64_t id { 0 }; ///< Hand it to `release` when the request has ended there.
+    std::optional<std::uint32_t> position; ///< In the request's fleet.
+    Routing::Decision decision;
+    Core::Error error; ///< Without a position; says not run.
+    std::chrono::milliseconds retryAfter { 0 };
+};
+
+/// Lets requests in within the limits and chooses their targets: the one place of a daemon where admission,
+/// loads, prefixes and routing meet. Thread-safe.
+class Dispatcher {
+public:
+    /// Errors: BadInput from one of the parts.
+    static Core::Result<std::unique_ptr<Dispatcher>> create(Settings::DaemonSettings const&, std::uint64_t seed);
+    ~Dispatcher();
+
+    /// Waits until the request may go to a target, or is refused. `cancel` with the returned ticket number ends
+    /// the wait early. Precondition: awaited on the thread of `executor`.
+    boost::asio::awaitable<PlacementOutcome> place(PlacementRequest, boost::asio::any_io_executor executor, std::uint64_t id);
+
+    /// Returns a number for the next `place`.
+    std::uint64_t nextId();
+
+    /// Ends a placement, whether it waits or was granted. Unknown ids change nothing.
+    void release(std::uint64_t id);
+
+    /// Notes that the target has computed the prompt of a request.
+    void prefilled(std::uint64_t id);
+
+    /// Takes a load report of a target in.
+    void report(std::uint32_t targetId, Routing::LoadReport const&);
+
+    /// Takes the fleet's targets and limits over.
+    void setFleet(FleetPointer);
+
+    /// Returns how many requests this daemon has open at a target.
+    std::uint32_t inFlightAt(std::uint32_t targetId) const;
+
+private:
+    struct Waiter;
+    Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, std::uint64_t seed);
+
+    std::optional<Admission::TargetId> chooseFor(Admission::RequestId);
+    void resolve(std::vector<Admission::Grant> const&);
+    void resolve(std::vector<Admission::Refusal> const&);
+    void drainOutcomes();
+    void wake(std::shared_ptr<Waiter> const&);
+    Admission::GroupId groupOf(std::string const& work);
+    void noteSent(Waiter&);
+    Admission::Demand demandOf(PlacementRequest const&, std::uint64_t id);
+
+    mutable std::mutex m_mutex;
+    std::uint32_t m_inFlightPerTarget;
+    Routing::Router m_router;
+    Routing::LoadTable m_loads;
+    Routing::PrefixIndex m_prefixes;
+    std::unique_ptr<Admission::Controller> m_admission;
+    std::mt19937_64 m_random;
+    std::uint64_t m_lastId { 0 };
+    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters; ///< Waiting and granted placements.
+    std::map<std::string, Admission::GroupId> m_groups;
+    std::vector<std::uint32_t> m_knownTargets;
+    std::vector<Routing::Candidate> m_candidates; ///< Reused between decisions.
+    std::vector<std::uint32_t> m_candidatePositions;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibPlatform/VmList.h>
+#include <LibRouting/TargetRole.h>
+#include <LibRouting/ZoneDistance.h>
+#include <LibState/TargetView.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// A target as the traffic threads see it.
+struct FleetTarget {
+    std::uint32_t id { 0 }; ///< Stays the same while this process knows the target's name.
+    std::string name;
+    boost::asio::ip::tcp::endpoint endpoint;
+    Platform::VmKind kind { Platform::VmKind::Engine };
+    std::string model;   ///< Of an engine: what it serves.
+    std::string service; ///< Of a plain service: its name.
+    Routing::TargetRole role { Routing::TargetRole::Mixed };
+    Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
+    std::string closedBecause; ///< Why it gets no new work; empty while it is open.
+
+    bool isClosed() const { return !closedBecause.empty(); }
+
+    /// The name that requests use: a model or a plain service.
+    std::string const& work() const { return kind == Platform::VmKind::Engine ? model : service; }
+};
+
+/// A daemon that callers may connect to.
+struct EntryAddress {
+    std::string name;
+    boost::asio::ip::tcp::endpoint callerAddress;
+    boost::asio::ip::tcp::endpoint peerAddress;
+    std::string availabilityZone;
+    Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
+    std::uint32_t openRequests { 0 };
+};
+
+/// All that traffic threads need to route, at one moment. Immutable, so that threads share it without locks.
+struct FleetSnapshot {
+    std::shared_ptr<State::TargetView const> view; ///< Its positions are those of `targets`.
+    std::vector<FleetTarget> targets;
+    std::vector<EntryAddress> entries; ///< Live and not leaving; nearest first, then less loaded first.
+    std::vector<EntryAddress> peers;   ///< All other daemons on the VM list, leaving ones too.
+    bool isReady { false };            ///< The configuration and the VM list have both been read once.
+};
+
+using FleetPointer = std::shared_ptr<FleetSnapshot const>;
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -0,0 +1,221 @@
+#include <LibDaemon/RequestRunner.h>
+#include <LibCore/EventLog.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds cancelTimeout { 1'000 };
+
+std::string millisecondsSince(Clock::time_point start, Clock::time_point end)
+{
+    return std::to_string(std::chrono::duration<double, std::milli>(end - start).count());
+}
+
+}
+
+RequestRunner::RequestRunner(TrafficContext& context, Work work, FleetPointer fleet, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink> sink)
+    : m_context(context)
+    , m_work(std::move(work))
+    , m_fleet(std::move(fleet))
+    , m_allowed(std::move(allowed))
+    , m_sink(std::move(sink))
+    , m_startedAt(Clock::now())
+    , m_machine(profileOf(m_work, m_startedAt + m_work.timeout), context.retryBudget)
+    , m_eventSignal(context.context.get_executor())
+    , m_roomSignal(context.context.get_executor())
+    , m_deadlineTimer(context.context.get_executor())
+{
+}
+
+Request::RequestProfile RequestRunner::profileOf(Work const& work, Clock::time_point deadline)
+{
+    Request::RequestProfile profile;
+    profile.isRepeatable = work.isRepeatable;
+    profile.canResume = work.kind == Work::Kind::Model && work.isStreamed;
+    profile.canCancel = work.kind == Work::Kind::Model;
+    profile.outlivesCaller = work.ticket.has_value();
+    profile.deadline = deadline;
+    return profile;
+}
+
+void RequestRunner::post(Request::RequestEvent event)
+{
+    m_events.push_back(std::move(event));
+    m_eventSignal.notify();
+}
+
+boost::asio::awaitable<void> RequestRunner::run()
+{
+    m_deadlineTimer.expires_at(m_machine.deadline());
+    m_deadlineTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+        std::shared_ptr<RequestRunner> self = weak.lock();
+        if (!ec && self)
+            self->post(Request::DeadlineReached());
+    });
+    post(Request::Admitted());
+    while (!m_machine.isFinished()) {
+        if (m_events.empty()) {
+            co_await m_eventSignal.wait();
+            continue;
+        }
+        Request::RequestEvent event = std::move(m_events.front());
+        m_events.pop_front();
+        m_roomSignal.notify();
+        Request::RequestActions actions = m_machine.handle(std::move(event), Clock::now());
+        for (Request::RequestAction& action : actions)
+            co_await perform(std::move(action));
+    }
+    finishUp();
+}
+
+void RequestRunner::finishUp()
+{
+    m_deadlineTimer.cancel();
+    abandonLeg();
+    releasePlacement();
+    m_events.clear();
+    m_roomSignal.notify();
+}
+
+boost::asio::awaitable<void> RequestRunner::perform(Request::RequestAction action)
+{
+    if (Request::Dispatch* dispatch = std::get_if<Request::Dispatch>(&action)) {
+        startAttempt(dispatch->attempt, std::move(dispatch->excluded), dispatch->delay);
+    } else if (Request::Continue* again = std::get_if<Request::Continue>(&action)) {
+        startAttempt(again->attempt, std::move(again->excluded), std::chrono::milliseconds(0));
+    } else if (std::holds_alternative<Request::WriteRequest>(action)) {
+        if (m_leg)
+            m_leg->goAhead.notify();
+    } else if (Request::Resume* resume = std::get_if<Request::Resume>(&action)) {
+        startResume(*resume);
+    } else if (Request::CancelAtTarget* cancel = std::get_if<Request::CancelAtTarget>(&action)) {
+        startCancel(*cancel);
+    } else if (Request::DeliverHead* head = std::get_if<Request::DeliverHead>(&action)) {
+        Http::ResponseHead delivered;
+        if (m_leg)
+            delivered = m_leg->head;
+        delivered.status = static_cast<std::uint16_t>(head->status);
+        co_await m_sink->head(std::move(delivered));
+    } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
+        if (piece->position == 0) {
+            m_firstPieceAt = Clock::now();
+            m_context.dispatcher.prefilled(m_placement);
+        }
+        co_await m_sink->piece(piece->position, std::move(piece->bytes));
+    } else if (Request::Finish* finish = std::get_if<Request::Finish>(&action)) {
+        logFinish(*finish);
+        co_await m_sink->finish(std::move(*finish));
+    }
+}
+
+void RequestRunner::abandonLeg()
+{
+    if (!m_leg)
+        return;
+    m_leg->abandon();
+    m_leg.reset();
+}
+
+void RequestRunner::releasePlacement()
+{
+    if (m_placement != 0)
+        m_context.dispatcher.release(std::exchange(m_placement, 0));
+}
+
+void RequestRunner::startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay)
+{
+    abandonLeg();
+    releasePlacement();
+    m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), Request::Leg { attempt, 1 });
+    if (attempt > 1)
+        Core::logEvent(Core::Severity::Info, Core::Event::RequestRetried, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "after", m_target } });
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, excluded = std::move(excluded), delay]() { return self->runAttempt(leg, excluded, delay); }, boost::asio::detached);
+}
+
+void RequestRunner::startResume(Request::Resume const& resume)
+{
+    abandonLeg();
+    m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), resume.leg);
+    Core::logEvent(Core::Severity::Info, Core::Event::AnswerResumed, { { "request", m_work.requestId }, { "target", resume.target }, { "from", std::to_string(resume.from) }, { "connection", std::to_string(resume.leg.connection) } });
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, resume]() { return self->runResume(leg, resume); }, boost::asio::detached);
+}
+
+void RequestRunner::startCancel(Request::CancelAtTarget const& cancel)
+{
+    abandonLeg();
+    FleetTarget const* target = targetOf(cancel.target);
+    if (!target || target->kind != Platform::VmKind::Engine) {
+        if (cancel.needsOutcome)
+            post(Request::CancelAcknowledged { cancel.attempt, Request::CancelOutcome::Unknown });
+        return;
+    }
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), cancel, endpoint = target->endpoint]() { return self->runCancel(cancel, endpoint); }, boost::asio::detached);
+}
+
+boost::asio::awaitable<void> RequestRunner::runCancel(Request::CancelAtTarget cancel, boost::asio::ip::tcp::endpoint endpoint)
+{
+    if (cancel.needsOutcome) {
+        std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context.context, cancelTimeout);
+        timer->async_wait([weak = weak_from_this(), timer, attempt = cancel.attempt](boost::system::error_code) {
+            if (std::shared_ptr<RequestRunner> self = weak.lock())
+                self->post(Request::CancelAcknowledged { attempt, Request::CancelOutcome::Unknown });
+        });
+    }
+    Core::Result<Platform::CancelState> state = co_await m_context.engines.cancel(endpoint, attemptId(cancel.attempt));
+    if (!cancel.needsOutcome)
+        co_return;
+    Request::CancelOutcome outcome = Request::CancelOutcome::Unknown;
+    if (state.has_value()) {
+        switch (state.value()) {
+        case Platform::CancelState::Canceled:
+            outcome = Request::CancelOutcome::Canceled;
+            break;
+        case Platform::CancelState::Finished:
+            outcome = Request::CancelOutcome::Finished;
+            break;
+        case Platform::CancelState::NeverSeen:
+            outcome = Request::CancelOutcome::NeverSeen;
+            break;
+        }
+    }
+    post(Request::CancelAcknowledged { cancel.attempt, outcome });
+}
+
+FleetTarget const* RequestRunner::targetOf(std::string const& name) const
+{
+    std::optional<std::uint32_t> position = m_fleet->view->positionOf(name);
+    return position ? &m_fleet->targets[*position] : nullptr;
+}
+
+std::string RequestRunner::attemptId(std::uint32_t attempt) const
+{
+    return m_work.requestId + "." + std::to_string(attempt);
+}
+
+void RequestRunner::logDecision(std::uint32_t attempt, PlacementOutcome const& outcome) const
+{
+    if (!Core::isLogged(Core::Severity::Info))
+        return;
+    if (!outcome.position) {
+        Core::logEvent(Core::Severity::Info, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message } });
+        return;
+    }
+    Routing::Decision const& decision = outcome.decision;
+    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) } });
+}
+
+void RequestRunner::logFinish(Request::Finish const& finish) const
+{
+    Clock::time_point now = Clock::now();
+    std::string first = m_firstPieceAt == Clock::time_point() ? "-" : millisecondsSince(m_startedAt, m_firstPieceAt);
+    Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "error", finish.error ? finish.error->message : "-" } });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibDaemon/AnswerSink.h>
+#include <LibDaemon/Signal.h>
+#include <LibDaemon/TrafficContext.h>
+#include <LibDaemon/UpstreamLeg.h>
+#include <LibDaemon/Work.h>
+#include <LibRequest/RequestMachine.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+
+namespace Daemon {
+
+/// Carries out what a request's machine decides: the one shell around `Request::RequestMachine`. Every I/O runs
+/// in a coroutine of its own and reports events; the runner hands them to the machine one at a time.
+/// Use from the traffic thread only.
+class RequestRunner : public std::enable_shared_from_this<RequestRunner> {
+public:
+    /// Precondition: the context outlives the runner. `allowed` holds positions in the fleet's targets.
+    RequestRunner(TrafficContext&, Work, FleetPointer, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink>);
+
+    /// Runs the request to its final answer.
+    boost::asio::awaitable<void> run();
+
+    /// Hands an event in from outside, such as `CallerGone`.
+    void post(Request::RequestEvent);
+
+    Work const& work() const { return m_work; }
+
+private:
+    using LegPointer = std::shared_ptr<UpstreamLeg>;
+
+    static Request::RequestProfile profileOf(Work const&, std::chrono::steady_clock::time_point deadline);
+
+    boost::asio::awaitable<void> perform(Request::RequestAction);
+    void startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay);
+    void startResume(Request::Resume const&);
+    void startCancel(Request::CancelAtTarget const&);
+    void abandonLeg();
+    void releasePlacement();
+    void finishUp();
+
+    boost::asio::awaitable<void> runAttempt(LegPointer, std::vector<std::string> excluded, std::chrono::milliseconds delay);
+    boost::asio::awaitable<void> runResume(LegPointer, Request::Resume);
+    boost::asio::awaitable<void> runCancel(Request::CancelAtTarget, boost::asio::ip::tcp::endpoint);
+    boost::asio::awaitable<PlacementOutcome> place(std::vector<std::string> excluded, Routing::Phase);
+    boost::asio::awaitable<bool> placeAttempt(LegPointer, std::vector<std::string> excluded);
+    boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer);
+    boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
+    boost::asio::awaitable<void> readAnswer(LegPointer, std::uint64_t firstIndex);
+    boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex);
+    boost::asio::awaitable<void> readBody(LegPointer);
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds);
+    boost::asio::awaitable<void> postWithRoom(Request::RequestEvent);
+
+    void postFailure(LegPointer const&, Core::Error const&);
+    Http::Request upstreamRequest(std::uint32_t attempt) const;
+    std::string attemptId(std::uint32_t attempt) const;
+    FleetTarget const* targetOf(std::string const& name) const;
+    void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
+    void logFinish(Request::Finish const&) const;
+
+    TrafficContext& m_context;
+    Work m_work;
+    FleetPointer m_fleet;
+    std::vector<std::uint32_t> m_allowed;
+    std::shared_ptr<AnswerSink> m_sink;
+    std::chrono::steady_clock::time_point m_startedAt;
+    Request::RequestMachine m_machine;
+    std::deque<Request::RequestEvent> m_events;
+    Signal m_eventSignal;
+    Signal m_roomSignal;
+    boost::asio::steady_timer m_deadlineTimer;
+    LegPointer m_leg;
+    std::uint64_t m_placement { 0 }; ///< 0: none.
+    std::string m_target;            ///< Name of the attempt's target, for logs.
+    std::string m_kvSource;          ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
+    std::chrono::steady_clock::time_point m_firstPieceAt;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibDaemon/Dispatcher.h>
+#include <LibDaemon/FleetSnapshot.h>
+#include <LibHttp/Client.h>
+#include <LibPlatform/EngineControl.h>
+#include <LibRequest/RetryBudget.h>
+#include <LibSettings/DaemonSettings.h>
+#include <boost/asio/io_context.hpp>
+
+namespace Daemon {
+
+/// What the requests of one traffic thread work with. Only the dispatcher and the budget are shared with other
+/// threads. Use from the thread only.
+struct TrafficContext {
+    boost::asio::io_context& context;
+    Settings::DaemonSettings const& settings;
+    Dispatcher& dispatcher;
+    Request::RetryBudget& retryBudget;
+    Http::Client& client;
+    Platform::EngineControl& engines;
+    FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -0,0 +1,84 @@
+#include <LibDaemon/HttpErrors.h>
+#include <LibDaemon/TrafficThread.h>
+#include <boost/asio/post.hpp>
+
+namespace Daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+
+}
+
+TrafficThread::TrafficThread(Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
+    : m_guard(m_context.get_executor())
+    , m_client(Http::Client::create(m_context, Http::ClientSettings()))
+    , m_engines(Platform::createHttpEngineControl(*m_client))
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, std::make_shared<FleetSnapshot>() }
+    , m_api(std::make_unique<CallerApi>(m_traffic, shared))
+    , m_idleTimer(m_context)
+{
+}
+
+Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
+{
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(settings, dispatcher, budget, shared));
+    Http::ServerSettings server = settings.callers.server;
+    server.isPortShared = settings.daemon.trafficThreads > 1;
+    CallerApi* api = thread->m_api.get();
+    Http::Handler handler = [api](Http::Request& request, Http::ResponseWriter& writer) { return api->handle(request, writer); };
+    BOOST_OUTCOME_TRY(thread->m_server, Http::Server::create(thread->m_context, settings.callers.listen, server, std::move(handler), rejectionResponse));
+    return thread;
+}
+
+TrafficThread::~TrafficThread()
+{
+    stop();
+}
+
+void TrafficThread::start()
+{
+    m_server->start();
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+void TrafficThread::post(std::function<void()> function)
+{
+    boost::asio::post(m_context, std::move(function));
+}
+
+void TrafficThread::setFleet(FleetPointer fleet)
+{
+    post([this, fleet = std::move(fleet)] { m_traffic.fleet = fleet; });
+}
+
+void TrafficThread::drain(std::function<void()> onIdle)
+{
+    post([this, onIdle = std::move(onIdle)] {
+        m_server->stop();
+        waitUntilIdle(onIdle);
+    });
+}
+
+void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
+{
+    if (m_server->activeRequests() == 0) {
+        onIdle();
+        return;
+    }
+    m_idleTimer.expires_after(idleCheckInterval);
+    m_idleTimer.async_wait([this, onIdle = std::move(onIdle)](boost::system::error_code ec) {
+        if (!ec)
+            waitUntilIdle(onIdle);
+    });
+}
+
+void TrafficThread::stop()
+{
+    m_guard.reset();
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibDaemon/CallerApi.h>
+#include <LibHttp/Server.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace Daemon {
+
+/// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
+class TrafficThread {
+public:
+    /// Binds the callers' listener; nothing runs yet. Errors: Unavailable.
+    /// Preconditions: all arguments outlive the object.
+    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+
+    ~TrafficThread();
+
+    /// Starts the thread. Precondition: called once.
+    void start();
+
+    /// Hands a newer view of the fleet over. Thread-safe.
+    void setFleet(FleetPointer);
+
+    /// Stops accepting; `onIdle` is called on the traffic thread once no request is served. Thread-safe.
+    void drain(std::function<void()> onIdle);
+
+    /// Ends the event loop and joins the thread. Precondition: called from another thread.
+    void stop();
+
+    std::uint16_t port() const { return m_server->port(); }
+
+    /// Runs a function on the traffic thread. Thread-safe.
+    void post(std::function<void()>);
+
+    boost::asio::io_context& context() { return m_context; }
+    CallerApi& api() { return *m_api; }
+
+private:
+    TrafficThread(Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+    void waitUntilIdle(std::function<void()> onIdle);
+
+    boost::asio::io_context m_context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::unique_ptr<Http::Client> m_client;
+    std::unique_ptr<Platform::EngineControl> m_engines;
+    TrafficContext m_traffic;
+    std::unique_ptr<CallerApi> m_api;
+    std::unique_ptr<Http::Server> m_server;
+    boost::asio::steady_timer m_idleTimer;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/Work.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibHttp/Message.h>
+#include <LibLabel/LabelSet.h>
+#include <LibRouting/PrefixIndex.h>
+#include <LibRouting/RequestShape.h>
+#include <LibState/Config.h>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// What a request asks for, read from its HTTP form once.
+struct Work {
+    enum class Kind : std::uint8_t { Model, Service };
+
+    std::string requestId;
+    Kind kind { Kind::Model };
+    std::string name;          ///< The model or the plain service.
+    std::string organisation;
+    Label::LabelSet labels;    ///< After the operators' request rules.
+    int priority { 5 };
+    bool isRepeatable { false };
+    bool isStreamed { false }; ///< The answer is a stream of server-sent events.
+    std::chrono::milliseconds timeout { 0 };
+    std::optional<std::string> ticket;
+    std::string idempotencyKey;
+    Routing::RequestShape shape;
+    std::vector<Routing::PrefixBlock> prefix;
+    Http::Request upstream; ///< What the target gets, but for the attempt's own fields.
+};
+
+/// Bounds and defaults that reading a request needs.
+struct WorkLimits {
+    std::chrono::milliseconds defaultTimeout { 60'000 };
+    std::chrono::milliseconds longestTimeout { 600'000 };
+};
+
+/// Reads a request to a model (`/v1/completions`, `/v1/chat/completions`) or a plain service
+/// (`/services/NAME/...`). Errors (all NotRun): BadInput with what was read and what is allowed; NotFound for
+/// another path. Thread-safe.
+Core::Result<Work> parseWork(Http::Request const&, State::Config const&, WorkLimits const&, std::string requestId);
+
+inline constexpr std::string_view servicePrefix = "/services/";
+
+}
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -37,6 +37,9 @@
     /// Errors: Timeout after silence, Unavailable when the connection breaks before the end, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() = 0;
 
+    /// Sets the time that `start` waits for the response's head.
+    virtual void setHeadTimeout(std::chrono::milliseconds) = 0;
+
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -33,6 +33,7 @@
     boost::asio::awaitable<Core::Result<void>> start(Request const&) override;
     ResponseHead const& head() const override { return m_head; }
     boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() override;
+    void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
     void cancel() override;
 
