currantvaled: Run the thin path of callers, configuration, VM list and engines

Cause: there was no process that serves a request from end to end.

Conclusion: the base for everything else.

--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -28,8 +28,8 @@
     Routing::RequestShape shape;
     std::vector<Routing::PrefixBlock> prefix;
     FleetPointer fleet;
-    std::vector<std::uint32_t> allowed;  ///< Positions in the fleet's targets.
-    std::vector<std::string> excluded;   ///< Names of targets that were tried.
+    std::vector<std::uint32_t> allowed; ///< Positions in the fleet's targets.
+    std::vector<std::string> excluded; ///< Names of targets that were tried.
     std::chrono::steady_clock::time_point latestStart;
 };
 
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -18,7 +18,7 @@
     std::string name;
     boost::asio::ip::tcp::endpoint endpoint;
     Platform::VmKind kind { Platform::VmKind::Engine };
-    std::string model;   ///< Of an engine: what it serves.
+    std::string model; ///< Of an engine: what it serves.
     std::string service; ///< Of a plain service: its name.
     Routing::TargetRole role { Routing::TargetRole::Mixed };
     Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
@@ -45,8 +45,8 @@
     std::shared_ptr<State::TargetView const> view; ///< Its positions are those of `targets`.
     std::vector<FleetTarget> targets;
     std::vector<EntryAddress> entries; ///< Live and not leaving; nearest first, then less loaded first.
-    std::vector<EntryAddress> peers;   ///< All other daemons on the VM list, leaving ones too.
-    bool isReady { false };            ///< The configuration and the VM list have both been read once.
+    std::vector<EntryAddress> peers; ///< All other daemons on the VM list, leaving ones too.
+    bool isReady { false }; ///< The configuration and the VM list have both been read once.
 };
 
 using FleetPointer = std::shared_ptr<FleetSnapshot const>;
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -1,5 +1,5 @@
-#include <LibDaemon/RequestRunner.h>
 #include <LibCore/EventLog.h>
+#include <LibDaemon/RequestRunner.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -32,6 +32,7 @@
     , m_roomSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
 {
+    ++m_context.runningRequests;
 }
 
 Request::RequestProfile RequestRunner::profileOf(Work const& work, Clock::time_point deadline)
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -21,6 +21,10 @@
     /// Precondition: the context outlives the runner. `allowed` holds positions in the fleet's targets.
     RequestRunner(TrafficContext&, Work, FleetPointer, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink>);
 
+    ~RequestRunner() { --m_context.runningRequests; }
+    RequestRunner(RequestRunner const&) = delete;
+    RequestRunner& operator=(RequestRunner const&) = delete;
+
     /// Runs the request to its final answer.
     boost::asio::awaitable<void> run();
 
@@ -75,8 +79,8 @@
     boost::asio::steady_timer m_deadlineTimer;
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0: none.
-    std::string m_target;            ///< Name of the attempt's target, for logs.
-    std::string m_kvSource;          ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
+    std::string m_target; ///< Name of the attempt's target, for logs.
+    std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
     std::chrono::steady_clock::time_point m_firstPieceAt;
 };
 
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -20,6 +20,7 @@
     Http::Client& client;
     Platform::EngineControl& engines;
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
+    std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
 
 }
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -14,7 +14,7 @@
     : m_guard(m_context.get_executor())
     , m_client(Http::Client::create(m_context, Http::ClientSettings()))
     , m_engines(Platform::createHttpEngineControl(*m_client))
-    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, std::make_shared<FleetSnapshot>() }
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, std::make_shared<FleetSnapshot>(), 0 }
     , m_api(std::make_unique<CallerApi>(m_traffic, shared))
     , m_idleTimer(m_context)
 {
@@ -62,7 +62,7 @@
 
 void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
 {
-    if (m_server->activeRequests() == 0) {
+    if (m_server->activeRequests() == 0 && m_traffic.runningRequests == 0) {
         onIdle();
         return;
     }
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -16,13 +16,14 @@
 
 /// What a request asks for, read from its HTTP form once.
 struct Work {
-    enum class Kind : std::uint8_t { Model, Service };
+    enum class Kind : std::uint8_t { Model,
+        Service };
 
     std::string requestId;
     Kind kind { Kind::Model };
-    std::string name;          ///< The model or the plain service.
+    std::string name; ///< The model or the plain service.
     std::string organisation;
-    Label::LabelSet labels;    ///< After the operators' request rules.
+    Label::LabelSet labels; ///< After the operators' request rules.
     int priority { 5 };
     bool isRepeatable { false };
     bool isStreamed { false }; ///< The answer is a stream of server-sent events.
--- a/Meta/CMake/CurrantvaleTargets.cmake
+++ b/Meta/CMake/CurrantvaleTargets.cmake
@@ -1,6 +1,7 @@
 # Helper functions that every folder's CMakeLists.txt uses, so that each of them stays a few lines long.
 
-add_compile_options(-Wall -Wextra -Werror -fno-omit-frame-pointer)
+# g++ 12 takes Asio's recycling allocator of coroutine frames for a mismatched pair of new and delete.
+add_compile_options(-Wall -Wextra -Werror -Wno-mismatched-new-delete -fno-omit-frame-pointer)
 add_compile_definitions(BOOST_ASIO_NO_DEPRECATED)
 
 if(CURRANTVALE_SANITIZER STREQUAL "address")
--- /dev/null
+++ b/Services/currantvaled/main.cpp
@@ -0,0 +1,94 @@
+#include <LibCore/EventLog.h>
+#include <LibDaemon/Daemon.h>
+#include <LibSettings/DaemonSettings.h>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+constexpr int exitBadInput = 2;
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("currantvaled", "Routes requests to model engines and plain services.");
+    cxxopts::OptionAdder add = options.add_options();
+    add("settings", "The settings file (INI)", cxxopts::value<std::string>(), "FILE");
+    add("check-settings", "Check the settings file and exit");
+    add("print-settings", "Print all settings, with what is allowed, and exit");
+    add("version", "Print the version and exit");
+    add("help", "Print this text and exit");
+    options.custom_help("--settings FILE [--check-settings | --print-settings]\n\n"
+                        "Examples:\n"
+                        "  currantvaled --settings Meta/samples/currantvaled.ini\n"
+                        "  currantvaled --settings Meta/samples/currantvaled.ini --check-settings\n\n"
+                        "Exit codes: 0 after a graceful end or a good check, 1 when it cannot run, 2 for bad input.\n");
+    return options;
+}
+
+Core::Result<Settings::DaemonSettings> readSettings(std::string const& fileName)
+{
+    std::ifstream file(fileName);
+    if (!file)
+        return Core::fail(Core::ErrorCode::BadInput, fileName + ": cannot be read\n");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return Settings::DaemonSettings::parse(text.str(), fileName);
+}
+
+int runDaemon(Settings::DaemonSettings const& settings)
+{
+    Core::startEventLog(settings.daemon.logLevel);
+    Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings);
+    if (daemon.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::ListenerFailed, { { "error", daemon.error().message } });
+        return EXIT_FAILURE;
+    }
+    daemon.value()->run();
+    return EXIT_SUCCESS;
+}
+
+int run(cxxopts::ParseResult const& arguments, cxxopts::Options const& options)
+{
+    if (arguments.count("help") > 0) {
+        std::cout << options.help();
+        return EXIT_SUCCESS;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "currantvaled " CURRANTVALE_VERSION "\n";
+        return EXIT_SUCCESS;
+    }
+    if (arguments.count("settings") == 0) {
+        std::cerr << "currantvaled: --settings FILE is required; see --help\n";
+        return exitBadInput;
+    }
+    Core::Result<Settings::DaemonSettings> settings = readSettings(arguments["settings"].as<std::string>());
+    if (settings.has_error()) {
+        std::cerr << settings.error().message;
+        return exitBadInput;
+    }
+    if (arguments.count("check-settings") > 0) {
+        std::cout << "the settings are good\n";
+        return EXIT_SUCCESS;
+    }
+    if (arguments.count("print-settings") > 0) {
+        std::cout << settings.value().print();
+        return EXIT_SUCCESS;
+    }
+    return runDaemon(settings.value());
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options = makeOptions();
+    try {
+        return run(options.parse(argc, argv), options);
+    } catch (cxxopts::exceptions::exception const& exception) {
+        std::cerr << "currantvaled: " << exception.what() << "; see --help\n";
+        return exitBadInput;
+    }
+}
