LibRequest: Prove the promises under every fault at every step

Cause: that a request which may not be repeated runs at most once, that 'not run' is true and that answers are whole and the caller's own has to hold under any mix of faults.

--- /dev/null
+++ b/Tests/LibRequest/World.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <LibRequest/Home.h>
+#include <LibRequest/RequestMachine.h>
+#include <LibRequest/TicketIssuer.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace TestWorld {
+
+using namespace std::chrono_literals;
+using Millis = std::chrono::milliseconds;
+using Request::TimePoint;
+
+/// Kinds of request: with and without a ticket, at engines and at plain services.
+enum class Kind { RepeatableStream,
+    ServiceOnce,
+    EngineOnce };
+
+/// Where a request stands at the daemon that runs it.
+enum class Step { Received,
+    Queued,
+    Picked,
+    Connecting,
+    Written,
+    AwaitingHead,
+    Streaming,
+    Ending,
+    Kept,
+    Collected };
+
+using NodeId = int;
+inline constexpr NodeId firstTarget = 10;
+inline constexpr NodeId callerNode = 20;
+inline constexpr std::uint64_t pieceCount = 5;
+
+/// What happens to one message.
+struct Fate {
+    int copies { 1 };
+    Millis delay { 0 }; ///< With those behind it on the connection.
+    Millis overtakenFor { 0 }; ///< Those behind it come first.
+    bool breaksConnection { false }; ///< It is lost and the connection ends.
+};
+
+struct Node {
+    bool isAlive { true };
+    bool refuses { false };
+    std::uint64_t incarnation { 1 };
+    TimePoint pausedUntil;
+};
+
+struct Connection {
+    NodeId from { 0 };
+    NodeId to { 0 };
+    std::uint64_t fromIncarnation { 0 };
+    std::uint64_t toIncarnation { 0 };
+    bool isSilent { false };
+    bool isBroken { false };
+    TimePoint lastDelivery;
+};
+using ConnectionPtr = std::shared_ptr<Connection>;
+using Task = std::function<void()>;
+
+/// One caller's request and what the caller saw.
+struct Call {
+    int id { 0 };
+    Kind kind { Kind::RepeatableStream };
+    NodeId entry { 0 };
+    std::string ticket;
+    std::vector<std::string> received;
+    int sends { 0 };
+    int finals { 0 }; ///< Of the current send.
+    bool wasToldNotRun { false };
+    bool isGone { false };
+    std::optional<Core::Error> error;
+    Core::Verdict verdict { Core::Verdict::MayHaveRun };
+    TimePoint startedAt;
+    TimePoint endedAt;
+    ConnectionPtr connection;
+    std::function<void()> tellGone; ///< Tells the entry that the caller's connection ended.
+};
+
+class Runner;
+class World;
+
+/// A target's stream, by the attempt's unique id.
+struct Stream {
+    int call { 0 };
+    std::uint64_t first { 0 };
+    bool isCanceled { false };
+    bool isFinished { false };
+};
+
+struct Target {
+    std::map<std::string, Stream> streams;
+    std::set<std::string> fenced;
+};
+
+/// Follows an answer at its home.
+struct Reader {
+    Request::TicketNonce nonce {};
+    std::uint64_t next { 0 };
+    std::function<void(std::uint64_t position, std::string bytes)> onPiece;
+    std::function<void(Request::AnswerEnd const&)> onEnd;
+    bool isDone { false };
+};
+
+struct Daemon {
+    std::unique_ptr<Request::TicketIssuer> issuer;
+    std::unique_ptr<Request::Home> home;
+    std::vector<std::shared_ptr<Reader>> readers;
+    std::unique_ptr<Request::RetryBudget> budget;
+};
+
+/// Daemons, targets, callers and a faulty network in virtual time: the shell around the real request machine, ticket
+/// home and answer store, with every message in the hands of the test.
+class World {
+public:
+    World(int daemons, int targets);
+
+    void start(int call, Kind, NodeId home, NodeId entry);
+    void run(Millis until);
+
+    void kill(NodeId);
+    void restart(NodeId);
+    void pause(NodeId, Millis);
+    void block(NodeId from, NodeId to, bool isBlocked);
+    void shutDown(NodeId);
+    void callerLeaves(int call);
+    void silence(NodeId from, NodeId to);
+    void refuse(NodeId target, bool refuses) { m_nodes[target].refuses = refuses; }
+
+    /// Whether callers send again (with their ticket) after any error.
+    bool callersInsist { false };
+
+    /// Faults of messages; the default is none.
+    std::function<Fate(NodeId from, NodeId to)> fate;
+    std::function<void(Step, int call)> onStep;
+
+    /// Broken promises, one a line; empty when all hold. Precondition: all deadlines have passed.
+    std::string violations() const;
+
+    /// W whole, N not run, M may have run, G caller gone, - no final answer.
+    char outcome(int call) const;
+
+    TimePoint now() const { return m_now; }
+    int runs(int call) const { return m_runs.contains(call) ? m_runs.at(call) : 0; }
+    int dispatches() const { return m_dispatches; }
+
+private:
+    friend class Runner;
+
+    struct Scheduled {
+        TimePoint at;
+        std::uint64_t number { 0 };
+        Task task;
+        bool operator<(Scheduled const& other) const { return at != other.at ? at > other.at : number > other.number; }
+    };
+
+    void at(TimePoint, Task);
+    void timer(NodeId, Millis, Task);
+    ConnectionPtr connect(NodeId from, NodeId to);
+    void send(ConnectionPtr const&, NodeId from, Task const&, Task const& onReset = {});
+    void deliver(ConnectionPtr const&, NodeId to, Task const&, Task const& onReset);
+    void step(Step step, int call);
+    void startDaemon(NodeId);
+    bool isDaemon(NodeId id) const { return id < firstTarget; }
+
+    void callerSends(int call);
+    void callerLost(int call, int send);
+    void callerGets(int call, int send, std::uint64_t position, std::string bytes);
+    void callerEnds(int call, int send, Core::Verdict, std::optional<Core::Error>);
+    void entryReceives(int call, int send, ConnectionPtr const&, std::uint64_t from);
+    void homeReceives(NodeId, int call, std::shared_ptr<Reader> const&);
+    void runAtHome(NodeId, int call, Request::TicketNonce const&);
+    void pump(NodeId);
+    void targetReceives(NodeId, std::string const& key, int call, std::uint64_t first, std::shared_ptr<Runner> const&, Request::Leg, ConnectionPtr const&);
+    void emit(NodeId, std::string const& key, std::uint64_t from, std::shared_ptr<Runner> const&, Request::Leg, ConnectionPtr const&);
+
+    TimePoint m_now { 1s };
+    std::uint64_t m_number { 0 };
+    std::priority_queue<Scheduled> m_tasks;
+    std::map<NodeId, Node> m_nodes;
+    std::map<NodeId, Daemon> m_daemons;
+    std::map<NodeId, Target> m_targets;
+    std::map<int, Call> m_calls;
+    std::map<int, int> m_runs;
+    std::vector<ConnectionPtr> m_connections;
+    std::set<std::pair<NodeId, NodeId>> m_blocked;
+    std::vector<std::shared_ptr<Runner>> m_runners;
+    std::string m_violations;
+    int m_dispatches { 0 };
+};
+
+Request::RequestProfile profileOf(Kind, TimePoint deadline);
+std::string pieceOf(int call, std::uint64_t position);
+
+}
