--- a/Libraries/LibStandIn/Json.h
+++ b/Libraries/LibJson/Reader.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <LibCore/Result.h>
-#include <LibStandIn/Faults.h>
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
-namespace StandIn {
+namespace Json {
 
 /// Parses a JSON object. Error: BadInput. Thread-safe.
 Core::Result<boost::json::object> parseObject(std::string_view text);
@@ -22,11 +22,14 @@
 /// Returns the truth value under `key`, or nothing when it is absent. Error: BadInput. Thread-safe.
 Core::Result<std::optional<bool>> optionalBool(boost::json::object const&, std::string_view key);
 
-/// Applies the faults that `object` names, any subset of the keys. Error: BadInput; nothing is then applied. Thread-safe.
-Core::Result<void> applyFaults(boost::json::object object, Faults&);
-Core::Result<void> applyFaults(std::string_view text, Faults&);
+/// Returns the string under `key`. Error: BadInput when it is absent or no string. Thread-safe.
+Core::Result<std::string> requiredString(boost::json::object const&, std::string_view key);
 
-/// Returns `bytes` in base64 (RFC 4648, section 4). Thread-safe.
-std::string toBase64(std::string_view bytes);
+/// Returns the whole number from 0 up under `key`. Error: BadInput when it is absent or none. Thread-safe.
+Core::Result<std::uint64_t> requiredNumber(boost::json::object const&, std::string_view key);
+
+/// Returns the objects of the list under `key`, valid as long as the object. Error: BadInput when it is
+/// absent, no list, or holds anything else. Thread-safe.
+Core::Result<std::vector<boost::json::object const*>> requiredObjects(boost::json::object const&, std::string_view key);
 
 }
--- a/Libraries/LibStandIn/Completion.cpp
+++ b/Libraries/LibStandIn/Completion.cpp
@@ -1,7 +1,7 @@
 #include <LibStandIn/Completion.h>
 
+#include <LibJson/Reader.h>
 #include <LibStandIn/ExpectedText.h>
-#include <LibStandIn/Json.h>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -47,7 +47,7 @@
 
 Core::Result<std::string> plainPrompt(boost::json::object const& body)
 {
-    BOOST_OUTCOME_TRY(std::optional<std::string> prompt, optionalString(body, "prompt"));
+    BOOST_OUTCOME_TRY(std::optional<std::string> prompt, Json::optionalString(body, "prompt"));
     if (!prompt)
         return Core::fail(Core::ErrorCode::BadInput, "'prompt' is missing.");
     return *prompt;
@@ -68,12 +68,12 @@
 
 Core::Result<Completion> parseCompletion(std::string_view body, bool isChat)
 {
-    BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body));
+    BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body));
     Completion completion { .isChat = isChat, .model = {}, .prompt = {}, .maximumTokens = isChat ? defaultChatTokens : 16 };
-    BOOST_OUTCOME_TRY(std::optional<std::string> model, optionalString(object, "model"));
-    BOOST_OUTCOME_TRY(std::optional<bool> isStreamed, optionalBool(object, "stream"));
-    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> tokens, optionalNumber(object, "max_tokens"));
-    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> completionTokens, optionalNumber(object, "max_completion_tokens"));
+    BOOST_OUTCOME_TRY(std::optional<std::string> model, Json::optionalString(object, "model"));
+    BOOST_OUTCOME_TRY(std::optional<bool> isStreamed, Json::optionalBool(object, "stream"));
+    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> tokens, Json::optionalNumber(object, "max_tokens"));
+    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> completionTokens, Json::optionalNumber(object, "max_completion_tokens"));
     BOOST_OUTCOME_TRY(completion.prompt, isChat ? chatPrompt(object) : plainPrompt(object));
     completion.model = model.value_or("");
     completion.isStreamed = isStreamed.value_or(false);
--- a/Libraries/LibStandIn/EngineApi.cpp
+++ b/Libraries/LibStandIn/EngineApi.cpp
@@ -1,7 +1,7 @@
 #include <LibStandIn/EngineApi.h>
 
 #include <LibStandIn/EngineReports.h>
-#include <LibStandIn/Json.h>
+#include <LibStandIn/FaultsReader.h>
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Libraries/LibStandIn/EngineReports.cpp
+++ b/Libraries/LibStandIn/EngineReports.cpp
@@ -1,7 +1,7 @@
 #include <LibStandIn/EngineReports.h>
 
+#include <LibJson/Reader.h>
 #include <LibStandIn/Api.h>
-#include <LibStandIn/Json.h>
 #include <boost/json/array.hpp>
 
 namespace StandIn {
@@ -10,9 +10,9 @@
 
 Core::Result<EngineOrder> parseOrder(std::string_view body)
 {
-    BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body));
-    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> fencing, optionalNumber(object, "fencing"));
-    BOOST_OUTCOME_TRY(std::optional<std::string> role, optionalString(object, "role"));
+    BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body));
+    BOOST_OUTCOME_TRY(std::optional<std::uint64_t> fencing, Json::optionalNumber(object, "fencing"));
+    BOOST_OUTCOME_TRY(std::optional<std::string> role, Json::optionalString(object, "role"));
     EngineOrder order;
     order.fencing = fencing.value_or(0);
     if (role) {
@@ -20,9 +20,9 @@
         if (!order.role)
             return Core::fail(Core::ErrorCode::BadInput, "'role' must be mixed, prefill or decode.");
     }
-    BOOST_OUTCOME_TRY(order.model, optionalString(object, "model"));
-    BOOST_OUTCOME_TRY(order.adapter, optionalString(object, "adapter"));
-    BOOST_OUTCOME_TRY(order.version, optionalString(object, "version"));
+    BOOST_OUTCOME_TRY(order.model, Json::optionalString(object, "model"));
+    BOOST_OUTCOME_TRY(order.adapter, Json::optionalString(object, "adapter"));
+    BOOST_OUTCOME_TRY(order.version, Json::optionalString(object, "version"));
     return order;
 }
 
--- a/Libraries/LibStandIn/Forwarder.cpp
+++ b/Libraries/LibStandIn/Forwarder.cpp
@@ -1,6 +1,6 @@
 #include <LibStandIn/Forwarder.h>
 
-#include <LibStandIn/Json.h>
+#include <LibJson/Reader.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -150,8 +150,8 @@
     }
     if (path != "/pause")
         return Core::fail(Core::ErrorCode::NotFound, "The forwarder has /pause, /resume and /cut.");
-    BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body.empty() ? "{}" : body));
-    BOOST_OUTCOME_TRY(std::optional<std::string> text, optionalString(object, "direction"));
+    BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body.empty() ? "{}" : body));
+    BOOST_OUTCOME_TRY(std::optional<std::string> text, Json::optionalString(object, "direction"));
     std::string direction = text.value_or("both");
     if (direction != "both" && direction != "forward" && direction != "backward")
         return Core::fail(Core::ErrorCode::BadInput, "'direction' must be both, forward or backward.");
--- a/Libraries/LibStandIn/LogApi.cpp
+++ b/Libraries/LibStandIn/LogApi.cpp
@@ -1,6 +1,7 @@
 #include <LibStandIn/LogApi.h>
 
-#include <LibStandIn/Json.h>
+#include <LibJson/Reader.h>
+#include <LibStandIn/FaultsReader.h>
 #include <algorithm>
 #include <boost/json/array.hpp>
 
@@ -103,16 +104,16 @@
 Core::Result<void> LogApi::serveAdmin(std::string_view path, std::string_view body)
 {
     if (path == "/admin/faults") {
-        BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body));
-        BOOST_OUTCOME_TRY(std::optional<std::uint64_t> retention, optionalNumber(object, "retain_records"));
+        BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body));
+        BOOST_OUTCOME_TRY(std::optional<std::uint64_t> retention, Json::optionalNumber(object, "retain_records"));
         object.erase("retain_records");
         BOOST_OUTCOME_TRYV(applyFaults(object, m_store.faults()));
         if (retention)
             m_store.setRetention(*retention);
     } else if (path == "/admin/trim") {
-        BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body));
-        BOOST_OUTCOME_TRY(std::optional<std::string> stream, optionalString(object, "stream"));
-        BOOST_OUTCOME_TRY(std::optional<std::uint64_t> first, optionalNumber(object, "first"));
+        BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body));
+        BOOST_OUTCOME_TRY(std::optional<std::string> stream, Json::optionalString(object, "stream"));
+        BOOST_OUTCOME_TRY(std::optional<std::uint64_t> first, Json::optionalNumber(object, "first"));
         if (!stream || !first)
             return Core::fail(Core::ErrorCode::BadInput, "A trim needs 'stream' and 'first'.");
         m_store.trim(*stream, *first);
--- a/Libraries/LibStandIn/ServiceApi.cpp
+++ b/Libraries/LibStandIn/ServiceApi.cpp
@@ -1,6 +1,6 @@
 #include <LibStandIn/ServiceApi.h>
 
-#include <LibStandIn/Json.h>
+#include <LibStandIn/FaultsReader.h>
 
 namespace StandIn {
 
--- a/Libraries/LibStandIn/VmListApi.cpp
+++ b/Libraries/LibStandIn/VmListApi.cpp
@@ -1,6 +1,7 @@
 #include <LibStandIn/VmListApi.h>
 
-#include <LibStandIn/Json.h>
+#include <LibJson/Reader.h>
+#include <LibStandIn/FaultsReader.h>
 
 namespace StandIn {
 
@@ -42,9 +43,9 @@
 
 Core::Result<void> VmListApi::changeState(std::string_view body)
 {
-    BOOST_OUTCOME_TRY(boost::json::object object, parseObject(body));
-    BOOST_OUTCOME_TRY(std::optional<std::string> name, optionalString(object, "name"));
-    BOOST_OUTCOME_TRY(std::optional<std::string> state, optionalString(object, "state"));
+    BOOST_OUTCOME_TRY(boost::json::object object, Json::parseObject(body));
+    BOOST_OUTCOME_TRY(std::optional<std::string> name, Json::optionalString(object, "name"));
+    BOOST_OUTCOME_TRY(std::optional<std::string> state, Json::optionalString(object, "state"));
     if (!name || !state)
         return Core::fail(Core::ErrorCode::BadInput, "A change needs 'name' and 'state'.");
     return m_list.setState(*name, *state, Clock::now());
--- a/Libraries/LibStandIn/WeightStoreApi.cpp
+++ b/Libraries/LibStandIn/WeightStoreApi.cpp
@@ -1,6 +1,6 @@
 #include <LibStandIn/WeightStoreApi.h>
 
-#include <LibStandIn/Json.h>
+#include <LibStandIn/FaultsReader.h>
 
 namespace StandIn {
 
