--- /dev/null
+++ b/Tests/LibOperator/TestCommandLine.cpp
@@ -0,0 +1,50 @@
+#include <LibOperator/CommandLine.h>
+#include <gtest/gtest.h>
+
+namespace {
+
+std::string errorOf(std::vector<std::string> arguments)
+{
+    Core::Result<Operator::CommandLine> line = Operator::CommandLine::parse(arguments);
+    return line ? "none" : line.error().message;
+}
+
+}
+
+TEST(CommandLine, ReadsOptionsInAnyOrder)
+{
+    Operator::CommandLine line = Operator::CommandLine::parse({ "apply", "--server", "127.0.0.1:1,127.0.0.1:2", "f.ini", "--wait", "--token-file", "t", "--timeout", "0.5", "--id", "12-00000000000000ff" }).value();
+    EXPECT_EQ(line.command, Operator::Command::Apply);
+    EXPECT_EQ(line.operands, std::vector<std::string> { "f.ini" });
+    EXPECT_EQ(line.servers.size(), 2U);
+    EXPECT_EQ(line.timeout, std::chrono::milliseconds(500));
+    EXPECT_TRUE(line.waits);
+    EXPECT_FALSE(line.prunes);
+    EXPECT_EQ(line.id, (State::RecordId { 12, 255 }));
+}
+
+TEST(CommandLine, WrongArgumentsAreErrors)
+{
+    EXPECT_EQ(errorOf({}), "a command is missing");
+    EXPECT_EQ(errorOf({ "odd" }), "there is no command 'odd'");
+    EXPECT_EQ(errorOf({ "status" }), "--server IP:PORT is missing");
+    EXPECT_EQ(errorOf({ "status", "--server", "127.0.0.1:1" }), "--token-file FILE is missing");
+    std::vector<std::vector<std::string>> wrong { { "status", "--wait" }, { "apply" }, { "apply", "a", "b" }, { "get", "odd" }, { "delete", "target" },
+        { "status", "--output", "xml" }, { "status", "--timeout", "0" }, { "status", "--timeout", "x" }, { "drain", "t", "--id", "x" }, { "history", "--limit", "-1" }, { "status", "x" } };
+    for (std::vector<std::string> it : wrong) {
+        it.insert(it.end(), { "--server", "127.0.0.1:1", "--token-file", "t" });
+        EXPECT_NE(errorOf(it), "none") << it[0] << " " << it[1];
+    }
+    EXPECT_NE(errorOf({ "status", "--server", "localhost", "--token-file", "t" }), "none");
+}
+
+TEST(CommandLine, EachCommandHasHelpWithAnExample)
+{
+    for (std::pair<Operator::Command, std::string_view> const& it : Operator::commandNames) {
+        std::string help = Operator::CommandLine::parse({ std::string(it.second), "--help" }).value().help;
+        EXPECT_NE(help.find("currantctl " + std::string(it.second)), std::string::npos);
+        EXPECT_NE(help.find("Examples:"), std::string::npos);
+        EXPECT_NE(help.find("--token-file"), std::string::npos);
+        EXPECT_NE(Operator::CommandLine::helpText().find("  " + std::string(it.second) + " "), std::string::npos);
+    }
+}
--- /dev/null
+++ b/Utilities/currantctl/main.cpp
@@ -0,0 +1,49 @@
+#include <LibOperator/Commands.h>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+namespace {
+
+/// Returns the first word of the file.
+Core::Result<std::string> readToken(std::string const& name)
+{
+    std::ifstream file(name);
+    std::string token;
+    if (!(file >> token))
+        return Core::fail(Core::ErrorCode::BadInput, "the token file '" + name + "' can't be read or is empty");
+    return token;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>()(device);
+}
+
+int fail(std::string const& message)
+{
+    std::cerr << "currantctl: " << message << "\n";
+    return static_cast<int>(Operator::ExitCode::BadInput);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    Core::Result<Operator::CommandLine> line = Operator::CommandLine::parse(arguments);
+    if (!line)
+        return fail(line.error().message + " (currantctl --help says more)");
+    if (line.value().wantsHelp) {
+        std::cout << line.value().help;
+        return 0;
+    }
+    Core::Result<std::string> token = readToken(line.value().tokenFile);
+    if (!token)
+        return fail(token.error().message);
+    boost::asio::io_context context(1);
+    std::unique_ptr<Operator::Client> client = Operator::Client::create(context, { line.value().servers, token.value(), line.value().timeout });
+    Operator::Commands commands(*client, line.value(), randomNumber, std::cout, std::cerr);
+    return static_cast<int>(commands.run());
+}
