--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -230,7 +230,9 @@
             break;
         std::vector<std::string> events = splitter.add(*piece.value());
         for (std::string& event : events) {
-            co_await postWithRoom(Request::Piece { leg->leg, index, std::move(event), true });
+            // Named: g++ 12 destroys a braced temporary inside a co_await expression twice.
+            Request::RequestEvent next = Request::Piece { leg->leg, index, std::move(event), true };
+            co_await postWithRoom(std::move(next));
             ++index;
         }
     }
@@ -263,7 +265,8 @@
             continue;
         if (!std::exchange(isHeadPosted, true))
             post(Request::ResponseHead { leg->leg, leg->head.status });
-        co_await postWithRoom(Request::Piece { leg->leg, index++, std::exchange(body, std::string()), false });
+        Request::RequestEvent next = Request::Piece { leg->leg, index++, std::exchange(body, std::string()), false };
+        co_await postWithRoom(std::move(next));
     }
     bool isEngine = m_work.kind == Work::Kind::Model;
     if (isEngine && leg->head.status == static_cast<std::uint16_t>(Http::Status::ServiceUnavailable) && isRefusal(body)) {
