--- a/Tests/LibAuthority/TestEngineOrders.cpp
+++ b/Tests/LibAuthority/TestEngineOrders.cpp
@@ -18,6 +18,7 @@
     bool answersClose { true };
     std::optional<OrderAnswer> replyInstead; ///< What the holder hears of a write that had its effect.
     std::vector<EngineActionKind> writes;
+    std::size_t openings { 0 };
     Router router { "entry-b", "b1" };
 
     EngineOrdersTest() { orders.setRouters({ router }); }
@@ -29,7 +30,9 @@
         } else if (action.kind == EngineActionKind::Close) {
             if (answersClose)
                 orders.acknowledgeClose(router, action.round, now);
-        } else if (action.kind != EngineActionKind::Open) {
+        } else if (action.kind == EngineActionKind::Open) {
+            ++openings;
+        } else {
             writes.push_back(action.kind);
             OrderAnswer answer = engine.write(action);
             orders.answerOrder(action.orderId, replyInstead.value_or(answer), now);
@@ -208,12 +211,59 @@
     EXPECT_EQ(again.wish.role, State::Role::Decode);
     perform(again);
     engine.finish();
-    orders.loseAuthority();
+    run(1);
+    EXPECT_EQ(orders.phase(), OrderPhase::Settled) << "the next change waits";
     EXPECT_TRUE(orders.hasUnansweredOrder()) << "the first try may still arrive";
+    orders.loseAuthority();
     run(5);
     EXPECT_FALSE(orders.hasUnansweredOrder());
 }
 
+TEST_F(EngineOrdersTest, ANewNumberWaitsForAnOrderUnderTheOldOne)
+{
+    for (bool checks : { true, false }) {
+        engine = FakeEngine();
+        engine.checksFencing = checks;
+        orders = EngineOrders(OrderSettings());
+        orders.setRouters({ router });
+        orders.gainAuthority(5, checks, {});
+        want(State::Role::Decode);
+        EngineAction lost = runUntilOrder();
+        orders.answerOrder(lost.orderId, OrderAnswer::Unknown, now);
+        orders.loseAuthority();
+        orders.gainAuthority(8, checks, {});
+        want(State::Role::Prefill);
+        writes.clear();
+        run(2);
+        EXPECT_TRUE(writes.empty());
+        EXPECT_FALSE(orders.isChanging()) << "nor is the engine closed for it";
+        run(10);
+        EXPECT_EQ(writes.back(), EngineActionKind::Order);
+        EXPECT_EQ(engine.numbersInEffect, (std::vector<std::uint64_t> { 8 }));
+    }
+}
+
+TEST_F(EngineOrdersTest, AChangeThatIsNoLongerWantedOrAllowedOpensTheEngineAgain)
+{
+    engine.running = 1;
+    orders.gainAuthority(5, false, {});
+    want(State::Role::Decode);
+    run(5);
+    ASSERT_EQ(orders.phase(), OrderPhase::Closing);
+    mayOrder = false;
+    run(1);
+    EXPECT_EQ(orders.phase(), OrderPhase::Settled);
+    EXPECT_EQ(openings, 1U);
+    mayOrder = true;
+    run(1);
+    ASSERT_EQ(orders.phase(), OrderPhase::Closing);
+    want(State::Role::Mixed);
+    run(1);
+    EXPECT_EQ(orders.phase(), OrderPhase::Settled);
+    EXPECT_EQ(openings, 2U);
+    EXPECT_TRUE(writes.empty());
+}
+
 TEST_F(EngineOrdersTest, AChangeIsResumedAfterACrashHalfWay)
 {
     orders.gainAuthority(5, false, {});
--- a/Tests/LibAuthority/World.h
+++ b/Tests/LibAuthority/World.h
@@ -2,6 +2,7 @@
 
 #include "FakeEngine.h"
 #include <LibAuthority/ClosedEngines.h>
+#include <LibAuthority/EvidenceFinder.h>
 #include <LibAuthority/LeaseFold.h>
 #include <LibAuthority/LeaseKeeper.h>
 #include <deque>
@@ -27,6 +28,7 @@
         LeaseFold fold;
         std::vector<EngineOrders> orders;
         ClosedEngines closed;
+        EvidenceFinder finder { std::chrono::seconds(30) };
         std::deque<Write> held; ///< Writes that were checked and not yet made.
         bool isPaused { false };
     };
@@ -53,7 +55,7 @@
         std::string name = "entry-" + std::to_string(n);
         Holder self { name, name + ":1", std::to_string(++started) };
         Daemon daemon { self, LeaseKeeper(LeaseSettings(), "p", self, started), LeaseFold(),
-            std::vector<EngineOrders>(engineCount, EngineOrders(OrderSettings())), ClosedEngines(), {}, false };
+            std::vector<EngineOrders>(engineCount, EngineOrders(OrderSettings())), ClosedEngines(), EvidenceFinder(std::chrono::seconds(30)), {}, false };
         daemon.keeper.setCandidate(true, static_cast<std::uint32_t>(n));
         daemon.keeper.observe(nullptr, now);
         return daemon;
@@ -128,18 +130,19 @@
         }
     }
 
-    /// Another incarnation answers at a former holder's address.
-    void appendEvidence(Daemon const& daemon)
+    /// The holder asks at the addresses of former holders who is there now.
+    void appendEvidence(Daemon& daemon)
     {
         Lease const* lease = daemon.fold.find("p");
         if (!lease || !daemon.keeper.fencing())
             return;
-        for (FormerHolder const& former : lease->unsettled) {
-            for (Daemon const& other : daemons) {
-                if (other.self.address == former.holder.address && other.self.incarnation != former.holder.incarnation && !other.isPaused)
-                    appends.push_back(encode(Settlement { "p", lease->fencing, former.fencing, Evidence::Replaced }));
-            }
+        daemon.finder.observeUnsettled(lease->unsettled, now);
+        for (Daemon const& other : daemons) {
+            if (!other.isPaused)
+                daemon.finder.observeAnswer(other.self.address, other.self.incarnation, now);
         }
+        for (Finding const& finding : daemon.finder.findings())
+            appends.push_back(encode(Settlement { "p", lease->fencing, finding.formerFencing, finding.evidence }));
     }
 
     /// The oldest held write is made, with no check before it: that was done when it was given.
