LibAuthority: Join lease, evidence and orders of a pool in one class

PoolOrders joins the pieces in the one safe way: evidence is looked for while former holders are unsettled, nothing is released or acknowledged while a write is unanswered, and only so many engines change at once. The takeover test drives daemons through it.

LibState: contents are built in place, since g++ 12 under the sanitizers takes the moved variant for uninitialized (-Wmaybe-uninitialized) and -Werror stopped that build.

--- a/Libraries/LibAuthority/EngineOrders.cpp
+++ b/Libraries/LibAuthority/EngineOrders.cpp
@@ -20,7 +20,7 @@
 
 void EngineOrders::gainAuthority(std::uint64_t fencing, bool checksFencing, std::vector<FormerHolder> const& unsettled)
 {
-    bool isKnown = m_hasFencing && m_fencing == fencing;
+    bool isKnown = m_hasFencing && m_fencing == fencing && m_checksFencing == checksFencing;
     if (isKnown && (m_isRefused || m_phase != OrderPhase::NoAuthority)) {
         setUnsettled(unsettled);
         return;
--- a/Libraries/LibState/Content.cpp
+++ b/Libraries/LibState/Content.cpp
@@ -68,7 +68,7 @@
     return labels;
 }
 
-Core::Result<Content> parseTarget(Fields const& fields)
+Core::Result<TargetContent> parseTarget(Fields const& fields)
 {
     BOOST_OUTCOME_TRY(checkKeys(fields, targetKeys));
     BOOST_OUTCOME_TRY(Label::LabelSet labels, requireLabels(fields, "labels"));
@@ -76,25 +76,25 @@
         if (isPlatformLabel(entry.key))
             return Core::fail(Core::ErrorCode::BadInput, "labels: read '" + entry.key + "', which the platform alone sets, as it does zone, region, kind, name and pool");
     }
-    return Content(TargetContent { std::move(labels) });
+    return TargetContent { std::move(labels) };
 }
 
-Core::Result<Content> parseRequestRule(Fields const& fields)
+Core::Result<RequestRuleContent> parseRequestRule(Fields const& fields)
 {
     BOOST_OUTCOME_TRY(checkKeys(fields, requestRuleKeys));
     BOOST_OUTCOME_TRY(Label::Selector when, requireSelector(fields, "when"));
     BOOST_OUTCOME_TRY(Label::LabelSet set, requireLabels(fields, "set"));
     if (set.empty())
         return Core::fail(Core::ErrorCode::BadInput, "set: read nothing, allowed: at least one label such as tier=night");
-    return Content(RequestRuleContent { std::move(when), std::move(set) });
+    return RequestRuleContent { std::move(when), std::move(set) };
 }
 
-Core::Result<Content> parseRoute(Fields const& fields)
+Core::Result<RouteContent> parseRoute(Fields const& fields)
 {
     BOOST_OUTCOME_TRY(checkKeys(fields, routeKeys));
     BOOST_OUTCOME_TRY(Label::Selector requests, requireSelector(fields, "requests"));
     BOOST_OUTCOME_TRY(Label::Selector targets, requireSelector(fields, "targets"));
-    return Content(RouteContent { std::move(requests), std::move(targets) });
+    return RouteContent { std::move(requests), std::move(targets) };
 }
 
 Core::Result<std::optional<double>> parseChangeCost(Fields const& fields)
@@ -127,7 +127,7 @@
     return wanted;
 }
 
-Core::Result<Content> parseGroup(Fields const& fields)
+Core::Result<GroupContent> parseGroup(Fields const& fields)
 {
     BOOST_OUTCOME_TRY(checkKeys(fields, groupKeys));
     BOOST_OUTCOME_TRY(Label::Selector targets, requireSelector(fields, "targets"));
@@ -137,7 +137,15 @@
         return inField("roles", roles.error());
     BOOST_OUTCOME_TRY(std::optional<double> changeCost, parseChangeCost(fields));
     BOOST_OUTCOME_TRY(std::vector<WantedValue> wanted, parseWanted(fields));
-    return Content(GroupContent { std::move(targets), roles.value(), changeCost, std::move(wanted) });
+    return GroupContent { std::move(targets), roles.value(), changeCost, std::move(wanted) };
+}
+
+template <typename T>
+Core::Result<Content> toContent(Core::Result<T> typed)
+{
+    if (!typed)
+        return typed.error();
+    return Core::Result<Content>(boost::outcome_v2::in_place_type<Content>, std::move(typed).value());
 }
 
 std::string printSeconds(double seconds)
@@ -188,13 +196,13 @@
 {
     switch (kind) {
     case Kind::Target:
-        return parseTarget(fields);
+        return toContent(parseTarget(fields));
     case Kind::RequestRule:
-        return parseRequestRule(fields);
+        return toContent(parseRequestRule(fields));
     case Kind::Route:
-        return parseRoute(fields);
+        return toContent(parseRoute(fields));
     case Kind::Group:
-        return parseGroup(fields);
+        return toContent(parseGroup(fields));
     }
     return Core::fail(Core::ErrorCode::BadInput, "unknown kind");
 }
--- a/Tests/LibAuthority/TestTakeover.cpp
+++ b/Tests/LibAuthority/TestTakeover.cpp
@@ -36,7 +36,7 @@
 {
     World world(3);
     world.run(20);
-    EXPECT_TRUE(world.daemons[0].keeper.mayOrder(world.now));
+    EXPECT_TRUE(world.keeper(0).mayOrder(world.now));
     EXPECT_TRUE(world.isAsWanted());
     EXPECT_EQ(effects(world, checking), 1U);
     EXPECT_EQ(effects(world, ignoring), 1U);
@@ -48,16 +48,16 @@
     ASSERT_EQ(world.daemons[0].held.size(), 2U);
     world.wish.role = State::Role::Mixed;
     world.run(60);
-    ASSERT_TRUE(world.daemons[1].keeper.mayOrder(world.now));
+    ASSERT_TRUE(world.keeper(1).mayOrder(world.now));
     std::uint64_t raised = world.engines[checking].fencing;
-    EXPECT_EQ(raised, world.daemons[1].keeper.fencing());
+    EXPECT_EQ(raised, world.keeper(1).fencing());
     std::vector<std::uint64_t> before = world.engines[checking].numbersInEffect;
     world.daemons[0].isPaused = false;
     world.write(0);
     world.write(0);
     EXPECT_EQ(world.engines[checking].numbersInEffect, before);
     EXPECT_EQ(world.engines[checking].fencing, raised);
-    EXPECT_TRUE(world.daemons[0].orders[checking].isRefused());
+    EXPECT_TRUE(world.orders(0, checking).isRefused());
 }
 
 TEST(Takeover, AnEngineThatDoesNotCheckGetsNoOrderWhileThePausedHolderMayWake)
@@ -67,7 +67,7 @@
     std::size_t before = effects(world, ignoring);
     world.run(100'000);
     EXPECT_EQ(effects(world, ignoring), before) << "more than a day, and still no order";
-    EngineOrders const& orders = world.daemons[1].orders[ignoring];
+    EngineOrders const& orders = world.orders(1, ignoring);
     EXPECT_EQ(orders.block(), (Block { BlockReason::FormerHolder, { "entry-0" } }));
     // It wakes: its write meets no other's, and its successor orders only after its acknowledgement.
     world.daemons[0].isPaused = false;
@@ -75,7 +75,7 @@
     EXPECT_TRUE(world.isAsWanted());
     std::vector<std::uint64_t> const& numbers = world.engines[ignoring].numbersInEffect;
     EXPECT_TRUE(std::is_sorted(numbers.begin(), numbers.end()));
-    EXPECT_EQ(numbers.back(), world.daemons[1].keeper.fencing());
+    EXPECT_EQ(numbers.back(), world.keeper(1).fencing());
 }
 
 TEST(Takeover, ANewProcessAtThePausedHoldersAddressIsEvidence)
@@ -94,14 +94,14 @@
 {
     World world = pausedBetweenCheckAndWrite();
     world.run(40);
-    ASSERT_TRUE(world.daemons[1].keeper.mayOrder(world.now));
+    ASSERT_TRUE(world.keeper(1).mayOrder(world.now));
     world.daemons[1].isPaused = true;
     world.run(60);
-    ASSERT_TRUE(world.daemons[2].keeper.mayOrder(world.now));
-    EXPECT_EQ(world.daemons[2].orders[ignoring].block(), (Block { BlockReason::FormerHolder, { "entry-0", "entry-1" } }));
+    ASSERT_TRUE(world.keeper(2).mayOrder(world.now));
+    EXPECT_EQ(world.orders(2, ignoring).block(), (Block { BlockReason::FormerHolder, { "entry-0", "entry-1" } }));
     world.daemons[1].isPaused = false;
     world.run(20);
-    EXPECT_EQ(world.daemons[2].orders[ignoring].block(), (Block { BlockReason::FormerHolder, { "entry-0" } }));
+    EXPECT_EQ(world.orders(2, ignoring).block(), (Block { BlockReason::FormerHolder, { "entry-0" } }));
 }
 
 TEST(Takeover, ALogOutageStopsChangesAndNothingIsClaimed)
@@ -115,20 +115,58 @@
     std::size_t before = effects(world, checking);
     world.run(600);
     EXPECT_EQ(effects(world, checking), before);
-    EXPECT_EQ(world.daemons[0].orders[checking].block(), (Block { BlockReason::LeaseLapsed, {} }));
+    EXPECT_EQ(world.orders(0, checking).block(), (Block { BlockReason::LeaseLapsed, {} }));
     world.isLogDown = false;
     world.run(60);
     EXPECT_EQ(world.holders(), 1U);
     EXPECT_TRUE(world.isAsWanted());
 }
 
+TEST(Takeover, EnginesChangeOneAfterTheOtherWhenOnlyOneMay)
+{
+    PoolSettings settings;
+    Time now;
+    PoolOrders pool(settings, "p", { "a", "a:1", "a1" }, 1, now);
+    Lease lease { { "a", "a:1", "a1" }, 0, 0, 0, false, {} };
+    pool.setEngines({ { "x", true }, { "y", true } });
+    pool.setCandidate(true, 0);
+    pool.observeLease(nullptr, now);
+    std::vector<FakeEngine> engines(2);
+    std::size_t most = 0;
+    for (int n = 0; n < 40; ++n, now += std::chrono::seconds(1)) {
+        for (std::string const& name : std::vector<std::string> { "x", "y" })
+            pool.setWish(name, { State::Role::Decode, std::nullopt, std::nullopt, std::nullopt });
+        for (PoolAction const& action : pool.poll(now)) {
+            if (LeaseRecord const* record = std::get_if<LeaseRecord>(&action)) {
+                lease.lastId = std::holds_alternative<Claim>(*record) ? std::get<Claim>(*record).id : std::get<Renewal>(*record).leases[0].id;
+                pool.observeLease(&lease, now);
+                continue;
+            }
+            EngineCommand const& command = std::get<EngineCommand>(action);
+            FakeEngine& engine = engines[command.engine == "x" ? 0 : 1];
+            if (command.action.kind == EngineActionKind::Read)
+                pool.observeEngine(command.engine, engine.read(now), now);
+            else if (!command.action.orderId.empty())
+                pool.answerOrder(command.engine, command.action.orderId, engine.write(command.action), now);
+        }
+        most = std::max<std::size_t>(most, (pool.find("x")->isChanging() ? 1 : 0) + (pool.find("y")->isChanging() ? 1 : 0));
+        if (n % 8 == 7) {
+            engines[0].finish();
+            engines[1].finish();
+        }
+    }
+    EXPECT_EQ(most, 1U);
+    EXPECT_EQ(engines[0].role, State::Role::Decode);
+    EXPECT_EQ(engines[1].role, State::Role::Decode);
+}
+
 TEST(Takeover, AReleasePassesTheLeaseAtOnce)
 {
     World world(2);
     world.run(20);
-    world.daemons[0].keeper.release();
+    world.daemons[0].pool.release();
     world.run(6);
-    EXPECT_TRUE(world.daemons[1].keeper.mayOrder(world.now));
+    EXPECT_TRUE(world.keeper(1).mayOrder(world.now));
     EXPECT_TRUE(world.daemons[1].fold.find("p")->unsettled.empty());
 }
 
--- a/Tests/LibAuthority/World.h
+++ b/Tests/LibAuthority/World.h
@@ -2,9 +2,8 @@
 
 #include "FakeEngine.h"
 #include <LibAuthority/ClosedEngines.h>
-#include <LibAuthority/EvidenceFinder.h>
 #include <LibAuthority/LeaseFold.h>
-#include <LibAuthority/LeaseKeeper.h>
+#include <LibAuthority/PoolOrders.h>
 #include <deque>
 #include <string>
 #include <vector>
@@ -24,11 +23,9 @@
     /// One process, from its start to its end.
     struct Daemon {
         Holder self;
-        LeaseKeeper keeper;
+        PoolOrders pool;
         LeaseFold fold;
-        std::vector<EngineOrders> orders;
         ClosedEngines closed;
-        EvidenceFinder finder { std::chrono::seconds(30) };
         std::deque<Write> held; ///< Writes that were checked and not yet made.
         bool isPaused { false };
     };
@@ -41,7 +38,6 @@
     std::vector<Daemon> daemons;
     std::uint64_t started { 0 };
     EngineWish wish { State::Role::Decode, std::nullopt, std::nullopt, std::nullopt };
-    TokenBucket weights { 600, 10, Time() };
 
     explicit World(std::size_t daemonCount)
     {
@@ -50,14 +46,22 @@
             daemons.push_back(start(n));
     }
 
+    static PoolSettings settings()
+    {
+        PoolSettings settings;
+        settings.changesAtOnce = engineCount;
+        settings.loadsPerMinute = 600;
+        return settings;
+    }
+
     Daemon start(std::size_t n)
     {
         std::string name = "entry-" + std::to_string(n);
         Holder self { name, name + ":1", std::to_string(++started) };
-        Daemon daemon { self, LeaseKeeper(LeaseSettings(), "p", self, started), LeaseFold(),
-            std::vector<EngineOrders>(engineCount, EngineOrders(OrderSettings())), ClosedEngines(), EvidenceFinder(std::chrono::seconds(30)), {}, false };
-        daemon.keeper.setCandidate(true, static_cast<std::uint32_t>(n));
-        daemon.keeper.observe(nullptr, now);
+        Daemon daemon { self, PoolOrders(settings(), "p", self, started, now), LeaseFold(), ClosedEngines(), {}, false };
+        daemon.pool.setCandidate(true, static_cast<std::uint32_t>(n));
+        daemon.pool.setEngines({ { "0", engines[0].checksFencing }, { "1", engines[1].checksFencing } });
+        daemon.pool.observeLease(nullptr, now);
         return daemon;
     }
 
@@ -69,49 +73,40 @@
         Daemon& daemon = daemons[n];
         while (!daemon.isPaused && !isLogDown && records-- > 0 && daemon.fold.nextOffset() < log.size()) {
             static_cast<void>(daemon.fold.apply(daemon.fold.nextOffset(), log[daemon.fold.nextOffset()]));
-            daemon.keeper.observe(daemon.fold.find("p"), now);
-            takeAuthority(daemon);
-        }
-    }
-
-    void takeAuthority(Daemon& daemon)
-    {
-        for (std::size_t n = 0; n < engineCount; ++n) {
-            if (daemon.keeper.fencing())
-                daemon.orders[n].gainAuthority(*daemon.keeper.fencing(), engines[n].checksFencing, daemon.fold.find("p")->unsettled);
-            else
-                daemon.orders[n].loseAuthority();
+            daemon.pool.observeLease(daemon.fold.find("p"), now);
         }
     }
 
-    /// The daemon's control thread runs once: it appends and reads at once, and holds its writes.
+    /// The daemon's control thread runs once: it reads at once, and holds its appends and writes.
     void poll(std::size_t n)
     {
         Daemon& daemon = daemons[n];
         if (daemon.isPaused)
             return;
-        bool hasUnanswered = daemon.orders[0].hasUnansweredOrder() || daemon.orders[1].hasUnansweredOrder();
-        if (std::optional<LeaseRecord> record = daemon.keeper.poll(now, hasUnanswered))
-            appends.push_back(encode(*record));
-        appendEvidence(daemon);
+        daemon.pool.setRouters(routers());
+        for (Daemon const& other : daemons) {
+            if (daemon.pool.needsEvidence() && !other.isPaused)
+                daemon.pool.observeAnswer(other.self.address, other.self.incarnation, now);
+        }
         for (std::size_t k = 0; k < engineCount; ++k)
-            pollOrders(daemon, k);
+            daemon.pool.setWish(std::to_string(k), wish);
+        for (PoolAction const& action : daemon.pool.poll(now)) {
+            if (LeaseRecord const* record = std::get_if<LeaseRecord>(&action))
+                appends.push_back(encode(*record));
+            else
+                perform(daemon, std::get<EngineCommand>(action));
+        }
     }
 
-    void pollOrders(Daemon& daemon, std::size_t k)
+    void perform(Daemon& daemon, EngineCommand const& command)
     {
-        EngineOrders& orders = daemon.orders[k];
-        orders.setWish(wish);
-        orders.setRouters(routers());
-        std::optional<EngineAction> action = orders.poll(now, daemon.keeper.mayOrder(now), true, weights);
-        if (!action)
-            return;
-        if (action->kind == EngineActionKind::Read)
-            orders.observe(engines[k].read(now), now);
-        else if (action->kind == EngineActionKind::Close)
-            close(orders, k, *action);
-        else if (action->kind != EngineActionKind::Open)
-            daemon.held.push_back({ k, *action });
+        std::size_t k = std::stoul(command.engine);
+        if (command.action.kind == EngineActionKind::Read)
+            daemon.pool.observeEngine(command.engine, engines[k].read(now), now);
+        else if (command.action.kind == EngineActionKind::Close)
+            close(daemon, command);
+        else if (command.action.kind != EngineActionKind::Open)
+            daemon.held.push_back({ k, command.action });
     }
 
     std::vector<Router> routers() const
@@ -122,27 +117,13 @@
         return all;
     }
 
-    void close(EngineOrders& orders, std::size_t k, EngineAction const& action)
+    void close(Daemon& holder, EngineCommand const& command)
     {
+        EngineAction const& action = command.action;
         for (Daemon& daemon : daemons) {
-            if (!daemon.isPaused && daemon.closed.close(std::to_string(k), action.fencing, action.round, now, action.timeToLive))
-                orders.acknowledgeClose({ daemon.self.daemon, daemon.self.incarnation }, action.round, now);
-        }
-    }
-
-    /// The holder asks at the addresses of former holders who is there now.
-    void appendEvidence(Daemon& daemon)
-    {
-        Lease const* lease = daemon.fold.find("p");
-        if (!lease || !daemon.keeper.fencing())
-            return;
-        daemon.finder.observeUnsettled(lease->unsettled, now);
-        for (Daemon const& other : daemons) {
-            if (!other.isPaused)
-                daemon.finder.observeAnswer(other.self.address, other.self.incarnation, now);
+            if (!daemon.isPaused && daemon.closed.close(command.engine, action.fencing, action.round, now, action.timeToLive))
+                holder.pool.acknowledgeClose(command.engine, { daemon.self.daemon, daemon.self.incarnation }, action.round, now);
         }
-        for (Finding const& finding : daemon.finder.findings())
-            appends.push_back(encode(Settlement { "p", lease->fencing, finding.formerFencing, finding.evidence }));
     }
 
     /// The oldest held write is made, with no check before it: that was done when it was given.
@@ -154,7 +135,7 @@
         Write write = daemon.held.front();
         daemon.held.pop_front();
         OrderAnswer answer = engines[write.engine].write(write.action);
-        daemon.orders[write.engine].answerOrder(write.action.orderId, losesReply ? OrderAnswer::Unknown : answer, now);
+        daemon.pool.answerOrder(std::to_string(write.engine), write.action.orderId, losesReply ? OrderAnswer::Unknown : answer, now);
     }
 
     /// The oldest append takes effect.
@@ -187,11 +168,14 @@
         }
     }
 
+    LeaseKeeper const& keeper(std::size_t n) const { return daemons[n].pool.keeper(); }
+    EngineOrders const& orders(std::size_t n, std::size_t engine) const { return *daemons[n].pool.find(std::to_string(engine)); }
+
     std::size_t holders() const
     {
         std::size_t n = 0;
         for (Daemon const& daemon : daemons)
-            n += daemon.keeper.mayOrder(now) ? 1 : 0;
+            n += daemon.pool.keeper().mayOrder(now) ? 1 : 0;
         return n;
     }
 
