LibState: Copy lines of the operators' file without memcpy

An overlong or binary line is replaced by an empty view, whose null pointer memcpy must not get: the undefined-behaviour sanitizer stopped ConfigFile.NamesFileLineAndKeyOfEachError.

--- a/Libraries/LibState/ConfigFile.cpp
+++ b/Libraries/LibState/ConfigFile.cpp
@@ -1,6 +1,5 @@
 #include <LibState/ConfigFile.h>
 #include <algorithm>
-#include <cstring>
 #include <ini.h>
 #include <vector>
 
@@ -73,7 +72,7 @@
     m_isIndented = !line.empty() && (line.front() == ' ' || line.front() == '\t');
     if (line.starts_with('['))
         startSection(line);
-    std::memcpy(buf, line.data(), line.size());
+    std::copy(line.begin(), line.end(), buf);
     buf[line.size()] = '\0';
     return buf;
 }
