LibDaemon: Forward requests with tickets to their home

Cause: a ticket's request may run at its home only, and callers connect to any daemon; a repeat through another daemon was answered 424 may-have-run. Change: TicketHome (begin and follow), PeerApi and HomeForwarder over LibPeer's streams, in protobuf frames. The home runs a ticket once and keeps the answer, so the forwarder asks again after a broken stream and goes on from the byte that it has reached; only the home may say not run.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -23,6 +23,7 @@
     RequestRejected = 2006,
     AnswerResumed = 2007,
     AnswerDropped = 2008,
+    RequestForwarded = 2009,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -38,7 +39,7 @@
     TargetRecovered = 6004,
 };
 
-inline constexpr EnumNames<Event, 27> eventNames { {
+inline constexpr EnumNames<Event, 28> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::SettingsRejected, "settings-rejected" },
@@ -53,6 +54,7 @@
     { Event::RequestRejected, "request-rejected" },
     { Event::AnswerResumed, "answer-resumed" },
     { Event::AnswerDropped, "answer-dropped" },
+    { Event::RequestForwarded, "request-forwarded" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/AnswerSink.h
+++ b/Libraries/LibDaemon/AnswerSink.h
@@ -16,7 +16,8 @@
     /// Takes the head of the target's answer.
     virtual boost::asio::awaitable<void> head(Http::ResponseHead) = 0;
 
-    /// Takes piece `position` of the answer, counted from 0 without a gap.
+    /// Takes the next piece of the answer. `position` is its index from 0 where a target's answer comes in, and the
+    /// byte offset behind it where a kept answer is read.
     virtual boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) = 0;
 
     /// Takes the end; without an error the answer is whole.
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -1,11 +1,8 @@
 #include <LibCore/EventLog.h>
-#include <LibDaemon/AnswerSinks.h>
 #include <LibDaemon/CallerApi.h>
+#include <LibDaemon/Eligibility.h>
 #include <LibDaemon/HttpErrors.h>
-#include <LibRequest/Fingerprint.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -51,14 +48,10 @@
 CallerApi::CallerApi(TrafficContext& context, CallerShared& shared)
     : m_context(context)
     , m_shared(shared)
+    , m_home(context, shared)
 {
 }
 
-std::string CallerApi::newRequestId()
-{
-    return m_shared.requestIdPrefix + std::to_string(m_shared.nextRequest.fetch_add(1));
-}
-
 boost::asio::awaitable<void> CallerApi::handle(Http::Request& request, Http::ResponseWriter& writer)
 {
     std::string_view path = pathOf(request.target);
@@ -84,7 +77,7 @@
 
 boost::asio::awaitable<void> CallerApi::serveWork(Http::Request& request, Http::ResponseWriter& writer)
 {
-    std::string requestId = newRequestId();
+    std::string requestId = m_shared.newRequestId();
     if (!m_context.fleet->isReady) {
         co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet"), requestId, false, writer);
         co_return;
@@ -105,41 +98,18 @@
         std::ignore = co_await writer.send(toResponse(Request::ticketRequired(ticket, requestId), requestId));
         co_return;
     }
-    Core::Result<std::vector<std::uint32_t>> allowed = allowedTargets(work);
-    if (allowed.has_error()) {
-        co_await sendError(allowed.error(), requestId, work.isRepeatable, writer);
-        co_return;
-    }
-    co_await runDirect(std::move(work), std::move(allowed.value()), writer);
+    co_await runDirect(std::move(work), writer);
 }
 
-Core::Result<std::vector<std::uint32_t>> CallerApi::allowedTargets(Work const& work) const
+boost::asio::awaitable<void> CallerApi::runDirect(Work work, Http::ResponseWriter& writer)
 {
-    FleetSnapshot const& fleet = *m_context.fleet;
-    bool isKnown = false;
-    std::vector<std::uint32_t> allowed;
-    State::TargetSet selected = fleet.view->allowedTargets(work.labels);
-    Platform::VmKind kind = work.kind == Work::Kind::Model ? Platform::VmKind::Engine : Platform::VmKind::Service;
-    for (std::uint32_t position = 0; position < fleet.targets.size(); ++position) {
-        FleetTarget const& target = fleet.targets[position];
-        if (target.kind != kind || target.work() != work.name)
-            continue;
-        isKnown = true;
-        if (selected.contains(position))
-            allowed.push_back(position);
+    Core::Result<std::vector<std::uint32_t>> eligible = eligibleTargets(*m_context.fleet, work);
+    if (eligible.has_error()) {
+        co_await sendError(eligible.error(), work.requestId, work.isRepeatable, writer);
+        co_return;
     }
-    std::string what = (work.kind == Work::Kind::Model ? "model \"" : "service \"") + work.name + "\"";
-    if (!isKnown)
-        return Core::fail(Core::ErrorCode::NotFound, "unknown " + what);
-    if (allowed.empty())
-        return Core::fail(Core::ErrorCode::NotAllowed, "no route lets this request go to a target of " + what);
-    return allowed;
-}
-
-boost::asio::awaitable<void> CallerApi::runDirect(Work work, std::vector<std::uint32_t> allowed, Http::ResponseWriter& writer)
-{
     std::shared_ptr<CallerSink> sink = std::make_shared<CallerSink>(writer, work.requestId, work.isRepeatable);
-    std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(allowed), sink);
+    std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible.value()), sink);
     writer.onCallerGone([weak = std::weak_ptr<RequestRunner>(runner)] {
         if (std::shared_ptr<RequestRunner> alive = weak.lock())
             alive->post(Request::CallerGone());
@@ -148,90 +118,83 @@
     writer.onCallerGone(nullptr);
 }
 
+bool CallerApi::isHome(Request::Ticket const& ticket) const
+{
+    return ticket.home == m_shared.name;
+}
+
 boost::asio::awaitable<void> CallerApi::serveTicket(Work work, Http::Request const& request, Http::ResponseWriter& writer)
 {
-    std::string requestId = work.requestId;
-    Core::Result<Request::Ticket> ticket = m_shared.keeper.issuer().verify(*work.ticket);
-    if (ticket.has_error()) {
-        co_await sendError(ticket.error(), requestId, work.isRepeatable, writer);
+    CallerSink sink(writer, work.requestId, work.isRepeatable);
+    Core::Result<Request::Ticket> ticket = Request::Ticket::parse(*work.ticket);
+    if (ticket.has_value() && !isHome(ticket.value())) {
+        ForwardedRequest forwarded { request, work.requestId, { Request::AnswerOffset::Unit::Bytes, 0 }, false };
+        co_await forward(std::move(forwarded), ticket.value(), work.timeout, sink, writer);
         co_return;
     }
-    Request::TicketNonce nonce = ticket.value().nonce;
-    Request::Fingerprint fingerprint = Request::fingerprintOf(request.method, request.target, request.body);
-    Core::Result<Request::OnceDecision> decision = m_shared.keeper.begin(ticket.value(), fingerprint, work.organisation);
-    if (decision.has_error()) {
-        co_await sendError(decision.error(), requestId, work.isRepeatable, writer);
+    std::string requestId = work.requestId;
+    bool isRepeatable = work.isRepeatable;
+    if (ticket.has_value())
+        ticket = m_shared.keeper.issuer().verify(*work.ticket);
+    Core::Result<void> begun = Core::ok();
+    if (ticket.has_value())
+        begun = m_home.begin(std::move(work), ticket.value(), request);
+    if (ticket.has_error() || begun.has_error()) {
+        co_await sendError(ticket.has_error() ? ticket.error() : begun.error(), requestId, isRepeatable, writer);
         co_return;
     }
-    if (decision.value() == Request::OnceDecision::Run) {
-        Core::Result<std::vector<std::uint32_t>> allowed = allowedTargets(work);
-        if (allowed.has_error()) {
-            m_shared.keeper.finish(nonce, Request::AnswerEnd { Core::Verdict::NotRun, allowed.error() });
-        } else {
-            std::shared_ptr<KeeperSink> sink = std::make_shared<KeeperSink>(m_shared.keeper, nonce);
-            std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(allowed.value()), sink);
-            boost::asio::co_spawn(
-                m_context.context, [runner] { return runner->run(); }, boost::asio::detached);
-        }
-    }
     Request::AnswerOffset start { Request::AnswerOffset::Unit::Bytes, 0 };
-    co_await follow(nonce, start, requestId, writer);
+    co_await follow(ticket.value().nonce, start, sink, writer);
 }
 
 boost::asio::awaitable<void> CallerApi::collect(Http::Request const& request, Http::ResponseWriter& writer)
 {
-    std::string requestId = newRequestId();
-    std::string_view path = pathOf(request.target);
+    std::string requestId = m_shared.newRequestId();
+    std::string text(pathOf(request.target).substr(answersPrefix.size()));
     Core::Result<Request::AnswerOffset> offset = readOffset(request.target);
-    if (offset.has_error()) {
-        co_await sendError(offset.error(), requestId, true, writer);
+    Core::Result<Request::Ticket> ticket = Request::Ticket::parse(text);
+    if (ticket.has_value() && isHome(ticket.value()))
+        ticket = m_shared.keeper.issuer().verify(text);
+    if (offset.has_error() || ticket.has_error()) {
+        co_await sendError(offset.has_error() ? offset.error() : ticket.error(), requestId, true, writer);
         co_return;
     }
-    Core::Result<Request::Ticket> ticket = m_shared.keeper.issuer().verify(path.substr(answersPrefix.size()));
-    if (ticket.has_error()) {
-        co_await sendError(ticket.error(), requestId, true, writer);
+    CallerSink sink(writer, requestId, true);
+    if (isHome(ticket.value())) {
+        co_await follow(ticket.value().nonce, offset.value(), sink, writer);
         co_return;
     }
-    co_await follow(ticket.value().nonce, offset.value(), requestId, writer);
+    ForwardedRequest forwarded;
+    forwarded.request.target = text;
+    forwarded.requestId = requestId;
+    forwarded.from = offset.value();
+    forwarded.isCollection = true;
+    co_await forward(std::move(forwarded), ticket.value(), m_context.settings.callers.defaultDeadline, sink, writer);
 }
 
-// Sends a kept answer from `offset` on, as it grows, to its end.
-boost::asio::awaitable<void> CallerApi::follow(Request::TicketNonce nonce, Request::AnswerOffset offset, std::string requestId, Http::ResponseWriter& writer)
+boost::asio::awaitable<void> CallerApi::follow(Request::TicketNonce nonce, Request::AnswerOffset offset, CallerSink& sink, Http::ResponseWriter& writer)
 {
-    CallerSink sink(writer, requestId, false);
-    std::shared_ptr<Signal> signal = std::make_shared<Signal>(m_context.context.get_executor());
-    bool isCallerGone = false;
-    writer.onCallerGone([&isCallerGone, signal] {
-        isCallerGone = true;
-        signal->notify();
-    });
-    bool isHeadSent = false;
-    while (!isCallerGone) {
-        std::function<void()> wake = [signal, executor = m_context.context.get_executor()] {
-            boost::asio::post(executor, [signal] { signal->notify(); });
-        };
-        Core::Result<KeptPart> kept = m_shared.keeper.read(nonce, offset, std::move(wake));
-        if (kept.has_error()) {
-            Request::Finish finish { kept.error().verdict, kept.error(), {} };
-            co_await sink.finish(std::move(finish));
-            break;
-        }
-        if (kept.value().head && !isHeadSent) {
-            isHeadSent = true;
-            co_await sink.head(*kept.value().head);
-        }
-        Request::AnswerPart& part = kept.value().part;
-        if (!part.bytes.empty())
-            co_await sink.piece(part.nextPiece, std::move(part.bytes));
-        offset = Request::AnswerOffset { Request::AnswerOffset::Unit::Bytes, part.nextByte };
-        if (part.end) {
-            Request::Finish finish { part.end->verdict, part.end->error, {} };
-            co_await sink.finish(std::move(finish));
-            break;
-        }
-        if (part.bytes.empty())
-            co_await signal->wait();
+    std::shared_ptr<FollowerWatch> watch = std::make_shared<FollowerWatch>(m_context.context.get_executor());
+    writer.onCallerGone([watch] { watch->leave(); });
+    co_await m_home.follow(nonce, offset, sink, watch);
+    writer.onCallerGone(nullptr);
+}
+
+boost::asio::awaitable<void> CallerApi::forward(ForwardedRequest forwarded, Request::Ticket const& ticket, std::chrono::milliseconds timeout, CallerSink& sink, Http::ResponseWriter& writer)
+{
+    std::vector<EntryAddress> const& peers = m_context.fleet->peers;
+    std::vector<EntryAddress>::const_iterator home = std::find_if(peers.begin(), peers.end(), [&](EntryAddress const& it) { return it.name == ticket.home; });
+    if (home == peers.end()) {
+        Request::Finish finish;
+        finish.verdict = Core::Verdict::MayHaveRun;
+        finish.error = Core::makeUncertainError(Core::ErrorCode::Unavailable, "the ticket's home \"" + ticket.home + "\" is not on the list of VMs");
+        co_await sink.finish(std::move(finish));
+        co_return;
     }
+    Core::logEvent(Core::Severity::Info, Core::Event::RequestForwarded, { { "request", forwarded.requestId }, { "home", ticket.home }, { "collection", forwarded.isCollection ? "yes" : "no" } });
+    HomeForwarder forwarder(m_context.context, m_context.peers, home->peerAddress, Clock::now() + timeout);
+    writer.onCallerGone([&forwarder] { forwarder.cancel(); });
+    co_await forwarder.run(std::move(forwarded), sink);
     writer.onCallerGone(nullptr);
 }
 
--- /dev/null
+++ b/Libraries/LibDaemon/CallerShared.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <LibDaemon/AnswerKeeper.h>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace Daemon {
+
+/// What the handlers of all traffic threads share with the control thread. Thread-safe.
+struct CallerShared {
+    std::string name; ///< This daemon's.
+    std::string requestIdPrefix; ///< Unique to this process.
+    AnswerKeeper& keeper;
+    std::atomic<bool> isLeaving { false };
+    std::atomic<std::uint64_t> nextRequest { 1 };
+
+    std::string newRequestId() { return requestIdPrefix + std::to_string(nextRequest.fetch_add(1)); }
+};
+
+}
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -219,7 +219,7 @@
         if (vm.state == Platform::VmState::Live)
             fleet->entries.push_back(std::move(entry));
     }
-    std::stable_sort(fleet->entries.begin(), fleet->entries.end(), [](EntryAddress const& a, EntryAddress const& b) { return a.distance < b.distance; });
+    std::sort(fleet->entries.begin(), fleet->entries.end(), [](EntryAddress const& a, EntryAddress const& b) { return std::tie(a.distance, a.name) < std::tie(b.distance, b.name); });
     fleet->isReady = m_hasVms && m_config->isCaughtUp();
     m_fleet = std::move(fleet);
     m_hooks.publish(m_fleet);
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -68,10 +68,14 @@
     BOOST_OUTCOME_TRY(m_keeper, AnswerKeeper::create(std::move(issuer), limits, Request::OnceTable::Settings()));
     std::string prefix = m_settings.daemon.name + "-" + Request::formatIncarnation(m_incarnation).substr(0, 8) + "-";
     m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, false, 1 });
+    Peer::Settings peers;
+    peers.senderName = m_settings.daemon.name;
+    peers.senderIncarnation = m_incarnation;
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
-        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(m_settings, *m_dispatcher, m_retryBudget, *m_shared));
+        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(m_settings, peers, *m_dispatcher, m_retryBudget, *m_shared));
         m_traffic.push_back(std::move(thread));
     }
+    BOOST_OUTCOME_TRY(m_traffic.front()->servePeers(peers));
     ControlPlane::Hooks hooks;
     hooks.publish = [this](FleetPointer const& fleet) { publish(fleet); };
     hooks.report = [this](std::uint32_t target, Routing::LoadReport const& report) { m_dispatcher->report(target, report); };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -37,7 +37,7 @@
     BOOST_OUTCOME_TRY(Routing::Router router, Routing::Router::create(settings.routing));
     BOOST_OUTCOME_TRY(Routing::LoadTable loads, Routing::LoadTable::create(Routing::LoadTable::Settings()));
     BOOST_OUTCOME_TRY(Routing::PrefixIndex prefixes, Routing::PrefixIndex::create(knownPrefixes));
-    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, std::move(router), std::move(loads), std::move(prefixes), seed));
+    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, router, std::move(loads), std::move(prefixes), seed));
     Admission::Controller::Limits limits;
     limits.inFlightPerOrganisation = settings.limits.inFlightPerOrganisation;
     limits.queuedPerOrganisation = settings.limits.queuedPerOrganisation;
@@ -49,7 +49,7 @@
 
 Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, std::uint64_t seed)
     : m_inFlightPerTarget(settings.limits.inFlightPerTarget)
-    , m_router(std::move(router))
+    , m_router(router)
     , m_loads(std::move(loads))
     , m_prefixes(std::move(prefixes))
     , m_random(seed)
@@ -163,8 +163,7 @@
         std::lock_guard lock(m_mutex);
         m_waiters.emplace(id, waiter);
         Admission::Controller::Decision decision = m_admission->enter(demandOf(waiter->request, id), Clock::now());
-        if (Admission::Grant const* grant = std::get_if<Admission::Grant>(&decision)) {
-            std::ignore = grant;
+        if (std::holds_alternative<Admission::Grant>(decision)) {
             noteSent(*waiter);
             waiter->isResolved = true;
         } else if (Admission::Refusal const* refusal = std::get_if<Admission::Refusal>(&decision)) {
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -2,6 +2,7 @@
 
 #include <LibDaemon/Dispatcher.h>
 #include <LibDaemon/FleetSnapshot.h>
+#include <LibDaemon/PeerClients.h>
 #include <LibHttp/Client.h>
 #include <LibPlatform/EngineControl.h>
 #include <LibRequest/RetryBudget.h>
@@ -19,6 +20,7 @@
     Request::RetryBudget& retryBudget;
     Http::Client& client;
     Platform::EngineControl& engines;
+    PeerClients& peers;
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -10,19 +10,20 @@
 
 }
 
-TrafficThread::TrafficThread(Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
+TrafficThread::TrafficThread(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
     : m_guard(m_context.get_executor())
     , m_client(Http::Client::create(m_context, Http::ClientSettings()))
     , m_engines(Platform::createHttpEngineControl(*m_client))
-    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, std::make_shared<FleetSnapshot>(), 0 }
+    , m_peers(m_context, peers)
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, m_peers, std::make_shared<FleetSnapshot>(), 0 }
     , m_api(std::make_unique<CallerApi>(m_traffic, shared))
     , m_idleTimer(m_context)
 {
 }
 
-Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
+Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
 {
-    std::unique_ptr<TrafficThread> thread(new TrafficThread(settings, dispatcher, budget, shared));
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(settings, peers, dispatcher, budget, shared));
     Http::ServerSettings server = settings.callers.server;
     server.isPortShared = settings.daemon.trafficThreads > 1;
     CallerApi* api = thread->m_api.get();
@@ -36,6 +37,14 @@
     stop();
 }
 
+Core::Result<void> TrafficThread::servePeers(Peer::Settings const& settings)
+{
+    m_peerApi = std::make_unique<PeerApi>(m_traffic, m_api->shared());
+    Peer::Handler handler = [api = m_peerApi.get()](Peer::Request request, std::shared_ptr<Peer::ServerStream> stream) { api->handle(std::move(request), std::move(stream)); };
+    BOOST_OUTCOME_TRY(m_peerServer, Peer::Server::create(m_context, m_traffic.settings.peers.listen, settings, std::move(handler)));
+    return Core::ok();
+}
+
 void TrafficThread::start()
 {
     m_server->start();
@@ -56,13 +65,15 @@
 {
     post([this, onIdle = std::move(onIdle)] {
         m_server->stop();
+        if (m_peerServer)
+            m_peerServer->shutDown([] { });
         waitUntilIdle(onIdle);
     });
 }
 
 void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
 {
-    if (m_server->activeRequests() == 0 && m_traffic.runningRequests == 0) {
+    if (m_server->activeRequests() == 0 && m_traffic.runningRequests == 0 && (!m_peerServer || m_peerServer->openStreams() == 0)) {
         onIdle();
         return;
     }
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDaemon/CallerApi.h>
+#include <LibDaemon/PeerApi.h>
 #include <LibHttp/Server.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,10 +16,13 @@
 public:
     /// Binds the callers' listener; nothing runs yet. Errors: Unavailable.
     /// Preconditions: all arguments outlive the object.
-    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
 
     ~TrafficThread();
 
+    /// Binds the peers' listener on this thread. Errors: Unavailable. Precondition: before `start`.
+    Core::Result<void> servePeers(Peer::Settings const&);
+
     /// Starts the thread. Precondition: called once.
     void start();
 
@@ -40,16 +44,19 @@
     CallerApi& api() { return *m_api; }
 
 private:
-    TrafficThread(Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+    TrafficThread(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
     void waitUntilIdle(std::function<void()> onIdle);
 
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::unique_ptr<Http::Client> m_client;
     std::unique_ptr<Platform::EngineControl> m_engines;
+    PeerClients m_peers;
     TrafficContext m_traffic;
     std::unique_ptr<CallerApi> m_api;
     std::unique_ptr<Http::Server> m_server;
+    std::unique_ptr<PeerApi> m_peerApi;
+    std::shared_ptr<Peer::Server> m_peerServer; ///< Of the first traffic thread only.
     boost::asio::steady_timer m_idleTimer;
     std::thread m_thread;
 };
--- a/Libraries/LibSettings/IniReader.cpp
+++ b/Libraries/LibSettings/IniReader.cpp
@@ -21,7 +21,7 @@
     ++reading.line;
     std::size_t length = std::min(reading.rest.find('\n'), reading.rest.size());
     std::size_t n = std::min(length, static_cast<std::size_t>(size) - 1);
-    std::copy_n(reading.rest.data(), n, buf);
+    std::copy_n(reading.rest.begin(), n, buf);
     buf[n] = '\0';
     reading.rest.remove_prefix(std::min(length + 1, reading.rest.size()));
     return buf;
--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -7,7 +7,7 @@
 
 readonly formatter=clang-format-19
 readonly linter=clang-tidy-19
-jobs=$(nproc)
+jobs=${CURRANTVALE_JOBS:-$(nproc)}
 export RC_PARAMS="seed=20261202"
 export TSAN_OPTIONS="suppressions=$PWD/Meta/tsan-suppressions.txt"
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
