LibRequest: Tell the runs of a request apart in the fault tests

Cause: a deliberate break that let a former attempt's pieces into the answer turned no test red, because both attempts wrote the same text; others ended the test program instead of failing a named test.

--- a/Tests/LibAdmission/TestController.cpp
+++ b/Tests/LibAdmission/TestController.cpp
@@ -133,6 +133,17 @@
     EXPECT_TRUE(fleet.endOne().empty());
 }
 
+TEST(Admission, ATargetThatIsChosenThoughFullCountsAsNone)
+{
+    std::unique_ptr<Admission::Controller> controller = Admission::Controller::create({}, [](Admission::RequestId, Admission::GroupId) { return std::optional<Admission::TargetId>(0); }).value();
+    controller->setTarget(0, 1, { 0 });
+    controller->setTarget(1, 1, { 0 });
+    Admission::TimePoint now(1s);
+    EXPECT_TRUE(std::holds_alternative<Admission::Grant>(controller->enter({ 1, "a", 0, 5, 1, now + 1h }, now)));
+    EXPECT_TRUE(isQueued(controller->enter({ 2, "a", 0, 5, 1, now + 1h }, now)));
+    EXPECT_EQ(controller->release(1, now), (std::vector<Admission::Grant> { { 2, 0 } }));
+}
+
 TEST(Admission, AClosedTargetGetsNothingNewAndItsWorkIsStillCounted)
 {
     Fleet fleet(1, 2);
--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -123,6 +123,7 @@
             it.write(2);
             it.feed(ResponseHead { { 2, 1 }, 200 });
             EXPECT_TRUE(it.feed(Piece { { 1, 1 }, 3, "of the former attempt", true }).empty());
+            EXPECT_TRUE(it.feed(Piece { { 1, 1 }, 0, "of the former attempt", true }).empty());
             EXPECT_EQ(it.expect<DeliverPiece>(Piece { { 2, 1 }, 0, "y", true }).position, 3U);
             EXPECT_FALSE(it.finish(StreamEnded { { 2, 1 }, 1 }).error);
         }
--- a/Tests/LibRequest/TestTicket.cpp
+++ b/Tests/LibRequest/TestTicket.cpp
@@ -48,6 +48,9 @@
 TEST(Ticket, AForgedOneDidNotRunAndAFormerIncarnationsMayHave)
 {
     Request::TicketIssuer home = issuer("tanta-1", 42);
+    ASSERT_TRUE(home.verify(issuer("tanta-1", 42, 8).issue(at(5))).has_error());
+    ASSERT_TRUE(home.verify(issuer("tanta-1", 41).issue(at(5))).has_error());
+    ASSERT_TRUE(home.verify(issuer("tanta-2", 42).issue(at(5))).has_error());
     EXPECT_EQ(home.verify(issuer("tanta-1", 42, 8).issue(at(5))).error().verdict, Core::Verdict::NotRun);
     EXPECT_EQ(home.verify(issuer("tanta-1", 41).issue(at(5))).error().verdict, Core::Verdict::MayHaveRun);
     EXPECT_EQ(home.verify(issuer("tanta-2", 42).issue(at(5))).error().verdict, Core::Verdict::MayHaveRun);
--- a/Tests/LibRequest/World.cpp
+++ b/Tests/LibRequest/World.cpp
@@ -22,9 +22,9 @@
     return profile;
 }
 
-std::string pieceOf(int call, std::uint64_t position)
+std::string pieceOf(int call, std::uint64_t position, std::string const& run)
 {
-    return "call " + std::to_string(call) + " piece " + std::to_string(position) + "\n";
+    return "call " + std::to_string(call) + " piece " + std::to_string(position) + " by " + run + "\n";
 }
 
 World::World(int daemons, int targets)
@@ -419,7 +419,7 @@
     };
     toDaemon(1ms, Request::ResponseHead { leg, 200 });
     for (std::uint64_t i = from; i < count; ++i)
-        toDaemon(Millis(2 * (i - from + 1)), Request::Piece { leg, i, pieceOf(stream.call, stream.first + i), true });
+        toDaemon(Millis(2 * (i - from + 1)), Request::Piece { leg, i, pieceOf(stream.call, stream.first + i, key), true });
     toDaemon(Millis(2 * (count - from + 1)), Request::StreamEnded { leg, count });
 }
 
@@ -435,6 +435,25 @@
     return call.error->verdict == Core::Verdict::NotRun ? 'N' : 'M';
 }
 
+/// An answer has its own pieces in order, and none of a run that was left after the next one began.
+std::string World::violationsOf(Call const& call)
+{
+    std::string result;
+    std::set<std::string> runs;
+    std::string current;
+    for (std::uint64_t i = 0; i < call.received.size(); ++i) {
+        std::string expected = pieceOf(call.id, i, "");
+        expected.pop_back();
+        std::string const& piece = call.received[i];
+        std::string run = piece.substr(std::min(piece.size(), expected.size()));
+        bool isMixed = run != current && !runs.insert(run).second;
+        current = run;
+        if (!piece.starts_with(expected) || isMixed)
+            result += "call " + std::to_string(call.id) + ": got another answer's piece\n";
+    }
+    return result;
+}
+
 std::string World::violations() const
 {
     std::string result = m_violations;
@@ -452,10 +471,7 @@
             result += name + "answered after its deadline\n";
         if (call.finals > 0 && !call.error && runs(it.first) == 0)
             result += name + "answered but not run\n";
-        for (std::uint64_t i = 0; i < call.received.size(); ++i) {
-            if (call.received[i] != pieceOf(it.first, i))
-                result += name + "got another answer's piece\n";
-        }
+        result += violationsOf(call);
     }
     for (std::shared_ptr<Runner> const& runner : m_runners) {
         if (runner->isLive() && !runner->isFinished())
--- a/Tests/LibRequest/World.h
+++ b/Tests/LibRequest/World.h
@@ -167,6 +167,7 @@
     ConnectionPtr connect(NodeId from, NodeId to);
     void send(ConnectionPtr const&, NodeId from, Task const&, Task const& onReset = {});
     void deliver(ConnectionPtr const&, NodeId to, Task const&, Task const& onReset);
+    static std::string violationsOf(Call const&);
     void step(Step step, int call);
     void startDaemon(NodeId);
     bool isDaemon(NodeId id) const { return id < firstTarget; }
@@ -198,6 +199,7 @@
 };
 
 Request::RequestProfile profileOf(Kind, TimePoint deadline);
-std::string pieceOf(int call, std::uint64_t position);
+/// A piece's text; the run that made it is named at its end.
+std::string pieceOf(int call, std::uint64_t position, std::string const& run);
 
 }
