LibMembership: Watch daemons by rings, rumours and digests

410 daemons cannot all watch each other within 3 KB/s. Each watches the next member on four rings instead; suspicions, refutations and departures are passed on along the rings at once, and digests of the member table in every probe find what was missed. Pure; tested in virtual time at 8 and 410 daemons.

--- /dev/null
+++ b/Libraries/LibMembership/Protocol.cpp
@@ -0,0 +1,449 @@
+#include <LibMembership/Protocol.h>
+#include <LibMembership/Rings.h>
+#include <algorithm>
+#include <unordered_set>
+#include <xxhash.h>
+
+namespace Membership {
+
+namespace {
+
+/// A gap between two calls that is longer than this many periods means that this process was paused.
+constexpr int pausePeriods = 3;
+
+}
+
+Core::Result<Protocol> Protocol::create(Settings const& settings, Profile self, std::uint64_t incarnation, std::uint64_t seed, TimePoint now)
+{
+    if (self.name.empty() || incarnation == 0)
+        return Core::fail(Core::ErrorCode::BadInput, "A daemon needs a name and an incarnation above zero.");
+    bool const areTimesSet = settings.period.count() > 0 && settings.probeTimeout.count() > 0 && settings.indirectTimeout.count() > 0
+        && settings.suspicionTimeout.count() > 0 && settings.healInterval.count() > 0;
+    if (!areTimesSet || settings.maxMembers == 0 || settings.recordsPerPush == 0 || settings.recordsPerPush > maxRecords / 2)
+        return Core::fail(Core::ErrorCode::BadInput, "A membership time or limit is zero or too large.");
+    return Protocol(settings, std::move(self), incarnation, seed, now);
+}
+
+Protocol::Protocol(Settings const& settings, Profile self, std::uint64_t incarnation, std::uint64_t seed, TimePoint now)
+    : m_settings(settings)
+    , m_profile(std::move(self))
+    , m_self { memberIdOf(m_profile.name), incarnation, 0, Status::Alive, false, {} }
+    , m_zone(zoneIdOf(m_profile.availabilityZone))
+    , m_random(seed)
+    , m_table(m_self.id, settings.maxMembers)
+    , m_loads(m_self.id, m_zone, incarnation)
+    , m_budget(settings.bytesPerSecond, settings.burstBytes, now)
+    , m_started(now)
+    , m_lastTime(now)
+    , m_lastWake(now)
+    , m_lastRoundTrip(now)
+    , m_nextPeriod(now + std::chrono::milliseconds(m_random() % static_cast<std::uint64_t>(settings.period.count())))
+    , m_nextHeal(now + settings.healInterval / 2 + std::chrono::milliseconds(m_random() % static_cast<std::uint64_t>(settings.healInterval.count())))
+    , m_pushAt(TimePoint::max())
+{
+    m_loads.setOwn({}, now);
+}
+
+// Time and input
+
+void Protocol::noteTime(TimePoint now)
+{
+    TimePoint::duration const gap = now - m_lastTime;
+    m_lastTime = now;
+    if (gap < pausePeriods * m_settings.period)
+        return;
+    // What was due during the pause says nothing of the others.
+    m_prober.postpone(gap);
+    m_lastWake = now;
+    m_lastRoundTrip += gap;
+    m_nextPeriod = std::min(m_nextPeriod, now);
+}
+
+void Protocol::handleList(std::vector<ListedVm> const& list, TimePoint now)
+{
+    noteTime(now);
+    m_table.applyList(list, now);
+}
+
+void Protocol::handleUnreachable(std::uint64_t to, TimePoint now)
+{
+    noteTime(now);
+    m_prober.expireDirect(to, now);
+}
+
+void Protocol::setLoad(Load const& load, TimePoint now)
+{
+    m_loads.setOwn(load, now);
+}
+
+void Protocol::startLeaving(TimePoint now)
+{
+    if (m_self.isLeaving)
+        return;
+    m_self.isLeaving = true;
+    ++m_self.version;
+    queuePush(m_self.id, now);
+}
+
+Output Protocol::leave(TimePoint now)
+{
+    noteTime(now);
+    m_self.isLeaving = true;
+    m_self.status = Status::Left;
+    ++m_self.version;
+    Output output;
+    Message message = make(Kind::Rumours);
+    message.records.push_back(m_self);
+    for (std::uint64_t const contact : contacts())
+        send(output, contact, message);
+    return output;
+}
+
+Core::Result<Output> Protocol::handleMessage(std::string_view bytes, TimePoint now)
+{
+    BOOST_OUTCOME_TRY(Message const message, decode(bytes));
+    noteTime(now);
+    Output output;
+    if (message.sender.id == m_self.id) {
+        applyOwn(message.sender); // An earlier or later process with this name.
+        return output;
+    }
+    applyAll(message, now);
+    switch (message.kind) {
+    case Kind::Ack:
+        handleAck(message, output, now);
+        return output;
+    case Kind::ProbeRequest:
+        handleProbeRequest(message, output, now);
+        break;
+    case Kind::IndirectAck:
+        if (m_prober.acknowledgeIndirectly(message.sequence, message.target))
+            m_lastRoundTrip = now;
+        break;
+    case Kind::Probe:
+    case Kind::Rumours:
+    case Kind::Sync:
+        break;
+    }
+    output.reply = encode(makeReply(message, now));
+    return output;
+}
+
+void Protocol::applyAll(Message const& message, TimePoint now)
+{
+    std::vector<Record> records = message.records;
+    records.push_back(message.sender);
+    for (Record const& record : records) {
+        if (record.id == m_self.id)
+            applyOwn(record);
+        else
+            apply(record, now);
+    }
+    applyLoads(message, now);
+}
+
+void Protocol::apply(Record const& record, TimePoint now)
+{
+    Applied const applied = m_table.apply(record, now);
+    if (applied == Applied::Doubted)
+        m_doubts[record.id] = record;
+    if (applied == Applied::Changed && !m_isNewcomer)
+        queuePush(record.id, now);
+}
+
+void Protocol::applyOwn(Record const& record)
+{
+    if (record.incarnation > m_self.incarnation)
+        m_supersededBy = std::max(m_supersededBy, record.incarnation);
+    if (record.incarnation != m_self.incarnation || !supersedes(record, m_self) || m_self.status == Status::Left)
+        return;
+    m_self.version = record.version + 1;
+    queuePush(m_self.id, m_lastTime);
+}
+
+void Protocol::applyLoads(Message const& message, TimePoint now)
+{
+    for (MemberLoad const& load : message.memberLoads) {
+        Member const* const member = m_table.find(load.id);
+        if (member && member->zoneId == m_zone)
+            m_loads.apply(load, now);
+    }
+    for (ZoneLoad const& load : message.zoneLoads)
+        m_loads.apply(load, preferredAggregator(load.zone), now);
+}
+
+void Protocol::handleAck(Message const& message, Output& output, TimePoint now)
+{
+    if (std::optional<Prober::Relay> const relay = m_prober.takeRelay(message.sequence, message.sender.id)) {
+        Message answer = make(Kind::IndirectAck);
+        answer.sequence = relay->originSequence;
+        answer.target = relay->target;
+        send(output, relay->origin, answer);
+    }
+    m_prober.acknowledge(message.sequence, message.sender.id);
+    m_lastRoundTrip = now;
+    sendProfiles(message, output);
+    sendWanted(message, output, now);
+    if (message.digest == digest()) {
+        m_isNewcomer = false;
+        return;
+    }
+    if (!message.buckets.empty() && m_budget.isOpen(now))
+        syncWith(message, output);
+}
+
+void Protocol::handleProbeRequest(Message const& message, Output& output, TimePoint now)
+{
+    Member const* const target = m_table.find(message.target);
+    if (!target || !target->hasProfile())
+        return;
+    Prober::Relay const relay { message.sender.id, message.sequence, message.target, now + m_settings.probeTimeout + m_settings.indirectTimeout };
+    std::uint32_t const sequence = m_prober.startRelay(relay);
+    if (sequence == 0)
+        return;
+    Message probe = makeProbe(*target, now);
+    probe.sequence = sequence;
+    send(output, message.target, probe);
+}
+
+// Answers and synchronization
+
+Message Protocol::makeReply(Message const& message, TimePoint now)
+{
+    Message reply = make(Kind::Ack);
+    reply.sequence = message.sequence;
+    addAccusation(reply, message.sender);
+    Member const* const sender = m_table.find(message.sender.id);
+    if (message.kind == Kind::Probe)
+        addLoads(reply, sender ? sender->zoneId : 0, now);
+    if (sender && !sender->hasProfile())
+        reply.wantedProfiles.push_back(message.sender.id);
+    for (Record const& record : message.records) {
+        Member const* const member = m_table.find(record.id);
+        if (member && member->isPresent() && !member->hasProfile() && reply.wantedProfiles.size() < m_settings.recordsPerPush)
+            reply.wantedProfiles.push_back(record.id);
+    }
+    if (message.kind == Kind::Sync)
+        answerSync(message, reply, now);
+    bool const mayDiffer = message.kind == Kind::Probe || message.kind == Kind::Sync;
+    if (mayDiffer && message.digest != reply.digest && m_budget.isOpen(now)) {
+        std::array<std::uint32_t, bucketCount> const& own = buckets();
+        reply.buckets.assign(own.begin(), own.end());
+        m_budget.spend(own.size() * sizeof(std::uint32_t));
+    }
+    return reply;
+}
+
+void Protocol::answerSync(Message const& message, Message& reply, TimePoint now)
+{
+    if (!m_budget.isOpen(now))
+        return;
+    std::unordered_set<std::uint32_t> const theirs(message.recordDigests.begin(), message.recordDigests.end());
+    std::unordered_set<std::uint32_t> own;
+    for (std::uint64_t const id : idsIn(message.wantedBuckets)) {
+        std::uint32_t const digest = digestOf(m_table.find(id)->record);
+        own.insert(digest);
+        if (!theirs.contains(digest) && id != message.sender.id && reply.records.size() < maxRecords / 2)
+            reply.records.push_back(m_table.recordOf(id, !m_table.find(id)->isListed));
+    }
+    for (std::uint32_t const digest : message.recordDigests) {
+        if (!own.contains(digest) && reply.wantedRecords.size() < maxRecords / 2)
+            reply.wantedRecords.push_back(digest);
+    }
+    m_budget.spend(encode(reply).size());
+}
+
+void Protocol::syncWith(Message const& message, Output& output)
+{
+    std::array<std::uint32_t, bucketCount> const& own = buckets();
+    Message sync = make(Kind::Sync);
+    // A random start lets daemons that differ in many buckets not all begin with the same ones.
+    std::size_t const start = m_random() % bucketCount;
+    for (std::size_t i = 0; i < bucketCount && sync.wantedBuckets.size() < m_settings.bucketsPerSync; ++i) {
+        std::size_t const bucket = (start + i) % bucketCount;
+        if (own[bucket] == message.buckets[bucket])
+            continue;
+        std::vector<std::uint64_t> const ids = m_table.membersOf(static_cast<std::uint32_t>(bucket));
+        if (sync.recordDigests.size() + ids.size() > maxRecords)
+            break;
+        sync.wantedBuckets.push_back(static_cast<std::uint32_t>(bucket));
+        for (std::uint64_t const id : ids)
+            sync.recordDigests.push_back(digestOf(m_table.find(id)->record));
+    }
+    sendBudgeted(output, message.sender.id, sync);
+}
+
+/// Sends the records that the answer to a sync asked for.
+void Protocol::sendWanted(Message const& message, Output& output, TimePoint now)
+{
+    if (message.wantedRecords.empty() || !m_budget.isOpen(now))
+        return;
+    std::unordered_set<std::uint32_t> const wanted(message.wantedRecords.begin(), message.wantedRecords.end());
+    Message rumours = make(Kind::Rumours);
+    for (std::pair<std::uint64_t const, Member> const& entry : m_table.members()) {
+        bool const isWanted = entry.second.record.status != Status::Unheard && wanted.contains(digestOf(entry.second.record));
+        if (isWanted && rumours.records.size() < maxRecords / 2)
+            rumours.records.push_back(m_table.recordOf(entry.first, !entry.second.isListed));
+    }
+    sendBudgeted(output, message.sender.id, rumours);
+}
+
+std::vector<std::uint64_t> Protocol::idsIn(std::vector<std::uint32_t> const& buckets) const
+{
+    std::vector<std::uint64_t> ids;
+    for (std::uint32_t const bucket : buckets) {
+        std::vector<std::uint64_t> const some = m_table.membersOf(bucket);
+        ids.insert(ids.end(), some.begin(), some.end());
+    }
+    return ids;
+}
+
+void Protocol::sendProfiles(Message const& message, Output& output)
+{
+    if (message.wantedProfiles.empty())
+        return;
+    Message rumours = make(Kind::Rumours);
+    for (std::uint64_t const id : message.wantedProfiles) {
+        if (rumours.records.size() == m_settings.recordsPerPush)
+            break;
+        if (id == m_self.id) {
+            rumours.records.push_back(m_self);
+            rumours.records.back().profile = m_profile;
+        } else if (Member const* const member = m_table.find(id); member && member->hasProfile() && member->record.incarnation != 0) {
+            rumours.records.push_back(m_table.recordOf(id, true));
+        }
+    }
+    send(output, message.sender.id, rumours);
+}
+
+// Composition
+
+Message Protocol::make(Kind kind)
+{
+    Message message;
+    message.kind = kind;
+    message.sender = m_self;
+    message.digest = digest();
+    return message;
+}
+
+Message Protocol::makeProbe(Member const& to, TimePoint now)
+{
+    Message message = make(Kind::Probe);
+    message.target = to.record.id;
+    if (to.record.status == Status::Unheard)
+        message.sender.profile = m_profile; // Its VM list may lag behind ours.
+    addAccusation(message, to.record);
+    addLoads(message, to.zoneId, now);
+    return message;
+}
+
+void Protocol::addLoads(Message& message, std::uint32_t zone, TimePoint now)
+{
+    if (zone == m_zone)
+        message.memberLoads = m_loads.pickMembers(m_settings.memberLoadsPerMessage, now);
+    message.zoneLoads = m_loads.pickZones(m_settings.zoneLoadsPerMessage, now);
+}
+
+/// Tells the receiver what is claimed of it beyond what it says itself, so that it can refute, or learn that a
+/// later process has its name.
+void Protocol::addAccusation(Message& message, Record const& to) const
+{
+    auto const doubt = m_doubts.find(to.id);
+    if (doubt != m_doubts.end() && supersedes(doubt->second, to))
+        message.records.push_back(doubt->second);
+    Member const* const member = m_table.find(to.id);
+    if (!member)
+        return;
+    bool const isAccused = member->record.status == Status::Suspect || member->record.status == Status::Dead;
+    if (isAccused || supersedes(member->record, to))
+        message.records.push_back(member->record);
+}
+
+void Protocol::send(Output& output, std::uint64_t to, Message const& message)
+{
+    Member const* const member = m_table.find(to);
+    if (member && member->hasProfile())
+        output.messages.push_back({ to, member->profile.address, message.kind, encode(message) });
+}
+
+void Protocol::sendBudgeted(Output& output, std::uint64_t to, Message const& message)
+{
+    std::size_t const before = output.messages.size();
+    send(output, to, message);
+    if (output.messages.size() > before)
+        m_budget.spend(output.messages.back().bytes.size() + m_settings.overheadPerMessage);
+}
+
+std::array<std::uint32_t, bucketCount> const& Protocol::buckets()
+{
+    if (m_bucketsGeneration != m_table.generation() || m_bucketsVersion != m_self.version + 1) {
+        m_buckets = m_table.buckets(m_self);
+        m_bucketsGeneration = m_table.generation();
+        m_bucketsVersion = m_self.version + 1;
+    }
+    return m_buckets;
+}
+
+std::uint64_t Protocol::digest()
+{
+    return XXH3_64bits(buckets().data(), sizeof(m_buckets));
+}
+
+// State
+
+bool Protocol::isIsolated(TimePoint now) const
+{
+    bool const hasOthers = std::ranges::any_of(m_table.members(), [](std::pair<std::uint64_t const, Member> const& entry) {
+        return entry.second.isPresent() || (entry.second.isListed && entry.second.record.status != Status::Left);
+    });
+    return hasOthers && now - m_lastRoundTrip > m_settings.isolationTimeout;
+}
+
+std::vector<std::uint64_t> const& Protocol::contacts()
+{
+    if (m_contactsGeneration != m_table.generation()) {
+        m_contacts = contactsOf(m_self.id, m_zone, m_table, m_settings);
+        m_contactsGeneration = m_table.generation();
+    }
+    return m_contacts;
+}
+
+std::uint64_t Protocol::preferredAggregator(std::uint32_t zone)
+{
+    if (m_aggregatorsGeneration != m_table.generation()) {
+        m_aggregatorsGeneration = m_table.generation();
+        m_aggregators.clear();
+        m_aggregators[m_zone] = m_self.id;
+        for (std::pair<std::uint64_t const, Member> const& entry : m_table.members()) {
+            std::uint64_t& best = m_aggregators[entry.second.zoneId];
+            if (entry.second.isPresent())
+                best = std::max(best, entry.first);
+        }
+    }
+    auto const it = m_aggregators.find(zone);
+    return it == m_aggregators.end() ? 0 : it->second;
+}
+
+ZoneLoad Protocol::regionLoad(std::string_view region, TimePoint now) const
+{
+    std::set<std::uint32_t> zones;
+    if (region == m_profile.region)
+        zones.insert(m_zone);
+    for (std::pair<std::uint64_t const, Member> const& entry : m_table.members()) {
+        if (entry.second.profile.region == region)
+            zones.insert(entry.second.zoneId);
+    }
+    ZoneLoad sum;
+    for (std::uint32_t const zone : zones) {
+        std::optional<ZoneLoad> const load = m_loads.zoneLoad(zone, now);
+        if (!load)
+            continue;
+        sum.members += load->members;
+        sum.age = std::max(sum.age, load->age);
+        sum.load += load->load;
+    }
+    return sum;
+}
+
+}
--- /dev/null
+++ b/Tests/LibMembership/TestStorms.cpp
@@ -0,0 +1,117 @@
+#include "Network.h"
+#include <gtest/gtest.h>
+
+using Membership::Status;
+using MembershipTest::Network;
+using namespace std::chrono_literals;
+
+namespace {
+
+void settle(Network& network, std::size_t count)
+{
+    MembershipTest::build(network, count);
+    network.startAll();
+    ASSERT_TRUE(network.runUntil([&] { return network.isConverged(); }, 60s));
+    network.run(10s);
+    network.takeWrongDeaths();
+}
+
+int milliseconds(std::optional<std::chrono::milliseconds> const& time)
+{
+    return time ? static_cast<int>(time->count()) : -1;
+}
+
+}
+
+TEST(Storms, AWholeZoneIsLostAndComesBackAtOnce)
+{
+    Network network(21);
+    settle(network, 410);
+    network.clearBytes();
+    for (std::size_t i = 4; i < network.size(); i += 11)
+        network.kill(i);
+    std::optional<std::chrono::milliseconds> const lost = network.runUntil([&] { return network.isConverged(); }, 90s);
+    ASSERT_TRUE(lost);
+    std::pair<double, double> const rateLost = network.bytesPerSecond(*lost);
+    EXPECT_EQ(network.takeWrongDeaths(), 0U);
+    network.clearBytes();
+    for (std::size_t i = 4; i < network.size(); i += 11)
+        network.start(i);
+    std::optional<std::chrono::milliseconds> const back = network.runUntil([&] { return network.isConverged(); }, 90s);
+    ASSERT_TRUE(back);
+    std::pair<double, double> const rateBack = network.bytesPerSecond(*back);
+    RecordProperty("zoneLostMs", milliseconds(lost));
+    RecordProperty("zoneLostMostBytesPerSecond", static_cast<int>(rateLost.second));
+    RecordProperty("zoneBackMs", milliseconds(back));
+    RecordProperty("zoneBackMostBytesPerSecond", static_cast<int>(rateBack.second));
+    EXPECT_EQ(network.takeWrongDeaths(), 0U);
+}
+
+TEST(Storms, RegionsThatLostEachOtherForMinutesFindEachOther)
+{
+    Network network(22);
+    settle(network, 410);
+    auto const isFirst = [](std::size_t i) { return (i % 11) * 3 / 11 == 0; };
+    network.isCut = [isFirst](std::size_t from, std::size_t to) { return isFirst(from) != isFirst(to); };
+    network.run(180s);
+    EXPECT_FALSE(network[0].protocol->isIsolated(network.now()));
+    for (std::size_t of = 0; of < network.size(); ++of)
+        EXPECT_EQ(network.statusOf(of, isFirst(of) ? 11 : 4), of == 11 || of == 4 ? network.statusOf(of, isFirst(of) ? 11 : 4) : Status::Alive);
+    EXPECT_EQ(network.statusOf(0, 4), Status::Dead);
+    network.takeWrongDeaths();
+    network.isCut = nullptr;
+    network.clearBytes();
+    std::optional<std::chrono::milliseconds> const healed = network.runUntil([&] { return network.isConverged(); }, 180s);
+    ASSERT_TRUE(healed);
+    std::pair<double, double> const rate = network.bytesPerSecond(*healed);
+    RecordProperty("healedMs", milliseconds(healed));
+    RecordProperty("healMeanBytesPerSecond", static_cast<int>(rate.first));
+    RecordProperty("healMostBytesPerSecond", static_cast<int>(rate.second));
+    RecordProperty("wrongDeathsDuringHeal", static_cast<int>(network.takeWrongDeaths()));
+    network.run(30s);
+    EXPECT_TRUE(network.isConverged());
+}
+
+TEST(Storms, AVmReplacedAtTheSameAddressIsANewDaemon)
+{
+    Network network(23);
+    settle(network, 8);
+    network.kill(5);
+    network[5].profile.name = "entry-5b";
+    network.list[5].profile.name = "entry-5b";
+    network.start(5);
+    network.publishList();
+    EXPECT_TRUE(network.runUntil([&] { return network.isConverged(); }, 30s));
+    network.run(30s);
+    Membership::Member const* const former = network[0].protocol->table().find(Membership::memberIdOf("entry-5"));
+    EXPECT_TRUE(!former || former->record.status == Status::Dead);
+}
+
+TEST(Storms, AnEarlierProcessWithTheSameNameLearnsThatItIsSuperseded)
+{
+    Network network(24);
+    settle(network, 8);
+    network.pause(5);
+    std::size_t const successor = network.add("entry-5", "zone-2", "delta-north");
+    network[successor].incarnation = network[5].incarnation;
+    network.list[5].profile = network[successor].profile;
+    network.start(successor);
+    network.publishList();
+    network.run(20s);
+    EXPECT_EQ(network[0].protocol->table().find(Membership::memberIdOf("entry-5"))->record.incarnation, network[successor].incarnation);
+    network.wake(5);
+    network.run(20s);
+    EXPECT_EQ(network[5].protocol->supersededBy(), network[successor].incarnation);
+    EXPECT_EQ(network[0].protocol->table().find(Membership::memberIdOf("entry-5"))->record.incarnation, network[successor].incarnation);
+    EXPECT_EQ(network[0].protocol->table().find(Membership::memberIdOf("entry-5"))->record.status, Status::Alive);
+}
+
+TEST(Storms, HeavyLossKillsNobodyForLong)
+{
+    Network network(25);
+    settle(network, 8);
+    network.loss = 0.2;
+    network.run(120s);
+    network.loss = 0;
+    EXPECT_TRUE(network.runUntil([&] { return network.isConverged(); }, 60s));
+}
