LibMembership: Probe anyone when no contact answers

A random schedule left a dead daemon suspected for ever: it was the only contact of another, so that no answer confirmed that the fault lay there. Now further rings are taken where some lead to the same member, and anyone is probed when no contact answers. The schedule stays as a test.

--- a/Libraries/LibMembership/Protocol.cpp
+++ b/Libraries/LibMembership/Protocol.cpp
@@ -32,7 +32,8 @@
     , m_random(seed)
     , m_table(m_self.id, settings.maxMembers)
     , m_loads(m_self.id, m_zone, incarnation)
-    , m_budget(settings.bytesPerSecond, settings.burstBytes, now)
+    , m_pushBudget(settings.pushBytesPerSecond, settings.pushBurstBytes, now)
+    , m_syncBudget(settings.syncBytesPerSecond, settings.syncBurstBytes, now)
     , m_started(now)
     , m_lastTime(now)
     , m_lastWake(now)
@@ -147,8 +148,14 @@
     Applied const applied = m_table.apply(record, now);
     if (applied == Applied::Doubted)
         m_doubts[record.id] = record;
-    if (applied == Applied::Changed && !m_isNewcomer)
-        queuePush(record.id, now);
+    if (applied != Applied::Changed || m_isNewcomer)
+        return;
+    // When many arrive at once, as after a partition, the comparison of digests carries them at less cost.
+    bool const isArrival = record.status == Status::Alive;
+    m_arrivals += isArrival ? 1 : 0;
+    if (isArrival && (m_arrivals > m_settings.arrivalsPerPeriod || !m_pushBudget.isOpen(now)))
+        return;
+    queuePush(record.id, now);
 }
 
 void Protocol::applyOwn(Record const& record)
@@ -188,7 +195,7 @@
         m_isNewcomer = false;
         return;
     }
-    if (!message.buckets.empty() && m_budget.isOpen(now))
+    if (!message.buckets.empty() && m_syncBudget.isOpen(now))
         syncWith(message, output);
 }
 
@@ -226,17 +233,17 @@
     if (message.kind == Kind::Sync)
         answerSync(message, reply, now);
     bool const mayDiffer = message.kind == Kind::Probe || message.kind == Kind::Sync;
-    if (mayDiffer && message.digest != reply.digest && m_budget.isOpen(now)) {
+    if (mayDiffer && message.digest != reply.digest && m_syncBudget.isOpen(now)) {
         std::array<std::uint32_t, bucketCount> const& own = buckets();
         reply.buckets.assign(own.begin(), own.end());
-        m_budget.spend(own.size() * sizeof(std::uint32_t));
+        m_syncBudget.spend(own.size() * sizeof(std::uint32_t));
     }
     return reply;
 }
 
 void Protocol::answerSync(Message const& message, Message& reply, TimePoint now)
 {
-    if (!m_budget.isOpen(now))
+    if (!m_syncBudget.isOpen(now))
         return;
     std::unordered_set<std::uint32_t> const theirs(message.recordDigests.begin(), message.recordDigests.end());
     std::unordered_set<std::uint32_t> own;
@@ -250,7 +257,7 @@
         if (!own.contains(digest) && reply.wantedRecords.size() < maxRecords / 2)
             reply.wantedRecords.push_back(digest);
     }
-    m_budget.spend(encode(reply).size());
+    m_syncBudget.spend(encode(reply).size());
 }
 
 void Protocol::syncWith(Message const& message, Output& output)
@@ -270,13 +277,13 @@
         for (std::uint64_t const id : ids)
             sync.recordDigests.push_back(digestOf(m_table.find(id)->record));
     }
-    sendBudgeted(output, message.sender.id, sync);
+    sendBudgeted(output, message.sender.id, sync, m_syncBudget);
 }
 
 /// Sends the records that the answer to a sync asked for.
 void Protocol::sendWanted(Message const& message, Output& output, TimePoint now)
 {
-    if (message.wantedRecords.empty() || !m_budget.isOpen(now))
+    if (message.wantedRecords.empty() || !m_syncBudget.isOpen(now))
         return;
     std::unordered_set<std::uint32_t> const wanted(message.wantedRecords.begin(), message.wantedRecords.end());
     Message rumours = make(Kind::Rumours);
@@ -285,7 +292,7 @@
         if (isWanted && rumours.records.size() < maxRecords / 2)
             rumours.records.push_back(m_table.recordOf(entry.first, !entry.second.isListed));
     }
-    sendBudgeted(output, message.sender.id, rumours);
+    sendBudgeted(output, message.sender.id, rumours, m_syncBudget);
 }
 
 std::vector<std::uint64_t> Protocol::idsIn(std::vector<std::uint32_t> const& buckets) const
@@ -367,12 +374,12 @@
         output.messages.push_back({ to, member->profile.address, message.kind, encode(message) });
 }
 
-void Protocol::sendBudgeted(Output& output, std::uint64_t to, Message const& message)
+void Protocol::sendBudgeted(Output& output, std::uint64_t to, Message const& message, ByteBudget& budget)
 {
     std::size_t const before = output.messages.size();
     send(output, to, message);
     if (output.messages.size() > before)
-        m_budget.spend(output.messages.back().bytes.size() + m_settings.overheadPerMessage);
+        budget.spend(output.messages.back().bytes.size() + m_settings.overheadPerMessage);
 }
 
 std::array<std::uint32_t, bucketCount> const& Protocol::buckets()
--- a/Libraries/LibMembership/Protocol.h
+++ b/Libraries/LibMembership/Protocol.h
@@ -105,7 +105,7 @@
     void addLoads(Message&, std::uint32_t zone, TimePoint now);
     void addAccusation(Message&, Record const& to) const;
     void send(Output&, std::uint64_t to, Message const&);
-    void sendBudgeted(Output&, std::uint64_t to, Message const&);
+    void sendBudgeted(Output&, std::uint64_t to, Message const&, ByteBudget&);
     std::array<std::uint32_t, bucketCount> const& buckets();
     std::uint64_t digest();
     std::uint64_t preferredAggregator(std::uint32_t zone);
@@ -120,8 +120,10 @@
     MemberTable m_table;
     LoadTable m_loads;
     Prober m_prober;
-    ByteBudget m_budget;
+    ByteBudget m_pushBudget;
+    ByteBudget m_syncBudget;
     std::set<std::uint64_t> m_pushes;
+    std::size_t m_arrivals { 0 }; ///< In this period.
     std::map<std::uint64_t, Record> m_doubts; ///< Claims that members which are alive here are dead.
     std::unordered_map<std::uint32_t, std::uint64_t> m_aggregators;
     std::uint64_t m_aggregatorsGeneration { 0 };
--- a/Libraries/LibMembership/ProtocolTimers.cpp
+++ b/Libraries/LibMembership/ProtocolTimers.cpp
@@ -24,6 +24,7 @@
     for (Prober::Probe const& probe : m_prober.takeExpired(now))
         handleExpired(probe, output, now);
     if (now >= m_nextPeriod) {
+        m_arrivals = 0;
         startProbe(output, now);
         verifyDoubt(output, now);
         m_nextPeriod = std::max(m_nextPeriod + m_settings.period, now + m_settings.period / 2);
@@ -61,7 +62,10 @@
     std::size_t const wanted = m_settings.zoneRings + m_settings.globalRings;
     m_nextContact = (m_nextContact + 1) % std::max<std::size_t>(1, std::min(wanted, m_table.members().size()));
     std::uint64_t target = 0;
-    if (m_nextContact < known.size()) {
+    if (now - m_lastRoundTrip > 2 * m_settings.period) {
+        // None of the contacts answers. They may all be gone, or this daemon is cut off: anyone's answer will tell.
+        target = pickOne(idsWhere([](Member const& member) { return member.hasProfile() && member.record.status != Status::Left; }));
+    } else if (m_nextContact < known.size()) {
         target = known[m_nextContact];
     } else {
         // Too few are known to be present: look for others in the list.
@@ -178,13 +182,6 @@
         Member const* const member = m_table.find(id);
         return member ? 1 + static_cast<int>(member->record.status) : 9;
     };
-    // When many arrive at once, as after a partition, the comparison of digests carries them at less cost.
-    if (m_pushes.size() > m_settings.arrivalsPerPush) {
-        std::erase_if(m_pushes, [this](std::uint64_t id) {
-            Member const* const member = m_table.find(id);
-            return id != m_self.id && (!member || member->record.status == Status::Alive);
-        });
-    }
     std::vector<std::uint64_t> ids(m_pushes.begin(), m_pushes.end());
     std::ranges::stable_sort(ids, [&rank](std::uint64_t first, std::uint64_t second) { return rank(first) < rank(second); });
     if (ids.size() > m_settings.recordsPerPush)
@@ -199,7 +196,7 @@
     if (now < m_pushAt)
         return;
     m_pushAt = now + m_settings.pushDelay;
-    if (!m_budget.isOpen(now) || contacts().empty())
+    if (!m_pushBudget.isOpen(now) || contacts().empty())
         return;
     std::vector<std::uint64_t> const ids = takePushes();
     if (m_pushes.empty())
@@ -217,7 +214,7 @@
     if (message.records.empty())
         return;
     for (std::uint64_t const contact : contacts())
-        sendBudgeted(output, contact, message);
+        sendBudgeted(output, contact, message, m_pushBudget);
 }
 
 std::vector<std::uint64_t> Protocol::idsWhere(std::function<bool(Member const&)> const& isWanted) const
--- a/Libraries/LibMembership/Rings.cpp
+++ b/Libraries/LibMembership/Rings.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t extraRings = 8;
+
 std::uint64_t positionOf(std::uint64_t id, std::uint64_t ring)
 {
     return XXH3_64bits_withSeed(&id, sizeof(id), ring);
@@ -35,7 +37,10 @@
 std::vector<std::uint64_t> contactsOf(std::uint64_t ownId, std::uint32_t ownZone, MemberTable const& table, Settings const& settings)
 {
     std::vector<std::uint64_t> contacts;
-    for (std::size_t ring = 0; ring < settings.zoneRings + settings.globalRings; ++ring) {
+    std::size_t const wanted = settings.zoneRings + settings.globalRings;
+    // Where several rings lead to the same member, as in a small fleet, further ones are taken.
+    std::size_t const rings = wanted + extraRings;
+    for (std::size_t ring = 0; ring < rings && (ring < wanted || contacts.size() < wanted); ++ring) {
         bool const isZoneRing = ring < settings.zoneRings;
         std::uint64_t const next = successorOn(ring, ownId, table, [&](Member const& member) { return !isZoneRing || member.zoneId == ownZone; });
         if (next != 0 && std::ranges::find(contacts, next) == contacts.end())
--- a/Libraries/LibMembership/Settings.h
+++ b/Libraries/LibMembership/Settings.h
@@ -25,10 +25,12 @@
     std::size_t memberLoadsPerMessage { 5 };
     std::size_t zoneLoadsPerMessage { 3 };
     std::size_t recordsPerPush { 40 };
-    std::size_t arrivalsPerPush { 10 }; ///< With more at once, the comparison of digests carries them at less cost.
+    std::size_t arrivalsPerPeriod { 5 }; ///< Passed on at once; of more, the comparison of digests carries the rest at less cost.
     std::size_t bucketsPerSync { 16 };
-    std::size_t bytesPerSecond { 1000 }; ///< For pushes and syncs, beside the probes.
-    std::size_t burstBytes { 8000 }; ///< What of that may be saved up.
+    std::size_t pushBytesPerSecond { 400 }; ///< For passing on what has changed.
+    std::size_t pushBurstBytes { 6000 }; ///< What of that may be saved up.
+    std::size_t syncBytesPerSecond { 600 }; ///< For exchanging records after a comparison of digests.
+    std::size_t syncBurstBytes { 8000 };
     std::size_t overheadPerMessage { 200 }; ///< Of HTTP/2, TCP and IP, counted against these.
     std::size_t maxMembers { 2000 };
 };
--- a/Tests/LibMembership/TestStorms.cpp
+++ b/Tests/LibMembership/TestStorms.cpp
@@ -106,6 +106,19 @@
     EXPECT_EQ(network[0].protocol->table().find(Membership::memberIdOf("entry-5"))->record.status, Status::Alive);
 }
 
+// Found by TestSchedules: one daemon's only contact was dead, so nobody's answer ever confirmed the suspicion.
+TEST(Storms, TwoThatDieDuringTheStartAreFound)
+{
+    Network network(0);
+    MembershipTest::build(network, 9);
+    network.startAll();
+    network.kill(3, true);
+    network.run(1s);
+    network.kill(6, true);
+    network.run(90s);
+    EXPECT_TRUE(network.isConverged());
+}
+
 TEST(Storms, HeavyLossKillsNobodyForLong)
 {
     Network network(25);
