currantctl: Take servers and token from the environment, and document the tool

The examples in the help did not run as printed, for they lack the options that every command needs.

--- a/Libraries/LibOperator/Client.cpp
+++ b/Libraries/LibOperator/Client.cpp
@@ -107,7 +107,7 @@
     return *answer;
 }
 
-Core::Result<Http::Response> Client::call(std::string method, std::string target, std::string body)
+Core::Result<Http::Response> Client::call(std::string const& method, std::string const& target, std::string const& body)
 {
     Core::Result<Http::Response> last = Core::makeError(Core::ErrorCode::Unavailable, "no server is given");
     for (Endpoint const& server : m_settings.servers) {
--- a/Libraries/LibOperator/Client.h
+++ b/Libraries/LibOperator/Client.h
@@ -46,7 +46,7 @@
 private:
     Client(boost::asio::io_context&, ClientSettings);
     Core::Result<Http::Response> fetch(boost::asio::ip::tcp::endpoint const&, Http::Request);
-    Core::Result<Http::Response> call(std::string method, std::string target, std::string body);
+    Core::Result<Http::Response> call(std::string const& method, std::string const& target, std::string const& body);
 
     boost::asio::io_context& m_context;
     ClientSettings m_settings;
--- a/Libraries/LibOperator/CommandLine.cpp
+++ b/Libraries/LibOperator/CommandLine.cpp
@@ -15,6 +15,8 @@
 
 constexpr double longestSeconds = 3600;
 constexpr std::size_t longestAuthor = 63;
+constexpr char const* serversVariable = "CURRANTCTL_SERVERS";
+constexpr char const* tokenFileVariable = "CURRANTCTL_TOKEN_FILE";
 
 struct Usage {
     Command command;
@@ -83,8 +85,8 @@
     cxxopts::Options options("currantctl " + std::string(Core::nameOf(commandNames, usage.command)), std::string(usage.purpose));
     options.custom_help("[OPTIONS]");
     options.positional_help(std::string(usage.operands));
-    options.add_options()("server", "The operators' listeners, tried in this order", cxxopts::value<std::vector<std::string>>(), "IP:PORT,...");
-    options.add_options()("token-file", "The file that holds the bearer token", cxxopts::value<std::string>(), "FILE");
+    options.add_options()("server", "The operators' listeners, tried in this order; $CURRANTCTL_SERVERS unless given", cxxopts::value<std::string>(), "IP:PORT,...");
+    options.add_options()("token-file", "The file that holds the bearer token; $CURRANTCTL_TOKEN_FILE unless given", cxxopts::value<std::string>(), "FILE");
     options.add_options()("timeout", "How long to wait for one server's answer", cxxopts::value<double>()->default_value("5"), "S");
     options.add_options()("output", "text or json", cxxopts::value<std::string>()->default_value("text"), "FORM");
     options.add_options()("h,help", "Print this help");
@@ -112,50 +114,65 @@
     return std::chrono::ceil<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-Core::Result<void> readGlobal(Arguments const& arguments, CommandLine& line)
+/// Returns the option's value, or else the variable's, or nothing.
+std::string textOf(Arguments const& arguments, std::string const& option, char const* variable)
 {
-    if (arguments.count("server") == 0)
-        return badInput("--server IP:PORT is missing");
-    if (arguments.count("token-file") == 0)
-        return badInput("--token-file FILE is missing");
-    for (std::string const& it : arguments["server"].as<std::vector<std::string>>()) {
-        Core::Result<boost::asio::ip::tcp::endpoint> server = Http::parseEndpoint(it);
+    if (arguments.count(option) != 0)
+        return arguments[option].as<std::string>();
+    return variable ? variable : "";
+}
+
+Core::Result<std::vector<boost::asio::ip::tcp::endpoint>> readServers(std::string_view text)
+{
+    std::vector<boost::asio::ip::tcp::endpoint> servers;
+    while (!text.empty()) {
+        std::string_view piece = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(piece.size() + 1, text.size()));
+        Core::Result<boost::asio::ip::tcp::endpoint> server = Http::parseEndpoint(piece);
         if (!server)
             return badInput("--server: " + server.error().message);
-        line.servers.push_back(server.value());
+        servers.push_back(server.value());
     }
+    if (servers.empty())
+        return badInput("--server IP:PORT is missing, and CURRANTCTL_SERVERS is not set");
+    return servers;
+}
+
+Core::Result<void> readGlobal(Arguments const& arguments, CommandLine::Environment const& environment, CommandLine& line)
+{
+    BOOST_OUTCOME_TRY(line.servers, readServers(textOf(arguments, "server", environment(serversVariable))));
+    line.tokenFile = textOf(arguments, "token-file", environment(tokenFileVariable));
+    if (line.tokenFile.empty())
+        return badInput("--token-file FILE is missing, and CURRANTCTL_TOKEN_FILE is not set");
     std::optional<Output> output = Core::valueOf(outputNames, arguments["output"].as<std::string>());
     if (!output)
         return badInput("--output: read '" + arguments["output"].as<std::string>() + "', allowed: text or json");
-    line.tokenFile = arguments["token-file"].as<std::string>();
     line.output = *output;
     BOOST_OUTCOME_TRY(line.timeout, readSeconds(arguments, "timeout"));
     return Core::ok();
 }
 
-Core::Result<std::string> readAuthor(Arguments const& arguments)
+Core::Result<std::string> readAuthor(Arguments const& arguments, char const* user)
 {
-    char const* user = std::getenv("USER");
-    std::string author = arguments.count("author") != 0 ? arguments["author"].as<std::string>() : user ? user
-                                                                                                       : "unknown";
+    std::string author = textOf(arguments, "author", user ? user : "unknown");
     if (author.empty() || author.size() > longestAuthor)
         return badInput("--author: allowed are 1 to 63 characters");
     return author;
 }
 
-Core::Result<void> readChange(Arguments const& arguments, CommandLine& line)
+Core::Result<void> readChange(Arguments const& arguments, CommandLine::Environment const& environment, CommandLine& line)
 {
     line.waits = arguments.count("wait") != 0;
     line.isDryRun = arguments.count("dry-run") != 0;
     BOOST_OUTCOME_TRY(line.waitTime, readSeconds(arguments, "wait-time"));
-    BOOST_OUTCOME_TRY(line.author, readAuthor(arguments));
+    BOOST_OUTCOME_TRY(line.author, readAuthor(arguments, environment("USER")));
     if (arguments.count("id") != 0) {
         BOOST_OUTCOME_TRY(line.id, State::RecordId::parse(arguments["id"].as<std::string>()));
     }
     return Core::ok();
 }
 
-Core::Result<void> readCommand(Arguments const& arguments, CommandLine& line)
+Core::Result<void> readCommand(Arguments const& arguments, CommandLine::Environment const& environment, CommandLine& line)
 {
     Usage const& usage = usageOf(line.command);
     if (arguments.count("operands") != 0)
@@ -166,7 +183,7 @@
     if (hasKind && !line.operands.empty() && !Core::valueOf(State::kindNames, line.operands.front()))
         return badInput("read kind '" + line.operands.front() + "', allowed: target, request-rule, route or group");
     if (changes(line.command)) {
-        BOOST_OUTCOME_TRY(readChange(arguments, line));
+        BOOST_OUTCOME_TRY(readChange(arguments, environment, line));
     }
     if (line.command == Command::Apply || line.command == Command::Diff)
         line.prunes = arguments.count("prune") != 0;
@@ -184,7 +201,7 @@
 
 }
 
-Core::Result<CommandLine> CommandLine::parse(std::vector<std::string> const& arguments)
+Core::Result<CommandLine> CommandLine::parse(std::vector<std::string> const& arguments, Environment const& environment)
 {
     CommandLine line;
     std::string name = arguments.empty() ? "" : arguments.front();
@@ -207,8 +224,8 @@
             line.help = helpOf(usageOf(*command));
             return line;
         }
-        BOOST_OUTCOME_TRY(readGlobal(parsed, line));
-        BOOST_OUTCOME_TRY(readCommand(parsed, line));
+        BOOST_OUTCOME_TRY(readGlobal(parsed, environment, line));
+        BOOST_OUTCOME_TRY(readCommand(parsed, environment, line));
         return line;
     } catch (cxxopts::exceptions::exception const& exception) {
         return badInput(exception.what());
@@ -217,12 +234,12 @@
 
 std::string CommandLine::helpText()
 {
-    std::string text = "Usage: currantctl COMMAND [OPERANDS] --server IP:PORT,... --token-file FILE [OPTIONS]\n\nCommands (--help after a command shows its options and examples):\n";
+    std::string text = "Usage: currantctl COMMAND [OPERANDS] --server IP:PORT,... --token-file FILE [OPTIONS]\n\nCURRANTCTL_SERVERS and CURRANTCTL_TOKEN_FILE in the environment stand in for --server and --token-file.\n\nCommands (--help after a command shows its options and examples):\n";
     for (Usage const& it : usages) {
         std::string head = std::string(Core::nameOf(commandNames, it.command)) + " " + std::string(it.operands);
         text += "  " + head + std::string(22 - head.size(), ' ') + std::string(it.purpose) + "\n";
     }
-    text += "\nExamples:\n";
+    text += "\nExamples, with those set:\n";
     for (Usage const& it : usages)
         text += "  " + std::string(it.example) + "\n";
     return text + "\nExit codes: 0 done, 1 refused or (diff) different, 2 bad input, 3 outcome unknown (repeat with --id),\n4 no server answered, 5 unauthorized, 6 accepted but not yet in force everywhere, 7 not found, 8 bad answer.\n";
--- a/Libraries/LibOperator/CommandLine.h
+++ b/Libraries/LibOperator/CommandLine.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -68,8 +69,12 @@
     std::string path;
     std::string model;
 
-    /// Reads the arguments after the program's name. Errors: BadInput with one sentence. Thread-safe.
-    static Core::Result<CommandLine> parse(std::vector<std::string> const& arguments);
+    /// Returns a variable of the environment, or null; `std::getenv` in the program.
+    using Environment = std::function<char const*(char const* name)>;
+
+    /// Reads the arguments after the program's name; the environment gives servers, token file and author that
+    /// the arguments don't. Errors: BadInput with one sentence. Thread-safe.
+    static Core::Result<CommandLine> parse(std::vector<std::string> const& arguments, Environment const&);
 
     /// Returns the help of the whole program. Thread-safe.
     static std::string helpText();
--- a/Tests/LibOperator/TestCommands.cpp
+++ b/Tests/LibOperator/TestCommands.cpp
@@ -17,7 +17,7 @@
             if (!it.starts_with("--author") || isChange(arguments.front()))
                 arguments.push_back(it);
         }
-        Operator::CommandLine line = Operator::CommandLine::parse(arguments).value();
+        Operator::CommandLine line = Operator::CommandLine::parse(arguments, [](char const*) { return nullptr; }).value();
         std::unique_ptr<Operator::Client> client = Operator::Client::create(m_context, { line.servers, token, line.timeout });
         m_out.str("");
         m_err.str("");
--- a/Utilities/currantctl/main.cpp
+++ b/Utilities/currantctl/main.cpp
@@ -1,4 +1,5 @@
 #include <LibOperator/Commands.h>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -32,7 +33,7 @@
 int main(int argc, char** argv)
 {
     std::vector<std::string> arguments(argv + 1, argv + argc);
-    Core::Result<Operator::CommandLine> line = Operator::CommandLine::parse(arguments);
+    Core::Result<Operator::CommandLine> line = Operator::CommandLine::parse(arguments, [](char const* name) { return std::getenv(name); });
     if (!line)
         return fail(line.error().message + " (currantctl --help says more)");
     if (line.value().wantsHelp) {
