--- /dev/null
+++ b/Libraries/LibRoles/Planner.cpp
@@ -0,0 +1,165 @@
+#include <LibRoles/Planner.h>
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace Roles {
+
+namespace {
+
+bool decodes(TargetRole role)
+{
+    return role != TargetRole::Prefill;
+}
+
+// The role that an engine takes when it joins or leaves prefill; nothing when selectors forbid it.
+std::optional<TargetRole> roleAfter(EngineView const& engine, bool toPrefill, TargetRole outputRole)
+{
+    if (toPrefill)
+        return engine.allowed.has(TargetRole::Prefill) ? std::optional(TargetRole::Prefill) : std::nullopt;
+    TargetRole other = outputRole == TargetRole::Mixed ? TargetRole::Decode : TargetRole::Mixed;
+    if (engine.allowed.has(outputRole))
+        return outputRole;
+    return engine.allowed.has(other) ? std::optional(other) : std::nullopt;
+}
+
+// Engines that may move, the cheapest first: the least charge, then the least work to drain.
+std::vector<EngineView> movable(std::vector<EngineView> const& engines, bool toPrefill, TargetRole outputRole)
+{
+    std::vector<EngineView> found;
+    for (EngineView const& it : engines) {
+        bool isOnOtherSide = decodes(it.role) == toPrefill;
+        if (it.state == EngineState::Serving && isOnOtherSide && roleAfter(it, toPrefill, outputRole))
+            found.push_back(it);
+    }
+    auto isCheaper = [](EngineView const& a, EngineView const& b) {
+        if (a.changeCostSeconds != b.changeCostSeconds)
+            return a.changeCostSeconds < b.changeCostSeconds;
+        return a.running + a.waitingPromptTokens < b.running + b.waitingPromptTokens;
+    };
+    std::stable_sort(found.begin(), found.end(), isCheaper);
+    return found;
+}
+
+std::size_t countServing(std::vector<EngineView> const& engines, bool prefill)
+{
+    auto isCounted = [prefill](EngineView const& it) { return it.state == EngineState::Serving && decodes(it.role) != prefill; };
+    return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), isCounted));
+}
+
+std::size_t countChanging(std::vector<EngineView> const& engines)
+{
+    auto isChanging = [](EngineView const& it) { return it.state == EngineState::Changing; };
+    return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), isChanging));
+}
+
+}
+
+Split splitOf(std::vector<EngineView> const& engines)
+{
+    Split split;
+    for (EngineView const& it : engines) {
+        if (it.state == EngineState::Down)
+            continue;
+        double& count = it.role == TargetRole::Prefill ? split.prefill : (it.role == TargetRole::Decode ? split.decode : split.mixed);
+        count += 1;
+    }
+    return split;
+}
+
+Planner::Planner(Settings const& settings)
+    : m_settings(settings)
+    , m_mix(settings.mix, settings.rates)
+    , m_threshold(settings.pressureRatio, settings.sustainSeconds, settings.rates)
+{
+}
+
+Core::Result<Planner> Planner::create(Settings settings)
+{
+    if (settings.minOutput < 1)
+        return Core::fail(Core::ErrorCode::BadInput, "At least one engine that decodes must be kept.");
+    if (settings.maxChanging < 1)
+        return Core::fail(Core::ErrorCode::BadInput, "The bound on engines changing at once must be at least 1.");
+    if (settings.outputRole == TargetRole::Prefill)
+        return Core::fail(Core::ErrorCode::BadInput, "The role of engines that decode must be decode or mixed.");
+    EngineRates const& rates = settings.rates;
+    if (!(rates.prefillTokensPerSecond > 0) || !(rates.decodeTokensPerSecond > 0) || !(rates.mixedPrefillTokensPerSecond >= 0))
+        return Core::fail(Core::ErrorCode::BadInput, "Rates of engines must be above 0 tokens a second.");
+    if (!(settings.mix.fastSeconds > 0) || !(settings.mix.slowSeconds > 0) || !(settings.horizonSeconds > 0) || !(settings.margin >= 1))
+        return Core::fail(Core::ErrorCode::BadInput, "Time constants must be above 0 seconds and the margin at least 1.");
+    return Planner(settings);
+}
+
+double Planner::value(Split const& split) const
+{
+    double remaining = std::min(m_mix.remainingSeconds(), m_settings.horizonSeconds);
+    return remaining * goodRequestsPerSecond(m_mix.now(), split, m_settings.rates)
+        + (m_settings.horizonSeconds - remaining) * goodRequestsPerSecond(m_mix.average(), split, m_settings.rates);
+}
+
+// How many engines should join prefill (above 0) or leave it (below 0), by the expected gain in requests.
+int Planner::wantedMoves(FleetView const& view, Split const& split, double& gain) const
+{
+    double secondsLost = m_settings.changeSeconds + m_settings.drainSeconds;
+    double engines = split.prefill + split.decode + split.mixed;
+    Demand demand = m_mix.now();
+    // What an engine-second is worth at this demand.
+    double worth = goodRequestsPerSecond(demand, split, m_settings.rates) / std::max(1.0, engines);
+    double present = value(split);
+    int best = 0;
+    gain = 0;
+    for (bool toPrefill : { false, true }) {
+        double cost = 0;
+        int moves = 0;
+        Split moved = split;
+        for (EngineView const& it : movable(view.engines, toPrefill, m_settings.outputRole)) {
+            ++moves;
+            cost += worth * (secondsLost + it.changeCostSeconds);
+            TargetRole role = *roleAfter(it, toPrefill, m_settings.outputRole);
+            double& from = it.role == TargetRole::Prefill ? moved.prefill : (it.role == TargetRole::Decode ? moved.decode : moved.mixed);
+            double& to = role == TargetRole::Prefill ? moved.prefill : (role == TargetRole::Decode ? moved.decode : moved.mixed);
+            from -= 1;
+            to += 1;
+            double net = value(moved) - present - m_settings.margin * cost;
+            if (net > gain) {
+                gain = net;
+                best = toPrefill ? moves : -moves;
+            }
+        }
+    }
+    return best;
+}
+
+std::vector<RoleChange> Planner::plan(FleetView const& view)
+{
+    m_mix.add(view.counts, view.windowSeconds);
+    if (m_settings.policy == Policy::Fixed || m_mix.seenSeconds() < m_settings.warmUpSeconds)
+        return {};
+    Split split = splitOf(view.engines);
+    double gain = 0;
+    int moves = m_settings.policy == Policy::Threshold ? m_threshold.decide(m_mix.now(), split, view.windowSeconds) : wantedMoves(view, split, gain);
+    return chooseEngines(view, moves, m_settings, gain);
+}
+
+std::vector<RoleChange> chooseEngines(FleetView const& view, int moves, Settings const& settings, double gain)
+{
+    if (moves == 0)
+        return {};
+    bool toPrefill = moves > 0;
+    std::size_t changing = countChanging(view.engines);
+    std::size_t free = settings.maxChanging > changing ? settings.maxChanging - changing : 0;
+    std::size_t serving = countServing(view.engines, !toPrefill);
+    std::size_t kept = toPrefill ? settings.minOutput : settings.minPrefill;
+    std::size_t spare = serving > kept ? serving - kept : 0;
+    std::size_t most = std::min({ static_cast<std::size_t>(std::abs(moves)), free, spare });
+
+    std::vector<RoleChange> changes;
+    for (EngineView const& it : movable(view.engines, toPrefill, settings.outputRole)) {
+        if (changes.size() == most)
+            break;
+        changes.push_back({ it.engine, *roleAfter(it, toPrefill, settings.outputRole), gain });
+    }
+    return changes;
+}
+
+}
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -19,6 +19,10 @@
     std::uint32_t maxRunning { 24 }; ///< Requests that a target runs at once; more wait for a slot. 0: no limit known.
     double secondsPerSlot { 0.25 }; ///< Time for a full target to free one slot.
 
+    /// Added for each prompt token that a mixed target would compute beside running requests: it goes
+    /// slower there, and it delays the tokens of the others.
+    double besideSecondsPerPromptToken { 0.0005 };
+
     double imbalanceSeconds { 0.25 }; ///< PrefixAffinity: how much more than the least wait is accepted for a prefix.
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
     std::size_t scanLimit { 1024 }; ///< LeastCorrected and PrefixAffinity draw `wideSampleSize` from more candidates than this.
