--- a/Libraries/LibModel/Engine.cpp
+++ b/Libraries/LibModel/Engine.cpp
@@ -56,6 +56,7 @@
             std::uint32_t cached = std::min(job->prefixTokens, job->promptTokens - 1);
             job->promptLeft -= cached;
             m_waitingPromptTokens -= cached;
+            job->cachedTokens = cached;
         }
         m_prompts.push_back(job);
         m_promptTokensAdmitted += job->promptLeft;
@@ -92,7 +93,7 @@
     if (m_running.empty() && m_prompts.empty())
         return std::nullopt;
     std::uint32_t chunk = planChunks();
-    m_waitingPromptTokens -= chunk;
+    m_chunk = chunk;
     m_promptTokensAdmitted -= chunk;
     m_duration = m_settings.baseSeconds + static_cast<double>(m_running.size()) * m_settings.secondsPerRunning
         + m_runningTokens / 1000.0 * m_settings.secondsPerThousandResident + chunk * m_settings.secondsPerPromptToken;
@@ -104,6 +105,8 @@
 {
     assert(m_isIterating);
     m_isIterating = false;
+    m_waitingPromptTokens -= m_chunk;
+    m_chunk = 0;
     ++m_iteration;
     if (m_duration > tokenLimitSeconds)
         ++m_slowIterations;
@@ -159,6 +162,7 @@
     m_waitingCount = 0;
     m_waitingPromptTokens = 0;
     m_promptTokensAdmitted = 0;
+    m_chunk = 0;
     m_kvUsed = 0;
     m_runningTokens = 0;
     m_isIterating = false;
--- a/Libraries/LibModel/Engine.h
+++ b/Libraries/LibModel/Engine.h
@@ -78,6 +78,7 @@
     std::size_t m_waitingCount { 0 };
     std::uint64_t m_waitingPromptTokens { 0 }; ///< Of queued and admitted prompts.
     std::uint64_t m_promptTokensAdmitted { 0 };
+    std::uint32_t m_chunk { 0 }; ///< Prompt tokens of the iteration under way.
     std::deque<Job*> m_prompts; ///< Admitted, their prompts not yet done.
     std::vector<Job*> m_imported; ///< Running, their first token still to come here.
     std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
--- a/Libraries/LibModel/Entry.cpp
+++ b/Libraries/LibModel/Entry.cpp
@@ -1,5 +1,6 @@
 #include <LibModel/Entry.h>
 #include <algorithm>
+#include <utility>
 
 namespace Model {
 
@@ -85,11 +86,9 @@
     count(job.engine, { 0, 1, 0, job.countedTokens }, now);
 }
 
-std::vector<Routing::LoadCounts> Entry::takeCounts()
+Routing::LoadCounts Entry::takeCounts(std::uint32_t engine)
 {
-    std::vector<Routing::LoadCounts> counts(m_counts.size());
-    counts.swap(m_counts);
-    return counts;
+    return std::exchange(m_counts[engine], {});
 }
 
 }
--- a/Libraries/LibModel/Entry.h
+++ b/Libraries/LibModel/Entry.h
@@ -32,8 +32,8 @@
     /// Counts a request as ended at its engine.
     void ended(Job const&, Time now);
 
-    /// Takes the counts since the last call, one for each engine, to be told to peers.
-    std::vector<Routing::LoadCounts> takeCounts();
+    /// Takes the counts of an engine since the last call, to be told to peers.
+    Routing::LoadCounts takeCounts(std::uint32_t engine);
 
     Routing::LoadTable& loads() { return m_loads; }
     Routing::PrefixIndex& prefixes() { return m_prefixes; }
--- a/Libraries/LibModel/Figures.h
+++ b/Libraries/LibModel/Figures.h
@@ -38,6 +38,7 @@
     double seconds { 0 }; ///< Counted time.
     std::uint32_t roleChanges { 0 };
     std::uint64_t retries { 0 };
+    std::uint64_t notes { 0 }; ///< Counts told to peers at once.
     std::uint64_t cachedTokens { 0 }; ///< Prompt tokens that no engine had to compute.
     std::uint64_t promptTokens { 0 };
     std::vector<Interval> intervals;
--- a/Libraries/LibModel/Job.h
+++ b/Libraries/LibModel/Job.h
@@ -37,6 +37,7 @@
     std::uint8_t attempts { 0 };
     std::uint32_t engine { 0 };
     std::uint32_t countedTokens { 0 }; ///< Prompt tokens that its entry counted at the engine.
+    std::uint32_t cachedTokens { 0 }; ///< Prompt tokens that the engine found in its cache.
     std::uint32_t promptLeft { 0 };
     Time firstToken;
     std::uint64_t iterationAtStart { 0 };
--- a/Libraries/LibModel/Simulation.cpp
+++ b/Libraries/LibModel/Simulation.cpp
@@ -11,6 +11,7 @@
 
 constexpr double reportSeconds = 0.1; ///< How often an engine's state is read.
 constexpr double peerSeconds = 0.2; ///< How often entries tell each other their counts.
+constexpr double peerLatencySeconds = 0.001;
 constexpr double planSeconds = 1;
 constexpr double cacheEventDelaySeconds = 1;
 constexpr double cacheEventLostShare = 0.05;
@@ -115,6 +116,8 @@
     }
     case Kind::PeerCounts:
         return exchangeCounts();
+    case Kind::PeerTold:
+        return deliverNote();
     case Kind::Plan:
         return makePlan();
     case Kind::Changed:
@@ -175,10 +178,25 @@
 void Simulation::dispatch(Job& job, Entry& entry, Routing::Decision const& decision, bool hasPrompt)
 {
     entry.sent(job, decision.target, hasPrompt, m_now);
+    if (m_settings.tellAtOnceTokens > 0 && job.countedTokens >= m_settings.tellAtOnceTokens) {
+        m_peerNotes.push_back({ static_cast<std::size_t>(&entry - m_entries.data()), decision.target, entry.takeCounts(decision.target) });
+        schedule(m_now + duration(peerLatencySeconds), Kind::PeerTold);
+        ++m_figures.notes;
+    }
     m_slots[decision.target].engine.enqueue(job);
     wake(decision.target);
 }
 
+void Simulation::deliverNote()
+{
+    PeerNote note = m_peerNotes.front();
+    m_peerNotes.pop_front();
+    for (std::size_t to = 0; to < m_entries.size(); ++to) {
+        if (to != note.from)
+            m_entries[to].loads().count(note.engine, note.counts, m_now);
+    }
+}
+
 void Simulation::wake(std::uint32_t engine)
 {
     if (std::optional<Time> end = m_slots[engine].engine.start(m_now))
@@ -222,6 +240,8 @@
     Roles::ClassCounts& counts = m_counts[static_cast<std::size_t>(job.promptClass)];
     counts.endedRequests += 1;
     counts.outputTokens += job.outputTokens;
+    m_figures.promptTokens += job.promptTokens;
+    m_figures.cachedTokens += job.cachedTokens;
     double first = secondsOf(job.firstToken) - secondsOf(job.arrival);
     bool isLate = first > firstTokenLimitSeconds(job, m_scenario.engine);
     // 95 in 100: of n tokens, n / 20 rounded up may come late.
@@ -291,7 +311,9 @@
 void Simulation::exchangeCounts()
 {
     for (std::size_t from = 0; from < m_entries.size(); ++from) {
-        std::vector<Routing::LoadCounts> counts = m_entries[from].takeCounts();
+        std::vector<Routing::LoadCounts> counts;
+        for (std::uint32_t i = 0; i < m_slots.size(); ++i)
+            counts.push_back(m_entries[from].takeCounts(i));
         for (std::size_t to = 0; to < m_entries.size(); ++to) {
             for (std::uint32_t i = 0; to != from && i < m_slots.size(); ++i)
                 m_entries[to].loads().count(i, counts[i], m_now);
--- a/Libraries/LibModel/Simulation.h
+++ b/Libraries/LibModel/Simulation.h
@@ -22,6 +22,9 @@
     /// Asked on arrival with the estimated seconds until the first token: false sheds the request.
     std::function<bool(Job const&, double waitSeconds, Time now)> admit;
 
+    /// Entries tell each other every 0.2 s what they sent; of so many prompt tokens and more, at once. 0: never.
+    std::uint32_t tellAtOnceTokens { 1000 };
+
     double retryShare { 0.1 }; ///< Retries after a crash, at most this share of the requests accepted.
     std::uint64_t seed { 1 };
 };
@@ -43,6 +46,7 @@
         ReportDelivered,
         CacheEvent,
         PeerCounts,
+        PeerTold,
         Plan,
         Changed,
         EngineLost,
@@ -72,6 +76,12 @@
         bool isStored;
     };
 
+    struct PeerNote {
+        std::size_t from;
+        std::uint32_t engine;
+        Routing::LoadCounts counts;
+    };
+
     void schedule(Time, Kind, std::uint32_t index = 0, std::uint32_t version = 0);
     void handle(Event const&);
     void arrive(Job&);
@@ -84,6 +94,7 @@
     void takeReports();
     void deliverReports();
     void exchangeCounts();
+    void deliverNote();
     void makePlan();
     void startChange(Roles::RoleChange const&);
     void continueChange(std::uint32_t engine);
@@ -110,6 +121,7 @@
     std::mt19937_64 m_rng;
     std::deque<std::vector<Routing::LoadReport>> m_reports;
     std::deque<CacheNote> m_cacheNotes;
+    std::deque<PeerNote> m_peerNotes;
     std::vector<Engine::Event> m_happenings;
     Roles::MixCounts m_counts;
     Figures m_figures;
--- a/Libraries/LibRouting/LoadTable.cpp
+++ b/Libraries/LibRouting/LoadTable.cpp
@@ -24,11 +24,11 @@
     return time.time_since_epoch() / std::chrono::duration_cast<Time::duration>(m_settings.interval);
 }
 
-void LoadTable::take(Target& target, Interval& interval)
+double LoadTable::shrunk(double backlog, Time from, Time to) const
 {
-    target.requests -= interval.requests;
-    target.promptTokens -= interval.promptTokens;
-    interval = Interval {};
+    if (m_settings.promptTokensPerSecond <= 0 || to <= from)
+        return backlog;
+    return std::max(0.0, backlog - m_settings.promptTokensPerSecond * std::chrono::duration<double>(to - from).count());
 }
 
 bool LoadTable::report(std::size_t target, LoadReport const& report)
@@ -41,12 +41,35 @@
     // The interval that the report falls into stays counted: too much for a moment rather than too little.
     it.firstKept = intervalOf(report.asOf);
     for (Interval& interval : it.intervals) {
-        if (interval.number >= 0 && interval.number < it.firstKept)
-            take(it, interval);
+        if (interval.number >= 0 && interval.number < it.firstKept) {
+            it.requests -= interval.requests;
+            interval = Interval {};
+        }
     }
+    replay(it);
     return true;
 }
 
+// Starts from the report and lets the target work on, interval by interval.
+void LoadTable::replay(Target& target) const
+{
+    Time::duration width = m_settings.interval;
+    double backlog = target.report->waitingPromptTokens;
+    Time time = target.report->asOf;
+    std::int64_t last = std::max(intervalOf(target.backlogTime), target.firstKept);
+    std::int64_t first = std::max(target.firstKept, last + 1 - static_cast<std::int64_t>(target.intervals.size()));
+    for (std::int64_t number = first; number <= last; ++number) {
+        Interval const& interval = target.intervals[static_cast<std::size_t>(number) % target.intervals.size()];
+        if (interval.number != number)
+            continue;
+        Time middle = Time(width * number + width / 2);
+        backlog = shrunk(backlog, time, middle) + interval.promptTokens;
+        time = std::max(time, middle);
+    }
+    target.backlog = backlog;
+    target.backlogTime = time;
+}
+
 void LoadTable::count(std::size_t target, LoadCounts const& counts, Time now)
 {
     assert(target < m_targets.size());
@@ -57,16 +80,21 @@
     Interval& interval = it.intervals[static_cast<std::size_t>(number) % it.intervals.size()];
     if (interval.number > number)
         return;
+    bool isShrinking = m_settings.promptTokensPerSecond > 0;
     if (interval.number != number) {
-        take(it, interval);
-        interval.number = number;
+        it.requests -= interval.requests;
+        it.backlog -= isShrinking ? 0 : interval.promptTokens;
+        interval = Interval { number, 0, 0 };
     }
     std::int32_t requests = static_cast<std::int32_t>(counts.requestsSent) - static_cast<std::int32_t>(counts.requestsEnded);
-    std::int32_t tokens = static_cast<std::int32_t>(counts.promptTokensSent) - static_cast<std::int32_t>(counts.promptTokensDone);
+    std::int32_t tokens = static_cast<std::int32_t>(counts.promptTokensSent);
+    // A prompt that is done was partly done when the report was made: taking it all away would count twice.
+    tokens -= isShrinking ? 0 : static_cast<std::int32_t>(counts.promptTokensDone);
     interval.requests += requests;
     interval.promptTokens += tokens;
     it.requests += requests;
-    it.promptTokens += tokens;
+    it.backlog = shrunk(it.backlog, it.backlogTime, now) + tokens;
+    it.backlogTime = std::max(it.backlogTime, now);
 }
 
 void LoadTable::forget(std::size_t target)
@@ -90,7 +118,7 @@
         load.ageSeconds = std::max(0.0F, std::chrono::duration<float>(now - it.report->asOf).count());
     }
     load.requestsSince = it.requests;
-    load.promptTokensSince = it.promptTokens;
+    load.promptTokensSince = static_cast<std::int32_t>(shrunk(it.backlog, it.backlogTime, now)) - static_cast<std::int32_t>(load.waitingPromptTokens);
     return load;
 }
 
--- a/Libraries/LibRouting/LoadTable.h
+++ b/Libraries/LibRouting/LoadTable.h
@@ -39,6 +39,10 @@
     struct Settings {
         std::chrono::milliseconds interval { 100 }; ///< Width of an interval.
         std::size_t intervals { 64 }; ///< Counts older than interval * intervals are forgotten.
+
+        /// How fast a target works its prompts off: what was reported waiting, and what was sent since, is
+        /// taken to shrink at this rate. 0: it shrinks by the counts of prompts done alone.
+        double promptTokensPerSecond { 7600 };
     };
 
     /// Creates an empty table. Fails with `BadInput` when a setting is zero.
@@ -82,19 +86,21 @@
     struct Interval {
         std::int64_t number { -1 };
         std::int32_t requests { 0 };
-        std::int32_t promptTokens { 0 };
+        std::int32_t promptTokens { 0 }; ///< Sent; less those done when nothing is taken to shrink by itself.
     };
 
     struct Target {
         std::optional<LoadReport> report;
         std::int64_t firstKept { 0 }; ///< Intervals before this one are part of the report.
         std::int32_t requests { 0 };
-        std::int32_t promptTokens { 0 };
+        double backlog { 0 }; ///< Prompt tokens waiting at `backlogTime`, as estimated.
+        Time backlogTime {};
         std::vector<Interval> intervals;
     };
 
     std::int64_t intervalOf(Time) const;
-    static void take(Target&, Interval&);
+    double shrunk(double backlog, Time from, Time to) const;
+    void replay(Target&) const;
 
     Settings m_settings;
     std::vector<Target> m_targets;
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -120,7 +120,7 @@
         return Core::fail(Core::ErrorCode::BadInput, "The sample size must be between 2 and 64.");
     if (settings.wideSampleSize < 2 || settings.wideSampleSize > maxSampleSize)
         return Core::fail(Core::ErrorCode::BadInput, "The wide sample size must be between 2 and 64.");
-    std::array<double, 9> seconds { settings.besideSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
+    std::array<double, 10> seconds { settings.besideSecondsPerPromptToken, settings.transferSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
         settings.secondsPerPromptToken, settings.secondsPerRequest, settings.fullPenaltySeconds, settings.secondsPerSlot, settings.imbalanceSeconds };
     for (double n : seconds) {
         if (!(n >= 0) || n > 3600)
@@ -158,6 +158,8 @@
         wait += tokens * m_settings.secondsPerPromptToken;
     if (shape.phase != Phase::Decode && candidate.role == TargetRole::Mixed && requests > 0)
         wait += (shape.promptTokens - std::min(candidate.prefixMatchTokens, shape.promptTokens)) * m_settings.besideSecondsPerPromptToken;
+    if (candidate.role == TargetRole::Prefill)
+        wait += shape.promptTokens * m_settings.transferSecondsPerPromptToken;
     if (m_settings.maxRunning != 0 && candidate.role != TargetRole::Prefill && requests >= m_settings.maxRunning)
         wait += (requests - m_settings.maxRunning + 1) * m_settings.secondsPerSlot;
     if (load.kvCapacityTokens != 0 && kv + shape.promptTokens + shape.expectedOutputTokens > load.kvCapacityTokens)
--- a/Tests/LibRouting/TestLoadTable.cpp
+++ b/Tests/LibRouting/TestLoadTable.cpp
@@ -14,9 +14,12 @@
     return Time(milliseconds(ms));
 }
 
-LoadTable makeTable()
+// Without the rate, sums are exact; the rate has its own tests.
+LoadTable makeTable(double promptTokensPerSecond = 0)
 {
-    LoadTable table = LoadTable::create({}).value();
+    LoadTable::Settings settings;
+    settings.promptTokensPerSecond = promptTokensPerSecond;
+    LoadTable table = LoadTable::create(settings).value();
     table.resize(2);
     return table;
 }
@@ -65,6 +68,30 @@
     EXPECT_EQ(table.load(0, at(7400)).promptTokensSince, 50);
 }
 
+TEST(LoadTable, BacklogShrinksAtTheRateAndNeverBelowZero)
+{
+    LoadTable table = makeTable(1000);
+    EXPECT_TRUE(table.report(0, { at(1000), 1, 0, 500, 0, 0 }));
+    EXPECT_EQ(table.load(0, at(1200)).promptTokensSince, -200);
+    EXPECT_EQ(table.load(0, at(9000)).promptTokensSince, -500);
+    // Sent after it had nothing left: all of it waits.
+    table.sent(0, 800, at(9000));
+    EXPECT_EQ(table.load(0, at(9100)).promptTokensSince, -500 + 700);
+    // What was done is already in the rate.
+    table.prefilled(0, 800, at(9100));
+    EXPECT_EQ(table.load(0, at(9100)).promptTokensSince, -500 + 700);
+}
+
+TEST(LoadTable, AReportReplaysWhatWasSentAfterIt)
+{
+    LoadTable table = makeTable(1000);
+    table.sent(0, 300, at(1050));
+    table.sent(0, 800, at(2050));
+    EXPECT_TRUE(table.report(0, { at(1500), 0, 0, 0, 0, 0 }));
+    EXPECT_EQ(table.load(0, at(2050)).promptTokensSince, 800);
+    EXPECT_EQ(table.load(0, at(2350)).promptTokensSince, 500);
+}
+
 // Against a list of all counts: the sums are those of the intervals not covered by the newest report.
 RC_GTEST_PROP(LoadTable, SumsMatchAListOfAllCounts, ())
 {
--- /dev/null
+++ b/Utilities/currantvale-measure/Comparison.cpp
@@ -0,0 +1,212 @@
+#include "Comparison.h"
+#include <LibModel/Oracle.h>
+#include <LibRoles/Planner.h>
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <memory>
+#include <thread>
+
+namespace Measure {
+
+namespace {
+
+using Model::Figures;
+using Model::Scenario;
+using Routing::TargetRole;
+
+// One run of the comparison; best-of choices have several, of which the best counts.
+struct Run {
+    std::size_t row;
+    std::uint64_t seed;
+    std::string choice;
+    Model::Oracle::Settings oracle;
+    Figures figures;
+};
+
+constexpr int mostFixed = 8;
+
+std::string fixedName(int prefill)
+{
+    return "fixed-" + std::to_string(prefill);
+}
+
+std::vector<TargetRole> rolesWith(std::uint32_t engines, int prefill)
+{
+    std::vector<TargetRole> roles(engines, TargetRole::Mixed);
+    std::fill_n(roles.begin(), prefill, TargetRole::Prefill);
+    return roles;
+}
+
+Model::RunSettings settingsOf(Run const& run, Scenario const& scenario, Routing::Policy routing, Trial const& trial)
+{
+    Model::RunSettings settings;
+    settings.routing = trial.routing;
+    settings.routing.policy = routing;
+    settings.tellAtOnceTokens = trial.tellAtOnceTokens;
+    settings.seed = run.seed;
+    if (trial.admitShare > 0) {
+        settings.admit = [engine = scenario.engine, share = trial.admitShare](Model::Job const& job, double wait, Model::Time) {
+            return wait <= share * Model::firstTokenLimitSeconds(job, engine);
+        };
+    }
+    std::uint32_t engines = scenario.workload.engines;
+    if (run.choice.starts_with("fixed-")) {
+        settings.roles = rolesWith(engines, std::stoi(run.choice.substr(6)));
+        return settings;
+    }
+    // Every adaptive choice starts with the oracle's first split.
+    std::shared_ptr<Model::Oracle> oracle = std::make_shared<Model::Oracle>(scenario, trial.roles, run.oracle);
+    settings.roles = rolesWith(engines, oracle->first());
+    if (run.choice == "oracle") {
+        settings.plan = [oracle](Roles::FleetView const& view, double seconds) { return oracle->plan(view, seconds); };
+        return settings;
+    }
+    Roles::Settings roles = trial.roles;
+    roles.policy = run.choice == "threshold" ? Roles::Policy::Threshold : Roles::Policy::Planner;
+    std::shared_ptr<Roles::Planner> planner = std::make_shared<Roles::Planner>(Roles::Planner::create(roles).value());
+    settings.plan = [planner](Roles::FleetView const& view, double) { return planner->plan(view); };
+    return settings;
+}
+
+// Good requests a second, less the engine-seconds charged to changes at what an engine-second was worth.
+double valueOf(Figures const& figures, Scenario const& scenario)
+{
+    double worth = figures.goodput() / scenario.workload.engines;
+    return figures.goodput() - worth * figures.roleChanges * scenario.changeCostSeconds / figures.seconds;
+}
+
+void addRuns(std::vector<Run>& runs, std::size_t row, std::uint64_t seed, std::string const& choice)
+{
+    if (choice == "best-fixed" || choice == "oracle") {
+        for (int n = 0; n <= mostFixed; ++n)
+            runs.push_back({ row, seed, fixedName(n), {}, {} });
+    }
+    if (choice == "best-fixed")
+        return;
+    if (choice != "oracle") {
+        runs.push_back({ row, seed, choice, {}, {} });
+        return;
+    }
+    for (double lead : { 0.0, 5.0, 10.0 }) {
+        for (double factor : { 0.5, 1.0, 3.0 })
+            runs.push_back({ row, seed, choice, { 5, lead, factor, 0 }, {} });
+    }
+}
+
+void execute(std::vector<Run>& runs, std::vector<Row> const& rows, ComparisonSettings const& settings, std::vector<std::size_t> const& scenarioOfRow)
+{
+    std::atomic<std::size_t> next { 0 };
+    auto work = [&] {
+        for (std::size_t i = next++; i < runs.size(); i = next++) {
+            Run& run = runs[i];
+            Scenario scenario = settings.scenarios[scenarioOfRow[run.row]];
+            scenario.engine = settings.trial.engine;
+            Routing::Policy routing = Core::valueOf(Routing::policyNames, rows[run.row].routing).value();
+            run.figures = Model::Simulation(scenario, settingsOf(run, scenario, routing, settings.trial)).run();
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned i = 0; i < std::max(1U, settings.threads); ++i)
+        threads.emplace_back(work);
+    for (std::thread& it : threads)
+        it.join();
+}
+
+std::string nameOf(Run const& run)
+{
+    if (run.choice != "oracle")
+        return run.choice;
+    return "lead " + std::to_string(static_cast<int>(run.oracle.leadSeconds)) + " s";
+}
+
+void addTo(Row& row, Run const& run, Scenario const& scenario, double weight)
+{
+    Figures const& it = run.figures;
+    double offered = std::max<double>(1, static_cast<double>(it.all.offered));
+    auto share = [offered, weight](std::uint64_t n) { return weight * static_cast<double>(n) / offered; };
+    row.goodput += weight * it.goodput();
+    row.goodShare += share(it.all.good);
+    row.lateShare += share(it.all.lateFirst);
+    row.slowShare += share(it.all.slow);
+    row.shedShare += share(it.all.shed);
+    row.lostShare += share(it.all.lost);
+    row.retryShare += share(it.retries);
+    row.roleChanges += weight * it.roleChanges;
+    row.value += weight * valueOf(it, scenario);
+    row.urgentShare += weight * it.byPriority[1].goodShare();
+    row.deferrableShare += weight * it.byPriority[8].goodShare();
+    row.otherShare += weight * static_cast<double>(it.all.good - it.flooding.good) / std::max<double>(1, static_cast<double>(it.all.offered - it.flooding.offered));
+    row.cachedShare += weight * static_cast<double>(it.cachedTokens) / std::max<double>(1, static_cast<double>(it.promptTokens));
+    row.notesPerSecond += weight * static_cast<double>(it.notes) / it.seconds;
+}
+
+// Takes the best run of each seed into the row.
+void summarise(Row& row, std::size_t index, std::vector<Run> const& runs, Scenario const& scenario, ComparisonSettings const& settings)
+{
+    std::vector<double> goodputs;
+    for (std::uint64_t seed = settings.firstSeed; seed < settings.firstSeed + settings.seeds; ++seed) {
+        Run const* best = nullptr;
+        for (Run const& it : runs) {
+            bool isHere = it.row == index && it.seed == seed;
+            if (isHere && (!best || valueOf(it.figures, scenario) > valueOf(best->figures, scenario)))
+                best = &it;
+        }
+        addTo(row, *best, scenario, 1.0 / static_cast<double>(settings.seeds));
+        goodputs.push_back(best->figures.goodput());
+        if (seed == settings.firstSeed) {
+            row.figures = best->figures;
+            row.detail = row.roles == "best-fixed" || row.roles == "oracle" ? nameOf(*best) : "";
+        }
+    }
+    double sum = 0;
+    for (double n : goodputs)
+        sum += (n - row.goodput) * (n - row.goodput);
+    row.goodputDeviation = goodputs.size() > 1 ? std::sqrt(sum / static_cast<double>(goodputs.size() - 1)) : 0;
+}
+
+}
+
+std::vector<std::string> roleChoices()
+{
+    std::vector<std::string> names;
+    for (int n = 0; n <= mostFixed; ++n)
+        names.push_back(fixedName(n));
+    names.insert(names.end(), { "best-fixed", "threshold", "planner", "oracle" });
+    return names;
+}
+
+std::vector<Row> compare(ComparisonSettings const& settings)
+{
+    std::vector<Row> rows;
+    std::vector<std::size_t> scenarioOfRow;
+    std::vector<Run> runs;
+    auto addRow = [&](std::size_t scenario, Routing::Policy routing, std::string const& roles) {
+        Row row;
+        row.scenario = settings.scenarios[scenario].name;
+        row.routing = Core::nameOf(Routing::policyNames, routing);
+        row.roles = roles;
+        for (std::uint64_t i = 0; i < settings.seeds; ++i)
+            addRuns(runs, rows.size(), settings.firstSeed + i, roles);
+        rows.push_back(row);
+        scenarioOfRow.push_back(scenario);
+    };
+    for (std::size_t i = 0; i < settings.scenarios.size(); ++i) {
+        for (std::string const& it : settings.roles)
+            addRow(i, settings.trial.routing.policy, it);
+        for (Routing::Policy it : settings.routing)
+            addRow(i, it, "planner");
+    }
+    execute(runs, rows, settings, scenarioOfRow);
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        summarise(rows[i], i, runs, settings.scenarios[scenarioOfRow[i]], settings);
+    for (Row& row : rows) {
+        auto isOracle = [&row](Row const& it) { return it.roles == "oracle" && it.scenario == row.scenario; };
+        auto oracle = std::find_if(rows.begin(), rows.end(), isOracle);
+        if (oracle != rows.end() && oracle->goodput > 0)
+            row.oracleShare = row.goodput / oracle->goodput;
+    }
+    return rows;
+}
+
+}
--- a/Utilities/currantvale-measure/main.cpp
+++ b/Utilities/currantvale-measure/main.cpp
@@ -1,46 +1,158 @@
-#include <LibModel/Oracle.h>
-#include <LibModel/Simulation.h>
-#include <LibRoles/Planner.h>
-#include <cstdio>
-#include <cstring>
-#include <memory>
-int main(int argc, char** argv)
+#include "Comparison.h"
+#include "Output.h"
+#include "RouterCost.h"
+#include "SvgPlot.h"
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using Words = std::vector<std::string>;
+
+constexpr int usageError = 2;
+
+int refuse(std::string const& what)
 {
-    std::string want = argc > 1 ? argv[1] : "pensions/swing";
-    for (Model::Scenario const& s : Model::allScenarios()) {
-        if (s.name != want) continue;
-        auto show = [&](char const* name, Model::RunSettings r) {
-            Model::Figures f = Model::Simulation(s, r).run();
-            std::printf("%-24s good/s %.3f offered %lu good %.3f late %lu slow %lu shed %lu lost %lu changes %u  short %.3f long %.3f\n", name, f.goodput(), f.all.offered, f.all.goodShare(), f.all.lateFirst, f.all.slow, f.all.shed, f.all.lost, f.roleChanges, f.byClass[0].goodShare(), f.byClass[1].goodShare());
-        };
-        auto roles = [](int p) { std::vector<Routing::TargetRole> r(9, Routing::TargetRole::Mixed); for (int i = 0; i < p; ++i) r[static_cast<std::size_t>(i)] = Routing::TargetRole::Prefill; return r; };
-        auto admit = [&](Model::Job const& j, double wait, Model::Time) { return wait <= Model::firstTokenLimitSeconds(j, s.engine); };
-        for (int p = 0; p < 9; ++p) {
-            Model::RunSettings r;
-            r.roles = roles(p); r.admit = admit;
-            show(("fixed " + std::to_string(p)).c_str(), r);
-        }
-        for (auto const& [policy, name] : Roles::policyNames) {
-            if (policy == Roles::Policy::Fixed) continue;
-            Roles::Settings rs; rs.policy = policy;
-            auto planner = std::make_shared<Roles::Planner>(Roles::Planner::create(rs).value());
-            Model::RunSettings r; r.roles = roles(7); r.admit = admit;
-            r.plan = [planner](Roles::FleetView const& v, double) { return planner->plan(v); };
-            show(std::string(name).c_str(), r);
+    std::cerr << "currantvale-measure: " << what << "\n";
+    return usageError;
+}
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("currantvale-measure", "Runs the daemon's routing and role decisions against an engine model in virtual time.\n"
+                                                    "Without options it prints the full table of policies by scenarios.\n");
+    cxxopts::OptionAdder add = options.add_options();
+    add("scenario", "scenarios to run, or a part of their names such as 'pensions/' (default: all)", cxxopts::value<Words>());
+    add("policy", "routing policies to compare, 'all' or 'none'", cxxopts::value<Words>()->default_value("all"));
+    add("roles", "role choices to compare, 'all' (best-fixed, fixed-0, threshold, planner, oracle) or 'none'", cxxopts::value<Words>()->default_value("all"));
+    add("seed", "the first seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seeds", "how many seeds to take the mean of", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("threads", "independent runs at a time; the figures do not depend on it", cxxopts::value<unsigned>()->default_value("6"));
+    add("set", "change a setting for a trial, NAME=VALUE:" + Measure::settingNames(), cxxopts::value<Words>());
+    add("output", "table, csv or json", cxxopts::value<std::string>()->default_value("table"));
+    add("plot", "write a picture of one scenario to this SVG file", cxxopts::value<std::string>());
+    add("router-cost", "print the processor time of a routing decision instead");
+    add("list", "list scenarios, policies and role choices");
+    add("h,help", "this text");
+    return options;
+}
+
+int list()
+{
+    for (Model::Scenario const& it : Model::allScenarios())
+        std::cout << it.name << ": " << it.description << "\n";
+    std::cout << "\nrouting:";
+    for (auto const& [policy, name] : Routing::policyNames)
+        std::cout << " " << name;
+    std::cout << "\nroles:";
+    for (std::string const& it : Measure::roleChoices())
+        std::cout << " " << it;
+    std::cout << "\n";
+    return 0;
+}
+
+Core::Result<std::vector<Model::Scenario>> chooseScenarios(Words const& words)
+{
+    std::vector<Model::Scenario> chosen;
+    for (Model::Scenario const& it : Model::allScenarios()) {
+        auto isMeant = [&it](std::string const& word) { return word == it.name || (word.ends_with('/') && it.name.starts_with(word)) || it.name.ends_with("/" + word); };
+        if (words.empty() || std::any_of(words.begin(), words.end(), isMeant))
+            chosen.push_back(it);
+    }
+    if (chosen.empty())
+        return Core::fail(Core::ErrorCode::BadInput, "no such scenario; see --list");
+    return chosen;
+}
+
+Core::Result<std::vector<Routing::Policy>> choosePolicies(Words const& words)
+{
+    std::vector<Routing::Policy> chosen;
+    if (words == Words { "none" })
+        return chosen;
+    for (auto const& [policy, name] : Routing::policyNames) {
+        if (words == Words { "all" } || std::find(words.begin(), words.end(), name) != words.end())
+            chosen.push_back(policy);
+    }
+    if (chosen.empty())
+        return Core::fail(Core::ErrorCode::BadInput, "no such routing policy; see --list");
+    return chosen;
+}
+
+Core::Result<Words> chooseRoles(Words const& words)
+{
+    if (words == Words { "none" })
+        return Words {};
+    if (words == Words { "all" })
+        return Words { "oracle", "best-fixed", "fixed-0", "threshold", "planner" };
+    Words known = Measure::roleChoices();
+    for (std::string const& it : words) {
+        if (std::find(known.begin(), known.end(), it) == known.end())
+            return Core::fail(Core::ErrorCode::BadInput, "no such choice of roles: " + it + "; see --list");
+    }
+    return words;
+}
+
+Core::Result<Measure::ComparisonSettings> readSettings(cxxopts::ParseResult const& read)
+{
+    Measure::ComparisonSettings settings;
+    BOOST_OUTCOME_TRY(settings.scenarios, chooseScenarios(read.count("scenario") ? read["scenario"].as<Words>() : Words {}));
+    BOOST_OUTCOME_TRY(settings.routing, choosePolicies(read["policy"].as<Words>()));
+    BOOST_OUTCOME_TRY(settings.roles, chooseRoles(read["roles"].as<Words>()));
+    settings.firstSeed = read["seed"].as<std::uint64_t>();
+    settings.seeds = read["seeds"].as<std::uint64_t>();
+    settings.threads = read["threads"].as<unsigned>();
+    if (settings.seeds == 0)
+        return Core::fail(Core::ErrorCode::BadInput, "--seeds must be at least 1");
+    if (read.count("set")) {
+        for (std::string const& it : read["set"].as<Words>()) {
+            BOOST_OUTCOME_TRY(Measure::change(settings.trial, it));
         }
-        Roles::Settings rs;
-        for (double lead : {0., 5., 10.}) for (double factor : {0.5, 1., 3.}) {
-            auto oracle = std::make_shared<Model::Oracle>(s, rs, Model::Oracle::Settings { 5, lead, factor, 0 });
-            Model::RunSettings r; r.roles = roles(oracle->first()); r.admit = admit;
-            r.plan = [oracle](Roles::FleetView const& v, double t) { return oracle->plan(v, t); };
-            char name[64]; std::snprintf(name, 64, "oracle lead %g factor %g", lead, factor);
-            show(name, r);
+    }
+    return settings;
+}
+
+int run(cxxopts::ParseResult const& read)
+{
+    std::optional<Measure::Format> format = Core::valueOf(Measure::formatNames, read["output"].as<std::string>());
+    if (!format)
+        return refuse("--output must be table, csv or json");
+    Core::Result<Measure::ComparisonSettings> settings = readSettings(read);
+    if (settings.has_error())
+        return refuse(settings.error().message);
+    if (read.count("plot") && settings.value().scenarios.size() != 1)
+        return refuse("--plot needs one --scenario");
+    std::vector<Measure::Row> rows = Measure::compare(settings.value());
+    Measure::print(std::cout, rows, *format);
+    if (read.count("plot") && !rows.empty()) {
+        std::ofstream file(read["plot"].as<std::string>());
+        Measure::writeSvg(file, rows);
+        if (!file)
+            return refuse("cannot write " + read["plot"].as<std::string>());
+    }
+    return 0;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options = makeOptions();
+    try {
+        cxxopts::ParseResult read = options.parse(argc, argv);
+        if (read.count("help")) {
+            std::cout << options.help();
+            return 0;
         }
-        for (auto const& [policy, name] : Routing::policyNames) {
-            auto oracle = std::make_shared<Model::Oracle>(s, rs, Model::Oracle::Settings { 5, 5, 1, 0 });
-            Model::RunSettings r; r.roles = roles(oracle->first()); r.admit = admit; r.routing.policy = policy;
-            r.plan = [oracle](Roles::FleetView const& v, double t) { return oracle->plan(v, t); };
-            show(std::string(name).c_str(), r);
+        if (read.count("list"))
+            return list();
+        if (read.count("router-cost")) {
+            Measure::printRouterCost(std::cout);
+            return 0;
         }
+        return run(read);
+    } catch (std::exception const& e) {
+        return refuse(e.what());
     }
 }
