--- a/Libraries/LibModel/Entry.cpp
+++ b/Libraries/LibModel/Entry.cpp
@@ -48,7 +48,9 @@
 {
     fillCandidates(job, facts, now);
     constexpr std::uint32_t expectedOutputTokens = 300;
-    Routing::RequestShape shape { phase, job.priority, job.promptTokens, expectedOutputTokens, job.prefixHash };
+    // At the time of placing the output, the request itself is no longer on its way.
+    double pending = job.isImported ? 0 : Routing::pendingOutputs(m_candidates);
+    Routing::RequestShape shape { phase, job.priority, job.promptTokens, expectedOutputTokens, pending, job.prefixHash };
     return router.decide(m_candidates, shape, m_rng);
 }
 
--- a/Libraries/LibRouting/Load.h
+++ b/Libraries/LibRouting/Load.h
@@ -17,6 +17,8 @@
     // Counted since the state that the report shows. Negative: more ended than was sent.
     std::int32_t requestsSince { 0 };
     std::int32_t promptTokensSince { 0 };
+
+    float promptTokensPerSecond { 0 }; ///< Sent to it lately, by this daemon and its peers.
 };
 
 }
--- a/Libraries/LibRouting/LoadTable.cpp
+++ b/Libraries/LibRouting/LoadTable.cpp
@@ -1,13 +1,14 @@
 #include <LibRouting/LoadTable.h>
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace Routing {
 
 Core::Result<LoadTable> LoadTable::create(Settings settings)
 {
-    if (settings.interval.count() <= 0 || settings.intervals == 0)
-        return Core::fail(Core::ErrorCode::BadInput, "A load table needs an interval and a number of intervals above 0.");
+    if (settings.interval.count() <= 0 || settings.intervals == 0 || !(settings.rateSeconds > 0))
+        return Core::fail(Core::ErrorCode::BadInput, "A load table needs an interval, a number of intervals and a time constant above 0.");
     return LoadTable(settings);
 }
 
@@ -95,6 +96,14 @@
     it.requests += requests;
     it.backlog = shrunk(it.backlog, it.backlogTime, now) + tokens;
     it.backlogTime = std::max(it.backlogTime, now);
+    it.rate = rateAt(it, now) + counts.promptTokensSent / m_settings.rateSeconds;
+    it.rateTime = std::max(it.rateTime, now);
+}
+
+double LoadTable::rateAt(Target const& target, Time now) const
+{
+    double seconds = std::chrono::duration<double>(now - target.rateTime).count();
+    return target.rate * std::exp(-std::max(0.0, seconds) / m_settings.rateSeconds);
 }
 
 void LoadTable::forget(std::size_t target)
@@ -119,6 +128,7 @@
     }
     load.requestsSince = it.requests;
     load.promptTokensSince = static_cast<std::int32_t>(shrunk(it.backlog, it.backlogTime, now)) - static_cast<std::int32_t>(load.waitingPromptTokens);
+    load.promptTokensPerSecond = static_cast<float>(rateAt(it, now));
     return load;
 }
 
--- a/Libraries/LibRouting/LoadTable.h
+++ b/Libraries/LibRouting/LoadTable.h
@@ -43,6 +43,8 @@
         /// How fast a target works its prompts off: what was reported waiting, and what was sent since, is
         /// taken to shrink at this rate. 0: it shrinks by the counts of prompts done alone.
         double promptTokensPerSecond { 7600 };
+
+        double rateSeconds { 3 }; ///< Time constant of the rate of prompt tokens sent to a target.
     };
 
     /// Creates an empty table. Fails with `BadInput` when a setting is zero.
@@ -95,12 +97,15 @@
         std::int32_t requests { 0 };
         double backlog { 0 }; ///< Prompt tokens waiting at `backlogTime`, as estimated.
         Time backlogTime {};
+        double rate { 0 }; ///< Prompt tokens a second sent to it, at `rateTime`.
+        Time rateTime {};
         std::vector<Interval> intervals;
     };
 
     std::int64_t intervalOf(Time) const;
     double shrunk(double backlog, Time from, Time to) const;
     void replay(Target&) const;
+    double rateAt(Target const&, Time) const;
 
     Settings m_settings;
     std::vector<Target> m_targets;
--- a/Libraries/LibRouting/RequestShape.h
+++ b/Libraries/LibRouting/RequestShape.h
@@ -10,6 +10,7 @@
     std::uint8_t priority { 5 }; ///< 0 is served first, 9 last.
     std::uint32_t promptTokens { 0 };
     std::uint32_t expectedOutputTokens { 0 };
+    double pendingOutputs { 0 }; ///< Requests that each target which decodes will get from prefill targets; see `pendingOutputs()`.
     std::uint64_t prefixHash { 0 }; ///< Of the longest reusable prefix; 0: none. Logged only; matches are in the candidates.
 };
 
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -114,18 +114,33 @@
     return false;
 }
 
+double pendingOutputs(std::span<Candidate const> candidates)
+{
+    double requests = 0;
+    double targets = 0;
+    for (Candidate const& it : candidates) {
+        if (it.role == TargetRole::Prefill)
+            requests += std::max(0.0, static_cast<double>(it.load.running) + it.load.waiting + it.load.requestsSince);
+        else
+            targets += it.closed ? 0 : 1;
+    }
+    return targets > 0 ? requests / targets : 0;
+}
+
 Core::Result<Router> Router::create(Settings settings)
 {
     if (settings.sampleSize < 2 || settings.sampleSize > maxSampleSize)
         return Core::fail(Core::ErrorCode::BadInput, "The sample size must be between 2 and 64.");
     if (settings.wideSampleSize < 2 || settings.wideSampleSize > maxSampleSize)
         return Core::fail(Core::ErrorCode::BadInput, "The wide sample size must be between 2 and 64.");
-    std::array<double, 10> seconds { settings.besideSecondsPerPromptToken, settings.transferSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
+    std::array<double, 11> seconds { settings.besideOverSeconds, settings.besideSecondsPerPromptToken, settings.transferSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
         settings.secondsPerPromptToken, settings.secondsPerRequest, settings.fullPenaltySeconds, settings.secondsPerSlot, settings.imbalanceSeconds };
     for (double n : seconds) {
         if (!(n >= 0) || n > 3600)
             return Core::fail(Core::ErrorCode::BadInput, "Penalties and rates of a router must be between 0 and 3600 seconds.");
     }
+    if (!(settings.besideTokensPerSecond > 0) || !(settings.besideWindowSeconds > 0))
+        return Core::fail(Core::ErrorCode::BadInput, "The rate and window of prompts beside running requests must be above 0.");
     return Router(settings);
 }
 
@@ -142,6 +157,16 @@
     return (shape.promptTokens - cached) * m_settings.secondsPerPromptToken;
 }
 
+double Router::besideSeconds(Candidate const& candidate, RequestShape const& shape, bool isCorrected) const
+{
+    std::uint32_t tokens = shape.promptTokens - std::min(candidate.prefixMatchTokens, shape.promptTokens);
+    double seconds = tokens * m_settings.besideSecondsPerPromptToken;
+    if (!isCorrected)
+        return seconds;
+    double rate = candidate.load.promptTokensPerSecond + tokens / m_settings.besideWindowSeconds;
+    return seconds + std::max(0.0, rate / m_settings.besideTokensPerSecond - 1) * m_settings.besideOverSeconds;
+}
+
 double Router::waitSeconds(Candidate const& candidate, RequestShape const& shape, bool isCorrected) const
 {
     Load const& load = candidate.load;
@@ -157,11 +182,12 @@
     if (shape.phase != Phase::Decode)
         wait += tokens * m_settings.secondsPerPromptToken;
     if (shape.phase != Phase::Decode && candidate.role == TargetRole::Mixed && requests > 0)
-        wait += (shape.promptTokens - std::min(candidate.prefixMatchTokens, shape.promptTokens)) * m_settings.besideSecondsPerPromptToken;
+        wait += besideSeconds(candidate, shape, isCorrected);
     if (candidate.role == TargetRole::Prefill)
         wait += shape.promptTokens * m_settings.transferSecondsPerPromptToken;
-    if (m_settings.maxRunning != 0 && candidate.role != TargetRole::Prefill && requests >= m_settings.maxRunning)
-        wait += (requests - m_settings.maxRunning + 1) * m_settings.secondsPerSlot;
+    double slots = requests + shape.pendingOutputs;
+    if (m_settings.maxRunning != 0 && candidate.role != TargetRole::Prefill && slots >= m_settings.maxRunning)
+        wait += (slots - m_settings.maxRunning + 1) * m_settings.secondsPerSlot;
     if (load.kvCapacityTokens != 0 && kv + shape.promptTokens + shape.expectedOutputTokens > load.kvCapacityTokens)
         wait += m_settings.fullPenaltySeconds;
     return wait;
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -37,6 +37,7 @@
     struct Best;
     struct Sample;
 
+    double besideSeconds(Candidate const&, RequestShape const&, bool isCorrected) const;
     double zonePenalty(Candidate const&) const;
     double prefillSeconds(Candidate const&, RequestShape const&) const;
     Decision decideRandom(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
@@ -49,6 +50,10 @@
     Settings m_settings;
 };
 
+/// Returns how many requests now at prefill targets will come to each open target that decodes, on average.
+/// An admission check that ignores them accepts what will find no slot. Thread-safe.
+double pendingOutputs(std::span<Candidate const>);
+
 /// Returns whether a target in this role takes this phase of a request. Thread-safe.
 bool takes(TargetRole, Phase);
 
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -17,11 +17,15 @@
     double secondsPerRequest { 0.004 }; ///< How much one more running request slows a target down.
     double fullPenaltySeconds { 2.0 }; ///< Added when the request's KV cache does not fit beside the known load.
     std::uint32_t maxRunning { 24 }; ///< Requests that a target runs at once; more wait for a slot. 0: no limit known.
-    double secondsPerSlot { 0.25 }; ///< Time for a full target to free one slot.
-
-    /// Added for each prompt token that a mixed target would compute beside running requests: it goes
-    /// slower there, and it delays the tokens of the others.
-    double besideSecondsPerPromptToken { 0.0005 };
+    double secondsPerSlot { 0.4 }; ///< Time for a full target to free one slot.
+
+    /// Prompts that a mixed target computes beside running requests go slower, and delay the tokens of the
+    /// others. Both are seconds: for each such token, and for each time over that the recent rate exceeds
+    /// what it can take without breaking the limit on the time between tokens.
+    double besideSecondsPerPromptToken { 0.0002 };
+    double besideTokensPerSecond { 450 };
+    double besideWindowSeconds { 3 }; ///< The time constant with which the rate was measured.
+    double besideOverSeconds { 1.0 };
 
     double transferSecondsPerPromptToken { 0.000025 }; ///< Sending the KV cache of a prompt from a prefill target.
 
--- a/Utilities/currantvale-measure/Trial.cpp
+++ b/Utilities/currantvale-measure/Trial.cpp
@@ -14,6 +14,8 @@
 {
     static std::vector<std::pair<std::string, Setter>> const table {
         { "routing.beside", [](Trial& it, double n) { it.routing.besideSecondsPerPromptToken = n; } },
+        { "routing.beside-rate", [](Trial& it, double n) { it.routing.besideTokensPerSecond = n; } },
+        { "routing.beside-over", [](Trial& it, double n) { it.routing.besideOverSeconds = n; } },
         { "routing.imbalance", [](Trial& it, double n) { it.routing.imbalanceSeconds = n; } },
         { "routing.per-request", [](Trial& it, double n) { it.routing.secondsPerRequest = n; } },
         { "routing.per-slot", [](Trial& it, double n) { it.routing.secondsPerSlot = n; } },
