--- a/Libraries/LibModel/Entry.cpp
+++ b/Libraries/LibModel/Entry.cpp
@@ -61,6 +61,7 @@
     it.requestsSent += counts.requestsSent;
     it.requestsEnded += counts.requestsEnded;
     it.promptTokensSent += counts.promptTokensSent;
+    it.promptsSent += counts.promptsSent;
     it.promptTokensDone += counts.promptTokensDone;
 }
 
@@ -74,18 +75,18 @@
         std::array<Routing::PrefixBlock, 1> chain { blockOf(job) };
         m_prefixes.routed(chain, engine);
     }
-    count(engine, { 1, 0, job.countedTokens, 0 }, now);
+    count(engine, { 1, 0, job.countedTokens, hasPrompt ? 1U : 0U, 0 }, now);
 }
 
 void Entry::prefilled(Job& job, Time now)
 {
-    count(job.engine, { 0, 0, 0, job.countedTokens }, now);
+    count(job.engine, { 0, 0, 0, 0, job.countedTokens }, now);
     job.countedTokens = 0;
 }
 
 void Entry::ended(Job const& job, Time now)
 {
-    count(job.engine, { 0, 1, 0, job.countedTokens }, now);
+    count(job.engine, { 0, 1, 0, 0, job.countedTokens }, now);
 }
 
 Routing::LoadCounts Entry::takeCounts(std::uint32_t engine)
--- a/Libraries/LibRouting/Load.h
+++ b/Libraries/LibRouting/Load.h
@@ -18,7 +18,9 @@
     std::int32_t requestsSince { 0 };
     std::int32_t promptTokensSince { 0 };
 
-    float promptTokensPerSecond { 0 }; ///< Sent to it lately, by this daemon and its peers.
+    // Sent to it lately, by this daemon and its peers.
+    float promptsPerSecond { 0 };
+    float promptTokensPerSecond { 0 };
 };
 
 }
--- a/Libraries/LibRouting/LoadTable.cpp
+++ b/Libraries/LibRouting/LoadTable.cpp
@@ -96,14 +96,16 @@
     it.requests += requests;
     it.backlog = shrunk(it.backlog, it.backlogTime, now) + tokens;
     it.backlogTime = std::max(it.backlogTime, now);
-    it.rate = rateAt(it, now) + counts.promptTokensSent / m_settings.rateSeconds;
+    double kept = rateKept(it, now);
+    it.promptRate = kept * it.promptRate + counts.promptsSent / m_settings.rateSeconds;
+    it.tokenRate = kept * it.tokenRate + counts.promptTokensSent / m_settings.rateSeconds;
     it.rateTime = std::max(it.rateTime, now);
 }
 
-double LoadTable::rateAt(Target const& target, Time now) const
+double LoadTable::rateKept(Target const& target, Time now) const
 {
     double seconds = std::chrono::duration<double>(now - target.rateTime).count();
-    return target.rate * std::exp(-std::max(0.0, seconds) / m_settings.rateSeconds);
+    return std::exp(-std::max(0.0, seconds) / m_settings.rateSeconds);
 }
 
 void LoadTable::forget(std::size_t target)
@@ -128,7 +130,9 @@
     }
     load.requestsSince = it.requests;
     load.promptTokensSince = static_cast<std::int32_t>(shrunk(it.backlog, it.backlogTime, now)) - static_cast<std::int32_t>(load.waitingPromptTokens);
-    load.promptTokensPerSecond = static_cast<float>(rateAt(it, now));
+    float kept = static_cast<float>(rateKept(it, now));
+    load.promptsPerSecond = kept * static_cast<float>(it.promptRate);
+    load.promptTokensPerSecond = kept * static_cast<float>(it.tokenRate);
     return load;
 }
 
--- a/Libraries/LibRouting/LoadTable.h
+++ b/Libraries/LibRouting/LoadTable.h
@@ -28,6 +28,7 @@
     std::uint32_t requestsSent { 0 };
     std::uint32_t requestsEnded { 0 };
     std::uint32_t promptTokensSent { 0 };
+    std::uint32_t promptsSent { 0 }; ///< Requests sent that have a prompt to compute.
     std::uint32_t promptTokensDone { 0 }; ///< Of requests whose first token came (or whose prefill ended).
 };
 
@@ -44,7 +45,7 @@
         /// taken to shrink at this rate. 0: it shrinks by the counts of prompts done alone.
         double promptTokensPerSecond { 7600 };
 
-        double rateSeconds { 3 }; ///< Time constant of the rate of prompt tokens sent to a target.
+        double rateSeconds { 3 }; ///< Time constant of the rates of prompts sent to a target.
     };
 
     /// Creates an empty table. Fails with `BadInput` when a setting is zero.
@@ -65,13 +66,13 @@
     void count(std::size_t target, LoadCounts const&, Time now);
 
     /// Shorthand: a request with so many prompt tokens left to compute was sent.
-    void sent(std::size_t target, std::uint32_t promptTokens, Time now) { count(target, { 1, 0, promptTokens, 0 }, now); }
+    void sent(std::size_t target, std::uint32_t promptTokens, Time now) { count(target, { 1, 0, promptTokens, 1, 0 }, now); }
 
     /// Shorthand: the prompt of a request sent earlier is done.
-    void prefilled(std::size_t target, std::uint32_t promptTokens, Time now) { count(target, { 0, 0, 0, promptTokens }, now); }
+    void prefilled(std::size_t target, std::uint32_t promptTokens, Time now) { count(target, { 0, 0, 0, 0, promptTokens }, now); }
 
     /// Shorthand: a request ended, in whichever way.
-    void ended(std::size_t target, Time now) { count(target, { 0, 1, 0, 0 }, now); }
+    void ended(std::size_t target, Time now) { count(target, { 0, 1, 0, 0, 0 }, now); }
 
     /// Forgets what is known of a target, as after a new incarnation. Precondition: target < size().
     void forget(std::size_t target);
@@ -97,7 +98,8 @@
         std::int32_t requests { 0 };
         double backlog { 0 }; ///< Prompt tokens waiting at `backlogTime`, as estimated.
         Time backlogTime {};
-        double rate { 0 }; ///< Prompt tokens a second sent to it, at `rateTime`.
+        double promptRate { 0 }; ///< Prompts and their tokens a second sent to it, at `rateTime`.
+        double tokenRate { 0 };
         Time rateTime {};
         std::vector<Interval> intervals;
     };
@@ -105,7 +107,7 @@
     std::int64_t intervalOf(Time) const;
     double shrunk(double backlog, Time from, Time to) const;
     void replay(Target&) const;
-    double rateAt(Target const&, Time) const;
+    double rateKept(Target const&, Time) const;
 
     Settings m_settings;
     std::vector<Target> m_targets;
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -133,7 +133,7 @@
         return Core::fail(Core::ErrorCode::BadInput, "The sample size must be between 2 and 64.");
     if (settings.wideSampleSize < 2 || settings.wideSampleSize > maxSampleSize)
         return Core::fail(Core::ErrorCode::BadInput, "The wide sample size must be between 2 and 64.");
-    std::array<double, 11> seconds { settings.besideOverSeconds, settings.besideSecondsPerPromptToken, settings.transferSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
+    std::array<double, 12> seconds { settings.besideTokensPerPrompt / 3600, settings.besideOverSeconds, settings.besideSecondsPerPromptToken, settings.transferSecondsPerPromptToken, settings.zonePenaltySeconds[0], settings.zonePenaltySeconds[1], settings.zonePenaltySeconds[2],
         settings.secondsPerPromptToken, settings.secondsPerRequest, settings.fullPenaltySeconds, settings.secondsPerSlot, settings.imbalanceSeconds };
     for (double n : seconds) {
         if (!(n >= 0) || n > 3600)
@@ -163,7 +163,9 @@
     double seconds = tokens * m_settings.besideSecondsPerPromptToken;
     if (!isCorrected)
         return seconds;
-    double rate = candidate.load.promptTokensPerSecond + tokens / m_settings.besideWindowSeconds;
+    Load const& load = candidate.load;
+    double rate = load.promptTokensPerSecond + load.promptsPerSecond * m_settings.besideTokensPerPrompt
+        + (tokens + m_settings.besideTokensPerPrompt) / m_settings.besideWindowSeconds;
     return seconds + std::max(0.0, rate / m_settings.besideTokensPerSecond - 1) * m_settings.besideOverSeconds;
 }
 
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -23,9 +23,10 @@
     /// others. Both are seconds: for each such token, and for each time over that the recent rate exceeds
     /// what it can take without breaking the limit on the time between tokens.
     double besideSecondsPerPromptToken { 0.0002 };
-    double besideTokensPerSecond { 450 };
+    double besideTokensPerSecond { 600 };
+    double besideTokensPerPrompt { 128 }; ///< Counted for each prompt beside its own: half a chunk, since chunks are not shared.
     double besideWindowSeconds { 3 }; ///< The time constant with which the rate was measured.
-    double besideOverSeconds { 1.0 };
+    double besideOverSeconds { 3.0 };
 
     double transferSecondsPerPromptToken { 0.000025 }; ///< Sending the KV cache of a prompt from a prefill target.
 
--- a/Tests/LibRouting/TestLoadTable.cpp
+++ b/Tests/LibRouting/TestLoadTable.cpp
@@ -53,9 +53,9 @@
 {
     LoadTable table = makeTable();
     EXPECT_TRUE(table.report(0, { at(2000), 5, 0, 0, 0, 0 }));
-    table.count(0, { 3, 1, 700, 200 }, at(1500));
+    table.count(0, { 3, 1, 700, 3, 200 }, at(1500));
     EXPECT_EQ(table.load(0, at(2100)).requestsSince, 0);
-    table.count(0, { 3, 1, 700, 200 }, at(2500));
+    table.count(0, { 3, 1, 700, 3, 200 }, at(2500));
     EXPECT_EQ(table.load(0, at(2600)).requestsSince, 2);
     EXPECT_EQ(table.load(0, at(2600)).promptTokensSince, 500);
 }
--- a/Utilities/currantvale-measure/Trial.h
+++ b/Utilities/currantvale-measure/Trial.h
@@ -13,7 +13,7 @@
     Roles::Settings roles;
     Model::EngineSettings engine;
     std::uint32_t tellAtOnceTokens { 1000 };
-    double admitShare { 1.0 }; ///< Share of the first token's limit that the estimated wait may reach; 0: admit all.
+    double admitShare { 0.9 }; ///< Share of the first token's limit that the estimated wait may reach; 0: admit all.
 };
 
 /// Changes one setting by `NAME=VALUE`. Fails with `BadInput` for an unknown name or a bad number.
