--- a/Libraries/LibRoles/Capacity.cpp
+++ b/Libraries/LibRoles/Capacity.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-// Share of a demand that is served in time by a capacity of `headroom` times the demand. The exponent is
-// fitted to the model's queues: at 1.0 about 0.85, at 1.25 about 0.96, at 1.5 about 0.99.
-double servedShare(double headroom)
+// Share of a demand that is served in time by a capacity of `headroom` times the demand. Prompts are few and
+// long, and wait for a whole engine; outputs share engines evenly, so that less headroom does.
+constexpr double promptSharpness = 4;
+constexpr double outputSharpness = 12;
+
+double servedShare(double headroom, double sharpness)
 {
-    constexpr double sharpness = 4;
     double n = std::max(0.0, headroom);
     return n / std::pow(1 + std::pow(n, sharpness), 1 / sharpness);
 }
@@ -32,14 +34,14 @@
     double longWork = many.promptTokens / rates.prefillTokensPerSecond;
     double besideDecode = split.mixed * rates.mixedPrefillTokensPerSecond / rates.prefillTokensPerSecond;
 
-    double output = servedShare(ratio(split.decode + split.mixed, decodeWork));
+    double output = servedShare(ratio(split.decode + split.mixed, decodeWork), outputSharpness);
     // Mixed engines take short prompts first; what they cannot take competes with the long ones.
     double rest = std::max(0.0, shortWork - besideDecode);
-    double prefill = servedShare(ratio(split.prefill, longWork + rest));
+    double prefill = servedShare(ratio(split.prefill, longWork + rest), promptSharpness);
     double taken = shortWork > 0 ? std::min(1.0, besideDecode / shortWork) : 1;
-    double shortShare = std::max(taken * servedShare(ratio(besideDecode, shortWork)), taken + (1 - taken) * prefill);
+    double shortShare = std::max(taken * servedShare(ratio(besideDecode, shortWork), outputSharpness), taken + (1 - taken) * prefill);
     if (split.prefill <= 0)
-        shortShare = servedShare(ratio(besideDecode, shortWork));
+        shortShare = servedShare(ratio(besideDecode, shortWork), outputSharpness);
     return output * (few.requests * shortShare + many.requests * prefill);
 }
 
--- a/Libraries/LibRoles/Planner.cpp
+++ b/Libraries/LibRoles/Planner.cpp
@@ -97,6 +97,21 @@
         + (m_settings.horizonSeconds - remaining) * goodRequestsPerSecond(m_mix.average(), split, m_settings.rates);
 }
 
+double Planner::bestPrefillOnAverage(double engines) const
+{
+    Demand average = m_mix.average();
+    double best = 0;
+    double most = -1;
+    for (double n = 0; n < engines; ++n) {
+        double good = goodRequestsPerSecond(average, { n, 0, engines - n }, m_settings.rates);
+        if (good > most) {
+            most = good;
+            best = n;
+        }
+    }
+    return best;
+}
+
 // How many engines should join prefill (above 0) or leave it (below 0), by the expected gain in requests.
 int Planner::wantedMoves(FleetView const& view, Split const& split, double& gain) const
 {
@@ -106,6 +121,8 @@
     // What an engine-second is worth at this demand.
     double worth = goodRequestsPerSecond(demand, split, m_settings.rates) / std::max(1.0, engines);
     double present = value(split);
+    double home = bestPrefillOnAverage(engines);
+    double least = m_settings.leastGainShare * present;
     int best = 0;
     gain = 0;
     for (bool toPrefill : { false, true }) {
@@ -114,13 +131,15 @@
         Split moved = split;
         for (EngineView const& it : movable(view.engines, toPrefill, m_settings.outputRole)) {
             ++moves;
-            cost += worth * (secondsLost + it.changeCostSeconds);
+            // A move away from what suits the average will have to be undone: its cost comes twice.
+            bool isAway = toPrefill ? moved.prefill >= home : moved.prefill <= home;
+            cost += (isAway ? 2 : 1) * worth * (secondsLost + it.changeCostSeconds);
             TargetRole role = *roleAfter(it, toPrefill, m_settings.outputRole);
             double& from = it.role == TargetRole::Prefill ? moved.prefill : (it.role == TargetRole::Decode ? moved.decode : moved.mixed);
             double& to = role == TargetRole::Prefill ? moved.prefill : (role == TargetRole::Decode ? moved.decode : moved.mixed);
             from -= 1;
             to += 1;
-            double net = value(moved) - present - m_settings.margin * cost;
+            double net = value(moved) - present - m_settings.margin * cost - least;
             if (net > gain) {
                 gain = net;
                 best = toPrefill ? moves : -moves;
--- a/Libraries/LibRoles/Planner.h
+++ b/Libraries/LibRoles/Planner.h
@@ -28,6 +28,7 @@
 
     int wantedMoves(FleetView const&, Split const&, double& gain) const;
     double value(Split const&) const;
+    double bestPrefillOnAverage(double engines) const;
 
     Settings m_settings;
     MixEstimator m_mix;
