LibDaemon: Join membership, leases, orders and role planning to the daemon

Cause: the daemons knew each other only from the VM list, and nobody gave an engine an order. Measured: Meta/demo.sh as before, exit 0, three daemons ending with 0 after SIGTERM with leases released.

--- a/Libraries/LibDaemon/ConfigFollower.h
+++ b/Libraries/LibDaemon/ConfigFollower.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <LibDaemon/LogTail.h>
 #include <LibDaemon/Signal.h>
 #include <LibPlatform/LogService.h>
 #include <LibState/Config.h>
 #include <LibState/ConfigRecord.h>
 #include <LibState/Fold.h>
-#include <LibState/SnapshotAssembler.h>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <deque>
@@ -49,32 +49,25 @@
     std::deque<HistoryEntry> const& history() const { return m_history; }
 
     /// Returns whether the stream was read to its end at least once.
-    bool isCaughtUp() const { return m_isCaughtUp; }
+    bool isCaughtUp() const { return m_tail.isCaughtUp(); }
 
     /// Returns why the stream cannot be followed now; empty while it can.
-    std::string const& problem() const { return m_problem; }
+    std::string const& problem() const { return m_tail.problem(); }
 
 private:
-    boost::asio::awaitable<void> follow();
-    boost::asio::awaitable<void> pause();
-    void take(Platform::LogBatch const&);
-    void takeEntry(Platform::LogEntry const&);
-    boost::asio::awaitable<void> bridgeGap(std::uint64_t first);
+    LogTail::Hooks tailHooks();
+    Core::Result<void> takeEntry(Platform::LogEntry const&);
     void publish();
-    void noteProblem(std::string);
-    void noteRecovery();
     void wakeWaiters();
 
     boost::asio::io_context& m_context;
     Platform::LogService& m_log;
-    std::chrono::milliseconds m_retryDelay;
     ChangeHook m_onChange;
     State::Fold m_fold;
     std::shared_ptr<State::Config const> m_config;
     std::deque<HistoryEntry> m_history;
     std::set<Signal*> m_waiters;
-    std::string m_problem;
-    bool m_isCaughtUp { false };
+    LogTail m_tail;
     bool m_isStopped { false };
 };
 
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -1,11 +1,13 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/ControlPlane.h>
+#include <LibPeer/Call.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cstdlib>
 #include <tuple>
 
 namespace Daemon {
@@ -15,6 +17,12 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::uint32_t failuresUntilUnreachable = 3;
+constexpr std::chrono::milliseconds tickInterval { 1'000 };
+constexpr std::chrono::milliseconds peerTimeout { 1'000 };
+constexpr char const* progressPath = "/v1/progress";
+constexpr int okStatus = 200;
+constexpr int badRequestStatus = 400;
+constexpr int notFoundStatus = 404;
 
 Http::ClientSettings controlClient()
 {
@@ -31,7 +39,7 @@
 
 }
 
-ControlPlane::ControlPlane(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Hooks hooks)
+ControlPlane::ControlPlane(boost::asio::io_context& context, Settings::DaemonSettings const& settings, std::uint64_t incarnation, std::shared_ptr<Peer::Clients> peers, Hooks hooks)
     : m_context(context)
     , m_settings(settings)
     , m_hooks(std::move(hooks))
@@ -39,22 +47,179 @@
     , m_log(Platform::createHttpLogService(*m_client, settings.platform.log))
     , m_vmList(Platform::createHttpVmList(*m_client, settings.platform.vms))
     , m_engines(Platform::createHttpEngineControl(*m_client))
+    , m_peers(std::move(peers))
+    , m_incarnation(std::to_string(incarnation))
     , m_config(std::make_unique<ConfigFollower>(context, *m_log, settings.platform.retryDelay, [this](std::shared_ptr<State::Config const> const&) { rebuild(); }))
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
 }
 
+Core::Result<std::unique_ptr<ControlPlane>> ControlPlane::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, std::uint64_t incarnation, Peer::Settings const& peerSettings, Hooks hooks)
+{
+    BOOST_OUTCOME_TRY(std::shared_ptr<Peer::Clients> peers, Peer::Clients::create(context, peerSettings));
+    std::unique_ptr<ControlPlane> plane(new ControlPlane(context, settings, incarnation, std::move(peers), std::move(hooks)));
+    BOOST_OUTCOME_TRY(plane->setUp(incarnation));
+    return plane;
+}
+
+Core::Result<void> ControlPlane::setUp(std::uint64_t incarnation)
+{
+    BOOST_OUTCOME_TRY(m_membership, MembershipAgent::create(m_context, *m_peers, m_settings, incarnation, incarnation, [this](std::vector<Membership::Change> const&) { rebuild(); }));
+    Authority::Holder self { m_settings.daemon.name, Http::toString(m_settings.peers.listen), m_incarnation };
+    AuthorityAgent::Hooks hooks;
+    hooks.closeHere = [this](std::function<void()> onApplied) {
+        rebuild();
+        m_hooks.onApplied(std::move(onApplied));
+    };
+    m_authority = std::make_unique<AuthorityAgent>(m_context, *m_log, *m_engines, *m_peers, std::move(self), m_settings.platform.retryDelay, Roles::Settings(), std::move(hooks));
+    createSnapshotWriters();
+    return Core::ok();
+}
+
+void ControlPlane::createSnapshotWriters()
+{
+    SnapshotWriter::Hooks config;
+    config.policy = [this] { return State::SnapshotPolicy { m_settings.platform.retainedRecords, std::chrono::seconds(0), snapshotRank() }; };
+    config.nextOffset = [this] { return m_config->fold().nextOffset(); };
+    config.coveredBelow = [this] { return m_config->fold().coveredBelow(); };
+    config.snapshot = [this] { return m_config->fold().snapshot(); };
+    SnapshotWriter::Hooks leases;
+    leases.policy = config.policy;
+    leases.nextOffset = [this] { return m_authority->leases().fold().nextOffset(); };
+    leases.coveredBelow = [this] { return m_authority->leases().fold().coveredBelow(); };
+    leases.snapshot = [this] { return m_authority->leases().fold().snapshot(); };
+    m_snapshotWriters.push_back(std::make_unique<SnapshotWriter>(m_context, *m_log, configStream, std::move(config)));
+    m_snapshotWriters.push_back(std::make_unique<SnapshotWriter>(m_context, *m_log, leaseStream, std::move(leases)));
+}
+
+// The place of this daemon among those that may write a snapshot: by name, among those that are present.
+std::uint32_t ControlPlane::snapshotRank() const
+{
+    std::uint32_t rank = 0;
+    for (Platform::Vm const& vm : m_entries)
+        rank += vm.name < m_settings.daemon.name && takesWork(vm) ? 1 : 0;
+    return rank;
+}
+
 void ControlPlane::start()
 {
     m_config->start();
+    m_membership->start();
+    m_authority->start();
+    for (std::unique_ptr<SnapshotWriter> const& writer : m_snapshotWriters)
+        writer->start();
     boost::asio::co_spawn(
         m_context, [this] { return followVms(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_context, [this] { return tick(); }, boost::asio::detached);
 }
 
 void ControlPlane::stop()
 {
     m_isStopped = true;
     m_config->stop();
+    m_membership->stop();
+    m_authority->stop();
+    for (std::unique_ptr<SnapshotWriter> const& writer : m_snapshotWriters)
+        writer->stop();
+}
+
+void ControlPlane::startLeaving()
+{
+    m_membership->startLeaving();
+    rebuild();
+}
+
+void ControlPlane::leave(std::function<void()> onDone)
+{
+    m_authority->release([this, onDone = std::move(onDone)] {
+        m_membership->leave();
+        onDone();
+    });
+}
+
+// What has no event of its own: load for peers, the mix for lease holders, closings that lapse.
+boost::asio::awaitable<void> ControlPlane::tick()
+{
+    while (!m_isStopped) {
+        co_await wait(tickInterval);
+        if (m_isStopped)
+            co_return;
+        Membership::Load load;
+        load.running = static_cast<std::uint32_t>(m_hooks.openRequests());
+        m_membership->setLoad(load);
+        reportMix();
+        bool isLapsed = std::any_of(m_closedForChange.begin(), m_closedForChange.end(), [this](std::string const& name) { return !m_authority->isClosed(name); });
+        if (isLapsed)
+            rebuild();
+    }
+}
+
+void ControlPlane::reportMix()
+{
+    for (std::pair<std::string const, Roles::MixCounts> const& it : m_hooks.takeMix()) {
+        std::optional<boost::asio::ip::tcp::endpoint> holder = m_authority->holderAddress(it.first);
+        if (!holder)
+            continue;
+        MixReport report { it.first, it.second };
+        if (*holder == m_settings.peers.listen)
+            m_authority->takeMix(report);
+        else
+            boost::asio::co_spawn(
+                m_context, [this, endpoint = *holder, report] { return sendMix(endpoint, report); }, boost::asio::detached);
+    }
+}
+
+// A report that is lost makes the mix look smaller for a moment; it is not sent again.
+boost::asio::awaitable<void> ControlPlane::sendMix(boost::asio::ip::tcp::endpoint endpoint, MixReport report)
+{
+    std::shared_ptr<Peer::Client> client = m_peers->get(endpoint);
+    std::ignore = co_await Peer::call(*client, mixPath, encode(report), peerTimeout);
+}
+
+void ControlPlane::handlePeerMessage(Peer::Request const& request, std::function<void(int status, std::string body)> reply)
+{
+    if (request.path == membershipPath) {
+        Core::Result<std::string> answer = m_membership->handleMessage(request.body);
+        reply(answer.has_value() ? okStatus : badRequestStatus, answer.has_value() ? answer.value() : std::string());
+    } else if (request.path == closePath) {
+        Core::Result<CloseRequest> close = decodeCloseRequest(request.body);
+        if (close.has_error())
+            reply(badRequestStatus, std::string());
+        else
+            m_authority->handleClose(close.value(), [reply = std::move(reply)](CloseReply const& answer) { reply(okStatus, encode(answer)); });
+    } else if (request.path == mixPath) {
+        Core::Result<MixReport> report = decodeMixReport(request.body);
+        if (report.has_value())
+            m_authority->takeMix(report.value());
+        reply(report.has_value() ? okStatus : badRequestStatus, std::string());
+    } else if (request.path == identityPath) {
+        reply(okStatus, m_incarnation);
+    } else if (request.path == progressPath) {
+        reply(okStatus, std::to_string(m_config->fold().nextOffset()));
+    } else {
+        reply(notFoundStatus, std::string());
+    }
+}
+
+boost::asio::awaitable<std::vector<DaemonProgress>> ControlPlane::askProgress()
+{
+    std::vector<DaemonProgress> progress;
+    progress.push_back({ m_settings.daemon.name, m_config->fold().nextOffset() });
+    std::vector<Platform::Vm> entries = m_entries;
+    for (Platform::Vm const& vm : entries) {
+        Membership::Member const* member = m_membership->find(vm.name);
+        bool isPresent = member && member->isPresent();
+        if (vm.name == m_settings.daemon.name || !isPresent)
+            continue;
+        std::shared_ptr<Peer::Client> client = m_peers->get(vm.address);
+        Core::Result<Peer::Reply> reply = co_await Peer::call(*client, progressPath, std::string(), peerTimeout);
+        DaemonProgress one { vm.name, std::nullopt };
+        if (reply.has_value() && reply.value().status == okStatus)
+            one.offset = std::strtoull(reply.value().body.c_str(), nullptr, 10);
+        progress.push_back(std::move(one));
+    }
+    co_return progress;
 }
 
 boost::asio::awaitable<void> ControlPlane::wait(std::chrono::milliseconds duration)
@@ -109,6 +274,7 @@
     });
     isChanged = isChanged || removed > 0 || entries != m_entries;
     m_entries = std::move(entries);
+    m_membership->takeVms(m_entries);
     if (isChanged)
         rebuild();
 }
@@ -119,11 +285,14 @@
         std::map<std::string, TargetStatus>::iterator it = m_targets.find(name);
         if (it == m_targets.end())
             co_return;
+        Clock::time_point readAt = Clock::now();
         Core::Result<Platform::EngineState> state = co_await m_engines->state(it->second.vm.address);
         it = m_targets.find(name);
         if (m_isStopped || it == m_targets.end())
             co_return;
         takeState(it->second, state);
+        if (state.has_value())
+            m_authority->observeEngine(it->second.vm.pool, name, state.value(), readAt);
         co_await wait(m_settings.platform.stateInterval);
     }
 }
@@ -182,6 +351,8 @@
         return "unreachable";
     if (!status.state)
         return "state not read yet";
+    if (m_authority->isClosed(status.vm.name))
+        return "closed for a change";
     if (status.state->phase != Platform::EnginePhase::Serving)
         return std::string(Core::nameOf(Platform::enginePhaseNames, status.state->phase));
     return {};
@@ -194,6 +365,7 @@
     target.name = status.vm.name;
     target.endpoint = status.vm.address;
     target.kind = status.vm.kind;
+    target.pool = status.vm.pool;
     target.service = std::string(labels.get("service").value_or(""));
     target.model = std::string(labels.get("model").value_or(status.state ? status.state->model : ""));
     target.role = status.state ? roleOf(status.state->role) : Routing::TargetRole::Mixed;
@@ -212,17 +384,74 @@
     std::uint32_t position = 0;
     for (std::pair<std::string const, TargetStatus> const& it : m_targets)
         fleet->targets.push_back(describe(it.second, fleet->view->labels(position++)));
+    addEntries(*fleet);
+    fleet->isReady = m_hasVms && m_config->isCaughtUp();
+    m_closedForChange.clear();
+    for (FleetTarget const& target : fleet->targets) {
+        if (m_authority->isClosed(target.name))
+            m_closedForChange.insert(target.name);
+    }
+    informAuthority(*fleet);
+    m_fleet = std::move(fleet);
+    m_hooks.publish(m_fleet);
+}
+
+// The VM list lags: who is heard to be leaving or dead is left out before the list says so.
+bool ControlPlane::takesWork(Platform::Vm const& vm) const
+{
+    if (vm.state != Platform::VmState::Live)
+        return false;
+    if (vm.name == m_settings.daemon.name)
+        return !m_membership->protocol().self().isLeaving;
+    Membership::Member const* member = m_membership->find(vm.name);
+    return !member || member->takesWork() || member->record.status == Membership::Status::Unheard;
+}
+
+void ControlPlane::addEntries(FleetSnapshot& fleet) const
+{
+    Clock::time_point now = Clock::now();
     for (Platform::Vm const& vm : m_entries) {
         EntryAddress entry { vm.name, vm.callerAddress, vm.address, vm.availabilityZone, distanceTo(vm), 0 };
+        if (Membership::Member const* member = m_membership->find(vm.name)) {
+            std::optional<Membership::MemberLoad> load = m_membership->protocol().loads().memberLoad(member->record.id, now);
+            entry.openRequests = load ? load->load.running : 0;
+        }
         if (vm.name != m_settings.daemon.name)
-            fleet->peers.push_back(entry);
-        if (vm.state == Platform::VmState::Live)
-            fleet->entries.push_back(std::move(entry));
+            fleet.peers.push_back(entry);
+        if (takesWork(vm))
+            fleet.entries.push_back(std::move(entry));
     }
-    std::sort(fleet->entries.begin(), fleet->entries.end(), [](EntryAddress const& a, EntryAddress const& b) { return std::tie(a.distance, a.name) < std::tie(b.distance, b.name); });
-    fleet->isReady = m_hasVms && m_config->isCaughtUp();
-    m_fleet = std::move(fleet);
-    m_hooks.publish(m_fleet);
+    std::sort(fleet.entries.begin(), fleet.entries.end(), [](EntryAddress const& a, EntryAddress const& b) { return std::tie(a.distance, a.openRequests, a.name) < std::tie(b.distance, b.openRequests, b.name); });
+}
+
+void ControlPlane::informAuthority(FleetSnapshot const& fleet)
+{
+    std::map<std::string, std::vector<ManagedEngine>> engines;
+    std::set<std::string> listed;
+    for (FleetTarget const& target : fleet.targets) {
+        if (target.kind != Platform::VmKind::Engine)
+            continue;
+        TargetStatus const& status = m_targets.at(target.name);
+        std::uint32_t position = *fleet.view->positionOf(target.name);
+        ManagedEngine engine { target.id, target.name, target.endpoint, fleet.view->groupDecision(position), false, false, status.state };
+        std::optional<std::string_view> drain = fleet.view->labels(position).get("drain");
+        engine.isDrained = status.vm.state == Platform::VmState::Leaving || (drain && *drain != "no");
+        // An engine that is not said to check is taken as one that does not.
+        std::optional<std::string_view> checks = fleet.view->labels(position).get("checks-fencing");
+        engine.checksFencing = checks ? *checks == "yes" : status.state && status.state->checksFencing;
+        engines[target.pool].push_back(std::move(engine));
+    }
+    std::vector<KnownDaemon> daemons;
+    for (Platform::Vm const& vm : m_entries) {
+        listed.insert(vm.name);
+        KnownDaemon daemon { vm.name, vm.address, m_incarnation, takesWork(vm) };
+        if (vm.name != m_settings.daemon.name) {
+            Membership::Member const* member = m_membership->find(vm.name);
+            daemon.incarnation = member ? std::to_string(member->record.incarnation) : std::string();
+        }
+        daemons.push_back(std::move(daemon));
+    }
+    m_authority->setFleet(std::move(engines), std::move(daemons), std::move(listed));
 }
 
 }
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <LibDaemon/AuthorityAgent.h>
 #include <LibDaemon/ConfigFollower.h>
 #include <LibDaemon/FleetSnapshot.h>
+#include <LibDaemon/MembershipAgent.h>
+#include <LibDaemon/SnapshotWriter.h>
 #include <LibHttp/Client.h>
+#include <LibPeer/Request.h>
 #include <LibPlatform/EngineControl.h>
 #include <LibPlatform/VmList.h>
 #include <LibRouting/LoadTable.h>
@@ -11,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Daemon {
@@ -24,23 +29,46 @@
     bool isWatched { false }; ///< A coroutine of this daemon reads its state.
 };
 
+/// How far a daemon has read the configuration.
+struct DaemonProgress {
+    std::string name;
+    std::optional<std::uint64_t> offset; ///< Absent: it did not answer.
+};
+
 /// The control thread's state: follows configuration, VM list and targets, and publishes what traffic needs as
 /// immutable snapshots. Use from the control thread only.
 class ControlPlane {
 public:
     struct Hooks {
         std::function<void(FleetPointer)> publish;
+        std::function<void(std::function<void()>)> onApplied; ///< Calls back, on the control thread, once all traffic threads use what was published.
+        std::function<std::size_t()> openRequests;
+        std::function<std::map<std::string, Roles::MixCounts>()> takeMix;
         std::function<void(std::uint32_t targetId, Routing::LoadReport const&)> report;
     };
 
-    /// Preconditions: context and settings outlive the object.
-    ControlPlane(boost::asio::io_context&, Settings::DaemonSettings const&, Hooks);
+    /// Preconditions: context and settings outlive the object. Errors: BadInput from one of the parts.
+    static Core::Result<std::unique_ptr<ControlPlane>> create(boost::asio::io_context&, Settings::DaemonSettings const&, std::uint64_t incarnation, Peer::Settings const&, Hooks);
 
     /// Starts to follow everything. Precondition: called once.
     void start();
 
     void stop();
 
+    /// Tells peers that this daemon takes no new work.
+    void startLeaving();
+
+    /// Releases all leases and tells peers that this process ends; then calls back.
+    void leave(std::function<void()> onDone);
+
+    /// Answers a control message of a peer.
+    void handlePeerMessage(Peer::Request const&, std::function<void(int status, std::string body)> reply);
+
+    /// Asks all live daemons how far they have read the configuration.
+    boost::asio::awaitable<std::vector<DaemonProgress>> askProgress();
+
+    AuthorityAgent& authority() { return *m_authority; }
+    MembershipAgent& membership() { return *m_membership; }
     ConfigFollower& config() { return *m_config; }
     FleetPointer const& fleet() const { return m_fleet; }
     std::map<std::string, TargetStatus> const& targets() const { return m_targets; }
@@ -49,11 +77,21 @@
     std::string const& vmListProblem() const { return m_vmListProblem; }
 
 private:
+    ControlPlane(boost::asio::io_context&, Settings::DaemonSettings const&, std::uint64_t incarnation, std::shared_ptr<Peer::Clients>, Hooks);
+    Core::Result<void> setUp(std::uint64_t incarnation);
+    void createSnapshotWriters();
+    boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> followVms();
     boost::asio::awaitable<void> watch(std::string name);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     void takeVms(std::vector<Platform::Vm> const&);
     void takeState(TargetStatus&, Core::Result<Platform::EngineState> const&);
+    void reportMix();
+    boost::asio::awaitable<void> sendMix(boost::asio::ip::tcp::endpoint, MixReport);
+    void informAuthority(FleetSnapshot const&);
+    void addEntries(FleetSnapshot&) const;
+    bool takesWork(Platform::Vm const&) const;
+    std::uint32_t snapshotRank() const;
     void rebuild();
     FleetTarget describe(TargetStatus const&, Label::LabelSet const&) const;
     std::string whyClosed(TargetStatus const&, Label::LabelSet const&) const;
@@ -67,7 +105,13 @@
     std::unique_ptr<Platform::LogService> m_log;
     std::unique_ptr<Platform::VmList> m_vmList;
     std::unique_ptr<Platform::EngineControl> m_engines;
+    std::shared_ptr<Peer::Clients> m_peers;
+    std::string m_incarnation;
     std::unique_ptr<ConfigFollower> m_config;
+    std::unique_ptr<MembershipAgent> m_membership;
+    std::unique_ptr<AuthorityAgent> m_authority;
+    std::vector<std::unique_ptr<SnapshotWriter>> m_snapshotWriters;
+    std::set<std::string> m_closedForChange; ///< As last published.
     std::map<std::string, TargetStatus> m_targets;
     std::vector<Platform::Vm> m_entries;
     std::uint32_t m_nextTargetId { 0 };
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -30,6 +30,14 @@
     return number;
 }
 
+// Greater than that of any earlier process, as membership needs it, and unique, as tickets and leases need it.
+std::uint64_t newIncarnation()
+{
+    constexpr unsigned randomBits = 20;
+    std::chrono::milliseconds since1970 = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    return static_cast<std::uint64_t>(since1970.count()) << randomBits | (randomNumber() >> (64 - randomBits));
+}
+
 Request::RetryBudget::Settings budgetOf(Settings::DaemonSettings const& settings)
 {
     Request::RetryBudget::Settings budget;
@@ -41,7 +49,7 @@
 
 Daemon::Daemon(Settings::DaemonSettings settings)
     : m_settings(std::move(settings))
-    , m_incarnation(randomNumber())
+    , m_incarnation(newIncarnation())
     , m_signals(m_control, SIGTERM, SIGINT)
     , m_holdTimer(m_control)
     , m_expiryTimer(m_control)
@@ -71,21 +79,50 @@
     Peer::Settings peers;
     peers.senderName = m_settings.daemon.name;
     peers.senderIncarnation = m_incarnation;
+    BOOST_OUTCOME_TRY(createTraffic(peers));
+    return createControl(peers);
+}
+
+Core::Result<void> Daemon::createTraffic(Peer::Settings const& peers)
+{
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
-        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(m_settings, peers, *m_dispatcher, m_retryBudget, *m_shared));
+        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(m_settings, peers, *m_dispatcher, m_retryBudget, m_mix, *m_shared));
         m_traffic.push_back(std::move(thread));
     }
-    BOOST_OUTCOME_TRY(m_traffic.front()->servePeers(peers));
+    return m_traffic.front()->servePeers(peers, [this](Peer::Request request, std::function<void(int, std::string)> reply) {
+        boost::asio::post(m_control, [this, request = std::move(request), reply = std::move(reply)] { m_plane->handlePeerMessage(request, reply); });
+    });
+}
+
+Core::Result<void> Daemon::createControl(Peer::Settings const& peers)
+{
     ControlPlane::Hooks hooks;
     hooks.publish = [this](FleetPointer const& fleet) { publish(fleet); };
+    hooks.onApplied = [this](std::function<void()> onApplied) { callWhenApplied(std::move(onApplied)); };
+    hooks.openRequests = [this] { return m_dispatcher->openRequests(); };
+    hooks.takeMix = [this] { return m_mix.take(); };
     hooks.report = [this](std::uint32_t target, Routing::LoadReport const& report) { m_dispatcher->report(target, report); };
-    m_plane = std::make_unique<ControlPlane>(m_control, m_settings, std::move(hooks));
+    BOOST_OUTCOME_TRY(m_plane, ControlPlane::create(m_control, m_settings, m_incarnation, peers, std::move(hooks)));
     m_operatorApi = std::make_unique<OperatorApi>(m_settings, *m_plane, *m_dispatcher, *m_keeper);
     Http::Handler handler = [this](Http::Request& request, Http::ResponseWriter& writer) { return m_operatorApi->handle(request, writer); };
     BOOST_OUTCOME_TRY(m_operatorServer, Http::Server::create(m_control, m_settings.operators.listen, Http::ServerSettings(), std::move(handler), rejectionResponse));
     return Core::ok();
 }
 
+// Traffic threads take what is posted to them in order, so this comes behind the snapshot published before.
+void Daemon::callWhenApplied(std::function<void()> onApplied)
+{
+    std::shared_ptr<std::size_t> left = std::make_shared<std::size_t>(m_traffic.size());
+    for (std::unique_ptr<TrafficThread> const& thread : m_traffic) {
+        thread->post([this, left, onApplied] {
+            boost::asio::post(m_control, [left, onApplied] {
+                if (--*left == 0)
+                    onApplied();
+            });
+        });
+    }
+}
+
 Daemon::~Daemon()
 {
     // The threads' requests refer to what is shared, so they end first.
@@ -127,6 +164,7 @@
     if (m_shared->isLeaving.exchange(true))
         return;
     Core::logEvent(Core::Severity::Info, Core::Event::ShutdownStarted, { { "hold_ms", std::to_string(m_settings.callers.listHold.count()) } });
+    m_plane->startLeaving();
     m_holdTimer.expires_after(m_settings.callers.listHold + holdMargin);
     m_holdTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
@@ -141,7 +179,7 @@
         thread->drain([this] {
             boost::asio::post(m_control, [this] {
                 if (++m_idleThreads == m_traffic.size())
-                    finish();
+                    m_plane->leave([this] { finish(); });
             });
         });
     }
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -28,6 +28,9 @@
     explicit Daemon(Settings::DaemonSettings);
     Core::Result<void> setUp();
     void publish(FleetPointer const&);
+    void callWhenApplied(std::function<void()>);
+    Core::Result<void> createTraffic(Peer::Settings const&);
+    Core::Result<void> createControl(Peer::Settings const&);
     void waitForSignal();
     void startLeaving();
     void drainTraffic();
@@ -41,6 +44,7 @@
     boost::asio::steady_timer m_holdTimer;
     boost::asio::steady_timer m_expiryTimer;
     Request::RetryBudget m_retryBudget;
+    MixCounter m_mix;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -252,6 +252,12 @@
         resolve(m_admission->setTarget(target.id, target.isClosed() ? 0 : m_inFlightPerTarget, { groupOf(target.work()) }));
 }
 
+std::size_t Dispatcher::openRequests() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_waiters.size();
+}
+
 std::uint32_t Dispatcher::inFlightAt(std::uint32_t targetId) const
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -69,6 +69,9 @@
     /// Takes the fleet's targets and limits over.
     void setFleet(FleetPointer);
 
+    /// Returns how many requests wait here or are open at a target.
+    std::size_t openRequests() const;
+
     /// Returns how many requests this daemon has open at a target.
     std::uint32_t inFlightAt(std::uint32_t targetId) const;
 
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -20,6 +20,7 @@
     Platform::VmKind kind { Platform::VmKind::Engine };
     std::string model; ///< Of an engine: what it serves.
     std::string service; ///< Of a plain service: its name.
+    std::string pool; ///< The lease that orders to it belong to.
     Routing::TargetRole role { Routing::TargetRole::Mixed };
     Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
--- a/Libraries/LibDaemon/HomeForwarder.cpp
+++ b/Libraries/LibDaemon/HomeForwarder.cpp
@@ -23,7 +23,7 @@
     std::optional<Core::Result<void>> end;
 };
 
-HomeForwarder::HomeForwarder(boost::asio::io_context& context, PeerClients& clients, boost::asio::ip::tcp::endpoint home, Clock::time_point deadline)
+HomeForwarder::HomeForwarder(boost::asio::io_context& context, Peer::Clients& clients, boost::asio::ip::tcp::endpoint home, Clock::time_point deadline)
     : m_context(context)
     , m_clients(clients)
     , m_home(std::move(home))
@@ -68,11 +68,6 @@
 // Opens one stream and delivers what comes. Returns whether the answer's end was delivered.
 boost::asio::awaitable<bool> HomeForwarder::runOnce(ForwardedRequest const& request, AnswerSink& sink)
 {
-    Core::Result<std::shared_ptr<Peer::Client>> client = m_clients.clientFor(m_home);
-    if (client.has_error()) {
-        m_lastError = client.error();
-        co_return false;
-    }
     std::shared_ptr<Incoming> incoming = std::make_shared<Incoming>();
     Peer::StreamHooks hooks;
     hooks.isConsumedByHand = true;
@@ -92,7 +87,7 @@
             incoming->end = std::move(end);
         signal->notify();
     };
-    std::shared_ptr<Peer::ClientStream> stream = client.value()->open("/v1/forward", encode(request), std::move(hooks));
+    std::shared_ptr<Peer::ClientStream> stream = m_clients.get(m_home)->open("/v1/forward", encode(request), std::move(hooks));
     boost::asio::steady_timer timer(m_context, m_deadline);
     timer.async_wait([signal = m_signal](boost::system::error_code ec) {
         if (!ec)
--- a/Libraries/LibDaemon/HomeForwarder.h
+++ b/Libraries/LibDaemon/HomeForwarder.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <LibDaemon/AnswerSink.h>
-#include <LibDaemon/PeerClients.h>
 #include <LibDaemon/PeerMessages.h>
 #include <LibDaemon/Signal.h>
+#include <LibPeer/Clients.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -17,7 +17,7 @@
 class HomeForwarder {
 public:
     /// Preconditions: context and clients outlive the object.
-    HomeForwarder(boost::asio::io_context&, PeerClients&, boost::asio::ip::tcp::endpoint home, std::chrono::steady_clock::time_point deadline);
+    HomeForwarder(boost::asio::io_context&, Peer::Clients&, boost::asio::ip::tcp::endpoint home, std::chrono::steady_clock::time_point deadline);
 
     /// Delivers the whole answer, or an error, to the sink.
     boost::asio::awaitable<void> run(ForwardedRequest, AnswerSink&);
@@ -32,7 +32,7 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
 
     boost::asio::io_context& m_context;
-    PeerClients& m_clients;
+    Peer::Clients& m_clients;
     boost::asio::ip::tcp::endpoint m_home;
     std::chrono::steady_clock::time_point m_deadline;
     std::shared_ptr<Signal> m_signal;
--- a/Libraries/LibDaemon/OperatorApi.cpp
+++ b/Libraries/LibDaemon/OperatorApi.cpp
@@ -99,7 +99,7 @@
     if (path == "/v1/config/history")
         co_return history(request.target);
     if (path == "/v1/config/progress")
-        co_return progress(request.target);
+        co_return co_await progress(request.target);
     if (path == "/v1/status")
         co_return status();
     if (path == "/v1/explain" && request.method == "POST")
@@ -144,17 +144,24 @@
     return ok(body);
 }
 
-Http::Response OperatorApi::progress(std::string_view target) const
+boost::asio::awaitable<Http::Response> OperatorApi::progress(std::string target)
 {
     std::uint64_t revision = queryNumber(target, "revision", 0);
-    std::uint64_t offset = m_control.config().fold().nextOffset();
-    boost::json::object self;
-    self["name"] = m_settings.daemon.name;
-    self["offset"] = offset;
+    std::vector<DaemonProgress> progress = co_await m_control.askProgress();
+    bool isInForce = true;
+    boost::json::array daemons;
+    for (DaemonProgress const& it : progress) {
+        boost::json::object one;
+        one["name"] = it.name;
+        if (it.offset)
+            one["offset"] = *it.offset;
+        isInForce = isInForce && it.offset && *it.offset > revision;
+        daemons.push_back(std::move(one));
+    }
     boost::json::object body;
-    body["daemons"] = boost::json::array { self };
-    body["in_force"] = offset > revision;
-    return ok(body);
+    body["daemons"] = std::move(daemons);
+    body["in_force"] = isInForce;
+    co_return ok(body);
 }
 
 Http::Response OperatorApi::status() const
@@ -179,6 +186,10 @@
         daemons.push_back(boost::json::object { { "name", entry.name }, { "address", Http::toString(entry.callerAddress) }, { "availability_zone", entry.availabilityZone } });
     if (!m_control.config().problem().empty())
         blocked.push_back(boost::json::object { { "what", "configuration" }, { "why", m_control.config().problem() } });
+    for (BlockedStatus const& it : m_control.authority().blocked())
+        blocked.push_back(boost::json::object { { "what", it.what }, { "why", it.why } });
+    if (m_control.membership().protocol().isIsolated(std::chrono::steady_clock::now()))
+        blocked.push_back(boost::json::object { { "what", "membership" }, { "why", "no other daemon answers" } });
     if (!m_control.vmListProblem().empty())
         blocked.push_back(boost::json::object { { "what", "VM list" }, { "why", m_control.vmListProblem() } });
     boost::json::object body;
@@ -186,11 +197,19 @@
     body["config_offset"] = m_control.config().fold().nextOffset();
     body["daemons"] = std::move(daemons);
     body["targets"] = std::move(targets);
-    body["leases"] = boost::json::array();
+    body["leases"] = leases();
     body["blocked"] = std::move(blocked);
     return ok(body);
 }
 
+boost::json::array OperatorApi::leases() const
+{
+    boost::json::array leases;
+    for (LeaseStatus const& it : m_control.authority().leaseStatus())
+        leases.push_back(boost::json::object { { "pool", it.pool }, { "holder", it.holder }, { "fencing", it.fencing }, { "here", it.phase } });
+    return leases;
+}
+
 Http::Response OperatorApi::explain(Http::Request const& request) const
 {
     Core::Result<boost::json::object> object = Platform::parseObject(request.body);
--- a/Libraries/LibDaemon/OperatorApi.h
+++ b/Libraries/LibDaemon/OperatorApi.h
@@ -5,6 +5,7 @@
 #include <LibDaemon/Dispatcher.h>
 #include <LibHttp/Server.h>
 #include <LibSettings/DaemonSettings.h>
+#include <boost/json/array.hpp>
 #include <memory>
 
 namespace Daemon {
@@ -24,8 +25,9 @@
     bool isAuthorized(Http::Request const&) const;
     Http::Response config() const;
     Http::Response history(std::string_view target) const;
-    Http::Response progress(std::string_view target) const;
+    boost::asio::awaitable<Http::Response> progress(std::string target);
     Http::Response status() const;
+    boost::json::array leases() const;
     Http::Response explain(Http::Request const&) const;
     Http::Response readiness() const;
     Http::Response metrics() const;
--- a/Libraries/LibDaemon/PeerApi.cpp
+++ b/Libraries/LibDaemon/PeerApi.cpp
@@ -3,33 +3,49 @@
 #include <LibDaemon/PeerSink.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace Daemon {
 
 namespace {
 
-constexpr int notFoundStatus = 404;
+constexpr std::string_view forwardPath = "/v1/forward";
 
 }
 
-PeerApi::PeerApi(TrafficContext& context, CallerShared& shared)
+PeerApi::PeerApi(TrafficContext& context, CallerShared& shared, ControlMessageHook controlMessage)
     : m_context(context)
     , m_shared(shared)
     , m_home(context, shared)
+    , m_controlMessage(std::move(controlMessage))
 {
 }
 
 void PeerApi::handle(Peer::Request request, std::shared_ptr<Peer::ServerStream> stream)
 {
-    if (request.path != "/v1/forward") {
-        stream->sendHead(notFoundStatus);
-        stream->end();
+    if (request.path != forwardPath) {
+        serveControl(std::move(request), std::move(stream));
         return;
     }
     boost::asio::co_spawn(
         m_context.context, [this, request = std::move(request), stream = std::move(stream)]() mutable { return serveForwarded(std::move(request), std::move(stream)); }, boost::asio::detached);
 }
 
+void PeerApi::serveControl(Peer::Request request, std::shared_ptr<Peer::ServerStream> stream)
+{
+    boost::asio::any_io_executor executor = m_context.context.get_executor();
+    m_controlMessage(std::move(request), [executor, stream = std::move(stream)](int status, std::string body) {
+        boost::asio::post(executor, [stream, status, body = std::move(body)] {
+            if (!stream->isOpen())
+                return;
+            stream->sendHead(status);
+            if (!body.empty())
+                stream->send(body);
+            stream->end();
+        });
+    });
+}
+
 Core::Result<Request::Ticket> PeerApi::begin(ForwardedRequest const& forwarded)
 {
     WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -60,6 +60,7 @@
         if (!ec && self)
             self->post(Request::DeadlineReached());
     });
+    chooseMixPool();
     post(Request::Admitted());
     while (!m_machine.isFinished()) {
         if (m_events.empty()) {
@@ -76,8 +77,20 @@
     finishUp();
 }
 
+// Where several pools serve the work, each gets its share of the counts: the request's own hash chooses.
+void RequestRunner::chooseMixPool()
+{
+    if (m_work.kind != Work::Kind::Model || m_allowed.empty())
+        return;
+    std::size_t n = std::hash<std::string>()(m_work.requestId) % m_allowed.size();
+    m_mixPool = m_fleet->targets[m_allowed[n]].pool;
+    m_context.mix.offered(m_mixPool, m_work.shape.promptTokens);
+}
+
 void RequestRunner::finishUp()
 {
+    if (!m_mixPool.empty())
+        m_context.mix.ended(m_mixPool, m_work.shape.promptTokens, m_work.isStreamed ? m_machine.deliveredPieces() : m_work.shape.expectedOutputTokens);
     m_deadlineTimer.cancel();
     abandonLeg();
     releasePlacement();
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -45,6 +45,7 @@
     void abandonLeg();
     void releasePlacement();
     void finishUp();
+    void chooseMixPool();
 
     boost::asio::awaitable<void> runAttempt(LegPointer, std::vector<std::string> excluded, std::chrono::milliseconds delay);
     boost::asio::awaitable<void> runResume(LegPointer, Request::Resume);
@@ -80,6 +81,7 @@
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0: none.
     std::string m_target; ///< Name of the attempt's target, for logs.
+    std::string m_mixPool; ///< The pool in whose mix the request is counted.
     std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
     std::chrono::steady_clock::time_point m_firstPieceAt;
 };
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -2,8 +2,9 @@
 
 #include <LibDaemon/Dispatcher.h>
 #include <LibDaemon/FleetSnapshot.h>
-#include <LibDaemon/PeerClients.h>
+#include <LibDaemon/MixCounter.h>
 #include <LibHttp/Client.h>
+#include <LibPeer/Clients.h>
 #include <LibPlatform/EngineControl.h>
 #include <LibRequest/RetryBudget.h>
 #include <LibSettings/DaemonSettings.h>
@@ -20,7 +21,8 @@
     Request::RetryBudget& retryBudget;
     Http::Client& client;
     Platform::EngineControl& engines;
-    PeerClients& peers;
+    Peer::Clients& peers;
+    MixCounter& mix;
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -10,20 +10,24 @@
 
 }
 
-TrafficThread::TrafficThread(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
-    : m_guard(m_context.get_executor())
+TrafficThread::TrafficThread(std::unique_ptr<boost::asio::io_context> context, std::shared_ptr<Peer::Clients> peers, Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
+    : m_ownContext(std::move(context))
+    , m_context(*m_ownContext)
+    , m_guard(m_context.get_executor())
     , m_client(Http::Client::create(m_context, Http::ClientSettings()))
     , m_engines(Platform::createHttpEngineControl(*m_client))
-    , m_peers(m_context, peers)
-    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, m_peers, std::make_shared<FleetSnapshot>(), 0 }
+    , m_peers(std::move(peers))
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, *m_peers, mix, std::make_shared<FleetSnapshot>(), 0 }
     , m_api(std::make_unique<CallerApi>(m_traffic, shared))
     , m_idleTimer(m_context)
 {
 }
 
-Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, CallerShared& shared)
+Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
 {
-    std::unique_ptr<TrafficThread> thread(new TrafficThread(settings, peers, dispatcher, budget, shared));
+    std::unique_ptr<boost::asio::io_context> context = std::make_unique<boost::asio::io_context>(1);
+    BOOST_OUTCOME_TRY(std::shared_ptr<Peer::Clients> clients, Peer::Clients::create(*context, peers));
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(std::move(context), std::move(clients), settings, dispatcher, budget, mix, shared));
     Http::ServerSettings server = settings.callers.server;
     server.isPortShared = settings.daemon.trafficThreads > 1;
     CallerApi* api = thread->m_api.get();
@@ -37,9 +41,9 @@
     stop();
 }
 
-Core::Result<void> TrafficThread::servePeers(Peer::Settings const& settings)
+Core::Result<void> TrafficThread::servePeers(Peer::Settings const& settings, ControlMessageHook controlMessage)
 {
-    m_peerApi = std::make_unique<PeerApi>(m_traffic, m_api->shared());
+    m_peerApi = std::make_unique<PeerApi>(m_traffic, m_api->shared(), std::move(controlMessage));
     Peer::Handler handler = [api = m_peerApi.get()](Peer::Request request, std::shared_ptr<Peer::ServerStream> stream) { api->handle(std::move(request), std::move(stream)); };
     BOOST_OUTCOME_TRY(m_peerServer, Peer::Server::create(m_context, m_traffic.settings.peers.listen, settings, std::move(handler)));
     return Core::ok();
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -16,12 +16,12 @@
 public:
     /// Binds the callers' listener; nothing runs yet. Errors: Unavailable.
     /// Preconditions: all arguments outlive the object.
-    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
 
     ~TrafficThread();
 
     /// Binds the peers' listener on this thread. Errors: Unavailable. Precondition: before `start`.
-    Core::Result<void> servePeers(Peer::Settings const&);
+    Core::Result<void> servePeers(Peer::Settings const&, ControlMessageHook);
 
     /// Starts the thread. Precondition: called once.
     void start();
@@ -44,14 +44,15 @@
     CallerApi& api() { return *m_api; }
 
 private:
-    TrafficThread(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, CallerShared&);
+    TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
     void waitUntilIdle(std::function<void()> onIdle);
 
-    boost::asio::io_context m_context { 1 };
+    std::unique_ptr<boost::asio::io_context> m_ownContext;
+    boost::asio::io_context& m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::unique_ptr<Http::Client> m_client;
     std::unique_ptr<Platform::EngineControl> m_engines;
-    PeerClients m_peers;
+    std::shared_ptr<Peer::Clients> m_peers;
     TrafficContext m_traffic;
     std::unique_ptr<CallerApi> m_api;
     std::unique_ptr<Http::Server> m_server;
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -74,18 +74,7 @@
         Core::Result<std::unique_ptr<Exchange>> opened = co_await open(endpoint, std::move(request), ConnectionChoice::Kept, nullptr);
         if (opened.has_error())
             co_return Core::Result<Response>(opened.error());
-        Exchange& exchange = *opened.value();
-        Response response { exchange.head().status, exchange.head().fields, {} };
-        while (true) {
-            Core::Result<std::optional<std::string>> piece = co_await exchange.read();
-            if (piece.has_error())
-                co_return Core::Result<Response>(piece.error());
-            if (!piece.value())
-                co_return response;
-            response.body += *piece.value();
-            if (response.body.size() > bodyLimit)
-                co_return Core::Result<Response>(Core::makeUncertainError(Core::ErrorCode::BadInput, "the response is larger than " + std::to_string(bodyLimit) + " bytes"));
-        }
+        co_return co_await readWhole(*opened.value(), bodyLimit);
     }
 
 private:
@@ -147,6 +136,21 @@
     return std::make_unique<PoolingClient>(context, settings);
 }
 
+Asio::awaitable<Core::Result<Response>> readWhole(Exchange& exchange, std::size_t bodyLimit)
+{
+    Response response { exchange.head().status, exchange.head().fields, {} };
+    while (true) {
+        Core::Result<std::optional<std::string>> piece = co_await exchange.read();
+        if (piece.has_error())
+            co_return Core::Result<Response>(piece.error());
+        if (!piece.value())
+            co_return response;
+        response.body += *piece.value();
+        if (response.body.size() > bodyLimit)
+            co_return Core::Result<Response>(Core::makeUncertainError(Core::ErrorCode::BadInput, "the response is larger than " + std::to_string(bodyLimit) + " bytes"));
+    }
+}
+
 Core::Result<Tcp::endpoint> parseEndpoint(std::string_view text)
 {
     std::size_t colon = text.rfind(':');
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -89,6 +89,9 @@
     virtual boost::asio::awaitable<Core::Result<Response>> fetch(boost::asio::ip::tcp::endpoint, Request, std::size_t bodyLimit = 64 * 1024 * 1024) = 0;
 };
 
+/// Reads the rest of a response, of `bodyLimit` bytes at most. Precondition: the exchange was started.
+boost::asio::awaitable<Core::Result<Response>> readWhole(Exchange&, std::size_t bodyLimit);
+
 /// Reads "IP:PORT" or "[IPv6]:PORT". Errors: BadInput, naming what was read. Thread-safe.
 Core::Result<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 
--- a/Libraries/LibPlatform/EngineControl.cpp
+++ b/Libraries/LibPlatform/EngineControl.cpp
@@ -9,6 +9,8 @@
 namespace Asio = boost::asio;
 using Endpoint = Asio::ip::tcp::endpoint;
 
+constexpr std::size_t replyLimit = 64U * 1024;
+
 std::uint32_t smallNumber(boost::json::object const& object, std::string_view key)
 {
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(numberOf(object, key), UINT32_MAX));
@@ -94,13 +96,22 @@
         co_return parseState(response.value().body);
     }
 
-    Asio::awaitable<Core::Result<OrderReply>> order(Endpoint endpoint, EngineOrder order) override
+    Asio::awaitable<Core::Result<OrderReply>> order(Endpoint endpoint, EngineOrder order, std::function<bool()> mayWrite) override
     {
         Http::Request request;
         request.method = "POST";
         request.target = "/control/orders";
         request.body = printOrder(order);
-        Core::Result<Http::Response> response = co_await m_client.fetch(endpoint, request);
+        Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_client.connect(endpoint, Http::ConnectionChoice::Fresh);
+        if (connected.has_error())
+            co_return Core::Result<OrderReply>(connected.error());
+        if (!mayWrite())
+            co_return Core::Result<OrderReply>(Core::makeError(Core::ErrorCode::LostAuthority, "the lease lapsed before the order was written"));
+        Http::Exchange& exchange = *connected.value();
+        Core::Result<void> started = co_await exchange.start(request);
+        if (started.has_error())
+            co_return Core::Result<OrderReply>(started.error());
+        Core::Result<Http::Response> response = co_await Http::readWhole(exchange, replyLimit);
         if (response.has_error())
             co_return Core::Result<OrderReply>(response.error());
         co_return parseReply(response.value());
--- a/Libraries/LibPlatform/EngineControl.h
+++ b/Libraries/LibPlatform/EngineControl.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,8 +71,9 @@
     /// Reads an engine's state. Errors: Unavailable, Timeout, BadInput.
     virtual boost::asio::awaitable<Core::Result<EngineState>> state(boost::asio::ip::tcp::endpoint) = 0;
 
-    /// Sends an order. Errors with verdict MayHaveRun: the order may have taken effect; read the state.
-    virtual boost::asio::awaitable<Core::Result<OrderReply>> order(boost::asio::ip::tcp::endpoint, EngineOrder) = 0;
+    /// Sends an order over a connection of its own, unless `mayWrite` denies it once the connection stands.
+    /// Errors with verdict MayHaveRun: the order may have taken effect; read the state.
+    virtual boost::asio::awaitable<Core::Result<OrderReply>> order(boost::asio::ip::tcp::endpoint, EngineOrder, std::function<bool()> mayWrite) = 0;
 
     /// Cancels a request. Errors: what became of it is unknown.
     virtual boost::asio::awaitable<Core::Result<CancelState>> cancel(boost::asio::ip::tcp::endpoint, std::string requestId) = 0;
--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -31,7 +31,9 @@
 
 run_lint() {
     configure Build/plain ""
-    sources | grep '\.cpp$' | xargs -P "$jobs" -n 1 "$linter" -p Build/plain --quiet 2>/dev/null
+    export linter
+    # A file's findings are printed whole, and only when there are some.
+    sources | grep '\.cpp$' | xargs -P "$jobs" -I{} bash -c 'out=$("$linter" -p Build/plain --quiet {} 2>&1) || { echo "$out"; exit 1; }'
 }
 
 step() { echo "== $1 ($(date +%T))"; "run_$1"; }
