--- a/Libraries/LibMembership/LoadTable.cpp
+++ b/Libraries/LibMembership/LoadTable.cpp
@@ -28,6 +28,7 @@
     : m_ownId(ownId)
     , m_ownZone(ownZone)
     , m_sequence(incarnation)
+    , m_random(ownId ^ incarnation)
 {
 }
 
@@ -95,7 +96,9 @@
         [](Entry<Value> const* first, Entry<Value> const* second) { return first->lastPick < second->lastPick; });
     std::vector<Value> picked;
     for (std::size_t i = 0; i < count; ++i) {
-        order[i]->lastPick = ++m_picks;
+        // Without some disorder the turns of the loads and of the contacts would fall into step, and a load
+        // would always go to the same contact.
+        order[i]->lastPick = ++m_picks + m_random() % order.size();
         picked.push_back(order[i]->value);
         picked.back().age = ageOf(order[i]->reported, now);
     }
--- a/Libraries/LibMembership/LoadTable.h
+++ b/Libraries/LibMembership/LoadTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace Membership {
@@ -29,7 +30,8 @@
     /// Drops what was reported before `limit`.
     void forget(TimePoint limit);
 
-    /// Returns up to `n` member loads to send, the own one first, then those sent least lately.
+    /// Returns up to `n` member loads to send, the own one first, then those sent least lately. (The
+    /// latest news first would keep what is far away from arriving at all.)
     std::vector<MemberLoad> pickMembers(std::size_t n, TimePoint now);
     /// Returns up to `n` zone sums to send, those sent least lately first.
     std::vector<ZoneLoad> pickZones(std::size_t n, TimePoint now);
@@ -53,6 +55,7 @@
     std::uint64_t m_ownId;
     std::uint32_t m_ownZone;
     std::uint64_t m_sequence;
+    std::mt19937_64 m_random;
     std::uint64_t m_picks { 0 };
     std::map<std::uint64_t, Entry<MemberLoad>> m_members;
     std::map<std::uint32_t, Entry<ZoneLoad>> m_zones;
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -24,6 +24,13 @@
 {
 }
 
+// The dead are left out: daemons forget them at different times, and would otherwise revive them for ever.
+void MemberTable::toggle(Record const& record)
+{
+    if (record.status == Status::Alive || record.status == Status::Suspect)
+        m_buckets.at(bucketOf(record.id)) ^= digestOf(record);
+}
+
 void MemberTable::change(Member& member, Record const& record, TimePoint now)
 {
     Status const from = member.record.status;
@@ -32,6 +39,8 @@
         m_changes.push_back({ record.id, member.profile.name, record.incarnation, from, record.status, record.isLeaving });
     m_suspects -= from == Status::Suspect ? 1 : 0;
     m_suspects += record.status == Status::Suspect ? 1 : 0;
+    toggle(member.record);
+    toggle(record);
     member.record = record;
     member.record.profile.reset();
     member.changed = now;
@@ -138,25 +147,23 @@
     return record;
 }
 
-std::vector<std::uint64_t> MemberTable::membersOf(std::uint32_t bucket) const
+std::vector<std::uint64_t> MemberTable::membersOf(std::vector<std::uint32_t> const& buckets) const
 {
-    std::vector<std::uint64_t> ids;
+    std::array<std::vector<std::uint64_t>, bucketCount> idsOf;
     for (std::pair<std::uint64_t const, Member> const& entry : m_members) {
-        if (bucketOf(entry.first) == bucket && entry.second.record.status != Status::Unheard)
-            ids.push_back(entry.first);
+        if (entry.second.record.status != Status::Unheard)
+            idsOf.at(bucketOf(entry.first)).push_back(entry.first);
     }
+    std::vector<std::uint64_t> ids;
+    for (std::uint32_t const bucket : buckets)
+        ids.insert(ids.end(), idsOf.at(bucket).begin(), idsOf.at(bucket).end());
     return ids;
 }
 
 std::array<std::uint32_t, bucketCount> MemberTable::buckets(Record const& self) const
 {
-    // The dead are left out: daemons forget them at different times, and would otherwise revive them for ever.
-    std::array<std::uint32_t, bucketCount> buckets {};
-    buckets[bucketOf(self.id)] ^= digestOf(self);
-    for (std::pair<std::uint64_t const, Member> const& entry : m_members) {
-        if (entry.second.isPresent())
-            buckets[bucketOf(entry.first)] ^= digestOf(entry.second.record);
-    }
+    std::array<std::uint32_t, bucketCount> buckets = m_buckets;
+    buckets.at(bucketOf(self.id)) ^= digestOf(self);
     return buckets;
 }
 
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -41,8 +41,8 @@
     std::unordered_map<std::uint64_t, Member> const& members() const { return m_members; }
     /// Returns the record to pass on, with the profile when `withProfile` and it is known.
     Record recordOf(std::uint64_t id, bool withProfile) const;
-    /// Returns the ids of those present whose record falls into the bucket.
-    std::vector<std::uint64_t> membersOf(std::uint32_t bucket) const;
+    /// Returns the ids of those heard of that fall into the buckets, one bucket after the other.
+    std::vector<std::uint64_t> membersOf(std::vector<std::uint32_t> const& buckets) const;
     /// Returns the digests of the buckets over all present members and this daemon's own record.
     std::array<std::uint32_t, bucketCount> buckets(Record const& self) const;
     std::size_t suspects() const { return m_suspects; }
@@ -52,11 +52,13 @@
     std::vector<Change> takeChanges();
 
 private:
+    void toggle(Record const&);
     void change(Member&, Record const&, TimePoint now);
 
     std::uint64_t m_ownId;
     std::size_t m_maxMembers;
     std::unordered_map<std::uint64_t, Member> m_members;
+    std::array<std::uint32_t, bucketCount> m_buckets {}; ///< Digests over all present members.
     std::size_t m_suspects { 0 };
     std::uint64_t m_generation { 1 };
     std::vector<Change> m_changes;
--- a/Libraries/LibMembership/Protocol.cpp
+++ b/Libraries/LibMembership/Protocol.cpp
@@ -247,7 +247,7 @@
         return;
     std::unordered_set<std::uint32_t> const theirs(message.recordDigests.begin(), message.recordDigests.end());
     std::unordered_set<std::uint32_t> own;
-    for (std::uint64_t const id : idsIn(message.wantedBuckets)) {
+    for (std::uint64_t const id : m_table.membersOf(message.wantedBuckets)) {
         std::uint32_t const digest = digestOf(m_table.find(id)->record);
         own.insert(digest);
         if (!theirs.contains(digest) && id != message.sender.id && reply.records.size() < maxRecords / 2)
@@ -268,13 +268,12 @@
     std::size_t const start = m_random() % bucketCount;
     for (std::size_t i = 0; i < bucketCount && sync.wantedBuckets.size() < m_settings.bucketsPerSync; ++i) {
         std::size_t const bucket = (start + i) % bucketCount;
-        if (own[bucket] == message.buckets[bucket])
-            continue;
-        std::vector<std::uint64_t> const ids = m_table.membersOf(static_cast<std::uint32_t>(bucket));
-        if (sync.recordDigests.size() + ids.size() > maxRecords)
-            break;
-        sync.wantedBuckets.push_back(static_cast<std::uint32_t>(bucket));
-        for (std::uint64_t const id : ids)
+        if (own.at(bucket) != message.buckets[bucket])
+            sync.wantedBuckets.push_back(static_cast<std::uint32_t>(bucket));
+    }
+    for (std::uint64_t const id : m_table.membersOf(sync.wantedBuckets)) {
+        // A digest that is left out costs no more than a record that the other side sends in vain.
+        if (sync.recordDigests.size() < maxRecords)
             sync.recordDigests.push_back(digestOf(m_table.find(id)->record));
     }
     sendBudgeted(output, message.sender.id, sync, m_syncBudget);
@@ -295,16 +294,6 @@
     sendBudgeted(output, message.sender.id, rumours, m_syncBudget);
 }
 
-std::vector<std::uint64_t> Protocol::idsIn(std::vector<std::uint32_t> const& buckets) const
-{
-    std::vector<std::uint64_t> ids;
-    for (std::uint32_t const bucket : buckets) {
-        std::vector<std::uint64_t> const some = m_table.membersOf(bucket);
-        ids.insert(ids.end(), some.begin(), some.end());
-    }
-    return ids;
-}
-
 void Protocol::sendProfiles(Message const& message, Output& output)
 {
     if (message.wantedProfiles.empty())
--- a/Libraries/LibMembership/Protocol.h
+++ b/Libraries/LibMembership/Protocol.h
@@ -87,7 +87,6 @@
     void syncWith(Message const&, Output&);
     void sendWanted(Message const&, Output&, TimePoint now);
     void sendProfiles(Message const&, Output&);
-    std::vector<std::uint64_t> idsIn(std::vector<std::uint32_t> const& buckets) const;
 
     void handleExpired(Prober::Probe const&, Output&, TimePoint now);
     void askHelpers(Prober::Probe const&, Output&, TimePoint now);
--- a/Libraries/LibMembership/ProtocolTimers.cpp
+++ b/Libraries/LibMembership/ProtocolTimers.cpp
@@ -36,10 +36,10 @@
                 now);
         }
         m_loads.forget(now - m_settings.loadLifetime);
-        m_table.forget(now - m_settings.forgetAfter);
     }
     if (now >= m_nextHeal) {
         heal(output, now);
+        m_table.forget(now - m_settings.forgetAfter);
         m_nextHeal = now + m_settings.healInterval;
     }
     if (m_table.suspects() > 0)
--- a/Libraries/LibMembership/Settings.h
+++ b/Libraries/LibMembership/Settings.h
@@ -18,11 +18,11 @@
     std::chrono::milliseconds isolationTimeout { 5000 }; ///< Without any answer for so long: isolated.
     std::chrono::milliseconds pushDelay { 100 }; ///< Changes are collected for so long before they are passed on.
     std::chrono::milliseconds forgetAfter { 120'000 }; ///< The dead that are in no list are then forgotten.
-    std::chrono::milliseconds loadLifetime { 60'000 }; ///< Older loads are dropped.
+    std::chrono::milliseconds loadLifetime { 120'000 }; ///< Older loads are dropped.
     std::size_t zoneRings { 2 }; ///< Members watched within the availability zone.
     std::size_t globalRings { 2 }; ///< Members watched anywhere.
     std::size_t helpers { 2 }; ///< Members asked to probe one that does not answer.
-    std::size_t memberLoadsPerMessage { 5 };
+    std::size_t memberLoadsPerMessage { 10 };
     std::size_t zoneLoadsPerMessage { 3 };
     std::size_t recordsPerPush { 40 };
     std::size_t arrivalsPerPeriod { 5 }; ///< Passed on at once; of more, the comparison of digests carries the rest at less cost.
--- a/Tests/LibMembership/Network.h
+++ b/Tests/LibMembership/Network.h
@@ -43,6 +43,32 @@
         m_nodes.push_back(std::move(node));
         return i;
     }
+    /// Starts all, each of them knowing the others: the state after a long time without faults.
+    void startSettled()
+    {
+        startAll();
+        std::vector<Membership::Message> messages;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (i % 100 == 0) {
+                messages.emplace_back();
+                messages.back().kind = Membership::Kind::Rumours;
+                messages.back().sender = m_nodes[0].protocol->self();
+            }
+            messages.back().records.push_back(m_nodes[i].protocol->self());
+        }
+        for (Node& node : m_nodes) {
+            for (Membership::Message const& message : messages)
+                (void)node.protocol->handleMessage(Membership::encode(message), m_now);
+        }
+        // The first daemon does not take messages that seem to come from itself.
+        messages[0].sender = m_nodes[1].protocol->self();
+        for (Membership::Message& message : messages) {
+            message.sender = messages[0].sender;
+            (void)m_nodes[0].protocol->handleMessage(Membership::encode(message), m_now);
+        }
+        run(std::chrono::seconds(12)); // Until nobody counts as a newcomer.
+        takeWrongDeaths();
+    }
     /// Starts, or starts again, with a greater incarnation and the VM list as it is.
     void start(std::size_t i)
     {
