--- a/Libraries/LibOperator/ChangePlan.cpp
+++ b/Libraries/LibOperator/ChangePlan.cpp
@@ -32,20 +32,27 @@
     return it == state.objects.end() ? nullptr : &std::get<State::TargetContent>(it->second->content).labels;
 }
 
+/// As the daemons read it: any value but "no" drains.
+bool isDrainedBy(Label::LabelSet const& labels)
+{
+    std::optional<std::string_view> value = labels.get(drainLabel);
+    return value && *value != "no";
+}
+
 /// Gives a drained target that the file does not mention as such its drain label back.
 void keepDrain(State::ConfigFile& file, State::Object const& object, ApplyOptions const& options, std::vector<std::string>& notes)
 {
     if (object.key.kind != State::Kind::Target)
         return;
-    std::optional<std::string_view> drain = std::get<State::TargetContent>(object.content).labels.get(drainLabel);
+    Label::LabelSet const& labels = std::get<State::TargetContent>(object.content).labels;
     auto it = file.objects.find(object.key);
     bool isTouched = it != file.objects.end() || options.prune;
-    if (!drain || !isTouched)
+    if (!isDrainedBy(labels) || !isTouched)
         return;
     State::TargetContent content = it == file.objects.end() ? State::TargetContent() : std::get<State::TargetContent>(it->second);
-    if (content.labels.get(drainLabel) || !content.labels.set(drainLabel, *drain))
+    if (content.labels.get(drainLabel) || !content.labels.set(drainLabel, *labels.get(drainLabel)))
         return;
-    notes.push_back("[" + object.key.toString() + "] keeps drain=" + std::string(*drain) + ", which the file does not mention; 'currantctl undrain' removes it.");
+    notes.push_back("[" + object.key.toString() + "] keeps drain=" + std::string(*labels.get(drainLabel)) + ", which the file does not mention; 'currantctl undrain' removes it.");
     file.objects.insert_or_assign(object.key, State::Content(std::move(content)));
 }
 
@@ -64,7 +71,7 @@
     Label::LabelSet const* current = labelsOf(state, key);
     Label::LabelSet labels = current ? *current : Label::LabelSet();
     ChangePlan plan { document.offset, {}, {}, {} };
-    if (labels.get(drainLabel).has_value() == isDrained)
+    if (isDrainedBy(labels) == isDrained)
         return plan;
     if (isDrained) {
         BOOST_OUTCOME_TRY(labels.set(drainLabel, drainValue));
--- a/Tests/LibOperator/TestCommands.cpp
+++ b/Tests/LibOperator/TestCommands.cpp
@@ -123,6 +123,10 @@
     EXPECT_EQ(labelsOf("t2"), "none") << "its only label is gone";
     EXPECT_EQ(apply("[target t1]\nlabels = drain=no\n"), ExitCode::Ok);
     EXPECT_EQ(labelsOf("t1"), "drain=no") << "a file that mentions it decides";
+    EXPECT_EQ(run({ "undrain", "t1" }), ExitCode::Ok);
+    EXPECT_EQ(output(), "nothing to change\n");
+    EXPECT_EQ(run({ "drain", "t1" }), ExitCode::Ok);
+    EXPECT_EQ(labelsOf("t1"), "drain=yes");
 }
 
 TEST_F(CommandsTest, RaceIsReportedByApplyAndRunAgainByDrain)
