--- a/Libraries/LibOperator/Client.cpp
+++ b/Libraries/LibOperator/Client.cpp
@@ -31,19 +31,31 @@
     return settings;
 }
 
-/// The sentence in an error body, or the body itself when it is none.
-std::string messageOf(Http::Response const& response)
-{
-    Core::Result<boost::json::object> body = Json::parseObject(response.body);
-    boost::json::value const* error = body ? body.value().if_contains("error") : nullptr;
+/// What an error body says.
+struct ErrorBody {
+    std::string message;
+    Core::Verdict verdict { Core::Verdict::NotRun };
+};
+
+/// Reads an error body. Without a verdict, 503 leaves it open whether the request ran.
+ErrorBody errorBodyOf(Http::Response const& response)
+{
+    bool isOpen = response.status == static_cast<std::uint16_t>(Http::Status::ServiceUnavailable);
+    ErrorBody body { "status " + std::to_string(response.status), isOpen ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
+    Core::Result<boost::json::object> json = Json::parseObject(response.body);
+    boost::json::value const* error = json ? json.value().if_contains("error") : nullptr;
     if (!error || !error->is_object())
-        return "status " + std::to_string(response.status);
+        return body;
     Core::Result<std::string> message = Json::requiredString(error->get_object(), "message");
-    return message ? message.value() : boost::json::serialize(*error);
+    body.message = message ? message.value() : boost::json::serialize(*error);
+    Core::Result<std::string> verdict = Json::requiredString(error->get_object(), "verdict");
+    body.verdict = verdict ? Core::valueOf(Core::verdictNames, verdict.value()).value_or(body.verdict) : body.verdict;
+    return body;
 }
 
 Core::Error errorOf(Http::Response const& response)
 {
+    ErrorBody body = errorBodyOf(response);
     switch (static_cast<Http::Status>(response.status)) {
     case Http::Status::Unauthorized:
     case Http::Status::Forbidden:
@@ -51,11 +63,11 @@
     case Http::Status::BadRequest:
     case Http::Status::UnprocessableContent:
     case Http::Status::ContentTooLarge:
-        return Core::makeError(Core::ErrorCode::BadInput, messageOf(response));
+        return Core::makeError(Core::ErrorCode::BadInput, body.message);
     case Http::Status::ServiceUnavailable:
-        return Core::makeError(Core::ErrorCode::Unavailable, messageOf(response));
+        return { Core::ErrorCode::Unavailable, body.message, body.verdict };
     default:
-        return Core::makeError(Core::ErrorCode::Internal, "the server's answer has status " + std::to_string(response.status) + ": " + messageOf(response));
+        return Core::makeError(Core::ErrorCode::Internal, "the server's answer has status " + std::to_string(response.status) + ": " + body.message);
     }
 }
 
--- a/Libraries/LibOperator/Codec.cpp
+++ b/Libraries/LibOperator/Codec.cpp
@@ -109,8 +109,12 @@
 {
     HistoryEntry entry;
     BOOST_OUTCOME_TRY(entry.offset, Json::requiredNumber(json, "offset"));
-    BOOST_OUTCOME_TRY(entry.outcome, outcomeOf(json));
-    BOOST_OUTCOME_TRY(std::optional<std::string> reason, Json::optionalString(json, "reason"));
+    BOOST_OUTCOME_TRY(std::string outcome, Json::requiredString(json, "outcome"));
+    std::optional<State::Applied> applied = Core::valueOf(State::appliedNames, outcome);
+    if (!applied)
+        return Core::fail(Core::ErrorCode::BadInput, "read outcome '" + outcome + "', allowed: accepted, refused or repeated");
+    entry.applied = *applied;
+    BOOST_OUTCOME_TRY(std::optional<std::string> reason, Json::optionalString(json, "why"));
     entry.reason = reason.value_or("");
     BOOST_OUTCOME_TRY(entry.record, recordOf(json));
     return entry;
@@ -189,9 +193,9 @@
     for (HistoryEntry const& it : entries) {
         object json = toJson(it.record);
         json["offset"] = it.offset;
-        json["outcome"] = Core::nameOf(changeOutcomeNames, it.outcome);
+        json["outcome"] = Core::nameOf(State::appliedNames, it.applied);
         if (!it.reason.empty())
-            json["reason"] = it.reason;
+            json["why"] = it.reason;
         records.push_back(std::move(json));
     }
     return boost::json::serialize(object { { "records", std::move(records) } });
--- a/Libraries/LibOperator/Commands.cpp
+++ b/Libraries/LibOperator/Commands.cpp
@@ -253,7 +253,7 @@
     if (m_line.output == Output::Json)
         m_out << encode(entries.value()) << "\n";
     else
-        m_out << printHistory(entries.value());
+        m_out << printHistory(std::move(entries.value()));
     return ExitCode::Ok;
 }
 
--- a/Libraries/LibOperator/Messages.h
+++ b/Libraries/LibOperator/Messages.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/EnumNames.h>
 #include <LibState/ConfigRecord.h>
+#include <LibState/Fold.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,8 +51,8 @@
 /// One record of the answer to `GET /v1/config/history`.
 struct HistoryEntry {
     std::uint64_t offset { 0 };
-    ChangeOutcome outcome { ChangeOutcome::Accepted };
-    std::string reason; ///< Why it was refused; else empty.
+    State::Applied applied { State::Applied::Accepted };
+    std::string reason; ///< The outcome in a sentence.
     State::ConfigRecord record;
 
     bool operator==(HistoryEntry const&) const = default;
--- a/Libraries/LibOperator/Printing.cpp
+++ b/Libraries/LibOperator/Printing.cpp
@@ -117,14 +117,15 @@
     return text;
 }
 
-std::string printHistory(std::vector<HistoryEntry> const& entries)
+std::string printHistory(std::vector<HistoryEntry> entries)
 {
+    std::ranges::sort(entries, {}, &HistoryEntry::offset);
     if (entries.empty())
         return "none\n";
     std::vector<Row> rows { { "offset", "outcome", "author", "id", "edits" } };
     for (HistoryEntry const& it : entries) {
-        std::string reason = it.reason.empty() ? "" : " (" + it.reason + ")";
-        rows.push_back({ std::to_string(it.offset), std::string(Core::nameOf(changeOutcomeNames, it.outcome)), it.record.author, it.record.id.toString(), printEdits(it.record) + reason });
+        std::string reason = it.applied == State::Applied::Accepted || it.reason.empty() ? "" : " (" + it.reason + ")";
+        rows.push_back({ std::to_string(it.offset), std::string(Core::nameOf(State::appliedNames, it.applied)), it.record.author, it.record.id.toString(), printEdits(it.record) + reason });
     }
     return printRows(rows);
 }
--- a/Tests/LibOperator/FakeDaemon.h
+++ b/Tests/LibOperator/FakeDaemon.h
@@ -13,6 +13,8 @@
     Unknown, ///< Appends it and says that the outcome is unknown.
     Lost, ///< Appends it and closes the connection.
     NotReady, ///< Answers 503 to everything.
+    RefusesChanges, ///< Answers 503 with "not-run" to changes, and appends nothing.
+    FailsChanges, ///< Appends them, and answers 503 with "may-have-run".
     Race, ///< Another operator's edit of the same object is accepted first, once.
 };
 
@@ -79,7 +81,7 @@
         if (request.target == "/v1/config/records")
             return change(Operator::decodeRecord(request.body).value());
         if (request.target == "/v1/config/history?limit=7")
-            return Http::jsonResponse(Http::Status::Ok, Operator::encode(std::vector<Operator::HistoryEntry> { { 4, Operator::ChangeOutcome::Refused, "lost", { { 3, 1 }, "clerk", {} } } }));
+            return Http::jsonResponse(Http::Status::Ok, Operator::encode(std::vector<Operator::HistoryEntry> { { 5, State::Applied::Repeated, "again", { { 3, 1 }, "clerk", {} } }, { 4, State::Applied::Accepted, "now", { { 3, 1 }, "clerk", {} } } }));
         return Http::jsonResponse(Http::Status::NotFound, "{}");
     }
 
@@ -99,7 +101,11 @@
             other.edits.front().fields = State::Fields { { "labels", "by=other" } };
             m_log.append(other);
         }
+        if (fault == Fault::RefusesChanges)
+            return Http::jsonResponse(Http::Status::ServiceUnavailable, R"({"error":{"code":"unavailable","message":"the log is down","verdict":"not-run"}})");
         State::Outcome outcome = m_log.append(record);
+        if (fault == Fault::FailsChanges)
+            return Http::jsonResponse(Http::Status::ServiceUnavailable, R"({"error":{"code":"timeout","message":"no answer","verdict":"may-have-run"}})");
         if (fault == Fault::Unknown)
             return Http::jsonResponse(Http::Status::ServiceUnavailable, Operator::encode(Operator::ChangeReply { Operator::ChangeOutcome::Unknown, 0, "the log is down", {} }));
         if (outcome.kind == State::OutcomeKind::Accepted)
--- a/Tests/LibOperator/TestCodec.cpp
+++ b/Tests/LibOperator/TestCodec.cpp
@@ -18,7 +18,7 @@
     EXPECT_EQ(Operator::decodeRecord(Operator::encode(record())).value(), record());
     Operator::ConfigDocument document { 12, { { { State::Kind::Target, "a" }, 3, { { "labels", "x=1" } } } } };
     EXPECT_EQ(Operator::decodeConfig(Operator::encode(document)).value(), document);
-    std::vector<Operator::HistoryEntry> history { { 4, Operator::ChangeOutcome::Refused, "why", record() }, { 5, Operator::ChangeOutcome::Accepted, "", record() } };
+    std::vector<Operator::HistoryEntry> history { { 4, State::Applied::Refused, "why", record() }, { 5, State::Applied::Repeated, "", record() } };
     EXPECT_EQ(Operator::decodeHistory(Operator::encode(history)).value(), history);
     Operator::Progress progress { { { "d", 4 } }, true };
     EXPECT_EQ(Operator::decodeProgress(Operator::encode(progress)).value(), progress);
--- a/Tests/LibOperator/TestCommands.cpp
+++ b/Tests/LibOperator/TestCommands.cpp
@@ -155,7 +155,7 @@
 
 TEST_F(CommandsTest, UnknownOutcomeIsSaidAndItsRepeatDoesNoHarm)
 {
-    for (Fault fault : { Fault::Unknown, Fault::Lost }) {
+    for (Fault fault : { Fault::Unknown, Fault::Lost, Fault::FailsChanges }) {
         m_first.fault = m_second.fault = fault;
         std::string before = std::to_string(m_log.fold.nextOffset());
         EXPECT_EQ(apply("[target a]\nlabels = x=" + before + "\n"), ExitCode::Unknown);
@@ -173,7 +173,7 @@
 
 TEST_F(CommandsTest, AnotherServerSettlesAnUnknownOutcome)
 {
-    for (Fault fault : { Fault::Unknown, Fault::Lost, Fault::NotReady }) {
+    for (Fault fault : { Fault::Unknown, Fault::Lost, Fault::NotReady, Fault::RefusesChanges, Fault::FailsChanges }) {
         m_first.fault = fault;
         std::string labels = "x=" + std::to_string(m_log.fold.nextOffset());
         EXPECT_EQ(apply("[target a]\nlabels = " + labels + "\n"), ExitCode::Ok);
@@ -203,6 +203,9 @@
     EXPECT_EQ(run({ "status" }), ExitCode::Unreachable);
     EXPECT_EQ(errors(), "currantctl: not ready\n");
     EXPECT_EQ(run({ "drain", "a" }), ExitCode::Unreachable);
+    m_first.fault = m_second.fault = Fault::RefusesChanges;
+    EXPECT_EQ(run({ "drain", "a" }), ExitCode::Unreachable);
+    EXPECT_NE(errors().find("the log is down"), std::string::npos) << "it certainly was not appended";
 }
 
 TEST_F(CommandsTest, StatusHistoryAndExplainArePrinted)
@@ -214,5 +217,5 @@
     EXPECT_EQ(run({ "explain", "--labels", "a=b" }), ExitCode::Ok);
     EXPECT_EQ(output(), "to t1\n");
     EXPECT_EQ(run({ "history", "--limit", "7" }), ExitCode::Ok);
-    EXPECT_EQ(output(), "  offset  outcome  author  id                  edits\n  4       refused  clerk   3-0000000000000001   (lost)\n");
+    EXPECT_EQ(output(), "  offset  outcome   author  id                  edits\n  4       accepted  clerk   3-0000000000000001\n  5       repeated  clerk   3-0000000000000001   (again)\n");
 }
