--- a/Libraries/LibRoles/MixEstimator.cpp
+++ b/Libraries/LibRoles/MixEstimator.cpp
@@ -38,7 +38,7 @@
 
 void MixEstimator::followPhase(double seconds)
 {
-    constexpr double newPhaseWeight = 0.4;
+    constexpr double newPhaseWeight = 0.6;
     m_phaseSeconds += seconds;
     double offset = shareNow() - shareAverage();
     int side = offset > m_settings.band ? 1 : (offset < -m_settings.band ? -1 : m_side);
