--- a/Libraries/LibModel/Scenario.h
+++ b/Libraries/LibModel/Scenario.h
@@ -29,7 +29,7 @@
     std::uint32_t zones { 3 };
     double reportLagSeconds { 0.5 };
     double changeCostSeconds { 0 }; ///< The operator's label `change-cost`.
-    std::optional<double> engineLostAt; ///< Seconds; engine 0.
+    std::optional<double> engineLostAt; ///< Seconds; the last engine, which decodes in most splits.
     std::optional<double> zoneLostAt; ///< Seconds; zone 0, its entries too.
 };
 
--- a/Libraries/LibModel/Simulation.cpp
+++ b/Libraries/LibModel/Simulation.cpp
@@ -73,7 +73,7 @@
     schedule(Time {} + duration(peerSeconds), Kind::PeerCounts);
     schedule(Time {} + duration(planSeconds), Kind::Plan);
     if (m_scenario.engineLostAt)
-        schedule(Time {} + duration(*m_scenario.engineLostAt), Kind::EngineLost);
+        schedule(Time {} + duration(*m_scenario.engineLostAt), Kind::EngineLost, m_scenario.workload.engines - 1);
     if (m_scenario.zoneLostAt)
         schedule(Time {} + duration(*m_scenario.zoneLostAt), Kind::ZoneLost);
     Time limit = Time {} + duration(m_scenario.workload.seconds + 120);
