--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -13,11 +13,22 @@
     /// Added to a score by zone distance: same zone, same region, other region. All 0: nearness plays no part.
     std::array<double, 3> zonePenaltySeconds { 0.0, 0.002, 0.050 };
 
-    double secondsPerPromptToken { 1.0 / 8000 }; ///< Prefill time of one prompt token.
+    double secondsPerPromptToken { 1.0 / 7600 }; ///< Prefill time of one prompt token, the engine's overheads included.
     double secondsPerRequest { 0.004 }; ///< How much one more running request slows a target down.
     double fullPenaltySeconds { 2.0 }; ///< Added when the request's KV cache does not fit beside the known load.
     std::uint32_t maxRunning { 24 }; ///< Requests that a target runs at once; more wait for a slot. 0: no limit known.
-    double secondsPerSlot { 0.25 }; ///< Time for a full target to free one slot.
+    double secondsPerSlot { 0.4 }; ///< Time for a full target to free one slot.
+
+    /// Prompts that a mixed target computes beside running requests go slower, and delay the tokens of the
+    /// others. Both are seconds: for each such token, and for each time over that the recent rate exceeds
+    /// what it can take without breaking the limit on the time between tokens.
+    double besideSecondsPerPromptToken { 0.0002 };
+    double besideTokensPerSecond { 600 };
+    double besideTokensPerPrompt { 128 }; ///< Counted for each prompt beside its own: half a chunk, since chunks are not shared.
+    double besideWindowSeconds { 3 }; ///< The time constant with which the rate was measured.
+    double besideOverSeconds { 3.0 };
+
+    double transferSecondsPerPromptToken { 0.000025 }; ///< Sending the KV cache of a prompt from a prefill target.
 
     double imbalanceSeconds { 0.25 }; ///< PrefixAffinity: how much more than the least wait is accepted for a prefix.
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
--- a/Utilities/currantvale-bench-requests/main.cpp
+++ b/Utilities/currantvale-bench-requests/main.cpp
@@ -30,5 +30,7 @@
 {
     Bench::runAdmission();
     Bench::runRequests();
+    Bench::runMayHaveRunTrial();
+    Bench::runOverloadTrial();
     return 0;
 }
