--- a/Tests/LibAuthority/TestTakeover.cpp
+++ b/Tests/LibAuthority/TestTakeover.cpp
@@ -122,6 +122,22 @@
     EXPECT_TRUE(world.isAsWanted());
 }
 
+TEST(Takeover, NothingIsReleasedWhileAWriteIsUnanswered)
+{
+    World world = pausedBetweenCheckAndWrite();
+    world.daemons[0].isPaused = false;
+    world.daemons[0].pool.release();
+    world.appends.clear();
+    for (int n = 0; n < 10; ++n) {
+        world.now += std::chrono::seconds(1);
+        world.poll(0);
+    }
+    EXPECT_TRUE(world.appends.empty()) << "its checked writes may still reach the engines";
+    world.run(20);
+    EXPECT_TRUE(world.keeper(1).mayOrder(world.now));
+    EXPECT_TRUE(world.daemons[1].pool.lease()->unsettled.empty());
+}
+
 TEST(Takeover, EnginesChangeOneAfterTheOtherWhenOnlyOneMay)
 {
     PoolSettings settings;
