--- a/Libraries/LibAuthority/Time.h
+++ b/Libraries/LibAuthority/Time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 namespace Authority {
 
@@ -8,4 +9,10 @@
 using Time = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 
+/// Returns whether `interval` has passed since `last`, or there was no last time. Thread-safe.
+inline bool isDue(std::optional<Time> const& last, Time now, Duration interval)
+{
+    return !last || now - *last >= interval;
+}
+
 }
