LibDaemon: Let waiting requests see a target's present role and state, change part of a pool at a time

Cause: found by a live change of version: all three engines of the pool were closed at once (the bound on changes is 3), and requests that had come while they were closed waited for ever, since their candidates carried the closed flag of the moment when they came. Change: the dispatcher reads role and openness as they are now; at most a quarter of a pool, one engine at least, changes at once.

--- a/Libraries/LibDaemon/AuthorityAgent.cpp
+++ b/Libraries/LibDaemon/AuthorityAgent.cpp
@@ -297,7 +297,9 @@
     std::string names;
     for (std::string const& name : block->names)
         names += (names.empty() ? "" : ",") + name;
-    Core::logEvent(Core::Severity::Warning, Core::Event::ChangeBlocked, { { "pool", pool.name }, { "engine", engine.managed.name }, { "reason", std::string(Core::nameOf(Authority::blockReasonNames, block->reason)) }, { "daemons", names } });
+    // That requests are still running is the ordinary course of a drain.
+    bool isOrdinary = block->reason == Authority::BlockReason::RequestsRunning || block->reason == Authority::BlockReason::ChangeBudget;
+    Core::logEvent(isOrdinary ? Core::Severity::Info : Core::Severity::Warning, Core::Event::ChangeBlocked, { { "pool", pool.name }, { "engine", engine.managed.name }, { "reason", std::string(Core::nameOf(Authority::blockReasonNames, block->reason)) }, { "daemons", names } });
 }
 
 }
--- a/Libraries/LibDaemon/AuthorityOrders.cpp
+++ b/Libraries/LibDaemon/AuthorityOrders.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/AuthorityPool.h>
 #include <LibPeer/Call.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -16,6 +17,7 @@
 constexpr std::chrono::milliseconds peerTimeout { 1'000 };
 constexpr std::chrono::seconds vmListLag { 30 };
 constexpr std::chrono::seconds evidenceInterval { 2 };
+constexpr std::size_t changingPart = 4; ///< At most one in so many engines changes at once.
 constexpr int okStatus = 200;
 
 Roles::RoleSet toRoleSet(State::RoleSet allowed)
@@ -107,7 +109,9 @@
     std::size_t changing = 0;
     for (std::pair<std::string const, Engine> const& it : pool.engines)
         changing += it.second.orders.isChanging() ? 1 : 0;
-    bool mayStart = changing < m_roleSettings.maxChanging;
+    // Whatever is wanted, most of a pool goes on serving; a pool of one or two changes one at a time.
+    std::size_t bound = std::clamp<std::size_t>(pool.engines.size() / changingPart, 1, m_roleSettings.maxChanging);
+    bool mayStart = changing < bound;
     Clock::time_point now = Clock::now();
     std::optional<Authority::EngineAction> action = engine.orders.poll(now, pool.keeper.mayOrder(now), mayStart, m_weights);
     if (action)
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -96,7 +96,8 @@
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         if (isExcluded || !m_admission->hasRoom(target.id))
             continue;
-        Routing::Candidate candidate { target.id, target.role, target.distance, target.isClosed(), 0, m_loads.load(target.id, now) };
+        // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
+        Routing::Candidate candidate { target.id, m_roles.at(target.id), target.distance, false, 0, m_loads.load(target.id, now) };
         for (std::size_t n = 0; n < matched; ++n) {
             if (matches[n].target == target.id)
                 candidate.prefixMatchTokens = std::max(candidate.prefixMatchTokens, matches[n].tokens);
@@ -237,9 +238,11 @@
     std::lock_guard lock(m_mutex);
     std::uint32_t highest = 0;
     std::vector<std::uint32_t> known;
+    m_roles.clear();
     for (FleetTarget const& target : fleet->targets) {
         highest = std::max(highest, target.id);
         known.push_back(target.id);
+        m_roles.emplace(target.id, target.role);
     }
     if (!fleet->targets.empty() && highest >= m_loads.size())
         m_loads.resize(highest + 1);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -99,6 +99,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters; ///< Waiting and granted placements.
     std::map<std::string, Admission::GroupId> m_groups;
     std::vector<std::uint32_t> m_knownTargets;
+    std::unordered_map<std::uint32_t, Routing::TargetRole> m_roles; ///< Of the known targets, now.
     std::vector<Routing::Candidate> m_candidates; ///< Reused between decisions.
     std::vector<std::uint32_t> m_candidatePositions;
 };
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -89,7 +89,7 @@
     start log "$bin/currantvale-standin" log --listen 127.0.0.1:8401
     start vms "$bin/currantvale-standin" vms --listen 127.0.0.1:8402 --file "$samples/vms.json"
     for n in 1 2 3; do
-        start "engine-$n" "$bin/currantvale-standin" engine --listen "127.0.0.1:850$n" --name "reasoning-$n" --model pension-reasoning
+        start "engine-$n" "$bin/currantvale-standin" engine --listen "127.0.0.1:850$n" --name "reasoning-$n" --model pension-reasoning --checks-fencing yes --change-seconds 1
     done
     start records "$bin/currantvale-standin" service --listen "$records" --name enrolment-records
     for n in 1 2 3; do start "entry-$n" "$bin/currantvaled" --settings "$samples/entry-$n.ini"; done
