--- a/Tests/Docs/TestSettingsPage.cpp
+++ b/Tests/Docs/TestSettingsPage.cpp
@@ -41,7 +41,9 @@
             std::string key = assignment.substr(0, assignment.find(" ="));
             bool isRequired = requiredOnly.find("\n" + key + " = ", requiredOnly.find(section)) < requiredOnly.find("\n[", requiredOnly.find(section));
             std::string value = isRequired ? "required" : "`" + assignment.substr(assignment.find("= ") + 2) + "`";
-            rows.insert(section + " | `" + key + "` | " + value + " | " + comment + " |");
+            std::string row = section;
+            row.append(" | `").append(key).append("` | ").append(value).append(" | ").append(comment).append(" |");
+            rows.insert(std::move(row));
         }
     }
     return rows;
@@ -58,7 +60,7 @@
         if (line.starts_with("## "))
             section = line.substr(3);
         else if (line.starts_with("| `"))
-            rows.insert(section + " " + line);
+            rows.insert(std::string(section).append(" ").append(line));
     }
     return rows;
 }
