LibRequest: Take 'never seen' as proof only from the incarnation that was sent to

Cause: the machine trusted its shell to compare the target's incarnations, and the daemon's shell does not: an engine that ran a request, crashed and came back answers 'never seen', and a request that may not be repeated was then sent to another engine.

Change: Connected and CancelAcknowledged carry the incarnation; the machine compares them and takes an unknown one for another. A shell that names none is safe: such a request then ends at 'may have run'.

--- a/Libraries/LibRequest/RequestEvent.h
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -21,8 +21,8 @@
 enum class CancelOutcome : std::uint8_t {
     Canceled, ///< It was running and has been stopped.
     Finished, ///< It had run to its end.
-    NeverSeen, ///< The incarnation that was sent to has not seen it and will refuse it later: certainly not run.
-    Unknown, ///< No answer, or from another incarnation of the target.
+    NeverSeen, ///< Whoever answered has not seen it and will refuse it later.
+    Unknown, ///< No answer.
 };
 
 inline constexpr Core::EnumNames<CancelOutcome, 4> cancelOutcomeNames { {
@@ -53,6 +53,7 @@
 /// A connection stands and nothing has been written on it. Write only if the answer is `WriteRequest`.
 struct Connected {
     Leg leg;
+    std::string targetIncarnation {}; ///< The target's incarnation as it was read at any time before; empty: unknown.
 };
 /// No connection, or the first write certainly wrote nothing.
 struct ConnectFailed {
@@ -95,10 +96,12 @@
 struct ResumeUnknown {
     Leg leg;
 };
-/// The target's answer to `CancelAtTarget`, or `Unknown` when none came.
+/// The target's answer to `CancelAtTarget`, or `Unknown` when none came. 'Never seen' proves that the attempt did not run
+/// only if the incarnation is that of `Connected`: a target that was replaced has never seen what the former one ran.
 struct CancelAcknowledged {
     std::uint32_t attempt { 0 };
     CancelOutcome outcome { CancelOutcome::Unknown };
+    std::string targetIncarnation {}; ///< Of who answered, read with the answer or after it; empty: unknown.
 };
 /// A home's final answer to an entry that forwarded to it: the error and verdict that the caller gets.
 struct HomeAnswered {
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -104,6 +104,7 @@
         return;
     }
     m_wasWritten = true;
+    m_targetIncarnation = std::move(event.targetIncarnation);
     m_phase = Phase::AwaitingHead;
     act(WriteRequest { event.leg });
 }
@@ -211,7 +212,10 @@
 {
     if (m_phase != Phase::Fencing || event.attempt != m_attempt)
         return;
-    if (event.outcome != CancelOutcome::NeverSeen) {
+    // An incarnation does not come back: if the one that was known before the write answers after it, no other one
+    // can have got the request.
+    bool isSameTarget = !m_targetIncarnation.empty() && event.targetIncarnation == m_targetIncarnation;
+    if (event.outcome != CancelOutcome::NeverSeen || !isSameTarget) {
         finishWith(Core::ErrorCode::Unavailable, "The target was lost after the request had been sent to it.");
         return;
     }
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -113,6 +113,7 @@
     std::uint64_t m_base { 0 }; ///< Pieces delivered before the current attempt.
     std::uint64_t m_delivered { 0 };
     std::string m_target;
+    std::string m_targetIncarnation; ///< Of the current attempt; empty: unknown.
     std::vector<std::string> m_excluded;
 };
 
--- a/Tests/LibRequest/Runner.cpp
+++ b/Tests/LibRequest/Runner.cpp
@@ -34,7 +34,7 @@
 std::optional<NodeId> Runner::currentTarget() const
 {
     auto it = m_targets.find(m_leg.attempt);
-    return it == m_targets.end() || m_machine.isFinished() ? std::nullopt : std::optional(it->second.first);
+    return it == m_targets.end() || m_machine.isFinished() ? std::nullopt : std::optional(it->second);
 }
 
 bool Runner::isLive() const
@@ -92,7 +92,7 @@
         return;
     }
     Request::Leg leg { number, 1 };
-    m_targets[number] = { target, m_world.m_nodes[target].incarnation };
+    m_targets[number] = target;
     m_base = m_delivered;
     ++m_world.m_dispatches;
     m_world.timer(m_node, 0ms, [self, number, target] { self->feed(Request::TargetPicked { number, std::to_string(target) }); });
@@ -101,7 +101,7 @@
         m_world.step(Step::Connecting, m_call);
     }
     connectTo(leg, target, [self, leg, target] {
-        self->m_world.send(self->m_connection, target, [self, leg] { self->feed(Request::Connected { leg }); });
+        self->m_world.send(self->m_connection, target, [self, leg, incarnation = std::to_string(self->m_world.m_nodes[target].incarnation)] { self->feed(Request::Connected { leg, incarnation }); });
     });
 }
 
@@ -123,7 +123,7 @@
     }
     m_world.step(Step::Written, m_call);
     std::shared_ptr<Runner> self = shared_from_this();
-    NodeId target = m_targets[it.leg.attempt].first;
+    NodeId target = m_targets[it.leg.attempt];
     m_world.send(m_connection, m_node, [self, target, leg = it.leg, connection = m_connection, first = m_base] { self->m_world.targetReceives(target, self->key(leg.attempt), self->m_call, first, self, leg, connection); }, [self, leg = it.leg] { self->feed(Request::StreamBroken { leg }); });
 }
 
@@ -164,7 +164,7 @@
     m_world.timer(m_node, it.delay, [self, it] {
         if (self->m_machine.isFinished() || it.leg != self->m_leg)
             return;
-        NodeId target = self->m_targets[it.leg.attempt].first;
+        NodeId target = self->m_targets[it.leg.attempt];
         self->connectTo(it.leg, target, [self, it, target] {
             ConnectionPtr connection = self->m_connection;
             if (self->m_home) {
@@ -191,22 +191,23 @@
 void Runner::act(Request::CancelAtTarget const& it)
 {
     std::shared_ptr<Runner> self = shared_from_this();
-    std::pair<NodeId, std::uint64_t> target = m_targets[it.attempt];
-    ConnectionPtr connection = m_world.connect(m_node, target.first);
-    auto answer = [self, it](Request::CancelOutcome outcome) { self->feed(Request::CancelAcknowledged { it.attempt, outcome }); };
-    m_world.timer(m_node, cancelPatience, [answer] { answer(Request::CancelOutcome::Unknown); });
+    NodeId target = m_targets[it.attempt];
+    ConnectionPtr connection = m_world.connect(m_node, target);
+    auto answer = [self, it](Request::CancelOutcome outcome, std::string const& incarnation) { self->feed(Request::CancelAcknowledged { it.attempt, outcome, incarnation }); };
+    m_world.timer(m_node, cancelPatience, [answer] { answer(Request::CancelOutcome::Unknown, ""); });
     m_world.send(connection, m_node, [self, it, target, connection, answer] {
-        Target& state = self->m_world.m_targets[target.first];
+        Target& state = self->m_world.m_targets[target];
         std::string key = self->key(it.attempt);
         auto stream = state.streams.find(key);
         Request::CancelOutcome outcome = Request::CancelOutcome::Canceled;
-        if (stream != state.streams.end())
+        if (stream != state.streams.end()) {
             stream->second.isCanceled = true;
-        else if (state.fenced.insert(key); self->m_world.m_nodes[target.first].incarnation == target.second)
+        } else {
+            state.fenced.insert(key);
             outcome = Request::CancelOutcome::NeverSeen;
-        else
-            outcome = Request::CancelOutcome::Unknown;
-        self->m_world.send(connection, target.first, [answer, outcome] { answer(outcome); });
+        }
+        std::string incarnation = std::to_string(self->m_world.m_nodes[target].incarnation);
+        self->m_world.send(connection, target, [answer, outcome, incarnation] { answer(outcome, incarnation); });
     });
 }
 
--- a/Tests/LibRequest/Runner.h
+++ b/Tests/LibRequest/Runner.h
@@ -48,7 +48,7 @@
     Request::RequestMachine m_machine;
     Request::Leg m_leg;
     ConnectionPtr m_connection;
-    std::map<std::uint32_t, std::pair<NodeId, std::uint64_t>> m_targets; ///< By attempt: target and its incarnation.
+    std::map<std::uint32_t, NodeId> m_targets; ///< By attempt.
     std::uint64_t m_base { 0 };
     std::uint64_t m_delivered { 0 };
     TimePoint m_heardAt;
--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -193,15 +193,19 @@
 TEST(RequestMachine, AFencedAttemptIsRunElsewhereAndAnUnknownOneIsNot)
 {
     for (CancelOutcome outcome : { CancelOutcome::NeverSeen, CancelOutcome::Canceled, CancelOutcome::Finished, CancelOutcome::Unknown }) {
-        Case it({ .canCancel = true, .deadline = deadline });
-        it.feed(Admitted {});
-        it.write(1);
-        EXPECT_TRUE(it.expect<CancelAtTarget>(StreamBroken { { 1, 1 } }).needsOutcome);
-        RequestActions actions = it.feed(CancelAcknowledged { 1, outcome });
-        ASSERT_EQ(actions.size(), 1U);
-        EXPECT_EQ(std::holds_alternative<Dispatch>(actions[0]), outcome == CancelOutcome::NeverSeen) << Core::nameOf(cancelOutcomeNames, outcome);
-        if (outcome != CancelOutcome::NeverSeen) {
-            EXPECT_EQ(verdictOf(std::get<Finish>(actions[0])), Core::Verdict::MayHaveRun);
+        for (std::string const& before : { "", "i1" }) {
+            for (std::string const& after : { "", "i1", "i2" }) {
+                Case it({ .canCancel = true, .deadline = deadline });
+                it.feed(Admitted {});
+                it.feed(TargetPicked { 1, "target-1" });
+                it.feed(Connected { { 1, 1 }, before });
+                EXPECT_TRUE(it.expect<CancelAtTarget>(StreamBroken { { 1, 1 } }).needsOutcome);
+                RequestActions actions = it.feed(CancelAcknowledged { 1, outcome, after });
+                ASSERT_EQ(actions.size(), 1U);
+                bool isProof = outcome == CancelOutcome::NeverSeen && before == "i1" && after == "i1";
+                EXPECT_EQ(std::holds_alternative<Dispatch>(actions[0]), isProof) << Core::nameOf(cancelOutcomeNames, outcome) << before << after;
+                EXPECT_EQ(it.machine.verdict(), isProof ? Core::Verdict::NotRun : Core::Verdict::MayHaveRun);
+            }
         }
     }
 }
