--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -193,14 +193,14 @@
 TEST(RequestMachine, AFencedAttemptIsRunElsewhereAndAnUnknownOneIsNot)
 {
     for (CancelOutcome outcome : { CancelOutcome::NeverSeen, CancelOutcome::Canceled, CancelOutcome::Finished, CancelOutcome::Unknown }) {
-        for (std::string const& before : { "", "i1" }) {
-            for (std::string const& after : { "", "i1", "i2" }) {
+        for (std::string_view before : { "", "i1" }) {
+            for (std::string_view after : { "", "i1", "i2" }) {
                 Case it({ .canCancel = true, .deadline = deadline });
                 it.feed(Admitted {});
                 it.feed(TargetPicked { 1, "target-1" });
-                it.feed(Connected { { 1, 1 }, before });
+                it.feed(Connected { { 1, 1 }, std::string(before) });
                 EXPECT_TRUE(it.expect<CancelAtTarget>(StreamBroken { { 1, 1 } }).needsOutcome);
-                RequestActions actions = it.feed(CancelAcknowledged { 1, outcome, after });
+                RequestActions actions = it.feed(CancelAcknowledged { 1, outcome, std::string(after) });
                 ASSERT_EQ(actions.size(), 1U);
                 bool isProof = outcome == CancelOutcome::NeverSeen && before == "i1" && after == "i1";
                 EXPECT_EQ(std::holds_alternative<Dispatch>(actions[0]), isProof) << Core::nameOf(cancelOutcomeNames, outcome) << before << after;
