--- a/Libraries/LibMembership/Protocol.cpp
+++ b/Libraries/LibMembership/Protocol.cpp
@@ -145,13 +145,16 @@
 
 void Protocol::apply(Record const& record, TimePoint now)
 {
+    Member const* const before = m_table.find(record.id);
+    bool const wasSuspect = before && before->record.status == Status::Suspect;
     Applied const applied = m_table.apply(record, now);
     if (applied == Applied::Doubted)
         m_doubts[record.id] = record;
     if (applied != Applied::Changed || m_isNewcomer)
         return;
-    // When many arrive at once, as after a partition, the comparison of digests carries them at less cost.
-    bool const isArrival = record.status == Status::Alive;
+    // When many arrive at once, as after a partition, the comparison of digests carries them at less cost. The
+    // refutation of a suspicion cannot wait for that.
+    bool const isArrival = record.status == Status::Alive && !wasSuspect;
     m_arrivals += isArrival ? 1 : 0;
     if (isArrival && (m_arrivals > m_settings.arrivalsPerPeriod || !m_pushBudget.isOpen(now)))
         return;
--- a/Libraries/LibMembership/Protocol.h
+++ b/Libraries/LibMembership/Protocol.h
@@ -141,6 +141,7 @@
     TimePoint m_nextPeriod;
     TimePoint m_nextHeal;
     TimePoint m_pushAt;
+    TimePoint m_lastSuspicionCheck;
 };
 
 }
--- a/Libraries/LibMembership/ProtocolTimers.cpp
+++ b/Libraries/LibMembership/ProtocolTimers.cpp
@@ -42,8 +42,10 @@
         m_table.forget(now - m_settings.forgetAfter);
         m_nextHeal = now + m_settings.healInterval;
     }
-    if (m_table.suspects() > 0)
+    if (m_table.suspects() > 0 && now - m_lastSuspicionCheck >= m_settings.pushDelay) {
+        m_lastSuspicionCheck = now;
         expireSuspicions(now);
+    }
     push(output, now);
     return output;
 }
@@ -154,7 +156,8 @@
 {
     TimePoint::duration const extension = m_settings.suspicionPerSuspect * (m_table.suspects() - 1);
     TimePoint::duration const timeout = std::min<TimePoint::duration>(m_settings.suspicionTimeout + extension, longestSuspicion);
-    for (std::uint64_t const id : idsWhere([](Member const& member) { return member.record.status == Status::Suspect; })) {
+    std::vector<std::uint64_t> const suspects = idsWhere([](Member const& member) { return member.record.status == Status::Suspect; });
+    for (std::uint64_t const id : suspects) {
         TimePoint const since = std::max(m_table.find(id)->changed, m_lastWake);
         // While nobody answers this daemon, a refutation could not have arrived either.
         if (now - since < timeout || m_lastRoundTrip <= since)
@@ -183,7 +186,7 @@
         return member ? 1 + static_cast<int>(member->record.status) : 9;
     };
     std::vector<std::uint64_t> ids(m_pushes.begin(), m_pushes.end());
-    std::ranges::stable_sort(ids, [&rank](std::uint64_t first, std::uint64_t second) { return rank(first) < rank(second); });
+    std::ranges::sort(ids, [&rank](std::uint64_t first, std::uint64_t second) { return std::pair(rank(first), first) < std::pair(rank(second), second); });
     if (ids.size() > m_settings.recordsPerPush)
         ids.resize(m_settings.recordsPerPush);
     for (std::uint64_t const id : ids)
--- a/Tests/LibMembership/TestStorms.cpp
+++ b/Tests/LibMembership/TestStorms.cpp
@@ -130,3 +130,12 @@
     network.loss = 0;
     EXPECT_TRUE(network.runUntil([&] { return network.isConverged(); }, 60s));
 }
+
+TEST(Storms, LossThatStopsManyProbesKillsNobody)
+{
+    Network network(26);
+    settle(network, 410);
+    network.loss = 0.05;
+    network.run(60s);
+    EXPECT_EQ(network.takeWrongDeaths(), 0U);
+}
