--- a/Libraries/LibMembership/Protocol.cpp
+++ b/Libraries/LibMembership/Protocol.cpp
@@ -224,8 +224,10 @@
     reply.sequence = message.sequence;
     addAccusation(reply, message.sender);
     Member const* const sender = m_table.find(message.sender.id);
-    if (message.kind == Kind::Probe)
+    if (message.kind == Kind::Probe) {
+        addNews(reply);
         addLoads(reply, sender ? sender->zoneId : 0, now);
+    }
     if (sender && !sender->hasProfile())
         reply.wantedProfiles.push_back(message.sender.id);
     for (Record const& record : message.records) {
@@ -333,10 +335,29 @@
     if (to.record.status == Status::Unheard)
         message.sender.profile = m_profile; // Its VM list may lag behind ours.
     addAccusation(message, to.record);
+    addNews(message);
     addLoads(message, to.zoneId, now);
     return message;
 }
 
+/// Adds the latest changes. Pushes are quicker, but under many changes their budget runs out.
+void Protocol::addNews(Message& message)
+{
+    std::vector<std::pair<int, std::uint64_t>> order;
+    for (std::pair<std::uint64_t const, int> const& news : m_news)
+        order.emplace_back(-news.second, news.first);
+    std::size_t const count = std::min(order.size(), m_settings.newsPerMessage);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
+    order.resize(count);
+    for (std::pair<int, std::uint64_t> const& entry : order) {
+        Member const* const member = m_table.find(entry.second);
+        if (member)
+            message.records.push_back(m_table.recordOf(entry.second, !member->isListed));
+        if (--m_news[entry.second] <= 0 || !member)
+            m_news.erase(entry.second); // This daemon's own record is in every message anyway.
+    }
+}
+
 void Protocol::addLoads(Message& message, std::uint32_t zone, TimePoint now)
 {
     if (zone == m_zone)
--- a/Libraries/LibMembership/Protocol.h
+++ b/Libraries/LibMembership/Protocol.h
@@ -101,6 +101,7 @@
 
     Message make(Kind);
     Message makeProbe(Member const&, TimePoint now);
+    void addNews(Message&);
     void addLoads(Message&, std::uint32_t zone, TimePoint now);
     void addAccusation(Message&, Record const& to) const;
     void send(Output&, std::uint64_t to, Message const&);
@@ -122,6 +123,7 @@
     ByteBudget m_pushBudget;
     ByteBudget m_syncBudget;
     std::set<std::uint64_t> m_pushes;
+    std::map<std::uint64_t, int> m_news; ///< How many more probes and answers are to carry the record.
     std::size_t m_arrivals { 0 }; ///< In this period.
     std::map<std::uint64_t, Record> m_doubts; ///< Claims that members which are alive here are dead.
     std::unordered_map<std::uint32_t, std::uint64_t> m_aggregators;
--- a/Libraries/LibMembership/ProtocolTimers.cpp
+++ b/Libraries/LibMembership/ProtocolTimers.cpp
@@ -172,6 +172,7 @@
 void Protocol::queuePush(std::uint64_t id, TimePoint now)
 {
     m_pushes.insert(id);
+    m_news[id] = m_settings.newsRepeats;
     if (m_pushAt == TimePoint::max())
         m_pushAt = now + m_settings.pushDelay;
 }
--- a/Libraries/LibMembership/Settings.h
+++ b/Libraries/LibMembership/Settings.h
@@ -21,11 +21,13 @@
     std::chrono::milliseconds loadLifetime { 120'000 }; ///< Older loads are dropped.
     std::size_t zoneRings { 2 }; ///< Members watched within the availability zone.
     std::size_t globalRings { 2 }; ///< Members watched anywhere.
-    std::size_t helpers { 2 }; ///< Members asked to probe one that does not answer.
+    std::size_t helpers { 3 }; ///< Members asked to probe one that does not answer.
     std::size_t memberLoadsPerMessage { 10 };
     std::size_t zoneLoadsPerMessage { 3 };
     std::size_t recordsPerPush { 40 };
     std::size_t arrivalsPerPeriod { 5 }; ///< Passed on at once; of more, the comparison of digests carries the rest at less cost.
+    std::size_t newsPerMessage { 6 }; ///< Late changes that a probe or its answer carries.
+    int newsRepeats { 6 }; ///< In how many messages each of them is carried.
     std::size_t bucketsPerSync { 16 };
     std::size_t pushBytesPerSecond { 400 }; ///< For passing on what has changed.
     std::size_t pushBurstBytes { 6000 }; ///< What of that may be saved up.
--- a/Tests/LibMembership/TestStorms.cpp
+++ b/Tests/LibMembership/TestStorms.cpp
@@ -51,7 +51,7 @@
     settle(network, 410);
     auto const isFirst = [](std::size_t i) { return (i % 11) * 3 / 11 == 0; };
     network.isCut = [isFirst](std::size_t from, std::size_t to) { return isFirst(from) != isFirst(to); };
-    network.run(180s);
+    network.run(100s);
     EXPECT_FALSE(network[0].protocol->isIsolated(network.now()));
     for (std::size_t of = 0; of < network.size(); ++of) {
         std::size_t const by = isFirst(of) ? 11 : 4; // One of the same side.
