--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -0,0 +1,99 @@
+#include <LibDaemon/HttpErrors.h>
+#include <LibDaemon/TrafficThread.h>
+#include <boost/asio/post.hpp>
+
+namespace Daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+
+}
+
+TrafficThread::TrafficThread(std::unique_ptr<boost::asio::io_context> context, std::shared_ptr<Peer::Clients> peers, Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
+    : m_ownContext(std::move(context))
+    , m_context(*m_ownContext)
+    , m_guard(m_context.get_executor())
+    , m_client(Http::Client::create(m_context, Http::ClientSettings()))
+    , m_engines(Platform::createHttpEngineControl(*m_client))
+    , m_peers(std::move(peers))
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, *m_peers, mix, std::make_shared<FleetSnapshot>(), 0 }
+    , m_api(std::make_unique<CallerApi>(m_traffic, shared))
+    , m_idleTimer(m_context)
+{
+}
+
+Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
+{
+    std::unique_ptr<boost::asio::io_context> context = std::make_unique<boost::asio::io_context>(1);
+    BOOST_OUTCOME_TRY(std::shared_ptr<Peer::Clients> clients, Peer::Clients::create(*context, peers));
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(std::move(context), std::move(clients), settings, dispatcher, budget, mix, shared));
+    Http::ServerSettings server = settings.callers.server;
+    server.isPortShared = settings.daemon.trafficThreads > 1;
+    CallerApi* api = thread->m_api.get();
+    Http::Handler handler = [api](Http::Request& request, Http::ResponseWriter& writer) { return api->handle(request, writer); };
+    BOOST_OUTCOME_TRY(thread->m_server, Http::Server::create(thread->m_context, settings.callers.listen, server, std::move(handler), rejectionResponse));
+    return thread;
+}
+
+TrafficThread::~TrafficThread()
+{
+    stop();
+}
+
+Core::Result<void> TrafficThread::servePeers(Peer::Settings const& settings, ControlMessageHook controlMessage)
+{
+    m_peerApi = std::make_unique<PeerApi>(m_traffic, m_api->shared(), std::move(controlMessage));
+    Peer::Handler handler = [api = m_peerApi.get()](Peer::Request request, std::shared_ptr<Peer::ServerStream> stream) { api->handle(std::move(request), std::move(stream)); };
+    BOOST_OUTCOME_TRY(m_peerServer, Peer::Server::create(m_context, m_traffic.settings.peers.listen, settings, std::move(handler)));
+    return Core::ok();
+}
+
+void TrafficThread::start()
+{
+    m_server->start();
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+void TrafficThread::post(std::function<void()> function)
+{
+    boost::asio::post(m_context, std::move(function));
+}
+
+void TrafficThread::setFleet(FleetPointer fleet)
+{
+    post([this, fleet = std::move(fleet)] { m_traffic.fleet = fleet; });
+}
+
+void TrafficThread::drain(std::function<void()> onIdle)
+{
+    post([this, onIdle = std::move(onIdle)] {
+        m_server->stop();
+        if (m_peerServer)
+            m_peerServer->shutDown([] { });
+        waitUntilIdle(onIdle);
+    });
+}
+
+void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
+{
+    if (m_server->activeRequests() == 0 && m_traffic.runningRequests == 0 && (!m_peerServer || m_peerServer->openStreams() == 0)) {
+        onIdle();
+        return;
+    }
+    m_idleTimer.expires_after(idleCheckInterval);
+    m_idleTimer.async_wait([this, onIdle = std::move(onIdle)](boost::system::error_code ec) {
+        if (!ec)
+            waitUntilIdle(onIdle);
+    });
+}
+
+void TrafficThread::stop()
+{
+    m_guard.reset();
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibDaemon/CallerApi.h>
+#include <LibDaemon/PeerApi.h>
+#include <LibHttp/Server.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace Daemon {
+
+/// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
+class TrafficThread {
+public:
+    /// Binds the callers' listener; nothing runs yet. Errors: Unavailable.
+    /// Preconditions: all arguments outlive the object.
+    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
+
+    ~TrafficThread();
+
+    /// Binds the peers' listener on this thread. Errors: Unavailable. Precondition: before `start`.
+    Core::Result<void> servePeers(Peer::Settings const&, ControlMessageHook);
+
+    /// Starts the thread. Precondition: called once.
+    void start();
+
+    /// Hands a newer view of the fleet over. Thread-safe.
+    void setFleet(FleetPointer);
+
+    /// Stops accepting; `onIdle` is called on the traffic thread once no request is served. Thread-safe.
+    void drain(std::function<void()> onIdle);
+
+    /// Ends the event loop and joins the thread. Precondition: called from another thread.
+    void stop();
+
+    std::uint16_t port() const { return m_server->port(); }
+
+    /// Runs a function on the traffic thread. Thread-safe.
+    void post(std::function<void()>);
+
+    boost::asio::io_context& context() { return m_context; }
+    CallerApi& api() { return *m_api; }
+
+private:
+    TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
+    void waitUntilIdle(std::function<void()> onIdle);
+
+    std::unique_ptr<boost::asio::io_context> m_ownContext;
+    boost::asio::io_context& m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::unique_ptr<Http::Client> m_client;
+    std::unique_ptr<Platform::EngineControl> m_engines;
+    std::shared_ptr<Peer::Clients> m_peers;
+    TrafficContext m_traffic;
+    std::unique_ptr<CallerApi> m_api;
+    std::unique_ptr<Http::Server> m_server;
+    std::unique_ptr<PeerApi> m_peerApi;
+    std::shared_ptr<Peer::Server> m_peerServer; ///< Of the first traffic thread only.
+    boost::asio::steady_timer m_idleTimer;
+    std::thread m_thread;
+};
+
+}
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -37,6 +37,9 @@
     /// Errors: Timeout after silence, Unavailable when the connection breaks before the end, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() = 0;
 
+    /// Sets the time that `start` waits for the response's head.
+    virtual void setHeadTimeout(std::chrono::milliseconds) = 0;
+
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
@@ -86,6 +89,9 @@
     virtual boost::asio::awaitable<Core::Result<Response>> fetch(boost::asio::ip::tcp::endpoint, Request, std::size_t bodyLimit = 64 * 1024 * 1024) = 0;
 };
 
+/// Reads the rest of a response, of `bodyLimit` bytes at most. Precondition: the exchange was started.
+boost::asio::awaitable<Core::Result<Response>> readWhole(Exchange&, std::size_t bodyLimit);
+
 /// Reads "IP:PORT" or "[IPv6]:PORT". Errors: BadInput, naming what was read. Thread-safe.
 Core::Result<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 
