--- a/Libraries/LibModel/Simulation.cpp
+++ b/Libraries/LibModel/Simulation.cpp
@@ -311,12 +311,12 @@
 void Simulation::exchangeCounts()
 {
     for (std::size_t from = 0; from < m_entries.size(); ++from) {
-        std::vector<Routing::LoadCounts> counts;
-        for (std::uint32_t i = 0; i < m_slots.size(); ++i)
-            counts.push_back(m_entries[from].takeCounts(i));
-        for (std::size_t to = 0; to < m_entries.size(); ++to) {
-            for (std::uint32_t i = 0; to != from && i < m_slots.size(); ++i)
-                m_entries[to].loads().count(i, counts[i], m_now);
+        for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
+            Routing::LoadCounts counts = m_entries[from].takeCounts(i);
+            for (std::size_t to = 0; counts != Routing::LoadCounts() && to < m_entries.size(); ++to) {
+                if (to != from)
+                    m_entries[to].loads().count(i, counts, m_now);
+            }
         }
     }
     schedule(m_now + duration(peerSeconds), Kind::PeerCounts);
--- a/Libraries/LibRouting/LoadTable.cpp
+++ b/Libraries/LibRouting/LoadTable.cpp
@@ -40,17 +40,25 @@
         return false;
     it.report = report;
     // The interval that the report falls into stays counted: too much for a moment rather than too little.
-    it.firstKept = intervalOf(report.asOf);
-    for (Interval& interval : it.intervals) {
-        if (interval.number >= 0 && interval.number < it.firstKept) {
-            it.requests -= interval.requests;
-            interval = Interval {};
-        }
-    }
+    std::int64_t firstKept = intervalOf(report.asOf);
+    std::int64_t end = std::min(firstKept, it.firstKept + static_cast<std::int64_t>(it.intervals.size()));
+    for (std::int64_t number = it.firstKept; number < end; ++number)
+        takeAway(it, number, firstKept);
+    it.firstKept = firstKept;
     replay(it);
     return true;
 }
 
+// Empties the place of an interval, unless a later one that the report does not include stands there.
+void LoadTable::takeAway(Target& target, std::int64_t number, std::int64_t firstKept)
+{
+    Interval& interval = target.intervals[static_cast<std::size_t>(number) % target.intervals.size()];
+    if (interval.number < 0 || interval.number >= firstKept)
+        return;
+    target.requests -= interval.requests;
+    interval = Interval {};
+}
+
 // Starts from the report and lets the target work on, interval by interval.
 void LoadTable::replay(Target& target) const
 {
--- a/Libraries/LibRouting/LoadTable.h
+++ b/Libraries/LibRouting/LoadTable.h
@@ -30,6 +30,8 @@
     std::uint32_t promptTokensSent { 0 };
     std::uint32_t promptsSent { 0 }; ///< Requests sent that have a prompt to compute.
     std::uint32_t promptTokensDone { 0 }; ///< Of requests whose first token came (or whose prefill ended).
+
+    bool operator==(LoadCounts const&) const = default;
 };
 
 /// What one daemon knows of the load of each target: the newest report, and the counts since the state
@@ -106,6 +108,7 @@
 
     std::int64_t intervalOf(Time) const;
     double shrunk(double backlog, Time from, Time to) const;
+    static void takeAway(Target&, std::int64_t number, std::int64_t firstKept);
     void replay(Target&) const;
     double rateKept(Target const&, Time) const;
 
--- a/Utilities/currantvale-measure/Comparison.cpp
+++ b/Utilities/currantvale-measure/Comparison.cpp
@@ -15,13 +15,26 @@
 using Model::Scenario;
 using Routing::TargetRole;
 
-// One run of the comparison; best-of choices have several, of which the best counts.
+// One run of the comparison. Rows share runs: best-of choices have several, of which the best counts.
 struct Run {
-    std::size_t row;
+    std::size_t scenario;
+    Routing::Policy routing;
     std::uint64_t seed;
     std::string choice;
     Model::Oracle::Settings oracle;
     Figures figures;
+
+    bool isSameAs(Run const& other) const
+    {
+        return scenario == other.scenario && routing == other.routing && seed == other.seed && choice == other.choice
+            && oracle.leadSeconds == other.oracle.leadSeconds && oracle.costFactor == other.oracle.costFactor;
+    }
+};
+
+// The runs of a row, by their places.
+struct RowRuns {
+    std::size_t scenario;
+    std::vector<std::size_t> places;
 };
 
 constexpr int mostFixed = 8;
@@ -76,34 +89,38 @@
     return figures.goodput() - worth * figures.roleChanges * scenario.changeCostSeconds / figures.seconds;
 }
 
-void addRuns(std::vector<Run>& runs, std::size_t row, std::uint64_t seed, std::string const& choice)
+void addRun(std::vector<Run>& runs, RowRuns& row, Run const& run)
 {
-    if (choice == "best-fixed" || choice == "oracle") {
-        for (int n = 0; n <= mostFixed; ++n)
-            runs.push_back({ row, seed, fixedName(n), {}, {} });
-    }
-    if (choice == "best-fixed")
-        return;
-    if (choice != "oracle") {
-        runs.push_back({ row, seed, choice, {}, {} });
+    auto it = std::find_if(runs.begin(), runs.end(), [&run](Run const& known) { return known.isSameAs(run); });
+    row.places.push_back(static_cast<std::size_t>(it - runs.begin()));
+    if (it == runs.end())
+        runs.push_back(run);
+}
+
+void addRuns(std::vector<Run>& runs, RowRuns& row, Routing::Policy routing, std::uint64_t seed, std::string const& choice)
+{
+    bool isBestOf = choice == "best-fixed" || choice == "oracle";
+    for (int n = 0; isBestOf && n <= mostFixed; ++n)
+        addRun(runs, row, { row.scenario, routing, seed, fixedName(n), {}, {} });
+    if (!isBestOf)
+        addRun(runs, row, { row.scenario, routing, seed, choice, {}, {} });
+    if (choice != "oracle")
         return;
-    }
     for (double lead : { 0.0, 5.0, 10.0 }) {
         for (double factor : { 0.5, 1.0, 3.0 })
-            runs.push_back({ row, seed, choice, { 5, lead, factor, 0 }, {} });
+            addRun(runs, row, { row.scenario, routing, seed, choice, { 5, lead, factor, 0 }, {} });
     }
 }
 
-void execute(std::vector<Run>& runs, std::vector<Row> const& rows, ComparisonSettings const& settings, std::vector<std::size_t> const& scenarioOfRow)
+void execute(std::vector<Run>& runs, ComparisonSettings const& settings)
 {
     std::atomic<std::size_t> next { 0 };
     auto work = [&] {
         for (std::size_t i = next++; i < runs.size(); i = next++) {
             Run& run = runs[i];
-            Scenario scenario = settings.scenarios[scenarioOfRow[run.row]];
+            Scenario scenario = settings.scenarios[run.scenario];
             scenario.engine = settings.trial.engine;
-            Routing::Policy routing = Core::valueOf(Routing::policyNames, rows[run.row].routing).value();
-            run.figures = Model::Simulation(scenario, settingsOf(run, scenario, routing, settings.trial)).run();
+            run.figures = Model::Simulation(scenario, settingsOf(run, scenario, run.routing, settings.trial)).run();
         }
     };
     std::vector<std::thread> threads;
@@ -142,14 +159,14 @@
 }
 
 // Takes the best run of each seed into the row.
-void summarise(Row& row, std::size_t index, std::vector<Run> const& runs, Scenario const& scenario, ComparisonSettings const& settings)
+void summarise(Row& row, RowRuns const& rowRuns, std::vector<Run> const& runs, Scenario const& scenario, ComparisonSettings const& settings)
 {
     std::vector<double> goodputs;
     for (std::uint64_t seed = settings.firstSeed; seed < settings.firstSeed + settings.seeds; ++seed) {
         Run const* best = nullptr;
-        for (Run const& it : runs) {
-            bool isHere = it.row == index && it.seed == seed;
-            if (isHere && (!best || valueOf(it.figures, scenario) > valueOf(best->figures, scenario)))
+        for (std::size_t place : rowRuns.places) {
+            Run const& it = runs[place];
+            if (it.seed == seed && (!best || valueOf(it.figures, scenario) > valueOf(best->figures, scenario)))
                 best = &it;
         }
         addTo(row, *best, scenario, 1.0 / static_cast<double>(settings.seeds));
@@ -179,17 +196,18 @@
 std::vector<Row> compare(ComparisonSettings const& settings)
 {
     std::vector<Row> rows;
-    std::vector<std::size_t> scenarioOfRow;
+    std::vector<RowRuns> runsOfRow;
     std::vector<Run> runs;
     auto addRow = [&](std::size_t scenario, Routing::Policy routing, std::string const& roles) {
         Row row;
         row.scenario = settings.scenarios[scenario].name;
         row.routing = Core::nameOf(Routing::policyNames, routing);
         row.roles = roles;
+        RowRuns places { scenario, {} };
         for (std::uint64_t i = 0; i < settings.seeds; ++i)
-            addRuns(runs, rows.size(), settings.firstSeed + i, roles);
+            addRuns(runs, places, routing, settings.firstSeed + i, roles);
         rows.push_back(row);
-        scenarioOfRow.push_back(scenario);
+        runsOfRow.push_back(places);
     };
     for (std::size_t i = 0; i < settings.scenarios.size(); ++i) {
         for (std::string const& it : settings.roles)
@@ -197,9 +215,9 @@
         for (Routing::Policy it : settings.routing)
             addRow(i, it, "planner");
     }
-    execute(runs, rows, settings, scenarioOfRow);
+    execute(runs, settings);
     for (std::size_t i = 0; i < rows.size(); ++i)
-        summarise(rows[i], i, runs, settings.scenarios[scenarioOfRow[i]], settings);
+        summarise(rows[i], runsOfRow[i], runs, settings.scenarios[runsOfRow[i].scenario], settings);
     for (Row& row : rows) {
         auto isOracle = [&row](Row const& it) { return it.roles == "oracle" && it.scenario == row.scenario; };
         auto oracle = std::find_if(rows.begin(), rows.end(), isOracle);
