--- a/Libraries/LibModel/Oracle.cpp
+++ b/Libraries/LibModel/Oracle.cpp
@@ -11,6 +11,7 @@
     , m_settings(settings)
 {
     Workload workload(scenario.workload, scenario.engine, 0);
+    m_roles.rates.decodeTokensPerSecond *= settings.outputRateShare;
     std::size_t steps = static_cast<std::size_t>(std::ceil(scenario.workload.seconds / settings.stepSeconds));
     for (std::size_t i = 0; i < steps; ++i)
         m_demands.push_back(workload.demand((static_cast<double>(i) + 0.5) * settings.stepSeconds));
@@ -46,7 +47,6 @@
 {
     int engines = static_cast<int>(m_scenario.workload.engines);
     std::size_t steps = m_demands.size();
-    int least = static_cast<int>(m_settings.minPrefill);
     std::size_t states = static_cast<std::size_t>(engines);
     std::vector<double> best(states, 0);
     std::vector<std::vector<int>> next(steps, std::vector<int>(states, 0));
@@ -54,7 +54,7 @@
     for (std::size_t step = steps; step-- > 0;) {
         std::vector<double> before(states, -1e300);
         for (int from = 0; from < engines; ++from) {
-            for (int to = least; to < engines; ++to) {
+            for (int to = 0; to < engines; ++to) {
                 double worth = best[static_cast<std::size_t>(to)] + value(step, to) * m_settings.stepSeconds - (step == 0 ? 0 : cost(step, from, to));
                 if (worth > before[static_cast<std::size_t>(from)] + 1e-9 || (to == from && worth >= before[static_cast<std::size_t>(from)] - 1e-9)) {
                     before[static_cast<std::size_t>(from)] = worth;
--- a/Libraries/LibModel/Oracle.h
+++ b/Libraries/LibModel/Oracle.h
@@ -14,7 +14,7 @@
         double stepSeconds { 5 };
         double leadSeconds { 5 }; ///< Orders are given this much ahead of need.
         double costFactor { 1 }; ///< Multiplies the cost of a change.
-        double minPrefill { 0 };
+        double outputRateShare { 1 }; ///< Multiplies what an engine is taken to decode: less keeps more engines for outputs.
     };
 
     Oracle(Scenario const&, Roles::Settings const&, Settings);
--- a/Utilities/currantvale-measure/Comparison.cpp
+++ b/Utilities/currantvale-measure/Comparison.cpp
@@ -27,7 +27,7 @@
     bool isSameAs(Run const& other) const
     {
         return scenario == other.scenario && routing == other.routing && seed == other.seed && choice == other.choice
-            && oracle.leadSeconds == other.oracle.leadSeconds && oracle.costFactor == other.oracle.costFactor;
+            && oracle.leadSeconds == other.oracle.leadSeconds && oracle.outputRateShare == other.oracle.outputRateShare;
     }
 };
 
@@ -107,8 +107,8 @@
     if (choice != "oracle")
         return;
     for (double lead : { 0.0, 5.0, 10.0 }) {
-        for (double factor : { 0.5, 1.0, 3.0 })
-            addRun(runs, row, { row.scenario, routing, seed, choice, { 5, lead, factor, 0 }, {} });
+        for (double share : { 1.0, 0.9, 0.8 })
+            addRun(runs, row, { row.scenario, routing, seed, choice, { 5, lead, 1, share }, {} });
     }
 }
 
@@ -134,7 +134,7 @@
 {
     if (run.choice != "oracle")
         return run.choice;
-    return "lead " + std::to_string(static_cast<int>(run.oracle.leadSeconds)) + " s";
+    return "lead " + std::to_string(static_cast<int>(run.oracle.leadSeconds)) + " s, output " + std::to_string(static_cast<int>(std::lround(100 * run.oracle.outputRateShare))) + "%";
 }
 
 void addTo(Row& row, Run const& run, Scenario const& scenario, double weight)
