--- a/Libraries/LibRoles/Planner.cpp
+++ b/Libraries/LibRoles/Planner.cpp
@@ -35,9 +35,11 @@
     auto isCheaper = [](EngineView const& a, EngineView const& b) {
         if (a.changeCostSeconds != b.changeCostSeconds)
             return a.changeCostSeconds < b.changeCostSeconds;
-        return a.running + a.waitingPromptTokens < b.running + b.waitingPromptTokens;
+        std::uint32_t workA = a.running + a.waitingPromptTokens;
+        std::uint32_t workB = b.running + b.waitingPromptTokens;
+        return workA != workB ? workA < workB : a.engine < b.engine;
     };
-    std::stable_sort(found.begin(), found.end(), isCheaper);
+    std::sort(found.begin(), found.end(), isCheaper);
     return found;
 }
 
