LibModel: Drive the daemon's admission; split the simulation

Change: Gate puts Admission::Controller before each entry, with the router's estimate as the place hook.

Conclusion: kept, off by default until the daemon's limits are set likewise.

--- a/Libraries/LibModel/Entry.cpp
+++ b/Libraries/LibModel/Entry.cpp
@@ -70,9 +70,12 @@
     job.engine = engine;
     job.countedTokens = 0;
     if (hasPrompt) {
-        std::uint32_t cached = std::min(m_candidates[engine].prefixMatchTokens, job.promptTokens);
-        job.countedTokens = job.promptTokens - cached;
         std::array<Routing::PrefixBlock, 1> chain { blockOf(job) };
+        std::array<Routing::PrefixMatch, 8> matches;
+        std::size_t n = m_prefixes.match(chain, matches);
+        auto end = matches.begin() + static_cast<std::ptrdiff_t>(n);
+        auto it = std::find_if(matches.begin(), end, [engine](Routing::PrefixMatch const& match) { return match.target == engine; });
+        job.countedTokens = job.promptTokens - (it == end ? 0 : std::min(it->tokens, job.promptTokens));
         m_prefixes.routed(chain, engine);
     }
     count(engine, { 1, 0, job.countedTokens, hasPrompt ? 1U : 0U, 0 }, now);
--- a/Libraries/LibModel/Job.h
+++ b/Libraries/LibModel/Job.h
@@ -35,6 +35,7 @@
     bool isImported { false }; ///< Its KV cache came from a prefill engine: output only.
     bool hasFirstToken { false };
     std::uint8_t attempts { 0 };
+    std::uint32_t gate { 0 }; ///< The entry whose admission let it in.
     std::uint32_t engine { 0 };
     std::uint32_t countedTokens { 0 }; ///< Prompt tokens that its entry counted at the engine.
     std::uint32_t cachedTokens { 0 }; ///< Prompt tokens that the engine found in its cache.
--- a/Libraries/LibModel/Simulation.cpp
+++ b/Libraries/LibModel/Simulation.cpp
@@ -1,4 +1,5 @@
 #include <LibModel/Simulation.h>
+#include <LibModel/VirtualTime.h>
 #include <algorithm>
 
 namespace Model {
@@ -9,24 +10,14 @@
 
 namespace {
 
-constexpr double reportSeconds = 0.1; ///< How often an engine's state is read.
 constexpr double peerSeconds = 0.2; ///< How often entries tell each other their counts.
 constexpr double peerLatencySeconds = 0.001;
 constexpr double planSeconds = 1;
+constexpr double pokeSeconds = 0.05;
 constexpr double cacheEventDelaySeconds = 1;
 constexpr double cacheEventLostShare = 0.05;
 constexpr double noTargetRetrySeconds = 0.05;
 
-Time::duration duration(double seconds)
-{
-    return std::chrono::duration_cast<Time::duration>(std::chrono::duration<double>(seconds));
-}
-
-double secondsOf(Time time)
-{
-    return std::chrono::duration<double>(time.time_since_epoch()).count();
-}
-
 }
 
 double firstTokenLimitSeconds(Job const& job, EngineSettings const& engine)
@@ -55,6 +46,8 @@
     }
     for (std::uint32_t i = 0; i < scenario.workload.entries; ++i)
         m_entries.emplace_back(i % scenario.zones, m_slots.size(), m_settings.seed * 1000 + i);
+    for (std::uint32_t i = 0; i < scenario.workload.entries; ++i)
+        m_gates.emplace_back(m_slots.size(), m_settings.gate, makeHooks(i));
     m_figures.intervals.resize(static_cast<std::size_t>(scenario.workload.seconds / Figures::intervalSeconds) + 1);
     m_figures.seconds = scenario.workload.seconds - Figures::warmUpSeconds;
     m_open = m_jobs.size();
@@ -72,6 +65,8 @@
     schedule(Time {}, Kind::ReportTaken);
     schedule(Time {} + duration(peerSeconds), Kind::PeerCounts);
     schedule(Time {} + duration(planSeconds), Kind::Plan);
+    if (m_settings.isFair)
+        schedule(Time {} + duration(pokeSeconds), Kind::GatesPoked);
     if (m_scenario.engineLostAt)
         schedule(Time {} + duration(*m_scenario.engineLostAt), Kind::EngineLost, m_scenario.workload.engines - 1);
     if (m_scenario.zoneLostAt)
@@ -128,6 +123,10 @@
         return loseEngine(event.index);
     case Kind::ZoneLost:
         return loseZone();
+    case Kind::GatesPoked:
+        for (Gate& it : m_gates)
+            it.poke(m_now);
+        return schedule(m_now + duration(pokeSeconds), Kind::GatesPoked);
     }
 }
 
@@ -151,50 +150,78 @@
     return secondsOf(job.arrival) >= Figures::warmUpSeconds;
 }
 
+// The check on arrival: the wait for the prompt, and for a slot where the output goes elsewhere.
+bool Simulation::isInTime(Job const& job, Entry& entry, Routing::Decision const& decision)
+{
+    if (!m_settings.admit || !decision.chosen)
+        return true;
+    double wait = decision.waitSeconds + secondsOf(m_now) - secondsOf(job.arrival);
+    if (decision.role == TargetRole::Prefill)
+        wait += entry.decide(m_router, job, Phase::Decode, m_facts, m_now).waitSeconds;
+    return m_settings.admit(job, wait, m_now);
+}
+
 void Simulation::arrive(Job& job)
 {
-    Entry& entry = entryOf(job);
-    Routing::Decision decision = entry.decide(m_router, job, startingPhase(), m_facts, m_now);
     if (job.attempts == 0) {
         Roles::ClassCounts& counts = m_counts[static_cast<std::size_t>(job.promptClass)];
         counts.requests += 1;
         counts.promptTokens += job.promptTokens - job.prefixTokens;
-        double wait = decision.waitSeconds;
-        if (decision.chosen && decision.role == TargetRole::Prefill)
-            wait += entry.decide(m_router, job, Phase::Decode, m_facts, m_now).waitSeconds;
-        if (m_settings.admit && decision.chosen && !m_settings.admit(job, wait, m_now))
-            return close(job, Outcome::Shed);
+        if (m_settings.isFair)
+            return enterGate(job);
     }
+    Entry& entry = entryOf(job);
+    Routing::Decision decision = entry.decide(m_router, job, startingPhase(), m_facts, m_now);
+    if (job.attempts == 0 && !isInTime(job, entry, decision))
+        return close(job, Outcome::Shed);
     if (!decision.chosen) {
-        schedule(m_now + duration(noTargetRetrySeconds), Kind::Arrival, static_cast<std::uint32_t>(&job - m_jobs.data()));
+        schedule(m_now + duration(noTargetRetrySeconds), Kind::Arrival, indexOf(job));
         job.attempts = std::max<std::uint8_t>(job.attempts, 1);
         return;
     }
+    accept(job, decision.target);
+}
+
+void Simulation::accept(Job& job, std::uint32_t engine)
+{
     m_accepted += job.attempts <= 1 ? 1 : 0;
     job.attempts = std::max<std::uint8_t>(job.attempts, 1);
-    dispatch(job, entry, decision, true);
+    dispatch(job, entryOf(job), engine, true);
 }
 
-void Simulation::dispatch(Job& job, Entry& entry, Routing::Decision const& decision, bool hasPrompt)
+void Simulation::enterGate(Job& job)
 {
-    entry.sent(job, decision.target, hasPrompt, m_now);
-    if (m_settings.tellAtOnceTokens > 0 && job.countedTokens >= m_settings.tellAtOnceTokens) {
-        m_peerNotes.push_back({ static_cast<std::size_t>(&entry - m_entries.data()), decision.target, entry.takeCounts(decision.target) });
-        schedule(m_now + duration(peerLatencySeconds), Kind::PeerTold);
-        ++m_figures.notes;
-    }
-    m_slots[decision.target].engine.enqueue(job);
-    wake(decision.target);
+    job.gate = static_cast<std::uint32_t>(&entryOf(job) - m_entries.data());
+    m_gates[job.gate].enter(indexOf(job), job, m_now);
 }
 
-void Simulation::deliverNote()
+std::optional<std::uint32_t> Simulation::placeFor(Job const& job, Entry& entry)
 {
-    PeerNote note = m_peerNotes.front();
-    m_peerNotes.pop_front();
-    for (std::size_t to = 0; to < m_entries.size(); ++to) {
-        if (to != note.from)
-            m_entries[to].loads().count(note.engine, note.counts, m_now);
+    Routing::Decision decision = entry.decide(m_router, job, startingPhase(), m_facts, m_now);
+    if (!decision.chosen || !isInTime(job, entry, decision))
+        return std::nullopt;
+    return decision.target;
+}
+
+Gate::Hooks Simulation::makeHooks(std::uint32_t entry)
+{
+    Gate::Hooks hooks;
+    hooks.place = [this, entry](std::uint32_t job) { return placeFor(m_jobs[job], m_entries[entry]); };
+    hooks.grant = [this](std::uint32_t job, std::uint32_t engine) { accept(m_jobs[job], engine); };
+    hooks.refuse = [this](std::uint32_t job) { close(m_jobs[job], Outcome::Shed); };
+    return hooks;
+}
+
+void Simulation::dispatch(Job& job, Entry& entry, std::uint32_t engine, bool hasPrompt)
+{
+    entry.sent(job, engine, hasPrompt, m_now);
+    if (m_settings.tellAtOnceTokens > 0 && job.countedTokens >= m_settings.tellAtOnceTokens) {
+        m_peerNotes.push_back({ static_cast<std::size_t>(&entry - m_entries.data()), engine, entry.takeCounts(engine) });
+        schedule(m_now + duration(peerLatencySeconds), Kind::PeerTold);
+        ++m_figures.notes;
     }
+    m_slots[engine].engine.enqueue(job);
+    wake(engine);
 }
 
 void Simulation::wake(std::uint32_t engine)
@@ -215,10 +242,11 @@
             entry.ended(*it.job, m_now);
             it.job->isImported = true;
             double bytes = it.job->promptTokens * m_scenario.engine.kvBytesPerToken;
-            schedule(m_now + duration(bytes / m_scenario.engine.transferBytesPerSecond), Kind::Transferred, static_cast<std::uint32_t>(it.job - m_jobs.data()));
+            schedule(m_now + duration(bytes / m_scenario.engine.transferBytesPerSecond), Kind::Transferred, indexOf(*it.job));
         } else {
             entry.ended(*it.job, m_now);
             finish(*it.job);
+            m_gates[it.job->gate].release(indexOf(*it.job), m_now);
         }
     }
     wake(engine);
@@ -231,8 +259,8 @@
     Entry& entry = entryOf(job);
     Routing::Decision decision = entry.decide(m_router, job, Phase::Decode, m_facts, m_now);
     if (!decision.chosen)
-        return schedule(m_now + duration(noTargetRetrySeconds), Kind::Transferred, static_cast<std::uint32_t>(&job - m_jobs.data()));
-    dispatch(job, entry, decision, false);
+        return schedule(m_now + duration(noTargetRetrySeconds), Kind::Transferred, indexOf(job));
+    dispatch(job, entry, decision.target, false);
 }
 
 void Simulation::finish(Job& job)
@@ -274,125 +302,4 @@
         tally(m_figures.flooding);
 }
 
-void Simulation::takeReports()
-{
-    std::vector<Routing::LoadReport> reports;
-    for (Slot& it : m_slots)
-        reports.push_back(it.engine.report(m_now));
-    m_reports.push_back(std::move(reports));
-    schedule(m_now + duration(m_scenario.reportLagSeconds), Kind::ReportDelivered);
-    schedule(m_now + duration(reportSeconds), Kind::ReportTaken);
-    noteInterval();
-}
-
-void Simulation::noteInterval()
-{
-    std::size_t i = static_cast<std::size_t>(secondsOf(m_now) / Figures::intervalSeconds);
-    if (i >= m_figures.intervals.size())
-        return;
-    m_figures.intervals[i].roles = {};
-    for (Slot const& it : m_slots) {
-        if (it.state == EngineState::Serving)
-            ++m_figures.intervals[i].roles[static_cast<std::size_t>(it.engine.role())];
-    }
-}
-
-void Simulation::deliverReports()
-{
-    std::vector<Routing::LoadReport> reports = std::move(m_reports.front());
-    m_reports.pop_front();
-    for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
-        m_slots[i].lastReport = reports[i];
-        for (Entry& it : m_entries)
-            it.loads().report(i, reports[i]);
-    }
-}
-
-void Simulation::exchangeCounts()
-{
-    for (std::size_t from = 0; from < m_entries.size(); ++from) {
-        for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
-            Routing::LoadCounts counts = m_entries[from].takeCounts(i);
-            for (std::size_t to = 0; counts != Routing::LoadCounts() && to < m_entries.size(); ++to) {
-                if (to != from)
-                    m_entries[to].loads().count(i, counts, m_now);
-            }
-        }
-    }
-    schedule(m_now + duration(peerSeconds), Kind::PeerCounts);
-}
-
-void Simulation::makePlan()
-{
-    schedule(m_now + duration(planSeconds), Kind::Plan);
-    if (!m_settings.plan)
-        return;
-    Roles::FleetView view;
-    view.windowSeconds = planSeconds;
-    view.counts = m_counts;
-    m_counts = {};
-    for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
-        Slot const& it = m_slots[i];
-        TargetRole role = it.state == EngineState::Changing ? it.nextRole : it.engine.role();
-        view.engines.push_back({ i, role, Roles::RoleSet::all(), it.state, m_scenario.changeCostSeconds, it.lastReport.running, it.lastReport.waitingPromptTokens });
-    }
-    for (Roles::RoleChange const& it : m_settings.plan(view, secondsOf(m_now)))
-        startChange(it);
-}
-
-void Simulation::startChange(Roles::RoleChange const& change)
-{
-    Slot& it = m_slots[change.engine];
-    it.state = EngineState::Changing;
-    it.nextRole = change.role;
-    m_facts[change.engine].isClosed = true;
-    ++m_figures.roleChanges;
-    if (it.engine.isIdle())
-        schedule(m_now + duration(m_scenario.engine.changeSeconds), Kind::Changed, change.engine, it.version);
-}
-
-void Simulation::continueChange(std::uint32_t engine)
-{
-    Slot& it = m_slots[engine];
-    it.state = EngineState::Serving;
-    it.engine.setRole(it.nextRole);
-    m_facts[engine].role = it.nextRole;
-    m_facts[engine].isClosed = false;
-    for (Entry& entry : m_entries)
-        entry.prefixes().forget(engine);
-}
-
-void Simulation::loseEngine(std::uint32_t engine)
-{
-    Slot& it = m_slots[engine];
-    std::vector<Job*> jobs;
-    it.engine.crash(jobs);
-    ++it.version;
-    it.state = EngineState::Down;
-    m_facts[engine].isClosed = true;
-    for (Job* job : jobs) {
-        entryOf(*job).ended(*job, m_now);
-        bool isAllowed = static_cast<double>(m_figures.retries) < m_settings.retryShare * static_cast<double>(m_accepted);
-        if (!isAllowed) {
-            close(*job, Outcome::Lost);
-            continue;
-        }
-        ++m_figures.retries;
-        ++job->attempts;
-        job->isImported = false;
-        job->hasFirstToken = false;
-        schedule(m_now, Kind::Arrival, static_cast<std::uint32_t>(job - m_jobs.data()));
-    }
-}
-
-void Simulation::loseZone()
-{
-    for (std::uint32_t i = 0; i < m_entries.size(); ++i)
-        m_isEntryLost[i] = m_entries[i].zone() == 0;
-    for (std::uint32_t i = 0; i < m_slots.size(); ++i) {
-        if (m_facts[i].zone == 0)
-            loseEngine(i);
-    }
-}
-
 }
--- a/Libraries/LibModel/Simulation.h
+++ b/Libraries/LibModel/Simulation.h
@@ -3,6 +3,7 @@
 #include <LibModel/Engine.h>
 #include <LibModel/Entry.h>
 #include <LibModel/Figures.h>
+#include <LibModel/Gate.h>
 #include <LibModel/Scenario.h>
 #include <LibRoles/FleetView.h>
 #include <LibRouting/Settings.h>
@@ -25,6 +26,11 @@
     /// Entries tell each other every 0.2 s what they sent; of so many prompt tokens and more, at once. 0: never.
     std::uint32_t tellAtOnceTokens { 1000 };
 
+    /// Entries let requests in by the daemon's admission: limits per organisation, and a fair queue in which
+    /// requests whose wait would be too long spend a short time. Otherwise those are shed at once.
+    bool isFair { false };
+    Gate::Settings gate;
+
     double retryShare { 0.1 }; ///< Retries after a crash, at most this share of the requests accepted.
     std::uint64_t seed { 1 };
 };
@@ -51,6 +57,7 @@
         Changed,
         EngineLost,
         ZoneLost,
+        GatesPoked,
     };
 
     struct Event {
@@ -85,7 +92,13 @@
     void schedule(Time, Kind, std::uint32_t index = 0, std::uint32_t version = 0);
     void handle(Event const&);
     void arrive(Job&);
-    void dispatch(Job&, Entry&, Routing::Decision const&, bool hasPrompt);
+    void enterGate(Job&);
+    bool isInTime(Job const&, Entry&, Routing::Decision const&);
+    std::optional<std::uint32_t> placeFor(Job const&, Entry&);
+    void accept(Job&, std::uint32_t engine);
+    Gate::Hooks makeHooks(std::uint32_t entry);
+    std::uint32_t indexOf(Job const& job) const { return static_cast<std::uint32_t>(&job - m_jobs.data()); }
+    void dispatch(Job&, Entry&, std::uint32_t engine, bool hasPrompt);
     void placeOutput(Job&);
     void wake(std::uint32_t engine);
     void endIteration(std::uint32_t engine);
@@ -112,6 +125,7 @@
     std::vector<Slot> m_slots;
     std::vector<EngineFacts> m_facts;
     std::vector<Entry> m_entries;
+    std::vector<Gate> m_gates;
     std::vector<bool> m_isEntryLost;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::uint64_t m_order { 0 };
--- a/Tests/LibModel/TestSimulation.cpp
+++ b/Tests/LibModel/TestSimulation.cpp
@@ -88,6 +88,19 @@
     EXPECT_GT(Simulation(scenario, none).run().all.lost, 0U);
 }
 
+TEST(Simulation, AdmissionShieldsOthersFromAFloodingOrganisation)
+{
+    Scenario scenario = scenarioNamed("pensions/flood", 600);
+    Model::RunSettings settings = makeSettings(4);
+    settings.admit = [engine = scenario.engine](Model::Job const& job, double wait, Model::Time) { return wait <= 0.9 * Model::firstTokenLimitSeconds(job, engine); };
+    auto othersShare = [](Figures const& it) { return static_cast<double>(it.all.good - it.flooding.good) / static_cast<double>(it.all.offered - it.flooding.offered); };
+    double open = othersShare(Simulation(scenario, settings).run());
+    settings.isFair = true;
+    Figures fair = Simulation(scenario, settings).run();
+    EXPECT_GT(othersShare(fair), open + 0.03);
+    EXPECT_EQ(ended(fair.all), fair.all.offered);
+}
+
 TEST(Simulation, SeparationPaysForLongPromptsOnly)
 {
     Scenario scenario = scenarioNamed("pensions/swing", 200);
--- a/Utilities/currantvale-measure/Comparison.cpp
+++ b/Utilities/currantvale-measure/Comparison.cpp
@@ -57,6 +57,8 @@
     settings.routing = trial.routing;
     settings.routing.policy = routing;
     settings.tellAtOnceTokens = trial.tellAtOnceTokens;
+    settings.isFair = trial.isFair;
+    settings.gate = trial.gate;
     settings.seed = run.seed;
     if (trial.admitShare > 0) {
         settings.admit = [engine = scenario.engine, share = trial.admitShare](Model::Job const& job, double wait, Model::Time) {
--- a/Utilities/currantvale-measure/Trial.cpp
+++ b/Utilities/currantvale-measure/Trial.cpp
@@ -38,6 +38,9 @@
         { "engine.change", [](Trial& it, double n) { it.engine.changeSeconds = n; } },
         { "engine.cache", [](Trial& it, double n) { it.engine.cacheCapacityTokens = static_cast<std::uint32_t>(n); } },
         { "peers.at-once", [](Trial& it, double n) { it.tellAtOnceTokens = static_cast<std::uint32_t>(n); } },
+        { "admit.fair", [](Trial& it, double n) { it.isFair = n != 0; } },
+        { "admit.per-organisation", [](Trial& it, double n) { it.gate.inFlightPerOrganisation = static_cast<std::uint32_t>(n); } },
+        { "admit.wait", [](Trial& it, double n) { it.gate.longestWaitSeconds = n; } },
         { "admit.share", [](Trial& it, double n) { it.admitShare = n; } },
     };
     return table;
--- a/Utilities/currantvale-measure/Trial.h
+++ b/Utilities/currantvale-measure/Trial.h
@@ -13,6 +13,8 @@
     Roles::Settings roles;
     Model::EngineSettings engine;
     std::uint32_t tellAtOnceTokens { 1000 };
+    bool isFair { false };
+    Model::Gate::Settings gate;
     double admitShare { 0.9 }; ///< Share of the first token's limit that the estimated wait may reach; 0: admit all.
 };
 
