--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -11,7 +11,6 @@
 enum class Event : std::uint16_t {
     ProcessStarted = 1001,
     ProcessStopped = 1002,
-    SettingsRejected = 1003,
     ShutdownStarted = 1004,
     ShutdownPhase = 1005,
     ListenerFailed = 1006,
@@ -50,10 +49,9 @@
     TargetRecovered = 6004,
 };
 
-inline constexpr EnumNames<Event, 39> eventNames { {
+inline constexpr EnumNames<Event, 38> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
-    { Event::SettingsRejected, "settings-rejected" },
     { Event::ShutdownStarted, "shutdown-started" },
     { Event::ShutdownPhase, "shutdown-phase" },
     { Event::ListenerFailed, "listener-failed" },
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -149,12 +149,22 @@
         load.running = static_cast<std::uint32_t>(m_hooks.openRequests());
         m_membership->setLoad(load);
         reportMix();
+        noteIsolation();
         bool isLapsed = std::any_of(m_closedForChange.begin(), m_closedForChange.end(), [this](std::string const& name) { return !m_authority->isClosed(name); });
         if (isLapsed)
             rebuild();
     }
 }
 
+// A daemon that hears nobody goes on with what it last knew: configuration, targets and members stay as they are, it
+// gives no orders once its leases lapse, and it says so.
+void ControlPlane::noteIsolation()
+{
+    bool isIsolated = m_membership->protocol().isIsolated(Clock::now());
+    if (std::exchange(m_isIsolated, isIsolated) != isIsolated)
+        Core::logEvent(isIsolated ? Core::Severity::Warning : Core::Severity::Info, Core::Event::IsolationChanged, { { "isolated", isIsolated ? "yes" : "no" } });
+}
+
 void ControlPlane::reportMix()
 {
     for (std::pair<std::string const, Roles::MixCounts> const& it : m_hooks.takeMix()) {
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -86,6 +86,7 @@
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     void takeVms(std::vector<Platform::Vm> const&);
     void takeState(TargetStatus&, Core::Result<Platform::EngineState> const&);
+    void noteIsolation();
     void reportMix();
     boost::asio::awaitable<void> sendMix(boost::asio::ip::tcp::endpoint, MixReport);
     void informAuthority(FleetSnapshot const&);
@@ -118,6 +119,7 @@
     FleetPointer m_fleet;
     std::string m_vmListProblem;
     bool m_hasVms { false };
+    bool m_isIsolated { false };
     bool m_isStopped { false };
 };
 
