LibDaemon: Look up a ticket before all else, and prove 'never seen' by incarnation

Cause: a reading by the author of the request machine: (1) 'never seen' after a cancel was taken from any incarnation of an engine, so a request might have run twice; (2) a request with a ticket was told 'not run' when its body no longer parsed or the daemon was not ready, although another send of the ticket may have run; (3) the home judged a repeat by newer rules before looking up its ticket; (4) a home paused for 3 s was given up; (5) evidence about a former holder came over a pooled connection. Change: incarnations are read with the state and after a cancel; tickets are looked up first, here and at the home; the forwarder is patient for 10 s; identity is asked over a connection of its own; a dropped answer leaves nothing.

--- a/Libraries/LibDaemon/AnswerKeeper.cpp
+++ b/Libraries/LibDaemon/AnswerKeeper.cpp
@@ -48,6 +48,8 @@
         Core::Result<Request::Home::Begun> result = m_home.begin(ticket, fingerprint, organisation, Clock::now());
         if (result.has_value())
             forget(result.value().dropped, wakes);
+        if (result.has_value() && result.value().decision == Request::OnceDecision::Run)
+            m_sides.try_emplace(ticket.nonce);
         return result;
     }();
     wakeAll(wakes);
@@ -59,7 +61,10 @@
 void AnswerKeeper::head(Request::TicketNonce const& nonce, Http::ResponseHead head)
 {
     std::lock_guard lock(m_mutex);
-    m_sides[nonce].head = std::move(head);
+    // An answer that was dropped meanwhile has no side left, and gets none again.
+    boost::unordered_flat_map<Request::TicketNonce, Side, Request::TicketNonceHash>::iterator it = m_sides.find(nonce);
+    if (it != m_sides.end())
+        it->second.head = std::move(head);
 }
 
 void AnswerKeeper::append(Request::TicketNonce const& nonce, std::uint64_t position, std::string_view bytes)
--- a/Libraries/LibDaemon/AuthorityOrders.cpp
+++ b/Libraries/LibDaemon/AuthorityOrders.cpp
@@ -241,8 +241,11 @@
     Core::Result<boost::asio::ip::tcp::endpoint> endpoint = Http::parseEndpoint(former.holder.address);
     if (endpoint.has_error())
         co_return;
-    std::shared_ptr<Peer::Client> client = m_peers.get(endpoint.value());
-    Core::Result<Peer::Reply> reply = co_await Peer::call(*client, identityPath, std::string(), peerTimeout);
+    // A connection of its own: who answers on one opened before the claim was read proves nothing.
+    Core::Result<std::shared_ptr<Peer::Client>> client = Peer::Client::create(m_context, endpoint.value(), m_peers.settings());
+    if (client.has_error())
+        co_return;
+    Core::Result<Peer::Reply> reply = co_await Peer::call(*client.value(), identityPath, std::string(), peerTimeout);
     std::map<std::string, std::unique_ptr<Pool>>::iterator it = m_pools.find(pool);
     if (it == m_pools.end() || !it->second->fencing)
         co_return;
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -78,6 +78,11 @@
 boost::asio::awaitable<void> CallerApi::serveWork(Http::Request& request, Http::ResponseWriter& writer)
 {
     std::string requestId = m_shared.newRequestId();
+    // First of all the ticket: what was sent with it before decides, whatever the rules or the body say now.
+    if (std::optional<std::string_view> ticket = request.fields.find(Request::ticketHeader)) {
+        co_await serveTicket(std::string(*ticket), requestId, request, writer);
+        co_return;
+    }
     if (!m_context.fleet->isReady) {
         co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet"), requestId, false, writer);
         co_return;
@@ -89,10 +94,6 @@
         co_return;
     }
     Work work = std::move(parsed.value());
-    if (work.ticket) {
-        co_await serveTicket(std::move(work), request, writer);
-        co_return;
-    }
     if (!work.idempotencyKey.empty()) {
         std::string ticket = m_shared.keeper.issuer().issue(Clock::now());
         std::ignore = co_await writer.send(toResponse(Request::ticketRequired(ticket, requestId), requestId));
@@ -123,24 +124,25 @@
     return ticket.home == m_shared.name;
 }
 
-boost::asio::awaitable<void> CallerApi::serveTicket(Work work, Http::Request const& request, Http::ResponseWriter& writer)
+boost::asio::awaitable<void> CallerApi::serveTicket(std::string text, std::string requestId, Http::Request const& request, Http::ResponseWriter& writer)
 {
-    CallerSink sink(writer, work.requestId, work.isRepeatable);
-    Core::Result<Request::Ticket> ticket = Request::Ticket::parse(*work.ticket);
+    CallerSink sink(writer, requestId, false);
+    Core::Result<Request::Ticket> ticket = Request::Ticket::parse(text);
     if (ticket.has_value() && !isHome(ticket.value())) {
-        ForwardedRequest forwarded { request, work.requestId, { Request::AnswerOffset::Unit::Bytes, 0 }, false };
-        co_await forward(std::move(forwarded), ticket.value(), work.timeout, sink, writer);
+        ForwardedRequest forwarded;
+        forwarded.request = request;
+        forwarded.requestId = requestId;
+        forwarded.from = Request::AnswerOffset { Request::AnswerOffset::Unit::Bytes, 0 };
+        co_await forward(std::move(forwarded), ticket.value(), m_context.settings.callers.defaultDeadline, sink, writer);
         co_return;
     }
-    std::string requestId = work.requestId;
-    bool isRepeatable = work.isRepeatable;
     if (ticket.has_value())
-        ticket = m_shared.keeper.issuer().verify(*work.ticket);
+        ticket = m_shared.keeper.issuer().verify(text);
     Core::Result<void> begun = Core::ok();
     if (ticket.has_value())
-        begun = m_home.begin(std::move(work), ticket.value(), request);
+        begun = m_home.begin(request, ticket.value(), requestId);
     if (ticket.has_error() || begun.has_error()) {
-        co_await sendError(ticket.has_error() ? ticket.error() : begun.error(), requestId, isRepeatable, writer);
+        co_await sendError(ticket.has_error() ? ticket.error() : begun.error(), requestId, false, writer);
         co_return;
     }
     Request::AnswerOffset start { Request::AnswerOffset::Unit::Bytes, 0 };
--- a/Libraries/LibDaemon/CallerApi.h
+++ b/Libraries/LibDaemon/CallerApi.h
@@ -24,7 +24,7 @@
 private:
     boost::asio::awaitable<void> serveWork(Http::Request&, Http::ResponseWriter&);
     boost::asio::awaitable<void> runDirect(Work, Http::ResponseWriter&);
-    boost::asio::awaitable<void> serveTicket(Work, Http::Request const&, Http::ResponseWriter&);
+    boost::asio::awaitable<void> serveTicket(std::string ticket, std::string requestId, Http::Request const&, Http::ResponseWriter&);
     boost::asio::awaitable<void> collect(Http::Request const&, Http::ResponseWriter&);
     boost::asio::awaitable<void> follow(Request::TicketNonce, Request::AnswerOffset, CallerSink&, Http::ResponseWriter&);
     boost::asio::awaitable<void> forward(ForwardedRequest, Request::Ticket const&, std::chrono::milliseconds timeout, CallerSink&, Http::ResponseWriter&);
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -317,7 +317,7 @@
         rebuild();
         return;
     }
-    bool isChanged = status.failures >= failuresUntilUnreachable || !status.state || status.state->role != state.value().role || status.state->phase != state.value().phase || status.state->model != state.value().model;
+    bool isChanged = status.failures >= failuresUntilUnreachable || !status.state || status.state->role != state.value().role || status.state->phase != state.value().phase || status.state->incarnation != state.value().incarnation || status.state->model != state.value().model;
     if (status.failures >= failuresUntilUnreachable)
         Core::logEvent(Core::Severity::Info, Core::Event::TargetRecovered, { { "target", status.vm.name } });
     status.failures = 0;
@@ -376,6 +376,7 @@
     target.endpoint = status.vm.address;
     target.kind = status.vm.kind;
     target.pool = status.vm.pool;
+    target.incarnation = status.state ? status.state->incarnation : std::string();
     target.service = std::string(labels.get("service").value_or(""));
     target.model = std::string(labels.get("model").value_or(status.state ? status.state->model : ""));
     target.role = status.state ? roleOf(status.state->role) : Routing::TargetRole::Mixed;
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -21,6 +21,7 @@
     std::string model; ///< Of an engine: what it serves.
     std::string service; ///< Of a plain service: its name.
     std::string pool; ///< The lease that orders to it belong to.
+    std::string incarnation; ///< Of an engine: as last read; empty while unknown.
     Routing::TargetRole role { Routing::TargetRole::Mixed };
     Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
--- a/Libraries/LibDaemon/HomeForwarder.cpp
+++ b/Libraries/LibDaemon/HomeForwarder.cpp
@@ -1,4 +1,5 @@
 #include <LibDaemon/HomeForwarder.h>
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,8 +11,10 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int mostTries = 5;
+// A home that is paused for some seconds still answers; one that is gone for good is not waited for longer.
+constexpr std::chrono::seconds patience { 10 };
 constexpr std::chrono::milliseconds firstDelay { 100 };
+constexpr std::chrono::milliseconds longestDelay { 1'600 };
 
 }
 
@@ -48,9 +51,10 @@
 
 boost::asio::awaitable<void> HomeForwarder::run(ForwardedRequest request, AnswerSink& sink)
 {
-    for (int n = 0; n < mostTries && !m_isCanceled && Clock::now() < m_deadline; ++n) {
-        if (n > 0)
-            co_await wait(firstDelay * (1 << (n - 1)));
+    Clock::time_point limit = std::min(m_deadline, Clock::now() + patience);
+    for (std::chrono::milliseconds delay { 0 }; !m_isCanceled && Clock::now() + delay < limit; delay = std::clamp(delay * 2, firstDelay, longestDelay)) {
+        if (delay.count() > 0)
+            co_await wait(delay);
         if (m_deliveredBytes > 0)
             request.from = Request::AnswerOffset { Request::AnswerOffset::Unit::Bytes, m_deliveredBytes };
         if (co_await runOnce(request, sink))
--- a/Libraries/LibDaemon/PeerApi.cpp
+++ b/Libraries/LibDaemon/PeerApi.cpp
@@ -1,6 +1,7 @@
 #include <LibDaemon/PeerApi.h>
 #include <LibDaemon/PeerMessages.h>
 #include <LibDaemon/PeerSink.h>
+#include <LibRequest/HttpMapping.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -48,12 +49,11 @@
 
 Core::Result<Request::Ticket> PeerApi::begin(ForwardedRequest const& forwarded)
 {
-    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
-    BOOST_OUTCOME_TRY(Work work, parseWork(forwarded.request, m_context.fleet->view->config(), limits, m_shared.newRequestId()));
-    if (!work.ticket)
-        return Core::fail(Core::ErrorCode::BadInput, "a forwarded request has no ticket");
-    BOOST_OUTCOME_TRY(Request::Ticket ticket, m_shared.keeper.issuer().verify(*work.ticket));
-    BOOST_OUTCOME_TRY(m_home.begin(std::move(work), ticket, forwarded.request));
+    std::string_view text = forwarded.isCollection ? std::string_view(forwarded.request.target) : forwarded.request.fields.find(Request::ticketHeader).value_or("");
+    BOOST_OUTCOME_TRY(Request::Ticket ticket, m_shared.keeper.issuer().verify(text));
+    if (!forwarded.isCollection) {
+        BOOST_OUTCOME_TRY(m_home.begin(forwarded.request, ticket, m_shared.newRequestId()));
+    }
     return ticket;
 }
 
@@ -63,11 +63,7 @@
     stream->setOnCanceled([watch] { watch->leave(); });
     PeerSink sink(stream, m_context.context.get_executor());
     Core::Result<ForwardedRequest> forwarded = decodeForwardedRequest(request.body);
-    Core::Result<Request::Ticket> ticket = Core::makeError(Core::ErrorCode::Corrupt, "a forwarded request cannot be decoded");
-    if (forwarded.has_value() && !m_context.fleet->isReady)
-        ticket = Core::makeUncertainError(Core::ErrorCode::Unavailable, "the ticket's home has not read the configuration yet");
-    else if (forwarded.has_value())
-        ticket = forwarded.value().isCollection ? m_shared.keeper.issuer().verify(forwarded.value().request.target) : begin(forwarded.value());
+    Core::Result<Request::Ticket> ticket = forwarded.has_value() ? begin(forwarded.value()) : Core::Result<Request::Ticket>(forwarded.error());
     if (ticket.has_error()) {
         Request::Finish finish { ticket.error().verdict, ticket.error(), {} };
         co_await sink.finish(std::move(finish));
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -78,7 +78,7 @@
     post(Request::TargetPicked { leg->leg.attempt, m_target });
     if (!co_await connect(leg, *target))
         co_return;
-    post(Request::Connected { leg->leg });
+    post(Request::Connected { leg->leg, target->incarnation });
     co_await leg->goAhead.wait();
     if (leg->isAbandoned)
         co_return;
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -167,7 +167,7 @@
     FleetTarget const* target = targetOf(cancel.target);
     if (!target || target->kind != Platform::VmKind::Engine) {
         if (cancel.needsOutcome)
-            post(Request::CancelAcknowledged { cancel.attempt, Request::CancelOutcome::Unknown });
+            post(Request::CancelAcknowledged { cancel.attempt, Request::CancelOutcome::Unknown, {} });
         return;
     }
     boost::asio::co_spawn(m_context.context, [self = shared_from_this(), cancel, endpoint = target->endpoint]() { return self->runCancel(cancel, endpoint); }, boost::asio::detached);
@@ -179,13 +179,16 @@
         std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context.context, cancelTimeout);
         timer->async_wait([weak = weak_from_this(), timer, attempt = cancel.attempt](boost::system::error_code) {
             if (std::shared_ptr<RequestRunner> self = weak.lock())
-                self->post(Request::CancelAcknowledged { attempt, Request::CancelOutcome::Unknown });
+                self->post(Request::CancelAcknowledged { attempt, Request::CancelOutcome::Unknown, {} });
         });
     }
     Core::Result<Platform::CancelState> state = co_await m_context.engines.cancel(endpoint, attemptId(cancel.attempt));
     if (!cancel.needsOutcome)
         co_return;
     Request::CancelOutcome outcome = Request::CancelOutcome::Unknown;
+    // "Never seen" proves something only from the incarnation that was sent to.
+    Core::Result<Platform::EngineState> engine = co_await m_context.engines.state(endpoint);
+    std::string incarnation = engine.has_value() ? engine.value().incarnation : std::string();
     if (state.has_value()) {
         switch (state.value()) {
         case Platform::CancelState::Canceled:
@@ -199,7 +202,7 @@
             break;
         }
     }
-    post(Request::CancelAcknowledged { cancel.attempt, outcome });
+    post(Request::CancelAcknowledged { cancel.attempt, outcome, incarnation });
 }
 
 FleetTarget const* RequestRunner::targetOf(std::string const& name) const
--- a/Libraries/LibDaemon/TicketHome.cpp
+++ b/Libraries/LibDaemon/TicketHome.cpp
@@ -15,19 +15,29 @@
 {
 }
 
-Core::Result<void> TicketHome::begin(Work work, Request::Ticket const& ticket, Http::Request const& request)
+Core::Result<void> TicketHome::begin(Http::Request const& request, Request::Ticket const& ticket, std::string requestId)
 {
     Request::Fingerprint fingerprint = Request::fingerprintOf(request.method, request.target, request.body);
-    BOOST_OUTCOME_TRY(Request::OnceDecision decision, m_shared.keeper.begin(ticket, fingerprint, work.organisation));
+    std::string organisation(request.fields.find(organisationHeader).value_or(anonymousOrganisation));
+    BOOST_OUTCOME_TRY(Request::OnceDecision decision, m_shared.keeper.begin(ticket, fingerprint, organisation));
     if (decision != Request::OnceDecision::Run)
         return Core::ok();
-    Core::Result<std::vector<std::uint32_t>> eligible = eligibleTargets(*m_context.fleet, work);
-    if (eligible.has_error()) {
-        m_shared.keeper.finish(ticket.nonce, Request::AnswerEnd { Core::Verdict::NotRun, eligible.error() });
-        return Core::ok();
-    }
+    Core::Result<void> started = run(request, ticket, std::move(requestId));
+    if (started.has_error())
+        m_shared.keeper.finish(ticket.nonce, Request::AnswerEnd { Core::Verdict::NotRun, started.error() });
+    return Core::ok();
+}
+
+// Precondition: nothing has run under the ticket. Errors are not run.
+Core::Result<void> TicketHome::run(Http::Request const& request, Request::Ticket const& ticket, std::string requestId)
+{
+    if (!m_context.fleet->isReady)
+        return Core::fail(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet");
+    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
+    BOOST_OUTCOME_TRY(Work work, parseWork(request, m_context.fleet->view->config(), limits, std::move(requestId)));
+    BOOST_OUTCOME_TRY(std::vector<std::uint32_t> eligible, eligibleTargets(*m_context.fleet, work));
     std::shared_ptr<KeeperSink> sink = std::make_shared<KeeperSink>(m_shared.keeper, ticket.nonce);
-    std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible.value()), sink);
+    std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible), sink);
     boost::asio::co_spawn(
         m_context.context, [runner] { return runner->run(); }, boost::asio::detached);
     return Core::ok();
--- a/Libraries/LibDaemon/TicketHome.h
+++ b/Libraries/LibDaemon/TicketHome.h
@@ -34,15 +34,18 @@
     /// Preconditions: both outlive the object.
     TicketHome(TrafficContext&, CallerShared&);
 
-    /// Runs the request unless its ticket was sent before; its answer is then kept. Precondition: the ticket passed
-    /// `verify`. Errors: as `Request::OnceTable::begin`.
-    Core::Result<void> begin(Work, Request::Ticket const&, Http::Request const&);
+    /// Runs the request unless its ticket was sent before; its answer is then kept, also when it is an error. The ticket
+    /// is looked up before anything else, so that a repeat of what has run is never judged by newer rules.
+    /// Precondition: the ticket passed `verify`. Errors: as `Request::OnceTable::begin`.
+    Core::Result<void> begin(Http::Request const&, Request::Ticket const&, std::string requestId);
 
     /// Hands a kept answer to the sink from `offset` on, as it grows, to its end. As the position of a piece the sink
     /// gets the byte offset behind it.
     boost::asio::awaitable<void> follow(Request::TicketNonce, Request::AnswerOffset, AnswerSink&, std::shared_ptr<FollowerWatch>);
 
 private:
+    Core::Result<void> run(Http::Request const&, Request::Ticket const&, std::string requestId);
+
     TrafficContext& m_context;
     CallerShared& m_shared;
 };
--- a/Libraries/LibDaemon/Work.cpp
+++ b/Libraries/LibDaemon/Work.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::string_view labelsHeader = "Currantvale-Labels";
-constexpr std::string_view organisationHeader = "Currantvale-Organisation";
 constexpr std::string_view deadlineHeader = "Currantvale-Deadline-Ms";
 constexpr std::string_view idempotencyHeader = "Idempotency-Key";
 constexpr std::string_view ownHeaderPrefix = "currantvale-";
@@ -91,7 +90,7 @@
     setOwn(labels, work.kind == Work::Kind::Model ? "model" : "service", work.name);
     setOwn(labels, "method", method);
     work.labels = config.requestLabels(labels);
-    work.organisation = std::string(work.labels.get("organisation").value_or("anonymous"));
+    work.organisation = std::string(work.labels.get("organisation").value_or(anonymousOrganisation));
     BOOST_OUTCOME_TRY(work.priority, readPriority(work.labels));
     BOOST_OUTCOME_TRY(work.isRepeatable, readRepeatable(work, method));
     work.shape.priority = static_cast<std::uint8_t>(work.priority);
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -46,6 +46,10 @@
 /// another path. Thread-safe.
 Core::Result<Work> parseWork(Http::Request const&, State::Config const&, WorkLimits const&, std::string requestId);
 
+/// Header that names the organisation that a request counts for, and the name that counts without it.
+inline constexpr std::string_view organisationHeader = "Currantvale-Organisation";
+inline constexpr std::string_view anonymousOrganisation = "anonymous";
+
 inline constexpr std::string_view servicePrefix = "/services/";
 
 }
--- a/Libraries/LibPeer/Clients.h
+++ b/Libraries/LibPeer/Clients.h
@@ -19,6 +19,9 @@
     void retain(std::set<boost::asio::ip::tcp::endpoint> const&);
     std::size_t size() const { return m_clients.size(); }
 
+    /// Returns the settings given to `create`.
+    Settings const& settings() const { return m_settings; }
+
 private:
     Clients(boost::asio::io_context&, Settings const&);
 
