LibRouting: Compare only the sample and the prefix holders among very many candidates

Cause: above the scan limit prefix-affinity still walked all candidates twice and searched the sample for each.

--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -300,17 +300,27 @@
 
 Decision Router::decideAffinity(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
 {
-    // Of very many candidates only a sample is compared, and each that holds a prefix.
-    bool isWide = candidates.size() > m_settings.scanLimit;
-    Sample sample;
-    if (isWide)
-        sample = Sample::draw(candidates, shape.phase, m_settings.wideSampleSize, rng);
-    auto isCompared = [&](std::size_t i) {
-        return isOpen(candidates[i], shape.phase) && (!isWide || candidates[i].prefixMatchTokens > 0 || sample.contains(i));
-    };
+    // Of very many candidates only a sample is compared, and those that hold a prefix.
+    if (candidates.size() <= m_settings.scanLimit)
+        return decideAffinityAmong(candidates, shape, rng, candidates.size(), [](std::size_t i) { return i; });
+    Sample sample = Sample::draw(candidates, shape.phase, m_settings.wideSampleSize, rng);
+    std::array<std::size_t, 2 * maxSampleSize> positions {};
+    std::size_t size = sample.size;
+    std::copy_n(sample.positions.begin(), size, positions.begin());
+    for (std::size_t i = 0; i < candidates.size() && size < positions.size(); ++i) {
+        if (candidates[i].prefixMatchTokens > 0 && !sample.contains(i))
+            positions[size++] = i;
+    }
+    return decideAffinityAmong(candidates, shape, rng, size, [&positions](std::size_t i) { return positions[i]; });
+}
+
+template <typename PositionOf>
+Decision Router::decideAffinityAmong(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng, std::size_t size, PositionOf const& positionOf) const
+{
     Best least;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (isCompared(i))
+    for (std::size_t n = 0; n < size; ++n) {
+        std::size_t i = positionOf(n);
+        if (isOpen(candidates[i], shape.phase))
             least.offer(i, waitSeconds(candidates[i], shape, true) + zonePenalty(candidates[i]), rng);
     }
     if (least.first == noPosition)
@@ -318,8 +328,9 @@
 
     Best best;
     double bound = least.firstScore + m_settings.imbalanceSeconds;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!isCompared(i))
+    for (std::size_t n = 0; n < size; ++n) {
+        std::size_t i = positionOf(n);
+        if (!isOpen(candidates[i], shape.phase))
             continue;
         double load = waitSeconds(candidates[i], shape, true) + zonePenalty(candidates[i]);
         if (load <= bound)
