--- a/Meta/CMake/CurrantvaleTargets.cmake
+++ b/Meta/CMake/CurrantvaleTargets.cmake
@@ -13,6 +13,9 @@
     add_compile_definitions(BOOST_ASIO_DISABLE_FENCED_BLOCK)
 endif()
 
+# All tests that the thread sanitizer runs.
+add_custom_target(thread-tests)
+
 # currantvale_library(LibX SOURCES a.cpp ... LINK LibY ...)
 function(currantvale_library name)
     cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
@@ -46,6 +49,7 @@
     set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261202")
     if(ARG_THREADS)
         set_tests_properties(${name} PROPERTIES LABELS threads)
+        add_dependencies(thread-tests ${name})
     endif()
 endfunction()
 
--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -23,11 +23,11 @@
         -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >"$1.configure.log" 2>&1 || { cat "$1.configure.log"; exit 1; }
 }
 
-build_and_test() { # name, sanitizer, further ctest arguments
-    local folder="Build/$1" sanitizer="$2"
-    shift 2
+build_and_test() { # name, sanitizer, target, further ctest arguments
+    local folder="Build/$1" sanitizer="$2" target="$3"
+    shift 3
     configure "$folder" "$sanitizer"
-    cmake --build "$folder" -j "$jobs" >"$folder.build.log" 2>&1 || { grep -E 'error|FAILED|undefined' -A5 "$folder.build.log" | head -100; exit 1; }
+    cmake --build "$folder" -j "$jobs" --target "$target" >"$folder.build.log" 2>&1 || { grep -E 'error|FAILED|undefined' -A5 "$folder.build.log" | head -100; exit 1; }
     ctest --test-dir "$folder" -j 6 --output-on-failure --no-tests=error "$@"
 }
 
@@ -41,9 +41,9 @@
 }
 
 step() { echo "== $1 ($(date +%T))"; "run_$1"; }
-run_plain() { build_and_test plain ""; }
-run_address() { build_and_test address address; }
-run_thread() { build_and_test thread thread -L threads; }
+run_plain() { build_and_test plain "" all; }
+run_address() { build_and_test address address all; }
+run_thread() { build_and_test thread thread thread-tests -L threads; }
 
 mkdir -p Build
 Meta/packages.sh
