LibDaemon: Count prompts after their cached prefix, and outputs on their way

Cause: the dispatcher counted whole prompts as sent and knew nothing of the outputs that prefill targets will hand on, while the simulation that the router's defaults were measured in does both. Change: the dispatcher does as the simulated entries do: uncached prompt tokens only, none when only the output is placed, and pending outputs from all candidates, also those that are full.

--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -28,6 +28,7 @@
     PlacementRequest request;
     boost::asio::steady_timer timer;
     PlacementOutcome outcome;
+    std::uint32_t promptTokens { 0 }; ///< Left to compute at the chosen target, after its cached prefix.
     bool isResolved { false };
     bool isPrefilled { false };
 };
@@ -128,11 +129,14 @@
     m_candidatePositions.clear();
     for (std::uint32_t position : request.allowed) {
         FleetTarget const& target = request.fleet->targets[position];
-        bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
-        if (isExcluded || !m_admission->hasRoom(target.id))
+        std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
+        if (role == m_roles.end())
             continue;
+        bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
+        // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
+        bool isClosed = isExcluded || !m_admission->hasRoom(target.id);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
-        Routing::Candidate candidate { target.id, m_roles.at(target.id), target.distance, false, 0, m_loads.load(target.id, now) };
+        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now) };
         for (std::size_t n = 0; n < matched; ++n) {
             if (matches[n].target == target.id)
                 candidate.prefixMatchTokens = std::max(candidate.prefixMatchTokens, matches[n].tokens);
@@ -140,9 +144,14 @@
         m_candidates.push_back(candidate);
         m_candidatePositions.push_back(position);
     }
-    waiter.outcome.decision = m_router.decide(m_candidates, request.shape, m_random);
+    Routing::RequestShape shape = request.shape;
+    // A request whose output is being placed is itself no longer on its way.
+    shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
+    waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
     if (!waiter.outcome.decision.chosen)
         return std::nullopt;
+    std::uint32_t cached = m_candidates[*waiter.outcome.decision.chosen].prefixMatchTokens;
+    waiter.promptTokens = shape.phase == Routing::Phase::Decode ? 0 : shape.promptTokens - std::min(cached, shape.promptTokens);
     waiter.outcome.position = m_candidatePositions[*waiter.outcome.decision.chosen];
     return waiter.outcome.decision.target;
 }
@@ -150,8 +159,10 @@
 void Dispatcher::noteSent(Waiter& waiter)
 {
     std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
-    m_loads.sent(id, waiter.request.shape.promptTokens, Clock::now());
-    m_prefixes.routed(waiter.request.prefix, id);
+    bool hasPrompt = waiter.request.shape.phase != Routing::Phase::Decode;
+    m_loads.count(id, { 1, 0, waiter.promptTokens, hasPrompt ? 1U : 0U, 0 }, Clock::now());
+    if (hasPrompt)
+        m_prefixes.routed(waiter.request.prefix, id);
 }
 
 void Dispatcher::wake(std::shared_ptr<Waiter> const& waiter)
@@ -241,7 +252,7 @@
     if (waiter->isResolved && waiter->outcome.position) {
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
         if (!waiter->isPrefilled)
-            m_loads.prefilled(targetId, waiter->request.shape.promptTokens, Clock::now());
+            m_loads.prefilled(targetId, waiter->promptTokens, Clock::now());
         m_loads.ended(targetId, Clock::now());
     } else {
         waiter->outcome.position.reset();
@@ -259,7 +270,7 @@
     if (it == m_waiters.end() || it->second->isPrefilled || !it->second->outcome.position)
         return;
     it->second->isPrefilled = true;
-    m_loads.prefilled(it->second->request.fleet->targets[*it->second->outcome.position].id, it->second->request.shape.promptTokens, Clock::now());
+    m_loads.prefilled(it->second->request.fleet->targets[*it->second->outcome.position].id, it->second->promptTokens, Clock::now());
 }
 
 void Dispatcher::report(std::uint32_t targetId, Routing::LoadReport const& report)
