--- a/Libraries/LibDaemon/AuthorityAgent.cpp
+++ b/Libraries/LibDaemon/AuthorityAgent.cpp
@@ -81,7 +81,7 @@
         std::unique_ptr<Pool>& pool = m_pools[it.first];
         if (!pool) {
             Core::Result<Roles::Planner> planner = Roles::Planner::create(m_roleSettings);
-            pool = std::make_unique<Pool>(it.first, Authority::LeaseSettings(), m_self, hashOf(m_self.incarnation, it.first), std::move(planner.value()));
+            pool = std::make_unique<Pool>(it.first, Authority::LeaseSettings(), m_self, hashOf(m_self.incarnation, it.first), planner.value());
             pool->keeper.observe(m_leases.fold().find(it.first), Clock::now());
         }
         std::set<std::string> names;
--- a/Libraries/LibDaemon/AuthorityPool.h
+++ b/Libraries/LibDaemon/AuthorityPool.h
@@ -23,7 +23,7 @@
     Pool(std::string poolName, Authority::LeaseSettings const& settings, Authority::Holder const& self, std::uint64_t seed, Roles::Planner rolePlanner)
         : name(std::move(poolName))
         , keeper(settings, name, self, seed)
-        , planner(std::move(rolePlanner))
+        , planner(rolePlanner)
     {
     }
 
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -46,8 +46,8 @@
     struct Platform {
         Endpoint log;
         Endpoint vms;
-        Milliseconds vmsInterval { 500 };
-        Milliseconds stateInterval { 500 }; ///< Between two reads of a target's state by its watcher.
+        Milliseconds vmsInterval { 1'000 };
+        Milliseconds stateInterval { 1'000 }; ///< Between two reads of a target's state by its watcher.
         Milliseconds retryDelay { 200 }; ///< Before another try when the platform does not answer.
         std::uint64_t retainedRecords { 0 }; ///< How many records the log keeps; 0: no limit by number.
     };
