--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -99,6 +99,8 @@
     Routing::ZoneDistance distanceTo(Platform::Vm const&) const;
     static Label::LabelSet platformLabels(Platform::Vm const&);
 
+    static constexpr std::uint32_t failuresUntilUnreachable = 3; ///< Reads of an engine's state in a row.
+
     boost::asio::io_context& m_context;
     Settings::DaemonSettings const& m_settings;
     Hooks m_hooks;
