LibDaemon: Count in prometheus-cpp, reuse the former view of the configuration

Cause: /metrics was a few lines put together by hand; the house style names prometheus-cpp. A rebuild of the configuration's view after an edit of a target made all its indexes anew. Change: Metrics with a registry and the library's text serializer, served by the operators' listener; the former Config is handed to the next one.

--- a/Libraries/LibDaemon/CallerShared.h
+++ b/Libraries/LibDaemon/CallerShared.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDaemon/AnswerKeeper.h>
+#include <LibDaemon/Metrics.h>
 #include <atomic>
 #include <cstdint>
 #include <string>
@@ -12,6 +13,7 @@
     std::string name; ///< This daemon's.
     std::string requestIdPrefix; ///< Unique to this process.
     AnswerKeeper& keeper;
+    Metrics& metrics;
     std::atomic<bool> isLeaving { false };
     std::atomic<std::uint64_t> nextRequest { 1 };
 
--- a/Libraries/LibDaemon/ConfigFollower.cpp
+++ b/Libraries/LibDaemon/ConfigFollower.cpp
@@ -66,7 +66,7 @@
 
 void ConfigFollower::publish()
 {
-    m_config = State::Config::create(m_fold.state());
+    m_config = State::Config::create(m_fold.state(), m_config);
     m_onChange(m_config);
     wakeWaiters();
 }
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -75,7 +75,7 @@
     limits.maxAnswerBytes = std::min(limits.maxAnswerBytes, limits.maxBytes);
     BOOST_OUTCOME_TRY(m_keeper, AnswerKeeper::create(std::move(issuer), limits, Request::OnceTable::Settings()));
     std::string prefix = m_settings.daemon.name + "-" + Request::formatIncarnation(m_incarnation).substr(0, 8) + "-";
-    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, false, 1 });
+    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, m_metrics, false, 1 });
     Peer::Settings peers;
     peers.senderName = m_settings.daemon.name;
     peers.senderIncarnation = m_incarnation;
@@ -103,7 +103,7 @@
     hooks.takeMix = [this] { return m_mix.take(); };
     hooks.report = [this](std::uint32_t target, Routing::LoadReport const& report) { m_dispatcher->report(target, report); };
     BOOST_OUTCOME_TRY(m_plane, ControlPlane::create(m_control, m_settings, m_incarnation, peers, std::move(hooks)));
-    m_operatorApi = std::make_unique<OperatorApi>(m_settings, *m_plane, *m_dispatcher, *m_keeper);
+    m_operatorApi = std::make_unique<OperatorApi>(m_settings, *m_plane, *m_dispatcher, *m_keeper, m_metrics);
     Http::Handler handler = [this](Http::Request& request, Http::ResponseWriter& writer) { return m_operatorApi->handle(request, writer); };
     BOOST_OUTCOME_TRY(m_operatorServer, Http::Server::create(m_control, m_settings.operators.listen, Http::ServerSettings(), std::move(handler), rejectionResponse));
     return Core::ok();
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -45,6 +45,7 @@
     boost::asio::steady_timer m_expiryTimer;
     Request::RetryBudget m_retryBudget;
     MixCounter m_mix;
+    Metrics m_metrics;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
--- a/Libraries/LibDaemon/OperatorApi.cpp
+++ b/Libraries/LibDaemon/OperatorApi.cpp
@@ -56,11 +56,12 @@
 
 }
 
-OperatorApi::OperatorApi(Settings::DaemonSettings const& settings, ControlPlane& control, Dispatcher& dispatcher, AnswerKeeper& keeper)
+OperatorApi::OperatorApi(Settings::DaemonSettings const& settings, ControlPlane& control, Dispatcher& dispatcher, AnswerKeeper& keeper, Metrics& metrics)
     : m_settings(settings)
     , m_control(control)
     , m_dispatcher(dispatcher)
     , m_keeper(keeper)
+    , m_metrics(metrics)
 {
 }
 
@@ -264,12 +265,14 @@
 
 Http::Response OperatorApi::metrics() const
 {
-    std::string text;
-    text += "currantvale_config_offset " + std::to_string(m_control.config().fold().nextOffset()) + "\n";
-    text += "currantvale_kept_answer_bytes " + std::to_string(m_keeper.keptBytes()) + "\n";
-    text += "currantvale_kept_answers " + std::to_string(m_keeper.keptAnswers()) + "\n";
-    text += "currantvale_remembered_tickets " + std::to_string(m_keeper.rememberedTickets()) + "\n";
-    return Http::Response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, std::move(text) };
+    MetricsSample sample;
+    sample.configOffset = m_control.config().fold().nextOffset();
+    sample.openRequests = m_dispatcher.openRequests();
+    sample.keptAnswerBytes = m_keeper.keptBytes();
+    sample.rememberedTickets = m_keeper.rememberedTickets();
+    sample.blockedChanges = m_control.authority().blocked().size();
+    sample.roleChanges = m_control.authority().roleChanges();
+    return Http::Response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text(sample) };
 }
 
 }
--- a/Libraries/LibDaemon/OperatorApi.h
+++ b/Libraries/LibDaemon/OperatorApi.h
@@ -3,6 +3,7 @@
 #include <LibDaemon/AnswerKeeper.h>
 #include <LibDaemon/ControlPlane.h>
 #include <LibDaemon/Dispatcher.h>
+#include <LibDaemon/Metrics.h>
 #include <LibHttp/Server.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/json/array.hpp>
@@ -14,7 +15,7 @@
 class OperatorApi {
 public:
     /// Preconditions: all arguments outlive the object.
-    OperatorApi(Settings::DaemonSettings const&, ControlPlane&, Dispatcher&, AnswerKeeper&);
+    OperatorApi(Settings::DaemonSettings const&, ControlPlane&, Dispatcher&, AnswerKeeper&, Metrics&);
 
     /// Serves one request.
     boost::asio::awaitable<void> handle(Http::Request&, Http::ResponseWriter&);
@@ -36,6 +37,7 @@
     ControlPlane& m_control;
     Dispatcher& m_dispatcher;
     AnswerKeeper& m_keeper;
+    Metrics& m_metrics;
 };
 
 }
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -148,8 +148,10 @@
     abandonLeg();
     releasePlacement();
     m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), Request::Leg { attempt, 1 });
-    if (attempt > 1)
+    if (attempt > 1) {
+        m_context.metrics.countRetry();
         Core::logEvent(Core::Severity::Info, Core::Event::RequestRetried, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "after", m_target } });
+    }
     boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, excluded = std::move(excluded), delay]() { return self->runAttempt(leg, excluded, delay); }, boost::asio::detached);
 }
 
@@ -218,6 +220,7 @@
 
 void RequestRunner::logDecision(std::uint32_t attempt, PlacementOutcome const& outcome) const
 {
+    m_context.metrics.countDecision(outcome.decision.reason);
     if (!Core::isLogged(Core::Severity::Info))
         return;
     if (!outcome.position) {
@@ -230,6 +233,7 @@
 
 void RequestRunner::logFinish(Request::Finish const& finish) const
 {
+    m_context.metrics.countFinished(finish.verdict, finish.error.has_value());
     Clock::time_point now = Clock::now();
     std::string first = m_firstPieceAt == Clock::time_point() ? "-" : millisecondsSince(m_startedAt, m_firstPieceAt);
     Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "error", finish.error ? finish.error->message : "-" } });
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -2,6 +2,7 @@
 
 #include <LibDaemon/Dispatcher.h>
 #include <LibDaemon/FleetSnapshot.h>
+#include <LibDaemon/Metrics.h>
 #include <LibDaemon/MixCounter.h>
 #include <LibHttp/Client.h>
 #include <LibPeer/Clients.h>
@@ -23,6 +24,7 @@
     Platform::EngineControl& engines;
     Peer::Clients& peers;
     MixCounter& mix;
+    Metrics& metrics;
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -17,7 +17,7 @@
     , m_client(Http::Client::create(m_context, Http::ClientSettings()))
     , m_engines(Platform::createHttpEngineControl(*m_client))
     , m_peers(std::move(peers))
-    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, *m_peers, mix, std::make_shared<FleetSnapshot>(), 0 }
+    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, *m_peers, mix, shared.metrics, std::make_shared<FleetSnapshot>(), 0 }
     , m_api(std::make_unique<CallerApi>(m_traffic, shared))
     , m_idleTimer(m_context)
 {
