Meta: Leave maybe-uninitialized to the plain build, and give tests 900 s

Cause: the address build stopped in LibState, where g++ 12 takes an empty optional of a variant for an uninitialized one once the sanitizer's checks stand in between; the plain build has no such finding. And a limit of 300 s a test made the verdict depend on a busy machine. Change: -Wno-maybe-uninitialized in sanitizer builds alone; TIMEOUT 900.

--- a/Meta/CMake/CurrantvaleTargets.cmake
+++ b/Meta/CMake/CurrantvaleTargets.cmake
@@ -7,6 +7,8 @@
 # Sanitizer builds only run tests: they are optimized less, and carry lines but no variables, to build in time.
 if(CURRANTVALE_SANITIZER)
     set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1 -DNDEBUG")
+    # With the sanitizers' checks in between, g++ 12 takes an empty std::optional of a variant for an uninitialized one.
+    add_compile_options(-Wno-maybe-uninitialized)
 endif()
 
 if(CURRANTVALE_SANITIZER STREQUAL "address")
@@ -51,7 +53,7 @@
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(${name} PRIVATE ${ARG_LINK} rapidcheck GTest::gtest GTest::gtest_main Threads::Threads)
     add_test(NAME ${name} COMMAND ${name})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261202")
+    set_tests_properties(${name} PROPERTIES TIMEOUT 900 ENVIRONMENT "RC_PARAMS=seed=20261202")
     if(ARG_THREADS)
         set_tests_properties(${name} PROPERTIES LABELS threads)
         add_dependencies(thread-tests ${name})
