LibDaemon: Give a silent engine's stream up sooner

Cause: TestSilence took 55 s, nearly all of it a caller's wait for the explicit error of a stream whose engine had gone silent: up to four resumes, each waiting 10 s for a head. Change: a resume waits 2 s for its head, since a live engine answers at once whether it knows a stream.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::chrono::milliseconds eventHeadTimeout { 10'000 };
 constexpr std::chrono::milliseconds eventTimeout { 5'000 };
+// A live engine answers at once whether it knows a stream; the caller waits while a dead one does not.
+constexpr std::chrono::milliseconds resumeHeadTimeout { 2'000 };
 constexpr std::size_t wholeBodyLimit = 256U * 1024;
 constexpr std::size_t mostWaitingEvents = 256;
 constexpr std::string_view refusalCode = "not-serving";
@@ -186,7 +188,7 @@
         co_return;
     Http::Request request;
     request.target = "/v1/streams/" + attemptId(resume.leg.attempt) + "?from=" + std::to_string(resume.from);
-    leg->exchange->setHeadTimeout(eventHeadTimeout);
+    leg->exchange->setHeadTimeout(resumeHeadTimeout);
     Core::Result<void> started = co_await leg->exchange->start(request);
     if (leg->isAbandoned)
         co_return;
