LibDaemon: Publish a closing after the order machines have been polled

Cause: under the address sanitizer the lease holder died of a use after free as soon as it closed an engine. Asking itself to close ran inside the loop over the known daemons, and publishing came back through setFleet, which replaces that list and the pools being polled. The plain build got away with it. Ruled out: the coroutines' captures (all copies). Change: the publication is posted to the control thread's loop.

--- a/Libraries/LibDaemon/AuthorityAgent.cpp
+++ b/Libraries/LibDaemon/AuthorityAgent.cpp
@@ -2,6 +2,7 @@
 #include <LibDaemon/AuthorityPool.h>
 #include <LibDaemon/MixCounter.h>
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 namespace Daemon {
@@ -236,7 +237,10 @@
         return;
     }
     Core::logEvent(Core::Severity::Info, request.isOpening ? Core::Event::EngineOpened : Core::Event::EngineClosed, { { "engine", request.engine }, { "fencing", std::to_string(request.fencing) }, { "round", std::to_string(request.round) } });
-    m_hooks.closeHere([answer = std::move(answer), reply = std::move(reply)] { reply(answer); });
+    // Later, since publishing comes back through setFleet, which replaces what the caller may be going through.
+    boost::asio::post(m_context, [this, answer = std::move(answer), reply = std::move(reply)] {
+        m_hooks.closeHere([answer, reply] { reply(answer); });
+    });
 }
 
 bool AuthorityAgent::isClosed(std::string const& engine) const
