--- a/Tests/Docs/FaultMatrix.cpp
+++ b/Tests/Docs/FaultMatrix.cpp
@@ -72,7 +72,8 @@
     }
     std::string page = "# The fault matrix\n\nMade by `TestDocs` from the tables in docs/faults, and compared with them in CI; do not edit. Each cell names the\n"
                        "test that brings the fault about at that step, and the promise that it checks. A cell without a test says why it\n"
-                       "cannot happen. The breaks at the end show that the tests can fail: each was made by hand, and turned its test red.\n\n";
+                       "cannot happen. The breaks at the end show that the tests can fail: each was made on a scratch\n"
+                       "copy by the author of its part and turned its test red there; CI checks only that it still fits its source.\n\n";
     page += std::to_string(covered) + " cells have a test; " + std::to_string(impossible) + " cannot happen.\n";
     return page + cells + breaks;
 }
