--- a/Libraries/LibDaemon/AnswerSinks.cpp
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -10,8 +10,9 @@
 
 }
 
-CallerSink::CallerSink(Http::ResponseWriter& writer, std::string requestId, bool isRepeatable)
+CallerSink::CallerSink(Http::ResponseWriter& writer, CallerProtocol const& protocol, std::string requestId, bool isRepeatable)
     : m_writer(writer)
+    , m_protocol(protocol)
     , m_requestId(std::move(requestId))
     , m_isRepeatable(isRepeatable)
 {
@@ -31,11 +32,17 @@
 boost::asio::awaitable<void> CallerSink::beginStream(Core::Verdict verdict)
 {
     m_isBegun = true;
-    m_head->fields.set(std::string(Request::verdictHeader), std::string(Core::toString(verdict)));
+    addVerdict(m_head->fields, verdict);
     // A failed write is reported by the writer's caller-gone hook; the machine decides what follows.
     std::ignore = co_await m_writer.begin(*m_head);
 }
 
+void CallerSink::addVerdict(Http::Fields& fields, Core::Verdict verdict) const
+{
+    if (m_protocol.addsVerdict)
+        fields.set(std::string(Request::verdictHeader), std::string(Core::toString(verdict)));
+}
+
 boost::asio::awaitable<void> CallerSink::piece(std::uint64_t, std::string bytes)
 {
     if (!m_isBegun && m_held.size() + bytes.size() <= heldLimit) {
@@ -66,7 +73,7 @@
     context.requestId = m_requestId;
     context.isRepeatable = m_isRepeatable;
     context.retryAfter = finish.retryAfter;
-    std::ignore = co_await m_writer.send(errorResponse(error, context));
+    std::ignore = co_await m_writer.send(m_protocol.error(error, context));
 }
 
 boost::asio::awaitable<void> CallerSink::finishWhole(Core::Verdict verdict)
@@ -80,7 +87,7 @@
         response.status = m_head->status;
         response.fields = std::move(m_head->fields);
     }
-    response.fields.set(std::string(Request::verdictHeader), std::string(Core::toString(verdict)));
+    addVerdict(response.fields, verdict);
     response.body = std::move(m_held);
     std::ignore = co_await m_writer.send(std::move(response));
 }
@@ -88,7 +95,7 @@
 // A stream that can't be made whole ends with an explicit error event; any other body by a broken connection.
 boost::asio::awaitable<void> CallerSink::finishBroken(Core::Error error)
 {
-    if (!m_isEventStream) {
+    if (!m_isEventStream || !m_protocol.endsBrokenStreamsWithEvent) {
         m_writer.abort();
         co_return;
     }
--- a/Libraries/LibDaemon/AnswerSinks.h
+++ b/Libraries/LibDaemon/AnswerSinks.h
@@ -2,6 +2,7 @@
 
 #include <LibDaemon/AnswerKeeper.h>
 #include <LibDaemon/AnswerSink.h>
+#include <LibDaemon/CallerProtocol.h>
 #include <LibDaemon/Work.h>
 #include <LibHttp/ResponseWriter.h>
 
@@ -10,8 +11,8 @@
 /// Writes an answer to its caller's connection. Use from the traffic thread only.
 class CallerSink final : public AnswerSink {
 public:
-    /// Precondition: the writer outlives the sink.
-    CallerSink(Http::ResponseWriter&, std::string requestId, bool isRepeatable);
+    /// Precondition: writer and protocol outlive the sink.
+    CallerSink(Http::ResponseWriter&, CallerProtocol const&, std::string requestId, bool isRepeatable);
 
     boost::asio::awaitable<void> head(Http::ResponseHead) override;
     boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) override;
@@ -22,7 +23,10 @@
     boost::asio::awaitable<void> finishWhole(Core::Verdict);
     boost::asio::awaitable<void> finishBroken(Core::Error);
 
+    void addVerdict(Http::Fields&, Core::Verdict) const;
+
     Http::ResponseWriter& m_writer;
+    CallerProtocol const& m_protocol;
     std::string m_requestId;
     bool m_isRepeatable;
     std::optional<Http::ResponseHead> m_head;
--- /dev/null
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibDaemon/BeaconMessage.h>
+#include <LibFleet/DaemonBook.h>
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+
+namespace Daemon {
+
+/// Sends this daemon's beacons to all others that it knows of, and takes theirs: who is alive, who is leaving, and what
+/// each has open at the targets. Lost datagrams do no harm. Use from the control thread only.
+class BeaconExchange {
+public:
+    struct Hooks {
+        std::function<BeaconMessage()> describe; ///< What to tell now; sender and sequence are filled in here.
+        std::function<void(BeaconMessage const&)> onBeacon; ///< Called for each beacon that is news.
+    };
+
+    /// Binds the socket; nothing is sent yet. Errors: Unavailable when the address cannot be bound.
+    static Core::Result<std::unique_ptr<BeaconExchange>> create(boost::asio::io_context&, Platform::ListedDaemon self, Hooks);
+
+    /// Starts to send and to receive. Precondition: called once.
+    void start();
+
+    void stop();
+
+    /// Sends a beacon at once, as when this daemon begins to leave.
+    void sendNow();
+
+    Fleet::DaemonBook& book() { return m_book; }
+    Platform::ListedDaemon const& self() const { return m_self; }
+
+private:
+    BeaconExchange(boost::asio::io_context&, boost::asio::ip::udp::socket, Platform::ListedDaemon self, Hooks);
+    boost::asio::awaitable<void> sendLoop();
+    boost::asio::awaitable<void> receiveLoop();
+    void take(std::string_view datagram);
+
+    static constexpr std::size_t largestDatagram = 64 * 1024;
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::udp::socket m_socket;
+    Platform::ListedDaemon m_self;
+    Hooks m_hooks;
+    Fleet::DaemonBook m_book;
+    std::uint64_t m_sequence { 0 };
+    std::array<char, largestDatagram> m_buffer {};
+    bool m_isStopped { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -0,0 +1,113 @@
+#include <Control.pb.h>
+#include <LibDaemon/BeaconMessage.h>
+#include <LibHttp/Client.h>
+#include <cmath>
+
+namespace Daemon {
+
+namespace {
+
+namespace Proto = currantvale::control;
+
+constexpr double microsecondsPerSecond = 1e6;
+
+template <typename Message>
+Core::Result<Message> parse(std::string_view bytes)
+{
+    Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return Core::fail(Core::ErrorCode::Corrupt, "a message between daemons cannot be decoded");
+    return message;
+}
+
+// Beacons and entries carry the same fields of a daemon.
+template <typename Message>
+void fillDaemon(Message& message, Platform::ListedDaemon const& daemon)
+{
+    message.set_incarnation(daemon.incarnation);
+    message.set_availability_zone(daemon.availabilityZone);
+    message.set_region(daemon.region);
+    message.set_caller_address(Http::toString(daemon.callerAddress));
+    message.set_beacon_address(Http::toString({ daemon.beaconAddress.address(), daemon.beaconAddress.port() }));
+    message.set_peer_address(Http::toString(daemon.peerAddress));
+}
+
+template <typename Message>
+Core::Result<Platform::ListedDaemon> readDaemon(std::string const& name, Message const& message)
+{
+    Platform::ListedDaemon daemon;
+    daemon.name = name;
+    daemon.incarnation = message.incarnation();
+    daemon.availabilityZone = message.availability_zone();
+    daemon.region = message.region();
+    BOOST_OUTCOME_TRY(daemon.callerAddress, Http::parseEndpoint(message.caller_address()));
+    BOOST_OUTCOME_TRY(daemon.peerAddress, Http::parseEndpoint(message.peer_address()));
+    BOOST_OUTCOME_TRY(boost::asio::ip::tcp::endpoint beacon, Http::parseEndpoint(message.beacon_address()));
+    daemon.beaconAddress = { beacon.address(), beacon.port() };
+    return daemon;
+}
+
+}
+
+std::string encode(BeaconMessage const& beacon)
+{
+    Proto::Beacon message;
+    message.set_name(beacon.sender.name);
+    fillDaemon(message, beacon.sender);
+    message.set_sequence(beacon.sequence);
+    message.set_is_leaving(beacon.isLeaving);
+    message.set_config_version(beacon.configVersion);
+    for (Routing::TargetShare const& share : beacon.shares) {
+        Proto::TargetShare* added = message.add_shares();
+        added->set_target(share.target);
+        added->set_prefill_us(static_cast<std::uint32_t>(std::lround(share.work.prefillSeconds * microsecondsPerSecond)));
+        added->set_requests(share.work.requests);
+        added->set_kv_tokens(share.work.kvTokens);
+    }
+    for (std::uint64_t target : beacon.changing)
+        message.add_changing(target);
+    return message.SerializeAsString();
+}
+
+Core::Result<BeaconMessage> decodeBeacon(std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(Proto::Beacon message, parse<Proto::Beacon>(bytes));
+    BeaconMessage beacon;
+    BOOST_OUTCOME_TRY(beacon.sender, readDaemon(message.name(), message));
+    beacon.sequence = message.sequence();
+    beacon.isLeaving = message.is_leaving();
+    beacon.configVersion = message.config_version();
+    for (Proto::TargetShare const& share : message.shares())
+        beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
+    beacon.changing.assign(message.changing().begin(), message.changing().end());
+    return beacon;
+}
+
+std::string encode(Platform::ListedDaemon const& daemon)
+{
+    Proto::DaemonEntry message;
+    fillDaemon(message, daemon);
+    return message.SerializeAsString();
+}
+
+Core::Result<Platform::ListedDaemon> decodeListedDaemon(std::string const& name, std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(Proto::DaemonEntry message, parse<Proto::DaemonEntry>(bytes));
+    return readDaemon(name, message);
+}
+
+std::string encode(Authority::StoreLeaseHolder const& holder)
+{
+    Proto::LeaseClaim message;
+    message.set_daemon(holder.daemon);
+    message.set_incarnation(holder.incarnation);
+    return message.SerializeAsString();
+}
+
+Core::Result<Authority::StoreLeaseHolder> decodeLeaseHolder(std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(Proto::LeaseClaim message, parse<Proto::LeaseClaim>(bytes));
+    return Authority::StoreLeaseHolder { message.daemon(), message.incarnation() };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibAuthority/StoreLease.h>
+#include <LibCore/Result.h>
+#include <LibPlatform/Directory.h>
+#include <LibRouting/OpenWork.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Daemon {
+
+/// What a daemon tells the others several times a second.
+struct BeaconMessage {
+    Platform::ListedDaemon sender;
+    std::uint64_t sequence { 0 }; ///< Greater in each beacon of one incarnation.
+    bool isLeaving { false };
+    std::uint64_t configVersion { 0 }; ///< Of the configuration that it has in force.
+    std::vector<Routing::TargetShare> shares; ///< Its open work.
+    std::vector<std::uint64_t> changing; ///< Keys of targets that it has ordered to change role.
+};
+
+/// Forms of what daemons say to each other and keep in the store. `decode` errors: Corrupt. Thread-safe.
+std::string encode(BeaconMessage const&);
+Core::Result<BeaconMessage> decodeBeacon(std::string_view);
+std::string encode(Platform::ListedDaemon const&);
+Core::Result<Platform::ListedDaemon> decodeListedDaemon(std::string const& name, std::string_view);
+std::string encode(Authority::StoreLeaseHolder const&);
+Core::Result<Authority::StoreLeaseHolder> decodeLeaseHolder(std::string_view);
+
+}
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -56,7 +56,9 @@
 {
     std::string_view path = pathOf(request.target);
     bool isRead = request.method == "GET" || request.method == "HEAD";
-    if (isRead && path == "/v1/entries")
+    if (!m_context.callers.hasTickets)
+        co_await serveWork(request, writer);
+    else if (isRead && path == "/v1/entries")
         std::ignore = co_await writer.send(entries());
     else if (isRead && path == "/v1/models")
         std::ignore = co_await writer.send(models());
@@ -72,29 +74,26 @@
     Request::HttpErrorContext context;
     context.requestId = requestId;
     context.isRepeatable = isRepeatable;
-    std::ignore = co_await writer.send(errorResponse(error, context));
+    std::ignore = co_await writer.send(m_context.callers.error(error, context));
 }
 
 boost::asio::awaitable<void> CallerApi::serveWork(Http::Request& request, Http::ResponseWriter& writer)
 {
     std::string requestId = m_shared.newRequestId();
     // First of all the ticket: what was sent with it before decides, whatever the rules or the body say now.
-    if (std::optional<std::string_view> ticket = request.fields.find(Request::ticketHeader)) {
+    std::optional<std::string_view> ticket = m_context.callers.hasTickets ? request.fields.find(Request::ticketHeader) : std::nullopt;
+    if (ticket) {
         co_await serveTicket(std::string(*ticket), requestId, request, writer);
         co_return;
     }
-    if (!m_context.fleet->isReady) {
-        co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet"), requestId, false, writer);
-        co_return;
-    }
     WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
-    Core::Result<Work> parsed = parseWork(request, m_context.fleet->view->config(), limits, requestId);
+    Core::Result<Work> parsed = m_context.callers.parse(request, *m_context.fleet, limits, requestId);
     if (parsed.has_error()) {
         co_await sendError(parsed.error(), requestId, false, writer);
         co_return;
     }
     Work work = std::move(parsed.value());
-    if (!work.idempotencyKey.empty()) {
+    if (m_context.callers.hasTickets && !work.idempotencyKey.empty()) {
         std::string ticket = m_shared.keeper.issuer().issue(Clock::now());
         std::ignore = co_await writer.send(toResponse(Request::ticketRequired(ticket, requestId), requestId));
         co_return;
@@ -109,7 +108,7 @@
         co_await sendError(eligible.error(), work.requestId, work.isRepeatable, writer);
         co_return;
     }
-    std::shared_ptr<CallerSink> sink = std::make_shared<CallerSink>(writer, work.requestId, work.isRepeatable);
+    std::shared_ptr<CallerSink> sink = std::make_shared<CallerSink>(writer, m_context.callers, work.requestId, work.isRepeatable);
     std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible.value()), sink);
     writer.onCallerGone([weak = std::weak_ptr<RequestRunner>(runner)] {
         if (std::shared_ptr<RequestRunner> alive = weak.lock())
@@ -126,7 +125,7 @@
 
 boost::asio::awaitable<void> CallerApi::serveTicket(std::string text, std::string requestId, Http::Request const& request, Http::ResponseWriter& writer)
 {
-    CallerSink sink(writer, requestId, false);
+    CallerSink sink(writer, m_context.callers, requestId, false);
     Core::Result<Request::Ticket> ticket = Request::Ticket::parse(text);
     if (ticket.has_value() && !isHome(ticket.value())) {
         ForwardedRequest forwarded;
@@ -161,7 +160,7 @@
         co_await sendError(offset.has_error() ? offset.error() : ticket.error(), requestId, true, writer);
         co_return;
     }
-    CallerSink sink(writer, requestId, true);
+    CallerSink sink(writer, m_context.callers, requestId, true);
     if (isHome(ticket.value())) {
         co_await follow(ticket.value().nonce, offset.value(), sink, writer);
         co_return;
--- a/Libraries/LibDaemon/ControlPlane.h
+++ b/Libraries/LibDaemon/ControlPlane.h
@@ -2,6 +2,7 @@
 
 #include <LibDaemon/AuthorityAgent.h>
 #include <LibDaemon/ConfigFollower.h>
+#include <LibDaemon/Control.h>
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/MembershipAgent.h>
 #include <LibDaemon/SnapshotWriter.h>
@@ -37,7 +38,7 @@
 
 /// The control thread's state: follows configuration, VM list and targets, and publishes what traffic needs as
 /// immutable snapshots. Use from the control thread only.
-class ControlPlane {
+class ControlPlane final : public Control {
 public:
     struct Hooks {
         std::function<void(FleetPointer)> publish;
@@ -50,16 +51,12 @@
     /// Preconditions: context and settings outlive the object. Errors: BadInput from one of the parts.
     static Core::Result<std::unique_ptr<ControlPlane>> create(boost::asio::io_context&, Settings::DaemonSettings const&, std::uint64_t incarnation, Peer::Settings const&, Hooks);
 
-    /// Starts to follow everything. Precondition: called once.
-    void start();
+    void start() override;
+    void stop() override;
+    void startLeaving() override;
 
-    void stop();
-
-    /// Tells peers that this daemon takes no new work.
-    void startLeaving();
-
-    /// Releases all leases and tells peers that this process ends; then calls back.
-    void leave(std::function<void()> onDone);
+    /// Releases all leases first.
+    void leave(std::function<void()> onDone) override;
 
     /// Answers a control message of a peer.
     void handlePeerMessage(Peer::Request const&, std::function<void(int status, std::string body)> reply);
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <openssl/rand.h>
+#include <tuple>
 
 namespace Daemon {
 
@@ -13,6 +14,8 @@
 constexpr std::chrono::seconds expiryInterval { 1 };
 // Callers may have asked for the list just before the daemon began to leave, and the answer travels.
 constexpr std::chrono::milliseconds holdMargin { 500 };
+// What is left of the time until a process is killed for it to end by itself.
+constexpr std::chrono::milliseconds stopMargin { 700 };
 
 void fillRandom(std::span<std::uint8_t> bytes)
 {
@@ -47,19 +50,22 @@
 
 }
 
-Daemon::Daemon(Settings::DaemonSettings settings)
+Daemon::Daemon(Settings::DaemonSettings settings, Adapters adapters)
     : m_settings(std::move(settings))
+    , m_adapters(std::move(adapters))
     , m_incarnation(newIncarnation())
     , m_signals(m_control, SIGTERM, SIGINT)
     , m_holdTimer(m_control)
     , m_expiryTimer(m_control)
+    , m_stopTimer(m_control)
     , m_retryBudget(budgetOf(m_settings))
+    , m_sharedBudgets({ m_settings.limits.retryRatio, m_settings.limits.retryExtra, m_settings.limits.retryWindow })
 {
 }
 
-Core::Result<std::unique_ptr<Daemon>> Daemon::create(Settings::DaemonSettings settings)
+Core::Result<std::unique_ptr<Daemon>> Daemon::create(Settings::DaemonSettings settings, Adapters adapters)
 {
-    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings)));
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), std::move(adapters)));
     BOOST_OUTCOME_TRY(daemon->setUp());
     return daemon;
 }
@@ -80,21 +86,26 @@
     peers.senderName = m_settings.daemon.name;
     peers.senderIncarnation = m_incarnation;
     BOOST_OUTCOME_TRY(createTraffic(peers));
-    return createControl(peers);
+    if (!usesStore())
+        return createLogControl(peers);
+    BOOST_OUTCOME_TRY(createStoreControl());
+    return createEntryServers();
 }
 
 Core::Result<void> Daemon::createTraffic(Peer::Settings const& peers)
 {
+    BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
+        return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
+    };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf) };
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
-        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(m_settings, peers, *m_dispatcher, m_retryBudget, m_mix, *m_shared));
+        BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(parts, peers));
         m_traffic.push_back(std::move(thread));
     }
-    return m_traffic.front()->servePeers(peers, [this](Peer::Request request, std::function<void(int, std::string)> reply) {
-        boost::asio::post(m_control, [this, request = std::move(request), reply = std::move(reply)] { m_plane->handlePeerMessage(request, reply); });
-    });
+    return Core::ok();
 }
 
-Core::Result<void> Daemon::createControl(Peer::Settings const& peers)
+Core::Result<void> Daemon::createLogControl(Peer::Settings const& peers)
 {
     ControlPlane::Hooks hooks;
     hooks.publish = [this](FleetPointer const& fleet) { publish(fleet); };
@@ -102,13 +113,83 @@
     hooks.openRequests = [this] { return m_dispatcher->openRequests(); };
     hooks.takeMix = [this] { return m_mix.take(); };
     hooks.report = [this](std::uint32_t target, Routing::LoadReport const& report) { m_dispatcher->report(target, report); };
-    BOOST_OUTCOME_TRY(m_plane, ControlPlane::create(m_control, m_settings, m_incarnation, peers, std::move(hooks)));
-    m_operatorApi = std::make_unique<OperatorApi>(m_settings, *m_plane, *m_dispatcher, *m_keeper, m_metrics);
+    BOOST_OUTCOME_TRY(std::unique_ptr<ControlPlane> plane, ControlPlane::create(m_control, m_settings, m_incarnation, peers, std::move(hooks)));
+    ControlPlane* raw = plane.get();
+    m_plane = std::move(plane);
+    BOOST_OUTCOME_TRY(m_traffic.front()->servePeers(peers, [this, raw](Peer::Request request, std::function<void(int, std::string)> reply) {
+        boost::asio::post(m_control, [raw, request = std::move(request), reply = std::move(reply)] { raw->handlePeerMessage(request, reply); });
+    }));
+    m_operatorApi = std::make_unique<OperatorApi>(m_settings, *raw, *m_dispatcher, *m_keeper, m_metrics);
     Http::Handler handler = [this](Http::Request& request, Http::ResponseWriter& writer) { return m_operatorApi->handle(request, writer); };
     BOOST_OUTCOME_TRY(m_operatorServer, Http::Server::create(m_control, m_settings.operators.listen, Http::ServerSettings(), std::move(handler), rejectionResponse));
     return Core::ok();
 }
 
+Core::Result<void> Daemon::createStoreControl()
+{
+    StoreControl::Hooks hooks;
+    hooks.publish = [this](FleetPointer const& fleet) { publish(fleet); };
+    hooks.setLimits = [this](State::CallerLimits const& limits) { setCallerLimits(limits); };
+    hooks.openWork = [this] { return m_dispatcher->openWork(); };
+    hooks.takePeerWork = [this](std::string const& peer, std::vector<Routing::TargetShare> const& shares) { m_dispatcher->takePeerWork(peer, shares); };
+    hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons); };
+    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_incarnation, std::move(hooks)));
+    m_storeControl = control.get();
+    m_plane = std::move(control);
+    BOOST_OUTCOME_TRY(m_operatorServer, createServer(m_settings.operators.listen, [this](Http::Request const& request) { return respondToOperators(request); }));
+    return Core::ok();
+}
+
+// Both are answered from memory, on the control thread: never behind traffic.
+Core::Result<void> Daemon::createEntryServers()
+{
+    if (m_settings.callers.directory.port() != 0) {
+        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.callers.directory, [this](Http::Request const&) { return m_adapters.callers.entries(m_storeControl->entries()); }));
+        m_entryServers.push_back(std::move(server));
+    }
+    if (m_settings.callers.ready.port() != 0) {
+        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.callers.ready, [this](Http::Request const&) {
+            return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
+        }));
+        m_entryServers.push_back(std::move(server));
+    }
+    return Core::ok();
+}
+
+Core::Result<std::unique_ptr<Http::Server>> Daemon::createServer(boost::asio::ip::tcp::endpoint const& endpoint, std::function<Http::Response(Http::Request const&)> respond)
+{
+    Http::Handler handler = [respond = std::move(respond)](Http::Request& request, Http::ResponseWriter& writer) -> boost::asio::awaitable<void> {
+        std::ignore = co_await writer.send(respond(request));
+    };
+    return Http::Server::create(m_control, endpoint, Http::ServerSettings(), std::move(handler), rejectionResponse);
+}
+
+Http::Response Daemon::respondToOperators(Http::Request const& request)
+{
+    if (request.target == "/healthz")
+        return Http::jsonResponse(Http::Status::Ok, R"({"status":"ok"})");
+    if (request.target == "/readyz")
+        return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
+    if (request.target != "/metrics")
+        return Http::jsonResponse(Http::Status::NotFound, Request::errorBody(Core::makeError(Core::ErrorCode::NotFound, "no such path: \"" + request.target + "\""), ""));
+    MetricsSample sample;
+    sample.configOffset = m_storeControl->configVersion();
+    sample.openRequests = m_dispatcher->openRequests();
+    sample.roleChanges = m_storeControl->roles().accepted();
+    return Http::Response { static_cast<std::uint16_t>(Http::Status::Ok), { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text(sample) };
+}
+
+void Daemon::setCallerLimits(State::CallerLimits const& limits)
+{
+    Http::ServerSettings server = m_settings.callers.server;
+    server.headLimit = limits.headBytes;
+    server.bodyLimit = limits.bodyBytes;
+    server.headTimeout = limits.headTimeout;
+    server.idleTimeout = limits.idleTimeout;
+    for (std::unique_ptr<TrafficThread> const& thread : m_traffic)
+        thread->setLimits(server);
+}
+
 // Traffic threads take what is posted to them in order, so this comes behind the snapshot published before.
 void Daemon::callWhenApplied(std::function<void()> onApplied)
 {
@@ -143,6 +224,8 @@
     expireAnswers();
     m_plane->start();
     m_operatorServer->start();
+    for (std::unique_ptr<Http::Server> const& server : m_entryServers)
+        server->start();
     for (std::unique_ptr<TrafficThread> const& thread : m_traffic)
         thread->start();
     m_control.run();
@@ -165,7 +248,17 @@
         return;
     Core::logEvent(Core::Severity::Info, Core::Event::ShutdownStarted, { { "hold_ms", std::to_string(m_settings.callers.listHold.count()) } });
     m_plane->startLeaving();
-    m_holdTimer.expires_after(m_settings.callers.listHold + holdMargin);
+    for (std::unique_ptr<TrafficThread> const& thread : m_traffic)
+        thread->beginDraining();
+    if (m_settings.daemon.stopWithin.count() > 0) {
+        m_stopTimer.expires_after(std::max(m_settings.daemon.stopWithin - stopMargin, std::chrono::milliseconds(0)));
+        m_stopTimer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                finish();
+        });
+    }
+    bool hasLeaveHold = m_settings.callers.leaveHold.count() > 0;
+    m_holdTimer.expires_after((hasLeaveHold ? m_settings.callers.leaveHold : m_settings.callers.listHold) + holdMargin);
     m_holdTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
             drainTraffic();
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <LibDaemon/Adapters.h>
 #include <LibDaemon/AnswerKeeper.h>
 #include <LibDaemon/ControlPlane.h>
 #include <LibDaemon/Dispatcher.h>
 #include <LibDaemon/OperatorApi.h>
+#include <LibDaemon/StoreControl.h>
 #include <LibDaemon/TrafficThread.h>
-#include <LibRequest/RetryBudget.h>
+#include <LibRequest/RetryBudgets.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
@@ -16,8 +18,9 @@
 /// A whole currantvaled: the control thread, the traffic threads and what they share.
 class Daemon {
 public:
-    /// Binds all listeners; nothing runs yet. Errors: Unavailable when an address cannot be bound.
-    static Core::Result<std::unique_ptr<Daemon>> create(Settings::DaemonSettings);
+    /// Binds all listeners; nothing runs yet. The adapters speak the platform that the settings name.
+    /// Errors: Unavailable when an address cannot be bound.
+    static Core::Result<std::unique_ptr<Daemon>> create(Settings::DaemonSettings, Adapters);
 
     ~Daemon();
 
@@ -25,12 +28,18 @@
     void run();
 
 private:
-    explicit Daemon(Settings::DaemonSettings);
+    Daemon(Settings::DaemonSettings, Adapters);
     Core::Result<void> setUp();
     void publish(FleetPointer const&);
     void callWhenApplied(std::function<void()>);
     Core::Result<void> createTraffic(Peer::Settings const&);
-    Core::Result<void> createControl(Peer::Settings const&);
+    Core::Result<void> createLogControl(Peer::Settings const&);
+    Core::Result<void> createStoreControl();
+    Core::Result<void> createEntryServers();
+    Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
+    Http::Response respondToOperators(Http::Request const&);
+    void setCallerLimits(State::CallerLimits const&);
+    bool usesStore() const { return m_settings.platform.kind == Settings::DaemonSettings::PlatformKind::KeyedStore; }
     void waitForSignal();
     void startLeaving();
     void drainTraffic();
@@ -38,21 +47,26 @@
     void expireAnswers();
 
     Settings::DaemonSettings m_settings;
+    Adapters m_adapters;
     std::uint64_t m_incarnation;
     boost::asio::io_context m_control { 1 };
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_holdTimer;
     boost::asio::steady_timer m_expiryTimer;
+    boost::asio::steady_timer m_stopTimer;
     Request::RetryBudget m_retryBudget;
+    Request::RetryBudgets m_sharedBudgets;
     MixCounter m_mix;
     Metrics m_metrics;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
-    std::unique_ptr<ControlPlane> m_plane;
+    std::unique_ptr<Control> m_plane;
+    StoreControl* m_storeControl { nullptr }; ///< `m_plane`, where the platform has a store.
     std::unique_ptr<OperatorApi> m_operatorApi;
     std::unique_ptr<Http::Server> m_operatorServer;
+    std::vector<std::unique_ptr<Http::Server>> m_entryServers;
     std::size_t m_idleThreads { 0 };
 };
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -1,4 +1,5 @@
 #include <LibDaemon/Dispatcher.h>
+#include <LibRouting/PromptHomes.h>
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -15,6 +16,19 @@
 constexpr std::size_t knownPrefixes = 16 * 1024;
 constexpr std::size_t mostMatches = 16;
 
+// What a request adds to the work of a target in this role.
+Routing::TargetWork workOf(Routing::RequestShape const& shape, Routing::TargetRole role, std::uint32_t tokensToCompute, Routing::PromptCost const& cost)
+{
+    Routing::TargetWork work;
+    if (shape.phase == Routing::Phase::WholeOrPrefill && role == Routing::TargetRole::Prefill) {
+        work.prefillSeconds = cost.seconds(tokensToCompute, shape.promptTokens);
+        return work;
+    }
+    work.requests = 1;
+    work.kvTokens = static_cast<std::uint64_t>(shape.promptTokens) + shape.expectedOutputTokens;
+    return work;
+}
+
 }
 
 /// A placement from `place` to `release`.
@@ -29,6 +43,7 @@
     boost::asio::steady_timer timer;
     PlacementOutcome outcome;
     std::uint32_t promptTokens { 0 }; ///< Left to compute at the chosen target, after its cached prefix.
+    Routing::TargetWork work; ///< That it adds to the chosen target's.
     bool isResolved { false };
     bool isPrefilled { false };
 };
@@ -136,7 +151,9 @@
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
         bool isClosed = isExcluded || !m_admission->hasRoom(target.id);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
-        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now) };
+        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), target.slots };
+        if (target.kvCapacityTokens != 0)
+            candidate.load.kvCapacityTokens = static_cast<std::uint32_t>(target.kvCapacityTokens);
         for (std::size_t n = 0; n < matched; ++n) {
             if (matches[n].target == target.id)
                 candidate.prefixMatchTokens = std::max(candidate.prefixMatchTokens, matches[n].tokens);
@@ -144,6 +161,7 @@
         m_candidates.push_back(candidate);
         m_candidatePositions.push_back(position);
     }
+    addHome(request);
     Routing::RequestShape shape = request.shape;
     // A request whose output is being placed is itself no longer on its way.
     shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
@@ -153,11 +171,34 @@
     std::uint32_t cached = m_candidates[*waiter.outcome.decision.chosen].prefixMatchTokens;
     waiter.promptTokens = shape.phase == Routing::Phase::Decode ? 0 : shape.promptTokens - std::min(cached, shape.promptTokens);
     waiter.outcome.position = m_candidatePositions[*waiter.outcome.decision.chosen];
+    waiter.work = workOf(shape, waiter.outcome.decision.role, waiter.promptTokens, m_router.settings().promptCost);
+    waiter.outcome.prefillSeconds = waiter.work.prefillSeconds;
     return waiter.outcome.decision.target;
 }
 
+// All daemons look for a shared part at the same target, whatever each of them has seen of it.
+void Dispatcher::addHome(PlacementRequest const& request)
+{
+    if (request.shape.phase != Routing::Phase::WholeOrPrefill || request.shape.prefixHash == 0)
+        return;
+    m_homeKeys.clear();
+    m_homeCandidates.clear();
+    for (std::size_t n = 0; n < m_candidates.size(); ++n) {
+        if (m_candidates[n].role != Routing::TargetRole::Prefill || m_candidates[n].closed)
+            continue;
+        m_homeKeys.push_back(request.fleet->targets[m_candidatePositions[n]].key);
+        m_homeCandidates.push_back(n);
+    }
+    std::size_t home = Routing::homeOf(request.shape.prefixHash, m_homeKeys);
+    if (home == m_homeKeys.size())
+        return;
+    Routing::Candidate& candidate = m_candidates[m_homeCandidates[home]];
+    candidate.prefixMatchTokens = std::max(candidate.prefixMatchTokens, request.shape.sharedTokens);
+}
+
 void Dispatcher::noteSent(Waiter& waiter)
 {
+    m_openWork.begin(waiter.request.fleet->targets[*waiter.outcome.position].key, waiter.work);
     std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
     bool hasPrompt = waiter.request.shape.phase != Routing::Phase::Decode;
     m_loads.count(id, { 1, 0, waiter.promptTokens, hasPrompt ? 1U : 0U, 0 }, Clock::now());
@@ -251,6 +292,7 @@
     m_waiters.erase(it);
     if (waiter->isResolved && waiter->outcome.position) {
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
+        m_openWork.end(waiter->request.fleet->targets[*waiter->outcome.position].key, waiter->work);
         if (!waiter->isPrefilled)
             m_loads.prefilled(targetId, waiter->promptTokens, Clock::now());
         m_loads.ended(targetId, Clock::now());
@@ -300,11 +342,32 @@
     m_knownTargets = std::move(known);
     m_limits.clear();
     for (FleetTarget const& target : fleet->targets)
-        m_limits.emplace(target.id, target.isClosed() ? 0 : m_inFlightPerTarget);
+        m_limits.emplace(target.id, limitOf(target));
     for (FleetTarget const& target : fleet->targets)
         resolve(m_admission->setTarget(target.id, m_limits[target.id], m_groupsOfTarget[target.id]));
 }
 
+std::uint32_t Dispatcher::limitOf(FleetTarget const& target) const
+{
+    if (target.isClosed())
+        return 0;
+    // A plain service tells how much it takes; an engine queues by urgency itself.
+    bool isPlain = target.kind == Platform::VmKind::Service;
+    return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
+}
+
+std::vector<Routing::TargetShare> Dispatcher::openWork() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_openWork.own();
+}
+
+void Dispatcher::takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const& shares)
+{
+    std::lock_guard lock(m_mutex);
+    m_openWork.setPeer(peer, shares, Clock::now());
+}
+
 std::size_t Dispatcher::openRequests() const
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/Work.h>
 #include <LibRouting/LoadTable.h>
+#include <LibRouting/OpenWork.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/Router.h>
 #include <LibSettings/DaemonSettings.h>
@@ -38,6 +39,7 @@
     std::uint64_t id { 0 }; ///< Hand it to `release` when the request has ended there.
     std::optional<std::uint32_t> position; ///< In the request's fleet.
     Routing::Decision decision;
+    double prefillSeconds { 0 }; ///< Estimated, where only the prompt is computed there; else 0.
     Core::Error error; ///< Without a position; says not run.
     std::chrono::milliseconds retryAfter { 0 };
 };
@@ -75,6 +77,12 @@
     /// Returns how many requests this daemon has open at a target.
     std::uint32_t inFlightAt(std::uint32_t targetId) const;
 
+    /// Returns the work that this daemon has open at targets, for its peers.
+    std::vector<Routing::TargetShare> openWork() const;
+
+    /// Takes the open work of a peer, in place of what it said before.
+    void takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const&);
+
 private:
     struct Waiter;
     Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, std::uint64_t seed);
@@ -88,12 +96,15 @@
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
     void dropExclusionsOfAll(PlacementRequest&) const;
     void noteSent(Waiter&);
+    void addHome(PlacementRequest const&);
+    std::uint32_t limitOf(FleetTarget const&) const;
     Admission::Demand demandOf(PlacementRequest const&, std::uint64_t id);
 
     mutable std::mutex m_mutex;
     std::uint32_t m_inFlightPerTarget;
     Routing::Router m_router;
     Routing::LoadTable m_loads;
+    Routing::OpenWork m_openWork;
     Routing::PrefixIndex m_prefixes;
     std::unique_ptr<Admission::Controller> m_admission;
     std::mt19937_64 m_random;
@@ -107,6 +118,8 @@
     std::unordered_map<std::uint32_t, Routing::TargetRole> m_roles; ///< Of the known targets, now.
     std::vector<Routing::Candidate> m_candidates; ///< Reused between decisions.
     std::vector<std::uint32_t> m_candidatePositions;
+    std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates,
+    std::vector<std::size_t> m_homeCandidates; ///< and their places among the candidates.
 };
 
 }
--- a/Libraries/LibDaemon/Eligibility.cpp
+++ b/Libraries/LibDaemon/Eligibility.cpp
@@ -16,7 +16,11 @@
         if (selected.contains(position))
             eligible.push_back(position);
     }
+    // A service that is configured and has no target now may have one soon.
+    bool isConfigured = fleet.services && fleet.services->find(work.name);
     std::string what = (work.kind == Work::Kind::Model ? "model \"" : "service \"") + work.name + "\"";
+    if (isConfigured && eligible.empty())
+        return Core::fail(Core::ErrorCode::Unavailable, "no target of " + what + " is listed now");
     if (!isKnown)
         return Core::fail(Core::ErrorCode::NotFound, "unknown " + what);
     if (eligible.empty())
--- a/Libraries/LibDaemon/EventSplitter.cpp
+++ b/Libraries/LibDaemon/EventSplitter.cpp
@@ -1,4 +1,6 @@
 #include <LibDaemon/EventSplitter.h>
+#include <charconv>
+#include <cstdint>
 
 namespace Daemon {
 
@@ -35,4 +37,33 @@
     return events;
 }
 
+std::string_view eventId(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    std::string_view rest = event;
+    while (!rest.empty()) {
+        std::size_t end = rest.find('\n');
+        std::string_view line = rest.substr(0, end);
+        if (line.starts_with(field)) {
+            line.remove_prefix(field.size());
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            if (line.ends_with('\r'))
+                line.remove_suffix(1);
+            return line;
+        }
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return {};
+}
+
+bool isBehind(std::string_view id, std::string_view other)
+{
+    std::uint64_t number = 0;
+    std::uint64_t otherNumber = 0;
+    bool isNumber = std::from_chars(id.data(), id.data() + id.size(), number).ptr == id.data() + id.size() && !id.empty();
+    bool isOtherNumber = std::from_chars(other.data(), other.data() + other.size(), otherNumber).ptr == other.data() + other.size() && !other.empty();
+    return isNumber && isOtherNumber ? number > otherNumber : id != other;
+}
+
 }
--- a/Libraries/LibDaemon/EventSplitter.h
+++ b/Libraries/LibDaemon/EventSplitter.h
@@ -24,4 +24,10 @@
     bool m_hasSeenDone { false };
 };
 
+/// Returns the value of an event's `id` field, or nothing. Thread-safe.
+std::string_view eventId(std::string_view event);
+
+/// Whether an event id comes behind another: by number where both are numbers, else when they differ. Thread-safe.
+bool isBehind(std::string_view id, std::string_view other);
+
 }
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -3,6 +3,7 @@
 #include <LibPlatform/VmList.h>
 #include <LibRouting/TargetRole.h>
 #include <LibRouting/ZoneDistance.h>
+#include <LibState/ServiceConfig.h>
 #include <LibState/TargetView.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
@@ -15,6 +16,7 @@
 /// A target as the traffic threads see it.
 struct FleetTarget {
     std::uint32_t id { 0 }; ///< Stays the same while this process knows the target's name.
+    std::uint64_t key { 0 }; ///< Of its name: the same at every daemon.
     std::string name;
     boost::asio::ip::tcp::endpoint endpoint;
     Platform::VmKind kind { Platform::VmKind::Engine };
@@ -24,6 +26,8 @@
     std::string incarnation; ///< Of an engine: as last read; empty while unknown.
     Routing::TargetRole role { Routing::TargetRole::Mixed };
     Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
+    std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
+    std::uint64_t kvCapacityTokens { 0 }; ///< 0: not known.
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
 
     bool isClosed() const { return !closedBecause.empty(); }
@@ -48,6 +52,7 @@
     std::vector<FleetTarget> targets;
     std::vector<EntryAddress> entries; ///< Live and not leaving; nearest first, then less loaded first.
     std::vector<EntryAddress> peers; ///< All other daemons on the VM list, leaving ones too.
+    std::shared_ptr<State::ServiceConfig const> services; ///< Null where operators edit objects one by one.
     bool isReady { false }; ///< The configuration and the VM list have both been read once.
 };
 
--- /dev/null
+++ b/Libraries/LibDaemon/OwnAdapters.cpp
@@ -0,0 +1,14 @@
+#include <LibDaemon/Adapters.h>
+
+namespace Daemon {
+
+Adapters ownAdapters()
+{
+    Adapters adapters;
+    adapters.callers = ownCallerProtocol();
+    adapters.targets = ownTargetProtocol();
+    adapters.createEngineControl = Platform::createHttpEngineControl;
+    return adapters;
+}
+
+}
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -3,10 +3,11 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/EventSplitter.h>
 #include <LibDaemon/RequestRunner.h>
-#include <LibPlatform/Json.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <tuple>
 
 namespace Daemon {
 
@@ -18,24 +19,18 @@
 constexpr std::chrono::milliseconds eventTimeout { 5'000 };
 // A live engine answers at once whether it knows a stream; the caller waits while a dead one does not.
 constexpr std::chrono::milliseconds resumeHeadTimeout { 2'000 };
+// A refusal is small and its body follows its head.
+constexpr std::chrono::milliseconds refusalTimeout { 500 };
 constexpr std::size_t wholeBodyLimit = 256U * 1024;
 constexpr std::size_t mostWaitingEvents = 256;
-constexpr std::string_view refusalCode = "not-serving";
+// A target that answers with what belongs to other requests this often in a row is not waited for any longer.
+constexpr int mostForeignAnswers = 2;
 
 bool isEventStream(Http::ResponseHead const& head)
 {
     return head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
 }
 
-bool isRefusal(std::string_view body)
-{
-    Core::Result<boost::json::object> object = Platform::parseObject(body);
-    if (object.has_error())
-        return false;
-    boost::json::value const* error = object.value().if_contains("error");
-    return error && error->is_object() && Platform::stringOf(error->get_object(), "code") == refusalCode;
-}
-
 }
 
 boost::asio::awaitable<void> RequestRunner::wait(std::chrono::milliseconds duration)
@@ -84,19 +79,21 @@
     co_await leg->goAhead.wait();
     if (leg->isAbandoned)
         co_return;
-    if (m_work.kind == Work::Kind::Model && m_work.isStreamed)
-        leg->exchange->setHeadTimeout(eventHeadTimeout);
-    else
-        leg->exchange->setHeadTimeout(m_work.timeout);
-    Http::Request request = upstreamRequest(leg->leg.attempt);
+    bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
+    leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft());
+    TargetSend send = sendOf(leg->leg.attempt);
+    Http::Request request = m_context.targets.request(m_work, send);
     Core::Result<void> started = co_await leg->exchange->start(request);
+    // What an earlier request on this connection left behind comes first.
+    for (int n = 0; n < mostForeignAnswers && !leg->isAbandoned && started.has_value() && m_context.targets.judge(m_work, send, leg->exchange->head(), nullptr) == AnswerProof::Foreign; ++n)
+        started = co_await leg->exchange->skipResponse();
     if (leg->isAbandoned)
         co_return;
     if (started.has_error()) {
         postFailure(leg, started.error());
         co_return;
     }
-    co_await readAnswer(leg, 0);
+    co_await readAnswer(leg, send);
 }
 
 // Finds the attempt's target; on a prefill target it also has the prompt computed, and then finds the target
@@ -104,7 +101,7 @@
 boost::asio::awaitable<bool> RequestRunner::placeAttempt(LegPointer leg, std::vector<std::string> excluded)
 {
     Routing::Phase phase = m_work.kind == Work::Kind::Model ? Routing::Phase::WholeOrPrefill : Routing::Phase::Whole;
-    m_kvSource.clear();
+    dropKv();
     while (true) {
         PlacementOutcome outcome = co_await place(excluded, phase);
         if (leg->isAbandoned)
@@ -116,19 +113,22 @@
             co_return false;
         }
         m_target = m_fleet->targets[*outcome.position].name;
+        // Prompts go by their length, outputs by the operators' priority.
+        m_urgency = outcome.prefillSeconds > 0 ? Routing::urgencyOf(outcome.prefillSeconds) : m_work.priority;
         if (outcome.decision.role != Routing::TargetRole::Prefill)
             co_return true;
-        Core::Result<std::string> handle = co_await prefill(leg);
+        Core::Result<std::string> kvSource = co_await prefill(leg);
         if (leg->isAbandoned)
             co_return false;
         releasePlacement();
-        if (handle.has_error()) {
-            // A prompt computed in vain has no effect, so another target may be tried.
-            Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "prefill" }, { "error", handle.error().message } });
-            excluded.push_back(m_target);
-            continue;
+        if (kvSource.has_error()) {
+            logPrefillFailure(kvSource.error());
+            // A prompt computed in vain has no effect; whether another target is tried is the machine's decision.
+            post(Request::ConnectFailed { leg->leg });
+            co_return false;
         }
-        m_kvSource = handle.value();
+        m_kvSource = kvSource.value();
+        m_kvHolder = targetOf(m_target)->endpoint;
         phase = Routing::Phase::Decode;
     }
 }
@@ -136,22 +136,50 @@
 boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg)
 {
     FleetTarget const* target = targetOf(m_target);
-    Http::Request request = upstreamRequest(leg->leg.attempt);
-    request.fields.set("X-Request-Id", attemptId(leg->leg.attempt) + ".prefill");
-    request.fields.add("X-Phase", "prefill");
-    Core::Result<Http::Response> response = co_await m_context.client.fetch(target->endpoint, request);
+    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
+    if (connected.has_error())
+        co_return Core::Result<std::string>(connected.error());
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    // The leg's exchange, so that giving the attempt up ends the prefill too.
+    leg->exchange = std::move(connected.value());
+    leg->exchange->setHeadTimeout(timeLeft());
+    TargetSend send = sendOf(leg->leg.attempt);
+    Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    if (started.has_error())
+        co_return Core::Result<std::string>(started.error());
+    Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
     if (response.has_error())
         co_return Core::Result<std::string>(response.error());
-    Core::Result<boost::json::object> body = Platform::parseObject(response.value().body);
-    std::string handle = body.has_value() ? Platform::stringOf(body.value(), "kv") : std::string();
-    if (response.value().status != static_cast<std::uint16_t>(Http::Status::Ok) || handle.empty())
-        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Unavailable, "the target answered " + std::to_string(response.value().status) + " to a prefill"));
-    co_return Http::toString(target->endpoint) + "/" + handle;
+    co_return m_context.targets.readPrefill(*target, m_work, response.value());
+}
+
+void RequestRunner::logPrefillFailure(Core::Error const& error) const
+{
+    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+}
+
+// A KV cache that nobody fetches takes its target's memory until it expires there.
+void RequestRunner::dropKv()
+{
+    std::string source = std::exchange(m_kvSource, std::string());
+    if (source.empty() || !m_context.targets.releaseKv)
+        return;
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), holder = m_kvHolder, source]() { return self->releaseKv(holder, source); }, boost::asio::detached);
+}
+
+boost::asio::awaitable<void> RequestRunner::releaseKv(boost::asio::ip::tcp::endpoint holder, std::string kvSource)
+{
+    Core::Result<Http::Response> response = co_await m_context.client.fetch(holder, m_context.targets.releaseKv(kvSource));
+    if (response.has_error())
+        Core::logEvent(Core::Severity::Debug, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "step", "release-kv" }, { "error", response.error().message } });
 }
 
 boost::asio::awaitable<bool> RequestRunner::connect(LegPointer leg, FleetTarget const& target)
 {
-    Http::ConnectionChoice choice = m_work.isRepeatable ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
+    Http::ConnectionChoice choice = m_work.isRepeatable || m_context.targets.keepsConnectionsForAll ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
     if (leg->leg.connection > 1)
         choice = Http::ConnectionChoice::Fresh;
     Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target.endpoint, choice, leg->connecting);
@@ -201,23 +229,45 @@
         co_return;
     }
     post(Request::ResumeAccepted { leg->leg });
-    co_await readEvents(leg, resume.from);
+    co_await readEvents(leg, resume.from, false);
 }
 
-boost::asio::awaitable<void> RequestRunner::readAnswer(LegPointer leg, std::uint64_t firstIndex)
+boost::asio::awaitable<void> RequestRunner::readAnswer(LegPointer leg, TargetSend send)
 {
     leg->head = leg->exchange->head();
+    AnswerProof proof = m_context.targets.judge(m_work, send, leg->head, nullptr);
+    if (proof == AnswerProof::NotRun) {
+        leg->exchange->setPieceTimeout(refusalTimeout);
+        // Read to its end, so that the connection can be used again.
+        std::ignore = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
+        logRefusal();
+        post(Request::TargetRefused { leg->leg });
+        co_return;
+    }
+    if (proof != AnswerProof::Answer) {
+        postFailure(leg, Core::makeUncertainError(Core::ErrorCode::Unavailable, "the target answered " + std::to_string(leg->head.status) + " in a form that is no answer to this request"));
+        leg->exchange->cancel();
+        co_return;
+    }
+    // From here on the decoding target has the KV cache.
+    m_kvSource.clear();
     if (isEventStream(leg->head)) {
         post(Request::ResponseHead { leg->leg, leg->head.status });
-        co_await readEvents(leg, firstIndex);
+        co_await readEvents(leg, 0, !send.lastEventId.empty());
         co_return;
     }
-    co_await readBody(leg);
+    co_await readBody(leg, std::move(send));
 }
 
-boost::asio::awaitable<void> RequestRunner::readEvents(LegPointer leg, std::uint64_t firstIndex)
+void RequestRunner::logRefusal() const
 {
-    leg->exchange->setPieceTimeout(eventTimeout);
+    Core::logEvent(Core::Severity::Info, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "refused" }, { "verdict", std::string(Core::toString(Core::Verdict::NotRun)) } });
+}
+
+boost::asio::awaitable<void> RequestRunner::readEvents(LegPointer leg, std::uint64_t firstIndex, bool isContinued)
+{
+    leg->exchange->setPieceTimeout(m_context.targets.hidesSilence ? timeLeft() : eventTimeout);
+    std::string continuedFrom = isContinued ? m_lastEventId : std::string();
     EventSplitter splitter;
     std::uint64_t index = firstIndex;
     while (true) {
@@ -232,13 +282,20 @@
             break;
         std::vector<std::string> events = splitter.add(*piece.value());
         for (std::string& event : events) {
+            std::string id(eventId(event));
+            // What was handed on before is not wanted twice, whatever the target takes the last event to be.
+            if (!continuedFrom.empty() && !isBehind(id, continuedFrom))
+                continue;
+            if (!id.empty())
+                m_lastEventId = std::move(id);
             // Named: g++ 12 destroys a braced temporary inside a co_await expression twice.
             Request::RequestEvent next = Request::Piece { leg->leg, index, std::move(event), true };
             co_await postWithRoom(std::move(next));
             ++index;
         }
     }
-    if (splitter.hasSeenDone() && !splitter.hasPartialEvent())
+    bool isEnded = splitter.hasSeenDone() || !m_context.targets.marksStreamEnd;
+    if (isEnded && !splitter.hasPartialEvent())
         post(Request::StreamEnded { leg->leg, index });
     else
         post(Request::StreamBroken { leg->leg });
@@ -246,9 +303,9 @@
 
 // A body that is small is collected whole before any of it is delivered, so that an attempt which breaks leaves
 // the caller with nothing and another one may be made.
-boost::asio::awaitable<void> RequestRunner::readBody(LegPointer leg)
+boost::asio::awaitable<void> RequestRunner::readBody(LegPointer leg, TargetSend send)
 {
-    leg->exchange->setPieceTimeout(m_work.timeout);
+    leg->exchange->setPieceTimeout(timeLeft());
     std::string body;
     std::uint64_t index = 0;
     bool isHeadPosted = false;
@@ -270,8 +327,7 @@
         Request::RequestEvent next = Request::Piece { leg->leg, index++, std::exchange(body, std::string()), false };
         co_await postWithRoom(std::move(next));
     }
-    bool isEngine = m_work.kind == Work::Kind::Model;
-    if (isEngine && leg->head.status == static_cast<std::uint16_t>(Http::Status::ServiceUnavailable) && isRefusal(body)) {
+    if (m_context.targets.judge(m_work, send, leg->head, &body) == AnswerProof::NotRun) {
         post(Request::TargetRefused { leg->leg });
         co_return;
     }
@@ -282,15 +338,10 @@
     post(Request::StreamEnded { leg->leg, index });
 }
 
-Http::Request RequestRunner::upstreamRequest(std::uint32_t attempt) const
+TargetSend RequestRunner::sendOf(std::uint32_t attempt) const
 {
-    Http::Request request = m_work.upstream;
-    request.fields.set("X-Request-Id", attemptId(attempt));
-    if (m_work.kind == Work::Kind::Model)
-        request.fields.set("X-Priority", std::to_string(m_work.priority));
-    if (!m_kvSource.empty())
-        request.fields.set("X-KV-Source", m_kvSource);
-    return request;
+    FleetTarget const* target = targetOf(m_target);
+    return { attempt, target ? target->incarnation : std::string(), timeLeft(), m_kvSource, m_urgency, m_machine.deliveredPieces() > 0 ? m_lastEventId : std::string() };
 }
 
 }
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -27,7 +27,8 @@
     , m_allowed(std::move(allowed))
     , m_sink(std::move(sink))
     , m_startedAt(Clock::now())
-    , m_machine(profileOf(m_work, m_startedAt + m_work.timeout), context.retryBudget)
+    , m_startedAtBoot(Core::BootClock::now())
+    , m_machine(profileOf(m_work, context.targets, m_startedAt + m_work.timeout), context.budgetOf(m_work))
     , m_eventSignal(context.context.get_executor())
     , m_roomSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
@@ -35,17 +36,30 @@
     ++m_context.runningRequests;
 }
 
-Request::RequestProfile RequestRunner::profileOf(Work const& work, Clock::time_point deadline)
+Request::RequestProfile RequestRunner::profileOf(Work const& work, TargetProtocol const& targets, Clock::time_point deadline)
 {
     Request::RequestProfile profile;
     profile.isRepeatable = work.isRepeatable;
-    profile.canResume = work.kind == Work::Kind::Model && work.isStreamed;
-    profile.canCancel = work.kind == Work::Kind::Model;
+    profile.mayContinue = work.mayContinue;
+    profile.canResume = targets.resumesAtTarget && work.kind == Work::Kind::Model && work.isStreamed;
+    profile.canCancel = targets.takesCancels && work.kind == Work::Kind::Model;
+    profile.maxAttempts = work.maxAttempts;
     profile.outlivesCaller = work.ticket.has_value();
     profile.deadline = deadline;
     return profile;
 }
 
+// The steady clock stands still while the VM is suspended; the caller's time does not.
+Clock::time_point RequestRunner::now() const
+{
+    return m_startedAt + std::chrono::duration_cast<Clock::duration>(Core::BootClock::now() - m_startedAtBoot);
+}
+
+std::chrono::milliseconds RequestRunner::timeLeft() const
+{
+    return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(m_machine.deadline() - now()));
+}
+
 void RequestRunner::post(Request::RequestEvent event)
 {
     m_events.push_back(std::move(event));
@@ -70,7 +84,7 @@
         Request::RequestEvent event = std::move(m_events.front());
         m_events.pop_front();
         m_roomSignal.notify();
-        Request::RequestActions actions = m_machine.handle(std::move(event), Clock::now());
+        Request::RequestActions actions = m_machine.handle(std::move(event), now());
         for (Request::RequestAction& action : actions)
             co_await perform(std::move(action));
     }
@@ -94,6 +108,7 @@
     m_deadlineTimer.cancel();
     abandonLeg();
     releasePlacement();
+    dropKv();
     m_events.clear();
     m_roomSignal.notify();
 }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/BootClock.h>
 #include <LibDaemon/AnswerSink.h>
 #include <LibDaemon/Signal.h>
 #include <LibDaemon/TrafficContext.h>
@@ -36,7 +37,7 @@
 private:
     using LegPointer = std::shared_ptr<UpstreamLeg>;
 
-    static Request::RequestProfile profileOf(Work const&, std::chrono::steady_clock::time_point deadline);
+    static Request::RequestProfile profileOf(Work const&, TargetProtocol const&, std::chrono::steady_clock::time_point deadline);
 
     boost::asio::awaitable<void> perform(Request::RequestAction);
     void startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay);
@@ -53,15 +54,21 @@
     boost::asio::awaitable<PlacementOutcome> place(std::vector<std::string> excluded, Routing::Phase);
     boost::asio::awaitable<bool> placeAttempt(LegPointer, std::vector<std::string> excluded);
     boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer);
+    boost::asio::awaitable<void> releaseKv(boost::asio::ip::tcp::endpoint, std::string kvSource);
+    void dropKv();
+    void logPrefillFailure(Core::Error const&) const;
     boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
-    boost::asio::awaitable<void> readAnswer(LegPointer, std::uint64_t firstIndex);
-    boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex);
-    boost::asio::awaitable<void> readBody(LegPointer);
+    boost::asio::awaitable<void> readAnswer(LegPointer, TargetSend);
+    boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex, bool isContinued);
+    boost::asio::awaitable<void> readBody(LegPointer, TargetSend);
+    void logRefusal() const;
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     boost::asio::awaitable<void> postWithRoom(Request::RequestEvent);
 
     void postFailure(LegPointer const&, Core::Error const&);
-    Http::Request upstreamRequest(std::uint32_t attempt) const;
+    TargetSend sendOf(std::uint32_t attempt) const;
+    std::chrono::steady_clock::time_point now() const;
+    std::chrono::milliseconds timeLeft() const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
@@ -73,6 +80,7 @@
     std::vector<std::uint32_t> m_allowed;
     std::shared_ptr<AnswerSink> m_sink;
     std::chrono::steady_clock::time_point m_startedAt;
+    Core::BootClock::time_point m_startedAtBoot;
     Request::RequestMachine m_machine;
     std::deque<Request::RequestEvent> m_events;
     Signal m_eventSignal;
@@ -83,6 +91,9 @@
     std::string m_target; ///< Name of the attempt's target, for logs.
     std::string m_mixPool; ///< The pool in whose mix the request is counted.
     std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
+    boost::asio::ip::tcp::endpoint m_kvHolder; ///< The target that keeps it.
+    int m_urgency { 5 }; ///< Of the present send.
+    std::string m_lastEventId; ///< Of the last event that was handed on; empty: none had one.
     std::chrono::steady_clock::time_point m_firstPieceAt;
 };
 
--- /dev/null
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibAuthority/StoreLease.h>
+#include <LibDaemon/FleetSnapshot.h>
+#include <LibFleet/StoreReplica.h>
+#include <LibPlatform/EngineControl.h>
+#include <LibPlatform/KeyedStore.h>
+#include <LibRoles/SplitRule.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// Keeps the engines of each service at the split of roles that `Roles::SplitRule` wants. One daemon orders at a time:
+/// its claim in the store gives the fencing number, and each order names the engine's incarnation and the number of
+/// orders that the engine had accepted when its state was read. Use from the control thread only.
+class RoleKeeper {
+public:
+    struct Hooks {
+        std::function<bool()> isPlanner; ///< Whether this daemon is the one that should plan.
+        std::function<void()> onChange; ///< Called when the targets under change are others than before.
+    };
+
+    /// Preconditions: all references outlive the object.
+    RoleKeeper(boost::asio::io_context&, Platform::KeyedStore&, Platform::EngineControl&, Authority::StoreLeaseHolder self, Authority::StoreLeaseSettings const&, Hooks);
+
+    /// Plans, and carries out what is due. To be called several times a second.
+    void poll(FleetSnapshot const&);
+
+    /// Ends all plans; orders that were sent stay sent.
+    void stop() { m_isStopped = true; }
+
+    /// Keys of the targets that this daemon has ordered to change and that have not been seen in their new role.
+    std::vector<std::uint64_t> changing() const;
+
+    /// Whether this daemon has ordered the target to change.
+    bool isChanging(std::string const& target) const { return m_orders.contains(target); }
+
+    /// How many role changes engines have accepted from this process.
+    std::uint64_t accepted() const { return m_accepted; }
+
+private:
+    using Time = Core::BootClock::time_point;
+
+    /// An order to one engine, from its plan until the engine is seen in its new role.
+    struct Order {
+        std::string service;
+        std::uint64_t key { 0 };
+        boost::asio::ip::tcp::endpoint endpoint;
+        Routing::TargetRole role { Routing::TargetRole::Prefill };
+        Time until; ///< After this time it is given up.
+    };
+
+    /// The lease of one service's engines and the plan for them.
+    struct Group {
+        Group(Authority::StoreLeaseSettings const& settings, Authority::StoreLeaseHolder const& self)
+            : lease(settings, self)
+        {
+        }
+
+        Authority::StoreLease lease;
+        Roles::SplitRule rule;
+        bool isClaiming { false };
+    };
+
+    Group& groupOf(std::string const& service);
+    void settle(FleetSnapshot const&, Time now);
+    void plan(FleetSnapshot const&, std::string const& service, std::vector<std::uint32_t> const& positions, Time now);
+    boost::asio::awaitable<void> carryOut(std::string target, Order);
+    boost::asio::awaitable<bool> gainLease(std::string service);
+    boost::asio::awaitable<void> claim(std::string service);
+    boost::asio::awaitable<Core::Result<void>> readClaim(std::string service);
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds);
+    void giveUp(std::string const& target, std::string_view why);
+
+    boost::asio::io_context& m_context;
+    Platform::KeyedStore& m_store;
+    Platform::EngineControl& m_engines;
+    Authority::StoreLeaseHolder m_self;
+    Authority::StoreLeaseSettings m_leaseSettings;
+    Hooks m_hooks;
+    std::map<std::string, std::unique_ptr<Group>> m_groups; ///< By service.
+    std::map<std::string, Order> m_orders; ///< By target.
+    std::uint64_t m_accepted { 0 };
+    bool m_isStopped { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -0,0 +1,387 @@
+#include <LibCore/EventLog.h>
+#include <LibDaemon/StoreControl.h>
+#include <LibRouting/PromptHomes.h>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <tuple>
+#include <xxhash.h>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = Core::BootClock;
+
+// A configuration is to be in force within 2 s; a read that hangs is given up after its wait and half a second more.
+constexpr std::chrono::milliseconds configurationWait { 1'000 };
+constexpr std::chrono::milliseconds configurationInterval { 50 };
+// Targets write a heartbeat each, so that a read finds news nearly always: what counts is the interval. A target that
+// leaves is to get nothing new after 2 s.
+constexpr std::chrono::milliseconds targetWait { 1'000 };
+constexpr std::chrono::milliseconds targetInterval { 500 };
+// Daemons tell each other of themselves; the store only brings the first ones together.
+constexpr std::chrono::milliseconds daemonWait { 1'000 };
+constexpr std::chrono::milliseconds daemonInterval { 500 };
+constexpr std::chrono::milliseconds readSlack { 500 };
+constexpr std::chrono::milliseconds retryDelay { 200 };
+constexpr std::chrono::milliseconds tickInterval { 100 };
+// A peer repeats in each beacon which targets it changes; five lost ones in a row are unlikely.
+constexpr std::chrono::milliseconds changingLifetime { 600 };
+constexpr std::chrono::milliseconds unlistTimeout { 500 };
+
+Http::ClientSettings storeClient()
+{
+    Http::ClientSettings settings;
+    settings.connectTimeout = std::chrono::milliseconds(500);
+    settings.headTimeout = configurationWait + readSlack;
+    settings.pieceTimeout = readSlack;
+    settings.writeTimeout = readSlack;
+    settings.liveness = { std::chrono::milliseconds(1'000), std::chrono::seconds(1), 2 };
+    return settings;
+}
+
+std::uint64_t keyOf(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+}
+
+StoreControl::StoreControl(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters)
+    : m_context(context)
+    , m_settings(settings)
+    , m_adapters(adapters)
+    , m_client(Http::Client::create(context, storeClient()))
+    , m_store(adapters.createStore(*m_client, settings.platform.store))
+    , m_engines(adapters.createEngineControl(*m_client))
+    , m_fleet(std::make_shared<FleetSnapshot>())
+{
+}
+
+Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, std::uint64_t incarnation, Hooks hooks)
+{
+    std::unique_ptr<StoreControl> control(new StoreControl(context, settings, adapters));
+    BOOST_OUTCOME_TRY(control->setUp(incarnation, std::move(hooks)));
+    return control;
+}
+
+Core::Result<void> StoreControl::setUp(std::uint64_t incarnation, Hooks hooks)
+{
+    m_hooks = std::move(hooks);
+    Platform::ListedDaemon self { m_settings.daemon.name, incarnation, m_settings.daemon.availabilityZone, m_settings.daemon.region, m_settings.callers.listen, { m_settings.peers.beacon.address(), m_settings.peers.beacon.port() }, m_settings.peers.listen };
+    BeaconExchange::Hooks beacons { [this] { return describe(); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); } };
+    BOOST_OUTCOME_TRY(m_beacons, BeaconExchange::create(m_context, self, std::move(beacons)));
+    RoleKeeper::Hooks roles { [this] { return isPlanner(); }, [this] { m_isTargetListChanged = true; } };
+    Authority::StoreLeaseSettings leases;
+    leases.quietTime = m_settings.platform.leaseQuiet;
+    m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, std::move(roles));
+    createTopics();
+    return Core::ok();
+}
+
+void StoreControl::createTopics()
+{
+    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] { } };
+    m_targetList = { Platform::StoreTopic::Targets, targetWait, targetInterval, [this](Platform::KeyedRecord const& record) { takeTarget(record); }, [this] { m_targets.noteRead(Clock::now()); } };
+    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] { } };
+}
+
+void StoreControl::start()
+{
+    m_beacons->start();
+    for (Followed* topic : { &m_configuration, &m_targetList, &m_daemonList })
+        boost::asio::co_spawn(
+            m_context, [this, topic] { return follow(*topic); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_context, [this] { return listSelf(); }, boost::asio::detached);
+    boost::asio::co_spawn(
+        m_context, [this] { return tick(); }, boost::asio::detached);
+}
+
+void StoreControl::stop()
+{
+    m_isStopped = true;
+    m_roles->stop();
+    m_beacons->stop();
+}
+
+void StoreControl::startLeaving()
+{
+    m_isLeaving = true;
+    m_roles->stop();
+    m_beacons->sendNow();
+}
+
+void StoreControl::leave(std::function<void()> onDone)
+{
+    m_beacons->sendNow();
+    boost::asio::co_spawn(
+        m_context, [this, onDone = std::move(onDone)]() { return unlistSelf(onDone); }, boost::asio::detached);
+}
+
+boost::asio::awaitable<void> StoreControl::wait(std::chrono::milliseconds duration)
+{
+    boost::asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+}
+
+boost::asio::awaitable<void> StoreControl::listSelf()
+{
+    while (!m_isStopped && !m_isLeaving) {
+        Core::Result<Platform::ConditionalAppend> appended = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, encode(m_beacons->self()), std::nullopt);
+        if (appended.has_value())
+            co_return;
+        co_await wait(retryDelay);
+    }
+}
+
+// A daemon that is gone costs the others a few datagrams until they forget it, so one try is enough.
+boost::asio::awaitable<void> StoreControl::unlistSelf(std::function<void()> onDone)
+{
+    std::shared_ptr<std::function<void()>> once = std::make_shared<std::function<void()>>(std::move(onDone));
+    std::function<void()> done = [once] {
+        if (*once)
+            std::exchange(*once, nullptr)();
+    };
+    std::shared_ptr<boost::asio::steady_timer> limit = std::make_shared<boost::asio::steady_timer>(m_context, unlistTimeout);
+    limit->async_wait([limit, done](boost::system::error_code) { done(); });
+    std::ignore = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, std::string(), std::nullopt);
+    done();
+}
+
+boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic)
+{
+    using News = Core::Result<std::vector<Platform::KeyedRecord>>;
+    Fleet::StoreReplica::Step step = topic.replica.next();
+    if (step.isNewest) {
+        Core::Result<Platform::KeyedPage> page = co_await m_store->newest(topic.topic, step.after);
+        if (page.has_error())
+            co_return News(page.error());
+        co_return News(topic.replica.take(page.value()));
+    }
+    Core::Result<Platform::KeyedBatch> batch = co_await m_store->read(topic.topic, step.from, topic.wait);
+    if (batch.has_error())
+        co_return News(batch.error());
+    co_return News(topic.replica.take(batch.value()));
+}
+
+boost::asio::awaitable<void> StoreControl::follow(Followed& topic)
+{
+    while (!m_isStopped) {
+        Clock::time_point begunAt = Clock::now();
+        bool wasComplete = topic.replica.isComplete();
+        Core::Result<std::vector<Platform::KeyedRecord>> news = co_await readOnce(topic);
+        if (m_isStopped)
+            co_return;
+        if (news.has_error()) {
+            noteProblem(topic, news.error().message);
+            co_await wait(retryDelay);
+            continue;
+        }
+        noteProblem(topic, std::string());
+        for (Platform::KeyedRecord const& record : news.value())
+            topic.onRecord(record);
+        topic.onRead();
+        if (std::exchange(m_isTargetListChanged, false) || wasComplete != topic.replica.isComplete())
+            rebuild();
+        std::chrono::milliseconds taken = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begunAt);
+        if (taken < topic.interval)
+            co_await wait(topic.interval - taken);
+    }
+}
+
+void StoreControl::noteProblem(Followed& topic, std::string problem)
+{
+    bool wasGood = topic.problem.empty();
+    topic.problem = std::move(problem);
+    if (wasGood == topic.problem.empty())
+        return;
+    std::string name(Core::nameOf(Platform::storeTopicNames, topic.topic));
+    if (wasGood)
+        Core::logEvent(Core::Severity::Warning, Core::Event::LogUnavailable, { { "stream", name }, { "next", std::to_string(topic.replica.nextOffset()) }, { "error", topic.problem } });
+    else
+        Core::logEvent(Core::Severity::Info, Core::Event::LogRecovered, { { "stream", name }, { "next", std::to_string(topic.replica.nextOffset()) } });
+}
+
+// Whatever a read says, a version never goes back.
+void StoreControl::takeConfiguration(Platform::KeyedRecord const& record)
+{
+    if (record.key != m_adapters.codec.configurationKey || !record.value)
+        return;
+    Core::Result<State::ServiceConfig> decoded = m_adapters.codec.decodeConfiguration(*record.value);
+    if (decoded.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::ConfigurationRefused, { { "offset", std::to_string(record.offset) }, { "error", decoded.error().message } });
+        return;
+    }
+    if (m_services && decoded.value().version <= m_services->version)
+        return;
+    Core::Result<std::shared_ptr<State::Config const>> labels = State::toLabelConfig(decoded.value(), record.offset);
+    if (labels.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::ConfigurationRefused, { { "offset", std::to_string(record.offset) }, { "error", labels.error().message } });
+        return;
+    }
+    m_services = std::make_shared<State::ServiceConfig const>(std::move(decoded.value()));
+    m_labels = labels.value();
+    Core::logEvent(Core::Severity::Info, Core::Event::ConfigurationAccepted, { { "revision", std::to_string(m_services->version) }, { "offset", std::to_string(record.offset) }, { "routes", std::to_string(m_services->routes.all().size()) }, { "services", std::to_string(m_services->services.size()) } });
+    m_hooks.setLimits(m_services->limits);
+    rebuild();
+}
+
+void StoreControl::takeTarget(Platform::KeyedRecord const& record)
+{
+    if (!record.value) {
+        if (m_targets.remove(record.key, Clock::now())) {
+            Core::logEvent(Core::Severity::Info, Core::Event::TargetRemoved, { { "target", record.key } });
+            m_isTargetListChanged = true;
+        }
+        return;
+    }
+    Core::Result<Platform::ListedTarget> listed = m_adapters.codec.decodeTarget(record.key, *record.value);
+    if (listed.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::TargetUnreachable, { { "target", record.key }, { "error", listed.error().message } });
+        return;
+    }
+    if (!m_targets.list(listed.value()))
+        return;
+    m_isTargetListChanged = true;
+    Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
+}
+
+void StoreControl::takeDaemon(Platform::KeyedRecord const& record)
+{
+    if (!record.value || record.key == m_settings.daemon.name)
+        return;
+    Core::Result<Platform::ListedDaemon> listed = decodeListedDaemon(record.key, *record.value);
+    if (listed.has_value())
+        m_beacons->book().list(listed.value(), Clock::now());
+    else
+        Core::logEvent(Core::Severity::Error, Core::Event::MemberChanged, { { "daemon", record.key }, { "from", "unknown" }, { "to", "unreadable" }, { "leaving", "no" } });
+}
+
+void StoreControl::takeBeacon(BeaconMessage const& beacon)
+{
+    m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
+    Clock::time_point now = Clock::now();
+    for (std::uint64_t target : beacon.changing) {
+        bool isNew = !m_changing.contains(target);
+        m_changing[target] = now + changingLifetime;
+        m_isTargetListChanged = m_isTargetListChanged || isNew;
+    }
+}
+
+BeaconMessage StoreControl::describe() const
+{
+    BeaconMessage beacon;
+    beacon.isLeaving = m_isLeaving;
+    beacon.configVersion = configVersion();
+    beacon.shares = m_hooks.openWork();
+    beacon.changing = m_roles->changing();
+    return beacon;
+}
+
+// Of the daemons that are heard, the one with the least name: all that hear the same ones agree without a word.
+bool StoreControl::isPlanner() const
+{
+    if (m_isLeaving)
+        return false;
+    Clock::time_point now = Clock::now();
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        if (m_beacons->book().isLive(it.second, now) && !it.second.isLeaving && it.first < m_settings.daemon.name)
+            return false;
+    }
+    return true;
+}
+
+boost::asio::awaitable<void> StoreControl::tick()
+{
+    while (!m_isStopped) {
+        co_await wait(tickInterval);
+        if (m_isStopped)
+            co_return;
+        Clock::time_point now = Clock::now();
+        bool isLapsed = m_targets.expire(now);
+        bool isOpened = std::erase_if(m_changing, [now](std::pair<std::uint64_t const, Clock::time_point> const& it) { return now >= it.second; }) > 0;
+        m_roles->poll(*m_fleet);
+        if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
+            rebuild();
+        std::size_t daemons = m_beacons->book().liveCount(now);
+        if (std::exchange(m_daemons, daemons) != daemons)
+            m_hooks.setDaemons(daemons);
+    }
+}
+
+EntryList StoreControl::entries() const
+{
+    EntryList list;
+    list.hold = m_settings.callers.listHold;
+    if (!m_isLeaving)
+        list.addresses.push_back(Http::toString(m_settings.callers.listen));
+    for (Fleet::BookedDaemon const* daemon : m_beacons->book().usable(Clock::now()))
+        list.addresses.push_back(Http::toString(daemon->listed.callerAddress));
+    return list;
+}
+
+std::string StoreControl::whyClosed(Fleet::BookedTarget const& target, std::uint64_t key) const
+{
+    if (target.listed.isLeaving)
+        return "leaving";
+    if (m_roles->isChanging(target.listed.incarnation) || m_changing.contains(key))
+        return "changing its role";
+    return {};
+}
+
+FleetTarget StoreControl::describeTarget(Fleet::BookedTarget const& booked)
+{
+    Platform::ListedTarget const& listed = booked.listed;
+    std::pair<std::map<std::string, std::uint32_t>::iterator, bool> id = m_targetIds.try_emplace(listed.incarnation, m_nextTargetId);
+    m_nextTargetId += id.second ? 1 : 0;
+    State::ServiceTerms const* terms = m_services->find(listed.service);
+    bool isEngine = terms && terms->engine;
+    FleetTarget target;
+    target.id = id.first->second;
+    target.key = keyOf(listed.incarnation);
+    target.name = listed.incarnation;
+    target.incarnation = listed.incarnation;
+    target.endpoint = listed.address;
+    target.kind = isEngine ? Platform::VmKind::Engine : Platform::VmKind::Service;
+    (isEngine ? target.model : target.service) = listed.service;
+    target.pool = listed.service;
+    target.role = isEngine ? listed.role.value_or(Routing::TargetRole::Mixed) : Routing::TargetRole::Mixed;
+    target.distance = listed.availabilityZone == m_settings.daemon.availabilityZone ? Routing::ZoneDistance::SameZone : Routing::ZoneDistance::SameRegion;
+    target.slots = isEngine ? terms->engine->slots : listed.slots;
+    target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
+    target.closedBecause = whyClosed(booked, target.key);
+    return target;
+}
+
+void StoreControl::rebuild()
+{
+    if (!m_labels)
+        return;
+    std::vector<State::PlatformTarget> platformTargets;
+    std::shared_ptr<FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
+    for (std::pair<std::string const, Fleet::BookedTarget> const& it : m_targets.targets()) {
+        FleetTarget target = describeTarget(it.second);
+        Label::LabelSet labels;
+        // A value outside the label syntax is left out: no selector could name it.
+        std::ignore = labels.set("name", target.name);
+        std::ignore = labels.set("zone", it.second.listed.availabilityZone);
+        std::ignore = labels.set("kind", Core::nameOf(Platform::vmKindNames, target.kind));
+        std::ignore = labels.set(State::serviceLabel, it.second.listed.service);
+        platformTargets.push_back({ target.name, std::move(labels) });
+        fleet->targets.push_back(std::move(target));
+    }
+    std::erase_if(m_targetIds, [this](std::pair<std::string const, std::uint32_t> const& it) { return !m_targets.targets().contains(it.first); });
+    fleet->view = State::TargetView::create(m_labels, platformTargets);
+    fleet->services = m_services;
+    fleet->isReady = m_targetList.replica.isComplete();
+    m_fleet = std::move(fleet);
+    m_hooks.publish(m_fleet);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <LibDaemon/Adapters.h>
+#include <LibDaemon/BeaconExchange.h>
+#include <LibDaemon/Control.h>
+#include <LibDaemon/RoleKeeper.h>
+#include <LibFleet/StoreReplica.h>
+#include <LibFleet/TargetBook.h>
+#include <LibHttp/Client.h>
+#include <LibSettings/DaemonSettings.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Daemon {
+
+/// The control side where the platform's store keeps the configuration, the targets and the daemons as keyed records:
+/// docs/design/platform.md. Use from the control thread only.
+class StoreControl final : public Control {
+public:
+    struct Hooks {
+        std::function<void(FleetPointer)> publish;
+        std::function<void(State::CallerLimits const&)> setLimits; ///< Called when the operators' limits change.
+        std::function<std::vector<Routing::TargetShare>()> openWork;
+        std::function<void(std::string const& peer, std::vector<Routing::TargetShare> const&)> takePeerWork;
+        std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
+    };
+
+    /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
+    /// cannot be bound.
+    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, std::uint64_t incarnation, Hooks);
+
+    void start() override;
+    void stop() override;
+    void startLeaving() override;
+    void leave(std::function<void()> onDone) override;
+
+    /// Returns the daemons that callers may use now.
+    EntryList entries() const;
+
+    /// Whether this daemon takes requests.
+    bool isReady() const { return m_fleet->isReady && !m_isLeaving; }
+
+    FleetPointer const& fleet() const { return m_fleet; }
+    std::uint64_t configVersion() const { return m_services ? m_services->version : 0; }
+    RoleKeeper const& roles() const { return *m_roles; }
+
+private:
+    using RecordHook = std::function<void(Platform::KeyedRecord const&)>;
+
+    /// A topic that is followed for ever.
+    struct Followed {
+        Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
+        std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
+        std::chrono::milliseconds interval { 0 }; ///< Least time between two reads.
+        RecordHook onRecord;
+        std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
+        Fleet::StoreReplica replica {};
+        std::string problem {}; ///< Why it cannot be read now; empty while it can.
+    };
+
+    StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&);
+    Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
+    void createTopics();
+    boost::asio::awaitable<void> follow(Followed&);
+    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&);
+    boost::asio::awaitable<void> listSelf();
+    boost::asio::awaitable<void> unlistSelf(std::function<void()> onDone);
+    boost::asio::awaitable<void> tick();
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds);
+    void noteProblem(Followed&, std::string);
+    void takeConfiguration(Platform::KeyedRecord const&);
+    void takeTarget(Platform::KeyedRecord const&);
+    void takeDaemon(Platform::KeyedRecord const&);
+    void takeBeacon(BeaconMessage const&);
+    BeaconMessage describe() const;
+    bool isPlanner() const;
+    void rebuild();
+    FleetTarget describeTarget(Fleet::BookedTarget const&);
+    std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
+
+    boost::asio::io_context& m_context;
+    Settings::DaemonSettings const& m_settings;
+    Adapters const& m_adapters;
+    Hooks m_hooks;
+    std::unique_ptr<Http::Client> m_client;
+    std::unique_ptr<Platform::KeyedStore> m_store;
+    std::unique_ptr<Platform::EngineControl> m_engines;
+    std::unique_ptr<BeaconExchange> m_beacons;
+    std::unique_ptr<RoleKeeper> m_roles;
+    Followed m_configuration;
+    Followed m_targetList;
+    Followed m_daemonList;
+    std::shared_ptr<State::ServiceConfig const> m_services;
+    std::shared_ptr<State::Config const> m_labels;
+    Fleet::TargetBook m_targets;
+    std::map<std::string, std::uint32_t> m_targetIds; ///< By incarnation.
+    std::uint32_t m_nextTargetId { 0 };
+    std::map<std::uint64_t, Core::BootClock::time_point> m_changing; ///< Until when targets count as changing, as peers said.
+    FleetPointer m_fleet;
+    std::size_t m_daemons { 0 };
+    bool m_isTargetListChanged { false };
+    bool m_isLeaving { false };
+    bool m_isStopped { false };
+};
+
+}
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -10,29 +10,29 @@
 
 }
 
-TrafficThread::TrafficThread(std::unique_ptr<boost::asio::io_context> context, std::shared_ptr<Peer::Clients> peers, Settings::DaemonSettings const& settings, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
+TrafficThread::TrafficThread(std::unique_ptr<boost::asio::io_context> context, std::shared_ptr<Peer::Clients> peers, TrafficParts const& parts)
     : m_ownContext(std::move(context))
     , m_context(*m_ownContext)
     , m_guard(m_context.get_executor())
-    , m_client(Http::Client::create(m_context, Http::ClientSettings()))
+    , m_client(Http::Client::create(m_context, parts.settings.targets))
     , m_engines(Platform::createHttpEngineControl(*m_client))
     , m_peers(std::move(peers))
-    , m_traffic { m_context, settings, dispatcher, budget, *m_client, *m_engines, *m_peers, mix, shared.metrics, std::make_shared<FleetSnapshot>(), 0 }
-    , m_api(std::make_unique<CallerApi>(m_traffic, shared))
+    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, std::make_shared<FleetSnapshot>(), 0 }
+    , m_api(std::make_unique<CallerApi>(m_traffic, parts.shared))
     , m_idleTimer(m_context)
 {
 }
 
-Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(Settings::DaemonSettings const& settings, Peer::Settings const& peers, Dispatcher& dispatcher, Request::RetryBudget& budget, MixCounter& mix, CallerShared& shared)
+Core::Result<std::unique_ptr<TrafficThread>> TrafficThread::create(TrafficParts const& parts, Peer::Settings const& peers)
 {
     std::unique_ptr<boost::asio::io_context> context = std::make_unique<boost::asio::io_context>(1);
     BOOST_OUTCOME_TRY(std::shared_ptr<Peer::Clients> clients, Peer::Clients::create(*context, peers));
-    std::unique_ptr<TrafficThread> thread(new TrafficThread(std::move(context), std::move(clients), settings, dispatcher, budget, mix, shared));
-    Http::ServerSettings server = settings.callers.server;
-    server.isPortShared = settings.daemon.trafficThreads > 1;
+    std::unique_ptr<TrafficThread> thread(new TrafficThread(std::move(context), std::move(clients), parts));
+    Http::ServerSettings server = parts.settings.callers.server;
+    server.isPortShared = parts.settings.daemon.trafficThreads > 1;
     CallerApi* api = thread->m_api.get();
     Http::Handler handler = [api](Http::Request& request, Http::ResponseWriter& writer) { return api->handle(request, writer); };
-    BOOST_OUTCOME_TRY(thread->m_server, Http::Server::create(thread->m_context, settings.callers.listen, server, std::move(handler), rejectionResponse));
+    BOOST_OUTCOME_TRY(thread->m_server, Http::Server::create(thread->m_context, parts.settings.callers.listen, server, std::move(handler), rejectionResponse));
     return thread;
 }
 
@@ -65,6 +65,16 @@
     post([this, fleet = std::move(fleet)] { m_traffic.fleet = fleet; });
 }
 
+void TrafficThread::beginDraining()
+{
+    post([this] { m_server->beginDraining(); });
+}
+
+void TrafficThread::setLimits(Http::ServerSettings const& settings)
+{
+    post([this, settings] { m_server->setLimits(settings); });
+}
+
 void TrafficThread::drain(std::function<void()> onIdle)
 {
     post([this, onIdle = std::move(onIdle)] {
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -11,12 +11,23 @@
 
 namespace Daemon {
 
+/// What all traffic threads share. Everything outlives them.
+struct TrafficParts {
+    Settings::DaemonSettings const& settings;
+    Dispatcher& dispatcher;
+    MixCounter& mix;
+    CallerShared& shared;
+    TargetProtocol const& targets;
+    CallerProtocol const& callers;
+    BudgetHook budgetOf;
+};
+
 /// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
 class TrafficThread {
 public:
     /// Binds the callers' listener; nothing runs yet. Errors: Unavailable.
-    /// Preconditions: all arguments outlive the object.
-    static Core::Result<std::unique_ptr<TrafficThread>> create(Settings::DaemonSettings const&, Peer::Settings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
+    /// Precondition: all parts outlive the object.
+    static Core::Result<std::unique_ptr<TrafficThread>> create(TrafficParts const&, Peer::Settings const&);
 
     ~TrafficThread();
 
@@ -29,6 +40,12 @@
     /// Hands a newer view of the fleet over. Thread-safe.
     void setFleet(FleetPointer);
 
+    /// Announces to callers, on each further answer, that the connection closes behind it. Thread-safe.
+    void beginDraining();
+
+    /// Takes other limits of what callers may send. Thread-safe.
+    void setLimits(Http::ServerSettings const&);
+
     /// Stops accepting; `onIdle` is called on the traffic thread once no request is served. Thread-safe.
     void drain(std::function<void()> onIdle);
 
@@ -44,7 +61,7 @@
     CallerApi& api() { return *m_api; }
 
 private:
-    TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, Settings::DaemonSettings const&, Dispatcher&, Request::RetryBudget&, MixCounter&, CallerShared&);
+    TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, TrafficParts const&);
     void waitUntilIdle(std::function<void()> onIdle);
 
     std::unique_ptr<boost::asio::io_context> m_ownContext;
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -28,6 +28,9 @@
     bool isRepeatable { false };
     bool isStreamed { false }; ///< The answer is a stream of server-sent events.
     std::chrono::milliseconds timeout { 0 };
+    std::chrono::milliseconds firstPieceLimit { 0 }; ///< A caller gives a stream up that has not begun by then; 0: never.
+    std::uint32_t maxAttempts { 4 }; ///< Targets to which it may be sent.
+    bool mayContinue { false }; ///< A stream may go on at another target behind its last event.
     std::optional<std::string> ticket;
     std::string idempotencyKey;
     Routing::RequestShape shape;
--- /dev/null
+++ b/Libraries/LibFleet/StoreReplica.cpp
@@ -0,0 +1,85 @@
+#include <LibFleet/StoreReplica.h>
+#include <algorithm>
+#include <set>
+
+namespace Fleet {
+
+StoreReplica::Step StoreReplica::next() const
+{
+    return { m_readsNewest, m_after, m_next };
+}
+
+std::vector<Platform::KeyedRecord> StoreReplica::take(Platform::KeyedBatch const& batch)
+{
+    std::vector<Platform::KeyedRecord> news;
+    // The history may be dropped at any time; the newest record of each key is not.
+    if (batch.isExpired) {
+        m_readsNewest = true;
+        return news;
+    }
+    for (Platform::KeyedRecord const& record : batch.records) {
+        if (takeRecord(record))
+            news.push_back(record);
+    }
+    if (!batch.records.empty())
+        m_next = std::max(m_next, batch.records.back().offset + 1);
+    return news;
+}
+
+std::vector<Platform::KeyedRecord> StoreReplica::take(Platform::KeyedPage const& page)
+{
+    if (m_after.empty())
+        m_pagesFrom = page.next;
+    m_pages.insert(m_pages.end(), page.records.begin(), page.records.end());
+    if (page.hasMore && !page.records.empty()) {
+        m_after = page.records.back().key;
+        return {};
+    }
+    return finishPages();
+}
+
+std::vector<Platform::KeyedRecord> StoreReplica::finishPages()
+{
+    std::vector<Platform::KeyedRecord> news;
+    std::vector<Platform::KeyedRecord> pages = std::exchange(m_pages, {});
+    m_after.clear();
+    // A stale read; the next one is asked for soon enough.
+    if (m_pagesFrom < m_next)
+        return news;
+    std::set<std::string> present;
+    for (Platform::KeyedRecord const& record : pages) {
+        present.insert(record.key);
+        if (takeRecord(record))
+            news.push_back(record);
+    }
+    for (std::pair<std::string const, Platform::KeyedRecord>& it : m_records) {
+        bool isGone = it.second.value && it.second.offset < m_pagesFrom && !present.contains(it.first);
+        if (!isGone)
+            continue;
+        it.second.value.reset();
+        news.push_back(it.second);
+    }
+    m_next = m_pagesFrom;
+    m_readsNewest = false;
+    m_isComplete = true;
+    return news;
+}
+
+bool StoreReplica::takeRecord(Platform::KeyedRecord const& record)
+{
+    std::pair<std::map<std::string, Platform::KeyedRecord>::iterator, bool> added = m_records.try_emplace(record.key, record);
+    if (added.second)
+        return true;
+    if (record.offset <= added.first->second.offset)
+        return false;
+    added.first->second = record;
+    return true;
+}
+
+Platform::KeyedRecord const* StoreReplica::find(std::string const& key) const
+{
+    std::map<std::string, Platform::KeyedRecord>::const_iterator it = m_records.find(key);
+    return it != m_records.end() && it->second.value ? &it->second : nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/TargetBook.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibFleet/Time.h>
+#include <LibPlatform/Directory.h>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Fleet {
+
+/// Intervals of the list of targets.
+struct TargetBookSettings {
+    /// Without a successful read for this long, the store counts as having been away: three read intervals.
+    std::chrono::milliseconds awayAfter { 1'500 };
+    /// Targets whose entry lapsed while the store was away list themselves again within about two seconds of its
+    /// return (the platform's word); one that is missing after that is gone.
+    std::chrono::milliseconds lapseGrace { 2'200 };
+};
+
+/// A target that may be alive.
+struct BookedTarget {
+    Platform::ListedTarget listed;
+    bool isLapsed { false }; ///< Its entry is missing, which may be due to the store alone.
+};
+
+/// Which targets are there, from what the store lists and from when it could be read. Pure and not thread-safe.
+class TargetBook {
+public:
+    explicit TargetBook(TargetBookSettings const& settings = {})
+        : m_settings(settings)
+    {
+    }
+
+    /// Notes that the store answered a read of the list.
+    void noteRead(Time now);
+
+    /// Takes a target's entry. Returns whether anything but its heartbeat changed.
+    bool list(Platform::ListedTarget const&);
+
+    /// Takes the removal of an entry. Returns whether the targets changed.
+    bool remove(std::string const& incarnation, Time now);
+
+    /// Drops lapsed targets whose grace is over. Returns whether there were any.
+    bool expire(Time now);
+
+    /// All targets, by incarnation.
+    std::map<std::string, BookedTarget> const& targets() const { return m_targets; }
+
+private:
+    TargetBookSettings m_settings;
+    std::map<std::string, BookedTarget> m_targets;
+    std::optional<Time> m_readAt;
+    std::optional<Time> m_graceUntil; ///< Set when the store came back lately.
+};
+
+}
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -14,7 +14,7 @@
 
 namespace Asio = boost::asio;
 using Tcp = Asio::ip::tcp;
-using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+using Connections = std::vector<std::shared_ptr<ClientConnection>>;
 
 // Idle connections by endpoint. Exchanges hold it weakly, so that they may outlive the client.
 struct Pool {
@@ -41,9 +41,9 @@
     Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(Tcp::endpoint endpoint, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
     {
         using Opened = Core::Result<std::unique_ptr<Exchange>>;
-        std::unique_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint) : nullptr;
+        std::shared_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint) : nullptr;
         if (!connection) {
-            Core::Result<std::unique_ptr<ClientConnection>> opened = co_await connectAnew(endpoint, slot);
+            Core::Result<std::shared_ptr<ClientConnection>> opened = co_await connectAnew(endpoint, slot);
             if (opened.has_error())
                 co_return Opened(opened.error());
             connection = std::move(opened.value());
@@ -78,14 +78,14 @@
     }
 
 private:
-    std::unique_ptr<ClientConnection> takeKept(Tcp::endpoint const& endpoint)
+    std::shared_ptr<ClientConnection> takeKept(Tcp::endpoint const& endpoint)
     {
         Connections& kept = m_pool->idle[endpoint];
-        std::chrono::steady_clock::time_point oldest = std::chrono::steady_clock::now() - m_settings.keepTime;
+        Core::BootClock::time_point now = Core::BootClock::now();
         while (!kept.empty()) {
-            std::unique_ptr<ClientConnection> connection = std::move(kept.back());
+            std::shared_ptr<ClientConnection> connection = std::move(kept.back());
             kept.pop_back();
-            if (connection->keptSince >= oldest && isQuiet(*connection))
+            if (now < connection->keepUntil && isQuiet(*connection))
                 return connection;
         }
         return nullptr;
@@ -93,21 +93,20 @@
 
     ConnectionReturn returnTo(Tcp::endpoint const& endpoint)
     {
-        return [pool = std::weak_ptr<Pool>(m_pool), endpoint, limit = m_settings.keptPerEndpoint](std::unique_ptr<ClientConnection> connection) {
+        return [pool = std::weak_ptr<Pool>(m_pool), endpoint, limit = m_settings.keptPerEndpoint](std::shared_ptr<ClientConnection> connection) {
             std::shared_ptr<Pool> alive = pool.lock();
             if (!alive)
                 return;
             Connections& kept = alive->idle[endpoint];
-            connection->keptSince = std::chrono::steady_clock::now();
             if (kept.size() >= limit)
                 kept.erase(kept.begin());
             kept.push_back(std::move(connection));
         };
     }
 
-    Asio::awaitable<Core::Result<std::unique_ptr<ClientConnection>>> connectAnew(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
+    Asio::awaitable<Core::Result<std::shared_ptr<ClientConnection>>> connectAnew(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
     {
-        std::unique_ptr<ClientConnection> connection = std::make_unique<ClientConnection>(m_context.get_executor());
+        std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(m_context.get_executor());
         if (slot)
             slot->cancel = [raw = connection.get()] { raw->stream.cancel(); };
         connection->stream.expires_after(m_settings.connectTimeout);
@@ -118,9 +117,10 @@
         if (ec) {
             bool isTimeout = ec == boost::beast::error::timeout;
             Core::ErrorCode code = isTimeout ? Core::ErrorCode::Timeout : Core::ErrorCode::Unavailable;
-            co_return Core::Result<std::unique_ptr<ClientConnection>>(Core::makeError(code, "cannot connect to " + Http::toString(endpoint) + ": " + ec.message()));
+            co_return Core::Result<std::shared_ptr<ClientConnection>>(Core::makeError(code, "cannot connect to " + Http::toString(endpoint) + ": " + ec.message()));
         }
         connection->stream.socket().set_option(Tcp::no_delay(true), ec);
+        setLiveness(connection->stream.socket(), m_settings.liveness);
         co_return std::move(connection);
     }
 
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Result.h>
 #include <LibHttp/Message.h>
+#include <LibHttp/SocketLiveness.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,8 +18,9 @@
     std::chrono::milliseconds writeTimeout { 5'000 };
     std::chrono::milliseconds headTimeout { 30'000 }; ///< From the end of the request to the response's head.
     std::chrono::milliseconds pieceTimeout { 10'000 }; ///< Between two pieces of the body.
-    std::chrono::milliseconds keepTime { 20'000 };
+    std::chrono::milliseconds keepTime { 20'000 }; ///< For an unused connection; less where the server announces less.
     std::size_t keptPerEndpoint { 64 };
+    SocketLiveness liveness; ///< When a connection that went silent counts as lost.
 };
 
 /// One request and its response on a connection of its own. Use from the client's thread only.
@@ -37,6 +39,11 @@
     /// Errors: Timeout after silence, Unavailable when the connection breaks before the end, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() = 0;
 
+    /// Reads the present response to its end, drops it, and reads the head of the next one: for a response that
+    /// belongs to an earlier request on this connection. Precondition: `start` succeeded and `read` was not called.
+    /// Errors: as `start`.
+    virtual boost::asio::awaitable<Core::Result<void>> skipResponse() = 0;
+
     /// Sets the time that `start` waits for the response's head.
     virtual void setHeadTimeout(std::chrono::milliseconds) = 0;
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,7 +1,11 @@
 #include <LibHttp/Exchange.h>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <limits>
 
 namespace Http {
@@ -13,30 +17,67 @@
 
 constexpr std::size_t pieceSize = 16 * 1024;
 constexpr unsigned httpVersion11 = 11;
+// Of the time that a server says it keeps an idle connection: it and the network need the rest to cross our request.
+constexpr int keepShareInTenths = 7;
+
+// Reads `Keep-Alive: timeout=N`, in seconds (RFC 2068, section 19.7.1.1).
+std::optional<std::chrono::milliseconds> keepAliveTimeout(Fields const& fields)
+{
+    constexpr std::string_view parameter = "timeout=";
+    std::string_view text = fields.find("Keep-Alive").value_or("");
+    std::size_t at = text.find(parameter);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    std::string_view digits = text.substr(at + parameter.size());
+    std::uint32_t seconds = 0;
+    std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
 
 }
 
-ConnectionExchange::ConnectionExchange(std::unique_ptr<ClientConnection> connection, ClientSettings const& settings, ConnectionReturn giveBack)
+/// A request on its way to the server. Shared with the coroutine that writes it, which may outlive the exchange.
+struct ConnectionExchange::Writing {
+    Beast::http::request<Beast::http::string_body> message;
+    bool hasWritten { false }; ///< The kernel took at least one byte.
+    bool isDone { false };
+    boost::system::error_code ec;
+};
+
+ConnectionExchange::ConnectionExchange(std::shared_ptr<ClientConnection> connection, ClientSettings const& settings, ConnectionReturn giveBack)
     : m_connection(std::move(connection))
     , m_settings(settings)
     , m_return(std::move(giveBack))
 {
-    m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    renewParser();
+}
+
+ConnectionExchange::~ConnectionExchange()
+{
+    // The writer's coroutine may still hold the connection.
+    if (m_connection && m_writing && !m_writing->isDone)
+        cancel();
 }
 
-ConnectionExchange::~ConnectionExchange() = default;
+void ConnectionExchange::renewParser()
+{
+    m_parser.emplace();
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::start(Request const& request)
 {
-    Core::Result<void> written = co_await writeRequest(request);
-    if (written.has_error())
-        co_return written;
+    beginWriting(request);
     co_return co_await readHead();
 }
 
-Asio::awaitable<Core::Result<void>> ConnectionExchange::writeRequest(Request const& request)
+// RFC 9112, section 9.5: a server may answer before it has read the request, so the response is read meanwhile.
+void ConnectionExchange::beginWriting(Request const& request)
 {
-    Beast::http::request<Beast::http::string_body> message;
+    m_writing = std::make_shared<Writing>();
+    Beast::http::request<Beast::http::string_body>& message = m_writing->message;
     message.version(httpVersion11);
     message.method_string(request.method);
     message.target(request.target);
@@ -49,65 +90,93 @@
     m_isHeadMethod = message.method() == Beast::http::verb::head;
     message.body() = request.body;
     message.prepare_payload();
-
-    Beast::http::request_serializer<Beast::http::string_body> serializer(message);
     m_connection->stream.expires_after(m_settings.writeTimeout);
-    boost::system::error_code ec;
-    while (!ec && !serializer.is_done()) {
-        std::size_t n = co_await Beast::http::async_write_some(m_connection->stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
-        m_hasWritten = m_hasWritten || n > 0;
+    Asio::co_spawn(m_connection->stream.get_executor(), writeAll(m_connection, m_writing), Asio::detached);
+}
+
+Asio::awaitable<void> ConnectionExchange::writeAll(std::shared_ptr<ClientConnection> connection, std::shared_ptr<Writing> writing)
+{
+    Beast::http::request_serializer<Beast::http::string_body> serializer(writing->message);
+    while (!writing->ec && !serializer.is_done()) {
+        std::size_t n = co_await Beast::http::async_write_some(connection->stream, serializer, Asio::redirect_error(Asio::use_awaitable, writing->ec));
+        writing->hasWritten = writing->hasWritten || n > 0;
+    }
+    writing->isDone = !writing->ec;
+    // Nothing can come back for a request of which nothing went out.
+    if (writing->ec && !writing->hasWritten) {
+        boost::system::error_code ec;
+        connection->stream.socket().close(ec);
     }
-    if (ec)
-        co_return boost::outcome_v2::failure(errorOf(ec, "writing the request"));
-    co_return Core::ok();
 }
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::readHead()
 {
-    m_parser.skip(m_isHeadMethod);
+    m_parser->skip(m_isHeadMethod);
     m_connection->stream.expires_after(m_settings.headTimeout);
     boost::system::error_code ec;
-    co_await Beast::http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    co_await Beast::http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
     if (ec)
         co_return boost::outcome_v2::failure(errorOf(ec, "waiting for the response"));
-    m_head.status = static_cast<std::uint16_t>(m_parser.get().result_int());
-    for (Beast::http::fields::value_type const& field : m_parser.get())
+    m_head = ResponseHead();
+    m_head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
+    for (Beast::http::fields::value_type const& field : m_parser->get())
         m_head.fields.add(std::string(field.name_string()), std::string(field.value()));
     co_return Core::ok();
 }
 
+Asio::awaitable<Core::Result<void>> ConnectionExchange::skipResponse()
+{
+    m_hasSkipped = true;
+    if (m_parser->need_eof())
+        co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "a response to another request ends with its connection"));
+    while (!m_parser->is_done()) {
+        Core::Result<std::optional<std::string>> piece = co_await read();
+        if (piece.has_error())
+            co_return boost::outcome_v2::failure(piece.error());
+    }
+    renewParser();
+    co_return co_await readHead();
+}
+
 Asio::awaitable<Core::Result<std::optional<std::string>>> ConnectionExchange::read()
 {
     if (m_isCanceled)
         co_return Core::Result<std::optional<std::string>>(Core::makeUncertainError(Core::ErrorCode::Canceled, "the exchange was canceled"));
     std::string piece;
     while (piece.empty()) {
-        if (!m_connection || m_parser.is_done()) {
+        if (!m_connection || m_parser->is_done()) {
             giveBack();
             co_return std::optional<std::string>();
         }
         piece.resize(pieceSize);
-        m_parser.get().body().data = piece.data();
-        m_parser.get().body().size = piece.size();
+        m_parser->get().body().data = piece.data();
+        m_parser->get().body().size = piece.size();
         m_connection->stream.expires_after(m_settings.pieceTimeout);
         boost::system::error_code ec;
-        co_await Beast::http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
+        co_await Beast::http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
         if (ec == Beast::http::error::need_buffer)
             ec = {};
         if (ec)
             co_return Core::Result<std::optional<std::string>>(errorOf(ec, "reading the response"));
-        piece.resize(piece.size() - m_parser.get().body().size);
+        piece.resize(piece.size() - m_parser->get().body().size);
     }
     co_return std::optional<std::string>(std::move(piece));
 }
 
+// RFC 9112, section 9.3: a connection is reused only if both messages ended on it as their framing says.
 void ConnectionExchange::giveBack()
 {
     if (!m_connection)
         return;
-    std::unique_ptr<ClientConnection> connection = std::move(m_connection);
-    if (m_parser.keep_alive() && connection->buffer.size() == 0)
-        m_return(std::move(connection));
+    std::shared_ptr<ClientConnection> connection = std::move(m_connection);
+    bool isClean = m_writing && m_writing->isDone && !m_hasSkipped && connection->buffer.size() == 0;
+    if (!isClean || !m_parser->keep_alive() || m_parser->need_eof())
+        return;
+    std::chrono::milliseconds keep = m_settings.keepTime;
+    if (std::optional<std::chrono::milliseconds> announced = keepAliveTimeout(m_head.fields))
+        keep = std::min(keep, *announced * keepShareInTenths / 10);
+    connection->keepUntil = Core::BootClock::now() + keep;
+    m_return(std::move(connection));
 }
 
 void ConnectionExchange::cancel()
@@ -127,7 +196,7 @@
     else if (ec == Beast::error::timeout)
         code = Core::ErrorCode::Timeout;
     std::string message = "failed while " + std::string(step) + ": " + ec.message();
-    return Core::Error { code, std::move(message), m_hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
+    return Core::Error { code, std::move(message), m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
 }
 
 }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <LibCore/BootClock.h>
 #include <LibHttp/Client.h>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
+#include <optional>
 
 namespace Http {
 
@@ -18,16 +20,16 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    std::chrono::steady_clock::time_point keptSince;
+    Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
 };
 
 /// Takes back a connection whose response was read to the end.
-using ConnectionReturn = std::function<void(std::unique_ptr<ClientConnection>)>;
+using ConnectionReturn = std::function<void(std::shared_ptr<ClientConnection>)>;
 
 /// The exchange on one connection. Use from the client's thread only.
 class ConnectionExchange final : public Exchange {
 public:
-    ConnectionExchange(std::unique_ptr<ClientConnection>, ClientSettings const&, ConnectionReturn);
+    ConnectionExchange(std::shared_ptr<ClientConnection>, ClientSettings const&, ConnectionReturn);
     ~ConnectionExchange() override;
 
     boost::asio::awaitable<Core::Result<void>> start(Request const&) override;
@@ -36,21 +38,28 @@
     void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
     void cancel() override;
+    boost::asio::awaitable<Core::Result<void>> skipResponse() override;
 
 private:
-    boost::asio::awaitable<Core::Result<void>> writeRequest(Request const&);
+    struct Writing;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    void beginWriting(Request const&);
+    static boost::asio::awaitable<void> writeAll(std::shared_ptr<ClientConnection>, std::shared_ptr<Writing>);
     boost::asio::awaitable<Core::Result<void>> readHead();
+    void renewParser();
     void giveBack();
     Core::Error errorOf(boost::system::error_code, std::string_view step) const;
 
-    std::unique_ptr<ClientConnection> m_connection;
+    std::shared_ptr<ClientConnection> m_connection;
     ClientSettings m_settings;
     ConnectionReturn m_return;
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::optional<Parser> m_parser;
     ResponseHead m_head;
-    bool m_hasWritten { false };
+    std::shared_ptr<Writing> m_writing; ///< Set by `start`.
     bool m_isCanceled { false };
     bool m_isHeadMethod { false };
+    bool m_hasSkipped { false }; ///< A response that belonged to another request came in: never reused.
 };
 
 }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -34,6 +34,14 @@
         Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_idle), Asio::detached);
     }
 
+    void setLimits(ServerSettings const& settings) override
+    {
+        ServerSettings kept = m_shared->settings;
+        m_shared->settings = settings;
+        m_shared->settings.connectionLimit = kept.connectionLimit;
+        m_shared->settings.isPortShared = kept.isPortShared;
+    }
+
     std::uint16_t port() const override { return m_port; }
     void setPort(std::uint16_t port) { m_port = port; }
     void beginDraining() override { m_shared->isDraining = true; }
@@ -77,6 +85,7 @@
             if (shared->connections >= shared->settings.connectionLimit)
                 continue;
             socket.set_option(Tcp::no_delay(true), ec);
+            setLiveness(socket, shared->settings.liveness);
             connections->push_back(serveConnection(shared, std::move(socket)));
             if (connections->size() >= sweepAt) {
                 forgetClosed(*connections);
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/ResponseWriter.h>
+#include <LibHttp/SocketLiveness.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +28,7 @@
     std::chrono::milliseconds idleTimeout { 75'000 }; ///< Between requests on a connection.
     std::chrono::milliseconds writeTimeout { 30'000 }; ///< For the peer to take one piece.
     std::size_t connectionLimit { 20'000 };
+    SocketLiveness liveness; ///< When a caller's connection that went silent counts as lost.
     bool isPortShared { false }; ///< SO_REUSEPORT: several servers of this process share the port.
 };
 
@@ -43,6 +45,9 @@
     /// Begins to accept connections. Precondition: called once.
     virtual void start() = 0;
 
+    /// Changes limits and timeouts for what is read from now on. The connection limit and the sharing of the port stay.
+    virtual void setLimits(ServerSettings const&) = 0;
+
     /// Returns the bound port, also when port 0 was asked for.
     virtual std::uint16_t port() const = 0;
 
--- a/Libraries/LibPlatform/EngineControl.h
+++ b/Libraries/LibPlatform/EngineControl.h
@@ -40,6 +40,7 @@
     std::uint32_t kvUsedTokens { 0 };
     std::uint32_t kvCapacityTokens { 0 };
     std::chrono::milliseconds asOfAge { 0 };
+    std::uint64_t acceptedOrders { 0 }; ///< Since its start; 0 where engines do not count them.
 };
 
 /// What an engine is to become. Absent fields stay as they are.
@@ -50,12 +51,16 @@
     std::optional<std::string> model;
     std::optional<std::string> adapter;
     std::optional<std::string> version;
+    std::string holder; ///< Name of the daemon that orders.
+    std::string incarnation; ///< Of the engine that is meant; empty: whichever is there.
+    std::optional<std::uint64_t> expectedAccepted; ///< Only valid while it has accepted so many orders.
 };
 
 /// How an engine answered an order.
 struct OrderReply {
     bool isAccepted { false };
     std::uint64_t newerFencing { 0 }; ///< When refused: the number that the engine has seen.
+    bool isOutdated { false }; ///< When refused: another holder has ordered since this order was decided.
 };
 
 /// What an engine says became of a request that was to be canceled.
--- a/Libraries/LibRequest/RetryBudget.cpp
+++ b/Libraries/LibRequest/RetryBudget.cpp
@@ -9,6 +9,13 @@
 {
 }
 
+void RetryBudget::change(Settings settings)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_settings = settings;
+    m_tokens = std::min(m_tokens, settings.burst);
+}
+
 void RetryBudget::earn()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/Libraries/LibRequest/RetryBudget.h
+++ b/Libraries/LibRequest/RetryBudget.h
@@ -19,6 +19,9 @@
 
     explicit RetryBudget(Settings);
 
+    /// Takes other settings over, as when other daemons share an allowance. What was saved up stays, up to the new burst.
+    void change(Settings);
+
     /// Notes a first dispatch.
     void earn();
 
--- a/Libraries/LibRouting/Candidate.h
+++ b/Libraries/LibRouting/Candidate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRouting/Load.h>
+#include <LibRouting/OpenWork.h>
 #include <LibRouting/TargetRole.h>
 #include <LibRouting/ZoneDistance.h>
 
@@ -15,6 +16,8 @@
     bool closed { false }; ///< Draining, changing, leaving, suspected or at its limit: gets no new work.
     std::uint32_t prefixMatchTokens { 0 }; ///< Prompt tokens whose KV cache it is believed to hold.
     Load load;
+    TargetWork open; ///< Sent by all daemons and not ended, as far as known. For `Policy::PromptHome`.
+    std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
 };
 
 }
--- a/Libraries/LibRouting/Decision.h
+++ b/Libraries/LibRouting/Decision.h
@@ -20,9 +20,10 @@
     RecheckKept, ///< The sample's winner still beats the other after correction.
     RecheckMoved, ///< It does not: the other was taken.
     CachedPrefix, ///< It holds a longer prefix and its load is within the bound.
+    EarliestToken, ///< Its estimated time to the first token is the least.
 };
 
-inline constexpr Core::EnumNames<Reason, 10> reasonNames { {
+inline constexpr Core::EnumNames<Reason, 11> reasonNames { {
     { Reason::NoCandidate, "no-candidate" },
     { Reason::AllClosed, "all-closed" },
     { Reason::NoFittingRole, "no-fitting-role" },
@@ -33,6 +34,7 @@
     { Reason::RecheckKept, "recheck-kept" },
     { Reason::RecheckMoved, "recheck-moved" },
     { Reason::CachedPrefix, "cached-prefix" },
+    { Reason::EarliestToken, "earliest-token" },
 } };
 
 /// The outcome of a routing decision, with what its log line shows.
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -235,10 +235,51 @@
         return isWide ? decideSample(candidates, shape, rng, m_settings.wideSampleSize) : decideScan(candidates, shape, rng, true);
     case Policy::PrefixAffinity:
         return decideAffinity(candidates, shape, rng);
+    case Policy::PromptHome:
+        return decideHome(candidates, shape, rng);
     }
     return {};
 }
 
+// The estimated seconds until the request's first token, and what choosing this target costs those that come after.
+double Router::homeScore(Candidate const& candidate, RequestShape const& shape) const
+{
+    double outputs = candidate.open.requests * m_settings.decodeSeconds;
+    std::uint64_t kv = candidate.open.kvTokens + shape.promptTokens + shape.expectedOutputTokens;
+    bool isCrowded = candidate.slots != 0 && candidate.open.requests >= candidate.slots;
+    bool isFull = candidate.load.kvCapacityTokens != 0 && kv > candidate.load.kvCapacityTokens;
+    double wait = outputs + candidate.open.prefillSeconds + (isFull ? m_settings.fullPenaltySeconds : 0);
+    if (isCrowded)
+        wait += (candidate.open.requests - candidate.slots + 1) * m_settings.secondsPerSlot;
+    if (shape.phase == Phase::Decode || shape.phase == Phase::Whole)
+        return wait;
+    std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
+    std::uint32_t cached = std::min(candidate.prefixMatchTokens, shape.promptTokens);
+    double seconds = m_settings.promptCost.seconds(shape.promptTokens - cached, shape.promptTokens);
+    if (candidate.role != TargetRole::Prefill)
+        return wait + seconds * m_settings.besideFactor;
+    double stray = cached >= shared ? 0 : m_settings.promptCost.seconds(shared - cached, shape.promptTokens);
+    return wait + seconds + stray * m_settings.strayWeight;
+}
+
+Decision Router::decideHome(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    Best best;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (isOpen(candidates[i], shape.phase))
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+    }
+    // Without a prefill target, one that decodes computes the prompt too, beside its outputs.
+    for (std::size_t i = 0; best.first == noPosition && shape.phase == Phase::WholeOrPrefill && i < candidates.size(); ++i) {
+        if (isOpen(candidates[i], Phase::Decode))
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+    }
+    Decision decision = finish(candidates, shape, best, Reason::EarliestToken);
+    if (decision.chosen)
+        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape);
+    return decision;
+}
+
 Decision Router::decideRandom(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
 {
     // With a zone penalty the nearer of two draws is taken, the first one where they are equally near.
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRouting/Policy.h>
+#include <LibRouting/PromptCost.h>
 #include <array>
 #include <cstddef>
 
@@ -31,6 +32,14 @@
     double transferSecondsPerPromptToken { 0.000025 }; ///< Sending the KV cache of a prompt from a prefill target.
 
     double imbalanceSeconds { 0.25 }; ///< PrefixAffinity: how much more than the least wait is accepted for a prefix.
+    // Policy::PromptHome.
+    PromptCost promptCost;
+    /// A shared part that is computed where it is not at home takes memory there and is missed by the next request:
+    /// its cost counts this many times more. 1 doubles it.
+    double strayWeight { 1.0 };
+    double decodeSeconds { 0.010 }; ///< One more output beside others: about a step of a full batch.
+    double besideFactor { 3.0 }; ///< Prompts beside outputs take twice the time and delay the outputs' tokens.
+
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
     std::size_t scanLimit { 1024 }; ///< LeastCorrected and PrefixAffinity draw `wideSampleSize` from more candidates than this.
     std::size_t wideSampleSize { 32 };
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -2,6 +2,7 @@
 #include <LibSettings/IniReader.h>
 #include <LibSettings/Key.h>
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -24,6 +25,9 @@
 auto const peersOf = [](Owned& it) -> Owned::Peers& { return it.peers; };
 auto const platformOf = [](Owned& it) -> Owned::Platform& { return it.platform; };
 auto const limitsOf = [](Owned& it) -> Owned::Limits& { return it.limits; };
+auto const targetsOf = [](Owned& it) -> Http::ClientSettings& { return it.targets; };
+auto const targetLivenessOf = [](Owned& it) -> Http::SocketLiveness& { return it.targets.liveness; };
+auto const callerLivenessOf = [](Owned& it) -> Http::SocketLiveness& { return it.callers.server.liveness; };
 auto const routingOf = [](Owned& it) -> Routing::Settings& { return it.routing; };
 
 template <typename Owner, typename Struct>
@@ -39,6 +43,16 @@
     return key;
 }
 
+DaemonKey optional(DaemonKey key)
+{
+    key.isRequired = false;
+    key.print = [print = key.print](Owned const& settings) {
+        std::string text = print(settings);
+        return text.ends_with(":0") ? std::string() : text;
+    };
+    return key;
+}
+
 template <typename Owner, typename Struct>
 DaemonKey nameKey(std::string section, std::string name, std::string description, Owner owner, std::string Struct::* member)
 {
@@ -87,10 +101,25 @@
     return key;
 }
 
+template <typename Owner, typename Struct>
+DaemonKey secondsKey(std::string section, std::string name, std::string description, Owner owner, Owned::Milliseconds Struct::* member)
+{
+    constexpr double mostSeconds = 24 * 3600;
+    constexpr double millisecondsPerSecond = 1'000;
+    DaemonKey key { std::move(section), std::move(name), "a number of seconds from 0 to " + printFraction(mostSeconds), std::move(description), false, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        BOOST_OUTCOME_TRY(double seconds, readFraction(text, 0, mostSeconds));
+        owner(settings).*member = Owned::Milliseconds(std::llround(seconds * millisecondsPerSecond));
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return printFraction(static_cast<double>((owner(const_cast<Owned&>(settings)).*member).count()) / millisecondsPerSecond); };
+    return key;
+}
+
 DaemonKey tokenKey()
 {
     std::string allowed = "16 or more printable characters without spaces";
-    DaemonKey key { "operators", "token", allowed, "The bearer token that operators show.", true, {}, {} };
+    DaemonKey key { "operators", "token", allowed, "The bearer token that operators show (kind log-and-list).", false, {}, {} };
     key.read = [allowed](Owned& settings, std::string_view text) -> Core::Result<void> {
         bool isToken = text.size() >= minimumTokenLength && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
         if (!isToken)
@@ -108,6 +137,7 @@
     keys.push_back(nameKey("daemon", "availability_zone", "The availability zone of this VM.", daemonOf, &Owned::Daemon::availabilityZone));
     keys.push_back(nameKey("daemon", "region", "The region of this VM.", daemonOf, &Owned::Daemon::region));
     keys.push_back(numberKey<Owned>("daemon", "traffic_threads", "Threads that serve requests, beside the control thread.", 1, 64, daemonOf, &Owned::Daemon::trafficThreads));
+    keys.push_back(secondsKey("daemon", "stop_within_s", "A process that was asked to stop is killed after this time; 0: it is not.", daemonOf, &Owned::Daemon::stopWithin));
     keys.push_back(choiceKey("daemon", "log_level", "The least severity that is logged.", Core::severityNames, daemonOf, &Owned::Daemon::logLevel));
 }
 
@@ -121,17 +151,24 @@
     keys.push_back(numberKey<Owned>("callers", "idle_timeout_ms", "How long an unused connection is kept.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::idleTimeout));
     keys.push_back(numberKey<Owned>("callers", "connection_limit", "Most open connections per traffic thread.", 1, 1'000'000, serverOf, &Http::ServerSettings::connectionLimit));
     keys.push_back(numberKey<Owned>("callers", "list_hold_ms", "How long callers may keep the list of addresses; a leaving daemon serves at least that long.", 100, maximumMilliseconds, callersOf, &Owned::Callers::listHold));
+    keys.push_back(numberKey<Owned>("callers", "leave_hold_ms", "How long a leaving daemon goes on accepting, where callers keep the list for longer than they are told; 0: for list_hold_ms.", 0, maximumMilliseconds, callersOf, &Owned::Callers::leaveHold));
     keys.push_back(numberKey<Owned>("callers", "default_deadline_ms", "Deadline of a request that names none.", 1, maximumMilliseconds, callersOf, &Owned::Callers::defaultDeadline));
     keys.push_back(numberKey<Owned>("callers", "longest_deadline_ms", "Longest deadline that a request may ask for.", 1, maximumMilliseconds, callersOf, &Owned::Callers::longestDeadline));
+    keys.push_back(optional(endpointKey("callers", "directory", "Where callers ask which daemons to use.", callersOf, &Owned::Callers::directory)));
+    keys.push_back(optional(endpointKey("callers", "ready", "Where the platform asks whether this daemon takes requests.", callersOf, &Owned::Callers::ready)));
     keys.push_back(endpointKey("operators", "listen", "Where operators, metrics and health checks connect.", operatorsOf, &Owned::Operators::listen));
     keys.push_back(tokenKey());
     keys.push_back(endpointKey("peers", "listen", "Where other daemons connect.", peersOf, &Owned::Peers::listen));
+    keys.push_back(optional(endpointKey("peers", "beacon", "Where other daemons' beacons come in, over UDP (kind keyed-store).", peersOf, &Owned::Peers::beacon)));
 }
 
 void addPlatformKeys(std::vector<DaemonKey>& keys)
 {
-    keys.push_back(endpointKey("platform", "log", "The platform's log service.", platformOf, &Owned::Platform::log));
-    keys.push_back(endpointKey("platform", "vms", "The platform's list of VMs.", platformOf, &Owned::Platform::vms));
+    keys.push_back(choiceKey("platform", "kind", "Which services the platform has.", Owned::platformKindNames, platformOf, &Owned::Platform::kind));
+    keys.push_back(optional(endpointKey("platform", "store", "The platform's store of keyed records (kind keyed-store).", platformOf, &Owned::Platform::store)));
+    keys.push_back(optional(endpointKey("platform", "log", "The platform's log service (kind log-and-list).", platformOf, &Owned::Platform::log)));
+    keys.push_back(optional(endpointKey("platform", "vms", "The platform's list of VMs (kind log-and-list).", platformOf, &Owned::Platform::vms)));
+    keys.push_back(numberKey<Owned>("platform", "lease_quiet_ms", "Least time between orders of two lease holders (kind keyed-store).", 0, maximumMilliseconds, platformOf, &Owned::Platform::leaseQuiet));
     keys.push_back(numberKey<Owned>("platform", "vms_interval_ms", "Time between two reads of the VM list.", 10, maximumMilliseconds, platformOf, &Owned::Platform::vmsInterval));
     keys.push_back(numberKey<Owned>("platform", "state_interval_ms", "Time between two reads of a target's state.", 10, maximumMilliseconds, platformOf, &Owned::Platform::stateInterval));
     keys.push_back(numberKey<Owned>("platform", "retry_delay_ms", "Time before another try when the platform does not answer.", 10, maximumMilliseconds, platformOf, &Owned::Platform::retryDelay));
@@ -146,6 +183,14 @@
     keys.push_back(numberKey<Owned>("limits", "queued_per_organisation", "Requests of one organisation that wait here.", 0, 1'000'000, limitsOf, &Owned::Limits::queuedPerOrganisation));
     keys.push_back(numberKey<Owned>("limits", "kept_answer_bytes", "Memory for answers kept until they are collected.", 1024, maximumBytes, limitsOf, &Owned::Limits::keptAnswerBytes));
     keys.push_back(fractionKey("limits", "retry_ratio", "Retries allowed per first send.", 0, 1, limitsOf, &Owned::Limits::retryRatio));
+    keys.push_back(fractionKey("limits", "retry_extra", "Retries in a window beyond the ratio, for all daemons together; 0: each daemon has a few of its own.", 0, 1e6, limitsOf, &Owned::Limits::retryExtra));
+    keys.push_back(secondsKey("limits", "retry_window_s", "The window that the extra retries are for.", limitsOf, &Owned::Limits::retryWindow));
+    keys.push_back(numberKey<Owned>("targets", "connect_timeout_ms", "Time for a connection to a target to be made.", 1, maximumMilliseconds, targetsOf, &Http::ClientSettings::connectTimeout));
+    keys.push_back(numberKey<Owned>("targets", "keep_ms", "How long an unused connection to a target is kept.", 0, maximumMilliseconds, targetsOf, &Http::ClientSettings::keepTime));
+    keys.push_back(numberKey<Owned>("targets", "unacknowledged_ms", "A connection fails whose bytes are not acknowledged for this long; 0: the kernel's time.", 0, maximumMilliseconds, targetLivenessOf, &Http::SocketLiveness::unacknowledged));
+    keys.push_back(numberKey<Owned>("targets", "probe_s", "A silent connection is probed after this long, three times; 0: not at all.", 0, 3600, targetLivenessOf, &Http::SocketLiveness::probeAfter));
+    keys.push_back(numberKey<Owned>("callers", "unacknowledged_ms", "As for targets.", 0, maximumMilliseconds, callerLivenessOf, &Http::SocketLiveness::unacknowledged));
+    keys.push_back(numberKey<Owned>("callers", "probe_s", "As for targets.", 0, 3600, callerLivenessOf, &Http::SocketLiveness::probeAfter));
     keys.push_back(choiceKey("routing", "policy", "How a target is chosen among the allowed ones.", Routing::policyNames, routingOf, &Routing::Settings::policy));
     keys.push_back(fractionKey("routing", "imbalance_s", "Extra wait accepted for a cached prefix.", 0, 60, routingOf, &Routing::Settings::imbalanceSeconds));
 }
@@ -212,6 +257,7 @@
             if (key.isRequired && !m_lines.contains(&key))
                 m_problems += std::string(m_fileName) + ": [" + key.section + "] " + key.name + ": missing; allowed is " + key.allowed + "\n";
         }
+        checkPlatform();
         if (m_settings.callers.defaultDeadline > m_settings.callers.longestDeadline)
             m_problems += std::string(m_fileName) + ": [callers] default_deadline_ms: larger than longest_deadline_ms\n";
     }
@@ -220,6 +266,24 @@
     DaemonSettings const& settings() const { return m_settings; }
 
 private:
+    // Which endpoints are needed depends on the kind of platform.
+    void checkPlatform()
+    {
+        bool isStore = m_settings.platform.kind == Owned::PlatformKind::KeyedStore;
+        require(isStore, "platform", "store", m_settings.platform.store);
+        require(isStore, "peers", "beacon", m_settings.peers.beacon);
+        require(!isStore, "platform", "log", m_settings.platform.log);
+        require(!isStore, "platform", "vms", m_settings.platform.vms);
+        if (!isStore && m_settings.operators.token.empty())
+            m_problems += std::string(m_fileName) + ": [operators] token: missing; allowed is 16 or more printable characters without spaces\n";
+    }
+
+    void require(bool isNeeded, std::string_view section, std::string_view key, Owned::Endpoint const& endpoint)
+    {
+        if (isNeeded && endpoint.port() == 0)
+            m_problems += std::string(m_fileName) + ": [" + std::string(section) + "] " + std::string(key) + ": missing; allowed is an IP address and a port, such as 127.0.0.1:8080\n";
+    }
+
     void readEntry(IniEntry const& entry)
     {
         DaemonKey const* key = findKey(entry);
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/EventLog.h>
 #include <LibCore/Result.h>
+#include <LibHttp/Client.h>
 #include <LibHttp/Server.h>
 #include <LibRouting/Settings.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,18 +19,33 @@
     using Endpoint = boost::asio::ip::tcp::endpoint;
     using Milliseconds = std::chrono::milliseconds;
 
+    /// Which platform the daemon runs on.
+    enum class PlatformKind : std::uint8_t {
+        LogAndList, ///< An append-only log and a list of VMs: docs/design/platform-protocols.md.
+        KeyedStore, ///< A store that keeps the newest record of each key: docs/design/platform.md.
+    };
+
+    static constexpr Core::EnumNames<PlatformKind, 2> platformKindNames { {
+        { PlatformKind::LogAndList, "log-and-list" },
+        { PlatformKind::KeyedStore, "keyed-store" },
+    } };
+
     struct Daemon {
         std::string name;
         std::string availabilityZone;
         std::string region;
         std::uint32_t trafficThreads { 1 };
         Core::Severity logLevel { Core::Severity::Info };
+        Milliseconds stopWithin { 0 }; ///< After which a process that was asked to stop is killed; 0: never.
     };
 
     struct Callers {
         Endpoint listen;
+        Endpoint directory; ///< Where callers ask which daemons to use; port 0: on `listen` alone.
+        Endpoint ready; ///< Where the platform asks whether this daemon takes requests; port 0: nowhere.
         Http::ServerSettings server;
         Milliseconds listHold { 5'000 }; ///< How long callers may keep the list of addresses.
+        Milliseconds leaveHold { 0 }; ///< How long a leaving daemon goes on accepting; 0: for `listHold`.
         Milliseconds defaultDeadline { 60'000 };
         Milliseconds longestDeadline { 600'000 };
     };
@@ -41,14 +57,18 @@
 
     struct Peers {
         Endpoint listen;
+        Endpoint beacon; ///< Where beacons come in (UDP); port 0: none are exchanged.
     };
 
     struct Platform {
+        PlatformKind kind { PlatformKind::LogAndList };
+        Endpoint store; ///< Of kind KeyedStore; the next two of kind LogAndList.
         Endpoint log;
         Endpoint vms;
         Milliseconds vmsInterval { 1'000 };
         Milliseconds stateInterval { 1'000 }; ///< Between two reads of a target's state by its watcher.
         Milliseconds retryDelay { 200 }; ///< Before another try when the platform does not answer.
+        Milliseconds leaseQuiet { 3'000 }; ///< Between the last order of one holder and the first of the next.
         std::uint64_t retainedRecords { 0 }; ///< How many records the log keeps; 0: no limit by number.
     };
 
@@ -59,6 +79,8 @@
         std::uint32_t queuedPerOrganisation { 512 };
         std::uint64_t keptAnswerBytes { 16U << 20U };
         double retryRatio { 0.1 };
+        double retryExtra { 0 }; ///< Retries in a window beyond the ratio, for all daemons together; 0: each its own few.
+        Milliseconds retryWindow { 10'000 };
     };
 
     Daemon daemon;
@@ -67,6 +89,7 @@
     Peers peers;
     Platform platform;
     Limits limits;
+    Http::ClientSettings targets; ///< Connections to targets.
     Routing::Settings routing;
 
     /// Reads and checks a whole settings file.
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <platform/Adapters.h>
 #include <sstream>
 
 namespace {
@@ -38,10 +39,16 @@
     return Settings::DaemonSettings::parse(text.str(), fileName);
 }
 
+Daemon::Adapters adaptersFor(Settings::DaemonSettings const& settings)
+{
+    bool isStore = settings.platform.kind == Settings::DaemonSettings::PlatformKind::KeyedStore;
+    return isStore ? UsersPlatform::createAdapters() : Daemon::ownAdapters();
+}
+
 int runDaemon(Settings::DaemonSettings const& settings)
 {
     Core::startEventLog(settings.daemon.logLevel);
-    Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings);
+    Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings, adaptersFor(settings));
     if (daemon.has_error()) {
         Core::logEvent(Core::Severity::Error, Core::Event::ListenerFailed, { { "error", daemon.error().message } });
         return EXIT_FAILURE;
