LibDaemon: Read the settings file again on SIGHUP and when it changes

Change: the settings are read again on the signal and once a second; what a running daemon can take over (store, retry allowance, list hold, log level) is in force at once, a bad file changes nothing and is logged. Logs go to standard output.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -14,6 +14,8 @@
     ShutdownStarted = 1004,
     ShutdownPhase = 1005,
     ListenerFailed = 1006,
+    SettingsReloaded = 1007,
+    SettingsRefused = 1008,
     RouteDecided = 2001,
     RouteRefused = 2002,
     RequestFinished = 2003,
@@ -49,12 +51,14 @@
     TargetRecovered = 6004,
 };
 
-inline constexpr EnumNames<Event, 38> eventNames { {
+inline constexpr EnumNames<Event, 40> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
     { Event::ShutdownPhase, "shutdown-phase" },
     { Event::ListenerFailed, "listener-failed" },
+    { Event::SettingsReloaded, "settings-reloaded" },
+    { Event::SettingsRefused, "settings-refused" },
     { Event::RouteDecided, "route-decided" },
     { Event::RouteRefused, "route-refused" },
     { Event::RequestFinished, "request-finished" },
--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -56,11 +56,16 @@
 void startEventLog(Severity threshold)
 {
     log4cxx::LayoutPtr layout(new log4cxx::PatternLayout("%d{ISO8601} %-5p %m%n"));
-    log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemOut()));
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(levelOf(threshold));
 }
 
+void setEventLogThreshold(Severity threshold)
+{
+    logger()->setLevel(levelOf(threshold));
+}
+
 bool isLogged(Severity severity)
 {
     return logger()->isEnabledFor(levelOf(severity));
--- a/Libraries/LibCore/EventLog.h
+++ b/Libraries/LibCore/EventLog.h
@@ -24,10 +24,13 @@
     { Severity::Error, "error" },
 } };
 
-/// Sets up log4cxx to write to standard error, lines at or above `threshold` only.
+/// Sets up log4cxx to write to standard output, lines at or above `threshold` only.
 /// Precondition: called once, before threads start.
 void startEventLog(Severity threshold);
 
+/// Changes the least severity that is written. Thread-safe.
+void setEventLogThreshold(Severity threshold);
+
 /// Returns whether lines of this severity are written: callers skip costly fields otherwise. Thread-safe.
 bool isLogged(Severity);
 
--- a/Libraries/LibDaemon/Adapters.h
+++ b/Libraries/LibDaemon/Adapters.h
@@ -31,7 +31,7 @@
     std::function<std::unique_ptr<Platform::EngineControl>(Http::Client&)> createEngineControl;
 
     // Only for a platform whose store keeps the newest record of each key.
-    std::function<std::unique_ptr<Platform::KeyedStore>(Http::Client&, boost::asio::ip::tcp::endpoint)> createStore;
+    std::function<std::unique_ptr<Platform::KeyedStore>(Http::Client&, std::function<boost::asio::ip::tcp::endpoint()>)> createStore; ///< The endpoint is asked for at each call.
     StoreCodec codec;
 };
 
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t secretSize = 32;
 constexpr std::chrono::seconds expiryInterval { 1 };
+// A changed file is in force within the second that operators wait for.
+constexpr std::chrono::milliseconds settingsInterval { 1'000 };
 // Callers may have asked for the list just before the daemon began to leave, and the answer travels.
 constexpr std::chrono::milliseconds holdMargin { 500 };
 // What is left of the time until a process is killed for it to end by itself.
@@ -50,22 +52,25 @@
 
 }
 
-Daemon::Daemon(Settings::DaemonSettings settings, Adapters adapters)
+Daemon::Daemon(Settings::DaemonSettings settings, Adapters adapters, SettingsReader reader)
     : m_settings(std::move(settings))
     , m_adapters(std::move(adapters))
+    , m_readSettings(std::move(reader))
+    , m_settingsText(m_settings.print())
     , m_incarnation(newIncarnation())
-    , m_signals(m_control, SIGTERM, SIGINT)
+    , m_signals(m_control, SIGTERM, SIGINT, SIGHUP)
     , m_holdTimer(m_control)
     , m_expiryTimer(m_control)
     , m_stopTimer(m_control)
+    , m_settingsTimer(m_control)
     , m_retryBudget(budgetOf(m_settings))
     , m_sharedBudgets({ m_settings.limits.retryRatio, m_settings.limits.retryExtra, m_settings.limits.retryWindow })
 {
 }
 
-Core::Result<std::unique_ptr<Daemon>> Daemon::create(Settings::DaemonSettings settings, Adapters adapters)
+Core::Result<std::unique_ptr<Daemon>> Daemon::create(Settings::DaemonSettings settings, Adapters adapters, SettingsReader reader)
 {
-    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), std::move(adapters)));
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), std::move(adapters), std::move(reader)));
     BOOST_OUTCOME_TRY(daemon->setUp());
     return daemon;
 }
@@ -221,6 +226,7 @@
 {
     Core::logEvent(Core::Severity::Info, Core::Event::ProcessStarted, { { "daemon", m_settings.daemon.name }, { "incarnation", Request::formatIncarnation(m_incarnation) }, { "availability_zone", m_settings.daemon.availabilityZone }, { "callers", Http::toString(m_settings.callers.listen) }, { "operators", Http::toString(m_settings.operators.listen) } });
     waitForSignal();
+    watchSettings();
     expireAnswers();
     m_plane->start();
     m_operatorServer->start();
@@ -234,14 +240,53 @@
 
 void Daemon::waitForSignal()
 {
-    m_signals.async_wait([this](boost::system::error_code ec, int) {
+    m_signals.async_wait([this](boost::system::error_code ec, int signal) {
         if (ec)
             return;
-        startLeaving();
+        if (signal == SIGHUP)
+            reloadSettings("signal");
+        else
+            startLeaving();
         waitForSignal(); // A second signal changes nothing.
     });
 }
 
+// The file may change without a signal.
+void Daemon::watchSettings()
+{
+    m_settingsTimer.expires_after(settingsInterval);
+    m_settingsTimer.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        reloadSettings("file changed");
+        watchSettings();
+    });
+}
+
+// What a running daemon cannot take over (its addresses, its name) stays as it was at the start. A file that is not good
+// changes nothing.
+void Daemon::reloadSettings(std::string_view cause)
+{
+    Core::Result<Settings::DaemonSettings> read = m_readSettings();
+    if (read.has_error()) {
+        if (std::exchange(m_settingsProblem, read.error().message) != m_settingsProblem)
+            Core::logEvent(Core::Severity::Error, Core::Event::SettingsRefused, { { "cause", std::string(cause) }, { "error", read.error().message } });
+        return;
+    }
+    m_settingsProblem.clear();
+    std::string text = read.value().print();
+    if (text == m_settingsText)
+        return;
+    m_settingsText = std::move(text);
+    Settings::DaemonSettings const& settings = read.value();
+    bool hasMoved = settings.callers.listen != m_settings.callers.listen || settings.peers.listen != m_settings.peers.listen || settings.operators.listen != m_settings.operators.listen || settings.daemon.name != m_settings.daemon.name;
+    Core::setEventLogThreshold(settings.daemon.logLevel);
+    m_sharedBudgets.change({ settings.limits.retryRatio, settings.limits.retryExtra, settings.limits.retryWindow });
+    if (m_storeControl)
+        m_storeControl->change(settings);
+    Core::logEvent(Core::Severity::Info, Core::Event::SettingsReloaded, { { "cause", std::string(cause) }, { "needs_restart", hasMoved ? "yes" : "no" } });
+}
+
 void Daemon::startLeaving()
 {
     if (m_shared->isLeaving.exchange(true))
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -18,9 +18,12 @@
 /// A whole currantvaled: the control thread, the traffic threads and what they share.
 class Daemon {
 public:
+    /// Reads the settings file anew. Errors: BadInput with every problem found.
+    using SettingsReader = std::function<Core::Result<Settings::DaemonSettings>()>;
+
     /// Binds all listeners; nothing runs yet. The adapters speak the platform that the settings name.
     /// Errors: Unavailable when an address cannot be bound.
-    static Core::Result<std::unique_ptr<Daemon>> create(Settings::DaemonSettings, Adapters);
+    static Core::Result<std::unique_ptr<Daemon>> create(Settings::DaemonSettings, Adapters, SettingsReader);
 
     ~Daemon();
 
@@ -28,7 +31,7 @@
     void run();
 
 private:
-    Daemon(Settings::DaemonSettings, Adapters);
+    Daemon(Settings::DaemonSettings, Adapters, SettingsReader);
     Core::Result<void> setUp();
     void publish(FleetPointer const&);
     void callWhenApplied(std::function<void()>);
@@ -41,6 +44,8 @@
     void setCallerLimits(State::CallerLimits const&);
     bool usesStore() const { return m_settings.platform.kind == Settings::DaemonSettings::PlatformKind::KeyedStore; }
     void waitForSignal();
+    void watchSettings();
+    void reloadSettings(std::string_view cause);
     void startLeaving();
     void drainTraffic();
     void finish();
@@ -48,12 +53,16 @@
 
     Settings::DaemonSettings m_settings;
     Adapters m_adapters;
+    SettingsReader m_readSettings;
+    std::string m_settingsText; ///< As last read, printed: tells whether a new read brings anything.
+    std::string m_settingsProblem; ///< Of the last read; empty: none.
     std::uint64_t m_incarnation;
     boost::asio::io_context m_control { 1 };
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_holdTimer;
     boost::asio::steady_timer m_expiryTimer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_settingsTimer;
     Request::RetryBudget m_retryBudget;
     Request::RetryBudgets m_sharedBudgets;
     MixCounter m_mix;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -55,8 +55,10 @@
     : m_context(context)
     , m_settings(settings)
     , m_adapters(adapters)
+    , m_storeAddress(settings.platform.store)
+    , m_listHold(settings.callers.listHold)
     , m_client(Http::Client::create(context, storeClient()))
-    , m_store(adapters.createStore(*m_client, settings.platform.store))
+    , m_store(adapters.createStore(*m_client, [this] { return m_storeAddress; }))
     , m_engines(adapters.createEngineControl(*m_client))
     , m_fleet(std::make_shared<FleetSnapshot>())
 {
@@ -85,9 +87,9 @@
 
 void StoreControl::createTopics()
 {
-    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] { } };
+    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
     m_targetList = { Platform::StoreTopic::Targets, targetWait, targetInterval, [this](Platform::KeyedRecord const& record) { takeTarget(record); }, [this] { m_targets.noteRead(Clock::now()); } };
-    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] { } };
+    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
 }
 
 void StoreControl::start()
@@ -109,6 +111,12 @@
     m_beacons->stop();
 }
 
+void StoreControl::change(Settings::DaemonSettings const& settings)
+{
+    m_storeAddress = settings.platform.store;
+    m_listHold = settings.callers.listHold;
+}
+
 void StoreControl::startLeaving()
 {
     m_isLeaving = true;
@@ -318,7 +326,7 @@
 EntryList StoreControl::entries() const
 {
     EntryList list;
-    list.hold = m_settings.callers.listHold;
+    list.hold = m_listHold;
     if (!m_isLeaving)
         list.addresses.push_back(Http::toString(m_settings.callers.listen));
     for (Fleet::BookedDaemon const* daemon : m_beacons->book().usable(Clock::now()))
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -38,6 +38,9 @@
     void startLeaving() override;
     void leave(std::function<void()> onDone) override;
 
+    /// Takes over what may change while the daemon runs: the store's address and how long callers keep the list.
+    void change(Settings::DaemonSettings const&);
+
     /// Returns the daemons that callers may use now.
     EntryList entries() const;
 
@@ -85,6 +88,8 @@
     boost::asio::io_context& m_context;
     Settings::DaemonSettings const& m_settings;
     Adapters const& m_adapters;
+    boost::asio::ip::tcp::endpoint m_storeAddress;
+    std::chrono::milliseconds m_listHold;
     Hooks m_hooks;
     std::unique_ptr<Http::Client> m_client;
     std::unique_ptr<Platform::KeyedStore> m_store;
--- a/Libraries/LibRequest/RetryBudgets.cpp
+++ b/Libraries/LibRequest/RetryBudgets.cpp
@@ -38,10 +38,23 @@
     return *budget;
 }
 
+void RetryBudgets::change(SharedAllowance const& allowance)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_allowance = allowance;
+    changeAll();
+}
+
 void RetryBudgets::setDaemons(std::size_t daemons)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     m_daemons = std::max<std::size_t>(1, daemons);
+    changeAll();
+}
+
+// Precondition: the mutex is held.
+void RetryBudgets::changeAll()
+{
     for (std::pair<std::string const, std::unique_ptr<RetryBudget>> const& it : m_budgets)
         it.second->change(settings());
 }
--- a/Libraries/LibRequest/RetryBudgets.h
+++ b/Libraries/LibRequest/RetryBudgets.h
@@ -25,11 +25,15 @@
     /// Returns the budget of a service. It stays valid for as long as this object lives.
     RetryBudget& of(std::string const& service);
 
+    /// Takes another allowance over.
+    void change(SharedAllowance const&);
+
     /// Says how many daemons share the allowance, this one included. Precondition: at least 1.
     void setDaemons(std::size_t);
 
 private:
     RetryBudget::Settings settings() const;
+    void changeAll();
 
     SharedAllowance m_allowance;
     std::mutex m_mutex;
--- a/Libraries/LibRouting/RequestShape.h
+++ b/Libraries/LibRouting/RequestShape.h
@@ -9,10 +9,10 @@
     Phase phase { Phase::Whole };
     std::uint8_t priority { 5 }; ///< 0 is served first, 9 last.
     std::uint32_t promptTokens { 0 };
-    std::uint32_t sharedTokens { 0 }; ///< Of the prompt: its beginning, which other requests have too.
     std::uint32_t expectedOutputTokens { 0 };
     double pendingOutputs { 0 }; ///< Requests that each target which decodes will get from prefill targets; see `pendingOutputs()`.
     std::uint64_t prefixHash { 0 }; ///< Of the longest reusable prefix; 0: none. Logged only; matches are in the candidates.
+    std::uint32_t sharedTokens { 0 }; ///< Of the prompt: its beginning, which other requests have too.
 };
 
 }
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -189,8 +189,8 @@
     keys.push_back(numberKey<Owned>("targets", "keep_ms", "How long an unused connection to a target is kept.", 0, maximumMilliseconds, targetsOf, &Http::ClientSettings::keepTime));
     keys.push_back(numberKey<Owned>("targets", "unacknowledged_ms", "A connection fails whose bytes are not acknowledged for this long; 0: the kernel's time.", 0, maximumMilliseconds, targetLivenessOf, &Http::SocketLiveness::unacknowledged));
     keys.push_back(numberKey<Owned>("targets", "probe_s", "A silent connection is probed after this long, three times; 0: not at all.", 0, 3600, targetLivenessOf, &Http::SocketLiveness::probeAfter));
-    keys.push_back(numberKey<Owned>("callers", "unacknowledged_ms", "As for targets.", 0, maximumMilliseconds, callerLivenessOf, &Http::SocketLiveness::unacknowledged));
-    keys.push_back(numberKey<Owned>("callers", "probe_s", "As for targets.", 0, 3600, callerLivenessOf, &Http::SocketLiveness::probeAfter));
+    keys.push_back(numberKey<Owned>("callers", "unacknowledged_ms", "As for [targets].", 0, maximumMilliseconds, callerLivenessOf, &Http::SocketLiveness::unacknowledged));
+    keys.push_back(numberKey<Owned>("callers", "probe_s", "As for [targets].", 0, 3600, callerLivenessOf, &Http::SocketLiveness::probeAfter));
     keys.push_back(choiceKey("routing", "policy", "How a target is chosen among the allowed ones.", Routing::policyNames, routingOf, &Routing::Settings::policy));
     keys.push_back(fractionKey("routing", "imbalance_s", "Extra wait accepted for a cached prefix.", 0, 60, routingOf, &Routing::Settings::imbalanceSeconds));
 }
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -41,7 +41,7 @@
         sleep 0.1
     done
     echo "gave up waiting for $what"
-    tail -n 5 "$run"/*.log
+    tail -n 5 "$run"/*.log "$run"/entry-*.out
     exit 1
 }
 
@@ -52,7 +52,7 @@
 }
 
 target_of() { # request id
-    grep -h "name=route-decided request=$1 " "$run"/entry-*.log | tail -n 1 | sed 's/.* target=\([^ ]*\).*/\1/'
+    grep -h "name=route-decided request=$1 " "$run"/entry-*.out | tail -n 1 | sed 's/.* target=\([^ ]*\).*/\1/'
 }
 
 ask() { # name, entry, prompt, tokens: one streamed completion
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -45,10 +45,10 @@
     return isStore ? UsersPlatform::createAdapters() : Daemon::ownAdapters();
 }
 
-int runDaemon(Settings::DaemonSettings const& settings)
+int runDaemon(Settings::DaemonSettings const& settings, std::string const& fileName)
 {
     Core::startEventLog(settings.daemon.logLevel);
-    Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings, adaptersFor(settings));
+    Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings, adaptersFor(settings), [fileName] { return readSettings(fileName); });
     if (daemon.has_error()) {
         Core::logEvent(Core::Severity::Error, Core::Event::ListenerFailed, { { "error", daemon.error().message } });
         return EXIT_FAILURE;
@@ -84,7 +84,7 @@
         std::cout << settings.value().print();
         return EXIT_SUCCESS;
     }
-    return runDaemon(settings.value());
+    return runDaemon(settings.value(), arguments["settings"].as<std::string>());
 }
 
 }
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -314,7 +314,7 @@
 std::vector<std::string> Fleet::logLines(std::string const& process, std::string const& text) const
 {
     std::vector<std::string> lines;
-    std::ifstream file(m_folder / (process + ".log"));
+    std::ifstream file(m_folder / (process + ".out"));
     for (std::string line; std::getline(file, line);) {
         if (line.find(text) != std::string::npos)
             lines.push_back(line);
