LibDaemon: Let two daemons read the store and tell the others what is new

Change: the first two daemons by name read all the time; the others read when a beacon names something newer, or after 10 s, or when no reader is heard. The interval of beacons grows with the number of daemons. An output is placed in the zone of its prefill where loads allow. A target list that was not read for 1.5 s is read as newest records.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -9,13 +9,6 @@
 
 namespace Daemon {
 
-namespace {
-
-// A prompt takes some 50 to 400 ms: loads that are older than this mislead. Ten missed ones mean that a daemon is gone.
-constexpr std::chrono::milliseconds beaconInterval { 100 };
-
-}
-
 Core::Result<std::unique_ptr<BeaconExchange>> BeaconExchange::create(boost::asio::io_context& context, Platform::ListedDaemon self, Hooks hooks)
 {
     boost::asio::ip::udp::socket socket(context);
@@ -57,7 +50,7 @@
     while (!m_isStopped) {
         m_book.expire(Core::BootClock::now());
         sendNow();
-        timer.expires_after(beaconInterval);
+        timer.expires_after(m_book.beaconInterval());
         boost::system::error_code ec;
         co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     }
@@ -94,7 +87,7 @@
         return;
     BeaconMessage const& message = beacon.value();
     bool isNew = !m_book.daemons().contains(message.sender.name);
-    if (!m_book.hear(message.sender, message.sequence, message.isLeaving, message.configVersion, Core::BootClock::now()))
+    if (!m_book.hear(message.sender, message.sequence, { message.isLeaving, message.isReading, message.configVersion, message.targetsChanged }, Core::BootClock::now()))
         return;
     if (isNew)
         Core::logEvent(Core::Severity::Info, Core::Event::MemberChanged, { { "daemon", message.sender.name }, { "from", "unknown" }, { "to", "live" }, { "leaving", message.isLeaving ? "yes" : "no" } });
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -57,6 +57,8 @@
     message.set_sequence(beacon.sequence);
     message.set_is_leaving(beacon.isLeaving);
     message.set_config_version(beacon.configVersion);
+    message.set_targets_changed(beacon.targetsChanged);
+    message.set_is_reading(beacon.isReading);
     for (Routing::TargetShare const& share : beacon.shares) {
         Proto::TargetShare* added = message.add_shares();
         added->set_target(share.target);
@@ -77,6 +79,8 @@
     beacon.sequence = message.sequence();
     beacon.isLeaving = message.is_leaving();
     beacon.configVersion = message.config_version();
+    beacon.targetsChanged = message.targets_changed();
+    beacon.isReading = message.is_reading();
     for (Proto::TargetShare const& share : message.shares())
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
     beacon.changing.assign(message.changing().begin(), message.changing().end());
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -17,6 +17,8 @@
     std::uint64_t sequence { 0 }; ///< Greater in each beacon of one incarnation.
     bool isLeaving { false };
     std::uint64_t configVersion { 0 }; ///< Of the configuration that it has in force.
+    std::uint64_t targetsChanged { 0 }; ///< Offset behind the last record of the target list that was news to it.
+    bool isReading { false }; ///< It reads the store all the time, and was answered lately.
     std::vector<Routing::TargetShare> shares; ///< Its open work.
     std::vector<std::uint64_t> changing; ///< Keys of targets that it has ordered to change role.
 };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -151,7 +151,8 @@
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
         bool isClosed = isExcluded || !m_admission->hasRoom(target.id);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
-        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), target.slots };
+        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), false, target.slots };
+        candidate.fetchesFarKv = !request.kvZone.empty() && request.kvZone != target.availabilityZone;
         if (target.kvCapacityTokens != 0)
             candidate.load.kvCapacityTokens = static_cast<std::uint32_t>(target.kvCapacityTokens);
         for (std::size_t n = 0; n < matched; ++n) {
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -30,6 +30,7 @@
     std::vector<Routing::PrefixBlock> prefix;
     FleetPointer fleet;
     std::vector<std::uint32_t> allowed; ///< Positions in the fleet's targets.
+    std::string kvZone; ///< The availability zone that a prompt's KV cache is fetched from; empty: it is not fetched.
     std::vector<std::string> excluded; ///< Names of targets that were tried.
     std::chrono::steady_clock::time_point latestStart;
 };
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -26,6 +26,7 @@
     std::string incarnation; ///< Of an engine: as last read; empty while unknown.
     Routing::TargetRole role { Routing::TargetRole::Mixed };
     Routing::ZoneDistance distance { Routing::ZoneDistance::SameZone };
+    std::string availabilityZone;
     std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
     std::uint64_t kvCapacityTokens { 0 }; ///< 0: not known.
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -3,10 +3,10 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/EventSplitter.h>
 #include <LibDaemon/RequestRunner.h>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <tuple>
 
 namespace Daemon {
@@ -60,6 +60,7 @@
     request.fleet = m_fleet;
     request.allowed = m_allowed;
     request.excluded = std::move(excluded);
+    request.kvZone = m_kvSource.empty() ? std::string() : m_kvZone;
     request.latestStart = m_machine.deadline();
     m_placement = m_context.dispatcher.nextId();
     co_return co_await m_context.dispatcher.place(std::move(request), m_context.context.get_executor(), m_placement);
@@ -129,6 +130,7 @@
         }
         m_kvSource = kvSource.value();
         m_kvHolder = targetOf(m_target)->endpoint;
+        m_kvZone = targetOf(m_target)->availabilityZone;
         phase = Routing::Phase::Decode;
     }
 }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -91,7 +91,8 @@
     std::string m_target; ///< Name of the attempt's target, for logs.
     std::string m_mixPool; ///< The pool in whose mix the request is counted.
     std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
-    boost::asio::ip::tcp::endpoint m_kvHolder; ///< The target that keeps it.
+    boost::asio::ip::tcp::endpoint m_kvHolder; ///< The target that keeps it,
+    std::string m_kvZone; ///< and its availability zone.
     int m_urgency { 5 }; ///< Of the present send.
     std::string m_lastEventId; ///< Of the last event that was handed on; empty: none had one.
     std::chrono::steady_clock::time_point m_firstPieceAt;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -23,9 +23,18 @@
 // leaves is to get nothing new after 2 s.
 constexpr std::chrono::milliseconds targetWait { 1'000 };
 constexpr std::chrono::milliseconds targetInterval { 500 };
+// Calls to the store are few where the daemons are many: two read all the time, and their beacons tell the others when
+// there is something to read. What a beacon never told is found by a read at these intervals.
+constexpr std::chrono::milliseconds idleInterval { 10'000 };
+// A reader that has not been answered for this long brings no news: three of its intervals.
+constexpr std::chrono::milliseconds readerLapse { 1'500 };
+constexpr std::chrono::milliseconds turnCheckInterval { 50 };
+// Each target writes about once a second: after this time the newest records are fewer than those between.
+constexpr std::chrono::milliseconds skipsAfter { 1'500 };
 // Daemons tell each other of themselves; the store only brings the first ones together.
-constexpr std::chrono::milliseconds daemonWait { 1'000 };
+constexpr std::chrono::milliseconds daemonWait { 0 };
 constexpr std::chrono::milliseconds daemonInterval { 500 };
+constexpr std::chrono::milliseconds daemonIdleInterval { 20'000 };
 constexpr std::chrono::milliseconds readSlack { 500 };
 constexpr std::chrono::milliseconds retryDelay { 200 };
 constexpr std::chrono::milliseconds tickInterval { 100 };
@@ -82,14 +91,19 @@
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, std::move(roles));
     createTopics();
+    m_targetList.skipsAfter = skipsAfter;
     return Core::ok();
 }
 
 void StoreControl::createTopics()
 {
-    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
-    m_targetList = { Platform::StoreTopic::Targets, targetWait, targetInterval, [this](Platform::KeyedRecord const& record) { takeTarget(record); }, [this] { m_targets.noteRead(Clock::now()); } };
-    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
+    std::function<bool()> hasConfigurationNews = [this] { return m_beacons->book().newest(Clock::now()).configVersion > configVersion(); };
+    std::function<bool()> hasTargetNews = [this] { return m_beacons->book().newest(Clock::now()).targetsChanged > m_targetList.replica.nextOffset(); };
+    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, idleInterval, hasConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
+    m_targetList = { Platform::StoreTopic::Targets, targetWait, targetInterval, idleInterval, hasTargetNews, [this](Platform::KeyedRecord const& record) {
+        if (takeTarget(record))
+            m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1); }, [this] { m_targets.noteRead(Clock::now()); } };
+    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, daemonIdleInterval, [] { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
 }
 
 void StoreControl::start()
@@ -165,6 +179,8 @@
 boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic)
 {
     using News = Core::Result<std::vector<Platform::KeyedRecord>>;
+    if (topic.skipsAfter.count() > 0 && Clock::now() - topic.readAt > topic.skipsAfter)
+        topic.replica.skipToNewest();
     Fleet::StoreReplica::Step step = topic.replica.next();
     if (step.isNewest) {
         Core::Result<Platform::KeyedPage> page = co_await m_store->newest(topic.topic, step.after);
@@ -194,15 +210,40 @@
         noteProblem(topic, std::string());
         for (Platform::KeyedRecord const& record : news.value())
             topic.onRecord(record);
+        topic.readAt = Clock::now();
         topic.onRead();
         if (std::exchange(m_isTargetListChanged, false) || wasComplete != topic.replica.isComplete())
             rebuild();
-        std::chrono::milliseconds taken = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begunAt);
-        if (taken < topic.interval)
-            co_await wait(topic.interval - taken);
+        co_await waitForTurn(topic, begunAt);
     }
 }
 
+// Returns when the topic is to be read again.
+boost::asio::awaitable<void> StoreControl::waitForTurn(Followed const& topic, Clock::time_point begunAt)
+{
+    Clock::time_point due = begunAt + topic.interval;
+    Clock::time_point idleDue = begunAt + topic.idleInterval;
+    while (!m_isStopped) {
+        Clock::time_point now = Clock::now();
+        bool isTold = topic.replica.isComplete() && !readsAlways() && m_beacons->book().hearsReader(now);
+        bool isDue = now >= due && (!isTold || topic.hasNews() || now >= idleDue);
+        if (isDue)
+            co_return;
+        co_await wait(std::max(std::chrono::milliseconds(1), std::min(turnCheckInterval, std::chrono::ceil<std::chrono::milliseconds>(std::max(due, now + turnCheckInterval) - now))));
+    }
+}
+
+bool StoreControl::readsAlways() const
+{
+    return m_beacons->book().isReader(m_settings.daemon.name, Clock::now());
+}
+
+bool StoreControl::isReading() const
+{
+    Clock::time_point oldest = Clock::now() - readerLapse;
+    return !m_isLeaving && readsAlways() && m_configuration.readAt > oldest && m_targetList.readAt > oldest;
+}
+
 void StoreControl::noteProblem(Followed& topic, std::string problem)
 {
     bool wasGood = topic.problem.empty();
@@ -240,24 +281,26 @@
     rebuild();
 }
 
-void StoreControl::takeTarget(Platform::KeyedRecord const& record)
+// Returns whether the record changes anything but a heartbeat.
+bool StoreControl::takeTarget(Platform::KeyedRecord const& record)
 {
     if (!record.value) {
         if (m_targets.remove(record.key, Clock::now())) {
             Core::logEvent(Core::Severity::Info, Core::Event::TargetRemoved, { { "target", record.key } });
             m_isTargetListChanged = true;
         }
-        return;
+        return true;
     }
     Core::Result<Platform::ListedTarget> listed = m_adapters.codec.decodeTarget(record.key, *record.value);
     if (listed.has_error()) {
         Core::logEvent(Core::Severity::Error, Core::Event::TargetUnreachable, { { "target", record.key }, { "error", listed.error().message } });
-        return;
+        return false;
     }
     if (!m_targets.list(listed.value()))
-        return;
+        return false;
     m_isTargetListChanged = true;
     Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
+    return true;
 }
 
 void StoreControl::takeDaemon(Platform::KeyedRecord const& record)
@@ -287,6 +330,8 @@
     BeaconMessage beacon;
     beacon.isLeaving = m_isLeaving;
     beacon.configVersion = configVersion();
+    beacon.targetsChanged = m_targetList.newsOffset;
+    beacon.isReading = isReading();
     beacon.shares = m_hooks.openWork();
     beacon.changing = m_roles->changing();
     return beacon;
@@ -299,7 +344,7 @@
         return false;
     Clock::time_point now = Clock::now();
     for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
-        if (m_beacons->book().isLive(it.second, now) && !it.second.isLeaving && it.first < m_settings.daemon.name)
+        if (m_beacons->book().isLive(it.second, now) && !it.second.said.isLeaving && it.first < m_settings.daemon.name)
             return false;
     }
     return true;
@@ -360,6 +405,7 @@
     (isEngine ? target.model : target.service) = listed.service;
     target.pool = listed.service;
     target.role = isEngine ? listed.role.value_or(Routing::TargetRole::Mixed) : Routing::TargetRole::Mixed;
+    target.availabilityZone = listed.availabilityZone;
     target.distance = listed.availabilityZone == m_settings.daemon.availabilityZone ? Routing::ZoneDistance::SameZone : Routing::ZoneDistance::SameRegion;
     target.slots = isEngine ? terms->engine->slots : listed.slots;
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -59,9 +59,14 @@
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
         std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
         std::chrono::milliseconds interval { 0 }; ///< Least time between two reads.
+        std::chrono::milliseconds idleInterval { 0 }; ///< The same, while others read all the time and tell what is new.
+        std::function<bool()> hasNews; ///< Whether another daemon knows more than was read here.
         RecordHook onRecord;
         std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
         Fleet::StoreReplica replica {};
+        std::chrono::milliseconds skipsAfter { 0 }; ///< A read after a longer time skips what came between; 0: none does.
+        std::uint64_t newsOffset { 0 }; ///< Behind the last record that changed anything.
+        Core::BootClock::time_point readAt {}; ///< When a read last succeeded.
         std::string problem {}; ///< Why it cannot be read now; empty while it can.
     };
 
@@ -70,16 +75,19 @@
     void createTopics();
     boost::asio::awaitable<void> follow(Followed&);
     boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&);
+    boost::asio::awaitable<void> waitForTurn(Followed const&, Core::BootClock::time_point begunAt);
     boost::asio::awaitable<void> listSelf();
     boost::asio::awaitable<void> unlistSelf(std::function<void()> onDone);
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     void noteProblem(Followed&, std::string);
     void takeConfiguration(Platform::KeyedRecord const&);
-    void takeTarget(Platform::KeyedRecord const&);
+    bool takeTarget(Platform::KeyedRecord const&);
     void takeDaemon(Platform::KeyedRecord const&);
     void takeBeacon(BeaconMessage const&);
     BeaconMessage describe() const;
+    bool readsAlways() const;
+    bool isReading() const;
     bool isPlanner() const;
     void rebuild();
     FleetTarget describeTarget(Fleet::BookedTarget const&);
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/DaemonBook.h>
+#include <algorithm>
 
 namespace Fleet {
 
@@ -13,7 +14,7 @@
     daemon.knownSince = now;
 }
 
-bool DaemonBook::hear(Platform::ListedDaemon const& listed, std::uint64_t sequence, bool isLeaving, std::uint64_t configVersion, Time now)
+bool DaemonBook::hear(Platform::ListedDaemon const& listed, std::uint64_t sequence, DaemonState const& said, Time now)
 {
     list(listed, now);
     BookedDaemon& daemon = m_daemons[listed.name];
@@ -21,8 +22,7 @@
     if (isOld)
         return false;
     daemon.sequence = sequence;
-    daemon.isLeaving = isLeaving;
-    daemon.configVersion = configVersion;
+    daemon.said = said;
     daemon.heardAt = now;
     return true;
 }
@@ -36,7 +36,39 @@
 
 bool DaemonBook::isLive(BookedDaemon const& daemon, Time now) const
 {
-    return daemon.heardAt != Time() && now - daemon.heardAt <= m_settings.silentAfter;
+    return daemon.heardAt != Time() && now - daemon.heardAt <= std::max(m_settings.silentAfter, m_settings.silentBeacons * beaconInterval());
+}
+
+std::chrono::milliseconds DaemonBook::beaconInterval() const
+{
+    return std::max(m_settings.leastInterval, m_settings.intervalPerDaemon * static_cast<int>(m_daemons.size()));
+}
+
+bool DaemonBook::isReader(std::string const& name, Time now) const
+{
+    std::size_t before = 0;
+    for (std::pair<std::string const, BookedDaemon> const& it : m_daemons)
+        before += it.first < name && isLive(it.second, now) && !it.second.said.isLeaving ? 1 : 0;
+    return before < m_settings.readers;
+}
+
+bool DaemonBook::hearsReader(Time now) const
+{
+    return std::any_of(m_daemons.begin(), m_daemons.end(), [&](std::pair<std::string const, BookedDaemon> const& it) {
+        return it.second.said.isReading && isLive(it.second, now);
+    });
+}
+
+DaemonState DaemonBook::newest(Time now) const
+{
+    DaemonState newest;
+    for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
+        if (!isLive(it.second, now))
+            continue;
+        newest.configVersion = std::max(newest.configVersion, it.second.said.configVersion);
+        newest.targetsChanged = std::max(newest.targetsChanged, it.second.said.targetsChanged);
+    }
+    return newest;
 }
 
 std::size_t DaemonBook::liveCount(Time now) const
@@ -52,7 +84,7 @@
     std::vector<BookedDaemon const*> live;
     std::vector<BookedDaemon const*> known;
     for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
-        if (it.second.isLeaving)
+        if (it.second.said.isLeaving)
             continue;
         known.push_back(&it.second);
         if (isLive(it.second, now))
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -10,20 +10,36 @@
 
 /// Intervals of the book of daemons.
 struct DaemonBookSettings {
-    /// A daemon that was not heard for this long is taken to be gone: ten beacons, so that lost datagrams do no harm.
+    /// A daemon that was not heard for this long is taken to be gone; at least `silentBeacons` beacons, so that lost
+    /// datagrams do no harm.
     std::chrono::milliseconds silentAfter { 1'000 };
+    int silentBeacons { 3 };
+    /// A prompt takes 50 to 400 ms: loads much older than this mislead.
+    std::chrono::milliseconds leastInterval { 100 };
+    /// Each other daemon makes the interval longer, so that a daemon gets 200 beacons a second at most.
+    std::chrono::milliseconds intervalPerDaemon { 5 };
+    std::size_t readers { 2 }; ///< One more than the one whose loss must not delay news.
     /// One that was not heard for this long is forgotten; its next beacon brings it back.
     std::chrono::seconds forgetAfter { 60 };
 };
 
+/// What a daemon says of itself in each beacon.
+struct DaemonState {
+    bool isLeaving { false };
+    bool isReading { false }; ///< It reads the store all the time, and was answered lately.
+    std::uint64_t configVersion { 0 }; ///< That it has in force.
+    std::uint64_t targetsChanged { 0 }; ///< Offset behind the last record of the target list that was news to it.
+
+    bool operator==(DaemonState const&) const = default;
+};
+
 /// Another daemon of the site.
 struct BookedDaemon {
     Platform::ListedDaemon listed;
     Time knownSince;
     Time heardAt; ///< When its last beacon came; `Time()`: never.
-    bool isLeaving { false };
     std::uint64_t sequence { 0 }; ///< Of its last beacon.
-    std::uint64_t configVersion { 0 }; ///< That it has in force, as it last said.
+    DaemonState said;
 };
 
 /// Which other daemons there are: from the store to begin with, then from what they themselves say.
@@ -39,7 +55,7 @@
     void list(Platform::ListedDaemon const&, Time now);
 
     /// Takes what a beacon says. Returns false for one that is older than what is known.
-    bool hear(Platform::ListedDaemon const&, std::uint64_t sequence, bool isLeaving, std::uint64_t configVersion, Time now);
+    bool hear(Platform::ListedDaemon const&, std::uint64_t sequence, DaemonState const&, Time now);
 
     /// Forgets who has been silent for long.
     void expire(Time now);
@@ -50,6 +66,19 @@
     /// Whether a daemon was heard from lately.
     bool isLive(BookedDaemon const&, Time now) const;
 
+    /// Returns how often to send beacons: seldom enough that their number does not grow with the square of the site.
+    std::chrono::milliseconds beaconInterval() const;
+
+    /// Whether a daemon of this name should read the store all the time: it is among the first by name of those heard
+    /// from. The others read when a beacon brings news, and seldom.
+    bool isReader(std::string const& name, Time now) const;
+
+    /// Whether a daemon that reads the store all the time is heard, so that its beacons bring the news.
+    bool hearsReader(Time now) const;
+
+    /// The newest that any daemon heard from lately said.
+    DaemonState newest(Time now) const;
+
     /// How many daemons share the site's budgets, this one included.
     std::size_t liveCount(Time now) const;
 
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -38,6 +38,8 @@
     /// its cost counts this many times more. 1 doubles it.
     double strayWeight { 1.0 };
     double decodeSeconds { 0.010 }; ///< One more output beside others: about a step of a full batch.
+    /// A KV cache from another availability zone takes twice as long on both targets' links, and costs more.
+    double farKvSeconds { 0.030 };
     double besideFactor { 3.0 }; ///< Prompts beside outputs take twice the time and delay the outputs' tokens.
 
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
