LibRouting: Believe requests before the list when a target cannot be reached

A try of which nothing reached a target counts neither as attempt nor as retry. Callers come back after 0.3 to 0.9 s, spread.

--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -68,6 +68,8 @@
     }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
+    for (std::uint64_t target : beacon.suspects)
+        message.add_suspects(target);
     return message.SerializeAsString();
 }
 
@@ -84,6 +86,7 @@
     for (Proto::TargetShare const& share : message.shares())
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
     beacon.changing.assign(message.changing().begin(), message.changing().end());
+    beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
 }
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -149,7 +149,7 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
-        bool isClosed = isExcluded || !m_admission->hasRoom(target.id);
+        bool isClosed = isExcluded || !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
         Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), false, target.slots };
         candidate.fetchesFarKv = !request.kvZone.empty() && request.kvZone != target.availabilityZone;
@@ -357,6 +357,24 @@
     return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
 }
 
+void Dispatcher::noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome outcome)
+{
+    std::lock_guard lock(m_mutex);
+    m_health.note(targetKey, outcome, Clock::now());
+}
+
+std::vector<std::uint64_t> Dispatcher::suspects() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_health.suspects(Clock::now());
+}
+
+void Dispatcher::setAvoided(std::set<std::uint64_t> targets)
+{
+    std::lock_guard lock(m_mutex);
+    m_avoided = std::move(targets);
+}
+
 std::vector<Routing::TargetShare> Dispatcher::openWork() const
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -7,6 +7,7 @@
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/Router.h>
+#include <LibRouting/TargetHealth.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,6 +80,15 @@
     /// Returns how many requests this daemon has open at a target.
     std::uint32_t inFlightAt(std::uint32_t targetId) const;
 
+    /// Notes how a send to a target ended, by the target's key.
+    void noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome);
+
+    /// Returns the keys of targets that this daemon could not reach lately.
+    std::vector<std::uint64_t> suspects() const;
+
+    /// Takes the keys of targets that enough other daemons cannot reach: nothing is sent there.
+    void setAvoided(std::set<std::uint64_t>);
+
     /// Returns the work that this daemon has open at targets, for its peers.
     std::vector<Routing::TargetShare> openWork() const;
 
@@ -106,6 +117,8 @@
     Routing::Router m_router;
     Routing::LoadTable m_loads;
     Routing::OpenWork m_openWork;
+    Routing::TargetHealth m_health;
+    std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
     Routing::PrefixIndex m_prefixes;
     std::unique_ptr<Admission::Controller> m_admission;
     std::mt19937_64 m_random;
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -118,14 +118,16 @@
         m_urgency = outcome.prefillSeconds > 0 ? Routing::urgencyOf(outcome.prefillSeconds) : m_work.priority;
         if (outcome.decision.role != Routing::TargetRole::Prefill)
             co_return true;
-        Core::Result<std::string> kvSource = co_await prefill(leg);
+        post(Request::TargetPicked { leg->leg.attempt, m_target });
+        bool wasSent = false;
+        Core::Result<std::string> kvSource = co_await prefill(leg, wasSent);
         if (leg->isAbandoned)
             co_return false;
         releasePlacement();
         if (kvSource.has_error()) {
             logPrefillFailure(kvSource.error());
             // A prompt computed in vain has no effect; whether another target is tried is the machine's decision.
-            post(Request::ConnectFailed { leg->leg });
+            post(Request::ConnectFailed { leg->leg, !wasSent });
             co_return false;
         }
         m_kvSource = kvSource.value();
@@ -135,10 +137,12 @@
     }
 }
 
-boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg)
+boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, bool& wasSent)
 {
     FleetTarget const* target = targetOf(m_target);
     Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
+    if (connected.has_error() && connected.error().code != Core::ErrorCode::Canceled)
+        noteOutcome(Routing::TargetOutcome::Unreachable);
     if (connected.has_error())
         co_return Core::Result<std::string>(connected.error());
     if (leg->isAbandoned)
@@ -148,14 +152,30 @@
     leg->exchange->setHeadTimeout(timeLeft());
     TargetSend send = sendOf(leg->leg.attempt);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
+    wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
+    if (started.has_error() && !leg->isAbandoned) {
+        noteOutcome(Routing::TargetOutcome::Broken);
+        co_return Core::Result<std::string>(started.error());
+    }
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
-    if (started.has_error())
-        co_return Core::Result<std::string>(started.error());
     Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
-    if (response.has_error())
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    if (response.has_error()) {
+        noteOutcome(Routing::TargetOutcome::Broken);
         co_return Core::Result<std::string>(response.error());
-    co_return m_context.targets.readPrefill(*target, m_work, response.value());
+    }
+    Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
+    bool isReplaced = kvSource.has_error() && kvSource.error().code == Core::ErrorCode::NotFound;
+    noteOutcome(isReplaced ? Routing::TargetOutcome::Replaced : Routing::TargetOutcome::Answered);
+    co_return kvSource;
+}
+
+void RequestRunner::noteOutcome(Routing::TargetOutcome outcome) const
+{
+    if (FleetTarget const* target = targetOf(m_target))
+        m_context.dispatcher.noteOutcome(target->key, outcome);
 }
 
 void RequestRunner::logPrefillFailure(Core::Error const& error) const
@@ -189,6 +209,7 @@
         co_return false;
     if (connected.has_error()) {
         Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", target.name }, { "step", "connect" }, { "error", connected.error().message } });
+        noteOutcome(Routing::TargetOutcome::Unreachable);
         post(Request::ConnectFailed { leg->leg });
         co_return false;
     }
@@ -199,6 +220,7 @@
 void RequestRunner::postFailure(LegPointer const& leg, Core::Error const& error)
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    noteOutcome(Routing::TargetOutcome::Broken);
     if (error.verdict == Core::Verdict::NotRun)
         post(Request::ConnectFailed { leg->leg });
     else if (error.code == Core::ErrorCode::Timeout)
@@ -238,7 +260,8 @@
 {
     leg->head = leg->exchange->head();
     AnswerProof proof = m_context.targets.judge(m_work, send, leg->head, nullptr);
-    if (proof == AnswerProof::NotRun) {
+    noteOutcome(proof == AnswerProof::Replaced ? Routing::TargetOutcome::Replaced : Routing::TargetOutcome::Answered);
+    if (proof == AnswerProof::NotRun || proof == AnswerProof::Replaced) {
         leg->exchange->setPieceTimeout(refusalTimeout);
         // Read to its end, so that the connection can be used again.
         std::ignore = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -12,6 +12,12 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds cancelTimeout { 1'000 };
+// Each takes a connect timeout at most; after three the fault is hardly the targets'.
+constexpr std::uint32_t mostUnsentTries = 3;
+// A caller whose request was not run comes back after this time on average: about what a target takes to be found
+// unreachable and another to be chosen. Spread, so that those refused together do not come back together.
+constexpr std::chrono::milliseconds meanRetryAfter { 600 };
+constexpr int partOfTimeLeft = 3; ///< Of the caller's time that the wait may take, the reciprocal.
 
 std::string millisecondsSince(Clock::time_point start, Clock::time_point end)
 {
@@ -44,6 +50,7 @@
     profile.canResume = targets.resumesAtTarget && work.kind == Work::Kind::Model && work.isStreamed;
     profile.canCancel = targets.takesCancels && work.kind == Work::Kind::Model;
     profile.maxAttempts = work.maxAttempts;
+    profile.unsentTries = targets.countsUnsent ? 0 : mostUnsentTries;
     profile.outlivesCaller = work.ticket.has_value();
     profile.deadline = deadline;
     return profile;
@@ -139,11 +146,20 @@
         }
         co_await m_sink->piece(piece->position, std::move(piece->bytes));
     } else if (Request::Finish* finish = std::get_if<Request::Finish>(&action)) {
+        if (finish->verdict == Core::Verdict::NotRun && finish->retryAfter.count() == 0)
+            finish->retryAfter = defaultRetryAfter();
         logFinish(*finish);
         co_await m_sink->finish(std::move(*finish));
     }
 }
 
+std::chrono::milliseconds RequestRunner::defaultRetryAfter() const
+{
+    constexpr std::uint32_t spreadSteps = 1'000;
+    std::chrono::milliseconds spread = meanRetryAfter * (std::hash<std::string>()(m_work.requestId) % spreadSteps) / spreadSteps;
+    return std::min(meanRetryAfter / 2 + spread, timeLeft() / partOfTimeLeft);
+}
+
 void RequestRunner::abandonLeg()
 {
     if (!m_leg)
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -53,7 +53,7 @@
     boost::asio::awaitable<void> runCancel(Request::CancelAtTarget, boost::asio::ip::tcp::endpoint);
     boost::asio::awaitable<PlacementOutcome> place(std::vector<std::string> excluded, Routing::Phase);
     boost::asio::awaitable<bool> placeAttempt(LegPointer, std::vector<std::string> excluded);
-    boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer);
+    boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer, bool& wasSent);
     boost::asio::awaitable<void> releaseKv(boost::asio::ip::tcp::endpoint, std::string kvSource);
     void dropKv();
     void logPrefillFailure(Core::Error const&) const;
@@ -69,6 +69,8 @@
     TargetSend sendOf(std::uint32_t attempt) const;
     std::chrono::steady_clock::time_point now() const;
     std::chrono::milliseconds timeLeft() const;
+    std::chrono::milliseconds defaultRetryAfter() const;
+    void noteOutcome(Routing::TargetOutcome) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -49,7 +49,7 @@
     return keys;
 }
 
-void RoleKeeper::poll(FleetSnapshot const& fleet)
+void RoleKeeper::poll(FleetSnapshot const& fleet, std::set<std::uint64_t> const& unreachable)
 {
     Time now = Clock::now();
     settle(fleet, now);
@@ -61,7 +61,7 @@
             engines[fleet.targets[position].pool].push_back(position);
     }
     for (std::pair<std::string const, std::vector<std::uint32_t>> const& it : engines)
-        plan(fleet, it.first, it.second, now);
+        plan(fleet, it.first, it.second, unreachable, now);
 }
 
 // Ends orders whose engine is seen in its new role, is gone, or has had its time.
@@ -78,7 +78,7 @@
         m_hooks.onChange();
 }
 
-void RoleKeeper::plan(FleetSnapshot const& fleet, std::string const& service, std::vector<std::uint32_t> const& positions, Time now)
+void RoleKeeper::plan(FleetSnapshot const& fleet, std::string const& service, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now)
 {
     Group& group = groupOf(service);
     std::vector<Roles::EngineView> views;
@@ -93,8 +93,8 @@
             view.allowed = view.allowed.with(Routing::TargetRole::Prefill);
         if (allowed.contains(State::Role::Decode))
             view.allowed = view.allowed.with(Routing::TargetRole::Decode);
-        view.state = order != m_orders.end() ? Roles::EngineState::Changing : target.isClosed() ? Roles::EngineState::Down
-                                                                                                : Roles::EngineState::Serving;
+        view.state = order != m_orders.end() ? Roles::EngineState::Changing : target.isClosed() || unreachable.contains(target.key) ? Roles::EngineState::Down
+                                                                                                                                    : Roles::EngineState::Serving;
         views.push_back(view);
     }
     // The rule always sees the fleet, so that whoever comes to plan knows since when a side is short.
@@ -135,7 +135,8 @@
     bool isIdle = state.has_value() && state.value().phase == Platform::EnginePhase::Serving;
     Authority::StoreLease& lease = groupOf(order.service).lease;
     if (!isIdle || !lease.mayOrder(Clock::now())) {
-        giveUp(target, state.has_error() ? state.error().message : isIdle ? "the lease's time is over" : "the engine is changing");
+        giveUp(target, state.has_error() ? state.error().message : isIdle ? "the lease's time is over"
+                                                                          : "the engine is changing");
         co_return;
     }
     Platform::EngineOrder sent;
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,9 @@
     /// Preconditions: all references outlive the object.
     RoleKeeper(boost::asio::io_context&, Platform::KeyedStore&, Platform::EngineControl&, Authority::StoreLeaseHolder self, Authority::StoreLeaseSettings const&, Hooks);
 
-    /// Plans, and carries out what is due. To be called several times a second.
-    void poll(FleetSnapshot const&);
+    /// Plans, and carries out what is due. To be called several times a second. `unreachable` are keys of targets that
+    /// count as lost.
+    void poll(FleetSnapshot const&, std::set<std::uint64_t> const& unreachable);
 
     /// Ends all plans; orders that were sent stay sent.
     void stop() { m_isStopped = true; }
@@ -71,7 +73,7 @@
 
     Group& groupOf(std::string const& service);
     void settle(FleetSnapshot const&, Time now);
-    void plan(FleetSnapshot const&, std::string const& service, std::vector<std::uint32_t> const& positions, Time now);
+    void plan(FleetSnapshot const&, std::string const& service, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now);
     boost::asio::awaitable<void> carryOut(std::string target, Order);
     boost::asio::awaitable<bool> gainLease(std::string service);
     boost::asio::awaitable<void> claim(std::string service);
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -317,6 +317,7 @@
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
+    m_suspects[beacon.sender.name] = beacon.suspects;
     Clock::time_point now = Clock::now();
     for (std::uint64_t target : beacon.changing) {
         bool isNew = !m_changing.contains(target);
@@ -334,6 +335,7 @@
     beacon.isReading = isReading();
     beacon.shares = m_hooks.openWork();
     beacon.changing = m_roles->changing();
+    beacon.suspects = m_hooks.suspects();
     return beacon;
 }
 
@@ -359,7 +361,8 @@
         Clock::time_point now = Clock::now();
         bool isLapsed = m_targets.expire(now);
         bool isOpened = std::erase_if(m_changing, [now](std::pair<std::uint64_t const, Clock::time_point> const& it) { return now >= it.second; }) > 0;
-        m_roles->poll(*m_fleet);
+        findUnreachable(now);
+        m_roles->poll(*m_fleet, m_unreachable);
         if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
             rebuild();
         std::size_t daemons = m_beacons->book().liveCount(now);
@@ -368,6 +371,31 @@
     }
 }
 
+// One daemon may be cut off by itself: only what a third of the daemons, and two at least, cannot reach counts.
+void StoreControl::findUnreachable(Clock::time_point now)
+{
+    constexpr std::size_t partOfDaemons = 3;
+    std::map<std::uint64_t, std::size_t> counts;
+    for (std::uint64_t target : m_hooks.suspects())
+        ++counts[target];
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        if (!m_beacons->book().isLive(it.second, now))
+            continue;
+        for (std::uint64_t target : m_suspects[it.first])
+            ++counts[target];
+    }
+    std::size_t needed = std::max<std::size_t>(2, m_beacons->book().liveCount(now) / partOfDaemons);
+    std::set<std::uint64_t> unreachable;
+    for (std::pair<std::uint64_t const, std::size_t> const& it : counts) {
+        if (it.second >= needed)
+            unreachable.insert(it.first);
+    }
+    if (unreachable == m_unreachable)
+        return;
+    m_unreachable = std::move(unreachable);
+    m_hooks.setAvoided(m_unreachable);
+}
+
 EntryList StoreControl::entries() const
 {
     EntryList list;
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Daemon {
@@ -26,6 +27,8 @@
         std::function<void(State::CallerLimits const&)> setLimits; ///< Called when the operators' limits change.
         std::function<std::vector<Routing::TargetShare>()> openWork;
         std::function<void(std::string const& peer, std::vector<Routing::TargetShare> const&)> takePeerWork;
+        std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
+        std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
     };
 
@@ -89,6 +92,7 @@
     bool readsAlways() const;
     bool isReading() const;
     bool isPlanner() const;
+    void findUnreachable(Core::BootClock::time_point now);
     void rebuild();
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
@@ -112,6 +116,8 @@
     Fleet::TargetBook m_targets;
     std::map<std::string, std::uint32_t> m_targetIds; ///< By incarnation.
     std::uint32_t m_nextTargetId { 0 };
+    std::map<std::string, std::vector<std::uint64_t>> m_suspects; ///< By peer, as last said.
+    std::set<std::uint64_t> m_unreachable; ///< Targets that enough daemons cannot reach.
     std::map<std::uint64_t, Core::BootClock::time_point> m_changing; ///< Until when targets count as changing, as peers said.
     FleetPointer m_fleet;
     std::size_t m_daemons { 0 };
--- a/Libraries/LibDaemon/TargetProtocol.h
+++ b/Libraries/LibDaemon/TargetProtocol.h
@@ -25,6 +25,7 @@
 enum class AnswerProof : std::uint8_t {
     Answer, ///< It is the target's answer to this request.
     NotRun, ///< The target did not run it, and never will.
+    Replaced, ///< As NotRun: whoever is at the address now is not the target that was meant.
     Foreign, ///< It belongs to another request.
     Unusable, ///< It is no answer that may be passed on; the request may have run.
 };
@@ -38,7 +39,7 @@
     std::function<Http::Request(Work const&, TargetSend const&)> prefillRequest;
 
     /// Reads the answer to that: the `kvSource` of the decoding send. Errors: Unavailable, with the verdict NotRun when
-    /// the target refused.
+    /// the target refused; NotFound when another one is at its address now.
     std::function<Core::Result<std::string>(FleetTarget const&, Work const&, Http::Response const&)> readPrefill;
 
     /// Judges an answer by its head, and by its body where that was read (null: not).
@@ -51,6 +52,7 @@
     bool resumesAtTarget { true }; ///< Targets keep streams and resume them on a new connection.
     bool takesCancels { true }; ///< Targets take cancels by request id; else the end of the connection cancels.
     bool keepsConnectionsForAll { false }; ///< Requests that may not be repeated use kept connections too.
+    bool countsUnsent { true }; ///< A try of which nothing reached a target counts as an attempt.
     bool hidesSilence { false }; ///< A silent target is waited for until the deadline: its connection is probed instead.
 };
 
--- a/Libraries/LibRequest/RequestEvent.h
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -58,6 +58,7 @@
 /// No connection, or the first write certainly wrote nothing.
 struct ConnectFailed {
     Leg leg;
+    bool isUnsent { true }; ///< Nothing at all reached a target; false: a target was asked to prepare the run, and did not.
 };
 /// The target said explicitly that it did not run the request.
 struct TargetRefused {
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -121,6 +121,11 @@
     if (m_phase != Phase::Connecting && !isFirstWrite)
         return;
     m_wasWritten = false;
+    if (event.isUnsent && m_unsent < m_profile.unsentTries) {
+        ++m_unsent;
+        startAttempt(now);
+        return;
+    }
     retryOrFinish(now, Core::ErrorCode::Unavailable, "No target could be reached.");
 }
 
@@ -148,7 +153,7 @@
     bool mayRetry = m_profile.isRepeatable && !m_profile.goesToHome && m_delivered == 0;
     if (event.status < firstServerError || !mayRetry)
         return;
-    if (now < m_profile.deadline && m_attempt < m_profile.maxAttempts && m_budget->take(now)) {
+    if (now < m_profile.deadline && m_attempt - m_unsent < m_profile.maxAttempts && m_budget->take(now)) {
         m_mayHaveRunBefore = true;
         m_wasWritten = false;
         startAttempt(now);
@@ -328,7 +333,7 @@
         finishWith(Core::ErrorCode::Timeout, "The deadline passed.");
         return;
     }
-    if (m_attempt >= m_profile.maxAttempts || !m_budget->take(now)) {
+    if (m_attempt - m_unsent >= m_profile.maxAttempts || !m_budget->take(now)) {
         finishWith(code, message);
         return;
     }
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -19,6 +19,7 @@
     bool outlivesCaller { false }; ///< It has a ticket: it goes on and its answer is kept when the caller goes.
     bool goesToHome { false }; ///< It is forwarded to its ticket's home, which alone may say 'not run'.
     std::uint32_t maxAttempts { 4 };
+    std::uint32_t unsentTries { 0 }; ///< Tries of which nothing reached a target that count neither as attempts nor as retries.
     std::uint32_t maxResumes { 4 }; ///< New connections in a row that bring no new piece.
     TimePoint deadline;
 };
@@ -107,6 +108,7 @@
     bool m_headDelivered { false };
     bool m_endsEvent { true }; ///< What has been delivered ends a whole event.
     std::uint32_t m_attempt { 0 };
+    std::uint32_t m_unsent { 0 }; ///< Attempts that do not count.
     std::uint32_t m_connection { 0 };
     std::uint32_t m_resumes { 0 };
     int m_status { 0 }; ///< Of the current attempt's head; 0 before it.
