--- a/Libraries/LibCore/BootClock.h
+++ b/Libraries/LibCore/BootClock.h
@@ -15,6 +15,7 @@
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
 
+    // NOLINTNEXTLINE(readability-identifier-naming): the standard's requirements on clocks name it.
     static constexpr bool is_steady = true;
 
     static time_point now() noexcept
--- a/Libraries/LibState/EntryRoutes.cpp
+++ b/Libraries/LibState/EntryRoutes.cpp
@@ -30,7 +30,11 @@
     for (std::size_t position = 0; position < m_routes.size(); ++position)
         m_byHost[lowered(m_routes[position].host)].push_back(position);
     for (std::pair<std::string const, std::vector<std::size_t>>& it : m_byHost)
-        std::stable_sort(it.second.begin(), it.second.end(), [this](std::size_t a, std::size_t b) { return m_routes[a].pathPrefix.size() > m_routes[b].pathPrefix.size(); });
+        std::sort(it.second.begin(), it.second.end(), [this](std::size_t a, std::size_t b) {
+            std::size_t lengthOfA = m_routes[a].pathPrefix.size();
+            std::size_t lengthOfB = m_routes[b].pathPrefix.size();
+            return lengthOfA != lengthOfB ? lengthOfA > lengthOfB : a < b;
+        });
 }
 
 EntryRoute const* EntryRoutes::find(std::string_view host, std::string_view path) const
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -60,6 +60,12 @@
         co_await Asio::async_write(socket, Asio::buffer(bytes), Asio::use_awaitable);
     }
 
+    ClientConnections()
+    {
+        // Small, so that a long body does not fit in what the kernel keeps for a peer that does not read.
+        m_acceptor.set_option(Asio::socket_base::receive_buffer_size(16'384));
+    }
+
     Asio::io_context m_context;
     Tcp::acceptor m_acceptor { m_context, Tcp::endpoint(Asio::ip::address_v4::loopback(), 0) };
     Tcp::endpoint m_endpoint { m_acceptor.local_endpoint() };
@@ -125,7 +131,7 @@
     });
     run([this]() -> Asio::awaitable<void> {
         for (int n = 0; n < 2; ++n) {
-            Http::Request request { "POST", "/", {}, std::string(30'000'000, 'x') };
+            Http::Request request { "POST", "/", {}, std::string(8'000'000, 'x') };
             Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, request);
             EXPECT_TRUE(response.has_value());
             EXPECT_EQ(response.value().status, 413);
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -30,6 +30,8 @@
 // Below the range from which the kernel takes the ports of outgoing connections.
 constexpr unsigned firstPort = 20'000;
 constexpr unsigned portCount = 12'000;
+// Programs that run side by side begin this far apart: more than the ports that one of them uses.
+constexpr unsigned portStride = 997;
 
 Endpoint loopback(std::uint16_t port)
 {
@@ -39,7 +41,7 @@
 // Returns an address that nobody listens on; each call goes on behind the port before.
 Endpoint freeEndpoint()
 {
-    static unsigned next = static_cast<unsigned>(getpid()) * 31;
+    static unsigned next = static_cast<unsigned>(getpid()) * portStride;
     boost::asio::io_context context;
     while (true) {
         Endpoint endpoint = loopback(static_cast<std::uint16_t>(firstPort + next++ % portCount));
