LibCore: Write logs on a thread of their own that nobody waits for

Cause: a line was written to standard output by whoever logged it; with a pipe that nobody reads all threads stopped. Change: a bounded buffer (2,048 lines) that never blocks; lines left out are summarised. Routing decisions name the configuration's version, the age of the fleet's view and the time left; ends name the Retry-After.

--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -1,8 +1,10 @@
 #include <LibCore/EventLog.h>
 #include <cstdio>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 #include <type_traits>
 
@@ -10,6 +12,9 @@
 
 namespace {
 
+// Some 0.5 MB, and seconds of lines at the rate of a busy daemon.
+constexpr int bufferedLines = 2'048;
+
 log4cxx::LoggerPtr const& logger()
 {
     static log4cxx::LoggerPtr const instance = log4cxx::Logger::getLogger("currantvale");
@@ -57,10 +62,19 @@
 {
     log4cxx::LayoutPtr layout(new log4cxx::PatternLayout("%d{ISO8601} %-5p %m%n"));
     log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemOut()));
-    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::AsyncAppenderPtr buffer(new log4cxx::AsyncAppender());
+    buffer->setBufferSize(bufferedLines);
+    buffer->setBlocking(false);
+    buffer->addAppender(appender);
+    log4cxx::BasicConfigurator::configure(buffer);
     logger()->setLevel(levelOf(threshold));
 }
 
+void stopEventLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 void setEventLogThreshold(Severity threshold)
 {
     logger()->setLevel(levelOf(threshold));
--- a/Libraries/LibCore/EventLog.h
+++ b/Libraries/LibCore/EventLog.h
@@ -24,10 +24,15 @@
     { Severity::Error, "error" },
 } };
 
-/// Sets up log4cxx to write to standard output, lines at or above `threshold` only.
+/// Sets up log4cxx to write to standard output, lines at or above `threshold` only. A thread of its own writes: who logs
+/// never waits for whoever reads standard output. Of lines that find the buffer full, a summary says how many were
+/// left out and shows the most severe.
 /// Precondition: called once, before threads start.
 void startEventLog(Severity threshold);
 
+/// Writes what is still buffered. Precondition: no thread logs any more.
+void stopEventLog();
+
 /// Changes the least severity that is written. Thread-safe.
 void setEventLogThreshold(Severity threshold);
 
--- a/Libraries/LibDaemon/ControlFleet.cpp
+++ b/Libraries/LibDaemon/ControlFleet.cpp
@@ -84,6 +84,7 @@
     std::uint32_t position = 0;
     for (std::pair<std::string const, TargetStatus> const& it : m_targets)
         fleet->targets.push_back(describe(it.second, fleet->view->labels(position++)));
+    fleet->configVersion = m_config->config()->nextOffset();
     addEntries(*fleet);
     fleet->isReady = m_hasVms && m_config->isCaughtUp();
     m_closedForChange.clear();
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/BootClock.h>
 #include <LibPlatform/VmList.h>
 #include <LibRouting/TargetRole.h>
 #include <LibRouting/ZoneDistance.h>
@@ -54,6 +55,8 @@
     std::vector<EntryAddress> entries; ///< Live and not leaving; nearest first, then less loaded first.
     std::vector<EntryAddress> peers; ///< All other daemons on the VM list, leaving ones too.
     std::shared_ptr<State::ServiceConfig const> services; ///< Null where operators edit objects one by one.
+    std::uint64_t configVersion { 0 }; ///< For logs: the version, or the offset behind the last record.
+    Core::BootClock::time_point madeAt { Core::BootClock::now() }; ///< For logs: what it says is at least as old.
     bool isReady { false }; ///< The configuration and the VM list have both been read once.
 };
 
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 namespace Daemon {
 
@@ -12,6 +13,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds cancelTimeout { 1'000 };
+constexpr double millisecondsPerSecond = 1e3;
 // Each takes a connect timeout at most; after three the fault is hardly the targets'.
 constexpr std::uint32_t mostUnsentTries = 3;
 // A caller whose request was not run comes back after this time on average: about what a target takes to be found
@@ -255,11 +257,16 @@
     if (!Core::isLogged(Core::Severity::Info))
         return;
     if (!outcome.position) {
-        Core::logEvent(Core::Severity::Info, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message } });
+        Core::logEvent(Core::Severity::Info, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
         return;
     }
     Routing::Decision const& decision = outcome.decision;
-    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) } });
+    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+}
+
+std::string RequestRunner::fleetAge() const
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_fleet->madeAt).count());
 }
 
 void RequestRunner::logFinish(Request::Finish const& finish) const
@@ -267,7 +274,7 @@
     m_context.metrics.countFinished(finish.verdict, finish.error.has_value());
     Clock::time_point now = Clock::now();
     std::string first = m_firstPieceAt == Clock::time_point() ? "-" : millisecondsSince(m_startedAt, m_firstPieceAt);
-    Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "error", finish.error ? finish.error->message : "-" } });
+    Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "retry_after_ms", std::to_string(finish.retryAfter.count()) }, { "error", finish.error ? finish.error->message : "-" } });
 }
 
 }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -74,6 +74,7 @@
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
+    std::string fleetAge() const;
     void logFinish(Request::Finish const&) const;
 
     TrafficContext& m_context;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -462,6 +462,7 @@
     std::erase_if(m_targetIds, [this](std::pair<std::string const, std::uint32_t> const& it) { return !m_targets.targets().contains(it.first); });
     fleet->view = State::TargetView::create(m_labels, platformTargets);
     fleet->services = m_services;
+    fleet->configVersion = m_services->version;
     fleet->isReady = m_targetList.replica.isComplete();
     m_fleet = std::move(fleet);
     m_hooks.publish(m_fleet);
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -51,9 +51,11 @@
     Core::Result<std::unique_ptr<Daemon::Daemon>> daemon = Daemon::Daemon::create(settings, adaptersFor(settings), [fileName] { return readSettings(fileName); });
     if (daemon.has_error()) {
         Core::logEvent(Core::Severity::Error, Core::Event::ListenerFailed, { { "error", daemon.error().message } });
+        Core::stopEventLog();
         return EXIT_FAILURE;
     }
     daemon.value()->run();
+    Core::stopEventLog();
     return EXIT_SUCCESS;
 }
 
