LibFleet: Take a target's missing entry for an outage only when reads failed

Traced with the new debug line of each read. Change: only reads that failed for 1.5 s begin the grace. The tests that took a pause for an outage say so now with failed reads, and a new one has the pause alone. Heartbeats turned out to be no records, so a read waits for news instead of polling.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -32,6 +32,7 @@
     LogGap = 3005,
     SnapshotWritten = 3006,
     SnapshotLoaded = 3007,
+    StoreRead = 3008,
     LeaseClaimed = 4001,
     LeaseGained = 4002,
     LeaseLost = 4003,
@@ -51,7 +52,7 @@
     TargetRecovered = 6004,
 };
 
-inline constexpr EnumNames<Event, 40> eventNames { {
+inline constexpr EnumNames<Event, 41> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -75,6 +76,7 @@
     { Event::LogGap, "log-gap" },
     { Event::SnapshotWritten, "snapshot-written" },
     { Event::SnapshotLoaded, "snapshot-loaded" },
+    { Event::StoreRead, "store-read" },
     { Event::LeaseClaimed, "lease-claimed" },
     { Event::LeaseGained, "lease-gained" },
     { Event::LeaseLost, "lease-lost" },
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -114,7 +114,9 @@
         FleetTarget const& target = request.fleet->targets[position];
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
-        return !isExcluded && limit != m_limits.end() && limit->second > 0;
+        std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
+        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase);
+        return isFit && !isExcluded && limit != m_limits.end() && limit->second > 0;
     });
     if (!isAnyLeft)
         request.excluded.clear();
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -19,10 +19,14 @@
 constexpr std::chrono::milliseconds eventTimeout { 5'000 };
 // A live engine answers at once whether it knows a stream; the caller waits while a dead one does not.
 constexpr std::chrono::milliseconds resumeHeadTimeout { 2'000 };
+// Of a caller's patience, the part that a request may wait here for a target, the reciprocal.
+constexpr int partOfPatience = 4;
 // A refusal is small and its body follows its head.
 constexpr std::chrono::milliseconds refusalTimeout { 500 };
 constexpr std::size_t wholeBodyLimit = 256U * 1024;
 constexpr std::size_t mostWaitingEvents = 256;
+// The machine's own deadline comes first: a connection's time-out is no news of the target.
+constexpr std::chrono::milliseconds deadlineSlack { 200 };
 // A target that answers with what belongs to other requests this often in a row is not waited for any longer.
 constexpr int mostForeignAnswers = 2;
 
@@ -62,6 +66,9 @@
     request.excluded = std::move(excluded);
     request.kvZone = m_kvSource.empty() ? std::string() : m_kvZone;
     request.latestStart = m_machine.deadline();
+    // Who waits for a target for longer is better off coming back: a stream that begins late is given up by its caller.
+    if (m_work.firstPieceLimit.count() > 0)
+        request.latestStart = std::min(request.latestStart, Clock::now() + m_work.firstPieceLimit / partOfPatience);
     m_placement = m_context.dispatcher.nextId();
     co_return co_await m_context.dispatcher.place(std::move(request), m_context.context.get_executor(), m_placement);
 }
@@ -81,7 +88,7 @@
     if (leg->isAbandoned)
         co_return;
     bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
-    leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft());
+    leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
     Http::Request request = m_context.targets.request(m_work, send);
     Core::Result<void> started = co_await leg->exchange->start(request);
@@ -149,7 +156,7 @@
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
     // The leg's exchange, so that giving the attempt up ends the prefill too.
     leg->exchange = std::move(connected.value());
-    leg->exchange->setHeadTimeout(timeLeft());
+    leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
     wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
@@ -291,7 +298,7 @@
 
 boost::asio::awaitable<void> RequestRunner::readEvents(LegPointer leg, std::uint64_t firstIndex, bool isContinued)
 {
-    leg->exchange->setPieceTimeout(m_context.targets.hidesSilence ? timeLeft() : eventTimeout);
+    leg->exchange->setPieceTimeout(m_context.targets.hidesSilence ? timeLeft() + deadlineSlack : eventTimeout);
     std::string continuedFrom = isContinued ? m_lastEventId : std::string();
     EventSplitter splitter;
     std::uint64_t index = firstIndex;
@@ -330,7 +337,7 @@
 // the caller with nothing and another one may be made.
 boost::asio::awaitable<void> RequestRunner::readBody(LegPointer leg, TargetSend send)
 {
-    leg->exchange->setPieceTimeout(timeLeft());
+    leg->exchange->setPieceTimeout(timeLeft() + deadlineSlack);
     std::string body;
     std::uint64_t index = 0;
     bool isHeadPosted = false;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -19,18 +19,15 @@
 // A configuration is to be in force within 2 s; a read that hangs is given up after its wait and half a second more.
 constexpr std::chrono::milliseconds configurationWait { 1'000 };
 constexpr std::chrono::milliseconds configurationInterval { 50 };
-// Targets write a heartbeat each, so that a read finds news nearly always: what counts is the interval. A target that
-// leaves is to get nothing new after 2 s.
+// A target that leaves is to get nothing new after 2 s. Heartbeats that change nothing are no records of the topic.
 constexpr std::chrono::milliseconds targetWait { 1'000 };
-constexpr std::chrono::milliseconds targetInterval { 500 };
+constexpr std::chrono::milliseconds targetInterval { 50 };
 // Calls to the store are few where the daemons are many: two read all the time, and their beacons tell the others when
 // there is something to read. What a beacon never told is found by a read at these intervals.
 constexpr std::chrono::milliseconds idleInterval { 10'000 };
 // A reader that has not been answered for this long brings no news: three of its intervals.
 constexpr std::chrono::milliseconds readerLapse { 1'500 };
 constexpr std::chrono::milliseconds turnCheckInterval { 50 };
-// Each target writes about once a second: after this time the newest records are fewer than those between.
-constexpr std::chrono::milliseconds skipsAfter { 1'500 };
 // Daemons tell each other of themselves; the store only brings the first ones together.
 constexpr std::chrono::milliseconds daemonWait { 0 };
 constexpr std::chrono::milliseconds daemonInterval { 500 };
@@ -91,7 +88,7 @@
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
     createTopics();
-    m_targetList.skipsAfter = skipsAfter;
+    m_targetList.onFailure = [this] { m_targets.noteFailure(Clock::now()); };
     return Core::ok();
 }
 
@@ -179,8 +176,6 @@
 boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic)
 {
     using News = Core::Result<std::vector<Platform::KeyedRecord>>;
-    if (topic.skipsAfter.count() > 0 && Clock::now() - topic.readAt > topic.skipsAfter)
-        topic.replica.skipToNewest();
     Fleet::StoreReplica::Step step = topic.replica.next();
     if (step.isNewest) {
         Core::Result<Platform::KeyedPage> page = co_await m_store->newest(topic.topic, step.after);
@@ -204,10 +199,13 @@
             co_return;
         if (news.has_error()) {
             noteProblem(topic, news.error().message);
+            topic.onFailure();
             co_await wait(retryDelay);
             continue;
         }
         noteProblem(topic, std::string());
+        if (Core::isLogged(Core::Severity::Debug))
+            Core::logEvent(Core::Severity::Debug, Core::Event::StoreRead, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, topic.topic)) }, { "news", std::to_string(news.value().size()) }, { "next", std::to_string(topic.replica.nextOffset()) }, { "told", std::to_string(m_beacons->book().newest(Clock::now()).targetsChanged) }, { "reader", isReading() ? "yes" : "no" } });
         for (Platform::KeyedRecord const& record : news.value())
             topic.onRecord(record);
         topic.readAt = Clock::now();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -66,8 +66,8 @@
         std::function<bool()> hasNews; ///< Whether another daemon knows more than was read here.
         RecordHook onRecord;
         std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
+        std::function<void()> onFailure { [] { } }; ///< Called after each read that failed.
         Fleet::StoreReplica replica {};
-        std::chrono::milliseconds skipsAfter { 0 }; ///< A read after a longer time skips what came between; 0: none does.
         std::uint64_t newsOffset { 0 }; ///< Behind the last record that changed anything.
         Core::BootClock::time_point readAt {}; ///< When a read last succeeded.
         std::string problem {}; ///< Why it cannot be read now; empty while it can.
--- a/Libraries/LibFleet/StoreReplica.h
+++ b/Libraries/LibFleet/StoreReplica.h
@@ -23,10 +23,6 @@
     /// Returns what to read next: all newest records first, then what follows them.
     Step next() const;
 
-    /// Makes the next read one of the newest records: where keys are written often and read seldom, these are fewer
-    /// than all that came between.
-    void skipToNewest() { m_readsNewest = true; }
-
     /// Takes the answer to a read of records. Returns the records that are news, in their order.
     std::vector<Platform::KeyedRecord> take(Platform::KeyedBatch const&);
 
--- a/Libraries/LibFleet/TargetBook.cpp
+++ b/Libraries/LibFleet/TargetBook.cpp
@@ -2,11 +2,17 @@
 
 namespace Fleet {
 
+void TargetBook::noteFailure(Time now)
+{
+    if (!m_failingSince)
+        m_failingSince = now;
+}
+
 void TargetBook::noteRead(Time now)
 {
-    if (m_readAt && now - *m_readAt > m_settings.awayAfter)
+    if (m_failingSince && now - *m_failingSince > m_settings.awayAfter)
         m_graceUntil = now + m_settings.lapseGrace;
-    m_readAt = now;
+    m_failingSince.reset();
 }
 
 bool TargetBook::list(Platform::ListedTarget const& listed)
--- a/Libraries/LibFleet/TargetBook.h
+++ b/Libraries/LibFleet/TargetBook.h
@@ -10,7 +10,8 @@
 
 /// Intervals of the list of targets.
 struct TargetBookSettings {
-    /// Without a successful read for this long, the store counts as having been away: three read intervals.
+    /// Reads that failed for this long, or an answer that came so late, mean that the store was away: targets' entries
+    /// lapse after three missed heartbeats of a second or so.
     std::chrono::milliseconds awayAfter { 1'500 };
     /// Targets whose entry lapsed while the store was away list themselves again within about two seconds of its
     /// return (the platform's word); one that is missing after that is gone.
@@ -31,6 +32,9 @@
     {
     }
 
+    /// Notes that a read of the list failed. A time without any read says nothing of the store.
+    void noteFailure(Time now);
+
     /// Notes that the store answered a read of the list.
     void noteRead(Time now);
 
@@ -49,7 +53,7 @@
 private:
     TargetBookSettings m_settings;
     std::map<std::string, BookedTarget> m_targets;
-    std::optional<Time> m_readAt;
+    std::optional<Time> m_failingSince; ///< Since the first failed read behind the last good one.
     std::optional<Time> m_graceUntil; ///< Set when the store came back lately.
 };
 
--- /dev/null
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -0,0 +1,211 @@
+#include <LibStandIn/FaultsReader.h>
+#include <LibStandIn/RunnerApi.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <tuple>
+
+namespace StandIn {
+
+namespace {
+
+constexpr std::chrono::milliseconds heartbeatInterval { 300 };
+constexpr std::uint16_t accepted = 202;
+constexpr std::uint16_t conflict = 409;
+constexpr std::uint16_t olderFencing = 412;
+constexpr std::uint16_t misdirected = 421;
+constexpr std::uint16_t unavailable = 503;
+
+std::string field(Http::Request const& request, std::string_view name)
+{
+    return std::string(request.fields.find(name).value_or(""));
+}
+
+std::uint64_t numberUnder(boost::json::object const& object, std::string_view key, std::uint64_t fallback)
+{
+    boost::json::value const* value = object.if_contains(key);
+    return value && value->is_number() ? value->to_number<std::uint64_t>() : fallback;
+}
+
+}
+
+std::shared_ptr<RunnerApi> RunnerApi::create(boost::asio::io_context& context, RunnerSettings settings)
+{
+    return std::shared_ptr<RunnerApi>(new RunnerApi(context, std::move(settings)));
+}
+
+RunnerApi::RunnerApi(boost::asio::io_context& context, RunnerSettings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_client(Http::Client::create(context, {}))
+{
+}
+
+void RunnerApi::startHeartbeats(boost::asio::ip::tcp::endpoint const& address)
+{
+    boost::asio::co_spawn(m_context, heartbeat(Http::toString(address)), boost::asio::detached);
+}
+
+std::string RunnerApi::entry(std::string const& address) const
+{
+    boost::json::object entry { { "service", m_settings.service }, { "addr", address }, { "zone", m_settings.availabilityZone }, { "version", "v1" }, { "slots", 6 }, { "state", "ready" }, { "seq", m_heartbeats } };
+    if (!m_settings.role.empty())
+        entry["stage"] = m_settings.role;
+    return boost::json::serialize(entry);
+}
+
+boost::asio::awaitable<void> RunnerApi::heartbeat(std::string address)
+{
+    boost::asio::steady_timer timer(m_context);
+    while (true) {
+        ++m_heartbeats;
+        std::string value = entry(address);
+        std::string const& key = m_settings.incarnation;
+        std::uint32_t size = static_cast<std::uint32_t>(1 + key.size() + value.size());
+        Http::Request request { "POST", "/currantvale/log-append?topic=keyed.servers&part=0", {}, {} };
+        for (unsigned shift : { 24U, 16U, 8U, 0U })
+            request.body += static_cast<char>(size >> shift & 0xffU);
+        request.body += static_cast<char>(key.size());
+        request.body += key + value;
+        // A heartbeat that is lost is followed by the next.
+        std::ignore = co_await m_client->fetch(m_settings.store, request);
+        timer.expires_after(heartbeatInterval);
+        boost::system::error_code ec;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    }
+}
+
+boost::asio::awaitable<void> RunnerApi::serve(Http::Request& request, Http::ResponseWriter& writer)
+{
+    std::string path = parseTarget(request.target).path;
+    Http::Response response { 200, {}, {} };
+    if (path == "/admin/runs")
+        response = runs();
+    else if (path == "/admin/faults")
+        response = resultResponse(applyFaults(request.body, m_faults));
+    else if (path == "/currantvale/report")
+        response = report();
+    else if (std::string meant = field(request, "X-Target-Instance"); !meant.empty() && meant != m_settings.incarnation)
+        response = refusal(request, misdirected);
+    else if (path == "/currantvale/order")
+        response = order(request);
+    else if (path.starts_with("/currantvale/"))
+        response.status = static_cast<std::uint16_t>(Http::Status::Ok);
+    else if (field(request, "X-Stage") == "prefill")
+        response = prefill(request);
+    else {
+        co_await run(request, writer);
+        co_return;
+    }
+    std::ignore = co_await writer.send(std::move(response));
+}
+
+Http::Response RunnerApi::report() const
+{
+    return objectResponse(Http::Status::Ok, { { "stage", m_settings.role }, { "busy", isChanging() }, { "seq", m_orders }, { "queued", 0 }, { "running", 0 }, { "kv_used", 0 }, { "kv_total", 1'000'000 } });
+}
+
+Http::Response RunnerApi::order(Http::Request const& request)
+{
+    boost::json::object body = boost::json::parse(request.body).as_object();
+    std::uint64_t fencing = numberUnder(body, "fence_token", 0);
+    Http::Response response;
+    if (fencing < m_fencing)
+        response.status = olderFencing;
+    else if (isChanging() || numberUnder(body, "precondition", m_orders) != m_orders)
+        response.status = conflict;
+    else
+        response.status = accepted;
+    if (response.status != accepted)
+        return response;
+    m_fencing = fencing;
+    ++m_orders;
+    m_settings.role = std::string(body.at("stage").as_string());
+    m_changingUntil = std::chrono::steady_clock::now() + m_settings.changeTime;
+    return response;
+}
+
+Http::Response RunnerApi::refusal(Http::Request const& request, std::uint16_t status) const
+{
+    return { status, { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Not-Executed", "1" }, { "X-Instance-Id", m_settings.incarnation } }, {} };
+}
+
+Http::Response RunnerApi::prefill(Http::Request const& request)
+{
+    if (m_settings.role != "prefill" || isChanging() || m_faults.refuses)
+        return refusal(request, m_settings.role != "prefill" ? misdirected : unavailable);
+    return objectResponse(Http::Status::Ok, { { "handle", "h" + std::to_string(++m_prefills) }, { "tokens", 1 }, { "version", 1 } });
+}
+
+Http::Fields RunnerApi::sealed(Http::Request const& request) const
+{
+    return { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Server-Seal", "seal-of-" + m_settings.incarnation } };
+}
+
+// An output needs a KV cache that a prefill target keeps, or computes the prompt itself.
+bool RunnerApi::takesOutput(Http::Request const& request)
+{
+    std::string source = field(request, "X-Kv-Source");
+    return m_settings.role == "decode" && !isChanging() && !m_faults.refuses && (source.empty() || source.find('/') != std::string::npos);
+}
+
+boost::asio::awaitable<void> RunnerApi::run(Http::Request const& request, Http::ResponseWriter& writer)
+{
+    bool isEngine = !m_settings.role.empty();
+    if (m_faults.refuses || (isEngine && !takesOutput(request))) {
+        Http::Response response = refusal(request, unavailable);
+        std::ignore = co_await writer.send(std::move(response));
+        co_return;
+    }
+    ++m_runs[field(request, "X-Request-Id")];
+    if (isEngine) {
+        co_await stream(request, writer);
+        co_return;
+    }
+    if (m_faults.loseReplies > 0) {
+        --m_faults.loseReplies;
+        writer.abort();
+        co_return;
+    }
+    Http::Response response { 200, sealed(request), request.method + " " + request.target + " " + request.body };
+    std::ignore = co_await writer.send(std::move(response));
+}
+
+boost::asio::awaitable<void> RunnerApi::stream(Http::Request const& request, Http::ResponseWriter& writer)
+{
+    Http::ResponseHead head { 200, sealed(request) };
+    head.fields.set("Content-Type", "text/event-stream");
+    if (!(co_await writer.begin(std::move(head))))
+        co_return;
+    std::string last = field(request, "Last-Event-Id");
+    std::uint32_t first = last.empty() ? 1 : static_cast<std::uint32_t>(std::stoul(last)) + 1;
+    boost::asio::steady_timer timer(m_context);
+    for (std::uint32_t n = first; n <= m_settings.pieces; ++n) {
+        if (m_faults.cutAfterEvents != 0 && n - first >= m_faults.cutAfterEvents) {
+            m_faults.cutAfterEvents = 0;
+            writer.abort();
+            co_return;
+        }
+        std::string event = "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + "\n\n";
+        if (!(co_await writer.write(event)))
+            co_return;
+        timer.expires_after(m_settings.pieceTime);
+        boost::system::error_code ec;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    }
+    std::ignore = co_await writer.finish();
+}
+
+Http::Response RunnerApi::runs() const
+{
+    boost::json::object counts;
+    for (std::pair<std::string const, std::uint64_t> const& it : m_runs)
+        counts[it.first] = it.second;
+    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "orders", m_orders }, { "prefills", m_prefills }, { "runs", std::move(counts) } });
+}
+
+}
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -143,3 +143,19 @@
     EXPECT_FALSE(waiting->position);
     EXPECT_EQ(waiting->error.verdict, Core::Verdict::NotRun);
 }
+
+// A retry whose decode targets were all tried goes to one of them again, though prefill targets are left.
+TEST_F(DispatcherTest, ExclusionsFallWhenNoTargetOfAFittingRoleIsLeft)
+{
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = fleetOf(2);
+    fleet->targets[0].role = Routing::TargetRole::Prefill;
+    fleet->targets[1].role = Routing::TargetRole::Decode;
+    m_dispatcher->setFleet(fleet);
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+    request.shape.phase = Routing::Phase::Decode;
+    request.excluded = { "e-1" };
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(request, outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->position, 1U);
+}
--- a/Tests/LibFleet/TestStoreReplica.cpp
+++ b/Tests/LibFleet/TestStoreReplica.cpp
@@ -51,7 +51,9 @@
 {
     StoreReplica replica;
     replica.take(page(10, { { 9, "a", "new" }, { 8, "b", "x" } }));
-    replica.skipToNewest();
+    KeyedBatch expired;
+    expired.isExpired = true;
+    replica.take(expired);
     EXPECT_TRUE(replica.take(page(9, { { 3, "a", "old" } })).empty());
     EXPECT_EQ(replica.find("a")->value, "new");
     EXPECT_NE(replica.find("b"), nullptr);
--- a/Tests/LibFleet/TestTargetBook.cpp
+++ b/Tests/LibFleet/TestTargetBook.cpp
@@ -44,6 +44,8 @@
     book.noteRead(start);
     book.list(target("a"));
     book.list(target("b"));
+    book.noteFailure(start + 1s);
+    book.noteFailure(start + 4s);
     book.noteRead(start + 5s);
     EXPECT_FALSE(book.remove("a", start + 5s));
     EXPECT_FALSE(book.remove("b", start + 5s));
@@ -61,6 +63,28 @@
     TargetBook book;
     book.noteRead(start);
     book.list(target("a", true));
+    book.noteFailure(start + 1s);
     book.noteRead(start + 5s);
     EXPECT_TRUE(book.remove("a", start + 5s));
 }
+
+// A daemon that is told by others when there is something to read may not have read for long: that is no outage.
+TEST(TargetBook, AnEntryThatGoesAfterALongTimeWithoutReadsIsGone)
+{
+    TargetBook book;
+    book.noteRead(start);
+    book.list(target("a"));
+    book.noteRead(start + 8s);
+    EXPECT_TRUE(book.remove("a", start + 8s));
+    EXPECT_TRUE(book.targets().empty());
+}
+
+TEST(TargetBook, ASingleFailedReadIsNoOutage)
+{
+    TargetBook book;
+    book.noteRead(start);
+    book.list(target("a"));
+    book.noteFailure(start + 500ms);
+    book.noteRead(start + 700ms);
+    EXPECT_TRUE(book.remove("a", start + 700ms));
+}
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -38,21 +38,6 @@
     return { boost::asio::ip::address_v4::loopback(), port };
 }
 
-// Returns an address that nobody listens on; each call goes on behind the port before.
-Endpoint freeEndpoint()
-{
-    static unsigned next = static_cast<unsigned>(getpid()) * portStride;
-    boost::asio::io_context context;
-    while (true) {
-        Endpoint endpoint = loopback(static_cast<std::uint16_t>(firstPort + next++ % portCount));
-        tcp::acceptor acceptor(context, tcp::v4());
-        boost::system::error_code ec;
-        acceptor.bind(endpoint, ec);
-        if (!ec)
-            return endpoint;
-    }
-}
-
 std::string program(std::string const& name)
 {
     return std::string(CURRANTVALE_BINARY_DIR "/") + name;
@@ -70,6 +55,21 @@
 
 }
 
+// Each call goes on behind the port before.
+Endpoint freeEndpoint()
+{
+    static unsigned next = static_cast<unsigned>(getpid()) * portStride;
+    boost::asio::io_context context;
+    while (true) {
+        Endpoint endpoint = loopback(static_cast<std::uint16_t>(firstPort + next++ % portCount));
+        tcp::acceptor acceptor(context, tcp::v4());
+        boost::system::error_code ec;
+        acceptor.bind(endpoint, ec);
+        if (!ec)
+            return endpoint;
+    }
+}
+
 bool waitFor(std::function<bool()> const& isMet, std::chrono::seconds bound)
 {
     Clock::time_point end = Clock::now() + bound;
--- a/Tests/Processes/Fleet.h
+++ b/Tests/Processes/Fleet.h
@@ -32,6 +32,9 @@
     bool hasForwarder { false }; ///< Daemons reach engine 0, then the only engine that is listed, through a forwarder.
 };
 
+/// Returns an address that nobody listens on.
+Endpoint freeEndpoint();
+
 /// Polls until the condition holds. Returns whether it did within a bound that only a fault reaches.
 bool waitFor(std::function<bool()> const& isMet, std::chrono::seconds bound = std::chrono::seconds(60));
 
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -3,7 +3,9 @@
 #include <LibHttp/Client.h>
 #include <LibStandIn/EngineApi.h>
 #include <LibStandIn/Forwarder.h>
+#include <LibStandIn/KeyedStoreApi.h>
 #include <LibStandIn/LogApi.h>
+#include <LibStandIn/RunnerApi.h>
 #include <LibStandIn/ServiceApi.h>
 #include <LibStandIn/VmListApi.h>
 #include <LibStandIn/WeightStoreApi.h>
@@ -185,11 +187,49 @@
     return RunningStandIn { std::move(server), std::move(address) };
 }
 
-constexpr std::array<Kind, 6> kinds { {
+void addNoOptions(cxxopts::Options&)
+{
+}
+
+Core::Result<RunningStandIn> startKeyedStore(io_context& context, Arguments const& arguments)
+{
+    return serve(context, arguments, StandIn::KeyedStoreApi::create());
+}
+
+void addRunnerOptions(cxxopts::Options& options)
+{
+    options.add_options()("service", "The service that it belongs to", cxxopts::value<std::string>()->default_value("service"), "NAME");
+    options.add_options()("zone", "Its availability zone", cxxopts::value<std::string>()->default_value("zone-a"), "NAME");
+    options.add_options()("role", "prefill or decode for an engine; none for a plain service", cxxopts::value<std::string>()->default_value(""), "ROLE");
+    options.add_options()("pieces", "Events of a stream", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
+    options.add_options()("piece-ms", "Time between two events", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
+    options.add_options()("store", "The store that it lists itself in", cxxopts::value<std::string>(), "IP:PORT");
+}
+
+Core::Result<RunningStandIn> startRunner(io_context& context, Arguments const& arguments)
+{
+    StandIn::RunnerSettings settings;
+    settings.service = arguments["service"].as<std::string>();
+    settings.availabilityZone = arguments["zone"].as<std::string>();
+    settings.role = arguments["role"].as<std::string>();
+    settings.pieces = arguments["pieces"].as<std::uint32_t>();
+    settings.pieceTime = milliseconds(arguments["piece-ms"].as<std::uint32_t>());
+    settings.incarnation = "i-" + newIncarnation();
+    BOOST_OUTCOME_TRY(settings.store, endpointOf(arguments, "store"));
+    std::shared_ptr<StandIn::RunnerApi> api = StandIn::RunnerApi::create(context, std::move(settings));
+    BOOST_OUTCOME_TRY(RunningStandIn running, serve(context, arguments, api));
+    BOOST_OUTCOME_TRY(tcp::endpoint address, Http::parseEndpoint(running.address));
+    api->startHeartbeats(address);
+    return running;
+}
+
+constexpr std::array<Kind, 8> kinds { {
     { "log", "append-only streams of records with offsets", addLogOptions, startLog },
     { "vms", "the list of live and leaving VMs", addVmListOptions, startVmList },
     { "engine", "a model engine", addEngineOptions, startEngine },
     { "service", "a plain service that repeats what it is sent", addServiceOptions, startService },
+    { "keyed-store", "the users' platform's store of keyed records", addNoOptions, startKeyedStore },
+    { "runner", "a target on the users' platform", addRunnerOptions, startRunner },
     { "weights", "the rate-limited weight store", addWeightStoreOptions, startWeightStore },
     { "forwarder", "a TCP forwarder that can be paused and cut", addForwarderOptions, startForwarder },
 } };
