--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibRoles/FleetView.h>
 #include <LibCore/BootClock.h>
+#include <LibRoles/FleetView.h>
 #include <chrono>
 #include <cstdint>
 #include <optional>
