--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -30,7 +30,7 @@
 constexpr std::chrono::milliseconds turnCheckInterval { 50 };
 // Daemons tell each other of themselves; the store only brings the first ones together.
 constexpr std::chrono::milliseconds daemonWait { 0 };
-constexpr std::chrono::milliseconds daemonInterval { 500 };
+constexpr std::chrono::milliseconds daemonInterval { 2'000 };
 constexpr std::chrono::milliseconds daemonIdleInterval { 20'000 };
 constexpr std::chrono::milliseconds readSlack { 500 };
 constexpr std::chrono::milliseconds retryDelay { 200 };
--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -23,21 +23,48 @@
         -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >"$1.configure.log" 2>&1 || { cat "$1.configure.log"; exit 1; }
 }
 
+build() { # name, sanitizer, target
+    configure "Build/$1" "$2"
+    cmake --build "Build/$1" -j "$jobs" --target "$3" >"Build/$1.build.log" 2>&1 || { grep -E 'error|FAILED|undefined' -A5 "Build/$1.build.log" | head -100; exit 1; }
+}
+
 build_and_test() { # name, sanitizer, target, further ctest arguments
-    local folder="Build/$1" sanitizer="$2" target="$3"
+    local folder="Build/$1"
+    build "$1" "$2" "$3"
     shift 3
-    configure "$folder" "$sanitizer"
-    cmake --build "$folder" -j "$jobs" --target "$target" >"$folder.build.log" 2>&1 || { grep -E 'error|FAILED|undefined' -A5 "$folder.build.log" | head -100; exit 1; }
     ctest --test-dir "$folder" -j 6 --output-on-failure --no-tests=error "$@"
 }
 
 run_format() { sources | xargs "$formatter" --dry-run --Werror; }
 
-run_lint() {
-    configure Build/plain ""
-    export linter
+# What the linter found clean stays so while the file, everything of ours that it includes, the linter and its settings are
+# the same: a hash of all of these names an empty file in the cache. What was not clean is never remembered.
+lint_cache="${XDG_CACHE_HOME:-$HOME/.cache}/currantvale-lint"
+
+# Prints, for each of our source files, itself and the files of ours that it includes, on one line.
+dependencies() {
+    ninja -C Build/plain -t deps | awk -v root="$PWD/" '
+        function ours(path) { sub("^(\\.\\./)+", "", path); if (index(path, root) == 1) path = substr(path, length(root) + 1); return path }
+        /^[^ ].*: #deps/ { if (line != "") print line; line = ""; next }
+        /^ / { path = ours($1); if (path !~ /^\//) line = line (line == "" ? "" : " ") path }
+        END { if (line != "") print line }'
+}
+
+lint_one() { # source, files that it includes...
+    local key out
+    key=$({ "$linter" --version; cat .clang-tidy "$@"; } | sha256sum | cut -d' ' -f1)
+    [ -e "$lint_cache/$key" ] && return 0
     # A file's findings are printed whole, and only when there are some.
-    sources | grep '\.cpp$' | xargs -P "$jobs" -I{} bash -c 'out=$("$linter" -p Build/plain --quiet {} 2>&1) || { echo "$out"; exit 1; }'
+    out=$("$linter" -p Build/plain --quiet "$1" 2>&1) || { echo "$out"; return 1; }
+    touch "$lint_cache/$key"
+}
+
+run_lint() {
+    build plain "" all
+    mkdir -p "$lint_cache"
+    export linter lint_cache
+    export -f lint_one
+    dependencies | grep -v '\.pb\.cc ' | grep '^[^ ]*\.cpp ' | sort -u | xargs -P "$jobs" -d '\n' -I{} bash -c 'lint_one {}'
 }
 
 step() { echo "== $1 ($(date +%T))"; "run_$1"; }
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -10,6 +10,7 @@
 readonly build=Build/plain
 readonly bin=$build/bin
 readonly samples=Meta/samples
+readonly store=127.0.0.1:8520
 readonly entry=127.0.0.1:8101 other_entry=127.0.0.1:8102 records=127.0.0.1:8601
 run=$(mktemp -d)
 pids=()
@@ -100,6 +101,48 @@
     done
 }
 
+# One record of a keyed topic: its length in four bytes, big-endian, and in it the key's length, the key and the value.
+keyed_record() { # key, value
+    local size=$((1 + ${#1} + ${#2})) n
+    for n in $((size >> 24 & 255)) $((size >> 16 & 255)) $((size >> 8 & 255)) $((size & 255)) ${#1}; do printf "\\$(printf %03o "$n")"; done
+    printf %s "$1$2"
+}
+
+# The settings of a daemon on the users' platform, filled in from deploy/entry.ini as the platform does it.
+platform_settings() { # number
+    sed -e "s/{{node}}/front-$1/; s/{{zone}}/tanta-hall/; s/{{region}}/delta-north/; s/{{ip}}:{{port_range.0}}/127.0.0.1:853$1/" \
+        -e "s/{{ip}}:{{port_range.1}}/127.0.0.1:854$1/; s/{{listen.front}}/127.0.0.1:855$1/; s/{{listen.directory}}/127.0.0.1:856$1/" \
+        -e "s/{{listen.ready}}/127.0.0.1:857$1/; s/{{provider.addr}}/$store/; s/{{bounds.grace_s}}/8/; s/{{bounds.lease_ms}}/3000/" \
+        -e "s/{{bounds.retry_budget_ratio}}/0.2/; s/{{bounds.budget_extra}}/50/; s/{{bounds.budget_window_s}}/10/" deploy/entry.ini
+}
+
+start_platform() {
+    local n role
+    start store "$bin/currantvale-standin" keyed-store --listen "$store"
+    n=0
+    for role in prefill decode decode; do
+        n=$((n + 1))
+        start "runner-$n" "$bin/currantvale-standin" runner --listen "127.0.0.1:858$n" --service llm --role "$role" --zone tanta-hall --store "$store"
+    done
+    start app "$bin/currantvale-standin" runner --listen 127.0.0.1:8589 --service app --zone tanta-hall --store "$store"
+    wait_for "the store" curl -s "http://$store/"
+    keyed_record config '{"version":1,"routes":[{"name":"histories","host":"demo.example","path_prefix":"/h/","kind":"stream","timeout_ms":6000,"goal_ms":600,"priority":2,"service":"llm","max_attempts":1,"resumable":false,"gap_target_ms":150},{"name":"confirm","host":"demo.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":1000,"goal_ms":150,"priority":2,"service":"app","max_attempts":1}],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"}]}' \
+        | curl -sf --data-binary @- "http://$store/currantvale/log-append?topic=keyed.op&part=0" >/dev/null
+    for n in 1 2; do
+        platform_settings "$n" >"$run/front-$n.ini"
+        start "front-$n" "$bin/currantvaled" --settings "$run/front-$n.ini"
+        wait_for "front-$n" curl -sf "http://127.0.0.1:857$n/"
+    done
+}
+
+ask_platform() { # name, path, expected status, request id
+    local status
+    status=$(curl -sS -N -o "$run/$1.body" -w '%{http_code} first byte %{time_starttransfer} s' -H 'Host: demo.example' -H "X-Request-Id: $4" -H 'X-Deadline-Ms: 5000' \
+        -H 'X-Token-Usage: 1460,80' -H 'X-Prompt-Prefix: 5c1e:1210,e440:250' --data question "http://127.0.0.1:8551$2") || fail "$1: no answer"
+    echo "  $1: status $status, $(wc -c <"$run/$1.body") bytes"
+    [ "${status%% *}" = "$3" ] || fail "$1: status $status"
+}
+
 trap 'stop_all' EXIT
 echo "== build"
 build_all
@@ -140,6 +183,16 @@
 done
 ctl undrain reasoning-1 --wait
 
+echo "== the users' platform: a keyed store, engines apart for prompts and outputs, two daemons that callers ask for"
+start_platform
+echo "  daemons to use: $(curl -sf "http://127.0.0.1:8561/?name=demo.example")"
+wait_for "the first stream" curl -sf -o /dev/null -H 'Host: demo.example' -H 'X-Request-Id: demo-0' --data question http://127.0.0.1:8551/h/1
+ask_platform platform-stream /h/1 200 demo-1
+[ "$(grep -c '^id: ' "$run/platform-stream.body")" = 10 ] || fail "the platform's stream is not whole"
+ask_platform platform-call /c/1 200 demo-2
+ask_platform platform-no-route /none/ 404 demo-3
+curl -sf http://127.0.0.1:8589/admin/runs | grep -q '"demo-2":1' || fail "the call did not run exactly once"
+
 if [ "$keep" = yes ]; then
     trap - EXIT
     echo "== left running; logs and the token are in $run; stop with: kill ${pids[*]}"
