--- /dev/null
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -0,0 +1,179 @@
+// The part of StoreControl that takes what was read or heard and makes the fleet's snapshot of it.
+
+#include <LibCore/EventLog.h>
+#include <LibDaemon/StoreControl.h>
+#include <algorithm>
+#include <tuple>
+#include <xxhash.h>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = Core::BootClock;
+
+// A peer repeats in each beacon which targets it changes; five lost ones in a row are unlikely.
+constexpr std::chrono::milliseconds changingLifetime { 600 };
+
+std::uint64_t keyOf(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+}
+
+// Whatever a read says, a version never goes back.
+void StoreControl::takeConfiguration(Platform::KeyedRecord const& record)
+{
+    if (record.key != m_adapters.codec.configurationKey || !record.value)
+        return;
+    Core::Result<State::ServiceConfig> decoded = m_adapters.codec.decodeConfiguration(*record.value);
+    if (decoded.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::ConfigurationRefused, { { "offset", std::to_string(record.offset) }, { "error", decoded.error().message } });
+        return;
+    }
+    if (m_services && decoded.value().version <= m_services->version)
+        return;
+    Core::Result<std::shared_ptr<State::Config const>> labels = State::toLabelConfig(decoded.value(), record.offset);
+    if (labels.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::ConfigurationRefused, { { "offset", std::to_string(record.offset) }, { "error", labels.error().message } });
+        return;
+    }
+    m_services = std::make_shared<State::ServiceConfig const>(std::move(decoded.value()));
+    m_labels = labels.value();
+    Core::logEvent(Core::Severity::Info, Core::Event::ConfigurationAccepted, { { "revision", std::to_string(m_services->version) }, { "offset", std::to_string(record.offset) }, { "routes", std::to_string(m_services->routes.all().size()) }, { "services", std::to_string(m_services->services.size()) } });
+    m_hooks.setLimits(m_services->limits);
+    rebuild();
+}
+
+// Returns whether the record changes anything but a heartbeat.
+bool StoreControl::takeTarget(Platform::KeyedRecord const& record)
+{
+    if (!record.value) {
+        if (m_targets.remove(record.key, Clock::now())) {
+            Core::logEvent(Core::Severity::Info, Core::Event::TargetRemoved, { { "target", record.key } });
+            m_isTargetListChanged = true;
+        }
+        return true;
+    }
+    Core::Result<Platform::ListedTarget> listed = m_adapters.codec.decodeTarget(record.key, *record.value);
+    if (listed.has_error()) {
+        Core::logEvent(Core::Severity::Error, Core::Event::TargetUnreachable, { { "target", record.key }, { "error", listed.error().message } });
+        return false;
+    }
+    if (!m_targets.list(listed.value()))
+        return false;
+    m_isTargetListChanged = true;
+    Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
+    return true;
+}
+
+void StoreControl::takeDaemon(Platform::KeyedRecord const& record)
+{
+    if (!record.value || record.key == m_settings.daemon.name)
+        return;
+    Core::Result<Platform::ListedDaemon> listed = decodeListedDaemon(record.key, *record.value);
+    if (listed.has_value())
+        m_beacons->book().list(listed.value(), Clock::now());
+    else
+        Core::logEvent(Core::Severity::Error, Core::Event::MemberChanged, { { "daemon", record.key }, { "from", "unknown" }, { "to", "unreadable" }, { "leaving", "no" } });
+}
+
+void StoreControl::takeBeacon(BeaconMessage const& beacon)
+{
+    m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
+    m_suspects[beacon.sender.name] = beacon.suspects;
+    Clock::time_point now = Clock::now();
+    for (std::uint64_t target : beacon.changing) {
+        bool isNew = !m_changing.contains(target);
+        m_changing[target] = now + changingLifetime;
+        m_isTargetListChanged = m_isTargetListChanged || isNew;
+    }
+}
+
+// One daemon may be cut off by itself: only what a third of the daemons, and two at least, cannot reach counts.
+void StoreControl::findUnreachable(Clock::time_point now)
+{
+    constexpr std::size_t partOfDaemons = 3;
+    std::map<std::uint64_t, std::size_t> counts;
+    for (std::uint64_t target : m_hooks.suspects())
+        ++counts[target];
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        if (!m_beacons->book().isLive(it.second, now))
+            continue;
+        for (std::uint64_t target : m_suspects[it.first])
+            ++counts[target];
+    }
+    std::size_t needed = std::max<std::size_t>(2, m_beacons->book().liveCount(now) / partOfDaemons);
+    std::set<std::uint64_t> unreachable;
+    for (std::pair<std::uint64_t const, std::size_t> const& it : counts) {
+        if (it.second >= needed)
+            unreachable.insert(it.first);
+    }
+    if (unreachable == m_unreachable)
+        return;
+    m_unreachable = std::move(unreachable);
+    m_hooks.setAvoided(m_unreachable);
+}
+
+std::string StoreControl::whyClosed(Fleet::BookedTarget const& target, std::uint64_t key) const
+{
+    if (target.listed.isLeaving)
+        return "leaving";
+    if (m_roles->isChanging(target.listed.incarnation) || m_changing.contains(key))
+        return "changing its role";
+    return {};
+}
+
+FleetTarget StoreControl::describeTarget(Fleet::BookedTarget const& booked)
+{
+    Platform::ListedTarget const& listed = booked.listed;
+    std::pair<std::map<std::string, std::uint32_t>::iterator, bool> id = m_targetIds.try_emplace(listed.incarnation, m_nextTargetId);
+    m_nextTargetId += id.second ? 1 : 0;
+    State::ServiceTerms const* terms = m_services->find(listed.service);
+    bool isEngine = terms && terms->engine;
+    FleetTarget target;
+    target.id = id.first->second;
+    target.key = keyOf(listed.incarnation);
+    target.name = listed.incarnation;
+    target.incarnation = listed.incarnation;
+    target.endpoint = listed.address;
+    target.kind = isEngine ? Platform::VmKind::Engine : Platform::VmKind::Service;
+    (isEngine ? target.model : target.service) = listed.service;
+    target.pool = listed.service;
+    target.role = isEngine ? listed.role.value_or(Routing::TargetRole::Mixed) : Routing::TargetRole::Mixed;
+    target.availabilityZone = listed.availabilityZone;
+    target.distance = listed.availabilityZone == m_settings.daemon.availabilityZone ? Routing::ZoneDistance::SameZone : Routing::ZoneDistance::SameRegion;
+    target.slots = isEngine ? terms->engine->slots : listed.slots;
+    target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
+    target.closedBecause = whyClosed(booked, target.key);
+    return target;
+}
+
+void StoreControl::rebuild()
+{
+    if (!m_labels)
+        return;
+    std::vector<State::PlatformTarget> platformTargets;
+    std::shared_ptr<FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
+    for (std::pair<std::string const, Fleet::BookedTarget> const& it : m_targets.targets()) {
+        FleetTarget target = describeTarget(it.second);
+        Label::LabelSet labels;
+        // A value outside the label syntax is left out: no selector could name it.
+        std::ignore = labels.set("name", target.name);
+        std::ignore = labels.set("zone", it.second.listed.availabilityZone);
+        std::ignore = labels.set("kind", Core::nameOf(Platform::vmKindNames, target.kind));
+        std::ignore = labels.set(State::serviceLabel, it.second.listed.service);
+        platformTargets.push_back({ target.name, std::move(labels) });
+        fleet->targets.push_back(std::move(target));
+    }
+    std::erase_if(m_targetIds, [this](std::pair<std::string const, std::uint32_t> const& it) { return !m_targets.targets().contains(it.first); });
+    fleet->view = State::TargetView::create(m_labels, platformTargets);
+    fleet->services = m_services;
+    fleet->configVersion = m_services->version;
+    fleet->isReady = m_targetList.replica.isComplete();
+    m_fleet = std::move(fleet);
+    m_hooks.publish(m_fleet);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HeadLines.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace Http {
+
+/// Returns whether each line feed of a message's head, from position `from` on, ends a line as RFC 9112, section 2.2, has
+/// it (CRLF), and no line but the first begins with white space (obsolete folding, section 5.2). Thread-safe.
+bool hasStrictLines(std::string_view head, std::size_t from);
+
+}
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,3 +1,4 @@
+#include <LibHttp/HeadLines.h>
 #include <LibHttp/ServerConnection.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -287,18 +288,6 @@
         }
     }
 
-    // Whether each line feed from `from` on ends a line as it should, and no line but the first begins with white space.
-    static bool hasStrictLines(std::string_view head, std::size_t from)
-    {
-        for (std::size_t at = head.find('\n', from); at != std::string_view::npos; at = head.find('\n', at + 1)) {
-            bool hasReturn = at > 0 && head[at - 1] == '\r';
-            bool isFolded = at + 1 < head.size() && (head[at + 1] == ' ' || head[at + 1] == '\t');
-            if (!hasReturn || isFolded)
-                return false;
-        }
-        return true;
-    }
-
     // Beast's own timeout closes the socket, which leaves no way to tell a slow sender so.
     void armReadTimer(std::chrono::milliseconds timeout)
     {
