LibDaemon: Hand the store's records on between daemons

Cause: what is new in the store reached each daemon by a read of its own, 90 reads a news on a site of 90, and a daemon that started while the store was away had nobody to learn from: it answered 503 until the store returned, though its peers had everything.

Change: Fleet::StoreReplica tells a peer what it does not have (all, where it does not know each change); Daemon::RecordExchange carries that over streams of LibPeer on the peers' address. A restarted process hears the beacons that the others still send to its address. Readers tell by beacon that the store came back, so that the others keep lapsed targets, too.

Tests: replicas that tell each other in any order agree with the store (property); a process that starts while the store is down serves and is listed (TestKeyedPlatform; answered 503 before); grace told by others is not told on.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -33,6 +33,7 @@
     SnapshotWritten = 3006,
     SnapshotLoaded = 3007,
     StoreRead = 3008,
+    PeerRecords = 3009,
     LeaseClaimed = 4001,
     LeaseGained = 4002,
     LeaseLost = 4003,
@@ -52,7 +53,7 @@
     TargetRecovered = 6004,
 };
 
-inline constexpr EnumNames<Event, 41> eventNames { {
+inline constexpr EnumNames<Event, 42> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -77,6 +78,7 @@
     { Event::SnapshotWritten, "snapshot-written" },
     { Event::SnapshotLoaded, "snapshot-loaded" },
     { Event::StoreRead, "store-read" },
+    { Event::PeerRecords, "peer-records" },
     { Event::LeaseClaimed, "lease-claimed" },
     { Event::LeaseGained, "lease-gained" },
     { Event::LeaseLost, "lease-lost" },
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -60,6 +60,7 @@
     message.set_targets_changed(beacon.targetsChanged);
     message.set_is_reading(beacon.isReading);
     message.set_cannot_plan(beacon.cannotPlan);
+    message.set_lapse_grace_ms(static_cast<std::uint32_t>(beacon.lapseGrace.count()));
     for (Routing::TargetShare const& share : beacon.shares) {
         Proto::TargetShare* added = message.add_shares();
         added->set_target(share.target);
@@ -85,6 +86,7 @@
     beacon.targetsChanged = message.targets_changed();
     beacon.isReading = message.is_reading();
     beacon.cannotPlan = message.cannot_plan();
+    beacon.lapseGrace = std::chrono::milliseconds(message.lapse_grace_ms());
     for (Proto::TargetShare const& share : message.shares())
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
     beacon.changing.assign(message.changing().begin(), message.changing().end());
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -4,6 +4,7 @@
 #include <LibCore/Result.h>
 #include <LibPlatform/Directory.h>
 #include <LibRouting/OpenWork.h>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,6 +24,7 @@
     std::vector<Routing::TargetShare> shares; ///< Its open work.
     std::vector<std::uint64_t> suspects; ///< Keys of targets that it could not reach lately.
     std::vector<std::uint64_t> changing; ///< Keys of targets that it has ordered to change role.
+    std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
 };
 
 /// Forms of what daemons say to each other and keep in the store. `decode` errors: Corrupt. Thread-safe.
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -3,6 +3,7 @@
 #include <LibDaemon/Adapters.h>
 #include <LibDaemon/BeaconExchange.h>
 #include <LibDaemon/Control.h>
+#include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <LibFleet/StoreReplica.h>
 #include <LibFleet/TargetBook.h>
@@ -63,7 +64,7 @@
         std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
         std::chrono::milliseconds interval { 0 }; ///< Least time between two reads.
         std::chrono::milliseconds idleInterval { 0 }; ///< The same, while others read all the time and tell what is new.
-        std::function<bool()> hasNews; ///< Whether another daemon knows more than was read here.
+        std::function<bool(Fleet::DaemonState const&)> isNews; ///< Whether one that says this knows more than was read here.
         RecordHook onRecord;
         std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
         std::function<void()> onFailure { [] { } }; ///< Called after each read that failed.
@@ -78,6 +79,12 @@
     void createTopics();
     boost::asio::awaitable<void> follow(Followed&);
     boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&);
+    boost::asio::awaitable<bool> learnFromPeer(Followed&);
+    void apply(Followed&, std::vector<Platform::KeyedRecord> const&, bool wasComplete);
+    Fleet::BookedDaemon const* tellerOf(Followed const&) const;
+    Core::Result<Fleet::StoreReplica::Extract> extract(RecordsRequest const&) const;
+    bool hasNews(Followed const&) const;
+    bool isTold(Followed const&) const;
     boost::asio::awaitable<void> waitForTurn(Followed const&, Core::BootClock::time_point begunAt);
     boost::asio::awaitable<void> listSelf();
     boost::asio::awaitable<void> unlistSelf(std::function<void()> onDone);
@@ -107,6 +114,7 @@
     std::unique_ptr<Platform::KeyedStore> m_store;
     std::unique_ptr<Platform::EngineControl> m_engines;
     std::unique_ptr<BeaconExchange> m_beacons;
+    std::unique_ptr<RecordExchange> m_records;
     std::unique_ptr<RoleKeeper> m_roles;
     Followed m_configuration;
     Followed m_targetList;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -84,6 +84,7 @@
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
     m_suspects[beacon.sender.name] = beacon.suspects;
     Clock::time_point now = Clock::now();
+    m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
     for (std::uint64_t target : beacon.changing) {
         bool isNew = !m_changing.contains(target);
         m_changing[target] = now + changingLifetime;
--- a/Libraries/LibFleet/StoreReplica.cpp
+++ b/Libraries/LibFleet/StoreReplica.cpp
@@ -60,11 +60,43 @@
         news.push_back(it.second);
     }
     m_next = m_pagesFrom;
+    m_wholeFrom = m_pagesFrom;
     m_readsNewest = false;
     m_isComplete = true;
     return news;
 }
 
+StoreReplica::Extract StoreReplica::extract(std::uint64_t from, bool wantsAll) const
+{
+    Extract extract;
+    extract.next = m_next;
+    extract.isAll = wantsAll || from < m_wholeFrom;
+    for (std::pair<std::string const, Platform::KeyedRecord> const& it : m_records) {
+        bool isWanted = extract.isAll ? it.second.value.has_value() : it.second.offset >= from;
+        if (isWanted)
+            extract.records.push_back(it.second);
+    }
+    std::sort(extract.records.begin(), extract.records.end(), [](Platform::KeyedRecord const& a, Platform::KeyedRecord const& b) { return a.offset < b.offset; });
+    return extract;
+}
+
+std::vector<Platform::KeyedRecord> StoreReplica::take(Extract const& extract)
+{
+    if (extract.isAll) {
+        // Parts that were read before are dropped: this is the whole.
+        m_pages = extract.records;
+        m_pagesFrom = extract.next;
+        return finishPages();
+    }
+    std::vector<Platform::KeyedRecord> news;
+    for (Platform::KeyedRecord const& record : extract.records) {
+        if (takeRecord(record))
+            news.push_back(record);
+    }
+    m_next = std::max(m_next, extract.next);
+    return news;
+}
+
 bool StoreReplica::takeRecord(Platform::KeyedRecord const& record)
 {
     std::pair<std::map<std::string, Platform::KeyedRecord>::iterator, bool> added = m_records.try_emplace(record.key, record);
--- a/Libraries/LibFleet/StoreReplica.h
+++ b/Libraries/LibFleet/StoreReplica.h
@@ -33,6 +33,20 @@
     /// Takes a record from somewhere else, such as a peer. Returns whether it is news.
     bool takeRecord(Platform::KeyedRecord const&);
 
+    /// What this replica can tell a peer.
+    struct Extract {
+        std::vector<Platform::KeyedRecord> records;
+        std::uint64_t next { 0 }; ///< The offset behind what was read here.
+        bool isAll { false }; ///< The newest records of all keys; else all changes from the offset asked for.
+    };
+
+    /// Returns the changes from `from` on, or the newest records of all keys where `wantsAll`, or where the changes
+    /// are not all known here. Precondition: `isComplete`.
+    Extract extract(std::uint64_t from, bool wantsAll) const;
+
+    /// Takes what a peer told, in place of a read. Returns the records that are news, removals among them.
+    std::vector<Platform::KeyedRecord> take(Extract const&);
+
     /// Whether all newest records were read once.
     bool isComplete() const { return m_isComplete; }
 
@@ -53,6 +67,7 @@
     bool m_readsNewest { true };
     std::string m_after;
     std::uint64_t m_pagesFrom { 0 }; ///< Where the topic ended when the first part was read.
+    std::uint64_t m_wholeFrom { 0 }; ///< From here on every change was seen; of earlier ones only what was left of them.
     std::vector<Platform::KeyedRecord> m_pages;
 };
 
--- a/Libraries/LibFleet/TargetBook.cpp
+++ b/Libraries/LibFleet/TargetBook.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/TargetBook.h>
+#include <algorithm>
 
 namespace Fleet {
 
@@ -11,10 +12,24 @@
 void TargetBook::noteRead(Time now)
 {
     if (m_failingSince && now - *m_failingSince > m_settings.awayAfter)
-        m_graceUntil = now + m_settings.lapseGrace;
+        m_graceUntil = m_ownGraceUntil = now + m_settings.lapseGrace;
     m_failingSince.reset();
 }
 
+void TargetBook::noteReturnElsewhere(Time now, std::chrono::milliseconds graceLeft)
+{
+    Time until = now + std::min(graceLeft, m_settings.lapseGrace);
+    if (graceLeft.count() > 0 && (!m_graceUntil || *m_graceUntil < until))
+        m_graceUntil = until;
+}
+
+std::chrono::milliseconds TargetBook::graceLeft(Time now) const
+{
+    if (!m_ownGraceUntil || now >= *m_ownGraceUntil)
+        return std::chrono::milliseconds(0);
+    return std::chrono::ceil<std::chrono::milliseconds>(*m_ownGraceUntil - now);
+}
+
 bool TargetBook::list(Platform::ListedTarget const& listed)
 {
     BookedTarget& target = m_targets[listed.incarnation];
--- a/Libraries/LibFleet/TargetBook.h
+++ b/Libraries/LibFleet/TargetBook.h
@@ -38,6 +38,13 @@
     /// Notes that the store answered a read of the list.
     void noteRead(Time now);
 
+    /// Notes that the store has come back at a daemon that reads it all the time: for so long more, targets whose entries
+    /// lapsed may list themselves again. This daemon itself may not have noticed that the store was away.
+    void noteReturnElsewhere(Time now, std::chrono::milliseconds graceLeft);
+
+    /// Returns how long targets whose entries lapsed are kept, as this daemon's own reads tell; 0: they are not.
+    std::chrono::milliseconds graceLeft(Time now) const;
+
     /// Takes a target's entry. Returns whether anything but its heartbeat changed.
     bool list(Platform::ListedTarget const&);
 
@@ -55,6 +62,7 @@
     std::map<std::string, BookedTarget> m_targets;
     std::optional<Time> m_failingSince; ///< Since the first failed read behind the last good one.
     std::optional<Time> m_graceUntil; ///< Set when the store came back lately.
+    std::optional<Time> m_ownGraceUntil; ///< The same, by this daemon's own reads alone: only that is told to others.
 };
 
 }
--- a/Tests/LibFleet/TestStoreReplica.cpp
+++ b/Tests/LibFleet/TestStoreReplica.cpp
@@ -95,3 +95,117 @@
         }
     }
 }
+
+TEST(StoreReplica, HandsOnWhatAPeerDoesNotHave)
+{
+    StoreReplica teller;
+    teller.take(page(5, { { 4, "a", "1" }, { 2, "b", "1" } }));
+    teller.take(batch(7, { { 5, "a", "2" }, { 6, "b", std::nullopt } }));
+    StoreReplica asker;
+    asker.take(page(5, { { 4, "a", "1" }, { 2, "b", "1" } }));
+    StoreReplica::Extract told = teller.extract(asker.next().from, asker.next().isNewest);
+    EXPECT_FALSE(told.isAll);
+    EXPECT_EQ(asker.take(told).size(), 2U);
+    EXPECT_EQ(asker.find("a")->value, "2");
+    EXPECT_EQ(asker.find("b"), nullptr);
+    EXPECT_EQ(asker.nextOffset(), 7U);
+    EXPECT_TRUE(asker.take(told).empty());
+}
+
+// A teller that began later never saw the removal of a key: it says all that there is instead of what changed.
+TEST(StoreReplica, TellsAllWhereItDoesNotKnowEachChange)
+{
+    StoreReplica asker;
+    asker.take(page(5, { { 4, "a", "1" }, { 2, "b", "1" } }));
+    StoreReplica teller;
+    teller.take(page(9, { { 8, "a", "3" } }));
+    StoreReplica::Extract told = teller.extract(asker.next().from, false);
+    EXPECT_TRUE(told.isAll);
+    std::vector<KeyedRecord> news = asker.take(told);
+    EXPECT_EQ(news.size(), 2U);
+    EXPECT_EQ(asker.find("a")->value, "3");
+    EXPECT_EQ(asker.find("b"), nullptr);
+}
+
+TEST(StoreReplica, ANewcomerLearnsAllFromAPeerAndNothingGoesBack)
+{
+    StoreReplica teller;
+    teller.take(page(5, { { 4, "a", "1" } }));
+    StoreReplica newcomer;
+    EXPECT_EQ(newcomer.take(teller.extract(0, true)).size(), 1U);
+    EXPECT_TRUE(newcomer.isComplete());
+    newcomer.take(batch(8, { { 7, "a", "2" } }));
+    // What a peer that is behind says is no news.
+    EXPECT_TRUE(newcomer.take(teller.extract(0, true)).empty());
+    EXPECT_TRUE(newcomer.take(teller.extract(5, false)).empty());
+    EXPECT_EQ(newcomer.find("a")->value, "2");
+    EXPECT_EQ(newcomer.nextOffset(), 8U);
+}
+
+// Whoever is asked, at whatever moment, the asker ends with what the store holds.
+RC_GTEST_PROP(StoreReplica, ReplicasThatTellEachOtherAgreeWithTheStore, ())
+{
+    std::vector<KeyedRecord> log;
+    std::vector<StoreReplica> replicas(3);
+    auto newestAt = [&log](std::size_t end) {
+        std::map<std::string, KeyedRecord> newest;
+        for (std::size_t n = 0; n < end; ++n)
+            newest[log[n].key] = log[n];
+        KeyedPage all;
+        all.next = end;
+        for (std::pair<std::string const, KeyedRecord> const& it : newest) {
+            if (it.second.value)
+                all.records.push_back(it.second);
+        }
+        return all;
+    };
+    int const steps = *rc::gen::inRange(1, 120);
+    for (int n = 0; n < steps; ++n) {
+        std::size_t who = *rc::gen::inRange<std::size_t>(0, replicas.size());
+        std::size_t other = *rc::gen::inRange<std::size_t>(0, replicas.size());
+        StoreReplica& replica = replicas[who];
+        switch (*rc::gen::inRange(0, 4)) {
+        case 0: {
+            std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+            std::optional<std::string> value;
+            if (*rc::gen::inRange(0, 3) != 0)
+                value = std::to_string(log.size());
+            log.push_back({ log.size(), key, value });
+            break;
+        }
+        case 1:
+            if (replica.next().isNewest) {
+                replica.take(newestAt(log.size()));
+            } else {
+                KeyedBatch news;
+                news.next = log.size();
+                news.records.assign(log.begin() + static_cast<std::ptrdiff_t>(replica.next().from), log.end());
+                replica.take(news);
+            }
+            break;
+        case 2:
+            if (replicas[other].isComplete())
+                replica.take(replicas[other].extract(replica.next().from, replica.next().isNewest));
+            break;
+        default:
+            if (replica.isComplete()) {
+                KeyedBatch expired;
+                expired.isExpired = true;
+                replica.take(expired);
+            }
+        }
+    }
+    for (StoreReplica const& replica : replicas) {
+        if (!replica.isComplete())
+            continue;
+        std::map<std::string, std::string> held;
+        for (std::pair<std::string const, KeyedRecord> const& it : replica.records()) {
+            if (it.second.value)
+                held[it.first] = *it.second.value;
+        }
+        std::map<std::string, std::string> wanted;
+        for (KeyedRecord const& record : newestAt(replica.nextOffset()).records)
+            wanted[record.key] = *record.value;
+        RC_ASSERT(held == wanted);
+    }
+}
--- a/Tests/LibFleet/TestTargetBook.cpp
+++ b/Tests/LibFleet/TestTargetBook.cpp
@@ -88,3 +88,29 @@
     book.noteRead(start + 700ms);
     EXPECT_TRUE(book.remove("a", start + 700ms));
 }
+
+// Most daemons read the store seldom: that it was away they hear from those that read it all the time.
+TEST(TargetBook, AnEntryThatLapsedIsKeptWhereOthersSawTheStoreReturn)
+{
+    TargetBook book;
+    book.noteRead(start);
+    book.list(target("a"));
+    book.noteReturnElsewhere(start + 5s, 1'500ms);
+    EXPECT_FALSE(book.remove("a", start + 5s));
+    EXPECT_FALSE(book.expire(start + 6'400ms));
+    EXPECT_TRUE(book.expire(start + 6'600ms));
+    EXPECT_TRUE(book.targets().empty());
+}
+
+// Else two daemons would prolong each other's grace for ever.
+TEST(TargetBook, OnlyAnOwnObservationIsToldToOthers)
+{
+    TargetBook book;
+    book.noteReturnElsewhere(start, 2'000ms);
+    EXPECT_EQ(book.graceLeft(start), 0ms);
+    book.noteRead(start);
+    book.noteFailure(start + 1s);
+    book.noteRead(start + 5s);
+    EXPECT_EQ(book.graceLeft(start + 6s), 1'200ms);
+    EXPECT_EQ(book.graceLeft(start + 8s), 0ms);
+}
--- a/Tests/Processes/TestKeyedPlatform.cpp
+++ b/Tests/Processes/TestKeyedPlatform.cpp
@@ -261,3 +261,18 @@
         served += ask(static_cast<std::size_t>(n) % daemons, "POST", "/h/1", "killed-" + std::to_string(n)).status == 200 ? 1 : 0;
     EXPECT_GE(served, 18U);
 }
+
+// A process that starts while the store is away knows nobody; the others still send it their beacons.
+TEST_F(KeyedPlatform, ADaemonThatStartsWhileTheStoreIsAwayLearnsFromItsPeers)
+{
+    configure(7, "app");
+    for (std::size_t n = 0; n < daemons; ++n)
+        EXPECT_TRUE(waitFor([&] { return ask(n, "POST", "/c/1", "before").status == 200; })) << n;
+    post(m_store, "/admin/faults", R"({"down":true})");
+    m_processes.at("front-1")->kill();
+    startDaemon(1);
+    EXPECT_TRUE(waitFor([&] { return isReady(1); }));
+    EXPECT_TRUE(waitFor([&] { return ask(1, "POST", "/c/1", "restarted").status == 200; }));
+    EXPECT_EQ(ask(1, "POST", "/h/1", "restarted-stream").body, wholeStream(10));
+    EXPECT_TRUE(waitFor([&] { return listed(0).size() == daemons && listed(1).size() == daemons; }));
+}
