LibRouting: Keep work from targets that fail much more of it than others do

Change: Routing::OutlierFinder compares each target's part of bad answers in 5 s with that of the others that do the same work (two proportions, 3 deviations, five bad ones and 0.4 at least); an outlier gets nothing for 1 s, doubled while it fails again, unless nothing else is open. The dispatcher's beliefs moved to a file of their own.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -51,9 +51,10 @@
     TargetRemoved = 6002,
     TargetUnreachable = 6003,
     TargetRecovered = 6004,
+    TargetFailing = 6005,
 };
 
-inline constexpr EnumNames<Event, 42> eventNames { {
+inline constexpr EnumNames<Event, 43> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -96,6 +97,7 @@
     { Event::TargetRemoved, "target-removed" },
     { Event::TargetUnreachable, "target-unreachable" },
     { Event::TargetRecovered, "target-recovered" },
+    { Event::TargetFailing, "target-failing" },
 } };
 
 }
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -68,6 +68,12 @@
         added->set_requests(share.work.requests);
         added->set_kv_tokens(share.work.kvTokens);
     }
+    for (Routing::OutcomeCounts const& outcomes : beacon.outcomes) {
+        Proto::Outcomes* added = message.add_outcomes();
+        added->set_target(outcomes.target);
+        added->set_good(outcomes.good);
+        added->set_bad(outcomes.bad);
+    }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -89,6 +95,8 @@
     beacon.lapseGrace = std::chrono::milliseconds(message.lapse_grace_ms());
     for (Proto::TargetShare const& share : message.shares())
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
+    for (Proto::Outcomes const& outcomes : message.outcomes())
+        beacon.outcomes.push_back({ outcomes.target(), outcomes.good(), outcomes.bad() });
     beacon.changing.assign(message.changing().begin(), message.changing().end());
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -4,6 +4,7 @@
 #include <LibCore/Result.h>
 #include <LibPlatform/Directory.h>
 #include <LibRouting/OpenWork.h>
+#include <LibRouting/OutlierFinder.h>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -24,6 +25,7 @@
     std::vector<Routing::TargetShare> shares; ///< Its open work.
     std::vector<std::uint64_t> suspects; ///< Keys of targets that it could not reach lately.
     std::vector<std::uint64_t> changing; ///< Keys of targets that it has ordered to change role.
+    std::vector<Routing::OutcomeCounts> outcomes; ///< Of its requests, since its last beacon.
     std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
 };
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -144,6 +144,8 @@
     Clock::time_point now = Clock::now();
     m_candidates.clear();
     m_candidatePositions.clear();
+    m_failingCandidates.clear();
+    updateOutliers(now);
     for (std::uint32_t position : request.allowed) {
         FleetTarget const& target = request.fleet->targets[position];
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
@@ -152,8 +154,11 @@
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
         bool isClosed = isExcluded || !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
+        bool isFailing = !isClosed && m_outliers.isOutlier(target.key, now);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
-        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), false, false, target.slots };
+        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), false, false, target.slots };
+        if (isFailing)
+            m_failingCandidates.push_back(m_candidates.size());
         candidate.fetchesFarKv = !request.kvZone.empty() && request.kvZone != target.availabilityZone;
         if (target.kvCapacityTokens != 0)
             candidate.load.kvCapacityTokens = static_cast<std::uint32_t>(target.kvCapacityTokens);
@@ -169,6 +174,12 @@
     // A request whose output is being placed is itself no longer on its way.
     shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
     waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
+    if (!waiter.outcome.decision.chosen && !m_failingCandidates.empty()) {
+        // One that fails often is better than none.
+        for (std::size_t n : m_failingCandidates)
+            m_candidates[n].closed = false;
+        waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
+    }
     if (!waiter.outcome.decision.chosen)
         return std::nullopt;
     std::uint32_t cached = m_candidates[*waiter.outcome.decision.chosen].prefixMatchTokens;
@@ -320,87 +331,4 @@
     m_loads.prefilled(it->second->request.fleet->targets[*it->second->outcome.position].id, it->second->promptTokens, Clock::now());
 }
 
-void Dispatcher::report(std::uint32_t targetId, Routing::LoadReport const& report)
-{
-    std::lock_guard lock(m_mutex);
-    if (targetId < m_loads.size())
-        m_loads.report(targetId, report);
-}
-
-void Dispatcher::setFleet(FleetPointer fleet)
-{
-    std::lock_guard lock(m_mutex);
-    std::uint32_t highest = 0;
-    std::vector<std::uint32_t> known;
-    m_roles.clear();
-    for (FleetTarget const& target : fleet->targets) {
-        highest = std::max(highest, target.id);
-        known.push_back(target.id);
-        m_roles.emplace(target.id, target.role);
-    }
-    if (!fleet->targets.empty() && highest >= m_loads.size())
-        m_loads.resize(highest + 1);
-    for (std::uint32_t id : m_knownTargets) {
-        if (std::find(known.begin(), known.end(), id) == known.end())
-            m_admission->removeTarget(id);
-    }
-    m_knownTargets = std::move(known);
-    m_limits.clear();
-    for (FleetTarget const& target : fleet->targets)
-        m_limits.emplace(target.id, limitOf(target));
-    for (FleetTarget const& target : fleet->targets)
-        resolve(m_admission->setTarget(target.id, m_limits[target.id], m_groupsOfTarget[target.id]));
-}
-
-std::uint32_t Dispatcher::limitOf(FleetTarget const& target) const
-{
-    if (target.isClosed())
-        return 0;
-    // A plain service tells how much it takes; an engine queues by urgency itself.
-    bool isPlain = target.kind == Platform::VmKind::Service;
-    return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
-}
-
-void Dispatcher::noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome outcome)
-{
-    std::lock_guard lock(m_mutex);
-    m_health.note(targetKey, outcome, Clock::now());
-}
-
-std::vector<std::uint64_t> Dispatcher::suspects() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_health.suspects(Clock::now());
-}
-
-void Dispatcher::setAvoided(std::set<std::uint64_t> targets)
-{
-    std::lock_guard lock(m_mutex);
-    m_avoided = std::move(targets);
-}
-
-std::vector<Routing::TargetShare> Dispatcher::openWork() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_openWork.own();
-}
-
-void Dispatcher::takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const& shares)
-{
-    std::lock_guard lock(m_mutex);
-    m_openWork.setPeer(peer, shares, Clock::now());
-}
-
-std::size_t Dispatcher::openRequests() const
-{
-    std::lock_guard lock(m_mutex);
-    return m_waiters.size();
-}
-
-std::uint32_t Dispatcher::inFlightAt(std::uint32_t targetId) const
-{
-    std::lock_guard lock(m_mutex);
-    return m_admission->inFlightAt(targetId);
-}
-
 }
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <LibDaemon/Work.h>
 #include <LibRouting/LoadTable.h>
 #include <LibRouting/OpenWork.h>
+#include <LibRouting/OutlierFinder.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/Router.h>
 #include <LibRouting/TargetHealth.h>
@@ -83,6 +84,12 @@
     /// Notes how a send to a target ended, by the target's key.
     void noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome);
 
+    /// Returns how requests of this daemon ended since the last call, for its peers.
+    std::vector<Routing::OutcomeCounts> takeOutcomes();
+
+    /// Takes how requests of a peer ended.
+    void takePeerOutcomes(std::vector<Routing::OutcomeCounts> const&);
+
     /// Returns the keys of targets that this daemon could not reach lately.
     std::vector<std::uint64_t> suspects() const;
 
@@ -108,6 +115,7 @@
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
     void dropExclusionsOfAll(PlacementRequest&) const;
     void noteSent(Waiter&);
+    void updateOutliers(std::chrono::steady_clock::time_point now);
     void addHome(PlacementRequest const&);
     std::uint32_t limitOf(FleetTarget const&) const;
     Admission::Demand demandOf(PlacementRequest const&, std::uint64_t id);
@@ -118,6 +126,9 @@
     Routing::LoadTable m_loads;
     Routing::OpenWork m_openWork;
     Routing::TargetHealth m_health;
+    Routing::OutlierFinder m_outliers;
+    std::chrono::steady_clock::time_point m_outliersUpdated;
+    std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By key, for logs.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
     Routing::PrefixIndex m_prefixes;
     std::unique_ptr<Admission::Controller> m_admission;
@@ -132,6 +143,7 @@
     std::unordered_map<std::uint32_t, Routing::TargetRole> m_roles; ///< Of the known targets, now.
     std::vector<Routing::Candidate> m_candidates; ///< Reused between decisions.
     std::vector<std::uint32_t> m_candidatePositions;
+    std::vector<std::size_t> m_failingCandidates; ///< Reused: places of outliers that are closed for that alone.
     std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates,
     std::vector<std::size_t> m_homeCandidates; ///< and their places among the candidates.
 };
--- /dev/null
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -0,0 +1,138 @@
+// The part of Dispatcher that takes what is known of targets: the fleet, reports, outcomes, and what peers say.
+
+#include <LibCore/EventLog.h>
+#include <LibDaemon/Dispatcher.h>
+#include <algorithm>
+#include <tuple>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Outcomes come some ten a second; a target that fails all is found within this, once there are enough of them.
+constexpr std::chrono::milliseconds outlierInterval { 100 };
+
+}
+
+void Dispatcher::report(std::uint32_t targetId, Routing::LoadReport const& report)
+{
+    std::lock_guard lock(m_mutex);
+    if (targetId < m_loads.size())
+        m_loads.report(targetId, report);
+}
+
+void Dispatcher::setFleet(FleetPointer fleet)
+{
+    std::lock_guard lock(m_mutex);
+    std::uint32_t highest = 0;
+    std::vector<std::uint32_t> known;
+    m_roles.clear();
+    m_targetNames.clear();
+    std::map<std::tuple<std::string, Routing::TargetRole>, std::vector<std::uint64_t>> groups;
+    for (FleetTarget const& target : fleet->targets) {
+        groups[{ target.work(), target.role }].push_back(target.key);
+        m_targetNames.emplace(target.key, target.name);
+        highest = std::max(highest, target.id);
+        known.push_back(target.id);
+        m_roles.emplace(target.id, target.role);
+    }
+    std::vector<std::vector<std::uint64_t>> outlierGroups;
+    for (std::pair<std::tuple<std::string, Routing::TargetRole> const, std::vector<std::uint64_t>>& it : groups)
+        outlierGroups.push_back(std::move(it.second));
+    m_outliers.setGroups(std::move(outlierGroups));
+    if (!fleet->targets.empty() && highest >= m_loads.size())
+        m_loads.resize(highest + 1);
+    for (std::uint32_t id : m_knownTargets) {
+        if (std::find(known.begin(), known.end(), id) == known.end())
+            m_admission->removeTarget(id);
+    }
+    m_knownTargets = std::move(known);
+    m_limits.clear();
+    for (FleetTarget const& target : fleet->targets)
+        m_limits.emplace(target.id, limitOf(target));
+    for (FleetTarget const& target : fleet->targets)
+        resolve(m_admission->setTarget(target.id, m_limits[target.id], m_groupsOfTarget[target.id]));
+}
+
+std::uint32_t Dispatcher::limitOf(FleetTarget const& target) const
+{
+    if (target.isClosed())
+        return 0;
+    // A plain service tells how much it takes; an engine queues by urgency itself.
+    bool isPlain = target.kind == Platform::VmKind::Service;
+    return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
+}
+
+void Dispatcher::noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome outcome)
+{
+    std::lock_guard lock(m_mutex);
+    Clock::time_point now = Clock::now();
+    m_health.note(targetKey, outcome, now);
+    // A refusal costs a try elsewhere, no answer. Whether a target can be reached at all is `m_health`'s alone.
+    if (outcome == Routing::TargetOutcome::Answered)
+        m_outliers.note(targetKey, true, now);
+    else if (outcome == Routing::TargetOutcome::Failed || outcome == Routing::TargetOutcome::Broken)
+        m_outliers.note(targetKey, false, now);
+}
+
+std::vector<Routing::OutcomeCounts> Dispatcher::takeOutcomes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_outliers.takeUntold();
+}
+
+void Dispatcher::takePeerOutcomes(std::vector<Routing::OutcomeCounts> const& outcomes)
+{
+    std::lock_guard lock(m_mutex);
+    m_outliers.take(outcomes, Clock::now());
+}
+
+// Called with the mutex held.
+void Dispatcher::updateOutliers(Clock::time_point now)
+{
+    if (now - m_outliersUpdated < outlierInterval)
+        return;
+    m_outliersUpdated = now;
+    for (Routing::OutcomeCounts const& it : m_outliers.update(now))
+        Core::logEvent(Core::Severity::Warning, Core::Event::TargetFailing, { { "target", m_targetNames[it.target] }, { "bad", std::to_string(it.bad) }, { "good", std::to_string(it.good) } });
+}
+
+std::vector<std::uint64_t> Dispatcher::suspects() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_health.suspects(Clock::now());
+}
+
+void Dispatcher::setAvoided(std::set<std::uint64_t> targets)
+{
+    std::lock_guard lock(m_mutex);
+    m_avoided = std::move(targets);
+}
+
+std::vector<Routing::TargetShare> Dispatcher::openWork() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_openWork.own();
+}
+
+void Dispatcher::takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const& shares)
+{
+    std::lock_guard lock(m_mutex);
+    m_openWork.setPeer(peer, shares, Clock::now());
+}
+
+std::size_t Dispatcher::openRequests() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_waiters.size();
+}
+
+std::uint32_t Dispatcher::inFlightAt(std::uint32_t targetId) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_admission->inFlightAt(targetId);
+}
+
+}
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -30,6 +30,29 @@
 // A target that answers with what belongs to other requests this often in a row is not waited for any longer.
 constexpr int mostForeignAnswers = 2;
 
+// What the answer to a prefill says of the target.
+Routing::TargetOutcome outcomeOf(Core::Result<std::string> const& kvSource)
+{
+    if (kvSource.has_value())
+        return Routing::TargetOutcome::Answered;
+    if (kvSource.error().code == Core::ErrorCode::NotFound)
+        return Routing::TargetOutcome::Replaced;
+    return kvSource.error().verdict == Core::Verdict::NotRun ? Routing::TargetOutcome::Refused : Routing::TargetOutcome::Failed;
+}
+
+// What the answer to a request says of the target. One that is unusable is noted as broken where it is given up.
+Routing::TargetOutcome outcomeOf(AnswerProof proof, std::uint16_t status, bool fetchesKv)
+{
+    constexpr std::uint16_t leastFailure = 500;
+    constexpr std::uint16_t outOfTime = 504; // Of the request's own time, which may have been short.
+    if (proof == AnswerProof::Replaced)
+        return Routing::TargetOutcome::Replaced;
+    // A KV cache that cannot be had is no fault of the target that fetches it.
+    if (proof == AnswerProof::NotRun)
+        return fetchesKv ? Routing::TargetOutcome::Answered : Routing::TargetOutcome::Refused;
+    return status >= leastFailure && status != outOfTime ? Routing::TargetOutcome::Failed : Routing::TargetOutcome::Answered;
+}
+
 bool isEventStream(Http::ResponseHead const& head)
 {
     return head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
@@ -174,8 +197,7 @@
         co_return Core::Result<std::string>(response.error());
     }
     Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
-    bool isReplaced = kvSource.has_error() && kvSource.error().code == Core::ErrorCode::NotFound;
-    noteOutcome(isReplaced ? Routing::TargetOutcome::Replaced : Routing::TargetOutcome::Answered);
+    noteOutcome(outcomeOf(kvSource));
     co_return kvSource;
 }
 
@@ -267,7 +289,7 @@
 {
     leg->head = leg->exchange->head();
     AnswerProof proof = m_context.targets.judge(m_work, send, leg->head, nullptr);
-    noteOutcome(proof == AnswerProof::Replaced ? Routing::TargetOutcome::Replaced : Routing::TargetOutcome::Answered);
+    noteOutcome(outcomeOf(proof, leg->head.status, !send.kvSource.empty()));
     if (proof == AnswerProof::NotRun || proof == AnswerProof::Replaced) {
         leg->exchange->setPieceTimeout(refusalTimeout);
         // Read to its end, so that the connection can be used again.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -339,6 +339,7 @@
     beacon.cannotPlan = m_roles->cannotPlan();
     beacon.changing = m_roles->changing();
     beacon.suspects = m_hooks.suspects();
+    beacon.outcomes = m_hooks.takeOutcomes();
     beacon.lapseGrace = m_targets.graceLeft(Clock::now());
     return beacon;
 }
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -82,6 +82,7 @@
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
+    m_hooks.takePeerOutcomes(beacon.outcomes);
     m_suspects[beacon.sender.name] = beacon.suspects;
     Clock::time_point now = Clock::now();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
--- a/Libraries/LibRouting/TargetHealth.cpp
+++ b/Libraries/LibRouting/TargetHealth.cpp
@@ -11,7 +11,8 @@
 
 void TargetHealth::note(std::uint64_t target, TargetOutcome outcome, Time now)
 {
-    if (outcome == TargetOutcome::Answered) {
+    bool isReachable = outcome == TargetOutcome::Answered || outcome == TargetOutcome::Failed || outcome == TargetOutcome::Refused;
+    if (isReachable) {
         std::unordered_map<std::uint64_t, Failing>::iterator it = m_failing.find(target);
         if (it != m_failing.end() && !it->second.isReplaced)
             m_failing.erase(it);
--- a/Libraries/LibRouting/TargetHealth.h
+++ b/Libraries/LibRouting/TargetHealth.h
@@ -10,14 +10,18 @@
 
 /// How a send to a target ended, as far as it tells of the target.
 enum class TargetOutcome : std::uint8_t {
-    Answered, ///< It answered, also with a refusal.
+    Answered, ///< It answered well.
+    Failed, ///< It answered with a failure of its own.
+    Refused, ///< It said that it did not run the request.
     Unreachable, ///< No connection could be made.
     Replaced, ///< Another one has its address: it will not come back.
     Broken, ///< The connection ended before the answer did.
 };
 
-inline constexpr Core::EnumNames<TargetOutcome, 4> targetOutcomeNames { {
+inline constexpr Core::EnumNames<TargetOutcome, 6> targetOutcomeNames { {
     { TargetOutcome::Answered, "answered" },
+    { TargetOutcome::Failed, "failed" },
+    { TargetOutcome::Refused, "refused" },
     { TargetOutcome::Unreachable, "unreachable" },
     { TargetOutcome::Replaced, "replaced" },
     { TargetOutcome::Broken, "broken" },
--- /dev/null
+++ b/Tests/LibRouting/TestOutlierFinder.cpp
@@ -0,0 +1,113 @@
+#include <LibRouting/OutlierFinder.h>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace {
+
+using namespace Routing;
+using namespace std::chrono_literals;
+using Time = OutlierFinder::Time;
+
+constexpr Time start { 100s };
+
+// `n` requests of a target, of which the first `bad` fail.
+void end(OutlierFinder& finder, std::uint64_t target, int n, int bad, Time now = start)
+{
+    for (int k = 0; k < n; ++k)
+        finder.note(target, k >= bad, now);
+}
+
+}
+
+TEST(OutlierFinder, ATargetThatFailsWhatOthersDoWellIsOneForAWhile)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2, 3 } });
+    end(finder, 1, 6, 5);
+    end(finder, 2, 6, 0);
+    end(finder, 3, 6, 1);
+    std::vector<OutcomeCounts> found = finder.update(start);
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found[0].target, 1U);
+    EXPECT_TRUE(finder.isOutlier(1, start + 999ms));
+    EXPECT_FALSE(finder.isOutlier(1, start + 1s));
+    EXPECT_FALSE(finder.isOutlier(2, start));
+    EXPECT_TRUE(finder.update(start + 100ms).empty());
+}
+
+TEST(OutlierFinder, OneThatFailsAgainIsOutForLongerAndIsForgivenLater)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2 } });
+    end(finder, 2, 30, 0);
+    end(finder, 1, 6, 6);
+    finder.update(start);
+    end(finder, 1, 6, 6, start + 1s);
+    EXPECT_EQ(finder.update(start + 1s).size(), 1U);
+    EXPECT_TRUE(finder.isOutlier(1, start + 2'900ms));
+    end(finder, 1, 6, 6, start + 20s);
+    finder.update(start + 20s);
+    EXPECT_FALSE(finder.isOutlier(1, start + 21s));
+}
+
+TEST(OutlierFinder, WhereAllFailNobodyIsOne)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2, 3, 4 } });
+    for (std::uint64_t target : { 1, 2, 3, 4 })
+        end(finder, target, 12, 8);
+    EXPECT_TRUE(finder.update(start).empty());
+}
+
+TEST(OutlierFinder, AGroupKeepsHalfOfItsTargets)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2, 3, 4, 5 }, { 6 } });
+    end(finder, 5, 400, 0);
+    for (std::uint64_t target : { 1, 2, 3, 4, 6 })
+        end(finder, target, 10, 10);
+    EXPECT_EQ(finder.update(start).size(), 2U);
+    EXPECT_FALSE(finder.isOutlier(6, start));
+}
+
+// Each of 90 daemons sends a target one request in ten seconds; together they see that it fails.
+TEST(OutlierFinder, ManyDaemonsThatEachSeeLittleKnowTogether)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2, 3 } });
+    for (int daemon = 0; daemon < 8; ++daemon) {
+        OutlierFinder peer;
+        peer.note(1, false, start);
+        peer.note(2, true, start);
+        peer.note(3, true, start);
+        finder.take(peer.takeUntold(), start);
+        EXPECT_TRUE(peer.takeUntold().empty());
+    }
+    EXPECT_EQ(finder.update(start).size(), 1U);
+}
+
+TEST(OutlierFinder, WhatIsLongAgoDoesNotCount)
+{
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2 } });
+    end(finder, 2, 30, 0);
+    end(finder, 1, 3, 3);
+    end(finder, 1, 3, 3, start + 6s);
+    EXPECT_TRUE(finder.update(start + 6s).empty());
+}
+
+// A service that fails 14 in 100 by itself, some 17 requests a target in a window: ten minutes of chance alone.
+TEST(OutlierFinder, ChanceAloneSeldomMakesOne)
+{
+    std::mt19937_64 rng(1);
+    std::bernoulli_distribution fails(0.14);
+    OutlierFinder finder;
+    finder.setGroups({ { 1, 2, 3 } });
+    std::size_t found = 0;
+    for (int n = 0; n < 6'000; ++n) {
+        Time now = start + n * 100ms;
+        finder.note(1 + static_cast<std::uint64_t>(n) % 3, !fails(rng), now);
+        found += finder.update(now).size();
+    }
+    EXPECT_LE(found, 3U);
+}
