LibCore, LibDaemon, LibOperator: Bound each kind of log line, measure times, tell a request's story

Cause: whoever is on call had a log in which served requests could crowd out failed ones, counters without times, and grep.

Change: of severity info and debug 400 lines a second of each event are written, the rest is counted and told; lines of refused and failed requests are warnings now, which have no quota. request-finished names the target's status and the longest pause. 'currantctl story ID FILE...' puts a request's lines in order across daemons, with what happened to its targets, and names the cause.

TestFullPipe logged infos; those never reach the buffer's end any more, so it logs warnings for that and infos for the quota: both hold.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -16,6 +16,7 @@
     ListenerFailed = 1006,
     SettingsReloaded = 1007,
     SettingsRefused = 1008,
+    LinesLeftOut = 1009,
     RouteDecided = 2001,
     RouteRefused = 2002,
     RequestFinished = 2003,
@@ -54,7 +55,7 @@
     TargetFailing = 6005,
 };
 
-inline constexpr EnumNames<Event, 43> eventNames { {
+inline constexpr EnumNames<Event, 44> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -62,6 +63,7 @@
     { Event::ListenerFailed, "listener-failed" },
     { Event::SettingsReloaded, "settings-reloaded" },
     { Event::SettingsRefused, "settings-refused" },
+    { Event::LinesLeftOut, "lines-left-out" },
     { Event::RouteDecided, "route-decided" },
     { Event::RouteRefused, "route-refused" },
     { Event::RequestFinished, "request-finished" },
--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -1,4 +1,6 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/EventQuota.h>
+#include <atomic>
 #include <cstdio>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
@@ -14,6 +16,17 @@
 
 // Some 0.5 MB, and seconds of lines at the rate of a busy daemon.
 constexpr int bufferedLines = 2'048;
+// Some 40 requests a second come to a daemon of the users' larger sites; ten times that is a storm, in which the lines of
+// those that fail matter more than those of the ones that were served.
+constexpr std::uint32_t linesPerSecond = 400;
+
+EventQuota& quota()
+{
+    static EventQuota instance(linesPerSecond);
+    return instance;
+}
+
+std::atomic<std::uint64_t> s_leftOut { 0 };
 
 log4cxx::LoggerPtr const& logger()
 {
@@ -72,6 +85,11 @@
 
 void stopEventLog()
 {
+    for (std::pair<Event, std::string_view> const& it : eventNames) {
+        std::uint32_t lines = quota().takeLeftOut(it.first);
+        if (lines > 0)
+            logger()->forcedLog(levelOf(Severity::Warning), formatEvent(Event::LinesLeftOut, { { "of", std::string(it.second) }, { "lines", std::to_string(lines) } }));
+    }
     log4cxx::LogManager::shutdown();
 }
 
@@ -89,9 +107,23 @@
 {
     if (!isLogged(severity))
         return;
+    if (severity <= Severity::Info) {
+        EventQuota::Admission admission = quota().admit(event, std::chrono::steady_clock::now());
+        if (admission.leftOut > 0)
+            logger()->forcedLog(levelOf(Severity::Warning), formatEvent(Event::LinesLeftOut, { { "of", std::string(nameOf(eventNames, event)) }, { "lines", std::to_string(admission.leftOut) } }));
+        if (!admission.isAdmitted) {
+            ++s_leftOut;
+            return;
+        }
+    }
     logger()->forcedLog(levelOf(severity), formatEvent(event, fields));
 }
 
+std::uint64_t linesLeftOut()
+{
+    return s_leftOut;
+}
+
 std::string formatEvent(Event event, std::initializer_list<EventField> fields)
 {
     std::string line = "event=" + std::to_string(static_cast<std::underlying_type_t<Event>>(event));
--- a/Libraries/LibCore/EventLog.h
+++ b/Libraries/LibCore/EventLog.h
@@ -39,9 +39,13 @@
 /// Returns whether lines of this severity are written: callers skip costly fields otherwise. Thread-safe.
 bool isLogged(Severity);
 
-/// Writes one line: `event=2001 name=route-decided key=value ...`. Thread-safe.
+/// Writes one line: `event=2001 name=route-decided key=value ...`. Of severity Info and Debug, 400 lines a second of each
+/// event are written at most; a line says how many were left out. Thread-safe.
 void logEvent(Severity, Event, std::initializer_list<EventField>);
 
+/// Returns how many lines the limit on each event has left out since the start. Thread-safe.
+std::uint64_t linesLeftOut();
+
 /// Returns the line that `logEvent` writes, without its time and severity. Thread-safe.
 std::string formatEvent(Event, std::initializer_list<EventField>);
 
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -70,7 +70,8 @@
 
 boost::asio::awaitable<void> CallerApi::sendError(Core::Error error, std::string requestId, bool isRepeatable, Http::ResponseWriter& writer)
 {
-    Core::logEvent(Core::Severity::Info, Core::Event::RequestRejected, { { "request", requestId }, { "code", std::string(Core::toString(error.code)) }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    Core::logEvent(Core::Severity::Warning, Core::Event::RequestRejected, { { "request", requestId }, { "code", std::string(Core::toString(error.code)) }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    m_context.metrics.countError(error.code);
     Request::HttpErrorContext context;
     context.requestId = requestId;
     context.isRepeatable = isRepeatable;
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -94,7 +94,8 @@
     if (!usesStore())
         return createLogControl(peers);
     BOOST_OUTCOME_TRY(createStoreControl());
-    return createEntryServers();
+    BOOST_OUTCOME_TRY(createEntryServers());
+    return createMetricsServer();
 }
 
 Core::Result<void> Daemon::createTraffic(Peer::Settings const& peers)
@@ -165,6 +166,15 @@
     return Core::ok();
 }
 
+Core::Result<void> Daemon::createMetricsServer()
+{
+    if (m_settings.operators.metrics.port() == 0)
+        return Core::ok();
+    BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.operators.metrics, [this](Http::Request const& request) { return respondToOperators(request); }));
+    m_entryServers.push_back(std::move(server));
+    return Core::ok();
+}
+
 Core::Result<std::unique_ptr<Http::Server>> Daemon::createServer(boost::asio::ip::tcp::endpoint const& endpoint, std::function<Http::Response(Http::Request const&)> respond)
 {
     Http::Handler handler = [respond = std::move(respond)](Http::Request& request, Http::ResponseWriter& writer) -> boost::asio::awaitable<void> {
@@ -181,7 +191,19 @@
         return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
     if (request.target != "/metrics")
         return Http::jsonResponse(Http::Status::NotFound, Request::errorBody(Core::makeError(Core::ErrorCode::NotFound, "no such path: \"" + request.target + "\""), ""));
+    return respondWithMetrics();
+}
+
+Http::Response Daemon::respondWithMetrics()
+{
     MetricsSample sample;
+    sample.configVersion = m_storeControl->configVersion();
+    sample.storeReadAge = m_storeControl->storeReadAge();
+    sample.liveDaemons = m_storeControl->liveDaemons();
+    for (FleetTarget const& target : m_storeControl->fleet()->targets)
+        ++(target.isClosed() ? sample.closedTargets : sample.openTargets);
+    sample.mayOrder = m_storeControl->roles().mayOrder();
+    sample.linesLeftOut = Core::linesLeftOut();
     sample.configOffset = m_storeControl->configVersion();
     sample.openRequests = m_dispatcher->openRequests();
     sample.roleChanges = m_storeControl->roles().accepted();
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -39,6 +39,8 @@
     Core::Result<void> createLogControl(Peer::Settings const&);
     Core::Result<void> createStoreControl();
     Core::Result<void> createEntryServers();
+    Core::Result<void> createMetricsServer();
+    Http::Response respondWithMetrics();
     Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
     Http::Response respondToOperators(Http::Request const&);
     void setCallerLimits(State::CallerLimits const&);
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -16,6 +16,48 @@
     prometheus::Family<prometheus::Counter>& decisions = prometheus::BuildCounter().Name("currantvale_route_decisions_total").Help("Routing decisions by reason.").Register(*m_registry);
     for (std::pair<Routing::Reason, std::string_view> const& it : Routing::reasonNames)
         m_decisions[static_cast<std::size_t>(it.first)] = &decisions.Add({ { "reason", std::string(it.second) } });
+    addTimes();
+    addCounters();
+}
+
+void Metrics::addTimes()
+{
+    prometheus::Family<prometheus::Histogram>& times = prometheus::BuildHistogram().Name("currantvale_seconds").Help("Times that requests spend.").Register(*m_registry);
+    prometheus::Histogram::BucketBoundaries buckets { 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10 };
+    for (std::pair<TimeOf, std::string_view> const& it : timeNames)
+        m_times[static_cast<std::size_t>(it.first)] = &times.Add({ { "of", std::string(it.second) } }, buckets);
+}
+
+void Metrics::addCounters()
+{
+    prometheus::Family<prometheus::Counter>& errors = prometheus::BuildCounter().Name("currantvale_errors_total").Help("Requests that were refused or failed, by the error's code.").Register(*m_registry);
+    for (std::pair<Core::ErrorCode, std::string_view> const& it : Core::errorCodeNames)
+        m_errors[static_cast<std::size_t>(it.first)] = &errors.Add({ { "code", std::string(it.second) } });
+    prometheus::Family<prometheus::Counter>& outcomes = prometheus::BuildCounter().Name("currantvale_target_outcomes_total").Help("How sends to targets ended.").Register(*m_registry);
+    for (std::pair<Routing::TargetOutcome, std::string_view> const& it : Routing::targetOutcomeNames)
+        m_outcomes[static_cast<std::size_t>(it.first)] = &outcomes.Add({ { "outcome", std::string(it.second) } });
+    prometheus::Family<prometheus::Counter>& connections = prometheus::BuildCounter().Name("currantvale_target_connections_total").Help("Exchanges with targets, by whether their connection was kept or new.").Register(*m_registry);
+    m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
+}
+
+void Metrics::observe(TimeOf of, std::chrono::nanoseconds time)
+{
+    m_times[static_cast<std::size_t>(of)]->Observe(std::chrono::duration<double>(time).count());
+}
+
+void Metrics::countError(Core::ErrorCode code)
+{
+    m_errors[static_cast<std::size_t>(code)]->Increment();
+}
+
+void Metrics::countOutcome(Routing::TargetOutcome outcome)
+{
+    m_outcomes[static_cast<std::size_t>(outcome)]->Increment();
+}
+
+void Metrics::countConnection(bool isKept)
+{
+    m_connections[isKept ? 1 : 0]->Increment();
 }
 
 void Metrics::countFinished(Core::Verdict verdict, bool hasError)
@@ -41,6 +83,13 @@
     m_values.Add({ { "of", "remembered_tickets" } }).Set(static_cast<double>(sample.rememberedTickets));
     m_values.Add({ { "of", "blocked_changes" } }).Set(static_cast<double>(sample.blockedChanges));
     m_values.Add({ { "of", "role_changes" } }).Set(static_cast<double>(sample.roleChanges));
+    m_values.Add({ { "of", "config_version" } }).Set(static_cast<double>(sample.configVersion));
+    m_values.Add({ { "of", "store_read_age_seconds" } }).Set(std::chrono::duration<double>(sample.storeReadAge).count());
+    m_values.Add({ { "of", "live_daemons" } }).Set(static_cast<double>(sample.liveDaemons));
+    m_values.Add({ { "of", "open_targets" } }).Set(static_cast<double>(sample.openTargets));
+    m_values.Add({ { "of", "closed_targets" } }).Set(static_cast<double>(sample.closedTargets));
+    m_values.Add({ { "of", "may_order" } }).Set(sample.mayOrder ? 1 : 0);
+    m_values.Add({ { "of", "log_lines_left_out" } }).Set(static_cast<double>(sample.linesLeftOut));
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <LibCore/Error.h>
 #include <LibCore/Verdict.h>
 #include <LibRouting/Decision.h>
+#include <LibRouting/TargetHealth.h>
 #include <array>
+#include <chrono>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
 
@@ -19,8 +23,30 @@
     std::size_t rememberedTickets { 0 };
     std::size_t blockedChanges { 0 };
     std::uint64_t roleChanges { 0 };
+    std::uint64_t configVersion { 0 }; ///< Of a configuration that comes whole.
+    std::chrono::milliseconds storeReadAge { 0 }; ///< Since the list of targets was last read from the store.
+    std::size_t liveDaemons { 0 }; ///< This one included.
+    std::size_t openTargets { 0 }; ///< That may get work, as far as the list says.
+    std::size_t closedTargets { 0 };
+    bool mayOrder { false }; ///< This daemon holds a lease on some engines.
+    std::uint64_t linesLeftOut { 0 }; ///< Of the log.
 };
 
+/// A time that requests spend. Each is a histogram of its own.
+enum class TimeOf : std::uint8_t {
+    Placement, ///< From asking for a target until one was chosen or refused.
+    FirstPiece, ///< From the request until the first piece of its answer went to the caller.
+    Request, ///< From the request until its final answer.
+    Pause, ///< The longest one between two pieces of a stream.
+};
+
+inline constexpr Core::EnumNames<TimeOf, 4> timeNames { {
+    { TimeOf::Placement, "placement" },
+    { TimeOf::FirstPiece, "first_piece" },
+    { TimeOf::Request, "request" },
+    { TimeOf::Pause, "pause" },
+} };
+
 /// The daemon's metrics (prometheus-cpp), given out as text by the operators' listener. Thread-safe.
 class Metrics {
 public:
@@ -35,13 +61,32 @@
     /// Notes a further attempt.
     void countRetry();
 
+    /// Notes a time that a request spent.
+    void observe(TimeOf, std::chrono::nanoseconds);
+
+    /// Notes a refusal or a failure by its error's code.
+    void countError(Core::ErrorCode);
+
+    /// Notes how a send to a target ended.
+    void countOutcome(Routing::TargetOutcome);
+
+    /// Notes that an exchange with a target began on a connection that was kept, or on a new one.
+    void countConnection(bool isKept);
+
     /// Returns all metrics in the text exposition format.
     std::string text(MetricsSample const&);
 
 private:
+    void addTimes();
+    void addCounters();
+
     std::shared_ptr<prometheus::Registry> m_registry;
     std::array<std::array<prometheus::Counter*, 2>, Core::verdictNames.size()> m_finished {};
     std::array<prometheus::Counter*, Routing::reasonNames.size()> m_decisions {};
+    std::array<prometheus::Histogram*, timeNames.size()> m_times {};
+    std::array<prometheus::Counter*, Core::errorCodeNames.size()> m_errors {};
+    std::array<prometheus::Counter*, Routing::targetOutcomeNames.size()> m_outcomes {};
+    std::array<prometheus::Counter*, 2> m_connections {};
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
 };
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -93,7 +93,10 @@
     if (m_work.firstPieceLimit.count() > 0)
         request.latestStart = std::min(request.latestStart, Clock::now() + m_work.firstPieceLimit / partOfPatience);
     m_placement = m_context.dispatcher.nextId();
-    co_return co_await m_context.dispatcher.place(std::move(request), m_context.context.get_executor(), m_placement);
+    Clock::time_point askedAt = Clock::now();
+    PlacementOutcome outcome = co_await m_context.dispatcher.place(std::move(request), m_context.context.get_executor(), m_placement);
+    m_context.metrics.observe(TimeOf::Placement, Clock::now() - askedAt);
+    co_return outcome;
 }
 
 boost::asio::awaitable<void> RequestRunner::runAttempt(LegPointer leg, std::vector<std::string> excluded, std::chrono::milliseconds delay)
@@ -179,6 +182,7 @@
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
     // The leg's exchange, so that giving the attempt up ends the prefill too.
     leg->exchange = std::move(connected.value());
+    m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
@@ -203,6 +207,7 @@
 
 void RequestRunner::noteOutcome(Routing::TargetOutcome outcome) const
 {
+    m_context.metrics.countOutcome(outcome);
     if (FleetTarget const* target = targetOf(m_target))
         m_context.dispatcher.noteOutcome(target->key, outcome);
 }
@@ -243,6 +248,7 @@
         co_return false;
     }
     leg->exchange = std::move(connected.value());
+    m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
     co_return true;
 }
 
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -142,10 +142,15 @@
         delivered.status = static_cast<std::uint16_t>(head->status);
         co_await m_sink->head(std::move(delivered));
     } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
+        Clock::time_point now = Clock::now();
         if (piece->position == 0) {
-            m_firstPieceAt = Clock::now();
+            m_firstPieceAt = now;
+            m_context.metrics.observe(TimeOf::FirstPiece, now - m_startedAt);
             m_context.dispatcher.prefilled(m_placement);
+        } else {
+            m_longestPause = std::max(m_longestPause, now - m_lastPieceAt);
         }
+        m_lastPieceAt = now;
         co_await m_sink->piece(piece->position, std::move(piece->bytes));
     } else if (Request::Finish* finish = std::get_if<Request::Finish>(&action)) {
         if (finish->verdict == Core::Verdict::NotRun && finish->retryAfter.count() == 0)
@@ -254,12 +259,12 @@
 void RequestRunner::logDecision(std::uint32_t attempt, PlacementOutcome const& outcome) const
 {
     m_context.metrics.countDecision(outcome.decision.reason);
-    if (!Core::isLogged(Core::Severity::Info))
-        return;
     if (!outcome.position) {
-        Core::logEvent(Core::Severity::Info, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
         return;
     }
+    if (!Core::isLogged(Core::Severity::Info))
+        return;
     Routing::Decision const& decision = outcome.decision;
     Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
 }
@@ -273,8 +278,15 @@
 {
     m_context.metrics.countFinished(finish.verdict, finish.error.has_value());
     Clock::time_point now = Clock::now();
+    m_context.metrics.observe(TimeOf::Request, now - m_startedAt);
+    if (m_work.isStreamed && m_machine.deliveredPieces() > 1)
+        m_context.metrics.observe(TimeOf::Pause, m_longestPause);
+    if (finish.error)
+        m_context.metrics.countError(finish.error->code);
     std::string first = m_firstPieceAt == Clock::time_point() ? "-" : millisecondsSince(m_startedAt, m_firstPieceAt);
-    Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "retry_after_ms", std::to_string(finish.retryAfter.count()) }, { "error", finish.error ? finish.error->message : "-" } });
+    // Lines of requests that went well may be left out under load, those of the others never.
+    Core::Severity severity = finish.error ? Core::Severity::Warning : Core::Severity::Info;
+    Core::logEvent(severity, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "target_status", m_leg ? std::to_string(m_leg->head.status) : "-" }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "longest_pause_ms", std::to_string(std::chrono::duration<double, std::milli>(m_longestPause).count()) }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "retry_after_ms", std::to_string(finish.retryAfter.count()) }, { "error", finish.error ? finish.error->message : "-" } });
 }
 
 }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -99,6 +99,8 @@
     int m_urgency { 5 }; ///< Of the present send.
     std::string m_lastEventId; ///< Of the last event that was handed on; empty: none had one.
     std::chrono::steady_clock::time_point m_firstPieceAt;
+    std::chrono::steady_clock::time_point m_lastPieceAt;
+    std::chrono::steady_clock::duration m_longestPause { 0 }; ///< Between two pieces.
 };
 
 }
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/BeaconMessage.h>
 #include <LibDaemon/RoleKeeper.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -44,6 +45,11 @@
     return *group;
 }
 
+bool RoleKeeper::mayOrder() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [](std::pair<std::string const, std::unique_ptr<Group>> const& it) { return it.second->lease.mayOrder(Clock::now()); });
+}
+
 std::vector<std::uint64_t> RoleKeeper::changing() const
 {
     std::vector<std::uint64_t> keys;
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -47,6 +47,9 @@
     /// Whether this daemon could not get a lease lately, so that another should plan.
     bool cannotPlan() const { return Core::BootClock::now() < m_cannotPlanUntil; }
 
+    /// Whether this daemon may give orders to any engine now.
+    bool mayOrder() const;
+
     /// How many role changes engines have accepted from this process.
     std::uint64_t accepted() const { return m_accepted; }
 
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -376,6 +376,16 @@
     }
 }
 
+std::size_t StoreControl::liveDaemons() const
+{
+    return m_beacons->book().liveCount(Clock::now());
+}
+
+std::chrono::milliseconds StoreControl::storeReadAge() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_targetList.readAt);
+}
+
 EntryList StoreControl::entries() const
 {
     EntryList list;
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -55,6 +55,8 @@
 
     FleetPointer const& fleet() const { return m_fleet; }
     std::uint64_t configVersion() const { return m_services ? m_services->version : 0; }
+    std::size_t liveDaemons() const; ///< This one included.
+    std::chrono::milliseconds storeReadAge() const; ///< Since the list of targets was last read from the store.
     RoleKeeper const& roles() const { return *m_roles; }
 
 private:
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -50,6 +50,9 @@
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
+    /// Whether its connection was kept from an earlier exchange. Precondition: the response was not read to its end.
+    virtual bool isOnKeptConnection() const = 0;
+
     /// Closes the connection; a waiting `start` or `read` returns Canceled.
     virtual void cancel() = 0;
 };
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -37,6 +37,7 @@
     boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() override;
     void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
+    bool isOnKeptConnection() const override { return m_connection->keepUntil != Core::BootClock::time_point(); }
     void cancel() override;
     boost::asio::awaitable<Core::Result<void>> skipResponse() override;
 
--- a/Libraries/LibOperator/CommandLine.cpp
+++ b/Libraries/LibOperator/CommandLine.cpp
@@ -27,7 +27,7 @@
     std::string_view example;
 };
 
-constexpr std::array<Usage, 9> usages { {
+constexpr std::array<Usage, 10> usages { {
     { Command::Apply, "FILE", 1, 1, "Brings the configuration to what FILE says. All of its changes are accepted, or none.",
         "currantctl apply fleet.ini --wait\n  currantctl apply fleet.ini --dry-run --prune" },
     { Command::Get, "[KIND [NAME]]", 0, 2, "Prints the configuration in force, as a file that apply reads.",
@@ -46,6 +46,8 @@
         "currantctl delete route night-work" },
     { Command::Explain, "", 0, 0, "Prints where a request would go and why, and why the other targets would not get it.",
         "currantctl explain --labels tier=night,org=tanta --path /v1/completions --model reasoning" },
+    { Command::Story, "ID FILE...", 2, 10'000, "Prints what the daemons' log files say of one request, in order, and how it ended. Asks no server.",
+        "currantctl story 811ff66a8cd5a520 front-*.log" },
 } };
 
 Usage const& usageOf(Command command)
@@ -140,6 +142,8 @@
 
 Core::Result<void> readGlobal(Arguments const& arguments, CommandLine::Environment const& environment, CommandLine& line)
 {
+    if (line.isOffline())
+        return Core::ok();
     BOOST_OUTCOME_TRY(line.servers, readServers(textOf(arguments, "server", environment(serversVariable))));
     line.tokenFile = textOf(arguments, "token-file", environment(tokenFileVariable));
     if (line.tokenFile.empty())
--- a/Libraries/LibOperator/CommandLine.h
+++ b/Libraries/LibOperator/CommandLine.h
@@ -22,9 +22,10 @@
     Drain,
     Undrain,
     Delete,
-    Explain };
+    Explain,
+    Story };
 
-inline constexpr Core::EnumNames<Command, 9> commandNames { {
+inline constexpr Core::EnumNames<Command, 10> commandNames { {
     { Command::Apply, "apply" },
     { Command::Get, "get" },
     { Command::Diff, "diff" },
@@ -34,6 +35,7 @@
     { Command::Undrain, "undrain" },
     { Command::Delete, "delete" },
     { Command::Explain, "explain" },
+    { Command::Story, "story" },
 } };
 
 /// How results are printed.
@@ -76,6 +78,9 @@
     /// the arguments don't. Errors: BadInput with one sentence. Thread-safe.
     static Core::Result<CommandLine> parse(std::vector<std::string> const& arguments, Environment const&);
 
+    /// Whether the command reads files alone and asks no server.
+    bool isOffline() const { return command == Command::Story; }
+
     /// Returns the help of the whole program. Thread-safe.
     static std::string helpText();
 };
--- a/Libraries/LibOperator/Commands.cpp
+++ b/Libraries/LibOperator/Commands.cpp
@@ -86,6 +86,8 @@
 ExitCode Commands::run()
 {
     switch (m_line.command) {
+    case Command::Story:
+        break; // It asks no server: Story reads the files.
     case Command::Apply:
         return apply();
     case Command::Get:
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -158,6 +158,7 @@
     keys.push_back(optional(endpointKey("callers", "directory", "Where callers ask which daemons to use.", callersOf, &Owned::Callers::directory)));
     keys.push_back(optional(endpointKey("callers", "ready", "Where the platform asks whether this daemon takes requests.", callersOf, &Owned::Callers::ready)));
     keys.push_back(endpointKey("operators", "listen", "Where operators, metrics and health checks connect.", operatorsOf, &Owned::Operators::listen));
+    keys.push_back(optional(endpointKey("operators", "metrics", "Where metrics are fetched, beside [operators] listen (kind keyed-store).", operatorsOf, &Owned::Operators::metrics)));
     keys.push_back(tokenKey());
     keys.push_back(endpointKey("peers", "listen", "Where other daemons connect.", peersOf, &Owned::Peers::listen));
     keys.push_back(optional(endpointKey("peers", "beacon", "Where other daemons' beacons come in, over UDP (kind keyed-store).", peersOf, &Owned::Peers::beacon)));
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -53,6 +53,7 @@
 
     struct Operators {
         Endpoint listen;
+        Endpoint metrics; ///< Where metrics are fetched beside `listen`; port 0: only there.
         std::string token;
     };
 
--- a/Tests/LibCore/TestFullPipe.cpp
+++ b/Tests/LibCore/TestFullPipe.cpp
@@ -15,9 +15,13 @@
     ASSERT_EQ(::dup2(ends[1], STDOUT_FILENO), STDOUT_FILENO);
     Core::startEventLog(Core::Severity::Info);
     std::string text(200, 'x');
-    // Twenty times what pipe and buffer hold together. Without the buffer this never ends.
+    // Twenty times what pipe and buffer hold together. Without the buffer this never ends. Warnings have no quota.
     for (int n = 0; n < 50'000; ++n)
-        Core::logEvent(Core::Severity::Info, Core::Event::RequestFinished, { { "request", std::to_string(n) }, { "error", text } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::RequestFinished, { { "request", std::to_string(n) }, { "error", text } });
+    // Those that went well are bounded by their quota before they come to the buffer.
+    for (int n = 0; n < 50'000; ++n)
+        Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", std::to_string(n) } });
+    EXPECT_GT(Core::linesLeftOut(), 40'000U);
     // The writer still waits in the pipe: let it go, and see that it says how much was left out.
     std::string written;
     std::thread reader([&] {
--- a/Utilities/currantctl/main.cpp
+++ b/Utilities/currantctl/main.cpp
@@ -1,4 +1,5 @@
 #include <LibOperator/Commands.h>
+#include <LibOperator/Story.h>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -22,6 +23,29 @@
     return std::uniform_int_distribution<std::uint64_t>()(device);
 }
 
+int fail(std::string const& message);
+
+/// Prints what log files say of a request. Exits with 7 when none of them names it.
+int tellStory(std::vector<std::string> const& operands)
+{
+    Operator::Story story(operands.front());
+    for (std::size_t n = 1; n < operands.size(); ++n) {
+        std::ifstream file(operands[n]);
+        if (!file)
+            return fail("the log file '" + operands[n] + "' can't be read");
+        story.read(file, operands[n]);
+    }
+    std::vector<Operator::LogLine> lines = story.lines();
+    for (Operator::LogLine const& line : lines) {
+        std::cout << line.time << " " << line.source << " " << line.event;
+        for (std::pair<std::string const, std::string> const& field : line.fields)
+            std::cout << " " << field.first << "=" << field.second;
+        std::cout << "\n";
+    }
+    std::cout << story.cause() << "\n";
+    return static_cast<int>(lines.empty() ? Operator::ExitCode::NotFound : Operator::ExitCode::Ok);
+}
+
 int fail(std::string const& message)
 {
     std::cerr << "currantctl: " << message << "\n";
@@ -40,6 +64,8 @@
         std::cout << line.value().help;
         return 0;
     }
+    if (line.value().isOffline())
+        return tellStory(line.value().operands);
     Core::Result<std::string> token = readToken(line.value().tokenFile);
     if (!token)
         return fail(token.error().message);
