LibRouting, LibDaemon: Count a shared part as computed once it was, not because the target is its home

Requests that were given up after 2.4 s had been expected to wait 0.2 to 1.0 s.

Change: a home is marked as such and no cached tokens are made up for it; daemons tell each other by beacon which part they were the first to send where.

--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -74,6 +74,11 @@
         added->set_good(outcomes.good);
         added->set_bad(outcomes.bad);
     }
+    for (Routing::HeldPart const& part : beacon.heldParts) {
+        Proto::HeldPart* added = message.add_held_parts();
+        added->set_hash(part.hash);
+        added->set_target(part.target);
+    }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -97,6 +102,8 @@
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
     for (Proto::Outcomes const& outcomes : message.outcomes())
         beacon.outcomes.push_back({ outcomes.target(), outcomes.good(), outcomes.bad() });
+    for (Proto::HeldPart const& part : message.held_parts())
+        beacon.heldParts.push_back({ part.hash(), part.target() });
     beacon.changing.assign(message.changing().begin(), message.changing().end());
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -140,6 +140,8 @@
     hooks.takePeerWork = [this](std::string const& peer, std::vector<Routing::TargetShare> const& shares) { m_dispatcher->takePeerWork(peer, shares); };
     hooks.takeOutcomes = [this] { return m_dispatcher->takeOutcomes(); };
     hooks.takePeerOutcomes = [this](std::vector<Routing::OutcomeCounts> const& outcomes) { m_dispatcher->takePeerOutcomes(outcomes); };
+    hooks.takeHeldParts = [this] { return m_dispatcher->takeHeldParts(); };
+    hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons); };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -43,6 +43,7 @@
     boost::asio::steady_timer timer;
     PlacementOutcome outcome;
     std::uint32_t promptTokens { 0 }; ///< Left to compute at the chosen target, after its cached prefix.
+    bool computesShared { false }; ///< No daemon is known to have had its shared part computed there.
     Routing::TargetWork work; ///< That it adds to the chosen target's.
     bool isResolved { false };
     bool isPrefilled { false };
@@ -156,7 +157,8 @@
         bool isClosed = isExcluded || !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
         bool isFailing = !isClosed && m_outliers.isOutlier(target.key, now);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
-        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now), false, false, target.slots };
+        Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now) };
+        candidate.slots = target.slots;
         if (isFailing)
             m_failingCandidates.push_back(m_candidates.size());
         candidate.fetchesFarKv = !request.kvZone.empty() && request.kvZone != target.availabilityZone;
@@ -183,6 +185,7 @@
     if (!waiter.outcome.decision.chosen)
         return std::nullopt;
     std::uint32_t cached = m_candidates[*waiter.outcome.decision.chosen].prefixMatchTokens;
+    waiter.computesShared = shape.prefixHash != 0 && cached < shape.sharedTokens && waiter.outcome.decision.role == Routing::TargetRole::Prefill;
     waiter.promptTokens = shape.phase == Routing::Phase::Decode ? 0 : shape.promptTokens - std::min(cached, shape.promptTokens);
     waiter.outcome.position = m_candidatePositions[*waiter.outcome.decision.chosen];
     waiter.work = workOf(shape, waiter.outcome.decision.role, waiter.promptTokens, m_router.settings().promptCost);
@@ -204,10 +207,8 @@
         m_homeCandidates.push_back(n);
     }
     Routing::Homes homes = Routing::homesOf(request.shape.prefixHash, m_homeKeys);
-    if (homes.first < m_homeKeys.size()) {
-        Routing::Candidate& home = m_candidates[m_homeCandidates[homes.first]];
-        home.prefixMatchTokens = std::max(home.prefixMatchTokens, request.shape.sharedTokens);
-    }
+    if (homes.first < m_homeKeys.size())
+        m_candidates[m_homeCandidates[homes.first]].isHome = true;
     if (homes.second < m_homeKeys.size())
         m_candidates[m_homeCandidates[homes.second]].isSecondHome = true;
 }
@@ -218,8 +219,11 @@
     std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
     bool hasPrompt = waiter.request.shape.phase != Routing::Phase::Decode;
     m_loads.count(id, { 1, 0, waiter.promptTokens, hasPrompt ? 1U : 0U, 0 }, Clock::now());
-    if (hasPrompt)
-        m_prefixes.routed(waiter.request.prefix, id);
+    if (!hasPrompt)
+        return;
+    m_prefixes.routed(waiter.request.prefix, id);
+    if (waiter.computesShared)
+        m_untoldParts.push_back({ waiter.request.shape.prefixHash, waiter.request.fleet->targets[*waiter.outcome.position].key });
 }
 
 void Dispatcher::wake(std::shared_ptr<Waiter> const& waiter)
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -84,6 +84,12 @@
     /// Notes how a send to a target ended, by the target's key.
     void noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome);
 
+    /// Returns the shared parts that this daemon was the first known to send to a target, since the last call.
+    std::vector<Routing::HeldPart> takeHeldParts();
+
+    /// Takes what a peer was the first to send to targets.
+    void takePeerParts(std::vector<Routing::HeldPart> const&);
+
     /// Returns how requests of this daemon ended since the last call, for its peers.
     std::vector<Routing::OutcomeCounts> takeOutcomes();
 
@@ -131,6 +137,8 @@
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By key, for logs.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
     Routing::PrefixIndex m_prefixes;
+    std::vector<Routing::HeldPart> m_untoldParts;
+    std::unordered_map<std::uint64_t, std::uint32_t> m_targetIdsByKey;
     std::unique_ptr<Admission::Controller> m_admission;
     std::mt19937_64 m_random;
     std::uint64_t m_lastId { 0 };
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -4,6 +4,7 @@
 #include <LibDaemon/Dispatcher.h>
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Daemon {
 
@@ -30,10 +31,12 @@
     std::vector<std::uint32_t> known;
     m_roles.clear();
     m_targetNames.clear();
+    m_targetIdsByKey.clear();
     std::map<std::tuple<std::string, Routing::TargetRole>, std::vector<std::uint64_t>> groups;
     for (FleetTarget const& target : fleet->targets) {
         groups[{ target.work(), target.role }].push_back(target.key);
         m_targetNames.emplace(target.key, target.name);
+        m_targetIdsByKey.emplace(target.key, target.id);
         highest = std::max(highest, target.id);
         known.push_back(target.id);
         m_roles.emplace(target.id, target.role);
@@ -77,6 +80,22 @@
         m_outliers.note(targetKey, false, now);
 }
 
+std::vector<Routing::HeldPart> Dispatcher::takeHeldParts()
+{
+    std::lock_guard lock(m_mutex);
+    return std::exchange(m_untoldParts, {});
+}
+
+void Dispatcher::takePeerParts(std::vector<Routing::HeldPart> const& parts)
+{
+    std::lock_guard lock(m_mutex);
+    for (Routing::HeldPart const& part : parts) {
+        std::unordered_map<std::uint64_t, std::uint32_t>::const_iterator id = m_targetIdsByKey.find(part.target);
+        if (id != m_targetIdsByKey.end())
+            m_prefixes.stored(part.hash, id->second);
+    }
+}
+
 std::vector<Routing::OutcomeCounts> Dispatcher::takeOutcomes()
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -340,6 +340,7 @@
     beacon.changing = m_roles->changing();
     beacon.suspects = m_hooks.suspects();
     beacon.outcomes = m_hooks.takeOutcomes();
+    beacon.heldParts = m_hooks.takeHeldParts();
     beacon.lapseGrace = m_targets.graceLeft(Clock::now());
     return beacon;
 }
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -30,6 +30,8 @@
         std::function<void(std::string const& peer, std::vector<Routing::TargetShare> const&)> takePeerWork;
         std::function<std::vector<Routing::OutcomeCounts>()> takeOutcomes; ///< How requests ended since the last call.
         std::function<void(std::vector<Routing::OutcomeCounts> const&)> takePeerOutcomes;
+        std::function<std::vector<Routing::HeldPart>()> takeHeldParts; ///< Shared parts sent to targets first by this daemon.
+        std::function<void(std::vector<Routing::HeldPart> const&)> takePeerParts;
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -83,6 +83,7 @@
 {
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
     m_hooks.takePeerOutcomes(beacon.outcomes);
+    m_hooks.takePeerParts(beacon.heldParts);
     m_suspects[beacon.sender.name] = beacon.suspects;
     Clock::time_point now = Clock::now();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
--- a/Libraries/LibRouting/Candidate.h
+++ b/Libraries/LibRouting/Candidate.h
@@ -17,6 +17,7 @@
     std::uint32_t prefixMatchTokens { 0 }; ///< Prompt tokens whose KV cache it is believed to hold.
     Load load;
     TargetWork open; ///< Sent by all daemons and not ended, as far as known. For `Policy::PromptHome`.
+    bool isHome { false }; ///< Of the prompt's shared part: whoever computes it should do so here.
     bool isSecondHome { false }; ///< Of the prompt's shared part.
     bool fetchesFarKv { false }; ///< The prompt's KV cache would come from another availability zone.
     std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
--- a/Libraries/LibRouting/PrefixIndex.h
+++ b/Libraries/LibRouting/PrefixIndex.h
@@ -15,6 +15,14 @@
     std::uint32_t tokens { 0 };
 };
 
+/// A shared part of prompts that a target has computed, as daemons tell each other. Both numbers are the same at every daemon.
+struct HeldPart {
+    std::uint64_t hash { 0 }; ///< Of the chain up to the part's end.
+    std::uint64_t target { 0 };
+
+    bool operator==(HeldPart const&) const = default;
+};
+
 /// A target believed to hold the KV cache of a prompt's first `tokens` tokens.
 struct PrefixMatch {
     std::uint32_t target { 0 };
--- a/Tests/LibRouting/TestPromptHomes.cpp
+++ b/Tests/LibRouting/TestPromptHomes.cpp
@@ -85,6 +85,29 @@
     EXPECT_EQ(decide(candidates, history()).target, 2U);
 }
 
+// At the start of a day, and after a home was lost, nothing is cached yet: a part is still computed at its home, yet its
+// whole cost counts, so that the wait there is not taken for a quarter of what it will be.
+TEST(PromptHomeRouting, AColdHomeIsStillTheHomeAndCountsTheWholePrompt)
+{
+    std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill), candidate(1, TargetRole::Prefill, 0.3) };
+    candidates[1].isHome = true;
+    Decision cold = decide(candidates, history());
+    EXPECT_EQ(cold.target, 1U);
+    candidates[1].prefixMatchTokens = 13'300;
+    Decision warm = decide(candidates, history());
+    EXPECT_EQ(warm.target, 1U);
+    EXPECT_NEAR(cold.waitSeconds - warm.waitSeconds, PromptCost().seconds(history().promptTokens, history().promptTokens) - PromptCost().seconds(history().promptTokens - 13'300, history().promptTokens), 1e-6);
+}
+
+// Two cold homes, one of them 3 s behind: computing the part elsewhere costs what it costs at home, and no more.
+TEST(PromptHomeRouting, AColdHomeThatIsFarBehindIsLeft)
+{
+    std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill, 5.0), candidate(1, TargetRole::Prefill) };
+    candidates[0].isHome = true;
+    candidates[1].isSecondHome = true;
+    EXPECT_EQ(decide(candidates, history()).target, 1U);
+}
+
 TEST(PromptHomeRouting, AShortQuestionGoesWhereItIsServedFirst)
 {
     std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill, 0.2), candidate(1, TargetRole::Prefill, 0.4), candidate(2, TargetRole::Prefill, 0.3) };
