Tests/Processes: Add a soak that injects random faults into real processes

Cause: the promises were tested by a fault at a time; nothing ran real daemons under overlapping ones.

By a seed: processes are paused, stopped, killed and started again, links held up one way or both and cut, the store goes away, targets lose answers or cut streams, the configuration changes; faults overlap. Callers keep their connections. Checked: what may not be repeated runs once, 'not run' is true, answers are whole and the caller's own, nothing configured is denied, all is served again at the end, by the newest configuration.

--- /dev/null
+++ b/Tests/Processes/KeyedSite.cpp
@@ -0,0 +1,230 @@
+#include "KeyedSite.h"
+
+#include <LibHttp/Client.h>
+#include <LibPlatform/Json.h>
+#include <atomic>
+#include <fstream>
+#include <platform/Store.h>
+#include <sstream>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace Processes {
+
+using namespace std::chrono_literals;
+using Platform::arrayOf;
+using Platform::numberOf;
+using Platform::stringOf;
+
+namespace {
+
+std::string program(std::string const& name)
+{
+    return std::string(CURRANTVALE_BINARY_DIR "/") + name;
+}
+
+std::filesystem::path newFolder()
+{
+    static std::atomic<int> s_count { 0 };
+    return std::filesystem::temp_directory_path() / ("currantvale-keyed-" + std::to_string(getpid()) + "-" + std::to_string(++s_count));
+}
+
+void replaceAll(std::string& text, std::string const& from, std::string const& to)
+{
+    for (std::size_t found = text.find(from); found != std::string::npos; found = text.find(from, found + to.size()))
+        text.replace(found, from.size(), to);
+}
+
+}
+
+KeyedSite::KeyedSite(KeyedSiteSettings const& settings)
+    : m_settings(settings)
+    , m_folder(newFolder())
+{
+    std::filesystem::create_directories(m_folder);
+    m_store = Http::parseEndpoint(spawnStandIn("store", { "keyed-store", "--listen", "127.0.0.1:0" })).value();
+    for (std::string_view role : { "prefill", "decode", "decode", "decode" })
+        addTarget("engine-" + std::to_string(m_targets.size()), "llm", std::string(role));
+    for (std::string_view name : { "app-0", "app-1" })
+        addTarget(std::string(name), "app", "");
+    configure(1, "app");
+    for (std::size_t n = 0; n < daemonCount(); ++n) {
+        Endpoint store = m_settings.hasForwarders ? startForwarder(storeForwarder(n), m_store) : m_store;
+        m_daemons.push_back({ freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), freeEndpoint(), store });
+    }
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        startDaemon(n);
+}
+
+KeyedSite::~KeyedSite()
+{
+    m_processes.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
+}
+
+bool KeyedSite::waitUntilServing()
+{
+    for (std::size_t n = 0; n < daemonCount(); ++n) {
+        if (!waitFor([&] { return isReady(n) && listed(n).size() == daemonCount(); }))
+            return false;
+    }
+    // The split of roles comes before the first request, and the list shows it.
+    return waitFor([&] { return countEngines("prefill") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
+}
+
+void KeyedSite::spawn(std::string const& name, std::vector<std::string> const& arguments)
+{
+    m_processes[name] = std::make_unique<Process>(arguments, (m_folder / (name + ".out")).string(), (m_folder / (name + ".log")).string());
+}
+
+// Returns the address that the stand-in prints, and what follows it on the line.
+std::string KeyedSite::spawnStandIn(std::string const& name, std::vector<std::string> arguments)
+{
+    std::filesystem::remove(m_folder / (name + ".out"));
+    arguments.insert(arguments.begin(), program("currantvale-standin"));
+    spawn(name, arguments);
+    std::string line;
+    bool isListening = waitFor([&] {
+        std::ifstream file(m_folder / (name + ".out"));
+        return std::getline(file, line) && line.starts_with("listening ") && !file.eof();
+    });
+    if (!isListening)
+        throw std::runtime_error("the stand-in " + name + " does not listen");
+    return line.substr(line.find(' ') + 1);
+}
+
+Endpoint KeyedSite::startForwarder(std::string const& name, Endpoint const& to)
+{
+    std::string line = spawnStandIn(name, { "forwarder", "--listen", "127.0.0.1:0", "--to", Http::toString(to), "--admin", "127.0.0.1:0" });
+    constexpr std::string_view admin = " admin ";
+    std::size_t at = line.find(admin);
+    m_forwarders[name] = Http::parseEndpoint(line.substr(at + admin.size())).value();
+    return Http::parseEndpoint(line.substr(0, at)).value();
+}
+
+void KeyedSite::addTarget(std::string const& name, std::string const& service, std::string const& role)
+{
+    Target target;
+    target.listen = freeEndpoint();
+    target.arguments = { "runner", "--listen", Http::toString(target.listen), "--service", service, "--store", Http::toString(m_store) };
+    if (!role.empty())
+        target.arguments.insert(target.arguments.end(), { "--role", role });
+    if (m_settings.hasForwarders)
+        target.arguments.insert(target.arguments.end(), { "--listed-as", Http::toString(startForwarder(targetForwarder(name), target.listen)) });
+    m_targets[name] = std::move(target);
+    startTarget(name);
+}
+
+void KeyedSite::startTarget(std::string const& name)
+{
+    spawnStandIn(name, m_targets.at(name).arguments);
+}
+
+// Fills deploy/entry.ini in, as the platform does.
+void KeyedSite::startDaemon(std::size_t n)
+{
+    Addresses const& at = m_daemons[n];
+    std::map<std::string, std::string> values { { "node", daemonName(n) }, { "zone", "zone-a" }, { "region", "region-a" }, { "bounds.grace_s", std::to_string(m_settings.stopWithinSeconds) }, { "bounds.lease_ms", "300" },
+        { "bounds.retry_budget_ratio", "0.2" }, { "bounds.budget_extra", "50" }, { "bounds.budget_window_s", "10" }, { "provider.addr", Http::toString(at.store) },
+        { "listen.front", Http::toString(at.front) }, { "listen.directory", Http::toString(at.directory) }, { "listen.ready", Http::toString(at.ready) },
+        { "ip", "127.0.0.1" }, { "port_range.0", std::to_string(at.peers.port()) }, { "port_range.1", std::to_string(at.operators.port()) } };
+    std::ifstream file(CURRANTVALE_SOURCE_DIR "/deploy/entry.ini");
+    std::ostringstream text;
+    text << file.rdbuf();
+    std::string settings = text.str();
+    for (std::pair<std::string const, std::string> const& it : values)
+        replaceAll(settings, "{{" + it.first + "}}", it.second);
+    replaceAll(settings, "leave_hold_ms = 3000", "leave_hold_ms = " + std::to_string(m_settings.leaveHoldMs));
+    // The port of the metrics is one for a VM, and these daemons share one.
+    replaceAll(settings, "metrics = 127.0.0.1:9464\n", "");
+    std::string name = (m_folder / (daemonName(n) + ".ini")).string();
+    std::ofstream(name) << settings;
+    spawn(daemonName(n), { program("currantvaled"), "--settings", name });
+}
+
+void KeyedSite::configure(std::uint64_t version, std::string const& service)
+{
+    std::string routes = R"({"name":"histories","host":"a.example","path_prefix":"/h/","kind":"stream","timeout_ms":6000,"goal_ms":600,"priority":2,"service":"llm","max_attempts":3,"resumable":true,"gap_target_ms":150},)"
+                         R"({"name":"confirm","host":"a.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":")"
+        + service + R"(","max_attempts":1},)"
+                    R"({"name":"look-up","host":"a.example","path_prefix":"/s/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2})";
+    std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}]})";
+    Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", config) };
+    if (fetch(m_store, request).status != 200)
+        throw std::runtime_error("the store does not take configuration " + std::to_string(version));
+}
+
+Http::Request KeyedSite::request(std::string const& method, std::string const& path, std::string const& id)
+{
+    Http::Fields fields { { "Host", "a.example" }, { "X-Request-Id", id }, { "X-Deadline-Ms", "5000" }, { "X-Token-Usage", "100,10" }, { "X-Prompt-Prefix", "a:60,b:40" } };
+    return { method, path, std::move(fields), method == "GET" ? "" : "body" };
+}
+
+Http::Response KeyedSite::ask(std::size_t daemon, std::string const& method, std::string const& path, std::string const& id) const
+{
+    return fetch(m_daemons[daemon].front, request(method, path, id));
+}
+
+bool KeyedSite::isReady(std::size_t daemon) const
+{
+    return fetch(m_daemons[daemon].ready, Http::Request()).status == 200;
+}
+
+std::vector<std::string> KeyedSite::listed(std::size_t daemon) const
+{
+    boost::json::object body = getObject(m_daemons[daemon].directory, "/currantvale/resolve?name=a.example&region=region-a&zone=zone-a");
+    std::vector<std::string> addresses;
+    if (boost::json::array const* list = arrayOf(body, "addrs")) {
+        for (boost::json::value const& it : *list)
+            addresses.emplace_back(it.as_string());
+    }
+    return addresses;
+}
+
+std::size_t KeyedSite::countEngines(std::string const& role) const
+{
+    std::size_t count = 0;
+    for (Endpoint const& engine : engines())
+        count += stringOf(getObject(engine, "/admin/runs"), "role") == role ? 1 : 0;
+    return count;
+}
+
+std::uint64_t KeyedSite::runs(std::vector<Endpoint> const& targets, std::string const& id) const
+{
+    std::uint64_t sum = 0;
+    for (Endpoint const& target : targets) {
+        boost::json::object body = getObject(target, "/admin/runs");
+        if (boost::json::value const* counts = body.if_contains("runs"))
+            sum += numberOf(counts->get_object(), id);
+    }
+    return sum;
+}
+
+std::string KeyedSite::wholeStream(std::uint32_t pieces)
+{
+    std::string text;
+    for (std::uint32_t n = 1; n <= pieces; ++n)
+        text += "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + "\n\n";
+    return text;
+}
+
+std::vector<std::string> KeyedSite::targetNames() const
+{
+    std::vector<std::string> names;
+    for (std::pair<std::string const, Target> const& it : m_targets)
+        names.push_back(it.first);
+    return names;
+}
+
+std::vector<Endpoint> KeyedSite::endpointsOf(std::string const& prefix) const
+{
+    std::vector<Endpoint> endpoints;
+    for (std::pair<std::string const, Target> const& it : m_targets) {
+        if (it.first.starts_with(prefix))
+            endpoints.push_back(it.second.listen);
+    }
+    return endpoints;
+}
+
+}
--- /dev/null
+++ b/Tests/Processes/KeyedSite.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Fleet.h"
+#include "Process.h"
+
+#include <LibHttp/Message.h>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Processes {
+
+/// What a test varies of a site.
+struct KeyedSiteSettings {
+    /// Daemons reach the store, and all reach the targets, through forwarders that can be held up and cut.
+    bool hasForwarders { false };
+    int stopWithinSeconds { 30 };
+    int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
+};
+
+/// A platform with a keyed store: the store, four engines of which three decode at first, two plain services and three
+/// daemons, each a process of its own on loopback. All of them end with this object. Not thread-safe but for `ask`.
+class KeyedSite {
+public:
+    explicit KeyedSite(KeyedSiteSettings const& = {});
+    virtual ~KeyedSite();
+    KeyedSite(KeyedSite const&) = delete;
+    KeyedSite& operator=(KeyedSite const&) = delete;
+
+    /// Waits until all daemons serve and list each other, and the roles are split. Returns whether they do.
+    bool waitUntilServing();
+
+    static constexpr std::size_t daemonCount() { return 3; }
+    static std::string daemonName(std::size_t n) { return "front-" + std::to_string(n); }
+    static std::string storeForwarder(std::size_t daemon) { return "store-link-" + std::to_string(daemon); }
+    static std::string targetForwarder(std::string const& target) { return target + "-link"; }
+
+    Process& process(std::string const& name) { return *m_processes.at(name); }
+
+    /// Starts a daemon again, at its former addresses.
+    void startDaemon(std::size_t n);
+    /// Starts a target again, at its former address and under a new incarnation.
+    void startTarget(std::string const& name);
+
+    /// Writes a whole configuration, as operators do. Calls below /c/ go to `service`.
+    void configure(std::uint64_t version, std::string const& service);
+
+    static Http::Request request(std::string const& method, std::string const& path, std::string const& id);
+    Http::Response ask(std::size_t daemon, std::string const& method, std::string const& path, std::string const& id) const;
+    bool isReady(std::size_t daemon) const;
+    std::vector<std::string> listed(std::size_t daemon) const;
+    std::size_t countEngines(std::string const& role) const;
+
+    /// Returns how often a request ran at any of these, as far as those processes remember.
+    std::uint64_t runs(std::vector<Endpoint> const& targets, std::string const& id) const;
+    static std::string wholeStream(std::uint32_t pieces);
+
+    Endpoint const& store() const { return m_store; }
+    Endpoint const& front(std::size_t daemon) const { return m_daemons.at(daemon).front; }
+    std::vector<Endpoint> engines() const { return endpointsOf("engine-"); }
+    std::vector<Endpoint> apps() const { return endpointsOf("app-"); }
+    Endpoint const& target(std::string const& name) const { return m_targets.at(name).listen; }
+    std::vector<std::string> targetNames() const;
+    /// Where a forwarder takes its commands.
+    Endpoint const& forwarderAdmin(std::string const& name) const { return m_forwarders.at(name); }
+
+private:
+    struct Addresses {
+        Endpoint front;
+        Endpoint directory;
+        Endpoint ready;
+        Endpoint operators;
+        Endpoint peers;
+        Endpoint store; ///< As this daemon is told.
+    };
+
+    struct Target {
+        std::vector<std::string> arguments;
+        Endpoint listen;
+    };
+
+    void spawn(std::string const& name, std::vector<std::string> const& arguments);
+    std::string spawnStandIn(std::string const& name, std::vector<std::string> arguments);
+    Endpoint startForwarder(std::string const& name, Endpoint const& to);
+    void addTarget(std::string const& name, std::string const& service, std::string const& role);
+    std::vector<Endpoint> endpointsOf(std::string const& prefix) const;
+
+    KeyedSiteSettings m_settings;
+    std::filesystem::path m_folder;
+    std::map<std::string, std::unique_ptr<Process>> m_processes;
+    Endpoint m_store;
+    std::map<std::string, Target> m_targets;
+    std::map<std::string, Endpoint> m_forwarders;
+    std::vector<Addresses> m_daemons;
+};
+
+}
--- /dev/null
+++ b/Tests/Processes/Soak.cpp
@@ -0,0 +1,443 @@
+#include "Soak.h"
+
+#include "KeyedSite.h"
+
+#include <LibCore/EnumNames.h>
+#include <LibHttp/Client.h>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace Processes {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Milliseconds = std::chrono::milliseconds;
+
+constexpr std::uint32_t piecesOfStream = 10; // What the stand-in makes.
+constexpr std::chrono::seconds callerPatience { 8 }; // Longer than any route's time.
+// A daemon that is down refuses connections at once: callers do not ask it thousands of times a second.
+constexpr Milliseconds betweenRequests { 10 };
+constexpr std::chrono::seconds recoveryBound { 20 }; // The users ask for 12 s; a busy machine needs time to start processes.
+constexpr Milliseconds settleTime { 3'500 }; // Longer than the longest fault, so that what it held up has come to its end.
+
+/// What callers ask for.
+enum class Kind : std::uint8_t {
+    Stream, ///< May go on at another target.
+    Unsafe, ///< May run once at most.
+    Safe,
+};
+
+inline constexpr Core::EnumNames<Kind, 3> kindNames { {
+    { Kind::Stream, "stream" },
+    { Kind::Unsafe, "unsafe" },
+    { Kind::Safe, "safe" },
+} };
+
+/// A request and what its caller got.
+struct Asked {
+    std::string id;
+    Kind kind { Kind::Safe };
+    std::size_t daemon { 0 };
+    std::uint16_t status { 0 }; ///< 0: the connection ended without a whole answer.
+    std::string answerId;
+    std::string body;
+};
+
+std::string pathOf(Kind kind)
+{
+    return kind == Kind::Stream ? "/h/1" : kind == Kind::Unsafe ? "/c/1"
+                                                                : "/s/1";
+}
+
+std::string methodOf(Kind kind)
+{
+    return kind == Kind::Safe ? "GET" : "POST";
+}
+
+// 408, 421, 429 and 503 promise that a request has not run and never will.
+bool isPromise(std::uint16_t status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// One thread that asks all the time, over connections that it keeps.
+class Caller {
+public:
+    Caller(KeyedSite const& site, std::uint64_t seed, std::string name)
+        : m_site(site)
+        , m_rng(seed)
+        , m_name(std::move(name))
+    {
+    }
+
+    void run(std::atomic<bool> const& isStopped)
+    {
+        boost::asio::io_context context(1);
+        Http::ClientSettings settings;
+        settings.headTimeout = settings.pieceTimeout = callerPatience;
+        std::unique_ptr<Http::Client> client = Http::Client::create(context, settings);
+        boost::asio::co_spawn(
+            context, [&]() -> boost::asio::awaitable<void> {
+                while (!isStopped)
+                    co_await askOnce(*client);
+                context.stop();
+            },
+            boost::asio::detached);
+        context.run();
+    }
+
+    std::vector<Asked> const& asked() const { return m_asked; }
+
+private:
+    boost::asio::awaitable<void> askOnce(Http::Client& client)
+    {
+        Asked asked;
+        asked.id = m_name + "-" + std::to_string(m_asked.size());
+        asked.kind = kindNames[m_rng() % kindNames.size()].first;
+        asked.daemon = m_rng() % KeyedSite::daemonCount();
+        Http::Request request = KeyedSite::request(methodOf(asked.kind), pathOf(asked.kind), asked.id);
+        Core::Result<Http::Response> response = co_await client.fetch(m_site.front(asked.daemon), std::move(request));
+        if (response.has_value()) {
+            asked.status = response.value().status;
+            asked.answerId = response.value().fields.find("X-Request-Id").value_or("");
+            asked.body = std::move(response.value().body);
+        }
+        m_asked.push_back(std::move(asked));
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, betweenRequests);
+        boost::system::error_code ec;
+        co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    }
+
+    KeyedSite const& m_site;
+    std::mt19937_64 m_rng;
+    std::string m_name;
+    std::vector<Asked> m_asked;
+};
+
+/// Does one thing after the other to the processes and their connections, and undoes each later.
+class FaultInjector {
+public:
+    FaultInjector(KeyedSite& site, std::uint64_t seed)
+        : m_site(site)
+        , m_rng(seed)
+    {
+    }
+
+    void run(Milliseconds duration)
+    {
+        m_start = Clock::now();
+        Clock::time_point end = m_start + duration;
+        while (Clock::now() < end) {
+            inject();
+            Clock::time_point next = Clock::now() + between(50, 600);
+            undoUntil(std::min(next, end));
+        }
+        undoUntil(Clock::time_point::max());
+    }
+
+    std::vector<std::string> const& done() const { return m_done; }
+    std::uint64_t version() const { return m_version; }
+
+private:
+    using Action = std::function<void()>;
+
+    Milliseconds between(int least, int most) { return Milliseconds(std::uniform_int_distribution<int>(least, most)(m_rng)); }
+    std::size_t below(std::size_t n) { return m_rng() % n; }
+
+    void note(std::string text)
+    {
+        Milliseconds at = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_start);
+        m_done.push_back(std::to_string(at.count()) + " ms " + std::move(text));
+    }
+
+    void undoLater(Milliseconds after, Action undo) { m_undo.emplace(Clock::now() + after, std::move(undo)); }
+
+    void undoUntil(Clock::time_point until)
+    {
+        while (!m_undo.empty() && m_undo.begin()->first <= until) {
+            std::this_thread::sleep_until(m_undo.begin()->first);
+            Action undo = std::move(m_undo.begin()->second);
+            m_undo.erase(m_undo.begin());
+            undo();
+        }
+        if (until != Clock::time_point::max())
+            std::this_thread::sleep_until(until);
+    }
+
+    // One fault at a time for each process and each link; different ones overlap.
+    bool claim(std::string const& name) { return m_busy.insert(name).second; }
+
+    void inject()
+    {
+        switch (below(9)) {
+        case 0:
+            pause(KeyedSite::daemonName(below(KeyedSite::daemonCount())));
+            break;
+        case 1:
+            pause(anyTarget());
+            break;
+        case 2:
+            restartDaemon(below(KeyedSite::daemonCount()), SIGKILL);
+            break;
+        case 3:
+            restartDaemon(below(KeyedSite::daemonCount()), SIGTERM);
+            break;
+        case 4:
+            restartTarget(anyTarget());
+            break;
+        case 5:
+            holdUp(below(2) == 0 ? KeyedSite::storeForwarder(below(KeyedSite::daemonCount())) : KeyedSite::targetForwarder(anyTarget()));
+            break;
+        case 6:
+            cut(below(2) == 0 ? KeyedSite::storeForwarder(below(KeyedSite::daemonCount())) : KeyedSite::targetForwarder(anyTarget()));
+            break;
+        case 7:
+            spoil();
+            break;
+        default:
+            configure();
+        }
+    }
+
+    std::string anyTarget()
+    {
+        std::vector<std::string> names = m_site.targetNames();
+        return names[below(names.size())];
+    }
+
+    void pause(std::string const& name)
+    {
+        if (!claim(name))
+            return;
+        Milliseconds time = between(200, 2'500);
+        note("pause " + name + " for " + std::to_string(time.count()) + " ms");
+        m_site.process(name).send(SIGSTOP);
+        undoLater(time, [this, name] {
+            m_site.process(name).send(SIGCONT);
+            m_busy.erase(name);
+        });
+    }
+
+    void restartDaemon(std::size_t n, int signal)
+    {
+        std::string name = KeyedSite::daemonName(n);
+        if (!claim(name))
+            return;
+        // A daemon that was asked to stop has its time to do so.
+        Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
+        note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
+        m_site.process(name).send(signal);
+        undoLater(time, [this, n, name] {
+            m_site.process(name).kill();
+            m_site.startDaemon(n);
+            m_busy.erase(name);
+        });
+    }
+
+    void restartTarget(std::string const& name)
+    {
+        if (!claim(name))
+            return;
+        Milliseconds time = between(50, 1'500);
+        note("kill " + name + ", start it " + std::to_string(time.count()) + " ms later");
+        m_site.process(name).kill();
+        undoLater(time, [this, name] {
+            m_site.startTarget(name);
+            m_busy.erase(name);
+        });
+    }
+
+    void holdUp(std::string const& link)
+    {
+        if (!claim(link))
+            return;
+        constexpr std::array<std::string_view, 3> directions { "forward", "backward", "both" };
+        std::string direction(directions.at(below(directions.size())));
+        Milliseconds time = between(200, 2'500);
+        note("hold up " + link + " " + direction + " for " + std::to_string(time.count()) + " ms");
+        post(m_site.forwarderAdmin(link), "/pause", R"({"direction":")" + direction + R"("})");
+        undoLater(time, [this, link] {
+            post(m_site.forwarderAdmin(link), "/resume", "{}");
+            m_busy.erase(link);
+        });
+    }
+
+    void cut(std::string const& link)
+    {
+        note("cut " + link);
+        post(m_site.forwarderAdmin(link), "/cut", "{}");
+    }
+
+    // The store answers nothing but errors, or targets lose answers or break streams off.
+    void spoil()
+    {
+        std::string victim = below(3) == 0 ? "store" : anyTarget();
+        if (!claim(victim))
+            return;
+        bool isStore = victim == "store";
+        std::string fault = isStore ? "down" : victim.starts_with("app") ? "lose_replies"
+                                                                         : "cut_after_events";
+        std::string on = isStore ? "true" : "3";
+        Milliseconds time = between(200, 2'500);
+        note(victim + " has " + fault + " for " + std::to_string(time.count()) + " ms");
+        Endpoint endpoint = isStore ? m_site.store() : m_site.target(victim);
+        post(endpoint, "/admin/faults", "{\"" + fault + "\":" + on + "}");
+        undoLater(time, [this, victim, endpoint, fault, isStore] {
+            post(endpoint, "/admin/faults", "{\"" + fault + "\":" + (isStore ? "false" : "0") + "}");
+            m_busy.erase(victim);
+        });
+    }
+
+    void configure()
+    {
+        if (m_busy.contains("store"))
+            return;
+        m_version += 1 + below(3);
+        note("configuration " + std::to_string(m_version));
+        m_site.configure(m_version, "app");
+    }
+
+public:
+    static constexpr std::chrono::seconds stopWithin { 5 }; // What the daemons are told.
+
+private:
+    KeyedSite& m_site;
+    std::mt19937_64 m_rng;
+    Clock::time_point m_start;
+    std::multimap<Clock::time_point, Action> m_undo;
+    std::set<std::string> m_busy;
+    std::vector<std::string> m_done;
+    std::uint64_t m_version { 1 };
+};
+
+/// The promises, checked when all is over.
+class Judge {
+public:
+    Judge(KeyedSite const& site, SoakReport& report)
+        : m_site(site)
+        , m_report(report)
+    {
+        for (Endpoint const& target : site.apps())
+            collect(target, m_appRuns);
+        for (Endpoint const& target : site.engines())
+            collect(target, m_engineRuns);
+    }
+
+    void judge(Asked const& asked)
+    {
+        ++m_report.requests;
+        m_report.served += asked.status == 200 ? 1 : 0;
+        std::map<std::string, std::uint64_t> const& counts = asked.kind == Kind::Stream ? m_engineRuns : m_appRuns;
+        std::map<std::string, std::uint64_t>::const_iterator it = counts.find(asked.id);
+        std::uint64_t runs = it != counts.end() ? it->second : 0;
+        if (asked.kind == Kind::Unsafe && runs > 1)
+            blame(asked, "ran " + std::to_string(runs) + " times");
+        if (isPromise(asked.status) && runs > 0)
+            blame(asked, "was said not to have run and ran");
+        if (asked.status == 200)
+            judgeAnswer(asked);
+        bool isDenied = asked.status >= 400 && asked.status < 500 && !isPromise(asked.status);
+        if (isDenied)
+            blame(asked, "was denied");
+    }
+
+private:
+    static void collect(Endpoint const& target, std::map<std::string, std::uint64_t>& counts)
+    {
+        boost::json::object body = getObject(target, "/admin/runs");
+        if (boost::json::value const* runs = body.if_contains("runs")) {
+            for (boost::json::key_value_pair const& it : runs->get_object())
+                counts[std::string(it.key())] += it.value().to_number<std::uint64_t>();
+        }
+    }
+
+    void judgeAnswer(Asked const& asked)
+    {
+        if (asked.answerId != asked.id)
+            blame(asked, "got the answer of \"" + asked.answerId + "\"");
+        std::string expected = asked.kind == Kind::Stream ? KeyedSite::wholeStream(piecesOfStream) : methodOf(asked.kind) + " " + pathOf(asked.kind) + " " + (asked.kind == Kind::Safe ? "" : "body");
+        if (asked.body != expected)
+            blame(asked, "got \"" + asked.body + "\" as a whole answer");
+    }
+
+    void blame(Asked const& asked, std::string const& what)
+    {
+        m_report.violations.push_back(asked.id + " (" + std::string(Core::nameOf(kindNames, asked.kind)) + " at " + KeyedSite::daemonName(asked.daemon) + ", status " + std::to_string(asked.status) + ") " + what);
+    }
+
+    KeyedSite const& m_site;
+    SoakReport& m_report;
+    std::map<std::string, std::uint64_t> m_appRuns;
+    std::map<std::string, std::uint64_t> m_engineRuns;
+};
+
+// All kinds are served by all daemons again, and what is configured last is in force.
+void checkRecovery(KeyedSite& site, std::uint64_t version, SoakReport& report)
+{
+    int attempt = 0;
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n) {
+        for (std::pair<Kind, std::string_view> const& it : kindNames) {
+            bool isServed = waitFor([&] { return site.ask(n, methodOf(it.first), pathOf(it.first), "recovery-" + std::to_string(attempt++)).status == 200; }, recoveryBound);
+            if (!isServed)
+                report.violations.push_back(KeyedSite::daemonName(n) + " does not serve again: " + std::string(it.second));
+        }
+    }
+    site.configure(version + 1, "none");
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n) {
+        bool isInForce = waitFor([&] { return site.ask(n, "POST", "/c/1", "newest-" + std::to_string(attempt++)).status == 503; }, recoveryBound);
+        if (!isInForce)
+            report.violations.push_back(KeyedSite::daemonName(n) + " does not take the newest configuration");
+    }
+}
+
+}
+
+SoakReport runSoak(SoakSettings const& settings)
+{
+    KeyedSiteSettings siteSettings;
+    siteSettings.hasForwarders = true;
+    siteSettings.stopWithinSeconds = static_cast<int>(FaultInjector::stopWithin.count());
+    siteSettings.leaveHoldMs = 1'000;
+    KeyedSite site(siteSettings);
+    SoakReport report;
+    if (!site.waitUntilServing()) {
+        report.violations.emplace_back("the site does not come to serve");
+        return report;
+    }
+    std::atomic<bool> isStopped { false };
+    std::vector<std::unique_ptr<Caller>> callers;
+    std::vector<std::thread> threads;
+    for (std::size_t n = 0; n < settings.callers; ++n) {
+        callers.push_back(std::make_unique<Caller>(site, settings.seed * 1'000 + n, "soak-" + std::to_string(n)));
+        threads.emplace_back([caller = callers.back().get(), &isStopped] { caller->run(isStopped); });
+    }
+    FaultInjector injector(site, settings.seed);
+    injector.run(settings.duration);
+    isStopped = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    report.faults = injector.done();
+    checkRecovery(site, injector.version(), report);
+    std::this_thread::sleep_for(settleTime);
+    Judge judge(site, report);
+    for (std::unique_ptr<Caller> const& caller : callers) {
+        for (Asked const& asked : caller->asked())
+            judge.judge(asked);
+    }
+    return report;
+}
+
+}
--- /dev/null
+++ b/Tests/Processes/Soak.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Processes {
+
+/// One run of the soak.
+struct SoakSettings {
+    std::uint64_t seed { 1 }; ///< Of the faults' kinds, moments and victims, and of what callers ask.
+    std::chrono::milliseconds duration { 8'000 }; ///< Of the faults; recovery and checks come behind.
+    std::size_t callers { 6 };
+};
+
+/// What came of it.
+struct SoakReport {
+    std::vector<std::string> violations; ///< One line each, with the request's id; empty when all promises were kept.
+    std::vector<std::string> faults; ///< What was done, with its moment.
+    std::size_t requests { 0 };
+    std::size_t served { 0 };
+};
+
+/// Runs real daemons, targets and a store as processes of their own, lets callers use them over kept connections, and
+/// injects faults from outside: processes are stopped, paused, killed and started again, connections are held up one way
+/// or both and cut, the store goes away, targets lose answers, the configuration changes. Faults overlap.
+/// Checked: a request that may not be repeated runs once at most, and not at all where the caller was told so; an answer is
+/// its target's own and whole; nothing that is configured is denied; at the end all is served again, by the newest
+/// configuration. Errors: std::runtime_error when the processes cannot be started.
+SoakReport runSoak(SoakSettings const&);
+
+}
--- /dev/null
+++ b/Tests/Processes/SoakMain.cpp
@@ -0,0 +1,55 @@
+#include "Soak.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace {
+
+// Prints one line a run, and all that was done and seen where a promise was broken.
+bool runSeed(std::uint64_t seed, std::chrono::milliseconds duration)
+{
+    Processes::SoakSettings settings;
+    settings.seed = seed;
+    settings.duration = duration;
+    Processes::SoakReport report = Processes::runSoak(settings);
+    std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.violations.size() << " violations" << std::endl;
+    if (report.violations.empty())
+        return true;
+    for (std::string const& fault : report.faults)
+        std::cout << "  did " << fault << "\n";
+    for (std::string const& violation : report.violations)
+        std::cout << "  saw " << violation << "\n";
+    std::cout << std::flush;
+    return false;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("currantvale-soak", "Injects random faults into daemons, targets and a store on loopback, and checks what callers and targets see.");
+    options.add_options()("first", "The first seed", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
+    options.add_options()("seeds", "How many seeds, from 1 to 10000", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
+    options.add_options()("seconds", "How long faults go on in each run, from 1 to 3600", cxxopts::value<std::uint64_t>()->default_value("8"), "S");
+    options.add_options()("h,help", "Print this help");
+    try {
+        cxxopts::ParseResult arguments = options.parse(argc, argv);
+        std::uint64_t seeds = arguments["seeds"].as<std::uint64_t>();
+        std::uint64_t seconds = arguments["seconds"].as<std::uint64_t>();
+        if (arguments.count("help") != 0) {
+            std::cout << options.help() << "\nExits with 1 when a promise was broken.\n";
+            return 0;
+        }
+        if (seeds < 1 || seeds > 10'000 || seconds < 1 || seconds > 3'600) {
+            std::cerr << "currantvale-soak: --seeds is from 1 to 10000 and --seconds from 1 to 3600\n";
+            return 2;
+        }
+        bool isGood = true;
+        for (std::uint64_t n = 0; n < seeds; ++n)
+            isGood = runSeed(arguments["first"].as<std::uint64_t>() + n, std::chrono::seconds(seconds)) && isGood;
+        return isGood ? 0 : 1;
+    } catch (std::exception const& exception) {
+        std::cerr << "currantvale-soak: " << exception.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/Tests/Processes/TestSoak.cpp
@@ -0,0 +1,30 @@
+// A short seeded run for each check of the code; `currantvale-soak` runs as many seeds as are asked for.
+
+#include "Soak.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace Processes;
+
+void expectPromisesKept(std::uint64_t seed)
+{
+    SoakSettings settings;
+    settings.seed = seed;
+    SoakReport report = runSoak(settings);
+    EXPECT_GT(report.served, 0U);
+    for (std::string const& violation : report.violations)
+        ADD_FAILURE() << violation;
+    if (!report.violations.empty()) {
+        for (std::string const& fault : report.faults)
+            ADD_FAILURE() << fault;
+    }
+}
+
+}
+
+TEST(Soak, PromisesAreKeptUnderFaults)
+{
+    expectPromisesKept(1);
+}
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -203,6 +203,7 @@
     options.add_options()("role", "prefill or decode for an engine; none for a plain service", cxxopts::value<std::string>()->default_value(""), "ROLE");
     options.add_options()("pieces", "Events of a stream", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("piece-ms", "Time between two events", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
+    options.add_options()("listed-as", "The address that it lists, such as a forwarder's; its own unless given", cxxopts::value<std::string>(), "IP:PORT");
     options.add_options()("store", "The store that it lists itself in", cxxopts::value<std::string>(), "IP:PORT");
 }
 
@@ -219,6 +220,9 @@
     std::shared_ptr<StandIn::RunnerApi> api = StandIn::RunnerApi::create(context, std::move(settings));
     BOOST_OUTCOME_TRY(RunningStandIn running, serve(context, arguments, api));
     BOOST_OUTCOME_TRY(tcp::endpoint address, Http::parseEndpoint(running.address));
+    if (arguments.count("listed-as") != 0) {
+        BOOST_OUTCOME_TRY(address, endpointOf(arguments, "listed-as"));
+    }
     api->startHeartbeats(address);
     return running;
 }
