--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -17,6 +17,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::string_view answersPrefix = "/v1/answers/";
+// A daemon that has just started reads the configuration within half a second where the store answers.
+constexpr std::chrono::milliseconds retryAfterStart { 1'000 };
 
 std::string_view pathOf(std::string_view target)
 {
@@ -75,6 +77,9 @@
     Request::HttpErrorContext context;
     context.requestId = requestId;
     context.isRepeatable = isRepeatable;
+    bool isEarly = error.verdict == Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable;
+    if (isEarly)
+        context.retryAfter = retryAfterStart;
     std::ignore = co_await writer.send(m_context.callers.error(error, context));
 }
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -182,6 +182,10 @@
             m_candidates[n].closed = false;
         waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
     }
+    if (waiter.outcome.decision.chosen && lacksOutputTarget(waiter.outcome.decision.role)) {
+        waiter.outcome.decision.chosen.reset();
+        waiter.outcome.decision.reason = Routing::Reason::NoOutputTarget;
+    }
     if (!waiter.outcome.decision.chosen)
         return std::nullopt;
     std::uint32_t cached = m_candidates[*waiter.outcome.decision.chosen].prefixMatchTokens;
@@ -193,6 +197,12 @@
     return waiter.outcome.decision.target;
 }
 
+// A prompt whose output nobody can make is not computed: that would be in vain, and keep prefill targets from what follows.
+bool Dispatcher::lacksOutputTarget(Routing::TargetRole chosen) const
+{
+    return chosen == Routing::TargetRole::Prefill && std::none_of(m_candidates.begin(), m_candidates.end(), [](Routing::Candidate const& it) { return it.role != Routing::TargetRole::Prefill && !it.closed; });
+}
+
 // All daemons look for a shared part at the same target, whatever each of them has seen of it.
 void Dispatcher::addHome(PlacementRequest const& request)
 {
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -141,6 +141,7 @@
         if (leg->isAbandoned)
             co_return false;
         logDecision(leg->leg.attempt, outcome);
+        m_reason = outcome.decision.reason;
         if (!outcome.position) {
             m_placement = 0;
             post(Request::NoTarget { leg->leg.attempt, outcome.error, outcome.retryAfter });
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -19,6 +19,8 @@
 // A caller whose request was not run comes back after this time on average: about what a target takes to be found
 // unreachable and another to be chosen. Spread, so that those refused together do not come back together.
 constexpr std::chrono::milliseconds meanRetryAfter { 600 };
+// An engine changes its role in some three seconds, and half a second passes until that is ordered.
+constexpr std::chrono::milliseconds retryAfterRoleChange { 3'500 };
 constexpr int partOfTimeLeft = 3; ///< Of the caller's time that the wait may take, the reciprocal.
 
 std::string millisecondsSince(Clock::time_point start, Clock::time_point end)
@@ -154,14 +156,18 @@
         co_await m_sink->piece(piece->position, std::move(piece->bytes));
     } else if (Request::Finish* finish = std::get_if<Request::Finish>(&action)) {
         if (finish->verdict == Core::Verdict::NotRun && finish->retryAfter.count() == 0)
-            finish->retryAfter = defaultRetryAfter();
+            finish->retryAfter = retryAfterOf(m_reason);
         logFinish(*finish);
         co_await m_sink->finish(std::move(*finish));
     }
 }
 
-std::chrono::milliseconds RequestRunner::defaultRetryAfter() const
+std::chrono::milliseconds RequestRunner::retryAfterOf(Routing::Reason reason) const
 {
+    // An engine takes seconds to change its role: whoever comes back sooner is refused again.
+    bool lacksRole = reason == Routing::Reason::NoFittingRole || reason == Routing::Reason::NoOutputTarget;
+    if (lacksRole)
+        return std::min(retryAfterRoleChange, timeLeft() / partOfTimeLeft);
     constexpr std::uint32_t spreadSteps = 1'000;
     std::chrono::milliseconds spread = meanRetryAfter * (std::hash<std::string>()(m_work.requestId) % spreadSteps) / spreadSteps;
     return std::min(meanRetryAfter / 2 + spread, timeLeft() / partOfTimeLeft);
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -69,7 +69,7 @@
     TargetSend sendOf(std::uint32_t attempt) const;
     std::chrono::steady_clock::time_point now() const;
     std::chrono::milliseconds timeLeft() const;
-    std::chrono::milliseconds defaultRetryAfter() const;
+    std::chrono::milliseconds retryAfterOf(Routing::Reason) const;
     void noteOutcome(Routing::TargetOutcome) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
@@ -91,6 +91,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0: none.
+    Routing::Reason m_reason { Routing::Reason::NoCandidate }; ///< Of the last placement.
     std::string m_target; ///< Name of the attempt's target, for logs.
     std::string m_mixPool; ///< The pool in whose mix the request is counted.
     std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
--- a/Libraries/LibRouting/Decision.h
+++ b/Libraries/LibRouting/Decision.h
@@ -13,6 +13,7 @@
     NoCandidate, ///< The span was empty: nothing is selected for this work.
     AllClosed, ///< Every candidate in a fitting role is closed.
     NoFittingRole, ///< No candidate is in a role that takes this phase.
+    NoOutputTarget, ///< Its prompt could be computed, but no open candidate would make its output.
     OnlyCandidate,
     RandomDraw,
     LeastLoad,
@@ -23,10 +24,11 @@
     EarliestToken, ///< Its estimated time to the first token is the least.
 };
 
-inline constexpr Core::EnumNames<Reason, 11> reasonNames { {
+inline constexpr Core::EnumNames<Reason, 12> reasonNames { {
     { Reason::NoCandidate, "no-candidate" },
     { Reason::AllClosed, "all-closed" },
     { Reason::NoFittingRole, "no-fitting-role" },
+    { Reason::NoOutputTarget, "no-output-target" },
     { Reason::OnlyCandidate, "only-candidate" },
     { Reason::RandomDraw, "random-draw" },
     { Reason::LeastLoad, "least-load" },
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -159,3 +159,47 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->position, 1U);
 }
+
+// After the last decode target was lost: prompts that were computed then cost a fifth of the prefill work of a day, in vain.
+TEST_F(DispatcherTest, APromptIsNotComputedWhileNobodyCanMakeItsOutput)
+{
+    m_settings.routing.policy = Routing::Policy::PromptHome;
+    m_dispatcher = Daemon::Dispatcher::create(m_settings, 1).value();
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = fleetOf(2);
+    fleet->targets[0].role = Routing::TargetRole::Prefill;
+    fleet->targets[1].role = Routing::TargetRole::Prefill;
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+    request.shape.phase = Routing::Phase::WholeOrPrefill;
+    place(request, outcome);
+    EXPECT_FALSE(outcome);
+    // One of them becomes a decode target.
+    std::shared_ptr<Daemon::FleetSnapshot> later = fleetOf(2);
+    later->targets[0].role = Routing::TargetRole::Prefill;
+    later->targets[1].role = Routing::TargetRole::Decode;
+    m_dispatcher->setFleet(later);
+    runReady();
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->position, 0U);
+}
+
+TEST_F(DispatcherTest, ARefusalSaysThatOutputsCannotBeMade)
+{
+    m_settings.routing.policy = Routing::Policy::PromptHome;
+    m_dispatcher = Daemon::Dispatcher::create(m_settings, 1).value();
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = fleetOf(1);
+    fleet->targets[0].role = Routing::TargetRole::Prefill;
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0 });
+    request.shape.phase = Routing::Phase::WholeOrPrefill;
+    request.latestStart = std::chrono::steady_clock::now() + std::chrono::milliseconds(50);
+    place(request, outcome);
+    m_context.restart();
+    m_context.run_for(std::chrono::seconds(10));
+    ASSERT_TRUE(outcome);
+    EXPECT_FALSE(outcome->position);
+    EXPECT_EQ(outcome->decision.reason, Routing::Reason::NoOutputTarget);
+    EXPECT_EQ(outcome->error.verdict, Core::Verdict::NotRun);
+}
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -147,7 +147,7 @@
 {
     std::string routes = R"({"name":"histories","host":"a.example","path_prefix":"/h/","kind":"stream","timeout_ms":6000,"goal_ms":600,"priority":2,"service":"llm","max_attempts":3,"resumable":true,"gap_target_ms":150},)"
                          R"({"name":"confirm","host":"a.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":")"
-        + service + R"(","max_attempts":1},)"
+        + service + R"(","max_attempts":3},)"
                     R"({"name":"look-up","host":"a.example","path_prefix":"/s/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2})";
     std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}]})";
     Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", config) };
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -127,6 +127,39 @@
     std::vector<Asked> m_asked;
 };
 
+/// Callers that ask on threads of their own until `stop`, or until this object ends.
+class Callers {
+public:
+    Callers(KeyedSite const& site, std::uint64_t seed, std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            m_callers.push_back(std::make_unique<Caller>(site, seed * 1'000 + n, "soak-" + std::to_string(n)));
+            m_threads.emplace_back([this, caller = m_callers.back().get()] { caller->run(m_isStopped); });
+        }
+    }
+
+    ~Callers() { stop(); }
+    Callers(Callers const&) = delete;
+    Callers& operator=(Callers const&) = delete;
+
+    /// Waits for the requests that are under way.
+    void stop()
+    {
+        m_isStopped = true;
+        for (std::thread& thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+    /// Precondition: stopped.
+    std::vector<std::unique_ptr<Caller>> const& all() const { return m_callers; }
+
+private:
+    std::atomic<bool> m_isStopped { false };
+    std::vector<std::unique_ptr<Caller>> m_callers;
+    std::vector<std::thread> m_threads;
+};
+
 /// Does one thing after the other to the processes and their connections, and undoes each later.
 class FaultInjector {
 public:
@@ -417,23 +450,15 @@
         report.violations.emplace_back("the site does not come to serve");
         return report;
     }
-    std::atomic<bool> isStopped { false };
-    std::vector<std::unique_ptr<Caller>> callers;
-    std::vector<std::thread> threads;
-    for (std::size_t n = 0; n < settings.callers; ++n) {
-        callers.push_back(std::make_unique<Caller>(site, settings.seed * 1'000 + n, "soak-" + std::to_string(n)));
-        threads.emplace_back([caller = callers.back().get(), &isStopped] { caller->run(isStopped); });
-    }
+    Callers callers(site, settings.seed, settings.callers);
     FaultInjector injector(site, settings.seed);
     injector.run(settings.duration);
-    isStopped = true;
-    for (std::thread& thread : threads)
-        thread.join();
+    callers.stop();
     report.faults = injector.done();
     checkRecovery(site, injector.version(), report);
     std::this_thread::sleep_for(settleTime);
     Judge judge(site, report);
-    for (std::unique_ptr<Caller> const& caller : callers) {
+    for (std::unique_ptr<Caller> const& caller : callers.all()) {
         for (Asked const& asked : caller->asked())
             judge.judge(asked);
     }
