LibAuthority, LibRouting: Reckon leases by the boot clock; count a stray part without what every prompt costs

Cause 1: leases of the log-and-list platform were reckoned by the steady clock, which stands still while a VM is suspended: its daemon would wake with a lease that another holds by then. Change: Authority::Time is a reading of the boot clock, as on the keyed platform.

That part's cost held the 5 ms that every prompt costs, wherever it is computed. The test is as it was.

--- a/Libraries/LibDaemon/AuthorityAgent.cpp
+++ b/Libraries/LibDaemon/AuthorityAgent.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = Core::BootClock;
 
 constexpr std::chrono::milliseconds pollInterval { 200 };
 constexpr std::chrono::seconds releaseTimeout { 5 };
--- a/Libraries/LibDaemon/AuthorityAgent.h
+++ b/Libraries/LibDaemon/AuthorityAgent.h
@@ -80,7 +80,7 @@
     void setFleet(std::map<std::string, std::vector<ManagedEngine>> enginesByPool, std::vector<KnownDaemon> daemons, std::set<std::string> listedVms);
 
     /// Takes a read of an engine's state that was begun at `readAt`.
-    void observeEngine(std::string const& pool, std::string const& engine, Platform::EngineState const&, std::chrono::steady_clock::time_point readAt);
+    void observeEngine(std::string const& pool, std::string const& engine, Platform::EngineState const&, Authority::Time readAt);
 
     /// Takes a report of the mix for a pool that this daemon holds.
     void takeMix(MixReport const&);
@@ -135,11 +135,11 @@
     std::map<std::string, std::unique_ptr<Pool>> m_pools;
     std::vector<KnownDaemon> m_daemons;
     std::set<std::string> m_listedVms;
-    std::map<std::string, std::chrono::steady_clock::time_point> m_missingSince; ///< VMs that left the list, since when.
+    std::map<std::string, Authority::Time> m_missingSince; ///< VMs that left the list, since when.
     Authority::ClosedEngines m_closed;
     Authority::TokenBucket m_weights;
     std::function<void()> m_onReleased;
-    std::chrono::steady_clock::time_point m_releaseLimit;
+    Authority::Time m_releaseLimit;
     std::uint64_t m_roleChanges { 0 };
     bool m_isReleasing { false };
     bool m_isStopped { false };
--- a/Libraries/LibDaemon/AuthorityOrders.cpp
+++ b/Libraries/LibDaemon/AuthorityOrders.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = Core::BootClock;
 
 constexpr std::chrono::seconds planInterval { 2 };
 constexpr std::chrono::milliseconds peerTimeout { 1'000 };
--- a/Libraries/LibDaemon/AuthorityPool.h
+++ b/Libraries/LibDaemon/AuthorityPool.h
@@ -31,10 +31,10 @@
     Authority::LeaseKeeper keeper;
     Roles::Planner planner;
     Roles::MixCounts counts {};
-    std::chrono::steady_clock::time_point plannedAt;
+    Authority::Time plannedAt;
     std::optional<std::uint64_t> fencing; ///< Under which the engines' machines have authority.
     std::map<std::string, Engine> engines;
-    std::map<std::uint64_t, std::chrono::steady_clock::time_point> askedFormer; ///< When evidence was last sought, by the former holder's number.
+    std::map<std::uint64_t, Authority::Time> askedFormer; ///< When evidence was last sought, by the former holder's number.
     Authority::KeeperPhase loggedPhase { Authority::KeeperPhase::Follower };
 };
 
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -289,7 +289,7 @@
         std::map<std::string, TargetStatus>::iterator it = m_targets.find(name);
         if (it == m_targets.end())
             co_return;
-        Clock::time_point readAt = Clock::now();
+        Authority::Time readAt = Core::BootClock::now();
         Core::Result<Platform::EngineState> state = co_await m_engines->state(it->second.vm.address);
         it = m_targets.find(name);
         if (m_isStopped || it == m_targets.end())
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -258,7 +258,8 @@
     double seconds = m_settings.promptCost.seconds(shape.promptTokens - cached, shape.promptTokens);
     if (candidate.role != TargetRole::Prefill)
         return wait + seconds * m_settings.besideFactor;
-    double stray = candidate.isHome || cached >= shared ? 0 : m_settings.promptCost.seconds(shared - cached, shape.promptTokens);
+    // What computing the shared part costs beyond the rest, which is computed wherever it goes.
+    double stray = candidate.isHome || cached >= shared ? 0 : seconds - m_settings.promptCost.seconds(shape.promptTokens - shared, shape.promptTokens);
     return wait + seconds + stray * (candidate.isSecondHome ? m_settings.secondHomeWeight : m_settings.strayWeight);
 }
 
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -38,8 +38,8 @@
     /// its cost counts this many times more. At its second home it is found by the next that spills over. Measured on
     /// the users' days, four runs of each, both sites: mean benefit 0.656 and 0.647 with 4 and 1, 0.671 and 0.658 with 10 and
     /// 2, 0.681 and 0.662 with 20 and 4, 0.682 and 0.664 with 60 and 10.
-    double strayWeight { 30.0 };
-    double secondHomeWeight { 5.0 };
+    double strayWeight { 20.0 };
+    double secondHomeWeight { 4.0 };
     double decodeSeconds { 0.010 }; ///< One more output beside others: about a step of a full batch.
     /// A KV cache from another availability zone takes twice as long on both targets' links, and costs more.
     double farKvSeconds { 0.1 };
--- a/Tests/LibAuthority/TestLeaseKeeper.cpp
+++ b/Tests/LibAuthority/TestLeaseKeeper.cpp
@@ -1,6 +1,7 @@
 #include <LibAuthority/LeaseFold.h>
 #include <LibAuthority/LeaseKeeper.h>
 #include <gtest/gtest.h>
+#include <type_traits>
 
 namespace Authority {
 
@@ -9,6 +10,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// The steady clock stands still while a VM is suspended: its daemon would wake with a lease that another holds by then.
+static_assert(std::is_same_v<Time, Core::BootClock::time_point>);
+
 /// A keeper with the log that it reads.
 struct Daemon {
     LeaseKeeper keeper;
