--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -26,7 +26,7 @@
     return instance;
 }
 
-std::atomic<std::uint64_t> s_leftOut { 0 };
+std::atomic<std::uint64_t> leftOutCount { 0 };
 
 log4cxx::LoggerPtr const& logger()
 {
@@ -112,7 +112,7 @@
         if (admission.leftOut > 0)
             logger()->forcedLog(levelOf(Severity::Warning), formatEvent(Event::LinesLeftOut, { { "of", std::string(nameOf(eventNames, event)) }, { "lines", std::to_string(admission.leftOut) } }));
         if (!admission.isAdmitted) {
-            ++s_leftOut;
+            ++leftOutCount;
             return;
         }
     }
@@ -121,7 +121,7 @@
 
 std::uint64_t linesLeftOut()
 {
-    return s_leftOut;
+    return leftOutCount;
 }
 
 std::string formatEvent(Event event, std::initializer_list<EventField> fields)
