--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/EventSplitter.h>
 #include <LibDaemon/RequestRunner.h>
+#include <LibDaemon/TargetOutcomes.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -30,29 +31,6 @@
 // A target that answers with what belongs to other requests this often in a row is not waited for any longer.
 constexpr int mostForeignAnswers = 2;
 
-// What the answer to a prefill says of the target.
-Routing::TargetOutcome outcomeOf(Core::Result<std::string> const& kvSource)
-{
-    if (kvSource.has_value())
-        return Routing::TargetOutcome::Answered;
-    if (kvSource.error().code == Core::ErrorCode::NotFound)
-        return Routing::TargetOutcome::Replaced;
-    return kvSource.error().verdict == Core::Verdict::NotRun ? Routing::TargetOutcome::Refused : Routing::TargetOutcome::Failed;
-}
-
-// What the answer to a request says of the target. One that is unusable is noted as broken where it is given up.
-Routing::TargetOutcome outcomeOf(AnswerProof proof, std::uint16_t status, bool fetchesKv)
-{
-    constexpr std::uint16_t leastFailure = 500;
-    constexpr std::uint16_t outOfTime = 504; // Of the request's own time, which may have been short.
-    if (proof == AnswerProof::Replaced)
-        return Routing::TargetOutcome::Replaced;
-    // A KV cache that cannot be had is no fault of the target that fetches it.
-    if (proof == AnswerProof::NotRun)
-        return fetchesKv ? Routing::TargetOutcome::Answered : Routing::TargetOutcome::Refused;
-    return status >= leastFailure && status != outOfTime ? Routing::TargetOutcome::Failed : Routing::TargetOutcome::Answered;
-}
-
 bool isEventStream(Http::ResponseHead const& head)
 {
     return head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -64,6 +64,8 @@
 private:
     using RecordHook = std::function<void(Platform::KeyedRecord const&)>;
 
+    static constexpr std::chrono::milliseconds retryDelay { 200 }; ///< After a call to the store that failed; it counts calls.
+
     /// A topic that is followed for ever.
     struct Followed {
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
--- a/Libraries/LibOperator/Story.cpp
+++ b/Libraries/LibOperator/Story.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cctype>
 #include <set>
+#include <tuple>
 
 namespace Operator {
 
@@ -95,6 +96,11 @@
     return it != backgroundEvents.end() ? it : nullptr;
 }
 
+bool isEarlier(LogLine const& a, LogLine const& b)
+{
+    return std::tie(a.time, a.order) < std::tie(b.time, b.order);
+}
+
 LogLine const* lastOf(std::vector<LogLine> const& lines, std::string_view event)
 {
     LogLine const* found = nullptr;
@@ -147,8 +153,10 @@
         if (!isOfRequest && isOfAnyRequest)
             continue;
         Core::Result<LogLine> line = parseLogLine(text, file);
-        if (line.has_value() && (isOwn(line.value()) || backgroundOf(line.value().event)))
-            m_lines.push_back(std::move(line.value()));
+        if (!line.has_value() || !(isOwn(line.value()) || backgroundOf(line.value().event)))
+            continue;
+        line.value().order = m_lines.size();
+        m_lines.push_back(std::move(line.value()));
     }
 }
 
@@ -161,7 +169,7 @@
 {
     std::vector<LogLine> own;
     std::copy_if(m_lines.begin(), m_lines.end(), std::back_inserter(own), [this](LogLine const& line) { return isOwn(line); });
-    std::stable_sort(own.begin(), own.end(), [](LogLine const& a, LogLine const& b) { return a.time < b.time; });
+    std::sort(own.begin(), own.end(), isEarlier);
     return own;
 }
 
@@ -189,7 +197,7 @@
         if (isOfTarget ? isHere || isOrder : background->field.empty() && isHere)
             lines.push_back(line);
     }
-    std::stable_sort(lines.begin(), lines.end(), [](LogLine const& a, LogLine const& b) { return a.time < b.time; });
+    std::sort(lines.begin(), lines.end(), isEarlier);
     return lines;
 }
 
--- a/Libraries/LibOperator/Story.h
+++ b/Libraries/LibOperator/Story.h
@@ -15,6 +15,7 @@
     std::string source; ///< The file, and what stands in front of the line there, such as the daemon's name.
     std::string event;
     std::map<std::string, std::string, std::less<>> fields;
+    std::size_t order { 0 }; ///< In which it was read: that of lines of the same time.
 
     /// Returns a field's value, or nothing.
     std::string_view field(std::string_view name) const;
--- /dev/null
+++ b/Tests/Processes/FaultInjector.cpp
@@ -0,0 +1,191 @@
+#include "FaultInjector.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <thread>
+
+namespace Processes {
+
+FaultInjector::FaultInjector(KeyedSite& site, std::uint64_t seed)
+    : m_site(site)
+    , m_rng(seed)
+{
+}
+
+FaultInjector::Milliseconds FaultInjector::between(int least, int most)
+{
+    return Milliseconds(std::uniform_int_distribution<int>(least, most)(m_rng));
+}
+
+std::string FaultInjector::anyLink()
+{
+    return below(2) == 0 ? KeyedSite::storeForwarder(below(KeyedSite::daemonCount())) : KeyedSite::targetForwarder(anyTarget());
+}
+
+void FaultInjector::undoLater(Milliseconds after, Action undo)
+{
+    m_undo.emplace(Clock::now() + after, std::move(undo));
+}
+
+void FaultInjector::run(Milliseconds duration)
+{
+    m_start = Clock::now();
+    Clock::time_point end = m_start + duration;
+    while (Clock::now() < end) {
+        inject();
+        Clock::time_point next = Clock::now() + between(50, 600);
+        undoUntil(std::min(next, end));
+    }
+    undoUntil(Clock::time_point::max());
+}
+
+void FaultInjector::note(std::string text)
+{
+    Milliseconds at = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_start);
+    m_done.push_back(std::to_string(at.count()) + " ms " + std::move(text));
+}
+
+void FaultInjector::undoUntil(Clock::time_point until)
+{
+    while (!m_undo.empty() && m_undo.begin()->first <= until) {
+        std::this_thread::sleep_until(m_undo.begin()->first);
+        Action undo = std::move(m_undo.begin()->second);
+        m_undo.erase(m_undo.begin());
+        undo();
+    }
+    if (until != Clock::time_point::max())
+        std::this_thread::sleep_until(until);
+}
+
+void FaultInjector::inject()
+{
+    switch (below(9)) {
+    case 0:
+        pause(KeyedSite::daemonName(below(KeyedSite::daemonCount())));
+        break;
+    case 1:
+        pause(anyTarget());
+        break;
+    case 2:
+        restartDaemon(below(KeyedSite::daemonCount()), SIGKILL);
+        break;
+    case 3:
+        restartDaemon(below(KeyedSite::daemonCount()), SIGTERM);
+        break;
+    case 4:
+        restartTarget(anyTarget());
+        break;
+    case 5:
+        holdUp(anyLink());
+        break;
+    case 6:
+        cut(anyLink());
+        break;
+    case 7:
+        spoil();
+        break;
+    default:
+        configure();
+    }
+}
+
+std::string FaultInjector::anyTarget()
+{
+    std::vector<std::string> names = m_site.targetNames();
+    return names[below(names.size())];
+}
+
+void FaultInjector::pause(std::string const& name)
+{
+    if (!claim(name))
+        return;
+    Milliseconds time = between(200, 2'500);
+    note("pause " + name + " for " + std::to_string(time.count()) + " ms");
+    m_site.process(name).send(SIGSTOP);
+    undoLater(time, [this, name] {
+        m_site.process(name).send(SIGCONT);
+        m_busy.erase(name);
+    });
+}
+
+void FaultInjector::restartDaemon(std::size_t n, int signal)
+{
+    std::string name = KeyedSite::daemonName(n);
+    if (!claim(name))
+        return;
+    // A daemon that was asked to stop has its time to do so.
+    Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
+    note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
+    m_site.process(name).send(signal);
+    undoLater(time, [this, n, name] {
+        m_site.process(name).kill();
+        m_site.startDaemon(n);
+        m_busy.erase(name);
+    });
+}
+
+void FaultInjector::restartTarget(std::string const& name)
+{
+    if (!claim(name))
+        return;
+    Milliseconds time = between(50, 1'500);
+    note("kill " + name + ", start it " + std::to_string(time.count()) + " ms later");
+    m_site.process(name).kill();
+    undoLater(time, [this, name] {
+        m_site.startTarget(name);
+        m_busy.erase(name);
+    });
+}
+
+void FaultInjector::holdUp(std::string const& link)
+{
+    if (!claim(link))
+        return;
+    constexpr std::array<std::string_view, 3> directions { "forward", "backward", "both" };
+    std::string direction(directions.at(below(directions.size())));
+    Milliseconds time = between(200, 2'500);
+    note("hold up " + link + " " + direction + " for " + std::to_string(time.count()) + " ms");
+    post(m_site.forwarderAdmin(link), "/pause", R"({"direction":")" + direction + R"("})");
+    undoLater(time, [this, link] {
+        post(m_site.forwarderAdmin(link), "/resume", "{}");
+        m_busy.erase(link);
+    });
+}
+
+void FaultInjector::cut(std::string const& link)
+{
+    note("cut " + link);
+    post(m_site.forwarderAdmin(link), "/cut", "{}");
+}
+
+// The store answers nothing but errors, or targets lose answers or break streams off.
+void FaultInjector::spoil()
+{
+    std::string victim = below(3) == 0 ? "store" : anyTarget();
+    if (!claim(victim))
+        return;
+    bool isStore = victim == "store";
+    std::string fault = isStore ? "down" : victim.starts_with("app") ? "lose_replies"
+                                                                     : "cut_after_events";
+    std::string on = isStore ? "true" : "3";
+    Milliseconds time = between(200, 2'500);
+    note(victim + " has " + fault + " for " + std::to_string(time.count()) + " ms");
+    Endpoint endpoint = isStore ? m_site.store() : m_site.target(victim);
+    post(endpoint, "/admin/faults", "{\"" + fault + "\":" + on + "}");
+    undoLater(time, [this, victim, endpoint, fault, isStore] {
+        post(endpoint, "/admin/faults", "{\"" + fault + "\":" + (isStore ? "false" : "0") + "}");
+        m_busy.erase(victim);
+    });
+}
+
+void FaultInjector::configure()
+{
+    if (m_busy.contains("store"))
+        return;
+    m_version += 1 + below(3);
+    note("configuration " + std::to_string(m_version));
+    m_site.configure(m_version, "app");
+}
+
+}
--- /dev/null
+++ b/Tests/Processes/FaultInjector.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "KeyedSite.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Processes {
+
+/// Does one thing after the other to the processes of a site and to their connections, and undoes each later. What is done,
+/// to whom and when follows from the seed. Not thread-safe.
+class FaultInjector {
+public:
+    static constexpr std::chrono::seconds stopWithin { 5 }; ///< What the daemons are told: they are killed after this.
+
+    /// Precondition: the site has forwarders and outlives the object.
+    FaultInjector(KeyedSite&, std::uint64_t seed);
+
+    /// Injects faults for this long and then undoes what is left. Errors: std::runtime_error when a process cannot be started.
+    void run(std::chrono::milliseconds duration);
+
+    /// Returns a line for each fault, with its moment.
+    std::vector<std::string> const& done() const { return m_done; }
+
+    /// Returns the version of the last configuration that was written.
+    std::uint64_t version() const { return m_version; }
+
+private:
+    using Clock = std::chrono::steady_clock;
+    using Milliseconds = std::chrono::milliseconds;
+    using Action = std::function<void()>;
+
+    Milliseconds between(int least, int most);
+    std::size_t below(std::size_t n) { return m_rng() % n; }
+    std::string anyTarget();
+    std::string anyLink();
+    void note(std::string text);
+    void undoLater(Milliseconds after, Action undo);
+    void undoUntil(Clock::time_point until);
+
+    /// One fault at a time for each process and each link; different ones overlap.
+    bool claim(std::string const& name) { return m_busy.insert(name).second; }
+
+    void inject();
+    void pause(std::string const& name);
+    void restartDaemon(std::size_t n, int signal);
+    void restartTarget(std::string const& name);
+    void holdUp(std::string const& link);
+    void cut(std::string const& link);
+    void spoil();
+    void configure();
+
+    KeyedSite& m_site;
+    std::mt19937_64 m_rng;
+    Clock::time_point m_start;
+    std::multimap<Clock::time_point, Action> m_undo;
+    std::set<std::string> m_busy;
+    std::vector<std::string> m_done;
+    std::uint64_t m_version { 1 };
+};
+
+}
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -1,5 +1,6 @@
 #include "Soak.h"
 
+#include "FaultInjector.h"
 #include "KeyedSite.h"
 
 #include <LibCore/EnumNames.h>
@@ -11,12 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <csignal>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <random>
-#include <set>
 #include <thread>
 
 namespace Processes {
@@ -160,202 +158,6 @@
     std::vector<std::thread> m_threads;
 };
 
-/// Does one thing after the other to the processes and their connections, and undoes each later.
-class FaultInjector {
-public:
-    FaultInjector(KeyedSite& site, std::uint64_t seed)
-        : m_site(site)
-        , m_rng(seed)
-    {
-    }
-
-    void run(Milliseconds duration)
-    {
-        m_start = Clock::now();
-        Clock::time_point end = m_start + duration;
-        while (Clock::now() < end) {
-            inject();
-            Clock::time_point next = Clock::now() + between(50, 600);
-            undoUntil(std::min(next, end));
-        }
-        undoUntil(Clock::time_point::max());
-    }
-
-    std::vector<std::string> const& done() const { return m_done; }
-    std::uint64_t version() const { return m_version; }
-
-private:
-    using Action = std::function<void()>;
-
-    Milliseconds between(int least, int most) { return Milliseconds(std::uniform_int_distribution<int>(least, most)(m_rng)); }
-    std::size_t below(std::size_t n) { return m_rng() % n; }
-
-    void note(std::string text)
-    {
-        Milliseconds at = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_start);
-        m_done.push_back(std::to_string(at.count()) + " ms " + std::move(text));
-    }
-
-    void undoLater(Milliseconds after, Action undo) { m_undo.emplace(Clock::now() + after, std::move(undo)); }
-
-    void undoUntil(Clock::time_point until)
-    {
-        while (!m_undo.empty() && m_undo.begin()->first <= until) {
-            std::this_thread::sleep_until(m_undo.begin()->first);
-            Action undo = std::move(m_undo.begin()->second);
-            m_undo.erase(m_undo.begin());
-            undo();
-        }
-        if (until != Clock::time_point::max())
-            std::this_thread::sleep_until(until);
-    }
-
-    // One fault at a time for each process and each link; different ones overlap.
-    bool claim(std::string const& name) { return m_busy.insert(name).second; }
-
-    void inject()
-    {
-        switch (below(9)) {
-        case 0:
-            pause(KeyedSite::daemonName(below(KeyedSite::daemonCount())));
-            break;
-        case 1:
-            pause(anyTarget());
-            break;
-        case 2:
-            restartDaemon(below(KeyedSite::daemonCount()), SIGKILL);
-            break;
-        case 3:
-            restartDaemon(below(KeyedSite::daemonCount()), SIGTERM);
-            break;
-        case 4:
-            restartTarget(anyTarget());
-            break;
-        case 5:
-            holdUp(below(2) == 0 ? KeyedSite::storeForwarder(below(KeyedSite::daemonCount())) : KeyedSite::targetForwarder(anyTarget()));
-            break;
-        case 6:
-            cut(below(2) == 0 ? KeyedSite::storeForwarder(below(KeyedSite::daemonCount())) : KeyedSite::targetForwarder(anyTarget()));
-            break;
-        case 7:
-            spoil();
-            break;
-        default:
-            configure();
-        }
-    }
-
-    std::string anyTarget()
-    {
-        std::vector<std::string> names = m_site.targetNames();
-        return names[below(names.size())];
-    }
-
-    void pause(std::string const& name)
-    {
-        if (!claim(name))
-            return;
-        Milliseconds time = between(200, 2'500);
-        note("pause " + name + " for " + std::to_string(time.count()) + " ms");
-        m_site.process(name).send(SIGSTOP);
-        undoLater(time, [this, name] {
-            m_site.process(name).send(SIGCONT);
-            m_busy.erase(name);
-        });
-    }
-
-    void restartDaemon(std::size_t n, int signal)
-    {
-        std::string name = KeyedSite::daemonName(n);
-        if (!claim(name))
-            return;
-        // A daemon that was asked to stop has its time to do so.
-        Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
-        note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
-        m_site.process(name).send(signal);
-        undoLater(time, [this, n, name] {
-            m_site.process(name).kill();
-            m_site.startDaemon(n);
-            m_busy.erase(name);
-        });
-    }
-
-    void restartTarget(std::string const& name)
-    {
-        if (!claim(name))
-            return;
-        Milliseconds time = between(50, 1'500);
-        note("kill " + name + ", start it " + std::to_string(time.count()) + " ms later");
-        m_site.process(name).kill();
-        undoLater(time, [this, name] {
-            m_site.startTarget(name);
-            m_busy.erase(name);
-        });
-    }
-
-    void holdUp(std::string const& link)
-    {
-        if (!claim(link))
-            return;
-        constexpr std::array<std::string_view, 3> directions { "forward", "backward", "both" };
-        std::string direction(directions.at(below(directions.size())));
-        Milliseconds time = between(200, 2'500);
-        note("hold up " + link + " " + direction + " for " + std::to_string(time.count()) + " ms");
-        post(m_site.forwarderAdmin(link), "/pause", R"({"direction":")" + direction + R"("})");
-        undoLater(time, [this, link] {
-            post(m_site.forwarderAdmin(link), "/resume", "{}");
-            m_busy.erase(link);
-        });
-    }
-
-    void cut(std::string const& link)
-    {
-        note("cut " + link);
-        post(m_site.forwarderAdmin(link), "/cut", "{}");
-    }
-
-    // The store answers nothing but errors, or targets lose answers or break streams off.
-    void spoil()
-    {
-        std::string victim = below(3) == 0 ? "store" : anyTarget();
-        if (!claim(victim))
-            return;
-        bool isStore = victim == "store";
-        std::string fault = isStore ? "down" : victim.starts_with("app") ? "lose_replies"
-                                                                         : "cut_after_events";
-        std::string on = isStore ? "true" : "3";
-        Milliseconds time = between(200, 2'500);
-        note(victim + " has " + fault + " for " + std::to_string(time.count()) + " ms");
-        Endpoint endpoint = isStore ? m_site.store() : m_site.target(victim);
-        post(endpoint, "/admin/faults", "{\"" + fault + "\":" + on + "}");
-        undoLater(time, [this, victim, endpoint, fault, isStore] {
-            post(endpoint, "/admin/faults", "{\"" + fault + "\":" + (isStore ? "false" : "0") + "}");
-            m_busy.erase(victim);
-        });
-    }
-
-    void configure()
-    {
-        if (m_busy.contains("store"))
-            return;
-        m_version += 1 + below(3);
-        note("configuration " + std::to_string(m_version));
-        m_site.configure(m_version, "app");
-    }
-
-public:
-    static constexpr std::chrono::seconds stopWithin { 5 }; // What the daemons are told.
-
-private:
-    KeyedSite& m_site;
-    std::mt19937_64 m_rng;
-    Clock::time_point m_start;
-    std::multimap<Clock::time_point, Action> m_undo;
-    std::set<std::string> m_busy;
-    std::vector<std::string> m_done;
-    std::uint64_t m_version { 1 };
-};
-
 /// The promises, checked when all is over.
 class Judge {
 public:
