--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -25,8 +25,8 @@
 
 std::filesystem::path newFolder()
 {
-    static std::atomic<int> s_count { 0 };
-    return std::filesystem::temp_directory_path() / ("currantvale-keyed-" + std::to_string(getpid()) + "-" + std::to_string(++s_count));
+    static std::atomic<int> count { 0 };
+    return std::filesystem::temp_directory_path() / ("currantvale-keyed-" + std::to_string(getpid()) + "-" + std::to_string(++count));
 }
 
 void replaceAll(std::string& text, std::string const& from, std::string const& to)
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -162,8 +162,7 @@
 class Judge {
 public:
     Judge(KeyedSite const& site, SoakReport& report)
-        : m_site(site)
-        , m_report(report)
+        : m_report(report)
     {
         for (Endpoint const& target : site.apps())
             collect(target, m_appRuns);
@@ -213,7 +212,6 @@
         m_report.violations.push_back(asked.id + " (" + std::string(Core::nameOf(kindNames, asked.kind)) + " at " + KeyedSite::daemonName(asked.daemon) + ", status " + std::to_string(asked.status) + ") " + what);
     }
 
-    KeyedSite const& m_site;
     SoakReport& m_report;
     std::map<std::string, std::uint64_t> m_appRuns;
     std::map<std::string, std::uint64_t> m_engineRuns;
