--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -147,6 +147,7 @@
     m_candidatePositions.clear();
     m_failingCandidates.clear();
     updateOutliers(now);
+    bool hasOutputTarget = false;
     for (std::uint32_t position : request.allowed) {
         FleetTarget const& target = request.fleet->targets[position];
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
@@ -154,7 +155,10 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
-        bool isClosed = isExcluded || !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
+        bool isShut = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
+        bool isClosed = isExcluded || isShut;
+        // One that was tried may make the output all the same, when no other is left.
+        hasOutputTarget = hasOutputTarget || (role->second != Routing::TargetRole::Prefill && !isShut);
         bool isFailing = !isClosed && m_outliers.isOutlier(target.key, now);
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
         Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now) };
@@ -182,7 +186,8 @@
             m_candidates[n].closed = false;
         waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
     }
-    if (waiter.outcome.decision.chosen && lacksOutputTarget(waiter.outcome.decision.role)) {
+    // A prompt whose output nobody can make is not computed: that would be in vain, and keep targets from what follows.
+    if (waiter.outcome.decision.chosen && waiter.outcome.decision.role == Routing::TargetRole::Prefill && !hasOutputTarget) {
         waiter.outcome.decision.chosen.reset();
         waiter.outcome.decision.reason = Routing::Reason::NoOutputTarget;
     }
@@ -197,12 +202,6 @@
     return waiter.outcome.decision.target;
 }
 
-// A prompt whose output nobody can make is not computed: that would be in vain, and keep prefill targets from what follows.
-bool Dispatcher::lacksOutputTarget(Routing::TargetRole chosen) const
-{
-    return chosen == Routing::TargetRole::Prefill && std::none_of(m_candidates.begin(), m_candidates.end(), [](Routing::Candidate const& it) { return it.role != Routing::TargetRole::Prefill && !it.closed; });
-}
-
 // All daemons look for a shared part at the same target, whatever each of them has seen of it.
 void Dispatcher::addHome(PlacementRequest const& request)
 {
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -121,7 +121,6 @@
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
     void dropExclusionsOfAll(PlacementRequest&) const;
     void noteSent(Waiter&);
-    bool lacksOutputTarget(Routing::TargetRole chosen) const;
     void updateOutliers(std::chrono::steady_clock::time_point now);
     void addHome(PlacementRequest const&);
     std::uint32_t limitOf(FleetTarget const&) const;
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -203,3 +203,21 @@
     EXPECT_EQ(outcome->decision.reason, Routing::Reason::NoOutputTarget);
     EXPECT_EQ(outcome->error.verdict, Core::Verdict::NotRun);
 }
+
+// A stream that both decode targets have cut is tried once more at one of them.
+TEST_F(DispatcherTest, ADecodeTargetThatWasTriedMayStillMakeTheOutput)
+{
+    m_settings.routing.policy = Routing::Policy::PromptHome;
+    m_dispatcher = Daemon::Dispatcher::create(m_settings, 1).value();
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = fleetOf(2);
+    fleet->targets[0].role = Routing::TargetRole::Prefill;
+    fleet->targets[1].role = Routing::TargetRole::Decode;
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+    request.shape.phase = Routing::Phase::WholeOrPrefill;
+    request.excluded = { "e-1" };
+    place(request, outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->position, 0U);
+}
