--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -56,12 +56,17 @@
     }
 }
 
-void BeaconExchange::sendNow()
+std::string BeaconExchange::nextBeacon(BeaconKind kind)
 {
-    BeaconMessage beacon = m_hooks.describe();
+    BeaconMessage beacon = m_hooks.describe(kind);
     beacon.sender = m_self;
     beacon.sequence = ++m_sequence;
-    std::string bytes = encode(beacon);
+    return encode(beacon);
+}
+
+void BeaconExchange::sendNow()
+{
+    std::string bytes = nextBeacon(BeaconKind::ToAll);
     for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_book.daemons()) {
         // A datagram that cannot be sent is as good as lost; the next one follows soon.
         boost::system::error_code ec;
@@ -69,6 +74,14 @@
     }
 }
 
+// A lost one costs no more than the wait for the next beacon.
+void BeaconExchange::greet(boost::asio::ip::udp::endpoint const& address)
+{
+    std::string bytes = nextBeacon(BeaconKind::Greeting);
+    boost::system::error_code ec;
+    m_socket.send_to(boost::asio::buffer(bytes), address, 0, ec);
+}
+
 boost::asio::awaitable<void> BeaconExchange::receiveLoop()
 {
     while (!m_isStopped) {
@@ -86,12 +99,16 @@
     if (beacon.has_error() || beacon.value().sender.name == m_self.name)
         return;
     BeaconMessage const& message = beacon.value();
-    bool isNew = !m_book.daemons().contains(message.sender.name);
+    std::map<std::string, Fleet::BookedDaemon>::const_iterator known = m_book.daemons().find(message.sender.name);
+    bool isNew = known == m_book.daemons().end();
+    bool hasStarted = isNew || known->second.heardAt == Core::BootClock::time_point() || known->second.listed.incarnation < message.sender.incarnation;
     if (!m_book.hear(message.sender, message.sequence, { message.isLeaving, message.isReading, message.cannotPlan, message.configVersion, message.targetsChanged }, Core::BootClock::now()))
         return;
     if (isNew)
         Core::logEvent(Core::Severity::Info, Core::Event::MemberChanged, { { "daemon", message.sender.name }, { "from", "unknown" }, { "to", "live" }, { "leaving", message.isLeaving ? "yes" : "no" } });
     m_hooks.onBeacon(message);
+    if (hasStarted && m_hooks.greets())
+        greet(message.sender.beaconAddress);
 }
 
 }
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -11,13 +11,20 @@
 
 namespace Daemon {
 
+/// Whom a beacon is for.
+enum class BeaconKind : std::uint8_t {
+    ToAll, ///< Tells what is new since the last one, too.
+    Greeting, ///< To one daemon that has just started: what holds, in place of the next one to all.
+};
+
 /// Sends this daemon's beacons to all others that it knows of, and takes theirs: who is alive, who is leaving, and what
 /// each has open at the targets. Lost datagrams do no harm. Use from the control thread only.
 class BeaconExchange {
 public:
     struct Hooks {
-        std::function<BeaconMessage()> describe; ///< What to tell now; sender and sequence are filled in here.
+        std::function<BeaconMessage(BeaconKind)> describe; ///< What to tell now; sender and sequence are filled in here.
         std::function<void(BeaconMessage const&)> onBeacon; ///< Called for each beacon that is news.
+        std::function<bool()> greets; ///< Whether to answer a daemon that has just started at once.
     };
 
     /// Binds the socket; nothing is sent yet. Errors: Unavailable when the address cannot be bound.
@@ -39,6 +46,8 @@
     boost::asio::awaitable<void> sendLoop();
     boost::asio::awaitable<void> receiveLoop();
     void take(std::string_view datagram);
+    std::string nextBeacon(BeaconKind);
+    void greet(boost::asio::ip::udp::endpoint const&);
 
     static constexpr std::size_t largestDatagram = 64 * 1024;
 
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -94,6 +94,7 @@
     message.set_is_reading(beacon.isReading);
     message.set_cannot_plan(beacon.cannotPlan);
     message.set_lapse_grace_ms(static_cast<std::uint32_t>(beacon.lapseGrace.count()));
+    message.set_store_failing_ms(static_cast<std::uint32_t>(beacon.storeFailingFor.count()));
     for (Routing::TargetShare const& share : beacon.shares) {
         Proto::TargetShare* added = message.add_shares();
         added->set_target(share.target);
@@ -133,6 +134,7 @@
     beacon.isReading = message.is_reading();
     beacon.cannotPlan = message.cannot_plan();
     beacon.lapseGrace = std::chrono::milliseconds(message.lapse_grace_ms());
+    beacon.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
     for (Proto::TargetShare const& share : message.shares())
         beacon.shares.push_back({ share.target(), { share.prefill_us() / microsecondsPerSecond, share.requests(), share.kv_tokens() } });
     for (Proto::Outcomes const& outcomes : message.outcomes())
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -31,6 +31,7 @@
     std::vector<Routing::ServiceReport> services; ///< What its requests ask of engines, and what it has learnt of these.
     std::vector<Routing::HeldPart> heldParts; ///< That it was the first known to send to a target, since its last beacon.
     std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
+    std::chrono::milliseconds storeFailingFor { 0 }; ///< Its reads of the store have failed for so long; 0: they do not.
 };
 
 /// Forms of what daemons say to each other and keep in the store. `decode` errors: Corrupt. Thread-safe.
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -137,7 +137,7 @@
     hooks.publish = [this](FleetPointer const& fleet) { publish(fleet); };
     hooks.setLimits = [this](State::CallerLimits const& limits) { setCallerLimits(limits); };
     hooks.openWork = [this] { return m_dispatcher->openWork(); };
-    hooks.takePeerWork = [this](std::string const& peer, std::vector<Routing::TargetShare> const& shares) { m_dispatcher->takePeerWork(peer, shares); };
+    hooks.takePeerWork = [this](std::string const& peer, std::vector<Routing::TargetShare> const& shares, std::chrono::milliseconds lifetime) { m_dispatcher->takePeerWork(peer, shares, lifetime); };
     hooks.takeOutcomes = [this] { return m_dispatcher->takeOutcomes(); };
     hooks.takePeerOutcomes = [this](std::vector<Routing::OutcomeCounts> const& outcomes) { m_dispatcher->takePeerOutcomes(outcomes); };
     hooks.takeHeldParts = [this] { return m_dispatcher->takeHeldParts(); };
@@ -147,6 +147,7 @@
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
+    hooks.countStoreCall = [this](StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
     BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -127,8 +127,8 @@
     /// Returns the work that this daemon has open at targets, for its peers.
     std::vector<Routing::TargetShare> openWork() const;
 
-    /// Takes the open work of a peer, in place of what it said before.
-    void takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const&);
+    /// Takes the open work of a peer, in place of what it said before; it counts for `lifetime`.
+    void takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const&, std::chrono::milliseconds lifetime);
 
 private:
     struct Waiter;
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -137,10 +137,10 @@
     return m_openWork.own();
 }
 
-void Dispatcher::takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const& shares)
+void Dispatcher::takePeerWork(std::string const& peer, std::vector<Routing::TargetShare> const& shares, std::chrono::milliseconds lifetime)
 {
     std::lock_guard lock(m_mutex);
-    m_openWork.setPeer(peer, shares, Clock::now());
+    m_openWork.setPeer(peer, shares, Clock::now(), lifetime);
 }
 
 std::size_t Dispatcher::openRequests() const
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -7,8 +7,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <tuple>
-#include <xxhash.h>
+#include <utility>
 
 namespace Daemon {
 
@@ -16,19 +17,15 @@
 
 using Clock = Core::BootClock;
 
-// A configuration is to be in force within 2 s; a read that hangs is given up after its wait and half a second more.
-constexpr std::chrono::milliseconds configurationWait { 1'000 };
+// A read that waits for news is given up this part of the time within which news are to be in force, the reciprocal: the other
+// half is left for finding out that it hangs, and for another daemon's read.
+constexpr int partOfNewsTime = 2;
 constexpr std::chrono::milliseconds configurationInterval { 50 };
-// A target that leaves is to get nothing new after 2 s. Heartbeats that change nothing are no records of the topic.
-constexpr std::chrono::milliseconds targetWait { 1'000 };
+// Heartbeats that change nothing are no records of the topic.
 constexpr std::chrono::milliseconds targetInterval { 150 };
-// Calls to the store are few where the daemons are many: two read all the time, their beacons tell the others when there
-// is something new, and whoever has it hands it on. What nobody ever told is found by a read at these intervals.
-constexpr std::chrono::milliseconds idleInterval { 30'000 };
 // Daemons tell each other of themselves; the store only brings the first ones together.
 constexpr std::chrono::milliseconds daemonWait { 0 };
 constexpr std::chrono::milliseconds daemonInterval { 2'000 };
-constexpr std::chrono::milliseconds daemonIdleInterval { 30'000 };
 // A peer that cannot be connected to within this is passed over; the store is asked instead.
 constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
 constexpr std::chrono::milliseconds readSlack { 500 };
@@ -38,11 +35,14 @@
 constexpr std::chrono::milliseconds unlistedDaemonsTime { 3'000 };
 constexpr std::chrono::milliseconds unlistTimeout { 500 };
 
-Http::ClientSettings storeClient()
+// A store or an engine that is slow answers within this; one that does not is asked again.
+constexpr std::chrono::milliseconds answerTime { 1'000 };
+
+Http::ClientSettings storeClient(std::chrono::milliseconds wait)
 {
     Http::ClientSettings settings;
     settings.connectTimeout = std::chrono::milliseconds(500);
-    settings.headTimeout = configurationWait + readSlack;
+    settings.headTimeout = wait + readSlack;
     settings.pieceTimeout = readSlack;
     settings.writeTimeout = readSlack;
     settings.liveness = { std::chrono::milliseconds(1'000), std::chrono::seconds(1), 2 };
@@ -57,10 +57,13 @@
     , m_adapters(adapters)
     , m_storeAddress(settings.platform.store)
     , m_listHold(settings.callers.listHold)
-    , m_client(Http::Client::create(context, storeClient()))
+    , m_client(Http::Client::create(context, storeClient(answerTime)))
+    , m_waitingClient(Http::Client::create(context, storeClient(settings.platform.newsWithin / partOfNewsTime)))
     , m_store(adapters.createStore(*m_client, [this] { return m_storeAddress; }))
+    , m_waitingStore(adapters.createStore(*m_waitingClient, [this] { return m_storeAddress; }))
     , m_engines(adapters.createEngineControl(*m_client))
     , m_fleet(std::make_shared<FleetSnapshot>())
+    , m_random(std::random_device()())
 {
 }
 
@@ -75,14 +78,14 @@
 {
     m_hooks = std::move(hooks);
     Platform::ListedDaemon self { m_settings.daemon.name, incarnation, m_settings.daemon.availabilityZone, m_settings.daemon.region, m_settings.callers.listen, { m_settings.peers.beacon.address(), m_settings.peers.beacon.port() }, m_settings.peers.listen };
-    BeaconExchange::Hooks beacons { [this] { return describe(); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); } };
+    BeaconExchange::Hooks beacons { [this](BeaconKind kind) { return describe(kind); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); }, [this] { return m_wasReading; } };
     BOOST_OUTCOME_TRY(m_beacons, BeaconExchange::create(m_context, self, std::move(beacons)));
     Peer::Settings peers;
     peers.senderName = self.name;
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
     BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
-    RoleKeeper::Hooks roles { [this] { return isPlanner(); }, [this] { m_isTargetListChanged = true; }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness };
+    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
@@ -93,24 +96,27 @@
 
 void StoreControl::createTopics()
 {
+    std::chrono::milliseconds wait = m_settings.platform.newsWithin / partOfNewsTime;
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
     std::function<bool(Fleet::DaemonState const&)> isTargetNews = [this](Fleet::DaemonState const& said) { return said.targetsChanged > m_targetList.replica.nextOffset(); };
-    m_configuration = { Platform::StoreTopic::Configuration, configurationWait, configurationInterval, idleInterval, isConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
-    m_targetList = { Platform::StoreTopic::Targets, targetWait, targetInterval, idleInterval, isTargetNews, [this](Platform::KeyedRecord const& record) {
+    m_configuration = { Platform::StoreTopic::Configuration, wait, configurationInterval, true, isConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
+    m_targetList = { Platform::StoreTopic::Targets, wait, targetInterval, true, isTargetNews, [this](Platform::KeyedRecord const& record) {
         if (takeTarget(record))
             m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1); }, [this] { m_targets.noteRead(Clock::now()); } };
-    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, daemonIdleInterval, [](Fleet::DaemonState const&) { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
+    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, false, [](Fleet::DaemonState const&) { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
+    for (Followed* topic : topics())
+        topic->turn = std::make_unique<boost::asio::steady_timer>(m_context);
 }
 
 void StoreControl::start()
 {
     m_startedAt = Clock::now();
     m_beacons->start();
-    for (Followed* topic : { &m_configuration, &m_targetList, &m_daemonList })
+    for (Followed* topic : { &m_configuration, &m_targetList })
         boost::asio::co_spawn(
             m_context, [this, topic] { return follow(*topic); }, boost::asio::detached);
     boost::asio::co_spawn(
-        m_context, [this] { return listSelf(); }, boost::asio::detached);
+        m_context, [this] { return meetOthers(); }, boost::asio::detached);
     boost::asio::co_spawn(
         m_context, [this] { return tick(); }, boost::asio::detached);
 }
@@ -118,6 +124,7 @@
 void StoreControl::stop()
 {
     m_isStopped = true;
+    wakeTopics();
     m_roles->stop();
     m_beacons->stop();
 }
@@ -149,9 +156,19 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
+// Of two daemons that start at one moment the later one to write its entry reads the other's, and then sends it beacons: so
+// one write and one read make all known to each other.
+boost::asio::awaitable<void> StoreControl::meetOthers()
+{
+    co_await listSelf();
+    if (!m_isStopped)
+        co_await follow(m_daemonList);
+}
+
 boost::asio::awaitable<void> StoreControl::listSelf()
 {
     while (!m_isStopped && !m_isLeaving) {
+        m_hooks.countStoreCall(StoreCallReason::Listing);
         Core::Result<Platform::ConditionalAppend> appended = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, encode(m_beacons->self()), std::nullopt);
         if (appended.has_value())
             co_return;
@@ -169,6 +186,7 @@
     };
     std::shared_ptr<boost::asio::steady_timer> limit = std::make_shared<boost::asio::steady_timer>(m_context, unlistTimeout);
     limit->async_wait([limit, done](boost::system::error_code) { done(); });
+    m_hooks.countStoreCall(StoreCallReason::Listing);
     std::ignore = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, std::string(), std::nullopt);
     done();
 }
@@ -186,7 +204,7 @@
         Core::logEvent(Core::Severity::Info, Core::Event::LogRecovered, { { "stream", name }, { "next", std::to_string(topic.replica.nextOffset()) } });
 }
 
-BeaconMessage StoreControl::describe() const
+BeaconMessage StoreControl::describe(BeaconKind kind) const
 {
     BeaconMessage beacon;
     beacon.isLeaving = m_isLeaving;
@@ -197,26 +215,16 @@
     beacon.cannotPlan = m_roles->cannotPlan();
     beacon.changing = m_roles->changing();
     beacon.suspects = m_hooks.suspects();
-    beacon.outcomes = m_hooks.takeOutcomes();
-    beacon.heldParts = m_hooks.takeHeldParts();
+    if (kind == BeaconKind::ToAll) {
+        beacon.outcomes = m_hooks.takeOutcomes();
+        beacon.heldParts = m_hooks.takeHeldParts();
+    }
+    beacon.storeFailingFor = storeFailingFor();
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(Clock::now());
     return beacon;
 }
 
-// Of the daemons that are heard, the one with the least name: all that hear the same ones agree without a word.
-bool StoreControl::isPlanner() const
-{
-    if (m_isLeaving || m_roles->cannotPlan())
-        return false;
-    Clock::time_point now = Clock::now();
-    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
-        if (m_beacons->book().isLive(it.second, now) && !it.second.said.isLeaving && !it.second.said.cannotPlan && it.first < m_settings.daemon.name)
-            return false;
-    }
-    return true;
-}
-
 boost::asio::awaitable<void> StoreControl::tick()
 {
     while (!m_isStopped) {
@@ -224,6 +232,7 @@
         if (m_isStopped)
             co_return;
         Clock::time_point now = Clock::now();
+        refreshView(now);
         bool isLapsed = m_targets.expire(now);
         bool isOpened = std::erase_if(m_changing, [now](std::pair<std::uint64_t const, Clock::time_point> const& it) { return now >= it.second; }) > 0;
         findUnreachable(now);
@@ -236,6 +245,24 @@
     }
 }
 
+void StoreControl::refreshView(Clock::time_point now)
+{
+    Fleet::SiteView before = std::exchange(m_view, m_beacons->book().view(m_settings.daemon.name, now));
+    if (before.isReader != m_view.isReader || before.hearsReader != m_view.hearsReader || hasNews(m_configuration) || hasNews(m_targetList))
+        wakeTopics();
+    // Whoever starts, or has lost its reader, waits for just this.
+    if (isReading() != m_wasReading) {
+        m_wasReading = !m_wasReading;
+        m_beacons->sendNow();
+    }
+}
+
+void StoreControl::wakeTopics()
+{
+    for (Followed* topic : topics())
+        topic->turn->cancel();
+}
+
 std::size_t StoreControl::liveDaemons() const
 {
     return m_beacons->book().liveCount(Clock::now());
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -5,15 +5,20 @@
 #include <LibDaemon/Control.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
+#include <LibDaemon/StoreCallReason.h>
 #include <LibFleet/StoreReplica.h>
 #include <LibFleet/TargetBook.h>
 #include <LibHttp/Client.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -27,7 +32,7 @@
         std::function<void(FleetPointer)> publish;
         std::function<void(State::CallerLimits const&)> setLimits; ///< Called when the operators' limits change.
         std::function<std::vector<Routing::TargetShare>()> openWork;
-        std::function<void(std::string const& peer, std::vector<Routing::TargetShare> const&)> takePeerWork;
+        std::function<void(std::string const& peer, std::vector<Routing::TargetShare> const&, std::chrono::milliseconds lifetime)> takePeerWork;
         std::function<std::vector<Routing::OutcomeCounts>()> takeOutcomes; ///< How requests ended since the last call.
         std::function<void(std::vector<Routing::OutcomeCounts> const&)> takePeerOutcomes;
         std::function<std::vector<Routing::HeldPart>()> takeHeldParts; ///< Shared parts sent to targets first by this daemon.
@@ -38,6 +43,7 @@
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
+        std::function<void(StoreCallReason)> countStoreCall;
     };
 
     /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
@@ -74,7 +80,7 @@
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
         std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
         std::chrono::milliseconds interval { 0 }; ///< Least time between two reads.
-        std::chrono::milliseconds idleInterval { 0 }; ///< The same, while others read all the time and tell what is new.
+        bool isToldByPeers { true }; ///< Two daemons read it all the time, and tell the others what is new.
         std::function<bool(Fleet::DaemonState const&)> isNews; ///< Whether one that says this knows more than was read here.
         RecordHook onRecord;
         std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
@@ -83,20 +89,29 @@
         std::uint64_t newsOffset { 0 }; ///< Behind the last record that changed anything.
         Core::BootClock::time_point readAt {}; ///< When a read last succeeded.
         std::string problem {}; ///< Why it cannot be read now; empty while it can.
+        std::unique_ptr<boost::asio::steady_timer> turn {}; ///< Waits for the next read; cancelled when that may be due.
+        std::optional<Core::BootClock::time_point> unheardTurn {}; ///< When to read since no reader is heard.
     };
 
     StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&);
     Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
     void createTopics();
     boost::asio::awaitable<void> follow(Followed&);
-    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&);
+    boost::asio::awaitable<bool> readFromStore(Followed&, StoreCallReason);
+    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&, StoreCallReason);
     boost::asio::awaitable<bool> learnFromPeer(Followed&);
     void apply(Followed&, std::vector<Platform::KeyedRecord> const&, bool wasComplete);
     Fleet::BookedDaemon const* tellerOf(Followed const&) const;
     Core::Result<Fleet::StoreReplica::Extract> extract(RecordsRequest const&) const;
     bool hasNews(Followed const&) const;
-    bool isTold(Followed const&) const;
-    boost::asio::awaitable<void> waitForTurn(Followed const&, Core::BootClock::time_point begunAt);
+    std::optional<StoreCallReason> reasonToRead(Followed&, Core::BootClock::time_point begunAt);
+    boost::asio::awaitable<StoreCallReason> waitForTurn(Followed&, Core::BootClock::time_point begunAt);
+    boost::asio::awaitable<void> waitToMeet(Followed const&);
+    boost::asio::awaitable<void> meetOthers();
+    std::array<Followed*, 3> topics() { return { &m_configuration, &m_targetList, &m_daemonList }; }
+    void wakeTopics();
+    void refreshView(Core::BootClock::time_point now);
+    std::chrono::milliseconds storeFailingFor() const;
     boost::asio::awaitable<void> listSelf();
     boost::asio::awaitable<void> unlistSelf(std::function<void()> onDone);
     boost::asio::awaitable<void> tick();
@@ -107,10 +122,8 @@
     bool takeUnusableEntry(Platform::KeyedRecord const&, Core::Error const&);
     void takeDaemon(Platform::KeyedRecord const&);
     void takeBeacon(BeaconMessage const&);
-    BeaconMessage describe() const;
-    bool readsAlways() const;
+    BeaconMessage describe(BeaconKind) const;
     bool isReading() const;
-    bool isPlanner() const;
     Routing::EngineDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
     void rebuild();
@@ -124,7 +137,9 @@
     std::chrono::milliseconds m_listHold;
     Hooks m_hooks;
     std::unique_ptr<Http::Client> m_client;
+    std::unique_ptr<Http::Client> m_waitingClient;
     std::unique_ptr<Platform::KeyedStore> m_store;
+    std::unique_ptr<Platform::KeyedStore> m_waitingStore; ///< For reads that wait for news.
     std::unique_ptr<Platform::EngineControl> m_engines;
     std::unique_ptr<BeaconExchange> m_beacons;
     std::unique_ptr<RecordExchange> m_records;
@@ -144,6 +159,10 @@
     std::map<std::uint64_t, Core::BootClock::time_point> m_changing; ///< Until when targets count as changing, as peers said.
     FleetPointer m_fleet;
     Core::BootClock::time_point m_startedAt;
+    Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
+    std::optional<Core::BootClock::time_point> m_storeFailingSince; ///< This daemon's own reads.
+    std::mt19937_64 m_random;
+    bool m_wasReading { false }; ///< When the others were last told.
     bool m_isTargetListChanged { false };
     bool m_isLeaving { false };
     bool m_isStopped { false };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -98,13 +98,26 @@
 
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
-    m_hooks.takePeerWork(beacon.sender.name, beacon.shares);
+    m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().silentTime());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
     m_hooks.takePeerReports(beacon.sender.name, beacon.services);
-    m_suspects[beacon.sender.name] = beacon.suspects;
+    if (beacon.suspects.empty())
+        m_suspects.erase(beacon.sender.name);
+    else
+        m_suspects[beacon.sender.name] = beacon.suspects;
     m_reports[beacon.sender.name] = beacon.services;
     Clock::time_point now = Clock::now();
+    // Who reads for this daemon knows whether the store is away; while another one is answered, it is not.
+    if (beacon.isReading)
+        m_targets.noteReadElsewhere();
+    else if (beacon.storeFailingFor.count() > 0 && !m_view.hearsReader)
+        m_targets.noteFailure(now - beacon.storeFailingFor);
+    bool isNews = beacon.configVersion > m_view.newest.configVersion || beacon.targetsChanged > m_view.newest.targetsChanged;
+    m_view.newest.configVersion = std::max(m_view.newest.configVersion, beacon.configVersion);
+    m_view.newest.targetsChanged = std::max(m_view.newest.targetsChanged, beacon.targetsChanged);
+    if (isNews)
+        wakeTopics();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
     for (std::uint64_t target : beacon.changing) {
         bool isNew = !m_changing.contains(target);
@@ -140,13 +153,15 @@
     std::map<std::uint64_t, std::size_t> counts;
     for (std::uint64_t target : m_hooks.suspects())
         ++counts[target];
-    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
-        if (!m_beacons->book().isLive(it.second, now))
+    std::map<std::string, Fleet::BookedDaemon> const& daemons = m_beacons->book().daemons();
+    for (std::pair<std::string const, std::vector<std::uint64_t>> const& it : m_suspects) {
+        std::map<std::string, Fleet::BookedDaemon>::const_iterator peer = daemons.find(it.first);
+        if (peer == daemons.end() || !m_beacons->book().isLive(peer->second, now))
             continue;
-        for (std::uint64_t target : m_suspects[it.first])
+        for (std::uint64_t target : it.second)
             ++counts[target];
     }
-    std::size_t needed = std::max<std::size_t>(2, m_beacons->book().liveCount(now) / partOfDaemons);
+    std::size_t needed = std::max<std::size_t>(2, m_view.live / partOfDaemons);
     std::set<std::uint64_t> unreachable;
     for (std::pair<std::uint64_t const, std::size_t> const& it : counts) {
         if (it.second >= needed)
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -3,6 +3,9 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/StoreControl.h>
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <tuple>
 #include <xxhash.h>
 
@@ -12,15 +15,31 @@
 
 using Clock = Core::BootClock;
 
-// A reader that has not been answered for this long brings no news: three of its intervals.
-constexpr std::chrono::milliseconds readerLapse { 1'500 };
-constexpr std::chrono::milliseconds turnCheckInterval { 50 };
+// A reader that has not been answered for this long behind its reads' own wait brings no news.
+constexpr std::chrono::milliseconds readerSlack { 500 };
+// Where no reader is heard each daemon reads at a random moment of a time that grows with their number, so that the site as a
+// whole makes some ten calls a second and whoever is answered tells the others.
+constexpr std::chrono::milliseconds unheardTimePerDaemon { 200 };
+constexpr std::chrono::milliseconds leastUnheardTime { 1'000 };
+// What nobody ever told is found by a read, of all daemons together one a second.
+constexpr std::chrono::seconds idleTimePerDaemon { 1 };
+constexpr std::chrono::seconds leastIdleTime { 30 };
+// How often a topic that is not woken looks whether its time has come: a fifth of the least of those times.
+constexpr std::chrono::milliseconds turnCheckInterval { 200 };
+// A daemon that starts among others waits for a beacon of theirs for this long once it knows where they are, and so long at all:
+// one stream from a peer in its availability zone costs less than several calls, and is answered while the store is away.
+constexpr std::chrono::milliseconds greetingTime { 250 };
+constexpr std::chrono::milliseconds longestMeeting { 1'000 };
+constexpr std::chrono::milliseconds meetingCheckInterval { 20 };
+// Three hundred daemons that start while the store is away are not to ask it five times a second each.
+constexpr std::chrono::milliseconds retryDelayPerDaemon { 10 };
 
 }
 
-boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic)
+boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic, StoreCallReason reason)
 {
     using News = Core::Result<std::vector<Platform::KeyedRecord>>;
+    m_hooks.countStoreCall(reason);
     Fleet::StoreReplica::Step step = topic.replica.next();
     if (step.isNewest) {
         Core::Result<Platform::KeyedPage> page = co_await m_store->newest(topic.topic, step.after);
@@ -28,7 +47,7 @@
             co_return News(page.error());
         co_return News(topic.replica.take(page.value()));
     }
-    Core::Result<Platform::KeyedBatch> batch = co_await m_store->read(topic.topic, step.from, topic.wait);
+    Core::Result<Platform::KeyedBatch> batch = co_await m_waitingStore->read(topic.topic, step.from, topic.wait);
     if (batch.has_error())
         co_return News(batch.error());
     co_return News(topic.replica.take(batch.value()));
@@ -36,31 +55,43 @@
 
 boost::asio::awaitable<void> StoreControl::follow(Followed& topic)
 {
+    if (topic.isToldByPeers)
+        co_await waitToMeet(topic);
+    StoreCallReason reason = StoreCallReason::Start;
     while (!m_isStopped) {
         Clock::time_point begunAt = Clock::now();
-        if (isTold(topic) && hasNews(topic) && co_await learnFromPeer(topic)) {
-            co_await waitForTurn(topic, begunAt);
-            continue;
-        }
-        bool wasComplete = topic.replica.isComplete();
-        Core::Result<std::vector<Platform::KeyedRecord>> news = co_await readOnce(topic);
-        if (m_isStopped)
-            co_return;
-        if (news.has_error()) {
-            noteProblem(topic, news.error().message);
-            topic.onFailure();
-            std::ignore = co_await learnFromPeer(topic); // Whatever it told, the store is asked again.
-            co_await wait(retryDelay);
-            continue;
-        }
-        noteProblem(topic, std::string());
-        if (Core::isLogged(Core::Severity::Debug))
-            Core::logEvent(Core::Severity::Debug, Core::Event::StoreRead, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, topic.topic)) }, { "news", std::to_string(news.value().size()) }, { "next", std::to_string(topic.replica.nextOffset()) }, { "told", std::to_string(m_beacons->book().newest(Clock::now()).targetsChanged) }, { "reader", isReading() ? "yes" : "no" } });
-        topic.readAt = Clock::now();
-        topic.onRead();
-        apply(topic, news.value(), wasComplete);
-        co_await waitForTurn(topic, begunAt);
+        bool asksPeer = topic.isToldByPeers && (!m_view.isReader || !topic.replica.isComplete());
+        bool hasLearnt = asksPeer && hasNews(topic) && co_await learnFromPeer(topic);
+        if (!hasLearnt && !m_isStopped && !co_await readFromStore(topic, reason))
+            co_await wait(topic.replica.isComplete() ? retryDelay : std::max(retryDelay, retryDelayPerDaemon * static_cast<int>(m_view.live)));
+        reason = StoreCallReason::Start;
+        if (topic.replica.isComplete())
+            reason = co_await waitForTurn(topic, begunAt);
+    }
+}
+
+// Returns whether the store answered.
+boost::asio::awaitable<bool> StoreControl::readFromStore(Followed& topic, StoreCallReason reason)
+{
+    bool wasComplete = topic.replica.isComplete();
+    Core::Result<std::vector<Platform::KeyedRecord>> news = co_await readOnce(topic, reason);
+    if (m_isStopped)
+        co_return false;
+    if (news.has_error()) {
+        noteProblem(topic, news.error().message);
+        m_storeFailingSince = m_storeFailingSince.value_or(Clock::now());
+        topic.onFailure();
+        std::ignore = co_await learnFromPeer(topic); // Whatever it told, the store is asked again.
+        co_return false;
     }
+    noteProblem(topic, std::string());
+    m_storeFailingSince.reset();
+    if (Core::isLogged(Core::Severity::Debug))
+        Core::logEvent(Core::Severity::Debug, Core::Event::StoreRead, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, topic.topic)) }, { "reason", std::string(Core::nameOf(storeCallReasonNames, reason)) }, { "news", std::to_string(news.value().size()) }, { "next", std::to_string(topic.replica.nextOffset()) }, { "told", std::to_string(m_view.newest.targetsChanged) } });
+    topic.readAt = Clock::now();
+    topic.onRead();
+    apply(topic, news.value(), wasComplete);
+    co_return true;
 }
 
 void StoreControl::apply(Followed& topic, std::vector<Platform::KeyedRecord> const& news, bool wasComplete)
@@ -126,38 +157,75 @@
 
 bool StoreControl::hasNews(Followed const& topic) const
 {
-    return topic.isNews(m_beacons->book().newest(Clock::now()));
+    return topic.isNews(m_view.newest);
 }
 
-// Whether others read the topic all the time and tell this daemon what is new.
-bool StoreControl::isTold(Followed const& topic) const
+// Waits until a peer is heard that knows the topic, if there may be one.
+boost::asio::awaitable<void> StoreControl::waitToMeet(Followed const& topic)
 {
-    return topic.replica.isComplete() && !readsAlways() && m_beacons->book().hearsReader(Clock::now());
+    Clock::time_point until = m_startedAt + longestMeeting;
+    while (!m_isStopped && Clock::now() < until && !hasNews(topic)) {
+        bool isListRead = m_daemonList.replica.isComplete();
+        if (isListRead && (m_beacons->book().daemons().empty() || Clock::now() - m_daemonList.readAt > greetingTime))
+            co_return;
+        co_await wait(meetingCheckInterval);
+    }
 }
 
-// Returns when the topic is to be read again.
-boost::asio::awaitable<void> StoreControl::waitForTurn(Followed const& topic, Clock::time_point begunAt)
+// Returns why the topic is to be read now; nothing when it is not.
+std::optional<StoreCallReason> StoreControl::reasonToRead(Followed& topic, Clock::time_point begunAt)
 {
-    Clock::time_point due = begunAt + topic.interval;
-    Clock::time_point idleDue = begunAt + topic.idleInterval;
-    while (!m_isStopped) {
-        Clock::time_point now = Clock::now();
-        bool isDue = now >= due && (!isTold(topic) || hasNews(topic) || now >= idleDue);
-        if (isDue)
-            co_return;
-        co_await wait(std::max(std::chrono::milliseconds(1), std::min(turnCheckInterval, std::chrono::ceil<std::chrono::milliseconds>(std::max(due, now + turnCheckInterval) - now))));
+    Clock::time_point now = Clock::now();
+    int live = static_cast<int>(m_view.live);
+    if (now < begunAt + topic.interval)
+        return std::nullopt;
+    bool isHeard = topic.isToldByPeers ? m_view.hearsReader : live > 1;
+    if (topic.isToldByPeers && m_view.isReader)
+        return StoreCallReason::Reader;
+    if (isHeard) {
+        topic.unheardTurn.reset();
+        if (hasNews(topic))
+            return StoreCallReason::News;
+        return now >= begunAt + std::max(leastIdleTime, idleTimePerDaemon * live) ? std::optional(StoreCallReason::Idle) : std::nullopt;
     }
+    if (!topic.unheardTurn) {
+        std::chrono::milliseconds within = std::max(leastUnheardTime, unheardTimePerDaemon * live);
+        topic.unheardTurn = now + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, within.count())(m_random));
+    }
+    if (now < *topic.unheardTurn && !hasNews(topic))
+        return std::nullopt;
+    topic.unheardTurn.reset();
+    return StoreCallReason::Unheard;
 }
 
-bool StoreControl::readsAlways() const
+// Returns, when the topic is to be read again, why.
+boost::asio::awaitable<StoreCallReason> StoreControl::waitForTurn(Followed& topic, Clock::time_point begunAt)
 {
-    return m_beacons->book().isReader(m_settings.daemon.name, Clock::now());
+    while (!m_isStopped) {
+        std::optional<StoreCallReason> reason = reasonToRead(topic, begunAt);
+        if (reason)
+            co_return *reason;
+        // Whatever else makes a read due wakes the topic; only what the clock alone makes due is looked for.
+        Clock::duration untilAllowed = begunAt + topic.interval - Clock::now();
+        topic.turn->expires_after(untilAllowed > Clock::duration::zero() ? std::chrono::ceil<std::chrono::milliseconds>(untilAllowed) : turnCheckInterval);
+        boost::system::error_code ec;
+        co_await topic.turn->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    }
+    co_return StoreCallReason::Idle;
 }
 
 bool StoreControl::isReading() const
 {
-    Clock::time_point oldest = Clock::now() - readerLapse;
-    return !m_isLeaving && readsAlways() && m_configuration.readAt > oldest && m_targetList.readAt > oldest;
+    Clock::time_point oldest = Clock::now() - m_configuration.wait - readerSlack;
+    bool isSound = m_configuration.problem.empty() && m_targetList.problem.empty();
+    return !m_isLeaving && m_view.isReader && isSound && m_configuration.readAt > oldest && m_targetList.readAt > oldest;
+}
+
+std::chrono::milliseconds StoreControl::storeFailingFor() const
+{
+    if (!m_view.isReader || !m_storeFailingSince)
+        return std::chrono::milliseconds(0);
+    return std::chrono::ceil<std::chrono::milliseconds>(Clock::now() - *m_storeFailingSince);
 }
 
 }
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -36,39 +36,42 @@
 
 bool DaemonBook::isLive(BookedDaemon const& daemon, Time now) const
 {
-    return daemon.heardAt != Time() && now - daemon.heardAt <= std::max(m_settings.silentAfter, m_settings.silentBeacons * beaconInterval());
+    return daemon.heardAt != Time() && now - daemon.heardAt <= silentTime();
 }
 
-std::chrono::milliseconds DaemonBook::beaconInterval() const
-{
-    return std::max(m_settings.leastInterval, m_settings.intervalPerDaemon * static_cast<int>(m_daemons.size()));
-}
-
-bool DaemonBook::isReader(std::string const& name, Time now) const
+std::chrono::milliseconds DaemonBook::silentTime() const
 {
-    std::size_t before = 0;
-    for (std::pair<std::string const, BookedDaemon> const& it : m_daemons)
-        before += it.first < name && isLive(it.second, now) && !it.second.said.isLeaving ? 1 : 0;
-    return before < m_settings.readers;
+    return std::max(m_settings.silentAfter, m_settings.silentBeacons * beaconInterval());
 }
 
-bool DaemonBook::hearsReader(Time now) const
+std::chrono::milliseconds DaemonBook::beaconInterval() const
 {
-    return std::any_of(m_daemons.begin(), m_daemons.end(), [&](std::pair<std::string const, BookedDaemon> const& it) {
-        return it.second.said.isReading && isLive(it.second, now);
-    });
+    return std::max(m_settings.leastInterval, m_settings.intervalPerDaemon * static_cast<int>(m_daemons.size()));
 }
 
-DaemonState DaemonBook::newest(Time now) const
+SiteView DaemonBook::view(std::string const& name, Time now) const
 {
-    DaemonState newest;
+    SiteView view;
+    std::size_t readersBefore = 0;
+    std::chrono::milliseconds silent = silentTime();
     for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
-        if (!isLive(it.second, now))
+        DaemonState const& said = it.second.said;
+        bool isFirst = it.first < name;
+        if (it.second.heardAt == Time()) {
+            readersBefore += isFirst && now - it.second.knownSince <= m_settings.greetTime ? 1 : 0;
+            continue;
+        }
+        if (now - it.second.heardAt > silent)
             continue;
-        newest.configVersion = std::max(newest.configVersion, it.second.said.configVersion);
-        newest.targetsChanged = std::max(newest.targetsChanged, it.second.said.targetsChanged);
+        ++view.live;
+        readersBefore += isFirst && !said.isLeaving ? 1 : 0;
+        view.hearsReader = view.hearsReader || said.isReading;
+        view.isPlanner = view.isPlanner && !(isFirst && !said.isLeaving && !said.cannotPlan);
+        view.newest.configVersion = std::max(view.newest.configVersion, said.configVersion);
+        view.newest.targetsChanged = std::max(view.newest.targetsChanged, said.targetsChanged);
     }
-    return newest;
+    view.isReader = readersBefore < m_settings.readers;
+    return view;
 }
 
 std::size_t DaemonBook::liveCount(Time now) const
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -19,6 +19,9 @@
     /// Each other daemon makes the interval longer, so that a daemon gets 200 beacons a second at most.
     std::chrono::milliseconds intervalPerDaemon { 5 };
     std::size_t readers { 2 }; ///< One more than the one whose loss must not delay news.
+    /// A daemon that is listed and was never heard counts among those who may read for so long: by then its first beacon is
+    /// here, or it is gone.
+    std::chrono::milliseconds greetTime { 1'000 };
     /// One that was not heard for this long is forgotten; its next beacon brings it back.
     std::chrono::seconds forgetAfter { 60 };
 };
@@ -30,6 +33,7 @@
     bool cannotPlan { false }; ///< It could not get a lease lately.
     std::uint64_t configVersion { 0 }; ///< That it has in force.
     std::uint64_t targetsChanged { 0 }; ///< Offset behind the last record of the target list that was news to it.
+    std::chrono::milliseconds storeFailingFor { 0 }; ///< Its reads of the store have failed for so long; 0: they do not.
 
     bool operator==(DaemonState const&) const = default;
 };
@@ -43,6 +47,17 @@
     DaemonState said;
 };
 
+/// Who reads the store for the site, and what is to be known, as one daemon sees it at one moment.
+struct SiteView {
+    std::size_t live { 1 }; ///< Daemons that are heard from, this one included.
+    bool isReader { true }; ///< This daemon should read the store all the time.
+    bool hearsReader { false }; ///< Another one that does so is heard, so that its beacons bring the news.
+    bool isPlanner { true }; ///< This daemon should plan the roles of engines.
+    DaemonState newest; ///< The newest that any daemon heard from lately said.
+
+    bool operator==(SiteView const&) const = default;
+};
+
 /// Which other daemons there are: from the store to begin with, then from what they themselves say.
 /// Pure and not thread-safe.
 class DaemonBook {
@@ -70,15 +85,13 @@
     /// Returns how often to send beacons: seldom enough that their number does not grow with the square of the site.
     std::chrono::milliseconds beaconInterval() const;
 
-    /// Whether a daemon of this name should read the store all the time: it is among the first by name of those heard
-    /// from. The others read when a beacon brings news, and seldom.
-    bool isReader(std::string const& name, Time now) const;
-
-    /// Whether a daemon that reads the store all the time is heard, so that its beacons bring the news.
-    bool hearsReader(Time now) const;
+    /// Returns how the site looks to a daemon of this name. The first by name of those that stay read the store all the time,
+    /// the first of those that can get a lease plans: all that hear the same ones agree without a word. One pass over all
+    /// daemons: to be called some ten times a second, not for each request.
+    SiteView view(std::string const& name, Time now) const;
 
-    /// The newest that any daemon heard from lately said.
-    DaemonState newest(Time now) const;
+    /// Returns how long a daemon may be silent and still count as live: what it last said holds as long.
+    std::chrono::milliseconds silentTime() const;
 
     /// How many daemons are heard from, this one included.
     std::size_t liveCount(Time now) const;
--- a/Libraries/LibFleet/TargetBook.cpp
+++ b/Libraries/LibFleet/TargetBook.cpp
@@ -3,10 +3,9 @@
 
 namespace Fleet {
 
-void TargetBook::noteFailure(Time now)
+void TargetBook::noteFailure(Time since)
 {
-    if (!m_failingSince)
-        m_failingSince = now;
+    m_failingSince = std::min(since, m_failingSince.value_or(since));
 }
 
 void TargetBook::noteRead(Time now)
--- a/Libraries/LibFleet/TargetBook.h
+++ b/Libraries/LibFleet/TargetBook.h
@@ -32,12 +32,16 @@
     {
     }
 
-    /// Notes that a read of the list failed. A time without any read says nothing of the store.
-    void noteFailure(Time now);
+    /// Notes that reads of the list have failed since then, this daemon's own or those of one that reads for all. A time
+    /// without any read says nothing of the store.
+    void noteFailure(Time since);
 
     /// Notes that the store answered a read of the list.
     void noteRead(Time now);
 
+    /// Notes that a daemon which reads the list for all is answered: it tells itself how long lapsed entries are kept.
+    void noteReadElsewhere() { m_failingSince.reset(); }
+
     /// Notes that the store has come back at a daemon that reads it all the time: for so long more, targets whose entries
     /// lapsed may list themselves again. This daemon itself may not have noticed that the store was away.
     void noteReturnElsewhere(Time now, std::chrono::milliseconds graceLeft);
--- a/Libraries/LibRouting/OpenWork.cpp
+++ b/Libraries/LibRouting/OpenWork.cpp
@@ -1,8 +1,15 @@
 #include <LibRouting/OpenWork.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Routing {
 
+namespace {
+
+constexpr double microsecondsPerSecond = 1e6;
+
+}
+
 TargetWork& TargetWork::operator+=(TargetWork const& other)
 {
     prefillSeconds += other.prefillSeconds;
@@ -31,14 +38,38 @@
         m_own.erase(it);
 }
 
-void OpenWork::setPeer(std::string const& peer, std::vector<TargetShare> const& shares, Time now)
+void OpenWork::setPeer(std::string const& peer, std::vector<TargetShare> const& shares, Time now, std::chrono::milliseconds lifetime)
 {
-    std::erase_if(m_peers, [now](std::pair<std::string const, Peer> const& it) { return now - it.second.saidAt > peerLifetime; });
+    expire(now);
     Peer& said = m_peers[peer];
-    said.saidAt = now;
-    said.work.clear();
-    for (TargetShare const& share : shares)
-        said.work[share.target] += share.work;
+    m_expiries.erase({ said.until, peer });
+    add(said.shares, -1);
+    said.until = now + lifetime;
+    said.shares = shares;
+    add(said.shares, 1);
+    m_expiries.emplace(said.until, peer);
+}
+
+void OpenWork::add(std::vector<TargetShare> const& shares, int sign)
+{
+    for (TargetShare const& share : shares) {
+        Sum& sum = m_peerSums[share.target];
+        sum.prefillMicroseconds += sign * std::llround(share.work.prefillSeconds * microsecondsPerSecond);
+        sum.requests += sign * static_cast<std::int64_t>(share.work.requests);
+        sum.kvTokens += sign * static_cast<std::int64_t>(share.work.kvTokens);
+        if (sum.isNothing())
+            m_peerSums.erase(share.target);
+    }
+}
+
+void OpenWork::expire(Time now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first < now) {
+        std::unordered_map<std::string, Peer>::iterator peer = m_peers.find(m_expiries.begin()->second);
+        add(peer->second.shares, -1);
+        m_peers.erase(peer);
+        m_expiries.erase(m_expiries.begin());
+    }
 }
 
 std::vector<TargetShare> OpenWork::own() const
@@ -49,16 +80,18 @@
     return shares;
 }
 
-TargetWork OpenWork::total(std::uint64_t target, Time now) const
+TargetWork OpenWork::total(std::uint64_t target, Time now)
 {
+    expire(now);
     TargetWork sum;
     std::unordered_map<std::uint64_t, TargetWork>::const_iterator own = m_own.find(target);
     if (own != m_own.end())
         sum += own->second;
-    for (std::pair<std::string const, Peer> const& peer : m_peers) {
-        std::unordered_map<std::uint64_t, TargetWork>::const_iterator it = peer.second.work.find(target);
-        if (it != peer.second.work.end() && now - peer.second.saidAt <= peerLifetime)
-            sum += it->second;
+    std::unordered_map<std::uint64_t, Sum>::const_iterator peers = m_peerSums.find(target);
+    if (peers != m_peerSums.end()) {
+        sum.prefillSeconds += static_cast<double>(peers->second.prefillMicroseconds) / microsecondsPerSecond;
+        sum.requests += static_cast<std::uint32_t>(peers->second.requests);
+        sum.kvTokens += static_cast<std::uint64_t>(peers->second.kvTokens);
     }
     return sum;
 }
--- a/Libraries/LibRouting/OpenWork.h
+++ b/Libraries/LibRouting/OpenWork.h
@@ -2,9 +2,10 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Routing {
@@ -26,35 +27,51 @@
 };
 
 /// The open work at each target: what this daemon sent, and what its peers last said that they had sent. A target's own
-/// report lags by more than a prompt takes, so daemons add up what they know for sure. Not thread-safe.
+/// report lags by more than a prompt takes, so daemons add up what they know for sure. Sums are kept up to date as peers
+/// speak, so that a placement costs no more with many peers than with few. Not thread-safe.
 class OpenWork {
 public:
     using Time = std::chrono::steady_clock::time_point;
 
-    /// What a peer said counts for this long: ten of its reports.
-    static constexpr std::chrono::milliseconds peerLifetime { 1'000 };
+    /// What a peer said counts for this long at least, however often it speaks.
+    static constexpr std::chrono::milliseconds leastLifetime { 1'000 };
 
     /// Notes work that this daemon sent, and its end.
     void begin(std::uint64_t target, TargetWork const&);
     void end(std::uint64_t target, TargetWork const&);
 
-    /// Replaces what a peer said before.
-    void setPeer(std::string const& peer, std::vector<TargetShare> const&, Time now);
+    /// Replaces what a peer said before. It counts for `lifetime`: longer than the time between two words of a peer, or work
+    /// that is open would be forgotten before the peer speaks again.
+    void setPeer(std::string const& peer, std::vector<TargetShare> const&, Time now, std::chrono::milliseconds lifetime = leastLifetime);
 
     /// Returns this daemon's own open work, of targets that have some.
     std::vector<TargetShare> own() const;
 
-    /// Returns the open work of all daemons at a target.
-    TargetWork total(std::uint64_t target, Time now) const;
+    /// Returns the open work of all daemons at a target. Precondition: `now` does not go back.
+    TargetWork total(std::uint64_t target, Time now);
 
 private:
+    /// Work of peers at one target, in whole numbers: what was added is taken away again to the last unit.
+    struct Sum {
+        std::int64_t prefillMicroseconds { 0 };
+        std::int64_t requests { 0 };
+        std::int64_t kvTokens { 0 };
+
+        bool isNothing() const { return prefillMicroseconds == 0 && requests == 0 && kvTokens == 0; }
+    };
+
     struct Peer {
-        Time saidAt;
-        std::unordered_map<std::uint64_t, TargetWork> work;
+        Time until;
+        std::vector<TargetShare> shares;
     };
 
+    void expire(Time now);
+    void add(std::vector<TargetShare> const&, int sign);
+
     std::unordered_map<std::uint64_t, TargetWork> m_own;
-    std::map<std::string, Peer> m_peers;
+    std::unordered_map<std::uint64_t, Sum> m_peerSums; ///< Of the peers in `m_peers`, by target.
+    std::unordered_map<std::string, Peer> m_peers;
+    std::set<std::pair<Time, std::string>> m_expiries; ///< Of the peers in `m_peers`.
 };
 
 }
--- a/Tests/LibFleet/TestDaemonBook.cpp
+++ b/Tests/LibFleet/TestDaemonBook.cpp
@@ -57,14 +57,37 @@
     DaemonBook book;
     book.hear(daemon("a"), 1, {}, start);
     book.hear(daemon("b"), 1, {}, start);
-    EXPECT_FALSE(book.isReader("c", start));
-    EXPECT_TRUE(book.isReader("aa", start));
+    EXPECT_FALSE(book.view("c", start).isReader);
+    EXPECT_TRUE(book.view("aa", start).isReader);
     book.hear(daemon("b"), 2, {}, start + 5s);
-    EXPECT_TRUE(book.isReader("c", start + 5s));
+    EXPECT_TRUE(book.view("c", start + 5s).isReader);
     book.hear(daemon("b"), 3, { .isReading = true, .configVersion = 4, .targetsChanged = 9 }, start + 5s);
-    EXPECT_TRUE(book.hearsReader(start + 5s));
-    EXPECT_EQ(book.newest(start + 5s).configVersion, 4U);
-    EXPECT_FALSE(book.hearsReader(start + 20s));
+    EXPECT_TRUE(book.view("c", start + 5s).hearsReader);
+    EXPECT_EQ(book.view("c", start + 5s).newest.configVersion, 4U);
+    EXPECT_FALSE(book.view("c", start + 20s).hearsReader);
+}
+
+// All that start at one moment are listed before they are heard: three hundred must not all read the store until then.
+TEST(DaemonBook, OneThatIsListedMayBeAboutToRead)
+{
+    DaemonBook book;
+    book.list(daemon("a"), start);
+    book.list(daemon("b"), start);
+    EXPECT_FALSE(book.view("c", start + 1s).isReader);
+    EXPECT_TRUE(book.view("aa", start + 1s).isReader);
+    EXPECT_TRUE(book.view("c", start + 1'001ms).isReader) << "they are not heard: they are gone";
+    EXPECT_EQ(book.view("c", start).live, 1U);
+}
+
+TEST(DaemonBook, TheFirstThatCanGetALeasePlans)
+{
+    DaemonBook book;
+    book.hear(daemon("a"), 1, { .cannotPlan = true }, start);
+    book.hear(daemon("b"), 1, { .isLeaving = true }, start);
+    EXPECT_TRUE(book.view("c", start).isPlanner);
+    book.hear(daemon("a"), 2, {}, start);
+    EXPECT_FALSE(book.view("c", start).isPlanner);
+    EXPECT_TRUE(book.view("c", start + 5s).isPlanner);
 }
 
 TEST(DaemonBook, BeaconsGrowSeldomWithTheSite)
--- a/Tests/LibRouting/TestPromptHomes.cpp
+++ b/Tests/LibRouting/TestPromptHomes.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <gtest/gtest.h>
 #include <map>
+#include <rapidcheck/gtest.h>
 
 namespace {
 
@@ -190,3 +191,51 @@
     work.end(7, { 0.2, 1, 500 });
     EXPECT_TRUE(work.own().empty());
 }
+
+// Three hundred daemons speak every second and a half: open work must not be forgotten between two words of a peer.
+TEST(OpenWork, CountsAPeerUntilItWouldHaveSpokenAgain)
+{
+    OpenWork::Time now { 100s };
+    OpenWork work;
+    work.setPeer("b", { { 7, { 0.3, 2, 100 } } }, now, 4'425ms);
+    EXPECT_EQ(work.total(7, now + 4'425ms).requests, 2U);
+    EXPECT_EQ(work.total(7, now + 4'426ms).requests, 0U);
+}
+
+// The sums that are kept agree with adding up what each peer last said, whatever was said, replaced and forgotten before.
+RC_GTEST_PROP(OpenWork, SumsAgreeWithWhatEachPeerLastSaid, ())
+{
+    struct Word {
+        OpenWork::Time until;
+        std::vector<TargetShare> shares;
+    };
+    OpenWork work;
+    std::map<std::string, Word> words;
+    OpenWork::Time now { 100s };
+    int steps = *rc::gen::inRange(1, 200);
+    for (int n = 0; n < steps; ++n) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+        std::string peer(1, static_cast<char>('a' + *rc::gen::inRange(0, 5)));
+        std::vector<TargetShare> shares;
+        for (int count = *rc::gen::inRange(0, 4); count > 0; --count) {
+            TargetWork open { *rc::gen::inRange(0, 3'000'000) / 1e6, *rc::gen::inRange(0U, 5U), *rc::gen::inRange<std::uint64_t>(0, 50'000) };
+            shares.push_back({ *rc::gen::inRange<std::uint64_t>(1, 4), open });
+        }
+        std::chrono::milliseconds lifetime(*rc::gen::inRange(100, 1'000));
+        work.setPeer(peer, shares, now, lifetime);
+        words[peer] = { now + lifetime, shares };
+        for (std::uint64_t target = 1; target < 4; ++target) {
+            TargetWork expected;
+            for (std::pair<std::string const, Word> const& it : words) {
+                for (TargetShare const& share : it.second.shares) {
+                    if (share.target == target && now <= it.second.until)
+                        expected += share.work;
+                }
+            }
+            TargetWork total = work.total(target, now);
+            RC_ASSERT(total.requests == expected.requests);
+            RC_ASSERT(total.kvTokens == expected.kvTokens);
+            RC_ASSERT(std::abs(total.prefillSeconds - expected.prefillSeconds) < 1e-9);
+        }
+    }
+}
--- a/Tests/Processes/TestPageCommands.cpp
+++ b/Tests/Processes/TestPageCommands.cpp
@@ -135,6 +135,7 @@
     for (char const* name : { "bounds.grace_s", "bounds.retry_budget_ratio", "bounds.budget_extra", "bounds.budget_window_s" })
         values[name] = "1";
     values["bounds.lease_ms"] = "3000";
+    values["bounds.config_apply_ms"] = "2000";
     return values;
 }
 
--- a/Utilities/currantvale-bench-requests/Bench.h
+++ b/Utilities/currantvale-bench-requests/Bench.h
@@ -15,6 +15,9 @@
 /// Prints admission's nanoseconds and bytes at several numbers of active organisations.
 void runAdmission();
 
+/// Prints the microseconds of a placement at several numbers of targets and of peers that told of their work.
+void runPlacement();
+
 /// Prints the machine's events a second and the bytes for each open request, ticket and kept answer.
 void runRequests();
 
--- a/Utilities/currantvale-bench-requests/main.cpp
+++ b/Utilities/currantvale-bench-requests/main.cpp
@@ -1,6 +1,7 @@
 #include "Bench.h"
 #include <algorithm>
 #include <malloc.h>
+#include <string_view>
 
 namespace Bench {
 
@@ -25,9 +26,12 @@
 
 }
 
-/// Measures the slopes that docs/CAPACITY.md and docs/design/ quote. No arguments.
-int main()
+/// Measures the slopes that docs/CAPACITY.md and docs/design/ quote. With the argument `placement`, only that.
+int main(int argc, char** argv)
 {
+    Bench::runPlacement();
+    if (argc > 1 && std::string_view(argv[1]) == "placement")
+        return 0;
     Bench::runAdmission();
     Bench::runRequests();
     Bench::runMayHaveRunTrial();
