--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -130,6 +130,8 @@
     m_failingCandidates.clear();
     updateOutliers(now);
     bool hasOutputTarget = false;
+    double staleRequestSeconds = 0;
+    double staleTargets = 0;
     for (std::uint32_t position : request.allowed) {
         FleetTarget const& target = request.fleet->targets[position];
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
@@ -147,6 +149,10 @@
         candidate.slots = target.slots;
         candidate.promptFactor = m_speeds.promptFactor(target.key);
         candidate.eventFactor = m_speeds.eventFactor(target.key);
+        if (!isClosed && Routing::takes(role->second, request.shape.phase)) {
+            staleRequestSeconds += m_openWork.staleRequestSeconds(target.key, now);
+            ++staleTargets;
+        }
         if (isFailing)
             m_failingCandidates.push_back(m_candidates.size());
         candidate.fetchesFarKv = !request.kvZone.empty() && request.kvZone != target.availabilityZone;
@@ -163,6 +169,9 @@
     Routing::RequestShape shape = request.shape;
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
     shape.outputSeconds = outputSeconds(*request.fleet, request.work, shape, now);
+    Routing::TargetRole outputRole = request.shape.phase == Routing::Phase::Decode ? Routing::TargetRole::Decode : Routing::TargetRole::Mixed;
+    double openSeconds = m_speeds.openSeconds(request.work, outputRole);
+    shape.unseenRequests = staleTargets > 0 && openSeconds > 0 ? staleRequestSeconds / staleTargets / openSeconds : 0;
     // A request whose output is being placed is itself no longer on its way.
     shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
     waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
@@ -215,6 +224,7 @@
     constexpr double nothing = 1e-6;
     waiter.isAlone = m_openWork.total(key, Clock::now()).prefillSeconds < nothing;
     m_openWork.begin(key, waiter.work);
+    waiter.sentAt = Clock::now();
     std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
     bool hasPrompt = waiter.request.shape.phase != Routing::Phase::Decode;
     m_loads.count(id, { 1, 0, waiter.promptTokens, hasPrompt ? 1U : 0U, 0 }, Clock::now());
@@ -312,6 +322,7 @@
     m_waiters.erase(it);
     if (waiter->isResolved && waiter->outcome.position) {
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
+        m_speeds.noteOpenTime(waiter->request.work, waiter->outcome.decision.role, std::chrono::duration<double>(Clock::now() - waiter->sentAt).count());
         m_openWork.end(waiter->request.fleet->targets[*waiter->outcome.position].key, waiter->work);
         if (!waiter->isPrefilled)
             m_loads.prefilled(targetId, waiter->promptTokens, Clock::now());
--- a/Libraries/LibDaemon/DispatcherWaiter.h
+++ b/Libraries/LibDaemon/DispatcherWaiter.h
@@ -19,6 +19,7 @@
     bool isAlone { false }; ///< No other prompt is known to have been at the chosen target when this one was sent.
     bool computesShared { false }; ///< No daemon is known to have had its shared part computed there.
     Routing::TargetWork work; ///< That it adds to the chosen target's.
+    std::chrono::steady_clock::time_point sentAt; ///< When its target was chosen.
     bool isResolved { false };
     bool isPrefilled { false };
 };
--- a/Libraries/LibRouting/OpenWork.cpp
+++ b/Libraries/LibRouting/OpenWork.cpp
@@ -43,20 +43,22 @@
     expire(now);
     Peer& said = m_peers[peer];
     m_expiries.erase({ said.until, peer });
-    add(said.shares, -1);
-    said.until = now + lifetime;
-    said.shares = shares;
-    add(said.shares, 1);
+    add(said, -1);
+    if (m_epoch == Time())
+        m_epoch = now;
+    said = { now, now + lifetime, shares };
+    add(said, 1);
     m_expiries.emplace(said.until, peer);
 }
 
-void OpenWork::add(std::vector<TargetShare> const& shares, int sign)
+void OpenWork::add(Peer const& peer, int sign)
 {
-    for (TargetShare const& share : shares) {
+    for (TargetShare const& share : peer.shares) {
         Sum& sum = m_peerSums[share.target];
         sum.prefillMicroseconds += sign * std::llround(share.work.prefillSeconds * microsecondsPerSecond);
         sum.requests += sign * static_cast<std::int64_t>(share.work.requests);
         sum.kvTokens += sign * static_cast<std::int64_t>(share.work.kvTokens);
+        sum.requestMicroseconds += sign * static_cast<std::int64_t>(share.work.requests) * sinceEpoch(peer.saidAt);
         if (sum.isNothing())
             m_peerSums.erase(share.target);
     }
@@ -66,7 +68,7 @@
 {
     while (!m_expiries.empty() && m_expiries.begin()->first < now) {
         std::unordered_map<std::string, Peer>::iterator peer = m_peers.find(m_expiries.begin()->second);
-        add(peer->second.shares, -1);
+        add(peer->second, -1);
         m_peers.erase(peer);
         m_expiries.erase(m_expiries.begin());
     }
@@ -96,4 +98,13 @@
     return sum;
 }
 
+double OpenWork::staleRequestSeconds(std::uint64_t target, Time now)
+{
+    expire(now);
+    std::unordered_map<std::uint64_t, Sum>::const_iterator peers = m_peerSums.find(target);
+    if (peers == m_peerSums.end())
+        return 0;
+    return static_cast<double>(peers->second.requests * sinceEpoch(now) - peers->second.requestMicroseconds) / microsecondsPerSecond;
+}
+
 }
--- a/Libraries/LibRouting/OpenWork.h
+++ b/Libraries/LibRouting/OpenWork.h
@@ -50,24 +50,32 @@
     /// Returns the open work of all daemons at a target. Precondition: `now` does not go back.
     TargetWork total(std::uint64_t target, Time now);
 
+    /// Returns what peers said that they have open at a target, in requests, times how long ago they said so, in seconds: divided
+    /// by the time that a request stays open, about as many as they have sent there since. Precondition: as for `total`.
+    double staleRequestSeconds(std::uint64_t target, Time now);
+
 private:
     /// Work of peers at one target, in whole numbers: what was added is taken away again to the last unit.
     struct Sum {
         std::int64_t prefillMicroseconds { 0 };
         std::int64_t requests { 0 };
         std::int64_t kvTokens { 0 };
+        std::int64_t requestMicroseconds { 0 }; ///< Of each request the time when it was said, since the epoch below.
 
         bool isNothing() const { return prefillMicroseconds == 0 && requests == 0 && kvTokens == 0; }
     };
 
     struct Peer {
+        Time saidAt;
         Time until;
         std::vector<TargetShare> shares;
     };
 
     void expire(Time now);
-    void add(std::vector<TargetShare> const&, int sign);
+    void add(Peer const&, int sign);
+    std::int64_t sinceEpoch(Time time) const { return std::chrono::duration_cast<std::chrono::microseconds>(time - m_epoch).count(); }
 
+    Time m_epoch; ///< When a peer first spoke.
     std::unordered_map<std::uint64_t, TargetWork> m_own;
     std::unordered_map<std::uint64_t, Sum> m_peerSums; ///< Of the peers in `m_peers`, by target.
     std::unordered_map<std::string, Peer> m_peers;
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -16,6 +16,15 @@
     return static_cast<std::size_t>((static_cast<unsigned __int128>(rng()) * n) >> 64);
 }
 
+// What peers have sent to a target since they last spoke is known on average alone. Drawn for each target anew, it keeps daemons
+// that were told the same from all choosing the one that was least busy then.
+double drawUnseenRequests(RequestShape const& shape, std::mt19937_64& rng)
+{
+    if (shape.unseenRequests <= 0)
+        return 0;
+    return std::uniform_real_distribution<double>(0, 2 * shape.unseenRequests)(rng);
+}
+
 bool isOpen(Candidate const& candidate, Phase phase)
 {
     return !candidate.closed && takes(candidate.role, phase);
@@ -242,15 +251,16 @@
 }
 
 // The estimated seconds until the request's first token, and what choosing this target costs those that come after.
-double Router::homeScore(Candidate const& candidate, RequestShape const& shape) const
+double Router::homeScore(Candidate const& candidate, RequestShape const& shape, double unseenRequests) const
 {
-    double outputs = candidate.open.requests * m_settings.decodeSeconds * candidate.eventFactor;
+    double requests = candidate.open.requests + unseenRequests;
+    double outputs = requests * m_settings.decodeSeconds * candidate.eventFactor;
     std::uint64_t kv = candidate.open.kvTokens + shape.promptTokens + shape.expectedOutputTokens;
-    bool isCrowded = candidate.slots != 0 && candidate.open.requests >= candidate.slots;
+    bool isCrowded = candidate.slots != 0 && requests >= candidate.slots;
     bool isFull = candidate.load.kvCapacityTokens != 0 && kv > candidate.load.kvCapacityTokens;
     double wait = outputs + candidate.open.prefillSeconds + (isFull ? m_settings.fullPenaltySeconds : 0);
     if (isCrowded)
-        wait += (candidate.open.requests - candidate.slots + 1) * m_settings.secondsPerSlot;
+        wait += (requests - candidate.slots + 1) * m_settings.secondsPerSlot;
     if (shape.phase == Phase::Decode || shape.phase == Phase::Whole)
         return wait + shape.outputSeconds * (candidate.eventFactor - 1) * m_settings.slowOutputWeight + (candidate.fetchesFarKv ? m_settings.farKvSeconds : 0);
     std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
@@ -268,16 +278,16 @@
     Best best;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (isOpen(candidates[i], shape.phase))
-            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+            best.offer(i, homeScore(candidates[i], shape, drawUnseenRequests(shape, rng)) + zonePenalty(candidates[i]), rng);
     }
     // Without a prefill target, one that decodes computes the prompt too, beside its outputs.
     for (std::size_t i = 0; best.first == noPosition && shape.phase == Phase::WholeOrPrefill && i < candidates.size(); ++i) {
         if (isOpen(candidates[i], Phase::Decode))
-            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+            best.offer(i, homeScore(candidates[i], shape, 0) + zonePenalty(candidates[i]), rng);
     }
     Decision decision = finish(candidates, shape, best, Reason::EarliestToken);
     if (decision.chosen)
-        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape);
+        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape, 0);
     return decision;
 }
 
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -46,7 +46,7 @@
     Decision decidePair(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
     Decision decideAffinity(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
     Decision decideHome(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
-    double homeScore(Candidate const&, RequestShape const&) const;
+    double homeScore(Candidate const&, RequestShape const&, double unseenRequests) const;
     template <typename PositionOf>
     Decision decideAffinityAmong(std::span<Candidate const>, RequestShape const&, std::mt19937_64&, std::size_t size, PositionOf const&) const;
     Decision finish(std::span<Candidate const>, RequestShape const&, Best const&, Reason) const;
--- a/Libraries/LibRouting/SpeedBook.cpp
+++ b/Libraries/LibRouting/SpeedBook.cpp
@@ -11,6 +11,8 @@
 constexpr double eventShare = 0.01;
 // Gaps above the mean count a fifth of those below: what engines take when they are not crowded.
 constexpr double weightAbove = 0.2;
+// The mean time that a request is open follows within some twenty of them: seconds at each daemon.
+constexpr double openTimeShare = 0.05;
 // A target's own factor follows within twenty of its prompts or streams' events, and one outlier moves it little.
 constexpr double targetShare = 0.05;
 constexpr double leastFactor = 0.5;
@@ -42,6 +44,18 @@
     mean += eventShare * weight * (std::min(seconds, mostFactor * mean) - mean);
 }
 
+void SpeedBook::noteOpenTime(std::string const& service, TargetRole role, double seconds)
+{
+    double& mean = m_services[service].openSeconds[static_cast<std::size_t>(role)];
+    mean = mean <= 0 ? seconds : mean + openTimeShare * (seconds - mean);
+}
+
+double SpeedBook::openSeconds(std::string const& service, TargetRole role) const
+{
+    std::map<std::string, Service>::const_iterator it = m_services.find(service);
+    return it == m_services.end() ? 0 : it->second.openSeconds[static_cast<std::size_t>(role)];
+}
+
 ServiceSpeed SpeedBook::own(std::string const& service) const
 {
     std::map<std::string, Service>::const_iterator it = m_services.find(service);
--- a/Libraries/LibRouting/SpeedBook.h
+++ b/Libraries/LibRouting/SpeedBook.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibRouting/PromptSpeed.h>
+#include <LibRouting/TargetRole.h>
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -31,6 +33,12 @@
     /// Notes the time between two events of a stream from a target.
     void noteEventGap(std::string const& service, std::uint64_t target, double seconds);
 
+    /// Notes how long a request of this daemon was open at a target in that role.
+    void noteOpenTime(std::string const& service, TargetRole, double seconds);
+
+    /// Returns how long requests stay open at targets in that role; 0: not learnt.
+    double openSeconds(std::string const& service, TargetRole) const;
+
     /// Returns what engines of a service take, from this daemon's own requests or else from its peers'.
     ServiceSpeed speed(std::string const& service, Time now) const;
 
@@ -68,6 +76,7 @@
     struct Service {
         PromptSpeed prompts;
         double eventSeconds { 0 };
+        std::array<double, targetRoleNames.size()> openSeconds {}; ///< By role.
         std::map<std::string, Said> peers;
     };
 
--- a/Tests/LibRouting/TestPromptHomes.cpp
+++ b/Tests/LibRouting/TestPromptHomes.cpp
@@ -2,9 +2,12 @@
 #include <LibRouting/PromptCost.h>
 #include <LibRouting/PromptHomes.h>
 #include <LibRouting/Router.h>
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
+#include <random>
 #include <rapidcheck/gtest.h>
 
 namespace {
@@ -202,6 +205,43 @@
     EXPECT_EQ(work.total(7, now + 4'426ms).requests, 0U);
 }
 
+TEST(OpenWork, TellsHowStaleTheWordsOfPeersAre)
+{
+    OpenWork::Time now { 100s };
+    OpenWork work;
+    work.setPeer("b", { { 7, { 0, 2, 0 } } }, now, 5s);
+    work.setPeer("c", { { 7, { 0, 3, 0 } } }, now + 400ms, 5s);
+    EXPECT_NEAR(work.staleRequestSeconds(7, now + 1s), 2 * 1.0 + 3 * 0.6, 1e-9);
+    work.setPeer("b", {}, now + 1s, 5s);
+    EXPECT_NEAR(work.staleRequestSeconds(7, now + 1s), 3 * 0.6, 1e-9);
+    EXPECT_EQ(work.staleRequestSeconds(8, now + 1s), 0);
+}
+
+// Three hundred daemons that were all told the same a second ago, and whose requests take a tenth of that: the target that was
+// least busy then must not get what all of them send.
+TEST(PromptHomeRouting, DaemonsThatWereToldTheSameDoNotAllChooseTheSameTarget)
+{
+    Router router = Router::create(homeSettings()).value();
+    std::vector<Candidate> candidates;
+    for (std::uint32_t n = 0; n < 8; ++n) {
+        candidates.push_back(candidate(n, TargetRole::Mixed, 0, n == 3 ? 0 : 2 + n % 3));
+        candidates.back().slots = 6;
+    }
+    RequestShape shape;
+    shape.phase = Phase::Whole;
+    std::function<std::size_t()> mostAtOne = [&] {
+        std::array<std::size_t, 8> chosen {};
+        for (std::uint64_t daemon = 0; daemon < 300; ++daemon) {
+            std::mt19937_64 rng(daemon);
+            ++chosen[router.decide(candidates, shape, rng).target];
+        }
+        return *std::max_element(chosen.begin(), chosen.end());
+    };
+    EXPECT_EQ(mostAtOne(), 300U) << "what is known now decides";
+    shape.unseenRequests = 20;
+    EXPECT_LT(mostAtOne(), 300U / 8 * 2) << "at most twice an even share";
+}
+
 // The sums that are kept agree with adding up what each peer last said, whatever was said, replaced and forgotten before.
 RC_GTEST_PROP(OpenWork, SumsAgreeWithWhatEachPeerLastSaid, ())
 {
--- a/Tests/LibRouting/TestSpeedBook.cpp
+++ b/Tests/LibRouting/TestSpeedBook.cpp
@@ -53,6 +53,17 @@
     EXPECT_EQ(book.eventFactor(3), 1);
 }
 
+TEST(SpeedBook, LearnsHowLongRequestsStayOpenByRole)
+{
+    SpeedBook book;
+    EXPECT_EQ(book.openSeconds("llm", TargetRole::Decode), 0);
+    book.noteOpenTime("llm", TargetRole::Decode, 2);
+    for (int n = 0; n < 100; ++n)
+        book.noteOpenTime("llm", TargetRole::Decode, 0.5);
+    EXPECT_NEAR(book.openSeconds("llm", TargetRole::Decode), 0.5, 0.02);
+    EXPECT_EQ(book.openSeconds("llm", TargetRole::Prefill), 0);
+}
+
 TEST(SpeedBook, ASinglePauseMovesNothingMuch)
 {
     SpeedBook book;
