--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -61,6 +61,10 @@
     BeaconMessage beacon = m_hooks.describe(kind);
     beacon.sender = m_self;
     beacon.sequence = ++m_sequence;
+    Core::BootClock::time_point now = Core::BootClock::now();
+    beacon.isBrief = kind == BeaconKind::ToAll && now < m_nextFull;
+    if (kind == BeaconKind::ToAll && !beacon.isBrief)
+        m_nextFull = now + fullInterval;
     return encode(beacon);
 }
 
@@ -98,9 +102,15 @@
     Core::Result<BeaconMessage> beacon = decodeBeacon(datagram);
     if (beacon.has_error() || beacon.value().sender.name == m_self.name)
         return;
-    BeaconMessage const& message = beacon.value();
+    BeaconMessage& message = beacon.value();
     std::map<std::string, Fleet::BookedDaemon>::const_iterator known = m_book.daemons().find(message.sender.name);
     bool isNew = known == m_book.daemons().end();
+    if (message.isBrief) {
+        // One whose addresses are not known tells them soon.
+        if (isNew || known->second.listed.incarnation != message.sender.incarnation)
+            return;
+        message.sender = known->second.listed;
+    }
     bool hasStarted = isNew || known->second.heardAt == Core::BootClock::time_point() || known->second.listed.incarnation < message.sender.incarnation;
     if (!m_book.hear(message.sender, message.sequence, { message.isLeaving, message.isReading, message.cannotPlan, message.configVersion, message.targetsChanged }, Core::BootClock::now()))
         return;
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -49,6 +49,9 @@
     std::string nextBeacon(BeaconKind);
     void greet(boost::asio::ip::udp::endpoint const&);
 
+    /// How often a beacon tells what hardly changes: who starts or was missed is known within this, and bytes between
+    /// availability zones, which beacons make most of, are halved.
+    static constexpr std::chrono::milliseconds fullInterval { 2'000 };
     static constexpr std::size_t largestDatagram = 64 * 1024;
 
     boost::asio::io_context& m_context;
@@ -57,6 +60,7 @@
     Hooks m_hooks;
     Fleet::DaemonBook m_book;
     std::uint64_t m_sequence { 0 };
+    Core::BootClock::time_point m_nextFull; ///< When the next beacon to all is a full one.
     std::array<char, largestDatagram> m_buffer {};
     bool m_isStopped { false };
 };
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -86,7 +86,11 @@
 {
     Proto::Beacon message;
     message.set_name(beacon.sender.name);
-    fillDaemon(message, beacon.sender);
+    message.set_is_brief(beacon.isBrief);
+    if (beacon.isBrief)
+        message.set_incarnation(beacon.sender.incarnation);
+    else
+        fillDaemon(message, beacon.sender);
     message.set_sequence(beacon.sequence);
     message.set_is_leaving(beacon.isLeaving);
     message.set_config_version(beacon.configVersion);
@@ -113,8 +117,10 @@
         added->set_hash(part.hash);
         added->set_target(part.target);
     }
-    for (Routing::ServiceReport const& report : beacon.services)
-        fillReport(*message.add_services(), report);
+    for (Routing::ServiceReport const& report : beacon.services) {
+        if (!beacon.isBrief)
+            fillReport(*message.add_services(), report);
+    }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -126,7 +132,13 @@
 {
     BOOST_OUTCOME_TRY(Proto::Beacon message, parse<Proto::Beacon>(bytes));
     BeaconMessage beacon;
-    BOOST_OUTCOME_TRY(beacon.sender, readDaemon(message.name(), message));
+    beacon.isBrief = message.is_brief();
+    if (beacon.isBrief) {
+        beacon.sender.name = message.name();
+        beacon.sender.incarnation = message.incarnation();
+    } else {
+        BOOST_OUTCOME_TRY(beacon.sender, readDaemon(message.name(), message));
+    }
     beacon.sequence = message.sequence();
     beacon.isLeaving = message.is_leaving();
     beacon.configVersion = message.config_version();
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -17,7 +17,7 @@
 
 /// What a daemon tells the others several times a second.
 struct BeaconMessage {
-    Platform::ListedDaemon sender;
+    Platform::ListedDaemon sender; ///< Of a brief beacon only the name and the incarnation.
     std::uint64_t sequence { 0 }; ///< Greater in each beacon of one incarnation.
     bool isLeaving { false };
     std::uint64_t configVersion { 0 }; ///< Of the configuration that it has in force.
@@ -32,6 +32,7 @@
     std::vector<Routing::HeldPart> heldParts; ///< That it was the first known to send to a target, since its last beacon.
     std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
     std::chrono::milliseconds storeFailingFor { 0 }; ///< Its reads of the store have failed for so long; 0: they do not.
+    bool isBrief { false }; ///< The sender's addresses and `services` are left out: they are as it said before.
 };
 
 /// Forms of what daemons say to each other and keep in the store. `decode` errors: Corrupt. Thread-safe.
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -15,6 +15,8 @@
 
 using Clock = Core::BootClock;
 
+// A side is short for seconds before engines change; three hundred daemons that look on cost the fleet more than they save.
+constexpr std::chrono::milliseconds lookInterval { 1'000 };
 // A claim takes two calls to the store; a store that is slow beyond this is waited for by the next plan.
 constexpr std::chrono::milliseconds gainTimeout { 1'500 };
 constexpr std::chrono::milliseconds gainInterval { 50 };
@@ -70,6 +72,11 @@
     settle(fleet, now);
     if (m_isStopped || !fleet.isReady || !fleet.services)
         return;
+    // A daemon that does not plan looks on, to know since when a side is short should it come to plan; that may wait.
+    bool plans = m_hooks.isPlanner() || mayOrder();
+    if (!plans && now < m_nextLook)
+        return;
+    m_nextLook = now + lookInterval;
     std::map<std::string, std::vector<std::uint32_t>> engines;
     for (std::uint32_t position = 0; position < fleet.targets.size(); ++position) {
         if (fleet.targets[position].kind == Platform::VmKind::Engine)
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -103,6 +103,7 @@
     std::map<std::string, std::unique_ptr<Group>> m_groups; ///< By service.
     std::map<std::string, Order> m_orders; ///< By target.
     Time m_cannotPlanUntil;
+    Time m_nextLook; ///< Of a daemon that does not plan.
     std::uint64_t m_accepted { 0 };
     bool m_isStopped { false };
 };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -101,12 +101,14 @@
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().silentTime());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
-    m_hooks.takePeerReports(beacon.sender.name, beacon.services);
     if (beacon.suspects.empty())
         m_suspects.erase(beacon.sender.name);
     else
         m_suspects[beacon.sender.name] = beacon.suspects;
-    m_reports[beacon.sender.name] = beacon.services;
+    if (!beacon.isBrief) {
+        m_hooks.takePeerReports(beacon.sender.name, beacon.services);
+        m_reports[beacon.sender.name] = beacon.services;
+    }
     Clock::time_point now = Clock::now();
     // Who reads for this daemon knows whether the store is away; while another one is answered, it is not.
     if (beacon.isReading)
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -31,6 +31,26 @@
     EXPECT_EQ(read.storeFailingFor, beacon.storeFailingFor);
 }
 
+TEST(BeaconMessage, ABriefOneNamesItsSenderAndLeavesOutWhatHardlyChanges)
+{
+    Daemon::BeaconMessage beacon;
+    beacon.sender = makeDaemon();
+    beacon.sequence = 5;
+    beacon.shares = { { 7, { 0.25, 2, 900 } } };
+    beacon.services = { { "llm", { 2.5, 120, 400'000 }, { { 0.25, 0.5, 0.125 }, 40, 0.0625 } } };
+    std::size_t fullSize = Daemon::encode(beacon).size();
+    beacon.isBrief = true;
+    std::string bytes = Daemon::encode(beacon);
+    EXPECT_LT(bytes.size(), fullSize / 2);
+    Daemon::BeaconMessage read = Daemon::decodeBeacon(bytes).value();
+    EXPECT_TRUE(read.isBrief);
+    EXPECT_EQ(read.sender.name, beacon.sender.name);
+    EXPECT_EQ(read.sender.incarnation, beacon.sender.incarnation);
+    ASSERT_EQ(read.shares.size(), 1U);
+    EXPECT_EQ(read.shares[0].work, beacon.shares[0].work);
+    EXPECT_TRUE(read.services.empty());
+}
+
 TEST(BeaconMessage, EntriesAndClaims)
 {
     EXPECT_EQ(Daemon::decodeListedDaemon("front-1", Daemon::encode(makeDaemon())).value(), makeDaemon());
