--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t knownPrefixes = 16 * 1024;
 constexpr std::size_t mostMatches = 16;
+// No engine that was seen takes less for a prompt; a mean that is not known yet is none.
+constexpr double leastPromptSeconds = 0.001;
 
 // What a request adds to the work of a target in this role.
 Routing::TargetWork workOf(Routing::RequestShape const& shape, Routing::TargetRole role, std::uint32_t tokensToCompute, double promptFactor)
@@ -130,8 +132,8 @@
     m_failingCandidates.clear();
     updateOutliers(now);
     bool hasOutputTarget = false;
-    double staleRequestSeconds = 0;
-    double staleTargets = 0;
+    Routing::StaleWork stale;
+    std::size_t fitTargets = 0;
     for (std::uint32_t position : request.allowed) {
         FleetTarget const& target = request.fleet->targets[position];
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
@@ -150,8 +152,8 @@
         candidate.promptFactor = m_speeds.promptFactor(target.key);
         candidate.eventFactor = m_speeds.eventFactor(target.key);
         if (!isClosed && Routing::takes(role->second, request.shape.phase)) {
-            staleRequestSeconds += m_openWork.staleRequestSeconds(target.key, now);
-            ++staleTargets;
+            stale += m_openWork.stale(target.key, now);
+            ++fitTargets;
         }
         if (isFailing)
             m_failingCandidates.push_back(m_candidates.size());
@@ -169,9 +171,7 @@
     Routing::RequestShape shape = request.shape;
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
     shape.outputSeconds = outputSeconds(*request.fleet, request.work, shape, now);
-    Routing::TargetRole outputRole = request.shape.phase == Routing::Phase::Decode ? Routing::TargetRole::Decode : Routing::TargetRole::Mixed;
-    double openSeconds = m_speeds.openSeconds(request.work, outputRole);
-    shape.unseenRequests = staleTargets > 0 && openSeconds > 0 ? staleRequestSeconds / staleTargets / openSeconds : 0;
+    shape.unseenRequests = unseenRequests(request.work, shape.phase, stale, fitTargets);
     // A request whose output is being placed is itself no longer on its way.
     shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
     waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
@@ -198,6 +198,17 @@
     return waiter.outcome.decision.target;
 }
 
+// Requests that stay open for a tenth of the time since they were told of have been followed by ten times as many.
+double Dispatcher::unseenRequests(std::string const& service, Routing::Phase phase, Routing::StaleWork const& stale, std::size_t targets) const
+{
+    bool isPrompt = phase == Routing::Phase::WholeOrPrefill;
+    Routing::TargetRole role = isPrompt ? Routing::TargetRole::Prefill : phase == Routing::Phase::Decode ? Routing::TargetRole::Decode
+                                                                                                        : Routing::TargetRole::Mixed;
+    double openSeconds = m_speeds.openSeconds(service, role);
+    double requests = isPrompt ? stale.prefillSeconds / std::max(m_demand.meanPrompt(service), leastPromptSeconds) : stale.requests;
+    return targets > 0 && openSeconds > 0 ? requests / static_cast<double>(targets) / openSeconds : 0;
+}
+
 // All daemons look for a shared part at the same target, whatever each of them has seen of it.
 void Dispatcher::addHome(PlacementRequest const& request)
 {
--- a/Libraries/LibRouting/OpenWork.cpp
+++ b/Libraries/LibRouting/OpenWork.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double microsecondsPerSecond = 1e6;
+constexpr double millisecondsPerSecond = 1e3;
 
 }
 
@@ -53,12 +54,16 @@
 
 void OpenWork::add(Peer const& peer, int sign)
 {
+    std::int64_t saidAt = sinceEpoch(peer.saidAt);
     for (TargetShare const& share : peer.shares) {
         Sum& sum = m_peerSums[share.target];
-        sum.prefillMicroseconds += sign * std::llround(share.work.prefillSeconds * microsecondsPerSecond);
-        sum.requests += sign * static_cast<std::int64_t>(share.work.requests);
+        std::int64_t prefill = sign * std::llround(share.work.prefillSeconds * microsecondsPerSecond);
+        std::int64_t requests = sign * static_cast<std::int64_t>(share.work.requests);
+        sum.prefillMicroseconds += prefill;
+        sum.prefillMoment += prefill * saidAt;
+        sum.requests += requests;
+        sum.requestMoment += requests * saidAt;
         sum.kvTokens += sign * static_cast<std::int64_t>(share.work.kvTokens);
-        sum.requestMicroseconds += sign * static_cast<std::int64_t>(share.work.requests) * sinceEpoch(peer.saidAt);
         if (sum.isNothing())
             m_peerSums.erase(share.target);
     }
@@ -98,13 +103,16 @@
     return sum;
 }
 
-double OpenWork::staleRequestSeconds(std::uint64_t target, Time now)
+StaleWork OpenWork::stale(std::uint64_t target, Time now)
 {
     expire(now);
     std::unordered_map<std::uint64_t, Sum>::const_iterator peers = m_peerSums.find(target);
     if (peers == m_peerSums.end())
-        return 0;
-    return static_cast<double>(peers->second.requests * sinceEpoch(now) - peers->second.requestMicroseconds) / microsecondsPerSecond;
+        return {};
+    Sum const& sum = peers->second;
+    std::int64_t time = sinceEpoch(now);
+    double prefill = static_cast<double>(sum.prefillMicroseconds * time - sum.prefillMoment) / microsecondsPerSecond / millisecondsPerSecond;
+    return { prefill, static_cast<double>(sum.requests * time - sum.requestMoment) / millisecondsPerSecond };
 }
 
 }
--- a/Libraries/LibRouting/OpenWork.h
+++ b/Libraries/LibRouting/OpenWork.h
@@ -26,6 +26,19 @@
     TargetWork work;
 };
 
+/// Work times seconds since it was told: divided by the time that such work stays open, about what was sent since.
+struct StaleWork {
+    double prefillSeconds { 0 };
+    double requests { 0 };
+
+    StaleWork& operator+=(StaleWork const& other)
+    {
+        prefillSeconds += other.prefillSeconds;
+        requests += other.requests;
+        return *this;
+    }
+};
+
 /// The open work at each target: what this daemon sent, and what its peers last said that they had sent. A target's own
 /// report lags by more than a prompt takes, so daemons add up what they know for sure. Sums are kept up to date as peers
 /// speak, so that a placement costs no more with many peers than with few. Not thread-safe.
@@ -50,9 +63,9 @@
     /// Returns the open work of all daemons at a target. Precondition: `now` does not go back.
     TargetWork total(std::uint64_t target, Time now);
 
-    /// Returns what peers said that they have open at a target, in requests, times how long ago they said so, in seconds: divided
-    /// by the time that a request stays open, about as many as they have sent there since. Precondition: as for `total`.
-    double staleRequestSeconds(std::uint64_t target, Time now);
+    /// Returns what peers said that they have open at a target, times how long ago they said so, in seconds. Precondition: as for
+    /// `total`.
+    StaleWork stale(std::uint64_t target, Time now);
 
 private:
     /// Work of peers at one target, in whole numbers: what was added is taken away again to the last unit.
@@ -60,7 +73,8 @@
         std::int64_t prefillMicroseconds { 0 };
         std::int64_t requests { 0 };
         std::int64_t kvTokens { 0 };
-        std::int64_t requestMicroseconds { 0 }; ///< Of each request the time when it was said, since the epoch below.
+        std::int64_t prefillMoment { 0 }; ///< The first two, each times when it was said: milliseconds since the epoch below.
+        std::int64_t requestMoment { 0 };
 
         bool isNothing() const { return prefillMicroseconds == 0 && requests == 0 && kvTokens == 0; }
     };
@@ -73,7 +87,7 @@
 
     void expire(Time now);
     void add(Peer const&, int sign);
-    std::int64_t sinceEpoch(Time time) const { return std::chrono::duration_cast<std::chrono::microseconds>(time - m_epoch).count(); }
+    std::int64_t sinceEpoch(Time time) const { return std::chrono::duration_cast<std::chrono::milliseconds>(time - m_epoch).count(); }
 
     Time m_epoch; ///< When a peer first spoke.
     std::unordered_map<std::uint64_t, TargetWork> m_own;
--- a/Libraries/LibRouting/RequestShape.h
+++ b/Libraries/LibRouting/RequestShape.h
@@ -12,7 +12,7 @@
     std::uint32_t promptTokens { 0 };
     std::uint32_t expectedOutputTokens { 0 };
     double pendingOutputs { 0 }; ///< Requests that each target which decodes will get from prefill targets; see `pendingOutputs()`.
-    double unseenRequests { 0 }; ///< That peers are expected to have sent to each target since they last told of their open work.
+    double unseenRequests { 0 }; ///< That peers are expected to have sent to each target that fits since they last spoke.
     std::uint64_t prefixHash { 0 }; ///< Of the longest reusable prefix; 0: none. Logged only; matches are in the candidates.
     double outputSeconds { 0 }; ///< That its output takes on average engines, as learnt; 0: not known.
     PromptCost promptCost {}; ///< Of the engines that serve it, as learnt.
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -16,15 +16,6 @@
     return static_cast<std::size_t>((static_cast<unsigned __int128>(rng()) * n) >> 64);
 }
 
-// What peers have sent to a target since they last spoke is known on average alone. Drawn for each target anew, it keeps daemons
-// that were told the same from all choosing the one that was least busy then.
-double drawUnseenRequests(RequestShape const& shape, std::mt19937_64& rng)
-{
-    if (shape.unseenRequests <= 0)
-        return 0;
-    return std::uniform_real_distribution<double>(0, 2 * shape.unseenRequests)(rng);
-}
-
 bool isOpen(Candidate const& candidate, Phase phase)
 {
     return !candidate.closed && takes(candidate.role, phase);
@@ -251,16 +242,15 @@
 }
 
 // The estimated seconds until the request's first token, and what choosing this target costs those that come after.
-double Router::homeScore(Candidate const& candidate, RequestShape const& shape, double unseenRequests) const
+double Router::homeScore(Candidate const& candidate, RequestShape const& shape) const
 {
-    double requests = candidate.open.requests + unseenRequests;
-    double outputs = requests * m_settings.decodeSeconds * candidate.eventFactor;
+    double outputs = candidate.open.requests * m_settings.decodeSeconds * candidate.eventFactor;
     std::uint64_t kv = candidate.open.kvTokens + shape.promptTokens + shape.expectedOutputTokens;
-    bool isCrowded = candidate.slots != 0 && requests >= candidate.slots;
+    bool isCrowded = candidate.slots != 0 && candidate.open.requests >= candidate.slots;
     bool isFull = candidate.load.kvCapacityTokens != 0 && kv > candidate.load.kvCapacityTokens;
     double wait = outputs + candidate.open.prefillSeconds + (isFull ? m_settings.fullPenaltySeconds : 0);
     if (isCrowded)
-        wait += (requests - candidate.slots + 1) * m_settings.secondsPerSlot;
+        wait += (candidate.open.requests - candidate.slots + 1) * m_settings.secondsPerSlot;
     if (shape.phase == Phase::Decode || shape.phase == Phase::Whole)
         return wait + shape.outputSeconds * (candidate.eventFactor - 1) * m_settings.slowOutputWeight + (candidate.fetchesFarKv ? m_settings.farKvSeconds : 0);
     std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
@@ -273,21 +263,38 @@
     return wait + seconds + stray * (candidate.isSecondHome ? m_settings.secondHomeWeight : m_settings.strayWeight);
 }
 
+// Whatever peers have sent since they last spoke went by the same words: of n targets the one that looks best to all gets d / n of
+// it when each daemon compares d that it draws.
+std::size_t Router::comparedTargets(std::size_t candidates, RequestShape const& shape) const
+{
+    if (shape.unseenRequests <= 0)
+        return candidates;
+    double drawn = std::max(static_cast<double>(m_settings.sampleSize), m_settings.mostUnseenAtBest / shape.unseenRequests);
+    return drawn > static_cast<double>(maxSampleSize) ? candidates : std::min(candidates, static_cast<std::size_t>(drawn));
+}
+
 Decision Router::decideHome(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
 {
     Best best;
+    std::size_t compared = comparedTargets(candidates.size(), shape);
+    bool isSampled = compared < candidates.size();
+    Sample sample;
+    if (isSampled)
+        sample = Sample::draw(candidates, shape.phase, compared, rng);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (isOpen(candidates[i], shape.phase))
-            best.offer(i, homeScore(candidates[i], shape, drawUnseenRequests(shape, rng)) + zonePenalty(candidates[i]), rng);
+        // Where a prompt's shared part is, or belongs, differs from prompt to prompt: no herd goes there.
+        bool isCompared = !isSampled || candidates[i].isHome || candidates[i].isSecondHome || candidates[i].prefixMatchTokens > 0 || sample.contains(i);
+        if (isCompared && isOpen(candidates[i], shape.phase))
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
     }
     // Without a prefill target, one that decodes computes the prompt too, beside its outputs.
     for (std::size_t i = 0; best.first == noPosition && shape.phase == Phase::WholeOrPrefill && i < candidates.size(); ++i) {
         if (isOpen(candidates[i], Phase::Decode))
-            best.offer(i, homeScore(candidates[i], shape, 0) + zonePenalty(candidates[i]), rng);
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
     }
     Decision decision = finish(candidates, shape, best, Reason::EarliestToken);
     if (decision.chosen)
-        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape, 0);
+        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape);
     return decision;
 }
 
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -46,6 +46,10 @@
     double slowOutputWeight { 0.05 };
     double besideFactor { 3.0 }; ///< Prompts beside outputs take twice the time and delay the outputs' tokens.
 
+    /// Of what peers have sent since they last told of their open work, the target that looks best is to have got so many requests
+    /// at most: fewer targets are compared the staler their words are, down to `sampleSize`. At 0.1 s between words all are.
+    double mostUnseenAtBest { 2.0 };
+
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
     std::size_t scanLimit { 1024 }; ///< LeastCorrected and PrefixAffinity draw `wideSampleSize` from more candidates than this.
     std::size_t wideSampleSize { 32 };
