--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -147,7 +147,7 @@
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
-    hooks.countStoreCall = [this](StoreCallReason reason) { m_metrics.countStoreCall(reason); };
+    hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
     BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -54,6 +54,7 @@
     , m_loads(std::move(loads))
     , m_prefixes(std::move(prefixes))
     , m_random(seed)
+    , m_ownNumber(m_random())
 {
 }
 
@@ -149,6 +150,7 @@
         // What the target is now counts, not what it was when the request came: it may have waited for a change to end.
         Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now) };
         candidate.slots = target.slots;
+        candidate.preference = Routing::homeWeight(m_ownNumber, target.key);
         candidate.promptFactor = m_speeds.promptFactor(target.key);
         candidate.eventFactor = m_speeds.eventFactor(target.key);
         if (!isClosed && Routing::takes(role->second, request.shape.phase)) {
@@ -203,7 +205,7 @@
 {
     bool isPrompt = phase == Routing::Phase::WholeOrPrefill;
     Routing::TargetRole role = isPrompt ? Routing::TargetRole::Prefill : phase == Routing::Phase::Decode ? Routing::TargetRole::Decode
-                                                                                                        : Routing::TargetRole::Mixed;
+                                                                                                         : Routing::TargetRole::Mixed;
     double openSeconds = m_speeds.openSeconds(service, role);
     double requests = isPrompt ? stale.prefillSeconds / std::max(m_demand.meanPrompt(service), leastPromptSeconds) : stale.requests;
     return targets > 0 && openSeconds > 0 ? requests / static_cast<double>(targets) / openSeconds : 0;
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -169,6 +169,7 @@
     std::unordered_map<std::uint64_t, std::uint32_t> m_targetIdsByKey;
     std::unique_ptr<Admission::Controller> m_admission;
     std::mt19937_64 m_random;
+    std::uint64_t m_ownNumber; ///< Differs from daemon to daemon, and so do the targets that each prefers.
     std::uint64_t m_lastId { 0 };
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters; ///< Waiting and granted placements.
     std::map<std::vector<std::uint32_t>, Admission::GroupId> m_groups; ///< By the ids of the targets that a request may go to.
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -38,7 +38,7 @@
         m_outcomes[static_cast<std::size_t>(it.first)] = &outcomes.Add({ { "outcome", std::string(it.second) } });
     prometheus::Family<prometheus::Counter>& connections = prometheus::BuildCounter().Name("currantvale_target_connections_total").Help("Exchanges with targets, by whether their connection was kept or new.").Register(*m_registry);
     prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter().Name("currantvale_store_calls_total").Help("Calls to the platform's store, by their reason.").Register(*m_registry);
-    for (std::pair<StoreCallReason, std::string_view> const& it : storeCallReasonNames)
+    for (std::pair<Fleet::StoreCallReason, std::string_view> const& it : Fleet::storeCallReasonNames)
         m_storeCalls[static_cast<std::size_t>(it.first)] = &storeCalls.Add({ { "reason", std::string(it.second) } });
     m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
 }
@@ -58,7 +58,7 @@
     m_outcomes[static_cast<std::size_t>(outcome)]->Increment();
 }
 
-void Metrics::countStoreCall(StoreCallReason reason)
+void Metrics::countStoreCall(Fleet::StoreCallReason reason)
 {
     m_storeCalls[static_cast<std::size_t>(reason)]->Increment();
 }
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Verdict.h>
-#include <LibDaemon/StoreCallReason.h>
+#include <LibFleet/ReadTurn.h>
 #include <LibRouting/Decision.h>
 #include <LibRouting/TargetHealth.h>
 #include <array>
@@ -75,7 +75,7 @@
     void countConnection(bool isKept);
 
     /// Notes a call to the platform's store.
-    void countStoreCall(StoreCallReason);
+    void countStoreCall(Fleet::StoreCallReason);
 
     /// Returns all metrics in the text exposition format.
     std::string text(MetricsSample const&);
@@ -91,7 +91,7 @@
     std::array<prometheus::Counter*, Core::errorCodeNames.size()> m_errors {};
     std::array<prometheus::Counter*, Routing::targetOutcomeNames.size()> m_outcomes {};
     std::array<prometheus::Counter*, 2> m_connections {};
-    std::array<prometheus::Counter*, storeCallReasonNames.size()> m_storeCalls {};
+    std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
 };
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -63,7 +63,6 @@
     , m_waitingStore(adapters.createStore(*m_waitingClient, [this] { return m_storeAddress; }))
     , m_engines(adapters.createEngineControl(*m_client))
     , m_fleet(std::make_shared<FleetSnapshot>())
-    , m_random(std::random_device()())
 {
 }
 
@@ -99,13 +98,15 @@
     std::chrono::milliseconds wait = m_settings.platform.newsWithin / partOfNewsTime;
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
     std::function<bool(Fleet::DaemonState const&)> isTargetNews = [this](Fleet::DaemonState const& said) { return said.targetsChanged > m_targetList.replica.nextOffset(); };
-    m_configuration = { Platform::StoreTopic::Configuration, wait, configurationInterval, true, isConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
-    m_targetList = { Platform::StoreTopic::Targets, wait, targetInterval, true, isTargetNews, [this](Platform::KeyedRecord const& record) {
+    m_configuration = { Platform::StoreTopic::Configuration, wait, { configurationInterval }, isConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
+    m_targetList = { Platform::StoreTopic::Targets, wait, { targetInterval }, isTargetNews, [this](Platform::KeyedRecord const& record) {
         if (takeTarget(record))
             m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1); }, [this] { m_targets.noteRead(Clock::now()); } };
-    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, daemonInterval, false, [](Fleet::DaemonState const&) { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
-    for (Followed* topic : topics())
+    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, { daemonInterval, false }, [](Fleet::DaemonState const&) { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
+    for (Followed* topic : topics()) {
         topic->turn = std::make_unique<boost::asio::steady_timer>(m_context);
+        topic->schedule = std::make_unique<Fleet::ReadTurn>(topic->pace, std::random_device()());
+    }
 }
 
 void StoreControl::start()
@@ -168,7 +169,7 @@
 boost::asio::awaitable<void> StoreControl::listSelf()
 {
     while (!m_isStopped && !m_isLeaving) {
-        m_hooks.countStoreCall(StoreCallReason::Listing);
+        m_hooks.countStoreCall(Fleet::StoreCallReason::Listing);
         Core::Result<Platform::ConditionalAppend> appended = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, encode(m_beacons->self()), std::nullopt);
         if (appended.has_value())
             co_return;
@@ -186,7 +187,7 @@
     };
     std::shared_ptr<boost::asio::steady_timer> limit = std::make_shared<boost::asio::steady_timer>(m_context, unlistTimeout);
     limit->async_wait([limit, done](boost::system::error_code) { done(); });
-    m_hooks.countStoreCall(StoreCallReason::Listing);
+    m_hooks.countStoreCall(Fleet::StoreCallReason::Listing);
     std::ignore = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, std::string(), std::nullopt);
     done();
 }
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -5,20 +5,19 @@
 #include <LibDaemon/Control.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
-#include <LibDaemon/StoreCallReason.h>
+#include <LibFleet/ReadTurn.h>
 #include <LibFleet/StoreReplica.h>
 #include <LibFleet/TargetBook.h>
 #include <LibHttp/Client.h>
 #include <LibSettings/DaemonSettings.h>
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 
@@ -43,7 +42,7 @@
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
-        std::function<void(StoreCallReason)> countStoreCall;
+        std::function<void(Fleet::StoreCallReason)> countStoreCall;
     };
 
     /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
@@ -79,8 +78,7 @@
     struct Followed {
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
         std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
-        std::chrono::milliseconds interval { 0 }; ///< Least time between two reads.
-        bool isToldByPeers { true }; ///< Two daemons read it all the time, and tell the others what is new.
+        Fleet::ReadTurnSettings pace;
         std::function<bool(Fleet::DaemonState const&)> isNews; ///< Whether one that says this knows more than was read here.
         RecordHook onRecord;
         std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
@@ -90,22 +88,21 @@
         Core::BootClock::time_point readAt {}; ///< When a read last succeeded.
         std::string problem {}; ///< Why it cannot be read now; empty while it can.
         std::unique_ptr<boost::asio::steady_timer> turn {}; ///< Waits for the next read; cancelled when that may be due.
-        std::optional<Core::BootClock::time_point> unheardTurn {}; ///< When to read since no reader is heard.
+        std::unique_ptr<Fleet::ReadTurn> schedule {}; ///< Set once the daemon's hooks are.
     };
 
     StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&);
     Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
     void createTopics();
     boost::asio::awaitable<void> follow(Followed&);
-    boost::asio::awaitable<bool> readFromStore(Followed&, StoreCallReason);
-    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&, StoreCallReason);
+    boost::asio::awaitable<bool> readFromStore(Followed&, Fleet::StoreCallReason);
+    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&, Fleet::StoreCallReason);
     boost::asio::awaitable<bool> learnFromPeer(Followed&);
     void apply(Followed&, std::vector<Platform::KeyedRecord> const&, bool wasComplete);
     Fleet::BookedDaemon const* tellerOf(Followed const&) const;
     Core::Result<Fleet::StoreReplica::Extract> extract(RecordsRequest const&) const;
     bool hasNews(Followed const&) const;
-    std::optional<StoreCallReason> reasonToRead(Followed&, Core::BootClock::time_point begunAt);
-    boost::asio::awaitable<StoreCallReason> waitForTurn(Followed&, Core::BootClock::time_point begunAt);
+    boost::asio::awaitable<Fleet::StoreCallReason> waitForTurn(Followed&);
     boost::asio::awaitable<void> waitToMeet(Followed const&);
     boost::asio::awaitable<void> meetOthers();
     std::array<Followed*, 3> topics() { return { &m_configuration, &m_targetList, &m_daemonList }; }
@@ -161,7 +158,6 @@
     Core::BootClock::time_point m_startedAt;
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     std::optional<Core::BootClock::time_point> m_storeFailingSince; ///< This daemon's own reads.
-    std::mt19937_64 m_random;
     bool m_wasReading { false }; ///< When the others were last told.
     bool m_isTargetListChanged { false };
     bool m_isLeaving { false };
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <tuple>
 #include <xxhash.h>
 
@@ -17,13 +16,6 @@
 
 // A reader that has not been answered for this long behind its reads' own wait brings no news.
 constexpr std::chrono::milliseconds readerSlack { 500 };
-// Where no reader is heard each daemon reads at a random moment of a time that grows with their number, so that the site as a
-// whole makes some ten calls a second and whoever is answered tells the others.
-constexpr std::chrono::milliseconds unheardTimePerDaemon { 200 };
-constexpr std::chrono::milliseconds leastUnheardTime { 1'000 };
-// What nobody ever told is found by a read, of all daemons together one a second.
-constexpr std::chrono::seconds idleTimePerDaemon { 1 };
-constexpr std::chrono::seconds leastIdleTime { 30 };
 // How often a topic that is not woken looks whether its time has come: a fifth of the least of those times.
 constexpr std::chrono::milliseconds turnCheckInterval { 200 };
 // A daemon that starts among others waits for a beacon of theirs for this long once it knows where they are, and so long at all:
@@ -36,7 +28,7 @@
 
 }
 
-boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic, StoreCallReason reason)
+boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> StoreControl::readOnce(Followed& topic, Fleet::StoreCallReason reason)
 {
     using News = Core::Result<std::vector<Platform::KeyedRecord>>;
     m_hooks.countStoreCall(reason);
@@ -55,23 +47,23 @@
 
 boost::asio::awaitable<void> StoreControl::follow(Followed& topic)
 {
-    if (topic.isToldByPeers)
+    if (topic.pace.isToldByPeers)
         co_await waitToMeet(topic);
-    StoreCallReason reason = StoreCallReason::Start;
+    Fleet::StoreCallReason reason = Fleet::StoreCallReason::Start;
     while (!m_isStopped) {
-        Clock::time_point begunAt = Clock::now();
-        bool asksPeer = topic.isToldByPeers && (!m_view.isReader || !topic.replica.isComplete());
+        topic.schedule->begin(Clock::now());
+        bool asksPeer = topic.pace.isToldByPeers && (!m_view.isReader || !topic.replica.isComplete());
         bool hasLearnt = asksPeer && hasNews(topic) && co_await learnFromPeer(topic);
         if (!hasLearnt && !m_isStopped && !co_await readFromStore(topic, reason))
             co_await wait(topic.replica.isComplete() ? retryDelay : std::max(retryDelay, retryDelayPerDaemon * static_cast<int>(m_view.live)));
-        reason = StoreCallReason::Start;
+        reason = Fleet::StoreCallReason::Start;
         if (topic.replica.isComplete())
-            reason = co_await waitForTurn(topic, begunAt);
+            reason = co_await waitForTurn(topic);
     }
 }
 
 // Returns whether the store answered.
-boost::asio::awaitable<bool> StoreControl::readFromStore(Followed& topic, StoreCallReason reason)
+boost::asio::awaitable<bool> StoreControl::readFromStore(Followed& topic, Fleet::StoreCallReason reason)
 {
     bool wasComplete = topic.replica.isComplete();
     Core::Result<std::vector<Platform::KeyedRecord>> news = co_await readOnce(topic, reason);
@@ -87,7 +79,7 @@
     noteProblem(topic, std::string());
     m_storeFailingSince.reset();
     if (Core::isLogged(Core::Severity::Debug))
-        Core::logEvent(Core::Severity::Debug, Core::Event::StoreRead, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, topic.topic)) }, { "reason", std::string(Core::nameOf(storeCallReasonNames, reason)) }, { "news", std::to_string(news.value().size()) }, { "next", std::to_string(topic.replica.nextOffset()) }, { "told", std::to_string(m_view.newest.targetsChanged) } });
+        Core::logEvent(Core::Severity::Debug, Core::Event::StoreRead, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, topic.topic)) }, { "reason", std::string(Core::nameOf(Fleet::storeCallReasonNames, reason)) }, { "news", std::to_string(news.value().size()) }, { "next", std::to_string(topic.replica.nextOffset()) }, { "told", std::to_string(m_view.newest.targetsChanged) } });
     topic.readAt = Clock::now();
     topic.onRead();
     apply(topic, news.value(), wasComplete);
@@ -172,46 +164,20 @@
     }
 }
 
-// Returns why the topic is to be read now; nothing when it is not.
-std::optional<StoreCallReason> StoreControl::reasonToRead(Followed& topic, Clock::time_point begunAt)
-{
-    Clock::time_point now = Clock::now();
-    int live = static_cast<int>(m_view.live);
-    if (now < begunAt + topic.interval)
-        return std::nullopt;
-    bool isHeard = topic.isToldByPeers ? m_view.hearsReader : live > 1;
-    if (topic.isToldByPeers && m_view.isReader)
-        return StoreCallReason::Reader;
-    if (isHeard) {
-        topic.unheardTurn.reset();
-        if (hasNews(topic))
-            return StoreCallReason::News;
-        return now >= begunAt + std::max(leastIdleTime, idleTimePerDaemon * live) ? std::optional(StoreCallReason::Idle) : std::nullopt;
-    }
-    if (!topic.unheardTurn) {
-        std::chrono::milliseconds within = std::max(leastUnheardTime, unheardTimePerDaemon * live);
-        topic.unheardTurn = now + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, within.count())(m_random));
-    }
-    if (now < *topic.unheardTurn && !hasNews(topic))
-        return std::nullopt;
-    topic.unheardTurn.reset();
-    return StoreCallReason::Unheard;
-}
-
 // Returns, when the topic is to be read again, why.
-boost::asio::awaitable<StoreCallReason> StoreControl::waitForTurn(Followed& topic, Clock::time_point begunAt)
+boost::asio::awaitable<Fleet::StoreCallReason> StoreControl::waitForTurn(Followed& topic)
 {
     while (!m_isStopped) {
-        std::optional<StoreCallReason> reason = reasonToRead(topic, begunAt);
+        std::optional<Fleet::StoreCallReason> reason = topic.schedule->due(m_view, hasNews(topic), Clock::now());
         if (reason)
             co_return *reason;
         // Whatever else makes a read due wakes the topic; only what the clock alone makes due is looked for.
-        Clock::duration untilAllowed = begunAt + topic.interval - Clock::now();
+        Clock::duration untilAllowed = topic.schedule->allowedAt() - Clock::now();
         topic.turn->expires_after(untilAllowed > Clock::duration::zero() ? std::chrono::ceil<std::chrono::milliseconds>(untilAllowed) : turnCheckInterval);
         boost::system::error_code ec;
         co_await topic.turn->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     }
-    co_return StoreCallReason::Idle;
+    co_return Fleet::StoreCallReason::Idle;
 }
 
 bool StoreControl::isReading() const
--- a/Libraries/LibRouting/Candidate.h
+++ b/Libraries/LibRouting/Candidate.h
@@ -20,6 +20,7 @@
     bool isHome { false }; ///< Of the prompt's shared part: whoever computes it should do so here.
     bool isSecondHome { false }; ///< Of the prompt's shared part.
     bool fetchesFarKv { false }; ///< The prompt's KV cache would come from another availability zone.
+    std::uint64_t preference { 0 }; ///< The daemon's own for this target, the same at each decision: the greatest are its own few.
     std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
     double promptFactor { 1 }; ///< How many times as long as others of its service it takes for a prompt,
     double eventFactor { 1 }; ///< and for an event of a stream.
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/Router.h>
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <limits>
 
 namespace Routing {
@@ -78,6 +79,30 @@
         return sample;
     }
 
+    // Draws from the open candidates that the daemon prefers.
+    static Sample drawOwn(std::span<Candidate const> candidates, Phase phase, std::size_t wanted, std::size_t own, std::mt19937_64& rng)
+    {
+        Sample sample;
+        own = std::clamp(own, wanted, maxSampleSize);
+        std::function<bool(std::size_t, std::size_t)> isPreferred = [&](std::size_t a, std::size_t b) { return candidates[a].preference > candidates[b].preference; };
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (!isOpen(candidates[i], phase))
+                continue;
+            // A heap whose front is the least preferred of those taken so far.
+            auto begin = sample.positions.begin();
+            if (sample.size == own && !isPreferred(i, sample.positions[0]))
+                continue;
+            if (sample.size == own)
+                std::pop_heap(begin, begin + static_cast<std::ptrdiff_t>(sample.size--), isPreferred);
+            sample.positions[sample.size++] = i;
+            std::push_heap(begin, begin + static_cast<std::ptrdiff_t>(sample.size), isPreferred);
+        }
+        for (std::size_t n = 0; n < std::min(wanted, sample.size); ++n)
+            std::swap(sample.positions[n], sample.positions[n + uniform(rng, sample.size - n)]);
+        sample.size = std::min(wanted, sample.size);
+        return sample;
+    }
+
     void drawInOnePass(std::span<Candidate const> candidates, Phase phase, std::size_t wanted, std::mt19937_64& rng)
     {
         size = 0;
@@ -280,7 +305,7 @@
     bool isSampled = compared < candidates.size();
     Sample sample;
     if (isSampled)
-        sample = Sample::draw(candidates, shape.phase, compared, rng);
+        sample = Sample::drawOwn(candidates, shape.phase, compared, m_settings.ownTargets, rng);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         // Where a prompt's shared part is, or belongs, differs from prompt to prompt: no herd goes there.
         bool isCompared = !isSampled || candidates[i].isHome || candidates[i].isSecondHome || candidates[i].prefixMatchTokens > 0 || sample.contains(i);
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -50,6 +50,10 @@
     /// at most: fewer targets are compared the staler their words are, down to `sampleSize`. At 0.1 s between words all are.
     double mostUnseenAtBest { 2.0 };
 
+    /// While fewer targets are compared than there are, they are drawn from so many that are a daemon's own, so that what few requests
+    /// it sends a second find its connections there still open. Eight make loads differ by a tenth between targets.
+    std::size_t ownTargets { 8 };
+
     std::size_t sampleSize { 2 }; ///< Candidates drawn by the sampling policies; at least 2.
     std::size_t scanLimit { 1024 }; ///< LeastCorrected and PrefixAffinity draw `wideSampleSize` from more candidates than this.
     std::size_t wideSampleSize { 32 };
--- a/Tests/LibRouting/TestPromptHomes.cpp
+++ b/Tests/LibRouting/TestPromptHomes.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 namespace {
 
@@ -256,12 +257,47 @@
     shape.unseenRequests = 5;
     std::array<std::size_t, 20> chosen {};
     for (std::uint64_t daemon = 0; daemon < 300; ++daemon) {
+        for (Candidate& it : candidates)
+            it.preference = homeWeight(daemon, it.target);
         std::mt19937_64 rng(daemon);
         ++chosen[router.decide(candidates, shape, rng).target];
     }
     EXPECT_LT(*std::max_element(chosen.begin(), chosen.end()), 300U / 20 * 3);
 }
 
+// Each of many daemons sends a few requests a second: to eight targets its connections stay open, to all of them they do not. All
+// daemons together still use all targets evenly.
+TEST(PromptHomeRouting, ADaemonKeepsToAFewTargetsWhileWordsAreStale)
+{
+    Router router = Router::create(homeSettings()).value();
+    std::vector<Candidate> candidates;
+    for (std::uint32_t n = 0; n < 50; ++n)
+        candidates.push_back(candidate(n, TargetRole::Decode));
+    RequestShape shape;
+    shape.phase = Phase::Decode;
+    shape.unseenRequests = 10;
+    std::array<std::size_t, 50> all {};
+    for (std::uint64_t daemon = 1; daemon <= 300; ++daemon) {
+        for (Candidate& it : candidates)
+            it.preference = homeWeight(daemon, it.target);
+        std::mt19937_64 rng(daemon);
+        std::set<std::uint32_t> used;
+        for (int n = 0; n < 40; ++n) {
+            std::uint32_t chosen = router.decide(candidates, shape, rng).target;
+            used.insert(chosen);
+            ++all[chosen];
+        }
+        EXPECT_LE(used.size(), homeSettings().ownTargets);
+    }
+    EXPECT_LT(*std::max_element(all.begin(), all.end()), 300U * 40 / 50 * 2);
+    EXPECT_GT(*std::min_element(all.begin(), all.end()), 300U * 40 / 50 / 2);
+    // When one of its own closes, the next takes its place.
+    for (Candidate& it : candidates)
+        it.closed = it.target >= 3;
+    std::mt19937_64 rng(1);
+    EXPECT_LT(router.decide(candidates, shape, rng).target, 3U);
+}
+
 // The sums that are kept agree with adding up what each peer last said, whatever was said, replaced and forgotten before.
 RC_GTEST_PROP(OpenWork, SumsAgreeWithWhatEachPeerLastSaid, ())
 {
