LibFleet, LibDaemon: Close engines under a change of role for as long as it lasts, and tell of it before the order

Change: what a peer says counts until it says otherwise or is not heard; the planner tells before it orders.

--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -136,8 +136,10 @@
         boost::asio::co_spawn(
             m_context, [this, name = target.name, order]() { return carryOut(name, order); }, boost::asio::detached);
     }
-    if (!changes.empty())
-        m_hooks.onChange();
+    if (changes.empty())
+        return;
+    m_hooks.onChange();
+    m_hooks.onPlan();
 }
 
 // In engines: an output takes a place in a batch and memory, and the scarcer of the two counts.
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -27,6 +27,7 @@
     struct Hooks {
         std::function<bool()> isPlanner; ///< Whether this daemon is the one that should plan.
         std::function<void()> onChange; ///< Called when the targets under change are others than before.
+        std::function<void()> onPlan; ///< Called before targets are ordered to change: peers are to send them no more work.
         std::function<Routing::EngineDemand(std::string const& service)> demand; ///< Of all daemons together.
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target in a role, next to the others.
     };
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -84,7 +84,7 @@
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
     BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
-    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness };
+    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
@@ -235,7 +235,7 @@
         Clock::time_point now = Clock::now();
         refreshView(now);
         bool isLapsed = m_targets.expire(now);
-        bool isOpened = std::erase_if(m_changing, [now](std::pair<std::uint64_t const, Clock::time_point> const& it) { return now >= it.second; }) > 0;
+        bool isOpened = m_changing.expire(now);
         findUnreachable(now);
         m_roles->poll(*m_fleet, m_unreachable);
         if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -5,6 +5,7 @@
 #include <LibDaemon/Control.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
+#include <LibFleet/ChangingTargets.h>
 #include <LibFleet/ReadTurn.h>
 #include <LibFleet/StoreReplica.h>
 #include <LibFleet/TargetBook.h>
@@ -153,7 +154,7 @@
     std::map<std::string, std::vector<std::uint64_t>> m_suspects; ///< By peer, as last said.
     std::map<std::string, std::vector<Routing::ServiceReport>> m_reports; ///< Likewise.
     std::set<std::uint64_t> m_unreachable; ///< Targets that enough daemons cannot reach.
-    std::map<std::uint64_t, Core::BootClock::time_point> m_changing; ///< Until when targets count as changing, as peers said.
+    Fleet::ChangingTargets m_changing; ///< As peers said.
     FleetPointer m_fleet;
     Core::BootClock::time_point m_startedAt;
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -12,9 +12,6 @@
 
 using Clock = Core::BootClock;
 
-// A peer repeats in each beacon which targets it changes; five lost ones in a row are unlikely.
-constexpr std::chrono::milliseconds changingLifetime { 600 };
-
 // Entries that cannot be used are remembered, so that each is logged once; more of them than this are no accident.
 constexpr std::size_t mostUnusableEntries = 1'000;
 // Of an entry that cannot be used, so much goes into the log.
@@ -67,9 +64,14 @@
     if (listed.has_error())
         return takeUnusableEntry(record, listed.error());
     m_unusableEntries.erase(record.key);
+    std::map<std::string, Fleet::BookedTarget>::const_iterator before = m_targets.targets().find(record.key);
+    std::optional<Routing::TargetRole> roleBefore = before != m_targets.targets().end() ? before->second.listed.role : std::nullopt;
     if (!m_targets.list(listed.value()))
         return false;
     m_isTargetListChanged = true;
+    // The change of role has ended, and whoever ordered it says so soon.
+    if (roleBefore != listed.value().role)
+        m_changing.settle(keyOf(listed.value()));
     Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
     return true;
 }
@@ -121,11 +123,8 @@
     if (isNews)
         wakeTopics();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
-    for (std::uint64_t target : beacon.changing) {
-        bool isNew = !m_changing.contains(target);
-        m_changing[target] = now + changingLifetime;
-        m_isTargetListChanged = m_isTargetListChanged || isNew;
-    }
+    bool isOther = m_changing.hear(beacon.sender.name, beacon.changing, now, m_beacons->book().silentTime());
+    m_isTargetListChanged = m_isTargetListChanged || isOther;
 }
 
 // What the requests of all daemons that are heard ask of a service's engines.
