--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -65,12 +65,12 @@
         return takeUnusableEntry(record, listed.error());
     m_unusableEntries.erase(record.key);
     std::map<std::string, Fleet::BookedTarget>::const_iterator before = m_targets.targets().find(record.key);
-    std::optional<Routing::TargetRole> roleBefore = before != m_targets.targets().end() ? before->second.listed.role : std::nullopt;
+    bool hasNewRole = before != m_targets.targets().end() && before->second.listed.role != listed.value().role;
     if (!m_targets.list(listed.value()))
         return false;
     m_isTargetListChanged = true;
     // The change of role has ended, and whoever ordered it says so soon.
-    if (roleBefore != listed.value().role)
+    if (hasNewRole)
         m_changing.settle(keyOf(listed.value()));
     Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
     return true;
