LibFleet, LibDaemon: Take the store to have been away only where nobody's reads were answered

Change: what is known to have been answered since counts against failures that a peer tells of, a daemon that has just started cannot tell, one whose peer is answered is cut off itself; no target is kept for longer than one grace. Tests: three in TestTargetBook.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -89,7 +89,11 @@
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
     createTopics();
-    m_targetList.onFailure = [this] { m_targets.noteFailure(Clock::now()); };
+    // While another daemon's reads are answered, it is this one that is cut off, not the store that is away.
+    m_targetList.onFailure = [this] {
+        if (!m_view.hearsReader)
+            m_targets.noteFailure(Clock::now());
+    };
     return Core::ok();
 }
 
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -114,9 +114,9 @@
     Clock::time_point now = Clock::now();
     // Who reads for this daemon knows whether the store is away; while another one is answered, it is not.
     if (beacon.isReading)
-        m_targets.noteReadElsewhere();
+        m_targets.noteReadElsewhere(now);
     else if (beacon.storeFailingFor.count() > 0 && !m_view.hearsReader)
-        m_targets.noteFailure(now - beacon.storeFailingFor);
+        m_targets.notePeerFailure(now, beacon.storeFailingFor);
     bool isNews = beacon.configVersion > m_view.newest.configVersion || beacon.targetsChanged > m_view.newest.targetsChanged;
     m_view.newest.configVersion = std::max(m_view.newest.configVersion, beacon.configVersion);
     m_view.newest.targetsChanged = std::max(m_view.newest.targetsChanged, beacon.targetsChanged);
--- a/Libraries/LibFleet/TargetBook.cpp
+++ b/Libraries/LibFleet/TargetBook.cpp
@@ -3,15 +3,30 @@
 
 namespace Fleet {
 
-void TargetBook::noteFailure(Time since)
+void TargetBook::noteFailure(Time now)
 {
+    m_failingSince = m_failingSince.value_or(now);
+}
+
+void TargetBook::notePeerFailure(Time now, std::chrono::milliseconds failingFor)
+{
+    if (!m_answeredAt)
+        return;
+    Time since = std::max(now - failingFor, *m_answeredAt);
     m_failingSince = std::min(since, m_failingSince.value_or(since));
 }
 
+void TargetBook::noteReadElsewhere(Time now)
+{
+    m_answeredAt = now;
+    m_failingSince.reset();
+}
+
 void TargetBook::noteRead(Time now)
 {
     if (m_failingSince && now - *m_failingSince > m_settings.awayAfter)
         m_graceUntil = m_ownGraceUntil = now + m_settings.lapseGrace;
+    m_answeredAt = now;
     m_failingSince.reset();
 }
 
@@ -33,7 +48,7 @@
 {
     BookedTarget& target = m_targets[listed.id];
     bool isChanged = target.isLapsed || !(target.listed == listed);
-    target = { listed, false };
+    target = { listed, false, {} };
     return isChanged;
 }
 
@@ -49,15 +64,18 @@
         return true;
     }
     it->second.isLapsed = true;
+    it->second.lapsedAt = now;
     return false;
 }
 
 bool TargetBook::expire(Time now)
 {
-    if (!m_graceUntil || now < *m_graceUntil)
-        return false;
-    m_graceUntil.reset();
-    return std::erase_if(m_targets, [](std::pair<std::string const, BookedTarget> const& it) { return it.second.isLapsed; }) > 0;
+    bool isGraceOver = m_graceUntil && now >= *m_graceUntil;
+    if (isGraceOver)
+        m_graceUntil.reset();
+    return std::erase_if(m_targets, [&](std::pair<std::string const, BookedTarget> const& it) {
+        return it.second.isLapsed && (isGraceOver || now >= it.second.lapsedAt + m_settings.lapseGrace);
+    }) > 0;
 }
 
 }
--- a/Libraries/LibFleet/TargetBook.h
+++ b/Libraries/LibFleet/TargetBook.h
@@ -22,6 +22,7 @@
 struct BookedTarget {
     Platform::ListedTarget listed;
     bool isLapsed { false }; ///< Its entry is missing, which may be due to the store alone.
+    Time lapsedAt {}; ///< When that was seen.
 };
 
 /// Which targets are there, from what the store lists and from when it could be read. Pure and not thread-safe.
@@ -32,15 +33,18 @@
     {
     }
 
-    /// Notes that reads of the list have failed since then, this daemon's own or those of one that reads for all. A time
-    /// without any read says nothing of the store.
-    void noteFailure(Time since);
+    /// Notes that a read of the list failed. A time without any read says nothing of the store.
+    void noteFailure(Time now);
+
+    /// Notes that the reads of a daemon which reads for all have failed for so long. What this daemon knows to have been answered
+    /// since counts against it, and one that knows of no answer at all, as it has just started, cannot tell.
+    void notePeerFailure(Time now, std::chrono::milliseconds failingFor);
 
     /// Notes that the store answered a read of the list.
     void noteRead(Time now);
 
     /// Notes that a daemon which reads the list for all is answered: it tells itself how long lapsed entries are kept.
-    void noteReadElsewhere() { m_failingSince.reset(); }
+    void noteReadElsewhere(Time now);
 
     /// Notes that the store has come back at a daemon that reads it all the time: for so long more, targets whose entries
     /// lapsed may list themselves again. This daemon itself may not have noticed that the store was away.
@@ -58,7 +62,8 @@
     /// Takes an entry that names no target to use, in place of the one before. Returns whether the targets changed.
     bool drop(std::string const& id) { return m_targets.erase(id) > 0; }
 
-    /// Drops lapsed targets whose grace is over. Returns whether there were any.
+    /// Drops lapsed targets whose grace is over, and those that have had a whole one: another daemon that comes back to the store
+    /// later prolongs nothing for them. Returns whether there were any.
     bool expire(Time now);
 
     /// All targets, by id.
@@ -67,6 +72,7 @@
 private:
     TargetBookSettings m_settings;
     std::map<std::string, BookedTarget> m_targets;
+    std::optional<Time> m_answeredAt; ///< When the store was last known to answer, here or elsewhere.
     std::optional<Time> m_failingSince; ///< Since the first failed read behind the last good one.
     std::optional<Time> m_graceUntil; ///< Set when the store came back lately.
     std::optional<Time> m_ownGraceUntil; ///< The same, by this daemon's own reads alone: only that is told to others.
--- a/Tests/LibFleet/TestTargetBook.cpp
+++ b/Tests/LibFleet/TestTargetBook.cpp
@@ -138,3 +138,40 @@
     EXPECT_EQ(book.graceLeft(start + 6s), 1'200ms);
     EXPECT_EQ(book.graceLeft(start + 8s), 0ms);
 }
+
+// Where one of two daemons that read for all is cut off from the store, those that start meanwhile hear it say that reads fail. They
+// must not take the store to have been away once their own first read is answered: targets that leave would be kept for that, by all.
+TEST(TargetBook, ADaemonThatHasJustStartedCannotTellThatTheStoreWasAway)
+{
+    TargetBook book;
+    book.notePeerFailure(start, 5s);
+    book.noteRead(start + 200ms);
+    EXPECT_EQ(book.graceLeft(start + 200ms), 0ms);
+    book.list(target("a"));
+    EXPECT_TRUE(book.remove("a", start + 200ms));
+}
+
+TEST(TargetBook, WhatWasAnsweredSinceCountsAgainstAPeersFailures)
+{
+    TargetBook book;
+    book.noteReadElsewhere(start);
+    book.notePeerFailure(start + 1s, 5s);
+    book.noteRead(start + 1s);
+    EXPECT_EQ(book.graceLeft(start + 1s), 0ms) << "the store answered somebody a second ago";
+    book.noteReadElsewhere(start + 2s);
+    book.notePeerFailure(start + 6s, 5s);
+    book.noteRead(start + 6s);
+    EXPECT_GT(book.graceLeft(start + 6s), 0ms);
+}
+
+TEST(TargetBook, NoTargetIsKeptForLongerThanOneGrace)
+{
+    TargetBook book;
+    book.noteRead(start);
+    book.list(target("a"));
+    book.noteReturnElsewhere(start, 2'200ms);
+    EXPECT_FALSE(book.remove("a", start + 100ms));
+    book.noteReturnElsewhere(start + 2s, 2'200ms);
+    EXPECT_FALSE(book.expire(start + 2'299ms));
+    EXPECT_TRUE(book.expire(start + 2'300ms));
+}
