--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -1,11 +1,9 @@
-// The coroutines of RequestRunner that drive one attempt: placement, prefill, connection and answer.
+// The coroutines of RequestRunner that drive one attempt: placement, connection and answer.
 
 #include <LibCore/EventLog.h>
 #include <LibDaemon/EventSplitter.h>
 #include <LibDaemon/RequestRunner.h>
 #include <LibDaemon/TargetOutcomes.h>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <tuple>
@@ -24,10 +22,7 @@
 constexpr int partOfPatience = 4;
 // A refusal is small and its body follows its head.
 constexpr std::chrono::milliseconds refusalTimeout { 500 };
-constexpr std::size_t wholeBodyLimit = 256U * 1024;
 constexpr std::size_t mostWaitingEvents = 256;
-// The machine's own deadline comes first: a connection's time-out is no news of the target.
-constexpr std::chrono::milliseconds deadlineSlack { 200 };
 // A target that answers with what belongs to other requests this often in a row is not waited for any longer.
 constexpr int mostForeignAnswers = 2;
 
@@ -155,44 +150,6 @@
     }
 }
 
-boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, bool& wasSent)
-{
-    FleetTarget const* target = targetOf(m_target);
-    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
-    if (connected.has_error() && connected.error().code != Core::ErrorCode::Canceled)
-        noteOutcome(Routing::TargetOutcome::Unreachable);
-    if (connected.has_error())
-        co_return Core::Result<std::string>(connected.error());
-    if (leg->isAbandoned)
-        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
-    // The leg's exchange, so that giving the attempt up ends the prefill too.
-    leg->exchange = std::move(connected.value());
-    m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
-    leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
-    TargetSend send = sendOf(leg->leg.attempt);
-    Clock::time_point sentAt = Clock::now();
-    Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
-    wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
-    if (started.has_error() && !leg->isAbandoned) {
-        noteOutcome(Routing::TargetOutcome::Broken);
-        co_return Core::Result<std::string>(started.error());
-    }
-    if (leg->isAbandoned)
-        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
-    Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
-    if (leg->isAbandoned)
-        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
-    if (response.has_error()) {
-        noteOutcome(Routing::TargetOutcome::Broken);
-        co_return Core::Result<std::string>(response.error());
-    }
-    Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
-    noteOutcome(outcomeOf(kvSource));
-    if (kvSource.has_value())
-        m_context.dispatcher.promptComputed(m_placement, Clock::now() - sentAt);
-    co_return kvSource;
-}
-
 void RequestRunner::noteOutcome(Routing::TargetOutcome outcome) const
 {
     m_context.metrics.countOutcome(outcome);
@@ -200,34 +157,6 @@
         m_context.dispatcher.noteOutcome(target->key, outcome);
 }
 
-void RequestRunner::logPrefillFailure(Core::Error const& error) const
-{
-    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
-}
-
-// A KV cache that nobody fetches takes its target's memory until it expires there.
-void RequestRunner::dropKv()
-{
-    std::string source = std::exchange(m_kvSource, std::string());
-    if (source.empty() || !m_context.targets.releaseKv)
-        return;
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), holder = m_kvHolder, source]() { return self->releaseKv(holder, source); }, boost::asio::detached);
-}
-
-boost::asio::awaitable<void> RequestRunner::releaseKv(boost::asio::ip::tcp::endpoint holder, std::string kvSource)
-{
-    Core::Result<Http::Response> response = co_await m_context.client.fetch(holder, m_context.targets.releaseKv(kvSource));
-    if (response.has_error())
-        Core::logEvent(Core::Severity::Debug, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "step", "release-kv" }, { "error", response.error().message } });
-}
-
-// Lets the next attempt make the output from the KV cache that this one did not use. Returns whether there is one.
-bool RequestRunner::keepPrompt()
-{
-    m_keepsPrompt = !m_kvSource.empty();
-    return m_keepsPrompt;
-}
-
 boost::asio::awaitable<bool> RequestRunner::connect(LegPointer leg, FleetTarget const& target)
 {
     Http::ConnectionChoice choice = m_work.isRepeatable || m_context.targets.keepsConnectionsForAll ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
--- /dev/null
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -0,0 +1,83 @@
+// The part of RequestRunner that has a prompt computed apart from its output, and keeps or drops the KV cache.
+
+#include <LibCore/EventLog.h>
+#include <LibDaemon/RequestRunner.h>
+#include <LibDaemon/TargetOutcomes.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+}
+
+boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, bool& wasSent)
+{
+    FleetTarget const* target = targetOf(m_target);
+    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
+    if (connected.has_error() && connected.error().code != Core::ErrorCode::Canceled)
+        noteOutcome(Routing::TargetOutcome::Unreachable);
+    if (connected.has_error())
+        co_return Core::Result<std::string>(connected.error());
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    // The leg's exchange, so that giving the attempt up ends the prefill too.
+    leg->exchange = std::move(connected.value());
+    m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
+    leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
+    TargetSend send = sendOf(leg->leg.attempt);
+    Clock::time_point sentAt = Clock::now();
+    Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
+    wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
+    if (started.has_error() && !leg->isAbandoned) {
+        noteOutcome(Routing::TargetOutcome::Broken);
+        co_return Core::Result<std::string>(started.error());
+    }
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
+    if (leg->isAbandoned)
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    if (response.has_error()) {
+        noteOutcome(Routing::TargetOutcome::Broken);
+        co_return Core::Result<std::string>(response.error());
+    }
+    Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
+    noteOutcome(outcomeOf(kvSource));
+    if (kvSource.has_value())
+        m_context.dispatcher.promptComputed(m_placement, Clock::now() - sentAt);
+    co_return kvSource;
+}
+
+void RequestRunner::logPrefillFailure(Core::Error const& error) const
+{
+    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+}
+
+// A KV cache that nobody fetches takes its target's memory until it expires there.
+void RequestRunner::dropKv()
+{
+    std::string source = std::exchange(m_kvSource, std::string());
+    if (source.empty() || !m_context.targets.releaseKv)
+        return;
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), holder = m_kvHolder, source]() { return self->releaseKv(holder, source); }, boost::asio::detached);
+}
+
+boost::asio::awaitable<void> RequestRunner::releaseKv(boost::asio::ip::tcp::endpoint holder, std::string kvSource)
+{
+    Core::Result<Http::Response> response = co_await m_context.client.fetch(holder, m_context.targets.releaseKv(kvSource));
+    if (response.has_error())
+        Core::logEvent(Core::Severity::Debug, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "step", "release-kv" }, { "error", response.error().message } });
+}
+
+// Lets the next attempt make the output from the KV cache that this one did not use. Returns whether there is one.
+bool RequestRunner::keepPrompt()
+{
+    m_keepsPrompt = !m_kvSource.empty();
+    return m_keepsPrompt;
+}
+
+}
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -35,6 +35,10 @@
     Work const& work() const { return m_work; }
 
 private:
+    static constexpr std::size_t wholeBodyLimit = 256U * 1024; ///< Of a refusal, or of the answer to a prefill.
+    /// The machine's own deadline comes first: a connection's time-out is no news of the target.
+    static constexpr std::chrono::milliseconds deadlineSlack { 200 };
+
     using LegPointer = std::shared_ptr<UpstreamLeg>;
 
     static Request::RequestProfile profileOf(Work const&, TargetProtocol const&, std::chrono::steady_clock::time_point deadline);
