--- /dev/null
+++ b/Libraries/LibRouting/RouterHome.cpp
@@ -0,0 +1,65 @@
+// The part of Router that decides by Policy::PromptHome.
+
+#include <LibRouting/RouterParts.h>
+#include <algorithm>
+
+namespace Routing {
+
+// The estimated seconds until the request's first token, and what choosing this target costs those that come after.
+double Router::homeScore(Candidate const& candidate, RequestShape const& shape) const
+{
+    double outputs = candidate.open.requests * m_settings.decodeSeconds * candidate.eventFactor;
+    std::uint64_t kv = candidate.open.kvTokens + shape.promptTokens + shape.expectedOutputTokens;
+    bool isCrowded = candidate.slots != 0 && candidate.open.requests >= candidate.slots;
+    bool isFull = candidate.load.kvCapacityTokens != 0 && kv > candidate.load.kvCapacityTokens;
+    double wait = outputs + candidate.open.prefillSeconds + (isFull ? m_settings.fullPenaltySeconds : 0);
+    if (isCrowded)
+        wait += (candidate.open.requests - candidate.slots + 1) * m_settings.secondsPerSlot;
+    if (shape.phase == Phase::Decode || shape.phase == Phase::Whole)
+        return wait + shape.outputSeconds * (candidate.eventFactor - 1) * m_settings.slowOutputWeight + (candidate.fetchesFarKv ? m_settings.farKvSeconds : 0);
+    std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
+    std::uint32_t cached = std::min(candidate.prefixMatchTokens, shape.promptTokens);
+    double seconds = shape.promptCost.seconds(shape.promptTokens - cached, shape.promptTokens) * candidate.promptFactor;
+    if (candidate.role != TargetRole::Prefill)
+        return wait + seconds * m_settings.besideFactor;
+    // What computing the shared part costs beyond the rest, which is computed wherever it goes.
+    double stray = candidate.isHome || cached >= shared ? 0 : seconds - shape.promptCost.seconds(shape.promptTokens - shared, shape.promptTokens) * candidate.promptFactor;
+    return wait + seconds + stray * (candidate.isSecondHome ? m_settings.secondHomeWeight : m_settings.strayWeight);
+}
+
+// Whatever peers have sent since they last spoke went by the same words: of n targets the one that looks best to all gets d / n of
+// it when each daemon compares d that it draws.
+std::size_t Router::comparedTargets(std::size_t candidates, RequestShape const& shape) const
+{
+    if (shape.unseenRequests <= 0)
+        return candidates;
+    double drawn = std::max(static_cast<double>(m_settings.sampleSize), m_settings.mostUnseenAtBest / shape.unseenRequests);
+    return drawn > static_cast<double>(maxSampleSize) ? candidates : std::min(candidates, static_cast<std::size_t>(drawn));
+}
+
+Decision Router::decideHome(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
+{
+    Best best;
+    std::size_t compared = comparedTargets(candidates.size(), shape);
+    bool isSampled = compared < candidates.size();
+    Sample sample;
+    if (isSampled)
+        sample = Sample::drawOwn(candidates, shape.phase, compared, m_settings.ownTargets, rng);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        // Where a prompt's shared part is, or belongs, differs from prompt to prompt: no herd goes there.
+        bool isCompared = !isSampled || candidates[i].isHome || candidates[i].isSecondHome || candidates[i].prefixMatchTokens > 0 || sample.contains(i);
+        if (isCompared && isOpen(candidates[i], shape.phase))
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+    }
+    // Without a prefill target, one that decodes computes the prompt too, beside its outputs.
+    for (std::size_t i = 0; best.first == noPosition && shape.phase == Phase::WholeOrPrefill && i < candidates.size(); ++i) {
+        if (isOpen(candidates[i], Phase::Decode))
+            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+    }
+    Decision decision = finish(candidates, shape, best, Reason::EarliestToken);
+    if (decision.chosen)
+        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape);
+    return decision;
+}
+
+}
