LibFleet, LibDaemon: Decide when to ask a peer and when to read the store in a pure class

Cause: what a daemon does to keep its copy of a topic up to date (whose turn it is to read, whom to ask, what follows a failure) was a coroutine of StoreControl, so that how old a list can become could be tested with real sockets and real time only. Change: Fleet::TopicFollower says what to ask or to read next and takes the answers; StoreControl makes the calls.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -101,16 +101,32 @@
 {
     std::chrono::milliseconds wait = m_settings.platform.newsWithin / partOfNewsTime;
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
-    std::function<bool(Fleet::DaemonState const&)> isTargetNews = [this](Fleet::DaemonState const& said) { return said.targetsChanged > m_targetList.replica.nextOffset(); };
-    m_configuration = { Platform::StoreTopic::Configuration, wait, { configurationInterval }, isConfigurationNews, [this](Platform::KeyedRecord const& record) { takeConfiguration(record); }, [] {} };
-    m_targetList = { Platform::StoreTopic::Targets, wait, { targetInterval }, isTargetNews, [this](Platform::KeyedRecord const& record) {
+    std::function<bool(Fleet::DaemonState const&)> isTargetNews = [this](Fleet::DaemonState const& said) { return said.targetsChanged > m_targetList.follower->replica().nextOffset(); };
+    m_configuration.topic = Platform::StoreTopic::Configuration;
+    m_configuration.onRecord = [this](Platform::KeyedRecord const& record) { takeConfiguration(record); };
+    m_targetList.topic = Platform::StoreTopic::Targets;
+    m_targetList.onRecord = [this](Platform::KeyedRecord const& record) {
         if (takeTarget(record))
-            m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1); }, [this] { m_targets.noteRead(Clock::now()); } };
-    m_daemonList = { Platform::StoreTopic::Daemons, daemonWait, { daemonInterval, false }, [](Fleet::DaemonState const&) { return false; }, [this](Platform::KeyedRecord const& record) { takeDaemon(record); }, [] {} };
-    for (Followed* topic : topics()) {
-        topic->turn = std::make_unique<boost::asio::steady_timer>(m_context);
-        topic->schedule = std::make_unique<Fleet::ReadTurn>(topic->pace, std::random_device()());
-    }
+            m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1);
+    };
+    m_targetList.onRead = [this] { m_targets.noteRead(Clock::now()); };
+    m_daemonList.topic = Platform::StoreTopic::Daemons;
+    m_daemonList.onRecord = [this](Platform::KeyedRecord const& record) { takeDaemon(record); };
+    setFollower(m_configuration, { configurationInterval }, wait, isConfigurationNews);
+    setFollower(m_targetList, { targetInterval }, wait, isTargetNews);
+    setFollower(m_daemonList, { daemonInterval, false }, daemonWait, [](Fleet::DaemonState const&) { return false; });
+}
+
+void StoreControl::setFollower(Followed& topic, Fleet::ReadTurnSettings const& pace, std::chrono::milliseconds wait, Fleet::TopicFollower::NewsTest isNews)
+{
+    Fleet::TopicFollowerSettings settings;
+    settings.pace = pace;
+    settings.wait = wait;
+    settings.daemon = m_settings.daemon.name;
+    settings.availabilityZone = m_settings.daemon.availabilityZone;
+    topic.isToldByPeers = pace.isToldByPeers;
+    topic.follower = std::make_unique<Fleet::TopicFollower>(settings, std::move(isNews), std::random_device()());
+    topic.turn = std::make_unique<boost::asio::steady_timer>(m_context);
 }
 
 void StoreControl::start()
@@ -204,9 +220,9 @@
         return;
     std::string name(Core::nameOf(Platform::storeTopicNames, topic.topic));
     if (wasGood)
-        Core::logEvent(Core::Severity::Warning, Core::Event::LogUnavailable, { { "stream", name }, { "next", std::to_string(topic.replica.nextOffset()) }, { "error", topic.problem } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::LogUnavailable, { { "stream", name }, { "next", std::to_string(topic.follower->replica().nextOffset()) }, { "error", topic.problem } });
     else
-        Core::logEvent(Core::Severity::Info, Core::Event::LogRecovered, { { "stream", name }, { "next", std::to_string(topic.replica.nextOffset()) } });
+        Core::logEvent(Core::Severity::Info, Core::Event::LogRecovered, { { "stream", name }, { "next", std::to_string(topic.follower->replica().nextOffset()) } });
 }
 
 BeaconMessage StoreControl::describe(BeaconKind kind) const
@@ -245,7 +261,7 @@
         if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
             rebuild();
         // Beacons tell of all that are heard within a second, also while the store is away.
-        if (m_daemonList.replica.isComplete() || now - m_startedAt > unlistedDaemonsTime)
+        if (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime)
             m_hooks.setDaemons(m_beacons->book().knownCount());
     }
 }
@@ -253,7 +269,7 @@
 void StoreControl::refreshView(Clock::time_point now)
 {
     Fleet::SiteView before = std::exchange(m_view, m_beacons->book().view(m_settings.daemon.name, now));
-    if (before.isReader != m_view.isReader || before.hearsReader != m_view.hearsReader || hasNews(m_configuration) || hasNews(m_targetList))
+    if (before.isReader != m_view.isReader || before.hearsReader != m_view.hearsReader || m_configuration.follower->hasNews(m_view) || m_targetList.follower->hasNews(m_view))
         wakeTopics();
     // Whoever starts, or has lost its reader, waits for just this.
     if (isReading() != m_wasReading) {
@@ -275,7 +291,7 @@
 
 std::chrono::milliseconds StoreControl::storeReadAge() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_targetList.readAt);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_targetList.follower->readAt());
 }
 
 EntryList StoreControl::entries() const
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -6,9 +6,8 @@
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <LibFleet/ChangingTargets.h>
-#include <LibFleet/ReadTurn.h>
-#include <LibFleet/StoreReplica.h>
 #include <LibFleet/TargetBook.h>
+#include <LibFleet/TopicFollower.h>
 #include <LibHttp/Client.h>
 #include <LibSettings/DaemonSettings.h>
 #include <array>
@@ -18,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 
@@ -78,32 +76,26 @@
     /// A topic that is followed for ever.
     struct Followed {
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
-        std::chrono::milliseconds wait { 0 }; ///< How long a read waits for news.
-        Fleet::ReadTurnSettings pace;
-        std::function<bool(Fleet::DaemonState const&)> isNews; ///< Whether one that says this knows more than was read here.
+        bool isToldByPeers { true };
         RecordHook onRecord;
-        std::function<void()> onRead; ///< Called after each read that succeeded, behind its records.
+        std::function<void()> onRead { [] { } }; ///< Called after each read that succeeded, ahead of its records.
         std::function<void()> onFailure { [] { } }; ///< Called after each read that failed.
-        Fleet::StoreReplica replica {};
+        std::unique_ptr<Fleet::TopicFollower> follower; ///< Set once the daemon's hooks are.
         std::uint64_t newsOffset { 0 }; ///< Behind the last record that changed anything.
-        Core::BootClock::time_point readAt {}; ///< When a read last succeeded.
-        std::string problem {}; ///< Why it cannot be read now; empty while it can.
-        std::unique_ptr<boost::asio::steady_timer> turn {}; ///< Waits for the next read; cancelled when that may be due.
-        std::unique_ptr<Fleet::ReadTurn> schedule {}; ///< Set once the daemon's hooks are.
+        std::string problem; ///< Why it cannot be read now; empty while it can.
+        std::unique_ptr<boost::asio::steady_timer> turn; ///< Waits for what is due next; cancelled when that may have changed.
     };
 
     StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&);
     Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
     void createTopics();
+    void setFollower(Followed&, Fleet::ReadTurnSettings const&, std::chrono::milliseconds wait, Fleet::TopicFollower::NewsTest);
     boost::asio::awaitable<void> follow(Followed&);
-    boost::asio::awaitable<bool> readFromStore(Followed&, Fleet::StoreCallReason);
-    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> readOnce(Followed&, Fleet::StoreCallReason);
-    boost::asio::awaitable<bool> learnFromPeer(Followed&);
+    boost::asio::awaitable<void> readFromStore(Followed&, Fleet::StoreRead);
+    boost::asio::awaitable<Core::Result<std::vector<Platform::KeyedRecord>>> call(Followed&, Fleet::StoreRead);
+    boost::asio::awaitable<void> ask(Followed&, Fleet::PeerQuestion);
     void apply(Followed&, std::vector<Platform::KeyedRecord> const&, bool wasComplete);
-    Fleet::BookedDaemon const* tellerOf(Followed const&) const;
     Core::Result<Fleet::StoreReplica::Extract> extract(RecordsRequest const&) const;
-    bool hasNews(Followed const&) const;
-    boost::asio::awaitable<Fleet::StoreCallReason> waitForTurn(Followed&);
     boost::asio::awaitable<void> waitToMeet(Followed const&);
     boost::asio::awaitable<void> meetOthers();
     std::array<Followed*, 3> topics() { return { &m_configuration, &m_targetList, &m_daemonList }; }
@@ -158,7 +150,6 @@
     FleetPointer m_fleet;
     Core::BootClock::time_point m_startedAt;
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
-    std::optional<Core::BootClock::time_point> m_storeFailingSince; ///< This daemon's own reads.
     bool m_wasReading { false }; ///< When the others were last told.
     bool m_isTargetListChanged { false };
     bool m_isLeaving { false };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -237,7 +237,7 @@
     fleet->view = State::TargetView::create(m_labels, platformTargets);
     fleet->services = m_services;
     fleet->configVersion = m_services->version;
-    fleet->isReady = m_targetList.replica.isComplete();
+    fleet->isReady = m_targetList.follower->replica().isComplete();
     m_fleet = std::move(fleet);
     m_hooks.publish(m_fleet);
 }
