LibFleet: Play a site in virtual time, and show that news of a leaving target comes too late

Seen: a request reached a target 3,061 ms after its word that it leaves (bound 3,000 ms), sent by one of ninety daemons. Change: Tests/LibFleet/VirtualSite drives the product's own books, turns, followers and replicas with events in place of sockets; a test strikes daemons (frozen, cut off from the store or from each other, restarted; in series that overlap, two thirds of them the first by name, which read for all) and holds those that nothing was done to for 4 s to the bound, less 250 ms for the send.

--- /dev/null
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -0,0 +1,372 @@
+#include "VirtualSite.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time origin { 1'000s };
+constexpr std::chrono::milliseconds tickInterval { 100 };
+constexpr std::chrono::milliseconds connectTimeout { 500 }; // Of a call to the store.
+constexpr std::chrono::milliseconds readSlack { 500 };
+constexpr std::chrono::milliseconds askTimeout { 400 };
+constexpr std::chrono::milliseconds meetingTime { 250 }; // From a daemon's start until it reads or asks.
+constexpr std::chrono::milliseconds longestTransit { 3 };
+constexpr int waitPart = 2; // As StoreControl has it.
+
+}
+
+struct VirtualSite::Daemon {
+    std::size_t index { 0 };
+    Platform::ListedDaemon self;
+    DaemonBook book;
+    std::unique_ptr<TopicFollower> follower;
+    SiteView view;
+    std::uint64_t newsOffset { 0 };
+    std::uint64_t sequence { 0 };
+    std::uint64_t call { 0 }; ///< Of the store; an answer to an older one is dropped.
+    std::uint64_t question { 0 }; ///< To a peer, likewise.
+    std::uint64_t life { 0 }; ///< Events of an earlier one do not happen.
+    std::uint64_t looks { 0 };
+    bool hasConnection { true }; ///< To the store.
+    bool wasReading { false };
+    bool isDown { false };
+};
+
+VirtualSite::VirtualSite(VirtualSiteSettings const& settings)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_now(origin)
+{
+    std::size_t perZone = (settings.daemons + settings.zones - 1) / settings.zones;
+    for (std::size_t n = 0; n < settings.daemons; ++n) {
+        std::unique_ptr<Daemon> daemon = std::make_unique<Daemon>();
+        daemon->index = n;
+        std::string zone = "zone-" + std::to_string(n / perZone);
+        daemon->self.name = "entry-" + std::to_string(n / perZone) + "-" + std::to_string(n % perZone);
+        daemon->self.availabilityZone = zone;
+        m_daemons.push_back(std::move(daemon));
+    }
+    for (std::unique_ptr<Daemon> const& daemon : m_daemons)
+        start(*daemon);
+}
+
+VirtualSite::~VirtualSite() = default;
+
+std::string const& VirtualSite::nameOf(std::size_t daemon) const
+{
+    return m_daemons[daemon]->self.name;
+}
+
+void VirtualSite::at(Time time, std::function<void()> run)
+{
+    m_events.push({ std::max(time, m_now), ++m_order, std::move(run) });
+}
+
+// What is to happen at a daemon happens when it does not stand still, and not after it has been killed.
+void VirtualSite::atDaemon(Daemon& daemon, Time time, std::function<void()> run)
+{
+    at(time, [this, &daemon, life = daemon.life, run = std::move(run)] {
+        if (daemon.life != life)
+            return;
+        std::optional<Time> thaw = thawOf(daemon.index, m_now);
+        if (thaw)
+            atDaemon(daemon, *thaw, run);
+        else
+            run();
+    });
+}
+
+void VirtualSite::strike(std::size_t daemon, Fault fault, Time from, Time to)
+{
+    m_strikes.push_back({ daemon, fault, from, to });
+    if (fault != Fault::Restart)
+        return;
+    Daemon& struck = *m_daemons[daemon];
+    at(from, [&struck] {
+        ++struck.life;
+        struck.isDown = true;
+    });
+    at(to, [this, &struck] { start(struck); });
+}
+
+bool VirtualSite::isStruck(std::size_t daemon, Fault fault, Time time) const
+{
+    return std::any_of(m_strikes.begin(), m_strikes.end(), [&](Strike const& it) { return it.daemon == daemon && it.fault == fault && it.from <= time && time < it.to; });
+}
+
+std::optional<Time> VirtualSite::thawOf(std::size_t daemon, Time time) const
+{
+    std::optional<Time> thaw;
+    for (Strike const& it : m_strikes) {
+        if (it.daemon == daemon && it.fault == Fault::Freeze && it.from <= time && time < it.to)
+            thaw = std::max(thaw.value_or(it.to), it.to);
+    }
+    return thaw;
+}
+
+bool VirtualSite::isUntouched(std::size_t daemon, Time from, Time to) const
+{
+    return std::none_of(m_strikes.begin(), m_strikes.end(), [&](Strike const& it) { return it.daemon == daemon && it.from <= to && it.to >= from; });
+}
+
+void VirtualSite::change(Time time)
+{
+    at(time, [this] {
+        Change change { "target-" + std::to_string(m_changes.size()), m_now, m_log.size(), std::vector<std::optional<Time>>(m_daemons.size()) };
+        m_log.push_back({ change.offset, change.key, "leaving" });
+        m_changes.push_back(std::move(change));
+        std::vector<WaitingRead> waiting = std::exchange(m_waiting, {});
+        for (WaitingRead const& it : waiting) {
+            if (m_now < it.until)
+                it.answer();
+        }
+    });
+}
+
+void VirtualSite::run(Time until)
+{
+    while (!m_events.empty() && m_events.top().at <= until) {
+        Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+    m_now = until;
+}
+
+std::chrono::milliseconds VirtualSite::transit()
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(1, static_cast<int>(longestTransit.count()))(m_random));
+}
+
+// A daemon that starts has the list of daemons from the store; the rest it learns.
+void VirtualSite::start(Daemon& daemon)
+{
+    ++daemon.life;
+    daemon.isDown = false;
+    daemon.self.incarnation = daemon.life;
+    daemon.book = DaemonBook();
+    daemon.view = SiteView();
+    daemon.newsOffset = daemon.sequence = 0;
+    daemon.hasConnection = true;
+    daemon.wasReading = false;
+    TopicFollowerSettings settings;
+    settings.wait = m_settings.newsWithin / waitPart;
+    settings.daemon = daemon.self.name;
+    settings.availabilityZone = daemon.self.availabilityZone;
+    TopicFollower::NewsTest isNews = [&daemon](DaemonState const& said) { return said.targetsChanged > daemon.follower->replica().nextOffset(); };
+    daemon.follower = std::make_unique<TopicFollower>(settings, isNews, m_random());
+    for (std::unique_ptr<Daemon> const& other : m_daemons) {
+        if (other->index == daemon.index)
+            continue;
+        daemon.book.list(other->self, m_now);
+        other->book.list(daemon.self, m_now);
+    }
+    std::chrono::milliseconds phase(std::uniform_int_distribution<std::int64_t>(0, daemon.book.beaconInterval().count())(m_random));
+    atDaemon(daemon, m_now + phase, [this, &daemon] { sendRegularly(daemon); });
+    atDaemon(daemon, m_now + phase % tickInterval, [this, &daemon] { tick(daemon); });
+    atDaemon(daemon, m_now + meetingTime, [this, &daemon] { look(daemon); });
+}
+
+void VirtualSite::tick(Daemon& daemon)
+{
+    SiteView before = std::exchange(daemon.view, daemon.book.view(daemon.self.name, m_now));
+    if (before.isReader != daemon.view.isReader || before.hearsReader != daemon.view.hearsReader || daemon.follower->hasNews(daemon.view))
+        look(daemon);
+    if (isReading(daemon) != daemon.wasReading) {
+        daemon.wasReading = !daemon.wasReading;
+        sendBeacons(daemon);
+    }
+    atDaemon(daemon, m_now + tickInterval, [this, &daemon] { tick(daemon); });
+}
+
+void VirtualSite::look(Daemon& daemon)
+{
+    std::optional<PeerQuestion> question = daemon.follower->beginQuestion(daemon.book, daemon.view, m_now);
+    if (question)
+        ask(daemon, *question);
+    std::optional<StoreRead> due = daemon.follower->beginRead(daemon.view, m_now);
+    if (due)
+        read(daemon, *due);
+    std::uint64_t number = ++daemon.looks;
+    atDaemon(daemon, daemon.follower->nextLook(m_now), [this, &daemon, number] {
+        if (daemon.looks == number)
+            look(daemon);
+    });
+}
+
+bool VirtualSite::isReading(Daemon const& daemon) const
+{
+    return daemon.view.isReader && daemon.follower->isReadLately(m_now);
+}
+
+DaemonState VirtualSite::describe(Daemon const& daemon) const
+{
+    DaemonState state;
+    state.isReading = isReading(daemon);
+    state.targetsChanged = daemon.newsOffset;
+    return state;
+}
+
+void VirtualSite::sendRegularly(Daemon& daemon)
+{
+    sendBeacons(daemon);
+    atDaemon(daemon, m_now + daemon.book.beaconInterval(), [this, &daemon] { sendRegularly(daemon); });
+}
+
+void VirtualSite::sendBeacons(Daemon& daemon)
+{
+    DaemonState state = describe(daemon);
+    ++daemon.sequence;
+    bool isCut = isStruck(daemon.index, Fault::PeerCut, m_now);
+    for (std::unique_ptr<Daemon> const& other : m_daemons) {
+        ++m_beacons;
+        bool isLost = other->isDown || isCut || isStruck(other->index, Fault::PeerCut, m_now) || std::bernoulli_distribution(m_settings.beaconLoss)(m_random);
+        if (other->index == daemon.index || isLost)
+            continue;
+        Daemon& to = *other;
+        atDaemon(to, m_now + transit(), [this, &to, from = daemon.self, sequence = daemon.sequence, state] { receive(to, from, sequence, state); });
+    }
+}
+
+void VirtualSite::receive(Daemon& daemon, Platform::ListedDaemon const& from, std::uint64_t sequence, DaemonState const& said)
+{
+    if (!daemon.book.hear(from, sequence, said, m_now))
+        return;
+    bool isNews = said.targetsChanged > daemon.view.newest.targetsChanged;
+    daemon.view.newest.targetsChanged = std::max(daemon.view.newest.targetsChanged, said.targetsChanged);
+    if (isNews)
+        look(daemon);
+}
+
+void VirtualSite::ask(Daemon& daemon, PeerQuestion const& question)
+{
+    std::uint64_t number = ++daemon.question;
+    atDaemon(daemon, m_now + askTimeout, [this, &daemon, number] {
+        if (daemon.question != number)
+            return;
+        ++daemon.question;
+        daemon.follower->noteNoAnswer(daemon.view, m_now);
+        look(daemon);
+    });
+    std::vector<std::unique_ptr<Daemon>>::iterator found = std::find_if(m_daemons.begin(), m_daemons.end(), [&](std::unique_ptr<Daemon> const& it) { return it->self.name == question.peer.listed.name; });
+    Daemon& peer = **found;
+    if (peer.isDown || isStruck(daemon.index, Fault::PeerCut, m_now) || isStruck(peer.index, Fault::PeerCut, m_now))
+        return;
+    atDaemon(peer, m_now + transit(), [this, &daemon, &peer, number, step = question.step] {
+        if (!peer.follower->replica().isComplete())
+            return;
+        StoreReplica::Extract extract = peer.follower->replica().extract(step.from, step.isNewest);
+        atDaemon(daemon, m_now + transit(), [this, &daemon, number, extract] {
+            if (daemon.question != number)
+                return;
+            ++daemon.question;
+            take(daemon, daemon.follower->takeAnswer(extract, daemon.view, m_now));
+            look(daemon);
+        });
+    });
+}
+
+// A connection on which a call has hung is closed; while the cut lasts no new one comes about.
+void VirtualSite::read(Daemon& daemon, StoreRead const& due)
+{
+    ++m_storeCalls;
+    std::uint64_t call = ++daemon.call;
+    std::chrono::milliseconds patience = daemon.hasConnection ? due.wait + readSlack : connectTimeout;
+    atDaemon(daemon, m_now + patience, [this, &daemon, call] { fail(daemon, call); });
+    if (isStruck(daemon.index, Fault::StoreCut, m_now))
+        return;
+    daemon.hasConnection = true;
+    at(m_now + transit(), [this, &daemon, due, call, life = daemon.life] {
+        std::function<void()> answer = [this, &daemon, due, call, life] {
+            if (daemon.life == life)
+                answerRead(daemon, due, call);
+        };
+        bool hasNews = due.step.isNewest || due.step.from < m_log.size();
+        if (hasNews) {
+            answer();
+            return;
+        }
+        m_waiting.push_back({ due.step.from, m_now + due.wait, answer });
+        at(m_now + due.wait, [this, due, answer] {
+            bool isNothingNew = due.step.from >= m_log.size();
+            if (isNothingNew)
+                answer();
+        });
+    });
+}
+
+void VirtualSite::answerRead(Daemon& daemon, StoreRead const& due, std::uint64_t call)
+{
+    if (isStruck(daemon.index, Fault::StoreCut, m_now))
+        return;
+    Platform::KeyedPage page { m_log, m_log.size(), false };
+    Platform::KeyedBatch batch { 0, m_log.size(), {}, false };
+    if (!due.step.isNewest)
+        batch.records.assign(m_log.begin() + static_cast<std::ptrdiff_t>(due.step.from), m_log.end());
+    atDaemon(daemon, m_now + transit(), [this, &daemon, due, call, page, batch] {
+        if (daemon.call != call)
+            return;
+        ++daemon.call;
+        std::vector<Platform::KeyedRecord> news = due.step.isNewest ? daemon.follower->takeRead(page, m_now) : daemon.follower->takeRead(batch, m_now);
+        take(daemon, news);
+        look(daemon);
+    });
+}
+
+void VirtualSite::fail(Daemon& daemon, std::uint64_t call)
+{
+    if (daemon.call != call)
+        return;
+    ++daemon.call;
+    daemon.hasConnection = false;
+    daemon.follower->noteFailedRead(daemon.view, m_now);
+    look(daemon);
+}
+
+void VirtualSite::take(Daemon& daemon, std::vector<Platform::KeyedRecord> const& news)
+{
+    for (Platform::KeyedRecord const& record : news) {
+        daemon.newsOffset = std::max(daemon.newsOffset, record.offset + 1);
+        std::optional<Time>& knownAt = m_changes[record.offset].knownAt[daemon.index];
+        knownAt = knownAt.value_or(m_now);
+    }
+}
+
+std::vector<VirtualSite::Breach> VirtualSite::breaches(std::chrono::milliseconds within, std::chrono::milliseconds calmTime) const
+{
+    std::vector<Breach> breaches;
+    for (Change const& change : m_changes) {
+        Time bound = change.at + within;
+        if (bound > m_now)
+            break;
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            bool isInTime = change.knownAt[n] && *change.knownAt[n] <= bound;
+            if (isInTime || !isUntouched(n, bound - calmTime, bound))
+                continue;
+            std::optional<std::chrono::milliseconds> after;
+            if (change.knownAt[n])
+                after = std::chrono::ceil<std::chrono::milliseconds>(*change.knownAt[n] - change.at);
+            breaches.push_back({ nameOf(n), change.at, after });
+        }
+    }
+    return breaches;
+}
+
+std::chrono::milliseconds VirtualSite::worstDelay(std::chrono::milliseconds calmTime) const
+{
+    std::chrono::milliseconds worst { 0 };
+    for (Change const& change : m_changes) {
+        for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+            if (change.knownAt[n] && isUntouched(n, *change.knownAt[n] - calmTime, *change.knownAt[n]))
+                worst = std::max(worst, std::chrono::ceil<std::chrono::milliseconds>(*change.knownAt[n] - change.at));
+        }
+    }
+    return worst;
+}
+
+}
