LibFleet: Tell others of a removal that only the newest records show

Found while looking for the leaving target's cause elsewhere: a change that others are never told of. Cause: daemons tell each other by the offset of the last change that there is news. A reader that starts over from the newest records, as the store has dropped its history, learns of removals by what is missing, and entered them under the offset of the removed record: an old one, so no beacon said that there is news, and daemons that hear a reader sent to the target that was gone for up to 30 s (300 s at 300 daemons), until their own idle read or their requests found out. Change: such a removal stands at the end of the newest records that lacked it. Test: StoreReplica.ARemovalThatTheNewestRecordsShowIsNewsAsOfTheirEnd, failed before (offset 4 of 10).

--- a/Libraries/LibFleet/StoreReplica.cpp
+++ b/Libraries/LibFleet/StoreReplica.cpp
@@ -56,6 +56,8 @@
         bool isGone = it.second.value && it.second.offset < m_pagesFrom && !present.contains(it.first);
         if (!isGone)
             continue;
+        // When it was removed is not known, but that it was by now: daemons tell by offsets that there is news.
+        it.second.offset = m_pagesFrom - 1;
         it.second.value.reset();
         news.push_back(it.second);
     }
--- a/Tests/LibFleet/TestStoreReplica.cpp
+++ b/Tests/LibFleet/TestStoreReplica.cpp
@@ -209,3 +209,25 @@
         RC_ASSERT(held == wanted);
     }
 }
+
+// Two daemons read for all. When the history has been dropped they learn of removals only from what the newest records lack; the others
+// ask for no more than they are told that there is.
+TEST(StoreReplica, ARemovalThatTheNewestRecordsShowIsNewsAsOfTheirEnd)
+{
+    StoreReplica reader;
+    reader.take(page(10, { { 3, "a", "1" }, { 4, "b", "1" } }));
+    StoreReplica told;
+    told.take(reader.extract(0, true));
+    KeyedBatch expired;
+    expired.isExpired = true;
+    reader.take(expired);
+    std::vector<KeyedRecord> news = reader.take(page(15, { { 3, "a", "1" } }));
+    ASSERT_EQ(news.size(), 1U);
+    EXPECT_EQ(news[0].key, "b");
+    EXPECT_GE(news[0].offset, told.nextOffset()) << "else nobody can tell from its offset that it is news";
+    std::vector<KeyedRecord> handedOn = told.take(reader.extract(told.nextOffset(), false));
+    ASSERT_EQ(handedOn.size(), 1U);
+    EXPECT_EQ(told.find("b"), nullptr);
+    // The key may come back.
+    EXPECT_TRUE(reader.takeRecord({ 15, "b", "2" }));
+}
