LibFleet, LibDaemon: Check a peer's word that the store was away against what is known here

Found while looking for the leaving target's cause elsewhere: a time that one daemon sets for all others. Cause: a reader that was cut off alone, from the store and from all others, sees its own reads fail, takes the store to have been away and says so upon its return. All others then kept targets whose entries went for 2.2 s on top of the time until they saw it: beyond a bound of 2.0 s by itself. Change: that word counts only where this daemon's own knowledge of the list has such a gap too, or has it still. Test: TargetBook.OneDaemonsWordThatTheStoreWasAwayIsCheckedAgainstWhatIsKnownHere, fails without the check; beside it one that the word still holds where the store was away.

--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -152,8 +152,10 @@
 void StoreControl::publishAge()
 {
     std::optional<Clock::time_point> asOf = m_targetList.follower->asOf();
-    if (asOf)
-        m_listConfirmedAt->store(*asOf);
+    if (!asOf)
+        return;
+    m_listConfirmedAt->store(*asOf);
+    m_targets.noteKnownUntil(*asOf, Clock::now());
 }
 
 bool StoreControl::isReading() const
--- a/Libraries/LibFleet/TargetBook.cpp
+++ b/Libraries/LibFleet/TargetBook.cpp
@@ -30,8 +30,24 @@
     m_failingSince.reset();
 }
 
+void TargetBook::noteKnownUntil(Time asOf, Time now)
+{
+    if (m_knownUntil && asOf - *m_knownUntil > m_settings.awayAfter)
+        m_gapEndedAt = now;
+    m_knownUntil = std::max(asOf, m_knownUntil.value_or(asOf));
+}
+
+bool TargetBook::mayHaveBeenAway(Time now) const
+{
+    bool isInGap = !m_knownUntil || now - *m_knownUntil > m_settings.awayAfter;
+    bool wasInGap = m_gapEndedAt && now - *m_gapEndedAt <= m_settings.lapseGrace;
+    return isInGap || wasInGap;
+}
+
 void TargetBook::noteReturnElsewhere(Time now, std::chrono::milliseconds graceLeft)
 {
+    if (!mayHaveBeenAway(now))
+        return;
     Time until = now + std::min(graceLeft, m_settings.lapseGrace);
     if (graceLeft.count() > 0 && (!m_graceUntil || *m_graceUntil < until))
         m_graceUntil = until;
--- a/Libraries/LibFleet/TargetBook.h
+++ b/Libraries/LibFleet/TargetBook.h
@@ -46,8 +46,12 @@
     /// Notes that a daemon which reads the list for all is answered: it tells itself how long lapsed entries are kept.
     void noteReadElsewhere(Time now);
 
+    /// Notes until when whatever the store had taken is known here, whoever told it: a store that was away leaves a gap in that.
+    void noteKnownUntil(Time asOf, Time now);
+
     /// Notes that the store has come back at a daemon that reads it all the time: for so long more, targets whose entries
-    /// lapsed may list themselves again. This daemon itself may not have noticed that the store was away.
+    /// lapsed may list themselves again. That daemon alone may have been cut off: it is not believed where this one has known
+    /// the list all the while.
     void noteReturnElsewhere(Time now, std::chrono::milliseconds graceLeft);
 
     /// Returns how long targets whose entries lapsed are kept, as this daemon's own reads tell; 0: they are not.
@@ -70,10 +74,14 @@
     std::map<std::string, BookedTarget> const& targets() const { return m_targets; }
 
 private:
+    bool mayHaveBeenAway(Time now) const;
+
     TargetBookSettings m_settings;
     std::map<std::string, BookedTarget> m_targets;
     std::optional<Time> m_answeredAt; ///< When the store was last known to answer, here or elsewhere.
     std::optional<Time> m_failingSince; ///< Since the first failed read behind the last good one.
+    std::optional<Time> m_knownUntil; ///< Whatever the store had taken by then is known.
+    std::optional<Time> m_gapEndedAt; ///< When something was known again after a time as long as the store's absence.
     std::optional<Time> m_graceUntil; ///< Set when the store came back lately.
     std::optional<Time> m_ownGraceUntil; ///< The same, by this daemon's own reads alone: only that is told to others.
 };
--- a/Tests/LibFleet/TestTargetBook.cpp
+++ b/Tests/LibFleet/TestTargetBook.cpp
@@ -175,3 +175,31 @@
     EXPECT_FALSE(book.expire(start + 2'299ms));
     EXPECT_TRUE(book.expire(start + 2'300ms));
 }
+
+// One reader that was cut off by itself, from the store and from all others, says upon its return that the store was away. Where the
+// others have known the list all the while, an entry that goes is gone: kept for the grace, it would get requests for too long.
+TEST(TargetBook, OneDaemonsWordThatTheStoreWasAwayIsCheckedAgainstWhatIsKnownHere)
+{
+    TargetBook book;
+    book.list(target("a"));
+    for (Time now = start; now <= start + 6s; now += 700ms)
+        book.noteKnownUntil(now - 300ms, now);
+    book.noteReturnElsewhere(start + 6s, 2'200ms);
+    EXPECT_TRUE(book.remove("a", start + 6s));
+    EXPECT_TRUE(book.targets().empty());
+}
+
+TEST(TargetBook, ThatWordHoldsWhereNothingWasKnownMeanwhileOrUntilNow)
+{
+    TargetBook book;
+    book.list(target("a"));
+    book.list(target("b"));
+    book.noteKnownUntil(start, start);
+    book.noteReturnElsewhere(start + 5s, 2'200ms);
+    EXPECT_FALSE(book.remove("a", start + 5s)) << "this daemon has not learnt anything since";
+    book.noteKnownUntil(start + 5'100ms, start + 5'200ms);
+    EXPECT_TRUE(book.expire(start + 7'200ms));
+    book.noteReturnElsewhere(start + 7'300ms, 100ms);
+    EXPECT_FALSE(book.remove("b", start + 7'300ms)) << "the gap in what it knows has just ended";
+    EXPECT_TRUE(book.expire(start + 7'400ms));
+}
