LibFleet, LibDaemon: Have the daemon and the virtual site follow topics by the same settings

Cause: the virtual site kept copies of the daemon's figures, so that a change of these would not have been tested. Change: TopicFollowerSettings::create derives all times from the bound; DaemonBook says how soon a beacon may follow another. No behaviour changed. TestNewsInTime, TestTopicFollower and the virtual site pass with it.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -51,7 +51,7 @@
     Core::BootClock::time_point regularAt;
     while (!m_isStopped) {
         Core::BootClock::time_point now = Core::BootClock::now();
-        Core::BootClock::time_point soonAt = m_sentAt + m_book.beaconInterval() / promptPartOfInterval;
+        Core::BootClock::time_point soonAt = m_sentAt + m_book.promptInterval();
         bool isRegular = now >= regularAt;
         if (isRegular) {
             m_book.expire(now);
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -57,8 +57,6 @@
     /// How often a beacon tells what hardly changes: who starts or was missed is known within this, and bytes between
     /// availability zones, which beacons make most of, are halved.
     static constexpr std::chrono::milliseconds fullInterval { 2'000 };
-    /// Beacons that are sent soon are this part of the regular interval apart, the reciprocal.
-    static constexpr int promptPartOfInterval = 3;
     static constexpr std::size_t largestDatagram = 64 * 1024;
 
     boost::asio::io_context& m_context;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -17,13 +17,6 @@
 
 using Clock = Core::BootClock;
 
-// Of the time within which news are to be in force, reads that wait take a third. From 55 in 100 on, which no copy reaches while
-// anybody reads all the time and is heard, a daemon may read for itself, and at 75 it does: what is left is for that read, its
-// answer, and a request that waits for its connection.
-constexpr int waitPartOfNewsTime = 3;
-constexpr int stalePercent = 55;
-constexpr int stalestPercent = 75;
-constexpr int hundred = 100;
 constexpr std::chrono::milliseconds configurationInterval { 50 };
 // Heartbeats that change nothing are no records of the topic.
 constexpr std::chrono::milliseconds targetInterval { 150 };
@@ -42,17 +35,6 @@
 // A store or an engine that is slow answers within this; one that does not is asked again.
 constexpr std::chrono::milliseconds answerTime { 1'000 };
 
-Fleet::TopicFollowerSettings followerSettings(std::chrono::milliseconds interval, std::chrono::milliseconds newsWithin)
-{
-    Fleet::TopicFollowerSettings settings;
-    settings.pace.interval = interval;
-    settings.wait = newsWithin / waitPartOfNewsTime;
-    settings.staleAfter = newsWithin * stalePercent / hundred;
-    settings.staleAtLatest = newsWithin * stalestPercent / hundred;
-    settings.longestRetryDelay = newsWithin;
-    return settings;
-}
-
 Http::ClientSettings storeClient(std::chrono::milliseconds wait)
 {
     Http::ClientSettings settings;
@@ -64,6 +46,12 @@
     return settings;
 }
 
+std::chrono::milliseconds longestWait(Settings::DaemonSettings::Platform const& platform)
+{
+    std::chrono::milliseconds newsWithin = std::max(platform.newsWithin, platform.leavingWithin);
+    return Fleet::TopicFollowerSettings::create({}, newsWithin).wait;
+}
+
 }
 
 StoreControl::StoreControl(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters)
@@ -73,7 +61,7 @@
     , m_storeAddress(settings.platform.store)
     , m_listHold(settings.callers.listHold)
     , m_client(Http::Client::create(context, storeClient(answerTime)))
-    , m_waitingClient(Http::Client::create(context, storeClient(std::max(settings.platform.newsWithin, settings.platform.leavingWithin) / waitPartOfNewsTime)))
+    , m_waitingClient(Http::Client::create(context, storeClient(longestWait(settings.platform))))
     , m_store(adapters.createStore(*m_client, [this] { return m_storeAddress; }))
     , m_waitingStore(adapters.createStore(*m_waitingClient, [this] { return m_storeAddress; }))
     , m_engines(adapters.createEngineControl(*m_client))
@@ -127,8 +115,8 @@
     m_targetList.onRead = [this] { m_targets.noteRead(Clock::now()); };
     m_daemonList.topic = Platform::StoreTopic::Daemons;
     m_daemonList.onRecord = [this](Platform::KeyedRecord const& record) { takeDaemon(record); };
-    setFollower(m_configuration, followerSettings(configurationInterval, m_settings.platform.newsWithin), isConfigurationNews, [](Fleet::DaemonState const& said) { return said.configAge; });
-    setFollower(m_targetList, followerSettings(targetInterval, m_settings.platform.leavingWithin), isTargetNews, [](Fleet::DaemonState const& said) { return said.targetsAge; });
+    setFollower(m_configuration, Fleet::TopicFollowerSettings::create({ configurationInterval }, m_settings.platform.newsWithin), isConfigurationNews, [](Fleet::DaemonState const& said) { return said.configAge; });
+    setFollower(m_targetList, Fleet::TopicFollowerSettings::create({ targetInterval }, m_settings.platform.leavingWithin), isTargetNews, [](Fleet::DaemonState const& said) { return said.targetsAge; });
     Fleet::TopicFollowerSettings daemonList;
     daemonList.pace = { daemonInterval, false };
     daemonList.wait = daemonWait;
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -19,6 +19,8 @@
     std::chrono::milliseconds leastInterval { 100 };
     /// Each other daemon makes the interval longer, so that a daemon gets 200 beacons a second at most.
     std::chrono::milliseconds intervalPerDaemon { 5 };
+    /// A beacon that others wait for is sent before the next one is due, this part of the interval after the last one, the reciprocal.
+    int promptPartOfInterval { 3 };
     std::size_t readers { 2 }; ///< One more than the one whose loss must not delay news.
     /// In place of readers whose reads fail others read, as many as this: while the store is away for all, not all are to try.
     std::size_t standIns { 2 };
@@ -97,6 +99,9 @@
     /// Returns how often to send beacons: seldom enough that their number does not grow with the square of the site.
     std::chrono::milliseconds beaconInterval() const;
 
+    /// Returns the least time between a beacon and one that others wait for.
+    std::chrono::milliseconds promptInterval() const { return beaconInterval() / m_settings.promptPartOfInterval; }
+
     /// Returns how the site looks to a daemon of this name. The first by name of those that stay read the store all the time,
     /// the first of those that can get a lease plans: all that hear the same ones agree without a word. One pass over all
     /// daemons: to be called some ten times a second, not for each request.
--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -11,9 +11,27 @@
 constexpr std::chrono::milliseconds turnCheckInterval { 200 };
 // The shortest wait of a read, as a part of the longest, the reciprocal: a copy that is old when news comes is confirmed soon.
 constexpr int shortestPartOfWait = 4;
+// Of the time within which news are to be in force, reads that wait take a third. From 55 in 100 on, which no copy reaches while
+// anybody reads all the time and is heard, a daemon may read for itself, and at 75 it does: what is left is for that read, its
+// answer, and a request that waits for its connection.
+constexpr int waitPartOfNewsTime = 3;
+constexpr int stalePercent = 55;
+constexpr int stalestPercent = 75;
+constexpr int hundred = 100;
 
 }
 
+TopicFollowerSettings TopicFollowerSettings::create(ReadTurnSettings const& pace, std::chrono::milliseconds newsWithin)
+{
+    TopicFollowerSettings settings;
+    settings.pace = pace;
+    settings.wait = newsWithin / waitPartOfNewsTime;
+    settings.staleAfter = newsWithin * stalePercent / hundred;
+    settings.staleAtLatest = newsWithin * stalestPercent / hundred;
+    settings.longestRetryDelay = newsWithin;
+    return settings;
+}
+
 TopicFollower::TopicFollower(TopicFollowerSettings const& settings, NewsTest isNews, AgeOf ageOf, std::uint64_t seed)
     : m_settings(settings)
     , m_isNews(std::move(isNews))
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -32,6 +32,9 @@
     std::chrono::milliseconds slack { 500 };
     std::string daemon; ///< This daemon's name.
     std::string availabilityZone; ///< This daemon's.
+
+    /// Returns settings with which a daemon that reaches the store acts on news of a topic within a time, whatever its peers do.
+    static TopicFollowerSettings create(ReadTurnSettings const& pace, std::chrono::milliseconds newsWithin);
 };
 
 /// A question to a peer: what is new of the topic.
@@ -67,21 +70,21 @@
     /// a read of the store may be under way meanwhile.
     std::optional<PeerQuestion> beginQuestion(DaemonBook const&, SiteView const&, Time now);
 
-    /// Takes a peer's answer and how old the peer's copy was. Returns the records that are news.
+    /// Takes a peer's answer and how old the peer's copy was. Returns the records that are news. Precondition: a question is under way.
     std::vector<Platform::KeyedRecord> takeAnswer(StoreReplica::Extract const&, std::optional<std::chrono::milliseconds> age);
 
-    /// Notes that the peer did not answer, or does not know the topic.
+    /// Notes that the peer did not answer, or does not know the topic. Precondition: a question is under way.
     void noteNoAnswer(Time now);
 
     /// Returns the read of the store that is to be made now, if there is one. It is under way until `takeRead` or `noteFailedRead`;
     /// a question to a peer may be under way meanwhile.
     std::optional<StoreRead> beginRead(SiteView const&, Time now);
 
-    /// Take what the store answered. Return the records that are news.
+    /// Take what the store answered. Return the records that are news. Precondition: a read is under way.
     std::vector<Platform::KeyedRecord> takeRead(Platform::KeyedBatch const&, Time now);
     std::vector<Platform::KeyedRecord> takeRead(Platform::KeyedPage const&, Time now);
 
-    /// Notes that the store did not answer.
+    /// Notes that the store did not answer. Precondition: a read is under way.
     void noteFailedRead(SiteView const&, Time now);
 
     /// Returns when something may be due, although nothing is taken or noted until then.
--- a/Tests/LibFleet/TestTopicFollower.cpp
+++ b/Tests/LibFleet/TestTopicFollower.cpp
@@ -15,10 +15,7 @@
 
 TopicFollowerSettings settings()
 {
-    TopicFollowerSettings settings;
-    settings.wait = 1s;
-    settings.staleAfter = 1'650ms;
-    settings.staleAtLatest = 2'250ms;
+    TopicFollowerSettings settings = TopicFollowerSettings::create({}, 3s);
     settings.daemon = "self";
     settings.availabilityZone = "zone-a";
     return settings;
--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -15,11 +15,6 @@
 constexpr std::chrono::milliseconds askTimeout { 400 };
 constexpr std::chrono::milliseconds meetingTime { 250 }; // From a daemon's start until it reads or asks.
 constexpr std::chrono::milliseconds longestTransit { 3 };
-// As StoreControl has them.
-constexpr int waitPart = 3;
-constexpr int stalePercent = 55;
-constexpr int stalestPercent = 75;
-constexpr int promptPartOfInterval = 3;
 
 }
 
@@ -162,11 +157,7 @@
     daemon.newsOffset = daemon.sequence = 0;
     daemon.hasConnection = true;
     daemon.wasReading = daemon.isToTell = false;
-    TopicFollowerSettings settings;
-    settings.wait = m_settings.newsWithin / waitPart;
-    settings.staleAfter = m_settings.newsWithin * stalePercent / 100;
-    settings.staleAtLatest = m_settings.newsWithin * stalestPercent / 100;
-    settings.longestRetryDelay = m_settings.newsWithin;
+    TopicFollowerSettings settings = TopicFollowerSettings::create({}, m_settings.newsWithin);
     settings.daemon = daemon.self.name;
     settings.availabilityZone = daemon.self.availabilityZone;
     TopicFollower::NewsTest isNews = [&daemon](DaemonState const& said) { return said.targetsChanged > daemon.follower->replica().nextOffset(); };
@@ -235,7 +226,7 @@
 
 void VirtualSite::tellSoon(Daemon& daemon)
 {
-    Time soonest = daemon.sentAt + daemon.book.beaconInterval() / promptPartOfInterval;
+    Time soonest = daemon.sentAt + daemon.book.promptInterval();
     if (m_now >= soonest) {
         sendBeacons(daemon);
         return;
