LibFleet: Take news in as few steps as the topic's interval allows

Cause: questions to peers lost their least interval when they left the loop of reads: each beacon that tells of one more change led to a question and to a fleet made anew, on daemons of 0.12 of a core. Change: after a question that was answered the topic's interval passes before the next; after one in vain another peer is asked at once.

--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -79,7 +79,7 @@
 
 std::optional<PeerQuestion> TopicFollower::beginQuestion(DaemonBook const& book, SiteView const& view, Time now)
 {
-    if (m_question || !m_settings.pace.isToldByPeers)
+    if (m_question || !m_settings.pace.isToldByPeers || now < m_nextQuestionAt)
         return std::nullopt;
     if (!hasNews(view)) {
         m_newsSince.reset();
@@ -103,6 +103,8 @@
 {
     m_silentPeers.erase(m_question->peer.listed.name);
     m_question.reset();
+    // While much changes, each beacon tells of more: news are taken in as few steps as the topic's interval allows.
+    m_nextQuestionAt = m_askedAt + m_settings.pace.interval;
     std::vector<Platform::KeyedRecord> news = m_replica.take(extract);
     if (age && m_replica.isComplete() && m_replica.nextOffset() >= extract.next)
         confirm(m_askedAt - *age);
@@ -202,8 +204,10 @@
     Time allowed = std::max(m_turn.allowedAt(), m_retryAt);
     if (m_asOf && m_settings.staleAtLatest.count() > 0)
         next = std::min(next, std::max(allowed, *m_asOf + m_staleAfter));
-    if (allowed > now)
-        next = std::min(next, allowed);
+    for (Time due : { allowed, m_nextQuestionAt }) {
+        if (due > now)
+            next = std::min(next, due);
+    }
     return std::max(next, now + std::chrono::milliseconds(1));
 }
 
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -126,6 +126,7 @@
     Time m_pagesSentAt {}; ///< When the first of the parts was asked for that make up the newest records.
     std::optional<PeerQuestion> m_question; ///< The one under way.
     Time m_askedAt {};
+    Time m_nextQuestionAt {}; ///< After one that was answered; another peer than a silent one is asked at once.
     std::optional<Time> m_newsSince; ///< Since when a peer is known to know more.
     std::size_t m_vainQuestions { 0 }; ///< Since this daemon last knew all that it had heard of.
     std::map<std::string, Time> m_silentPeers; ///< When they were asked in vain.
--- a/Tests/LibFleet/TestTopicFollower.cpp
+++ b/Tests/LibFleet/TestTopicFollower.cpp
@@ -129,6 +129,23 @@
     EXPECT_FALSE(m_follower.beginRead(m_view, start + 3'200ms)) << "one read at a time";
 }
 
+// While targets are replaced one after the other each beacon tells of one more. Taking each in by itself, a list of some hundred targets
+// made anew each time, keeps a daemon on a tenth of a core from its requests.
+TEST_F(Told, WhileMuchChangesNewsAreTakenInFewSteps)
+{
+    int questions = 0;
+    for (Time now = start + 1s; now < start + 4s; now += 5ms) {
+        std::uint64_t next = 11 + static_cast<std::uint64_t>(questions);
+        hear("a", said(next, 100ms), now);
+        if (!m_follower.beginQuestion(m_book, m_view, now))
+            continue;
+        ++questions;
+        m_follower.takeAnswer({ {}, next, false }, 100ms);
+    }
+    EXPECT_LE(questions, 3s / settings().pace.interval);
+    EXPECT_GE(questions, 3s / settings().pace.interval / 2);
+}
+
 TEST_F(Told, AfterASilentPeerAnotherOneAndTheStoreAreAsked)
 {
     hear("a", said(12, 100ms), start + 1s);
