LibDaemon: Log a key of what a request asks for, the same under whatever id

What callers saw could not be tied together: a request that comes again has another id, path and body are not logged, so no line told whether the same work is present at each end of a target. Each line of a request's decisions now has work_key: a hash of host, method, path with query, body, and who asks as far as the request says. It tells the hypotheses of the crashing request apart: the same key at each end and never answered well, or different ones.

--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -99,6 +99,7 @@
         co_return;
     }
     Work work = std::move(parsed.value());
+    work.key = workKeyOf(request);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
         if (!m_shared.leaveTimes.takes(work.timeout, expected, Clock::now())) {
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -166,7 +166,7 @@
     if (leg->isAbandoned)
         co_return false;
     if (connected.has_error()) {
-        Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", target.name }, { "step", "connect" }, { "error", connected.error().message } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", target.name }, { "step", "connect" }, { "error", connected.error().message } });
         noteOutcome(Routing::TargetOutcome::Unreachable);
         post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
         co_return false;
@@ -178,7 +178,7 @@
 
 void RequestRunner::postFailure(LegPointer const& leg, Core::Error const& error)
 {
-    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
     noteOutcome(Routing::TargetOutcome::Broken);
     if (error.verdict == Core::Verdict::NotRun)
         post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
@@ -247,7 +247,7 @@
 
 void RequestRunner::logRefusal() const
 {
-    Core::logEvent(Core::Severity::Info, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "refused" }, { "verdict", std::string(Core::toString(Core::Verdict::NotRun)) } });
+    Core::logEvent(Core::Severity::Info, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "refused" }, { "verdict", std::string(Core::toString(Core::Verdict::NotRun)) } });
 }
 
 boost::asio::awaitable<void> RequestRunner::readEvents(LegPointer leg, std::uint64_t firstIndex, bool isContinued)
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -54,7 +54,7 @@
 
 void RequestRunner::logPrefillFailure(Core::Error const& error) const
 {
-    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
 }
 
 // A KV cache that nobody fetches takes its target's memory until it expires there.
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -266,13 +266,13 @@
 {
     m_context.metrics.countDecision(outcome.decision.reason);
     if (!outcome.position) {
-        Core::logEvent(Core::Severity::Warning, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
         return;
     }
     if (!Core::isLogged(Core::Severity::Info))
         return;
     Routing::Decision const& decision = outcome.decision;
-    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
 }
 
 std::string RequestRunner::fleetAge() const
@@ -300,7 +300,7 @@
     std::string first = m_firstPieceAt == Clock::time_point() ? "-" : millisecondsSince(m_startedAt, m_firstPieceAt);
     // Lines of requests that went well may be left out under load, those of the others never.
     Core::Severity severity = finish.error ? Core::Severity::Warning : Core::Severity::Info;
-    Core::logEvent(severity, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "target_status", m_leg ? std::to_string(m_leg->head.status) : "-" }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "longest_pause_ms", std::to_string(std::chrono::duration<double, std::milli>(m_longestPause).count()) }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "retry_after_ms", std::to_string(finish.retryAfter.count()) }, { "error", finish.error ? finish.error->message : "-" } });
+    Core::logEvent(severity, Core::Event::RequestFinished, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "verdict", std::string(Core::toString(finish.verdict)) }, { "target", m_target }, { "target_status", m_leg ? std::to_string(m_leg->head.status) : "-" }, { "attempts", std::to_string(m_machine.attempt()) }, { "pieces", std::to_string(m_machine.deliveredPieces()) }, { "first_piece_ms", first }, { "longest_pause_ms", std::to_string(std::chrono::duration<double, std::milli>(m_longestPause).count()) }, { "total_ms", millisecondsSince(m_startedAt, now) }, { "retry_after_ms", std::to_string(finish.retryAfter.count()) }, { "error", finish.error ? finish.error->message : "-" } });
 }
 
 }
--- a/Libraries/LibDaemon/Work.cpp
+++ b/Libraries/LibDaemon/Work.cpp
@@ -229,6 +229,20 @@
 
 }
 
+Request::Fingerprint workKeyOf(Http::Request const& request)
+{
+    std::string_view host = request.fields.find("Host").value_or("");
+    std::string_view credentials = request.fields.find("Authorization").value_or("");
+    std::string_view organisation = request.fields.find(organisationHeader).value_or("");
+    return Request::fingerprintOf({ host, request.method, request.target, request.body, credentials, organisation });
+}
+
+std::string toLogText(Request::Fingerprint const& key)
+{
+    constexpr std::size_t loggedDigits = 16;
+    return Request::toString(key).substr(0, loggedDigits);
+}
+
 Core::Result<Work> parseWork(Http::Request const& request, State::Config const& config, WorkLimits const& limits, std::string requestId)
 {
     Work work;
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -3,6 +3,7 @@
 #include <LibCore/Result.h>
 #include <LibHttp/Message.h>
 #include <LibLabel/LabelSet.h>
+#include <LibRequest/Fingerprint.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RequestShape.h>
 #include <LibState/Config.h>
@@ -20,6 +21,7 @@
         Service };
 
     std::string requestId;
+    Request::Fingerprint key; ///< The same whenever a caller asks for the same, under whatever request id.
     Kind kind { Kind::Model };
     std::string name; ///< The model or the plain service.
     std::string organisation;
@@ -49,6 +51,13 @@
 /// another path. Thread-safe.
 Core::Result<Work> parseWork(Http::Request const&, State::Config const&, WorkLimits const&, std::string requestId);
 
+/// Returns what tells a caller's request from others that ask for something else: its host, method, path with query, body, and
+/// who asks as far as it says. Thread-safe.
+Request::Fingerprint workKeyOf(Http::Request const&);
+
+/// Returns the form of a request's key that logs have. Thread-safe.
+std::string toLogText(Request::Fingerprint const&);
+
 /// Header that names the organisation that a request counts for, and the name that counts without it.
 inline constexpr std::string_view organisationHeader = "Currantvale-Organisation";
 inline constexpr std::string_view anonymousOrganisation = "anonymous";
--- a/Libraries/LibRequest/Fingerprint.cpp
+++ b/Libraries/LibRequest/Fingerprint.cpp
@@ -1,5 +1,7 @@
 #include <LibRequest/Fingerprint.h>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <memory>
 #include <xxhash.h>
 
@@ -20,15 +22,26 @@
 
 }
 
-Fingerprint fingerprintOf(std::string_view method, std::string_view path, std::string_view body)
+Fingerprint fingerprintOf(std::initializer_list<std::string_view> parts)
 {
     std::unique_ptr<XXH3_state_t, StateDeleter> state(XXH3_createState());
     XXH3_128bits_reset(state.get());
-    addPart(*state, method);
-    addPart(*state, path);
-    addPart(*state, body);
+    for (std::string_view part : parts)
+        addPart(*state, part);
     XXH128_hash_t hash = XXH3_128bits_digest(state.get());
     return Fingerprint { hash.low64, hash.high64 };
 }
 
+Fingerprint fingerprintOf(std::string_view method, std::string_view path, std::string_view body)
+{
+    return fingerprintOf({ method, path, body });
+}
+
+std::string toString(Fingerprint const& fingerprint)
+{
+    std::array<char, 33> text {};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, fingerprint.high, fingerprint.low);
+    return text.data();
+}
+
 }
--- a/Tests/LibDaemon/TestWork.cpp
+++ b/Tests/LibDaemon/TestWork.cpp
@@ -1,6 +1,7 @@
 #include <LibDaemon/Work.h>
 #include <LibState/Fold.h>
 #include <gtest/gtest.h>
+#include <vector>
 
 namespace {
 
@@ -76,3 +77,22 @@
     EXPECT_NE(problemOf({ "GET", "/v1/completions", {}, "" }).find("allowed is POST"), std::string::npos);
     EXPECT_NE(problemOf({ "GET", "/elsewhere", {}, "" }).find("no such path"), std::string::npos);
 }
+
+TEST(Work, TheSameRequestHasTheSameKeyUnderAnyId)
+{
+    Http::Request first { "POST", "/h/1?x=y", { { "Host", "a.example" }, { "X-Request-Id", "1" }, { "X-Deadline-Ms", "5000" } }, "body" };
+    Http::Request again = first;
+    again.fields.set("X-Request-Id", "2");
+    again.fields.set("X-Deadline-Ms", "4000");
+    EXPECT_EQ(Daemon::workKeyOf(first), Daemon::workKeyOf(again));
+    EXPECT_EQ(Daemon::toLogText(Daemon::workKeyOf(first)).size(), 16U);
+
+    std::vector<Http::Request> others(5, first);
+    others[0].method = "GET";
+    others[1].target = "/h/1?x=z";
+    others[2].body = "other";
+    others[3].fields.set("Host", "b.example");
+    others[4].fields.set("Authorization", "Bearer x");
+    for (Http::Request const& other : others)
+        EXPECT_NE(Daemon::workKeyOf(first), Daemon::workKeyOf(other)) << other.method << ' ' << other.target;
+}
