--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <cstdlib>
 #include <tuple>
 
 namespace StandIn {
@@ -19,6 +20,7 @@
 constexpr std::uint16_t olderFencing = 412;
 constexpr std::uint16_t misdirected = 421;
 constexpr std::uint16_t unavailable = 503;
+constexpr int crashedStatus = 70; // Of the process.
 
 std::string field(Http::Request const& request, std::string_view name)
 {
@@ -162,6 +164,8 @@
         co_return;
     }
     ++m_runs[field(request, "X-Request-Id")];
+    if (!m_settings.crashesOn.empty() && request.target.find(m_settings.crashesOn) != std::string::npos)
+        std::_Exit(crashedStatus);
     if (isEngine) {
         co_await stream(request, writer);
         co_return;
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds changeTime { 500 }; ///< Out of service for a change of role.
     std::chrono::milliseconds pieceTime { 10 }; ///< Between two events of a stream.
     std::uint32_t pieces { 10 }; ///< Events of a stream.
+    std::string crashesOn; ///< It ends as soon as it begins to run a request whose path holds this; empty: never.
 };
 
 /// Stands in for a target on the users' platform: it lists itself in the store, checks that requests are meant for it,
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -17,6 +17,7 @@
     /// Daemons reach the store, and all reach the targets, through forwarders that can be held up and cut.
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
+    std::string crashPath; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
 
--- /dev/null
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -0,0 +1,139 @@
+// A request that ends whatever target begins to run it, on three daemons before four engines and two plain services.
+
+#include "KeyedSite.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace {
+
+using namespace Processes;
+using namespace std::chrono_literals;
+
+// How soon after the third end all daemons are to refuse the request.
+constexpr std::chrono::milliseconds refusedWithin = 3s;
+constexpr std::size_t endsToRefuse = 3;
+
+class CrashingRequest : public testing::Test, protected KeyedSite {
+protected:
+    CrashingRequest()
+        : KeyedSite({ .crashPath = "crash" })
+    {
+    }
+
+    void SetUp() override
+    {
+        ASSERT_TRUE(waitUntilServing());
+    }
+
+    // Starts each target again that has ended since the last call.
+    void restartEnded()
+    {
+        for (std::string const& name : targetNames()) {
+            if (process(name).status()) {
+                startTarget(name);
+                ++m_ends;
+            }
+        }
+    }
+
+    Http::Response send(std::size_t daemon, std::string const& path)
+    {
+        return ask(daemon, "POST", path, "sent-" + std::to_string(++m_sent));
+    }
+
+    // Has the request end targets until it has ended three, as a caller does that sends it again and again.
+    void sendUntilItHasEndedThree(std::string const& path)
+    {
+        constexpr int mostTries = 20;
+        for (int n = 0; n < mostTries && m_ends < endsToRefuse; ++n) {
+            send(static_cast<std::size_t>(n) % daemonCount(), path);
+            std::this_thread::sleep_for(200ms);
+            restartEnded();
+            ASSERT_TRUE(waitFor([&] { return countEngines("decode") >= 1; }));
+        }
+        ASSERT_GE(m_ends, endsToRefuse);
+    }
+
+    bool waitUntilBack()
+    {
+        for (std::size_t n = 0; n < daemonCount(); ++n) {
+            if (!waitFor([&] { return isReady(n) && listed(n).size() == daemonCount(); }))
+                return false;
+        }
+        return waitFor([&] { return send(0, "/h/1").status == 200; });
+    }
+
+    void expectRefused(std::size_t daemon, std::string const& path)
+    {
+        std::size_t before = m_ends;
+        Http::Response answer = send(daemon, path);
+        EXPECT_EQ(answer.status, 503) << daemon;
+        EXPECT_TRUE(answer.fields.find("Retry-After")) << daemon;
+        std::this_thread::sleep_for(100ms);
+        restartEnded();
+        EXPECT_EQ(m_ends, before) << daemon;
+    }
+
+    std::size_t m_ends { 0 };
+    std::size_t m_sent { 0 };
+};
+
+}
+
+// Guards against a request that ends one target after the other because each daemon, and each try, takes it for the first.
+TEST_F(CrashingRequest, EndsThreeTargetsAndIsThenRefusedEverywhere)
+{
+    sendUntilItHasEndedThree("/h/crash");
+    std::this_thread::sleep_for(refusedWithin);
+    restartEnded();
+    for (std::size_t n = 0; n < 2 * daemonCount(); ++n)
+        expectRefused(n % daemonCount(), "/h/crash");
+    // Others are served at the targets that have started again.
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        EXPECT_TRUE(waitFor([&] { return send(n, "/h/1").status == 200; })) << n;
+}
+
+// Guards against plain services that one call after the other ends.
+TEST_F(CrashingRequest, IsRefusedAtPlainServicesToo)
+{
+    sendUntilItHasEndedThree("/c/crash");
+    std::this_thread::sleep_for(refusedWithin);
+    restartEnded();
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        expectRefused(n, "/c/crash");
+    EXPECT_TRUE(waitFor([&] { return send(0, "/c/1").status == 200; }));
+}
+
+// Guards against a daemon that has started since, or all of them, and sends the request on once more.
+TEST_F(CrashingRequest, IsRefusedByDaemonsThatHaveStartedSince)
+{
+    sendUntilItHasEndedThree("/h/crash");
+    std::this_thread::sleep_for(refusedWithin);
+    restartEnded();
+    process(daemonName(1)).kill();
+    startDaemon(1);
+    ASSERT_TRUE(waitUntilBack());
+    expectRefused(1, "/h/crash");
+
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        process(daemonName(n)).kill();
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        startDaemon(n);
+    ASSERT_TRUE(waitUntilBack());
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        expectRefused(n, "/h/crash");
+}
+
+// Guards against a daemon that starts while the store is away and finds nobody who tells it.
+TEST_F(CrashingRequest, IsRefusedByADaemonThatStartsWhileTheStoreIsAway)
+{
+    sendUntilItHasEndedThree("/h/crash");
+    std::this_thread::sleep_for(refusedWithin);
+    restartEnded();
+    post(store(), "/admin/faults", R"({"down":true})");
+    process(daemonName(1)).kill();
+    startDaemon(1);
+    ASSERT_TRUE(waitFor([&] { return isReady(1) && send(1, "/h/1").status == 200; }));
+    expectRefused(1, "/h/crash");
+}
