--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -22,10 +22,11 @@
     LostAuthority, ///< A newer fencing number exists.
     Gap, ///< Log records that are needed have expired.
     Corrupt, ///< Data fails its digest or cannot be decoded.
+    Quarantined, ///< The request has ended targets that ran it; it is run no more.
     Internal, ///< An unexpected failure inside this process.
 };
 
-inline constexpr EnumNames<ErrorCode, 13> errorCodeNames { {
+inline constexpr EnumNames<ErrorCode, 14> errorCodeNames { {
     { ErrorCode::BadInput, "bad-input" },
     { ErrorCode::NotFound, "not-found" },
     { ErrorCode::Conflict, "conflict" },
@@ -38,6 +39,7 @@
     { ErrorCode::LostAuthority, "lost-authority" },
     { ErrorCode::Gap, "gap" },
     { ErrorCode::Corrupt, "corrupt" },
+    { ErrorCode::Quarantined, "quarantined" },
     { ErrorCode::Internal, "internal" },
 } };
 
--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -26,6 +26,9 @@
     AnswerResumed = 2007,
     AnswerDropped = 2008,
     RequestForwarded = 2009,
+    RequestQuarantined = 2010,
+    RequestSuspected = 2011,
+    RequestCleared = 2012,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -54,9 +57,10 @@
     TargetRecovered = 6004,
     TargetFailing = 6005,
     TargetEntryUnusable = 6006,
+    TargetEnded = 6007,
 };
 
-inline constexpr EnumNames<Event, 45> eventNames { {
+inline constexpr EnumNames<Event, 49> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -74,6 +78,9 @@
     { Event::AnswerResumed, "answer-resumed" },
     { Event::AnswerDropped, "answer-dropped" },
     { Event::RequestForwarded, "request-forwarded" },
+    { Event::RequestQuarantined, "request-quarantined" },
+    { Event::RequestSuspected, "request-suspected" },
+    { Event::RequestCleared, "request-cleared" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
@@ -102,6 +109,7 @@
     { Event::TargetRecovered, "target-recovered" },
     { Event::TargetFailing, "target-failing" },
     { Event::TargetEntryUnusable, "target-entry-unusable" },
+    { Event::TargetEnded, "target-ended" },
 } };
 
 }
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -56,6 +56,16 @@
     return static_cast<std::uint32_t>(std::clamp<std::chrono::milliseconds::rep>(time.count(), 0, UINT32_MAX));
 }
 
+std::uint64_t toWire(Fleet::Time time)
+{
+    return static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
+Fleet::Time fromWire(std::uint64_t milliseconds)
+{
+    return Fleet::Time(std::chrono::milliseconds(std::min<std::uint64_t>(milliseconds, latestClock.count())));
+}
+
 void fillState(Proto::Beacon& message, Fleet::DaemonState const& state)
 {
     message.set_is_leaving(state.isLeaving);
@@ -64,7 +74,7 @@
     message.set_is_reading(state.isReading);
     message.set_cannot_plan(state.cannotPlan);
     message.set_store_failing_ms(toMilliseconds(state.storeFailingFor));
-    message.set_said_at_ms(static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(state.saidAt.time_since_epoch()).count()));
+    message.set_said_at_ms(toWire(state.saidAt));
     if (state.configAge)
         message.set_config_age_ms(toMilliseconds(*state.configAge));
     if (state.targetsAge)
@@ -80,7 +90,7 @@
     state.isReading = message.is_reading();
     state.cannotPlan = message.cannot_plan();
     state.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
-    state.saidAt = Fleet::Time(std::chrono::milliseconds(std::min<std::uint64_t>(message.said_at_ms(), latestClock.count())));
+    state.saidAt = fromWire(message.said_at_ms());
     if (message.has_config_age_ms())
         state.configAge = std::chrono::milliseconds(message.config_age_ms());
     if (message.has_targets_age_ms())
@@ -119,6 +129,32 @@
     return report;
 }
 
+void fillNews(Proto::SuspectNews& message, Quarantine::SuspectNews const& news)
+{
+    message.set_key_low(news.key.low);
+    message.set_key_high(news.key.high);
+    message.set_is_survived(!news.ended.has_value());
+    if (news.ended) {
+        message.set_target(news.ended->incarnation);
+        message.set_service(news.ended->service);
+        message.set_release(news.ended->release);
+        message.set_name(news.ended->name);
+    }
+    message.set_at_ms(toWire(news.at));
+    message.set_begun_ms(toWire(news.begunAt));
+}
+
+Quarantine::SuspectNews readNews(Proto::SuspectNews const& message)
+{
+    Quarantine::SuspectNews news;
+    news.key = { message.key_low(), message.key_high() };
+    if (!message.is_survived())
+        news.ended = Quarantine::SuspectTarget { message.target(), message.service(), message.release(), message.name() };
+    news.at = fromWire(message.at_ms());
+    news.begunAt = fromWire(message.begun_ms());
+    return news;
+}
+
 }
 
 std::string encode(BeaconMessage const& beacon)
@@ -155,6 +191,9 @@
         if (!beacon.isBrief)
             fillReport(*message.add_services(), report);
     }
+    for (Quarantine::SuspectNews const& news : beacon.suspectNews)
+        fillNews(*message.add_suspect_news(), news);
+    message.set_suspect_digest(beacon.suspectDigest);
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -186,6 +225,9 @@
         if (isUsable(report))
             beacon.services.push_back(readReport(report));
     }
+    for (Proto::SuspectNews const& news : message.suspect_news())
+        beacon.suspectNews.push_back(readNews(news));
+    beacon.suspectDigest = message.suspect_digest();
     beacon.changing.assign(message.changing().begin(), message.changing().end());
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -1,7 +1,11 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/Daemon.h>
 #include <LibDaemon/HttpErrors.h>
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <openssl/rand.h>
 #include <tuple>
@@ -103,7 +107,10 @@
     BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
         return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
     };
-    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf) };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, nullptr };
+    parts.onFindings = [this](std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared) {
+        boost::asio::post(m_control, [this, findings, cleared] { noteFindings(findings, cleared); });
+    };
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
         BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(parts, peers));
         m_traffic.push_back(std::move(thread));
@@ -148,8 +155,9 @@
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
+    hooks.onTargetsGone = [this](std::vector<std::uint64_t> const& targets) { noteTargetsGone(targets); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
-    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_incarnation, std::move(hooks)));
+    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
     m_plane = std::move(control);
     BOOST_OUTCOME_TRY(m_operatorServer, createServer(m_settings.operators.listen, [this](Http::Request const& request) { return respondToOperators(request); }));
@@ -195,11 +203,31 @@
         return Http::jsonResponse(Http::Status::Ok, R"({"status":"ok"})");
     if (request.target == "/readyz")
         return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
+    if (request.target == "/suspects")
+        return respondWithSuspects();
     if (request.target != "/metrics")
         return Http::jsonResponse(Http::Status::NotFound, Request::errorBody(Core::makeError(Core::ErrorCode::NotFound, "no such path: \"" + request.target + "\""), ""));
     return respondWithMetrics();
 }
 
+// Requests that ended targets, those that are refused first.
+Http::Response Daemon::respondWithSuspects() const
+{
+    std::vector<Quarantine::Suspect> suspects = m_guard.suspects();
+    std::sort(suspects.begin(), suspects.end(), [](Quarantine::Suspect const& a, Quarantine::Suspect const& b) { return a.ends.size() > b.ends.size(); });
+    Core::BootClock::time_point now = Core::BootClock::now();
+    boost::json::array list;
+    for (Quarantine::Suspect const& suspect : suspects) {
+        if (suspect.ends.empty())
+            continue;
+        boost::json::array ends;
+        for (Quarantine::TargetEnd const& end : suspect.ends)
+            ends.push_back(boost::json::object { { "target", end.target.name }, { "service", end.target.service }, { "release", end.target.release }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - end.at).count() } });
+        list.push_back(boost::json::object { { "work_key", toLogText(suspect.key) }, { "refused", m_guard.standing(suspect.key) == Quarantine::Guard::Standing::Refused }, { "ends", std::move(ends) } });
+    }
+    return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "suspects", std::move(list) } }));
+}
+
 Http::Response Daemon::respondWithMetrics()
 {
     MetricsSample sample;
@@ -210,6 +238,8 @@
     for (FleetTarget const& target : m_storeControl->fleet()->targets)
         ++(target.isClosed() ? sample.closedTargets : sample.openTargets);
     sample.mayOrder = m_storeControl->roles().mayOrder();
+    sample.suspectedRequests = m_guard.suspectedCount();
+    sample.quarantinedRequests = m_guard.refusedCount();
     sample.linesLeftOut = Core::linesLeftOut();
     sample.configOffset = m_storeControl->configVersion();
     sample.openRequests = m_dispatcher->openRequests();
@@ -248,8 +278,33 @@
     m_traffic.clear();
 }
 
+// Where daemons do not share what they know, each goes by its own runs.
+void Daemon::noteFindings(std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared)
+{
+    if (!m_storeControl) {
+        logFindings(findings, m_settings.daemon.name);
+        return;
+    }
+    m_storeControl->quarantine().noteFindings(findings);
+    if (cleared)
+        m_storeControl->quarantine().noteCleared(*cleared);
+}
+
+void Daemon::noteTargetsGone(std::vector<std::uint64_t> const& targets)
+{
+    for (std::uint64_t target : targets) {
+        std::vector<Quarantine::Finding> findings = m_guard.noteEnded(target, Core::BootClock::now());
+        if (!findings.empty())
+            noteFindings(findings, std::nullopt);
+    }
+}
+
 void Daemon::publish(FleetPointer const& fleet)
 {
+    std::map<std::string, std::set<std::string>> releases;
+    for (FleetTarget const& target : fleet->targets)
+        releases[target.work()].insert(target.release);
+    m_guard.setReleases(std::move(releases));
     m_dispatcher->setFleet(fleet);
     for (std::unique_ptr<TrafficThread> const& thread : m_traffic)
         thread->setFleet(fleet);
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -41,6 +41,9 @@
     Core::Result<void> createEntryServers();
     Core::Result<void> createMetricsServer();
     Http::Response respondWithMetrics();
+    Http::Response respondWithSuspects() const;
+    void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
+    void noteTargetsGone(std::vector<std::uint64_t> const&);
     Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
     Http::Response respondToOperators(Http::Request const&);
     void setCallerLimits(State::CallerLimits const&);
@@ -69,6 +72,7 @@
     Request::RetryBudgets m_sharedBudgets;
     MixCounter m_mix;
     Metrics m_metrics;
+    Quarantine::Guard m_guard;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -32,6 +32,8 @@
     std::string availabilityZone;
     std::uint32_t slots { 0 }; ///< Requests that it runs at once; 0: not known.
     std::uint64_t kvCapacityTokens { 0 }; ///< 0: not known.
+    std::string release; ///< Of its software; empty: not told.
+    bool isLeaving { false }; ///< It has said that it will end.
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
 
     bool isClosed() const { return !closedBecause.empty(); }
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -98,6 +98,8 @@
     m_values.Add({ { "of", "open_targets" } }).Set(static_cast<double>(sample.openTargets));
     m_values.Add({ { "of", "closed_targets" } }).Set(static_cast<double>(sample.closedTargets));
     m_values.Add({ { "of", "may_order" } }).Set(sample.mayOrder ? 1 : 0);
+    m_values.Add({ { "of", "suspected_requests" } }).Set(static_cast<double>(sample.suspectedRequests));
+    m_values.Add({ { "of", "quarantined_requests" } }).Set(static_cast<double>(sample.quarantinedRequests));
     m_values.Add({ { "of", "log_lines_left_out" } }).Set(static_cast<double>(sample.linesLeftOut));
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -31,6 +31,8 @@
     std::size_t openTargets { 0 }; ///< That may get work, as far as the list says.
     std::size_t closedTargets { 0 };
     bool mayOrder { false }; ///< This daemon holds a lease on some engines.
+    std::size_t suspectedRequests { 0 }; ///< That a target ended with, refused ones included.
+    std::size_t quarantinedRequests { 0 };
     std::uint64_t linesLeftOut { 0 }; ///< Of the log.
 };
 
--- /dev/null
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -0,0 +1,198 @@
+#include <LibCore/EventLog.h>
+#include <LibDaemon/QuarantineExchange.h>
+#include <LibDaemon/SuspectMessages.h>
+#include <LibDaemon/Work.h>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = Core::BootClock;
+
+}
+
+void logFindings(std::vector<Quarantine::Finding> const& findings, std::string const& toldBy)
+{
+    for (Quarantine::Finding const& it : findings) {
+        Core::logEvent(Core::Severity::Info, Core::Event::RequestSuspected, { { "work_key", toLogText(it.key) }, { "target", it.target.name }, { "ends", std::to_string(it.ends) }, { "told_by", toldBy } });
+        if (it.isRefused)
+            Core::logEvent(Core::Severity::Warning, Core::Event::RequestQuarantined, { { "work_key", toLogText(it.key) }, { "service", it.target.service }, { "target", it.target.name }, { "ends", std::to_string(it.ends) }, { "told_by", toldBy } });
+    }
+}
+
+QuarantineExchange::QuarantineExchange(boost::asio::io_context& context, Quarantine::Guard& guard, Platform::KeyedStore& store, RecordExchange& records, Fleet::DaemonBook const& book, std::string self, Hooks hooks)
+    : m_context(context)
+    , m_guard(guard)
+    , m_store(store)
+    , m_records(records)
+    , m_book(book)
+    , m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void QuarantineExchange::describe(BeaconMessage& beacon, Clock::time_point now) const
+{
+    beacon.suspectNews = m_guard.news(now, Quarantine::tellTime(m_book.beaconInterval()));
+    beacon.suspectDigest = m_guard.digest();
+}
+
+void QuarantineExchange::take(BeaconMessage const& beacon, Clock::time_point now)
+{
+    m_catchUp.hear(beacon.sender.name, beacon.suspectDigest, now);
+    if (beacon.suspectNews.empty())
+        return;
+    std::vector<Quarantine::SuspectNews> news = beacon.suspectNews;
+    std::map<std::string, Fleet::BookedDaemon>::const_iterator sender = m_book.daemons().find(beacon.sender.name);
+    std::chrono::milliseconds heldUp = sender == m_book.daemons().end() ? std::chrono::milliseconds(0) : sender->second.heldUp;
+    // Moments are by the sender's clock.
+    Clock::time_point saidAt = now - heldUp;
+    for (Quarantine::SuspectNews& it : news) {
+        it.at = saidAt - std::max(Clock::duration::zero(), beacon.state.saidAt - it.at);
+        it.begunAt = saidAt - std::max(Clock::duration::zero(), beacon.state.saidAt - it.begunAt);
+    }
+    logFindings(m_guard.take(news), beacon.sender.name);
+}
+
+void QuarantineExchange::noteFindings(std::vector<Quarantine::Finding> const& findings)
+{
+    logFindings(findings, m_self);
+    for (Quarantine::Finding const& it : findings) {
+        if (it.ends >= endsToStore)
+            m_toStore.insert(it.key);
+    }
+    if (!findings.empty())
+        m_hooks.tellSoon();
+}
+
+void QuarantineExchange::noteCleared(Quarantine::WorkKey const& key)
+{
+    Core::logEvent(Core::Severity::Info, Core::Event::RequestCleared, { { "work_key", toLogText(key) } });
+    if (m_stored.contains(key))
+        m_toStore.insert(key);
+    m_hooks.tellSoon();
+}
+
+RecordsAnswer QuarantineExchange::extract() const
+{
+    RecordsAnswer answer;
+    answer.extract.isAll = true;
+    Clock::time_point now = Clock::now();
+    for (Quarantine::Suspect const& suspect : m_guard.suspects())
+        answer.extract.records.push_back({ 0, Request::toString(suspect.key), encode(suspect, now) });
+    return answer;
+}
+
+// Returns whether they changed anything.
+bool QuarantineExchange::takeRecords(std::vector<Platform::KeyedRecord> const& records, std::string const& toldBy)
+{
+    std::uint64_t before = m_guard.digest();
+    Clock::time_point now = Clock::now();
+    std::vector<Quarantine::SuspectNews> news;
+    for (Platform::KeyedRecord const& record : records) {
+        if (!record.value)
+            continue;
+        Core::Result<Quarantine::Suspect> suspect = decodeSuspect(record.key, *record.value, now);
+        if (suspect.has_error()) {
+            Core::logEvent(Core::Severity::Error, Core::Event::PeerRecords, { { "stream", "suspects" }, { "daemon", toldBy }, { "error", suspect.error().message } });
+            continue;
+        }
+        for (Quarantine::TargetEnd const& end : suspect.value().ends)
+            news.push_back({ suspect.value().key, end.target, end.begunAt, end.at });
+        if (suspect.value().survivedAt != Clock::time_point())
+            news.push_back({ suspect.value().key, std::nullopt, suspect.value().survivedAt, suspect.value().survivedAt });
+    }
+    logFindings(m_guard.take(news), toldBy);
+    return m_guard.digest() != before;
+}
+
+void QuarantineExchange::tick(bool readsStore, Clock::time_point now)
+{
+    std::optional<std::string> peer = m_catchUp.whomToAsk(m_guard.digest(), m_book.beaconInterval(), m_book.silentTime(), now);
+    if (peer) {
+        boost::asio::co_spawn(
+            m_context, [this, peer = std::move(*peer)] { return ask(peer); }, boost::asio::detached);
+    }
+    if (m_isCalling || now < m_nextCall)
+        return;
+    if (!m_toStore.empty()) {
+        m_isCalling = true;
+        boost::asio::co_spawn(
+            m_context, [this] { return store(); }, boost::asio::detached);
+    } else if (readsStore && !m_isLoaded) {
+        m_isCalling = true;
+        boost::asio::co_spawn(
+            m_context, [this] { return load(); }, boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> QuarantineExchange::ask(std::string peer)
+{
+    std::map<std::string, Fleet::BookedDaemon>::const_iterator it = m_book.daemons().find(peer);
+    if (it == m_book.daemons().end()) {
+        m_catchUp.noteAnswer(false, false, Clock::now());
+        co_return;
+    }
+    RecordsRequest request { Platform::StoreTopic::Suspects, 0, true };
+    Core::Result<RecordsAnswer> told = co_await m_records.ask(it->second.listed.peerAddress, request);
+    if (m_isStopped)
+        co_return;
+    bool isNews = told.has_value() && takeRecords(told.value().extract.records, peer);
+    m_catchUp.noteAnswer(told.has_value(), isNews, Clock::now());
+    std::string problem = told.has_error() ? told.error().message : "-";
+    Core::logEvent(told.has_error() ? Core::Severity::Info : Core::Severity::Debug, Core::Event::PeerRecords, { { "stream", "suspects" }, { "daemon", peer }, { "news", isNews ? "yes" : "no" }, { "error", problem } });
+}
+
+boost::asio::awaitable<void> QuarantineExchange::load()
+{
+    std::string after;
+    while (!m_isStopped) {
+        m_hooks.countStoreCall(Fleet::StoreCallReason::Start);
+        Core::Result<Platform::KeyedPage> page = co_await m_store.newest(Platform::StoreTopic::Suspects, after);
+        m_nextCall = Clock::now() + (page.has_error() ? retryDelay : std::chrono::milliseconds(0));
+        if (m_isStopped || page.has_error())
+            break;
+        for (Platform::KeyedRecord const& record : page.value().records) {
+            if (record.value)
+                m_stored.insert(Request::fingerprintFrom(record.key).value_or(Quarantine::WorkKey()));
+        }
+        takeRecords(page.value().records, "store");
+        m_isLoaded = !page.value().hasMore || page.value().records.empty();
+        if (m_isLoaded)
+            break;
+        after = page.value().records.back().key;
+    }
+    m_isCalling = false;
+}
+
+boost::asio::awaitable<void> QuarantineExchange::store()
+{
+    Quarantine::WorkKey key = *m_toStore.begin();
+    std::optional<Quarantine::Suspect> suspect = m_guard.suspect(key);
+    bool isSuspected = suspect && !suspect->ends.empty();
+    m_hooks.countStoreCall(Fleet::StoreCallReason::Suspect);
+    // An empty value takes the record back.
+    std::string value = isSuspected ? encode(*suspect, Clock::now()) : std::string();
+    Core::Result<Platform::ConditionalAppend> appended = co_await m_store.append(Platform::StoreTopic::Suspects, Request::toString(key), value, std::nullopt);
+    if (m_isStopped)
+        co_return;
+    m_isCalling = false;
+    if (appended.has_error()) {
+        m_nextCall = Clock::now() + retryDelay;
+        co_return;
+    }
+    // What came meanwhile is written with the next one.
+    std::optional<Quarantine::Suspect> now = m_guard.suspect(key);
+    bool isCurrent = (now ? now->ends.size() : 0) == (suspect ? suspect->ends.size() : 0);
+    if (isCurrent)
+        m_toStore.erase(key);
+    if (isSuspected)
+        m_stored.insert(key);
+    else
+        m_stored.erase(key);
+}
+
+}
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -59,6 +59,7 @@
     request.prefix = m_work.prefix;
     request.fleet = m_fleet;
     request.allowed = m_allowed;
+    excludeOtherSuspects(excluded);
     request.excluded = std::move(excluded);
     request.kvZone = m_kvSource.empty() ? std::string() : m_kvZone;
     request.latestStart = m_machine.deadline();
@@ -80,12 +81,13 @@
         co_return;
     FleetTarget const* target = targetOf(m_target);
     post(Request::TargetPicked { leg->leg.attempt, m_target });
-    if (!co_await connect(leg, *target))
+    if (!co_await connect(leg, *target) || finishIfQuarantined(leg))
         co_return;
     post(Request::Connected { leg->leg, target->incarnation });
     co_await leg->goAhead.wait();
     if (leg->isAbandoned)
         co_return;
+    beginRun(*target);
     bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
     leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
@@ -112,7 +114,7 @@
         phase = Routing::Phase::Decode;
     else
         dropKv();
-    while (true) {
+    while (!finishIfQuarantined(leg)) {
         PlacementOutcome outcome = co_await place(excluded, phase);
         if (leg->isAbandoned)
             co_return false;
@@ -148,6 +150,7 @@
         m_kvZone = targetOf(m_target)->availabilityZone;
         phase = Routing::Phase::Decode;
     }
+    co_return false;
 }
 
 void RequestRunner::noteOutcome(Routing::TargetOutcome outcome) const
@@ -180,6 +183,8 @@
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
     noteOutcome(Routing::TargetOutcome::Broken);
+    if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
+        breakOffRun();
     if (error.verdict == Core::Verdict::NotRun)
         post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
     else if (error.code == Core::ErrorCode::Timeout)
@@ -221,6 +226,9 @@
     AnswerProof proof = m_context.targets.judge(m_work, send, leg->head, nullptr);
     noteOutcome(outcomeOf(proof, leg->head.status, !send.kvSource.empty()));
     if (proof == AnswerProof::NotRun || proof == AnswerProof::Replaced) {
+        finishRun();
+        if (proof == AnswerProof::Replaced)
+            noteEnded(*targetOf(m_target), "replaced");
         leg->exchange->setPieceTimeout(refusalTimeout);
         // Read to its end, so that the connection can be used again.
         std::ignore = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
@@ -231,6 +239,7 @@
         co_return;
     }
     if (proof != AnswerProof::Answer) {
+        finishRun();
         postFailure(leg, Core::makeUncertainError(Core::ErrorCode::Unavailable, "the target answered " + std::to_string(leg->head.status) + " in a form that is no answer to this request"));
         leg->exchange->cancel();
         co_return;
@@ -289,6 +298,7 @@
         }
     }
     bool isEnded = splitter.hasSeenDone() || !m_context.targets.marksStreamEnd;
+    noteAnswerEnd(leg->head, isEnded && !splitter.hasPartialEvent());
     if (isEnded && !splitter.hasPartialEvent())
         post(Request::StreamEnded { leg->leg, index });
     else
@@ -322,9 +332,11 @@
         co_await postWithRoom(std::move(next));
     }
     if (m_context.targets.judge(m_work, send, leg->head, &body) == AnswerProof::NotRun) {
+        finishRun();
         post(Request::TargetRefused { leg->leg });
         co_return;
     }
+    noteAnswerEnd(leg->head, true);
     if (!isHeadPosted)
         post(Request::ResponseHead { leg->leg, leg->head.status });
     if (!body.empty())
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -27,13 +27,17 @@
     // The leg's exchange, so that giving the attempt up ends the prefill too.
     leg->exchange = std::move(connected.value());
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
+    if (std::optional<Core::Error> refusal = whyQuarantined())
+        co_return Core::Result<std::string>(std::move(*refusal));
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
+    beginRun(*target);
     TargetSend send = sendOf(leg->leg.attempt);
     Clock::time_point sentAt = Clock::now();
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
     wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
     if (started.has_error() && !leg->isAbandoned) {
         noteOutcome(Routing::TargetOutcome::Broken);
+        notePrefillBroken(started.error());
         co_return Core::Result<std::string>(started.error());
     }
     if (leg->isAbandoned)
@@ -43,15 +47,28 @@
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
     if (response.has_error()) {
         noteOutcome(Routing::TargetOutcome::Broken);
+        notePrefillBroken(response.error());
         co_return Core::Result<std::string>(response.error());
     }
+    // A prompt that was computed says nothing of its output.
+    finishRun();
     Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
     noteOutcome(outcomeOf(kvSource));
+    if (kvSource.has_error() && kvSource.error().code == Core::ErrorCode::NotFound)
+        noteEnded(*target, "replaced");
     if (kvSource.has_value())
         m_context.dispatcher.promptComputed(m_placement, Clock::now() - sentAt);
     co_return kvSource;
 }
 
+void RequestRunner::notePrefillBroken(Core::Error const& error)
+{
+    if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
+        breakOffRun();
+    else
+        finishRun();
+}
+
 void RequestRunner::logPrefillFailure(Core::Error const& error) const
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -175,6 +175,7 @@
 
 void RequestRunner::abandonLeg()
 {
+    finishRun();
     if (!m_leg)
         return;
     m_leg->abandon();
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -61,6 +61,7 @@
     boost::asio::awaitable<void> releaseKv(boost::asio::ip::tcp::endpoint, std::string kvSource);
     void dropKv();
     bool keepPrompt();
+    void notePrefillBroken(Core::Error const&);
     void logPrefillFailure(Core::Error const&) const;
     boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
     boost::asio::awaitable<void> readAnswer(LegPointer, TargetSend);
@@ -71,6 +72,15 @@
     boost::asio::awaitable<void> postWithRoom(Request::RequestEvent);
 
     void postFailure(LegPointer const&, Core::Error const&);
+    std::optional<Core::Error> whyQuarantined() const;
+    bool finishIfQuarantined(LegPointer const&);
+    void excludeOtherSuspects(std::vector<std::string>& excluded) const;
+    void beginRun(FleetTarget const&);
+    void finishRun();
+    void noteAnswerEnd(Http::ResponseHead const&, bool isWhole);
+    void breakOffRun();
+    boost::asio::awaitable<void> findOut(FleetTarget);
+    void noteEnded(FleetTarget const&, std::string_view sign);
     TargetSend sendOf(std::uint32_t attempt) const;
     std::chrono::steady_clock::time_point now() const;
     std::chrono::milliseconds timeLeft() const;
@@ -97,6 +107,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0: none.
+    Quarantine::RunTable::Id m_run { 0 }; ///< Of the work at the attempt's target; 0: none.
     Routing::Reason m_reason { Routing::Reason::NoCandidate }; ///< Of the last placement.
     std::string m_target; ///< Name of the attempt's target, for logs.
     std::string m_mixPool; ///< The pool in whose mix the request is counted.
--- /dev/null
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -0,0 +1,122 @@
+// The part of RequestRunner that tells which requests end the targets that run them, and refuses those.
+
+#include <LibCore/EventLog.h>
+#include <LibDaemon/RequestRunner.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = Core::BootClock;
+
+// Nothing but another release of the targets' software changes the refusal, and that takes minutes.
+constexpr std::chrono::milliseconds retryAfterQuarantine { 60'000 };
+
+}
+
+std::optional<Core::Error> RequestRunner::whyQuarantined() const
+{
+    switch (m_context.guard.standing(m_work.key)) {
+    case Quarantine::Guard::Standing::Open:
+        return std::nullopt;
+    case Quarantine::Guard::Standing::Alone:
+        if (!m_context.guard.isOpen(m_work.key))
+            return std::nullopt;
+        return Core::makeError(Core::ErrorCode::Unavailable, "The same request is being run, and targets have ended while they ran it.");
+    case Quarantine::Guard::Standing::Refused:
+        break;
+    }
+    return Core::makeError(Core::ErrorCode::Quarantined, "This request has ended several targets that ran it. It is not run until their software is replaced.");
+}
+
+// Returns whether the attempt has ended here.
+bool RequestRunner::finishIfQuarantined(LegPointer const& leg)
+{
+    std::optional<Core::Error> error = whyQuarantined();
+    if (!error)
+        return false;
+    std::chrono::milliseconds retryAfter = error->code == Core::ErrorCode::Quarantined ? retryAfterQuarantine : std::chrono::milliseconds(0);
+    post(Request::NoTarget { leg->leg.attempt, std::move(*error), retryAfter });
+    return true;
+}
+
+void RequestRunner::excludeOtherSuspects(std::vector<std::string>& excluded) const
+{
+    std::set<std::uint64_t> taken = m_context.guard.targetsOfOtherSuspects(m_work.key);
+    if (taken.empty())
+        return;
+    for (FleetTarget const& target : m_fleet->targets) {
+        if (taken.contains(target.key))
+            excluded.push_back(target.name);
+    }
+}
+
+void RequestRunner::beginRun(FleetTarget const& target)
+{
+    finishRun();
+    m_run = m_context.guard.begin(m_work.key, { target.key, target.work(), target.release, target.name }, Clock::now());
+}
+
+void RequestRunner::finishRun()
+{
+    m_context.guard.finish(std::exchange(m_run, 0));
+}
+
+// An answer that ends with its connection ends in the same way when the target does.
+void RequestRunner::noteAnswerEnd(Http::ResponseHead const& head, bool isWhole)
+{
+    bool hasFraming = head.fields.find("Content-Length") || head.fields.find("Transfer-Encoding");
+    if (!hasFraming || !isWhole) {
+        breakOffRun();
+        return;
+    }
+    Quarantine::RunTable::Id run = std::exchange(m_run, 0);
+    if (run != 0 && m_context.guard.survive(run, Clock::now()))
+        m_context.onFindings({}, m_work.key);
+}
+
+void RequestRunner::breakOffRun()
+{
+    Quarantine::RunTable::Id run = std::exchange(m_run, 0);
+    FleetTarget const* target = targetOf(m_target);
+    if (run == 0 || !target)
+        return;
+    // What ends as it had said it would is not ended by a request.
+    if (target->isLeaving) {
+        m_context.guard.finish(run);
+        return;
+    }
+    Quarantine::Guard::Break broken = m_context.guard.breakOff(run, Clock::now());
+    if (!broken.findings.empty())
+        m_context.onFindings(broken.findings, std::nullopt);
+    if (!broken.isToFindOut)
+        return;
+    boost::asio::co_spawn(
+        m_context.context, [self = shared_from_this(), copy = *target] { return self->findOut(copy); }, boost::asio::detached);
+}
+
+// Connections break for many reasons; a process that has ended leaves an address where nothing listens.
+boost::asio::awaitable<void> RequestRunner::findOut(FleetTarget target)
+{
+    Clock::time_point begunAt = Clock::now();
+    Http::Reach reach = co_await m_context.client.reach(target.endpoint);
+    if (reach == Http::Reach::Refused)
+        noteEnded(target, "refused");
+    else if (reach == Http::Reach::Reached)
+        m_context.guard.noteAlive(target.key, begunAt);
+    else
+        m_context.guard.noteUnknown(target.key);
+}
+
+void RequestRunner::noteEnded(FleetTarget const& target, std::string_view sign)
+{
+    std::vector<Quarantine::Finding> findings = m_context.guard.noteEnded(target.key, Clock::now());
+    if (findings.empty())
+        return;
+    Core::logEvent(Core::Severity::Warning, Core::Event::TargetEnded, { { "target", target.name }, { "sign", std::string(sign) }, { "requests", std::to_string(findings.size()) } });
+    m_context.onFindings(findings, std::nullopt);
+}
+
+}
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -54,7 +54,7 @@
 
 }
 
-StoreControl::StoreControl(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters)
+StoreControl::StoreControl(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard)
     : m_context(context)
     , m_settings(settings)
     , m_adapters(adapters)
@@ -65,14 +65,15 @@
     , m_store(adapters.createStore(*m_client, [this] { return m_storeAddress; }))
     , m_waitingStore(adapters.createStore(*m_waitingClient, [this] { return m_storeAddress; }))
     , m_engines(adapters.createEngineControl(*m_client))
+    , m_guard(guard)
     , m_fleet(std::make_shared<FleetSnapshot>())
     , m_listConfirmedAt(std::make_shared<std::atomic<Clock::time_point>>())
 {
 }
 
-Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, std::uint64_t incarnation, Hooks hooks)
+Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard, std::uint64_t incarnation, Hooks hooks)
 {
-    std::unique_ptr<StoreControl> control(new StoreControl(context, settings, adapters));
+    std::unique_ptr<StoreControl> control(new StoreControl(context, settings, adapters, guard));
     BOOST_OUTCOME_TRY(control->setUp(incarnation, std::move(hooks)));
     return control;
 }
@@ -92,6 +93,8 @@
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
+    QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall };
+    m_quarantine = std::make_unique<QuarantineExchange>(m_context, m_guard, *m_store, *m_records, m_beacons->book(), self.name, std::move(quarantine));
     createTopics();
     // While another daemon's reads are answered, it is this one that is cut off, not the store that is away.
     m_targetList.onFailure = [this] {
@@ -154,6 +157,7 @@
     m_isStopped = true;
     wakeTopics();
     m_roles->stop();
+    m_quarantine->stop();
     m_beacons->stop();
 }
 
@@ -253,6 +257,7 @@
     }
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
+    m_quarantine->describe(beacon, now);
     return beacon;
 }
 
@@ -268,6 +273,8 @@
         bool isOpened = m_changing.expire(now);
         findUnreachable(now);
         m_roles->poll(*m_fleet, m_unreachable);
+        // Before the first beacons each daemon takes itself for the only one.
+        m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
         if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
             rebuild();
         // Beacons tell of all that are heard within a second, also while the store is away.
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -3,6 +3,7 @@
 #include <LibDaemon/Adapters.h>
 #include <LibDaemon/BeaconExchange.h>
 #include <LibDaemon/Control.h>
+#include <LibDaemon/QuarantineExchange.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <LibFleet/ChangingTargets.h>
@@ -43,11 +44,12 @@
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
         std::function<void(Fleet::StoreCallReason)> countStoreCall;
+        std::function<void(std::vector<std::uint64_t> const&)> onTargetsGone; ///< Takes the keys of targets that went without a word.
     };
 
     /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
     /// cannot be bound.
-    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, std::uint64_t incarnation, Hooks);
+    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&, std::uint64_t incarnation, Hooks);
 
     void start() override;
     void stop() override;
@@ -69,6 +71,7 @@
     std::chrono::milliseconds storeReadAge() const; ///< Since the list of targets was last read from the store.
     std::optional<std::chrono::milliseconds> targetListAge() const; ///< How old this daemon's list may be, whoever told it.
     RoleKeeper const& roles() const { return *m_roles; }
+    QuarantineExchange& quarantine() { return *m_quarantine; }
 
 private:
     using RecordHook = std::function<void(Platform::KeyedRecord const&)>;
@@ -89,7 +92,7 @@
         std::unique_ptr<boost::asio::steady_timer> news; ///< Waits for news to ask for; cancelled when there may be some.
     };
 
-    StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&);
+    StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&);
     Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
     void createTopics();
     void setFollower(Followed&, Fleet::TopicFollowerSettings, Fleet::TopicFollower::NewsTest, Fleet::TopicFollower::AgeOf);
@@ -124,6 +127,7 @@
     Routing::EngineDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
     void rebuild();
+    void noteTargetsGone(std::set<std::uint64_t> const& keys);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
 
@@ -141,6 +145,8 @@
     std::unique_ptr<BeaconExchange> m_beacons;
     std::unique_ptr<RecordExchange> m_records;
     std::unique_ptr<RoleKeeper> m_roles;
+    Quarantine::Guard& m_guard;
+    std::unique_ptr<QuarantineExchange> m_quarantine;
     Followed m_configuration;
     Followed m_targetList;
     Followed m_daemonList;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -100,6 +100,7 @@
 
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
+    m_quarantine->take(beacon, Clock::now());
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().silentTime());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
@@ -210,10 +211,24 @@
     target.distance = listed.availabilityZone == m_settings.daemon.availabilityZone ? Routing::ZoneDistance::SameZone : Routing::ZoneDistance::SameRegion;
     target.slots = isEngine ? terms->engine->slots : listed.slots;
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
+    target.release = listed.release;
+    target.isLeaving = listed.isLeaving;
     target.closedBecause = whyClosed(booked, target.key);
     return target;
 }
 
+// What has ended as it had said it would ended for that.
+void StoreControl::noteTargetsGone(std::set<std::uint64_t> const& keys)
+{
+    std::vector<std::uint64_t> gone;
+    for (FleetTarget const& target : m_fleet->targets) {
+        if (!target.isLeaving && !keys.contains(target.key))
+            gone.push_back(target.key);
+    }
+    if (!gone.empty())
+        m_hooks.onTargetsGone(gone);
+}
+
 void StoreControl::rebuild()
 {
     if (!m_labels)
@@ -237,6 +252,7 @@
         platformTargets.push_back({ target.name, std::move(labels) });
         fleet->targets.push_back(std::move(target));
     }
+    noteTargetsGone(keys);
     std::erase_if(m_targetIds, [&keys](std::pair<std::uint64_t const, std::uint32_t> const& it) { return !keys.contains(it.first); });
     fleet->view = State::TargetView::create(m_labels, platformTargets);
     fleet->services = m_services;
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -123,6 +123,8 @@
 
 Core::Result<RecordsAnswer> StoreControl::extract(RecordsRequest const& request) const
 {
+    if (request.topic == Platform::StoreTopic::Suspects)
+        return m_quarantine->extract();
     Followed const* followed = nullptr;
     for (Followed const* topic : { &m_configuration, &m_targetList, &m_daemonList })
         followed = topic->topic == request.topic ? topic : followed;
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -9,6 +9,7 @@
 #include <LibHttp/Client.h>
 #include <LibPeer/Clients.h>
 #include <LibPlatform/EngineControl.h>
+#include <LibQuarantine/Guard.h>
 #include <LibRequest/RetryBudget.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/io_context.hpp>
@@ -18,7 +19,10 @@
 /// Returns the retry budget that a request draws on. Thread-safe.
 using BudgetHook = std::function<Request::RetryBudget&(Work const&)>;
 
-/// What the requests of one traffic thread work with. Only the dispatcher and the budget are shared with other
+/// Takes what this daemon's runs have shown of requests: findings, and works that were cleared. Thread-safe.
+using FindingsHook = std::function<void(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> cleared)>;
+
+/// What the requests of one traffic thread work with. Only the dispatcher, the budget and the guard are shared with other
 /// threads. Use from the thread only.
 struct TrafficContext {
     boost::asio::io_context& context;
@@ -32,6 +36,8 @@
     Peer::Clients& peers;
     MixCounter& mix;
     Metrics& metrics;
+    Quarantine::Guard& guard;
+    FindingsHook onFindings;
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -20,6 +20,8 @@
     TargetProtocol const& targets;
     CallerProtocol const& callers;
     BudgetHook budgetOf;
+    Quarantine::Guard& guard;
+    FindingsHook onFindings;
 };
 
 /// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -32,10 +32,10 @@
     bool isOtherClock = isFirst && daemon.leastLag && lag - *daemon.leastLag > m_settings.longestHoldUp;
     if (!daemon.leastLag || isOtherClock || lag < *daemon.leastLag)
         daemon.leastLag = lag;
-    std::chrono::milliseconds heldUp = std::chrono::ceil<std::chrono::milliseconds>(lag - *daemon.leastLag);
+    daemon.heldUp = std::chrono::ceil<std::chrono::milliseconds>(lag - *daemon.leastLag);
     for (std::optional<std::chrono::milliseconds>* age : { &daemon.said.configAge, &daemon.said.targetsAge }) {
         if (*age)
-            **age += heldUp;
+            **age += daemon.heldUp;
     }
     return true;
 }
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -59,6 +59,7 @@
     /// The least time between what its clock said in a beacon and what this daemon's said when it came: the clocks' difference,
     /// and the way. A beacon that came with more was held up by the difference, on its way or in this daemon's own socket.
     std::optional<Time::duration> leastLag;
+    std::chrono::milliseconds heldUp { 0 }; ///< The last beacon.
 };
 
 /// Who reads the store for the site, and what is to be known, as one daemon sees it at one moment.
--- a/Libraries/LibFleet/ReadTurn.h
+++ b/Libraries/LibFleet/ReadTurn.h
@@ -18,9 +18,10 @@
     Idle, ///< In case something was never told.
     Stale, ///< Nobody has confirmed lately that the copy of the topic is whole.
     Listing, ///< This daemon writes or takes back its own entry.
+    Suspect, ///< This daemon writes down that a request has ended targets.
 };
 
-inline constexpr Core::EnumNames<StoreCallReason, 7> storeCallReasonNames { {
+inline constexpr Core::EnumNames<StoreCallReason, 8> storeCallReasonNames { {
     { StoreCallReason::Start, "start" },
     { StoreCallReason::Reader, "reader" },
     { StoreCallReason::News, "news" },
@@ -28,6 +29,7 @@
     { StoreCallReason::Idle, "idle" },
     { StoreCallReason::Stale, "stale" },
     { StoreCallReason::Listing, "listing" },
+    { StoreCallReason::Suspect, "suspect" },
 } };
 
 /// How often a topic is read.
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -16,6 +16,9 @@
 using Tcp = Asio::ip::tcp;
 using Connections = std::vector<std::shared_ptr<ClientConnection>>;
 
+// Servers close idle connections after a time that is not known of one that was never used; all that were seen wait longer.
+constexpr std::chrono::milliseconds unusedKeepTime { 500 };
+
 // Idle connections by endpoint. Exchanges hold it weakly, so that they may outlive the client.
 struct Pool {
     std::map<Tcp::endpoint, Connections> idle;
@@ -53,6 +56,17 @@
         co_return Opened(std::make_unique<ConnectionExchange>(std::move(connection), m_settings, returnTo(endpoint)));
     }
 
+    Asio::awaitable<Reach> reach(Tcp::endpoint endpoint) override
+    {
+        boost::system::error_code ec;
+        std::shared_ptr<ClientConnection> connection = co_await connectSocket(endpoint, nullptr, ec);
+        if (ec)
+            co_return ec == Asio::error::connection_refused ? Reach::Refused : Reach::Unknown;
+        connection->keepUntil = Core::BootClock::now() + unusedKeepTime;
+        returnTo(endpoint)(std::move(connection));
+        co_return Reach::Reached;
+    }
+
     Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
     {
         Core::Result<std::unique_ptr<Exchange>> connected = co_await connect(endpoint, choice, slot);
@@ -105,21 +119,30 @@
     }
 
     Asio::awaitable<Core::Result<std::shared_ptr<ClientConnection>>> connectAnew(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot)
+    {
+        boost::system::error_code ec;
+        std::shared_ptr<ClientConnection> connection = co_await connectSocket(endpoint, slot, ec);
+        if (ec) {
+            bool isTimeout = ec == boost::beast::error::timeout;
+            Core::ErrorCode code = isTimeout ? Core::ErrorCode::Timeout : Core::ErrorCode::Unavailable;
+            co_return Core::Result<std::shared_ptr<ClientConnection>>(Core::makeError(code, "cannot connect to " + Http::toString(endpoint) + ": " + ec.message()));
+        }
+        co_return std::move(connection);
+    }
+
+    Asio::awaitable<std::shared_ptr<ClientConnection>> connectSocket(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot, boost::system::error_code& ec)
     {
         std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(m_context.get_executor());
         if (slot)
             slot->cancel = [raw = connection.get()] { raw->stream.cancel(); };
         connection->stream.expires_after(m_settings.connectTimeout);
-        boost::system::error_code ec;
         co_await connection->stream.async_connect(endpoint, Asio::redirect_error(Asio::use_awaitable, ec));
         if (slot)
             slot->cancel = nullptr;
-        if (ec) {
-            bool isTimeout = ec == boost::beast::error::timeout;
-            Core::ErrorCode code = isTimeout ? Core::ErrorCode::Timeout : Core::ErrorCode::Unavailable;
-            co_return Core::Result<std::shared_ptr<ClientConnection>>(Core::makeError(code, "cannot connect to " + Http::toString(endpoint) + ": " + ec.message()));
-        }
-        connection->stream.socket().set_option(Tcp::no_delay(true), ec);
+        if (ec)
+            co_return std::move(connection);
+        boost::system::error_code ignored; // It only costs delays.
+        connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
         setLiveness(connection->stream.socket(), m_settings.liveness);
         co_return std::move(connection);
     }
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -77,6 +77,13 @@
 enum class ConnectionChoice : std::uint8_t { Kept,
     Fresh };
 
+/// What a new connection to an endpoint came to.
+enum class Reach : std::uint8_t {
+    Reached,
+    Refused, ///< The host answers, and nothing listens there.
+    Unknown, ///< No answer, or another failure.
+};
+
 /// An HTTP/1.1 client with a pool of connections, on one io_context that one thread runs.
 /// Errors carry the verdict: NotRun until the first byte was written, MayHaveRun after.
 /// Thread safety: use from that thread only.
@@ -91,6 +98,9 @@
     /// Errors, all NotRun: Unavailable, Timeout, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(boost::asio::ip::tcp::endpoint, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
 
+    /// Finds out whether anything listens at an endpoint, with a new connection that the next exchange uses.
+    virtual boost::asio::awaitable<Reach> reach(boost::asio::ip::tcp::endpoint) = 0;
+
     /// Connects, sends a request and reads the response's head.
     /// Errors: Unavailable (cannot connect, connection broke), Timeout, Canceled, BadInput (malformed response).
     virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(boost::asio::ip::tcp::endpoint, Request, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
--- a/Libraries/LibPlatform/Directory.h
+++ b/Libraries/LibPlatform/Directory.h
@@ -16,6 +16,7 @@
     std::string service;
     boost::asio::ip::tcp::endpoint address;
     std::string availabilityZone;
+    std::string release {}; ///< Of its software; empty: not told.
     std::uint32_t slots { 0 }; ///< Requests that it runs at once.
     bool isLeaving { false };
     std::optional<Routing::TargetRole> role; ///< Of an engine; absent for a plain service.
--- a/Libraries/LibRequest/HttpMapping.cpp
+++ b/Libraries/LibRequest/HttpMapping.cpp
@@ -22,6 +22,7 @@
         return 429;
     case Core::ErrorCode::Unavailable:
     case Core::ErrorCode::Canceled:
+    case Core::ErrorCode::Quarantined:
         return 503;
     case Core::ErrorCode::Timeout:
         return 504;
@@ -55,7 +56,7 @@
 
 bool hasRetryAfter(Core::ErrorCode code)
 {
-    return code == Core::ErrorCode::Overloaded || code == Core::ErrorCode::Unavailable || code == Core::ErrorCode::Canceled;
+    return code == Core::ErrorCode::Overloaded || code == Core::ErrorCode::Unavailable || code == Core::ErrorCode::Canceled || code == Core::ErrorCode::Quarantined;
 }
 
 }
@@ -86,6 +87,8 @@
     result.headers.emplace_back(verdictHeader, Core::toString(error.verdict));
     if (!isNotRun)
         result.headers.emplace_back(shouldRetryHeader, "false");
+    if (isNotRun && error.code == Core::ErrorCode::Quarantined)
+        result.headers.emplace_back(shouldRetryHeader, "false");
     if (isNotRun && hasRetryAfter(error.code))
         result.headers.emplace_back("Retry-After", secondsRoundedUp(context.retryAfter));
     result.body = errorBody(error, context.requestId);
--- a/Tests/LibRequest/TestHttpMapping.cpp
+++ b/Tests/LibRequest/TestHttpMapping.cpp
@@ -45,6 +45,16 @@
     EXPECT_EQ(Request::toHttpError(Core::makeError(Core::ErrorCode::Conflict, "other"), {}).status, 422);
 }
 
+// Nothing is gained by sending a request again that ends what runs it.
+TEST(HttpMapping, ARequestInQuarantineIsNotRunAndNotToBeSentAgain)
+{
+    Request::HttpError refused = Request::toHttpError(Core::makeError(Core::ErrorCode::Quarantined, "x"), { .requestId = "r", .retryAfter = 60s });
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(headerOf(refused, "Retry-After"), "60");
+    EXPECT_EQ(headerOf(refused, "x-should-retry"), "false");
+    EXPECT_EQ(headerOf(refused, "Currantvale-Verdict"), "not-run");
+}
+
 TEST(HttpMapping, BodiesAreJsonWithCodeSentenceVerdictAndId)
 {
     Core::Error error = Core::makeUncertainError(Core::ErrorCode::Timeout, "The \"deadline\" passed.\n");
