--- a/Libraries/LibStandIn/Faults.h
+++ b/Libraries/LibStandIn/Faults.h
@@ -12,6 +12,8 @@
     bool crashesDuringChange { false }; ///< The engine ends half-way through its next change.
     bool stalls { false }; ///< The engine takes requests but makes no progress.
     bool refuses { false }; ///< The engine refuses every request as not serving.
+    bool saysLeaving { false }; ///< A runner says in all its answers that it leaves; its entry in the store does not.
+    std::uint64_t turnAwayMs { 0 }; ///< A runner's refusals say that it wants nothing for so long.
     std::uint64_t cutAfterEvents { 0 }; ///< Streams are cut after so many events; 0: never.
 };
 
--- a/Libraries/LibStandIn/FaultsReader.cpp
+++ b/Libraries/LibStandIn/FaultsReader.cpp
@@ -18,17 +18,19 @@
     bool Faults::* member;
 };
 
-constexpr std::array<NumberFault, 3> numberFaults { {
+constexpr std::array<NumberFault, 4> numberFaults { {
     { "lose_replies", &Faults::loseReplies },
     { "delay_ms", &Faults::delayMs },
     { "cut_after_events", &Faults::cutAfterEvents },
+    { "turn_away_ms", &Faults::turnAwayMs },
 } };
 
-constexpr std::array<BoolFault, 4> boolFaults { {
+constexpr std::array<BoolFault, 5> boolFaults { {
     { "down", &Faults::isDown },
     { "crash_during_change", &Faults::crashesDuringChange },
     { "stall", &Faults::stalls },
     { "refuse", &Faults::refuses },
+    { "say_leaving", &Faults::saysLeaving },
 } };
 
 }
--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint16_t olderFencing = 412;
 constexpr std::uint16_t misdirected = 421;
 constexpr std::uint16_t unavailable = 503;
+constexpr double millisecondsPerSecond = 1e3;
 constexpr int crashedStatus = 70; // Of the process.
 
 std::string field(Http::Request const& request, std::string_view name)
@@ -85,6 +86,7 @@
 {
     std::string path = parseTarget(request.target).path;
     Http::Response response { 200, {}, {} };
+    m_arrivals += path.starts_with("/admin/") || path.starts_with("/currantvale/") ? 0 : 1;
     if (path == "/admin/runs")
         response = runs();
     else if (path == "/admin/faults")
@@ -93,9 +95,10 @@
         response = report();
     else if (std::string meant = field(request, "X-Target-Instance"); !meant.empty() && meant != m_settings.incarnation)
         response = refusal(request, misdirected);
-    else if (path == "/currantvale/order")
+    else if (path == "/currantvale/order") {
         response = order(request);
-    else if (path.starts_with("/currantvale/"))
+        addNotice(response.fields);
+    } else if (path.starts_with("/currantvale/"))
         response.status = static_cast<std::uint16_t>(Http::Status::Ok);
     else if (field(request, "X-Stage") == "prefill")
         response = prefill(request);
@@ -133,19 +136,33 @@
 
 Http::Response RunnerApi::refusal(Http::Request const& request, std::uint16_t status) const
 {
-    return { status, { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Not-Executed", "1" }, { "X-Instance-Id", m_settings.incarnation } }, {} };
+    Http::Fields fields { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Not-Executed", "1" }, { "X-Instance-Id", m_settings.incarnation } };
+    addNotice(fields);
+    if (status == unavailable && m_faults.turnAwayMs > 0)
+        fields.set("Retry-After", std::to_string(static_cast<double>(m_faults.turnAwayMs) / millisecondsPerSecond));
+    return { status, std::move(fields), {} };
+}
+
+void RunnerApi::addNotice(Http::Fields& fields) const
+{
+    if (m_faults.saysLeaving)
+        fields.set("Server-Leaving", "1");
 }
 
 Http::Response RunnerApi::prefill(Http::Request const& request)
 {
     if (m_settings.role != "prefill" || isChanging() || m_faults.refuses)
         return refusal(request, m_settings.role != "prefill" ? misdirected : unavailable);
-    return objectResponse(Http::Status::Ok, { { "handle", "h" + std::to_string(++m_prefills) }, { "tokens", 1 }, { "version", 1 } });
+    Http::Response response = objectResponse(Http::Status::Ok, { { "handle", "h" + std::to_string(++m_prefills) }, { "tokens", 1 }, { "version", 1 } });
+    addNotice(response.fields);
+    return response;
 }
 
 Http::Fields RunnerApi::sealed(Http::Request const& request) const
 {
-    return { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Server-Seal", "seal-of-" + m_settings.incarnation } };
+    Http::Fields fields { { "X-Request-Id", field(request, "X-Request-Id") }, { "X-Server-Seal", "seal-of-" + m_settings.incarnation } };
+    addNotice(fields);
+    return fields;
 }
 
 // An output needs a KV cache that a prefill target keeps, or computes the prompt itself.
@@ -209,7 +226,7 @@
     boost::json::object counts;
     for (std::pair<std::string const, std::uint64_t> const& it : m_runs)
         counts[it.first] = it.second;
-    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "orders", m_orders }, { "prefills", m_prefills }, { "runs", std::move(counts) } });
+    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "runs", std::move(counts) } });
 }
 
 }
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -50,6 +50,7 @@
     Http::Response prefill(Http::Request const&);
     Http::Response runs() const;
     Http::Response refusal(Http::Request const&, std::uint16_t status) const;
+    void addNotice(Http::Fields&) const;
     Http::Fields sealed(Http::Request const&) const;
     bool takesOutput(Http::Request const&);
     bool isChanging() const { return std::chrono::steady_clock::now() < m_changingUntil; }
@@ -61,6 +62,7 @@
     std::uint64_t m_orders { 0 };
     std::uint64_t m_fencing { 0 };
     std::uint64_t m_prefills { 0 };
+    std::uint64_t m_arrivals { 0 }; ///< Requests, whatever became of them.
     std::chrono::steady_clock::time_point m_changingUntil {};
     std::map<std::string, std::uint64_t> m_runs; ///< By request id.
     Faults m_faults;
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -219,6 +219,11 @@
     return sum;
 }
 
+std::uint64_t KeyedSite::arrivals(std::string const& name) const
+{
+    return numberOf(getObject(target(name), "/admin/runs"), "arrivals");
+}
+
 std::string KeyedSite::wholeStream(std::uint32_t pieces)
 {
     std::string text;
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -62,6 +62,8 @@
 
     /// Returns how often a request ran at any of these, as far as those processes remember.
     std::uint64_t runs(std::vector<Endpoint> const& targets, std::string const& id) const;
+    /// Returns how many requests have come to a target, whatever became of them.
+    std::uint64_t arrivals(std::string const& target) const;
     static std::string wholeStream(std::uint32_t pieces);
 
     Endpoint const& store() const { return m_store; }
