LibDaemon, platform: Heed what a target says of itself in its answers

What callers saw: requests reached a plain service's target 2.2 and 2.3 s after its answers had said that it leaves (bound 2.0 s), and would have been cut had it ended. Cause: the boundary judged an answer by one value and dropped the rest of its head. Class: an answer's word on its target is lost at the boundary; Retry-After of a target, an engine's state in its report and the head of its answer to an order went the same way.

Each answer's head is read into one type and noted before the answer is passed on. A target that leaves is closed for its incarnation, which no older record of the store takes back, and peers are told. One that wants nothing for a while is left alone; where all do, callers are refused at once with the least that is left, unless one opens soon enough. What was placed and not written is looked at once more.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -58,9 +58,11 @@
     TargetFailing = 6005,
     TargetEntryUnusable = 6006,
     TargetEnded = 6007,
+    TargetSaysLeaving = 6008,
+    TargetPaused = 6009,
 };
 
-inline constexpr EnumNames<Event, 49> eventNames { {
+inline constexpr EnumNames<Event, 51> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -110,6 +112,8 @@
     { Event::TargetFailing, "target-failing" },
     { Event::TargetEntryUnusable, "target-entry-unusable" },
     { Event::TargetEnded, "target-ended" },
+    { Event::TargetSaysLeaving, "target-says-leaving" },
+    { Event::TargetPaused, "target-paused" },
 } };
 
 }
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -191,6 +191,8 @@
         if (!beacon.isBrief)
             fillReport(*message.add_services(), report);
     }
+    for (std::uint64_t target : beacon.leaving)
+        message.add_leaving(target);
     for (Quarantine::SuspectNews const& news : beacon.suspectNews)
         fillNews(*message.add_suspect_news(), news);
     message.set_suspect_digest(beacon.suspectDigest);
@@ -225,6 +227,7 @@
         if (isUsable(report))
             beacon.services.push_back(readReport(report));
     }
+    beacon.leaving.assign(message.leaving().begin(), message.leaving().end());
     for (Proto::SuspectNews const& news : message.suspect_news())
         beacon.suspectNews.push_back(readNews(news));
     beacon.suspectDigest = message.suspect_digest();
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -29,6 +29,7 @@
     std::vector<Routing::ServiceReport> services; ///< What its requests ask of engines, and what it has learnt of these.
     std::vector<Routing::HeldPart> heldParts; ///< That it was the first known to send to a target, since its last beacon.
     std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
+    std::vector<std::uint64_t> leaving; ///< Keys of targets that have said to it that they leave.
     std::vector<Quarantine::SuspectNews> suspectNews; ///< Its own evidence of late; moments are by the sender's clock.
     std::uint64_t suspectDigest { 0 }; ///< Of all that it holds.
     bool isBrief { false }; ///< The sender's addresses and `services` are left out: they are as it said before.
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -107,10 +107,16 @@
     BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
         return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
     };
-    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, nullptr };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, nullptr, nullptr };
     parts.onFindings = [this](std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared) {
         boost::asio::post(m_control, [this, findings, cleared] { noteFindings(findings, cleared); });
     };
+    parts.onLeaving = [this](std::uint64_t target) {
+        boost::asio::post(m_control, [this, target] {
+            if (m_storeControl)
+                m_storeControl->noteLeaving(target);
+        });
+    };
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
         BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(parts, peers));
         m_traffic.push_back(std::move(thread));
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t knownPrefixes = 16 * 1024;
 constexpr std::size_t mostMatches = 16;
+// Of the wait that callers are told where all targets want nothing, the reciprocal.
+constexpr int partOfPauseSpread = 4;
 // No engine that was seen takes less for a prompt; a mean that is not known yet is none.
 constexpr double leastPromptSeconds = 0.001;
 
@@ -128,6 +130,7 @@
     std::array<Routing::PrefixMatch, mostMatches> matches {};
     std::size_t matched = m_prefixes.match(request.prefix, matches);
     Clock::time_point now = Clock::now();
+    Core::BootClock::time_point bootNow = Core::BootClock::now();
     m_candidates.clear();
     m_candidatePositions.clear();
     m_failingCandidates.clear();
@@ -142,7 +145,7 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that may not be chosen now are candidates all the same: what they have on its way counts.
-        bool isShut = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key);
+        bool isShut = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow);
         bool isClosed = isExcluded || isShut;
         // One that was tried may make the output all the same, when no other is left.
         hasOutputTarget = hasOutputTarget || (role->second != Routing::TargetRole::Prefill && !isShut);
@@ -309,9 +312,31 @@
         if (waiter->isResolved)
             co_return waiter->outcome;
     }
-    waiter->timer.expires_at(waiter->request.latestStart);
-    boost::system::error_code ec;
-    co_await waiter->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    bool isInTime = true;
+    while (isInTime) {
+        Clock::time_point until = waiter->request.latestStart;
+        {
+            std::lock_guard lock(m_mutex);
+            if (waiter->isResolved)
+                break;
+            // Where targets want nothing for a while, somebody has to look when they do again.
+            Core::BootClock::time_point now = Core::BootClock::now();
+            std::optional<Core::BootClock::time_point> opening = nextOpening(waiter->request);
+            if (opening && Clock::now() + (*opening - now) >= until) {
+                refusePaused(*waiter, *opening - now);
+                co_return waiter->outcome;
+            }
+            if (opening)
+                until = Clock::now() + (*opening - now);
+        }
+        waiter->timer.expires_at(until);
+        boost::system::error_code ec;
+        co_await waiter->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+        isInTime = Clock::now() < waiter->request.latestStart;
+        std::lock_guard lock(m_mutex);
+        if (isInTime && !waiter->isResolved)
+            serveOpened(waiter->request);
+    }
     std::lock_guard lock(m_mutex);
     if (!waiter->isResolved)
         resolve(m_admission->expire(Clock::now()));
@@ -325,6 +350,55 @@
     co_return waiter->outcome;
 }
 
+// When the first of the targets opens that the request may go to; nothing where any of them is not waited for, or none is.
+std::optional<Core::BootClock::time_point> Dispatcher::nextOpening(PlacementRequest const& request) const
+{
+    Core::BootClock::time_point now = Core::BootClock::now();
+    std::optional<Core::BootClock::time_point> first;
+    for (std::uint32_t position : request.allowed) {
+        FleetTarget const& target = request.fleet->targets[position];
+        std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
+        std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
+        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase);
+        if (!isFit || limit == m_limits.end() || limit->second == 0)
+            continue;
+        std::optional<Core::BootClock::time_point> opensAt = m_notices.opensAt(target.key, now);
+        if (!opensAt && !m_notices.isClosed(target.key, now))
+            return std::nullopt;
+        if (opensAt && (!first || *opensAt < *first))
+            first = opensAt;
+    }
+    return first;
+}
+
+// Called with the mutex held.
+void Dispatcher::serveOpened(PlacementRequest const& request)
+{
+    for (std::uint32_t position : request.allowed) {
+        std::uint32_t id = request.fleet->targets[position].id;
+        std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(id);
+        if (limit != m_limits.end())
+            resolve(m_admission->setTarget(id, limit->second, m_groupsOfTarget[id]));
+    }
+    drainOutcomes();
+}
+
+// Called with the mutex held. All targets have said that they want nothing until it is too late: nobody is held up for that.
+void Dispatcher::refusePaused(Waiter& waiter, Core::BootClock::duration left)
+{
+    std::ignore = m_admission->release(waiter.outcome.id, Clock::now());
+    drainOutcomes();
+    std::uint64_t id = waiter.outcome.id;
+    waiter.outcome.position.reset();
+    waiter.outcome.error = Core::makeError(Core::ErrorCode::Unavailable, "all targets want no requests for a while");
+    // Spread, so that those who are refused together do not come back together.
+    std::chrono::milliseconds wait = std::chrono::ceil<std::chrono::milliseconds>(left);
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(0, wait.count() / partOfPauseSpread);
+    waiter.outcome.retryAfter = wait + std::chrono::milliseconds(spread(m_random));
+    waiter.isResolved = true;
+    m_waiters.erase(id);
+}
+
 void Dispatcher::release(std::uint64_t id)
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -12,6 +12,7 @@
 #include <LibRouting/ServiceReport.h>
 #include <LibRouting/SpeedBook.h>
 #include <LibRouting/TargetHealth.h>
+#include <LibRouting/TargetNotices.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -106,6 +107,12 @@
     /// Notes how a send to a target ended, by the target's key.
     void noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome);
 
+    /// Notes what a target says of itself in an answer. Returns whether it is new that it leaves.
+    bool noteNotice(std::uint64_t targetKey, Routing::TargetNotice const&);
+
+    /// Whether a request that was placed at a target may still be written to it.
+    bool mayWrite(FleetTarget const&) const;
+
     /// Returns the shared parts that this daemon was the first known to send to a target, since the last call.
     std::vector<Routing::HeldPart> takeHeldParts();
 
@@ -138,6 +145,9 @@
     void resolve(std::vector<Admission::Grant> const&);
     void resolve(std::vector<Admission::Refusal> const&);
     void drainOutcomes();
+    std::optional<Core::BootClock::time_point> nextOpening(PlacementRequest const&) const;
+    void serveOpened(PlacementRequest const&);
+    void refusePaused(Waiter&, Core::BootClock::duration left);
     void wake(std::shared_ptr<Waiter> const&);
     Admission::GroupId groupOf(PlacementRequest const&);
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
@@ -157,6 +167,7 @@
     Routing::LoadTable m_loads;
     Routing::OpenWork m_openWork;
     Routing::TargetHealth m_health;
+    Routing::TargetNotices m_notices;
     Routing::OutlierFinder m_outliers;
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By key, for logs.
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -46,6 +46,10 @@
         outlierGroups.push_back(std::move(it.second));
     m_outliers.setGroups(std::move(outlierGroups));
     m_speeds.keepTargets(m_targetNames);
+    std::set<std::uint64_t> listed;
+    for (FleetTarget const& target : fleet->targets)
+        listed.insert(target.key);
+    m_notices.keepListed(listed, Core::BootClock::now());
     if (!fleet->targets.empty() && highest >= m_loads.size())
         m_loads.resize(highest + 1);
     for (std::uint32_t id : m_knownTargets) {
@@ -81,6 +85,19 @@
         m_outliers.note(targetKey, false, now);
 }
 
+bool Dispatcher::noteNotice(std::uint64_t targetKey, Routing::TargetNotice const& notice)
+{
+    std::lock_guard lock(m_mutex);
+    return m_notices.note(targetKey, notice, Core::BootClock::now());
+}
+
+bool Dispatcher::mayWrite(FleetTarget const& target) const
+{
+    std::lock_guard lock(m_mutex);
+    std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
+    return limit != m_limits.end() && limit->second > 0 && !m_notices.isClosed(target.key, Core::BootClock::now());
+}
+
 std::vector<Routing::HeldPart> Dispatcher::takeHeldParts()
 {
     std::lock_guard lock(m_mutex);
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -83,6 +83,11 @@
     post(Request::TargetPicked { leg->leg.attempt, m_target });
     if (!co_await connect(leg, *target) || finishIfQuarantined(leg))
         co_return;
+    // It may have said meanwhile that it leaves, or wants nothing now.
+    if (!m_context.dispatcher.mayWrite(*target)) {
+        post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
+        co_return;
+    }
     post(Request::Connected { leg->leg, target->incarnation });
     co_await leg->goAhead.wait();
     if (leg->isAbandoned)
@@ -93,9 +98,14 @@
     TargetSend send = sendOf(leg->leg.attempt);
     Http::Request request = m_context.targets.request(m_work, send);
     Core::Result<void> started = co_await leg->exchange->start(request);
+    if (started.has_value())
+        noteNotice(*target, leg->exchange->head());
     // What an earlier request on this connection left behind comes first.
-    for (int n = 0; n < mostForeignAnswers && !leg->isAbandoned && started.has_value() && m_context.targets.judge(m_work, send, leg->exchange->head(), nullptr) == AnswerProof::Foreign; ++n)
+    for (int n = 0; n < mostForeignAnswers && !leg->isAbandoned && started.has_value() && m_context.targets.judge(m_work, send, leg->exchange->head(), nullptr) == AnswerProof::Foreign; ++n) {
         started = co_await leg->exchange->skipResponse();
+        if (started.has_value())
+            noteNotice(*target, leg->exchange->head());
+    }
     if (leg->isAbandoned)
         co_return;
     if (started.has_error()) {
@@ -160,6 +170,23 @@
         m_context.dispatcher.noteOutcome(target->key, outcome);
 }
 
+// Noted before anything of the answer is passed on.
+void RequestRunner::noteNotice(FleetTarget const& target, Http::ResponseHead const& head) const
+{
+    constexpr std::uint16_t misdirected = 421; // It speaks for another target.
+    if (!m_context.targets.readNotice || head.status == misdirected)
+        return;
+    Routing::TargetNotice notice = m_context.targets.readNotice(head.status, head.fields);
+    if (notice == Routing::TargetNotice())
+        return;
+    if (notice.pause)
+        Core::logEvent(Core::Severity::Info, Core::Event::TargetPaused, { { "target", target.name }, { "pause_ms", std::to_string(notice.pause->count()) } });
+    if (!m_context.dispatcher.noteNotice(target.key, notice))
+        return;
+    Core::logEvent(Core::Severity::Info, Core::Event::TargetSaysLeaving, { { "target", target.name } });
+    m_context.onLeaving(target.key);
+}
+
 boost::asio::awaitable<bool> RequestRunner::connect(LegPointer leg, FleetTarget const& target)
 {
     Http::ConnectionChoice choice = m_work.isRepeatable || m_context.targets.keepsConnectionsForAll ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -29,6 +29,9 @@
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
     if (std::optional<Core::Error> refusal = whyQuarantined())
         co_return Core::Result<std::string>(std::move(*refusal));
+    // It may have said meanwhile that it leaves, or wants nothing now.
+    if (!m_context.dispatcher.mayWrite(*target))
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Unavailable, "the target was closed before the prompt was written"));
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
     beginRun(*target);
     TargetSend send = sendOf(leg->leg.attempt);
@@ -42,6 +45,7 @@
     }
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
+    noteNotice(*target, leg->exchange->head());
     Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, wholeBodyLimit);
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was given up"));
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -86,6 +86,7 @@
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds retryAfterOf(Routing::Reason) const;
     void noteOutcome(Routing::TargetOutcome) const;
+    void noteNotice(FleetTarget const&, Http::ResponseHead const&) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -179,6 +179,11 @@
         giveUp(target, "the engine has started anew");
         co_return;
     }
+    if (state.has_value() && state.value().phase == Platform::EnginePhase::Draining) {
+        m_hooks.onLeaving(order.key);
+        giveUp(target, "the engine leaves");
+        co_return;
+    }
     bool isIdle = state.has_value() && state.value().phase == Platform::EnginePhase::Serving;
     Authority::StoreLease& lease = groupOf(order.service).lease;
     if (!isIdle || !lease.mayOrder(Clock::now())) {
@@ -198,6 +203,8 @@
     bool isUnknown = reply.has_error() && reply.error().verdict != Core::Verdict::NotRun;
     std::string answer = reply.has_value() ? (reply.value().isAccepted ? "accepted" : "refused") : "unknown";
     Core::logEvent(Core::Severity::Info, Core::Event::OrderAnswered, { { "pool", order.service }, { "engine", target }, { "answer", answer }, { "error", reply.has_error() ? reply.error().message : "-" } });
+    if (reply.has_value() && reply.value().isLeaving)
+        m_hooks.onLeaving(order.key);
     if (reply.has_value() && reply.value().isAccepted) {
         ++m_accepted;
         co_return;
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -30,6 +30,7 @@
         std::function<void()> onPlan; ///< Called before targets are ordered to change: peers are to send them no more work.
         std::function<Routing::EngineDemand(std::string const& service)> demand; ///< Of all daemons together.
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target in a role, next to the others.
+        std::function<void(std::uint64_t target)> onLeaving; ///< Called when a target says that it will end.
     };
 
     /// Preconditions: all references outlive the object.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -89,7 +89,7 @@
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
     BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
-    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness };
+    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::uint64_t target) { noteLeaving(target); } };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
@@ -250,6 +250,7 @@
     beacon.state.targetsAge = m_targetList.follower->age(now);
     beacon.shares = m_hooks.openWork();
     beacon.changing = m_roles->changing();
+    beacon.leaving = m_leaving.own();
     beacon.suspects = m_hooks.suspects();
     if (kind == BeaconKind::ToAll) {
         beacon.outcomes = m_hooks.takeOutcomes();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -7,6 +7,7 @@
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <LibFleet/ChangingTargets.h>
+#include <LibFleet/LeavingTargets.h>
 #include <LibFleet/TargetBook.h>
 #include <LibFleet/TopicFollower.h>
 #include <LibHttp/Client.h>
@@ -59,6 +60,9 @@
     /// Takes over what may change while the daemon runs: the store's address and how long callers keep the list.
     void change(Settings::DaemonSettings const&);
 
+    /// Notes that a target has said in an answer that it leaves.
+    void noteLeaving(std::uint64_t target);
+
     /// Returns the daemons that callers may use now.
     EntryList entries() const;
 
@@ -129,6 +133,7 @@
     void rebuild();
     void noteTargetsGone(std::set<std::uint64_t> const& keys);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
+    bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key); }
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
 
     boost::asio::io_context& m_context;
@@ -160,6 +165,7 @@
     std::map<std::string, std::vector<Routing::ServiceReport>> m_reports; ///< Likewise.
     std::set<std::uint64_t> m_unreachable; ///< Targets that enough daemons cannot reach.
     Fleet::ChangingTargets m_changing; ///< As peers said.
+    Fleet::LeavingTargets m_leaving; ///< As they themselves said.
     FleetPointer m_fleet;
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_listConfirmedAt; ///< As snapshots of the fleet have it.
     Core::BootClock::time_point m_startedAt;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -128,10 +128,21 @@
     if (isNews)
         wakeTopics();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
+    bool isAnyLeaving = m_leaving.hear(beacon.leaving);
+    if (isAnyLeaving)
+        rebuild();
     bool isOther = m_changing.hear(beacon.sender.name, beacon.changing, now, m_beacons->book().silentTime());
     m_isTargetListChanged = m_isTargetListChanged || isOther;
 }
 
+void StoreControl::noteLeaving(std::uint64_t target)
+{
+    if (!m_leaving.noteOwn(target))
+        return;
+    rebuild();
+    m_beacons->sendSoon();
+}
+
 // What the requests of all daemons that are heard ask of a service's engines.
 Routing::EngineDemand StoreControl::demandOf(std::string const& service) const
 {
@@ -181,7 +192,7 @@
 
 std::string StoreControl::whyClosed(Fleet::BookedTarget const& target, std::uint64_t key) const
 {
-    if (target.listed.isLeaving)
+    if (isLeaving(target, key))
         return "leaving";
     if (m_roles->isChanging(key) || m_changing.contains(key))
         return "changing its role";
@@ -212,7 +223,7 @@
     target.slots = isEngine ? terms->engine->slots : listed.slots;
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
     target.release = listed.release;
-    target.isLeaving = listed.isLeaving;
+    target.isLeaving = isLeaving(booked, key);
     target.closedBecause = whyClosed(booked, target.key);
     return target;
 }
@@ -252,6 +263,7 @@
         platformTargets.push_back({ target.name, std::move(labels) });
         fleet->targets.push_back(std::move(target));
     }
+    m_leaving.keepListed(keys, Clock::now());
     noteTargetsGone(keys);
     std::erase_if(m_targetIds, [&keys](std::pair<std::uint64_t const, std::uint32_t> const& it) { return !keys.contains(it.first); });
     fleet->view = State::TargetView::create(m_labels, platformTargets);
--- a/Libraries/LibDaemon/TargetProtocol.h
+++ b/Libraries/LibDaemon/TargetProtocol.h
@@ -3,6 +3,7 @@
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/Work.h>
 #include <LibHttp/Message.h>
+#include <LibRouting/TargetNotices.h>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -45,6 +46,9 @@
     /// Judges an answer by its head, and by its body where that was read (null: not).
     std::function<AnswerProof(Work const&, TargetSend const&, Http::ResponseHead const&, std::string const* body)> judge;
 
+    /// Optional: reads what a target says of itself in the head of any of its answers.
+    std::function<Routing::TargetNotice(std::uint16_t status, Http::Fields const&)> readNotice;
+
     /// Optional: the request to the prefill target that frees a KV cache which nobody will fetch.
     std::function<Http::Request(std::string const& kvSource)> releaseKv;
 
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -38,6 +38,7 @@
     Metrics& metrics;
     Quarantine::Guard& guard;
     FindingsHook onFindings;
+    std::function<void(std::uint64_t target)> onLeaving; ///< Takes targets that say that they leave. Thread-safe.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
 };
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -22,6 +22,7 @@
     BudgetHook budgetOf;
     Quarantine::Guard& guard;
     FindingsHook onFindings;
+    std::function<void(std::uint64_t target)> onLeaving;
 };
 
 /// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
--- a/Libraries/LibPlatform/EngineControl.h
+++ b/Libraries/LibPlatform/EngineControl.h
@@ -62,6 +62,7 @@
     bool isAccepted { false };
     std::uint64_t newerFencing { 0 }; ///< When refused: the number that the engine has seen.
     bool isOutdated { false }; ///< When refused: another holder has ordered since this order was decided.
+    bool isLeaving { false }; ///< The engine has said with its answer that it will end.
 };
 
 /// What an engine says became of a request that was to be canceled.
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -15,7 +15,7 @@
 TEST(BeaconMessage, ReadsWhatItWrites)
 {
     Fleet::DaemonState state { true, true, true, 9, 12, std::chrono::milliseconds(1'300), std::nullopt, std::chrono::milliseconds(0), Fleet::Time(std::chrono::hours(100)) };
-    Daemon::BeaconMessage beacon { makeDaemon(), 5, state, { { 3, { 0.25, 2, 900 } } }, { 3 }, { 4, 5 }, { { 3, 8, 2 } }, { { "llm", { 2.5, 120, 400'000 }, { { 0.25, 0.5, 0.125 }, 40, 0.0625 } } }, { { 9, 3 } }, std::chrono::milliseconds(700), { { { 11, 12 }, Quarantine::SuspectTarget { 3, "llm", "v1" }, Fleet::Time(std::chrono::milliseconds(70)), Fleet::Time(std::chrono::milliseconds(90)) }, { { 13, 14 }, std::nullopt, Fleet::Time(), Fleet::Time(std::chrono::milliseconds(80)) } }, 99 };
+    Daemon::BeaconMessage beacon { makeDaemon(), 5, state, { { 3, { 0.25, 2, 900 } } }, { 3 }, { 4, 5 }, { { 3, 8, 2 } }, { { "llm", { 2.5, 120, 400'000 }, { { 0.25, 0.5, 0.125 }, 40, 0.0625 } } }, { { 9, 3 } }, std::chrono::milliseconds(700), { 21, 22 }, { { { 11, 12 }, Quarantine::SuspectTarget { 3, "llm", "v1" }, Fleet::Time(std::chrono::milliseconds(70)), Fleet::Time(std::chrono::milliseconds(90)) }, { { 13, 14 }, std::nullopt, Fleet::Time(), Fleet::Time(std::chrono::milliseconds(80)) } }, 99 };
     Daemon::BeaconMessage read = Daemon::decodeBeacon(Daemon::encode(beacon)).value();
     EXPECT_EQ(read.sender, beacon.sender);
     EXPECT_EQ(read.sequence, 5U);
@@ -27,6 +27,7 @@
     EXPECT_EQ(read.outcomes, beacon.outcomes);
     EXPECT_EQ(read.heldParts, beacon.heldParts);
     EXPECT_EQ(read.lapseGrace, beacon.lapseGrace);
+    EXPECT_EQ(read.leaving, beacon.leaving);
     EXPECT_EQ(read.suspectNews, beacon.suspectNews);
     EXPECT_EQ(read.suspectDigest, 99U);
 }
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -14,6 +14,7 @@
     for (std::uint32_t n = 0; n < count; ++n) {
         Daemon::FleetTarget target;
         target.id = n;
+        target.key = n + 1;
         target.name = "e-" + std::to_string(n);
         target.model = "m";
         target.closedBecause = closedBecause;
@@ -221,3 +222,63 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->position, 0U);
 }
+
+// Guards against callers who are held up where all targets want nothing until it is too late.
+TEST_F(DispatcherTest, RefusesAtOnceWhereAllTargetsWantNothingForLong)
+{
+    Daemon::FleetPointer fleet = fleetOf(2);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->noteNotice(1, { false, std::chrono::seconds(40) });
+    m_dispatcher->noteNotice(2, { false, std::chrono::seconds(20) });
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+    request.latestStart = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(std::move(request), outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_FALSE(outcome->position);
+    EXPECT_EQ(outcome->error.verdict, Core::Verdict::NotRun);
+    EXPECT_GT(outcome->retryAfter, std::chrono::seconds(19)) << "the least of what is left";
+    EXPECT_LE(outcome->retryAfter, std::chrono::seconds(25)) << "and a quarter more";
+    EXPECT_EQ(m_dispatcher->openRequests(), 0U);
+}
+
+TEST_F(DispatcherTest, WaitsForATargetThatWantsNothingForAMoment)
+{
+    Daemon::FleetPointer fleet = fleetOf(1);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->noteNotice(1, { false, std::chrono::milliseconds(50) });
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(requestFor(fleet, { 0 }), outcome);
+    EXPECT_FALSE(outcome);
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    m_context.restart();
+    m_context.run();
+    ASSERT_TRUE(outcome);
+    EXPECT_TRUE(outcome->position);
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0]));
+}
+
+// Guards against a request that was placed before the target's word came, and is written after it.
+TEST_F(DispatcherTest, NothingMayBeWrittenToATargetThatHasSaidItLeaves)
+{
+    Daemon::FleetPointer fleet = fleetOf(2);
+    m_dispatcher->setFleet(fleet);
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0]));
+    EXPECT_TRUE(m_dispatcher->noteNotice(1, { true, {} }));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    // An older list that still has it as ready changes nothing.
+    m_dispatcher->setFleet(fleetOf(2));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    for (int n = 0; n < 5; ++n) {
+        std::optional<Daemon::PlacementOutcome> outcome;
+        std::uint64_t id = place(requestFor(fleet, { 0, 1 }), outcome);
+        ASSERT_TRUE(outcome);
+        EXPECT_EQ(outcome->position, 1U);
+        m_dispatcher->release(id);
+    }
+    // Nor may it be where the list has it closed, or gone.
+    m_dispatcher->setFleet(fleetOf(2, "leaving"));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1]));
+    m_dispatcher->setFleet(fleetOf(1));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1]));
+}
--- a/Tests/platform/TestTargets.cpp
+++ b/Tests/platform/TestTargets.cpp
@@ -87,3 +87,25 @@
     EXPECT_EQ(protocol.readPrefill(target, makeWork(), { 200, {}, "{}" }).error().verdict, Core::Verdict::MayHaveRun);
     EXPECT_TRUE(protocol.readPrefill(target, makeWork(), { 200, { { "X-Request-Id", "r2" } }, R"({"handle":"x"})" }).has_error());
 }
+
+TEST(PlatformTargets, ReadsWhatATargetSaysOfItself)
+{
+    std::function<Routing::TargetNotice(std::uint16_t, Http::Fields const&)> read = UsersPlatform::targetProtocol().readNotice;
+    EXPECT_EQ(read(200, { { "X-Request-Id", "r1" } }), Routing::TargetNotice());
+    for (std::uint16_t status : { 200, 404, 429, 500, 503 })
+        EXPECT_TRUE(read(status, { { "server-leaving", "1" } }).isLeaving) << status;
+    EXPECT_EQ(read(503, { { "Retry-After", "2.5" } }).pause, 2'500ms);
+    EXPECT_EQ(read(503, { { "Retry-After", "3" } }).pause, 3s);
+    EXPECT_FALSE(read(200, { { "Retry-After", "3" } }).pause) << "it has answered";
+}
+
+// Guards against a word that cannot be read and closes a target, or ends the daemon.
+TEST(PlatformTargets, WhatATargetCannotMeanIsAsIfItWereNotThere)
+{
+    std::function<Routing::TargetNotice(std::uint16_t, Http::Fields const&)> read = UsersPlatform::targetProtocol().readNotice;
+    for (char const* text : { "", "-1", "-0", "0", "nan", "inf", "1e30", "1e3", "0x10", "99999999999999999999", "Wed, 21 Oct 2015 07:28:00 GMT", "3 s", " 3", "+3", "3,5" })
+        EXPECT_EQ(read(503, { { "Retry-After", text } }), Routing::TargetNotice()) << text;
+    for (char const* text : { "", "0", "no", "11", "true" })
+        EXPECT_FALSE(read(200, { { "Server-Leaving", text } }).isLeaving) << text;
+    EXPECT_EQ(read(503, { { "Retry-After", "1" }, { "Retry-After", "x" }, { "Retry-After", "4" } }).pause, 4s);
+}
