LibQuarantine, LibHttp, LibDaemon: Count each end, and give each target of the log-and-list platform a key of its own

Found by TestCrashingRequest beside other work (a failure seen once is a finding; traced by its logs): ends were missed. A process that ends closes its sockets one by one, so it broke its connections and still took a new one, and passed for alive. A new connection now has to stay open for a moment before it proves anything: ClientConnections.ReachIsNotDeceivedByAProcessThatIsEnding. The same test then showed a daemon that had started and asked its peers too late: questions are spread over a beacon's interval only where daemons are many (CatchUp.DaemonsThatStartTogetherAskAtDifferentMoments).

Found by reading: on the log-and-list platform all targets had key 0, so that one which could not be reached closed all others for half a second (DispatcherTest.EachTargetAndEachOfItsStartsHasAKeyOfItsOwn). Whoever wrote a suspect into the store takes it back when a peer clears it. A target that is found ended is closed at once, not after three broken answers.

--- a/Libraries/LibDaemon/ControlFleet.cpp
+++ b/Libraries/LibDaemon/ControlFleet.cpp
@@ -62,6 +62,8 @@
     FleetTarget target;
     target.id = status.id;
     target.name = status.vm.name;
+    target.key = targetKeyOf(status.vm.name, status.state ? status.state->incarnation : std::string());
+    target.isLeaving = status.vm.state == Platform::VmState::Leaving;
     target.endpoint = status.vm.address;
     target.kind = status.vm.kind;
     target.pool = status.vm.pool;
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Daemon {
@@ -42,6 +43,11 @@
     std::string const& work() const { return kind == Platform::VmKind::Engine ? model : service; }
 };
 
+/// Returns the key of a target: the same at every daemon, and another one when the target starts again under its name. `start`
+/// tells the starts of one name apart. Thread-safe.
+std::uint64_t targetKeyOf(std::string_view name, std::uint64_t start);
+std::uint64_t targetKeyOf(std::string_view name, std::string_view start);
+
 /// A daemon that callers may connect to.
 struct EntryAddress {
     std::string name;
--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <random>
 
 namespace Daemon {
 
@@ -31,6 +32,7 @@
     , m_book(book)
     , m_self(std::move(self))
     , m_hooks(std::move(hooks))
+    , m_catchUp(std::random_device()())
 {
 }
 
@@ -53,6 +55,9 @@
     for (Quarantine::SuspectNews& it : news) {
         it.at = saidAt - std::max(Clock::duration::zero(), beacon.state.saidAt - it.at);
         it.begunAt = saidAt - std::max(Clock::duration::zero(), beacon.state.saidAt - it.begunAt);
+        // Whoever wrote a request down takes it back.
+        if (!it.ended && m_stored.contains(it.key))
+            m_toStore.insert(it.key);
     }
     logFindings(m_guard.take(news), beacon.sender.name);
 }
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -13,6 +13,8 @@
 
 // Nothing but another release of the targets' software changes the refusal, and that takes minutes.
 constexpr std::chrono::milliseconds retryAfterQuarantine { 60'000 };
+constexpr std::uint16_t noContent = 204;
+constexpr std::uint16_t notModified = 304;
 
 }
 
@@ -67,7 +69,9 @@
 // An answer that ends with its connection ends in the same way when the target does.
 void RequestRunner::noteAnswerEnd(Http::ResponseHead const& head, bool isWhole)
 {
-    bool hasFraming = head.fields.find("Content-Length") || head.fields.find("Transfer-Encoding");
+    // RFC 9112, section 6.3: these have no body.
+    bool isBodiless = m_work.upstream.method == "HEAD" || head.status == noContent || head.status == notModified;
+    bool hasFraming = isBodiless || head.fields.find("Content-Length") || head.fields.find("Transfer-Encoding");
     if (!hasFraming || !isWhole) {
         breakOffRun();
         return;
@@ -102,6 +106,8 @@
 {
     Clock::time_point begunAt = Clock::now();
     Http::Reach reach = co_await m_context.client.reach(target.endpoint);
+    if (reach != Http::Reach::Reached)
+        m_context.dispatcher.noteOutcome(target.key, Routing::TargetOutcome::Unreachable);
     if (reach == Http::Reach::Refused)
         noteEnded(target, "refused");
     else if (reach == Http::Reach::Reached)
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -4,7 +4,6 @@
 #include <LibDaemon/StoreControl.h>
 #include <algorithm>
 #include <tuple>
-#include <xxhash.h>
 
 namespace Daemon {
 
@@ -17,11 +16,10 @@
 // Of an entry that cannot be used, so much goes into the log.
 constexpr std::size_t loggedEntryBytes = 200;
 
-// The same at every daemon, and another one when the target starts again under its id: all that was believed of the
-// incarnation before stands under its own key, and counts no more.
+// All that was believed of the incarnation before stands under its own key, and counts no more.
 std::uint64_t keyOf(Platform::ListedTarget const& listed)
 {
-    return XXH3_64bits_withSeed(listed.id.data(), listed.id.size(), listed.bornAtMs);
+    return targetKeyOf(listed.id, listed.bornAtMs);
 }
 
 }
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/Exchange.h>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <map>
@@ -18,6 +19,9 @@
 
 // Servers close idle connections after a time that is not known of one that was never used; all that were seen wait longer.
 constexpr std::chrono::milliseconds unusedKeepTime { 500 };
+// Within this a process that has begun to close its sockets has closed them all, and the network has told.
+constexpr std::chrono::milliseconds endingTime { 50 };
+constexpr int mostReachTries = 3;
 
 // Idle connections by endpoint. Exchanges hold it weakly, so that they may outlive the client.
 struct Pool {
@@ -58,13 +62,21 @@
 
     Asio::awaitable<Reach> reach(Tcp::endpoint endpoint) override
     {
-        boost::system::error_code ec;
-        std::shared_ptr<ClientConnection> connection = co_await connectSocket(endpoint, nullptr, ec);
-        if (ec)
-            co_return ec == Asio::error::connection_refused ? Reach::Refused : Reach::Unknown;
-        connection->keepUntil = Core::BootClock::now() + unusedKeepTime;
-        returnTo(endpoint)(std::move(connection));
-        co_return Reach::Reached;
+        // A process that ends closes its sockets one by one: one that listens a moment longer still takes connections.
+        for (int tries = 0; tries < mostReachTries; ++tries) {
+            boost::system::error_code ec;
+            std::shared_ptr<ClientConnection> connection = co_await connectSocket(endpoint, nullptr, ec);
+            if (ec)
+                co_return ec == Asio::error::connection_refused ? Reach::Refused : Reach::Unknown;
+            Asio::steady_timer timer(m_context, endingTime);
+            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+            if (!isQuiet(*connection))
+                continue;
+            connection->keepUntil = Core::BootClock::now() + unusedKeepTime;
+            returnTo(endpoint)(std::move(connection));
+            co_return Reach::Reached;
+        }
+        co_return Reach::Unknown;
     }
 
     Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
--- a/Libraries/LibQuarantine/CatchUp.cpp
+++ b/Libraries/LibQuarantine/CatchUp.cpp
@@ -1,5 +1,6 @@
 #include <LibQuarantine/CatchUp.h>
 #include <algorithm>
+#include <vector>
 
 namespace Quarantine {
 
@@ -13,23 +14,28 @@
 std::optional<std::string> CatchUp::whomToAsk(std::uint64_t ownDigest, std::chrono::milliseconds patience, std::chrono::milliseconds silentAfter, Time now)
 {
     std::erase_if(m_heard, [&](std::pair<std::string const, Heard> const& it) { return now - it.second.at > silentAfter; });
-    std::map<std::string, Heard>::const_iterator longest = m_heard.end();
-    for (std::map<std::string, Heard>::iterator it = m_heard.begin(); it != m_heard.end(); ++it) {
-        Heard& heard = it->second;
-        if (heard.digest == ownDigest)
+    if (!m_firstPart)
+        m_firstPart = std::uniform_real_distribution<double>(0, 1)(m_random);
+    std::chrono::milliseconds whole = std::max(patience, m_settings.patience);
+    // Few daemons may ask one at a moment.
+    std::chrono::milliseconds spread = std::max(std::chrono::milliseconds(0), patience - m_settings.unspreadPatience);
+    std::chrono::milliseconds first = std::chrono::duration_cast<std::chrono::milliseconds>(spread * *m_firstPart);
+    std::vector<std::string const*> differing;
+    for (std::pair<std::string const, Heard>& it : m_heard) {
+        Heard& heard = it.second;
+        if (heard.digest == ownDigest) {
             heard.differsSince.reset();
-        else if (!heard.differsSince)
-            heard.differsSince = now;
-        if (heard.differsSince && (longest == m_heard.end() || heard.differsSince < longest->second.differsSince))
-            longest = it;
+            continue;
+        }
+        heard.differsSince = heard.differsSince.value_or(now);
+        bool isFirst = !m_wasAnswered && heard.digest != 0;
+        if (now - *heard.differsSince >= (isFirst ? first : whole))
+            differing.push_back(&it.first);
     }
-    if (longest == m_heard.end() || m_isAsking || now < m_nextQuestion)
-        return std::nullopt;
-    bool isFirst = !m_wasAnswered && longest->second.digest != 0;
-    if (!isFirst && now - *longest->second.differsSince < std::max(patience, m_settings.patience))
+    if (differing.empty() || m_isAsking || now < m_nextQuestion)
         return std::nullopt;
     m_isAsking = true;
-    return longest->first;
+    return *differing[std::uniform_int_distribution<std::size_t>(0, differing.size() - 1)(m_random)];
 }
 
 void CatchUp::noteAnswer(bool isAnswered, bool isNews, Time now)
--- a/Libraries/LibQuarantine/CatchUp.h
+++ b/Libraries/LibQuarantine/CatchUp.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace Quarantine {
@@ -11,6 +12,8 @@
 struct CatchUpSettings {
     /// News that is under way reaches all within a beacon or two; a difference that lasts longer is to be asked about.
     std::chrono::milliseconds patience { 300 };
+    /// Where beacons come as often as this, so few daemons are there that those which start together may all ask at once.
+    std::chrono::milliseconds unspreadPatience { 100 };
     std::chrono::milliseconds leastInterval { 300 }; ///< Between two questions; doubled while answers bring nothing.
     std::chrono::milliseconds longestInterval { 10'000 };
 };
@@ -20,18 +23,20 @@
 /// Pure and not thread-safe.
 class CatchUp {
 public:
-    explicit CatchUp(CatchUpSettings const& settings = {})
+    /// `seed` differs from daemon to daemon, so that those that start together do not all ask one peer at one moment.
+    explicit CatchUp(std::uint64_t seed, CatchUpSettings const& settings = {})
         : m_settings(settings)
         , m_interval(settings.leastInterval)
+        , m_random(seed)
     {
     }
 
     /// Takes what a peer's beacon said.
     void hear(std::string const& peer, std::uint64_t digest, Time now);
 
-    /// Returns whom to ask now, if anybody: the peer that has differed for the longest. At once while this daemon has never been
-    /// answered and a peer knows of any suspect. `patience` as in the settings, or a longer one where beacons are seldom;
-    /// peers not heard for `silentAfter` are left out.
+    /// Returns whom to ask now, if anybody: one of the peers that have differed for long enough. A daemon that has never been answered
+    /// asks at once where a peer knows of any suspect; where daemons are many, at a moment of a beacon's interval drawn at random. `patience` as in the settings, or a longer one
+    /// where beacons are seldom; peers not heard for `silentAfter` are left out.
     std::optional<std::string> whomToAsk(std::uint64_t ownDigest, std::chrono::milliseconds patience, std::chrono::milliseconds silentAfter, Time now);
 
     /// Notes how the last question ended: whether the peer answered, and whether that changed anything here.
@@ -47,6 +52,8 @@
     CatchUpSettings m_settings;
     std::map<std::string, Heard> m_heard;
     std::chrono::milliseconds m_interval;
+    std::mt19937_64 m_random;
+    std::optional<double> m_firstPart; ///< Of the patience, until the first question.
     Time m_nextQuestion;
     bool m_isAsking { false };
     bool m_wasAnswered { false };
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -282,3 +282,19 @@
     m_dispatcher->setFleet(fleetOf(1));
     EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1]));
 }
+
+// Guards against one target that cannot be reached and closes all others, as they share its key.
+TEST_F(DispatcherTest, EachTargetAndEachOfItsStartsHasAKeyOfItsOwn)
+{
+    EXPECT_NE(Daemon::targetKeyOf("e-1", "a"), Daemon::targetKeyOf("e-2", "a"));
+    EXPECT_NE(Daemon::targetKeyOf("e-1", "a"), Daemon::targetKeyOf("e-1", "b"));
+    EXPECT_NE(Daemon::targetKeyOf("e-1", 1), Daemon::targetKeyOf("e-1", 2));
+    EXPECT_EQ(Daemon::targetKeyOf("e-1", 1), Daemon::targetKeyOf("e-1", 1));
+    Daemon::FleetPointer fleet = fleetOf(2);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->noteOutcome(fleet->targets[0].key, Routing::TargetOutcome::Unreachable);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(requestFor(fleet, { 0, 1 }), outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->position, 1U);
+}
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -175,3 +175,33 @@
         EXPECT_EQ(response.error().verdict, Core::Verdict::MayHaveRun);
     });
 }
+
+TEST_F(ClientConnections, ReachTellsWhoListensFromWhoDoesNot)
+{
+    serve([](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        co_await readHead(*socket);
+        co_await answer(*socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    run([this]() -> Asio::awaitable<void> {
+        EXPECT_EQ(co_await m_client->reach(m_endpoint), Http::Reach::Reached);
+        Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_EQ(response.value().body, "ok");
+        EXPECT_EQ(m_accepted, 1) << "the next exchange uses its connection";
+        m_acceptor.close();
+        EXPECT_EQ(co_await m_client->reach(m_endpoint), Http::Reach::Refused);
+    });
+}
+
+// Guards against a process that ends, has closed its connections, and is taken to live since it listens for a moment longer.
+TEST_F(ClientConnections, ReachIsNotDeceivedByAProcessThatIsEnding)
+{
+    serve([this](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        boost::system::error_code ec;
+        socket->close(ec);
+        m_acceptor.close(ec);
+        co_return;
+    });
+    run([this]() -> Asio::awaitable<void> {
+        EXPECT_EQ(co_await m_client->reach(m_endpoint), Http::Reach::Refused);
+    });
+}
--- a/Tests/LibQuarantine/TestCatchUp.cpp
+++ b/Tests/LibQuarantine/TestCatchUp.cpp
@@ -1,5 +1,7 @@
 #include <LibQuarantine/CatchUp.h>
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace {
 
@@ -17,7 +19,7 @@
 
 TEST(CatchUp, ADaemonThatStartsAsksTheFirstThatKnowsOfAny)
 {
-    CatchUp catchUp;
+    CatchUp catchUp(1);
     catchUp.hear("a", 0, origin);
     EXPECT_FALSE(ask(catchUp, 0, origin));
     catchUp.hear("b", 5, origin + 10ms);
@@ -25,10 +27,31 @@
     EXPECT_FALSE(ask(catchUp, 0, origin + 20ms)) << "one question at a time";
 }
 
+// Guards against a whole site that starts anew and asks the two daemons that have read the store, all at one moment.
+TEST(CatchUp, DaemonsThatStartTogetherAskAtDifferentMoments)
+{
+    std::map<Time, int> questions;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        CatchUp catchUp(seed);
+        for (Time now = origin; now < origin + 3s; now += 100ms) {
+            catchUp.hear("a", 5, now);
+            if (catchUp.whomToAsk(0, 1'500ms, 5s, now)) {
+                ++questions[now];
+                break;
+            }
+        }
+    }
+    int most = 0;
+    for (std::pair<Time const, int> const& it : questions)
+        most = std::max(most, it.second);
+    EXPECT_LE(most, 40);
+    EXPECT_LT(questions.rbegin()->first, origin + 1'600ms);
+}
+
 // Guards against three hundred questions at once for each word that is on its way anyhow.
 TEST(CatchUp, WaitsForNewsThatIsOnItsWay)
 {
-    CatchUp catchUp;
+    CatchUp catchUp(1);
     catchUp.noteAnswer(true, true, origin);
     catchUp.hear("a", 5, origin + 1s);
     EXPECT_FALSE(ask(catchUp, 0, origin + 1s));
@@ -41,7 +64,7 @@
 
 TEST(CatchUp, AsksSeldomWhereAnswersBringNothing)
 {
-    CatchUp catchUp;
+    CatchUp catchUp(1);
     std::size_t questions = 0;
     for (Time now = origin; now < origin + 60s; now += 100ms) {
         catchUp.hear("a", 5, now);
@@ -56,7 +79,7 @@
 
 TEST(CatchUp, PassesOverWhoIsNotHeardAnyMore)
 {
-    CatchUp catchUp;
+    CatchUp catchUp(1);
     catchUp.hear("a", 5, origin);
     EXPECT_FALSE(ask(catchUp, 0, origin + 2s));
 }
--- a/Tests/LibQuarantine/TestReach.cpp
+++ b/Tests/LibQuarantine/TestReach.cpp
@@ -4,6 +4,7 @@
 #include <LibFleet/DaemonBook.h>
 #include <LibQuarantine/CatchUp.h>
 #include <LibQuarantine/Guard.h>
+#include <deque>
 #include <gtest/gtest.h>
 #include <queue>
 #include <random>
@@ -27,8 +28,9 @@
     explicit Site(SiteSettings const& settings)
         : m_settings(settings)
         , m_random(settings.seed)
-        , m_daemons(settings.daemons)
     {
+        for (std::size_t n = 0; n < settings.daemons; ++n)
+            m_daemons.emplace_back(m_random());
         for (std::size_t n = 0; n < m_daemons.size(); ++n) {
             for (std::size_t other = 0; other < m_daemons.size(); ++other) {
                 if (other != n)
@@ -74,6 +76,11 @@
 
 private:
     struct Daemon {
+        explicit Daemon(std::uint64_t seed)
+            : catchUp(seed)
+        {
+        }
+
         Guard guard;
         CatchUp catchUp;
         Fleet::DaemonBook book;
@@ -160,7 +167,7 @@
 
     SiteSettings m_settings;
     std::mt19937_64 m_random;
-    std::vector<Daemon> m_daemons;
+    std::deque<Daemon> m_daemons;
     std::priority_queue<Event> m_events;
     std::uint64_t m_order { 0 };
     std::size_t m_questions { 0 };
