--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -3,9 +3,6 @@
 #include <LibDaemon/HttpErrors.h>
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <openssl/rand.h>
 #include <tuple>
@@ -203,56 +200,6 @@
     return Http::Server::create(m_control, endpoint, Http::ServerSettings(), std::move(handler), rejectionResponse);
 }
 
-Http::Response Daemon::respondToOperators(Http::Request const& request)
-{
-    if (request.target == "/healthz")
-        return Http::jsonResponse(Http::Status::Ok, R"({"status":"ok"})");
-    if (request.target == "/readyz")
-        return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
-    if (request.target == "/suspects")
-        return respondWithSuspects();
-    if (request.target != "/metrics")
-        return Http::jsonResponse(Http::Status::NotFound, Request::errorBody(Core::makeError(Core::ErrorCode::NotFound, "no such path: \"" + request.target + "\""), ""));
-    return respondWithMetrics();
-}
-
-// Requests that ended targets, those that are refused first.
-Http::Response Daemon::respondWithSuspects() const
-{
-    std::vector<Quarantine::Suspect> suspects = m_guard.suspects();
-    std::sort(suspects.begin(), suspects.end(), [](Quarantine::Suspect const& a, Quarantine::Suspect const& b) { return a.ends.size() > b.ends.size(); });
-    Core::BootClock::time_point now = Core::BootClock::now();
-    boost::json::array list;
-    for (Quarantine::Suspect const& suspect : suspects) {
-        if (suspect.ends.empty())
-            continue;
-        boost::json::array ends;
-        for (Quarantine::TargetEnd const& end : suspect.ends)
-            ends.push_back(boost::json::object { { "target", end.target.name }, { "service", end.target.service }, { "release", end.target.release }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - end.at).count() } });
-        list.push_back(boost::json::object { { "work_key", toLogText(suspect.key) }, { "refused", m_guard.standing(suspect.key) == Quarantine::Guard::Standing::Refused }, { "ends", std::move(ends) } });
-    }
-    return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "suspects", std::move(list) } }));
-}
-
-Http::Response Daemon::respondWithMetrics()
-{
-    MetricsSample sample;
-    sample.configVersion = m_storeControl->configVersion();
-    sample.storeReadAge = m_storeControl->storeReadAge();
-    sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
-    sample.liveDaemons = m_storeControl->liveDaemons();
-    for (FleetTarget const& target : m_storeControl->fleet()->targets)
-        ++(target.isClosed() ? sample.closedTargets : sample.openTargets);
-    sample.mayOrder = m_storeControl->roles().mayOrder();
-    sample.suspectedRequests = m_guard.suspectedCount();
-    sample.quarantinedRequests = m_guard.refusedCount();
-    sample.linesLeftOut = Core::linesLeftOut();
-    sample.configOffset = m_storeControl->configVersion();
-    sample.openRequests = m_dispatcher->openRequests();
-    sample.roleChanges = m_storeControl->roles().accepted();
-    return Http::Response { static_cast<std::uint16_t>(Http::Status::Ok), { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text(sample) };
-}
-
 void Daemon::setCallerLimits(State::CallerLimits const& limits)
 {
     Http::ServerSettings server = m_settings.callers.server;
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -85,19 +85,6 @@
         m_outliers.note(targetKey, false, now);
 }
 
-bool Dispatcher::noteNotice(std::uint64_t targetKey, Routing::TargetNotice const& notice)
-{
-    std::lock_guard lock(m_mutex);
-    return m_notices.note(targetKey, notice, Core::BootClock::now());
-}
-
-bool Dispatcher::mayWrite(FleetTarget const& target) const
-{
-    std::lock_guard lock(m_mutex);
-    std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
-    return limit != m_limits.end() && limit->second > 0 && !m_notices.isClosed(target.key, Core::BootClock::now());
-}
-
 std::vector<Routing::HeldPart> Dispatcher::takeHeldParts()
 {
     std::lock_guard lock(m_mutex);
