LibAccess: Let in whoever shows an organisation's key, and name the organisation to targets

Cause: the configuration's organisations were not read, and headers that are not the system's own pass through.

Change: State::ServiceConfig holds organisations by digests of their keys; the edge judges each request by its key and the age of the configuration, drops the key and sets the organisation's name on every send. 401 is said only by a configuration whose age is within the bound, 503 by an older one; key_strict ends keys at daemons that are cut off, too.

--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -14,6 +14,7 @@
     NotFound, ///< The named object, model, service or ticket does not exist.
     Conflict, ///< A newer revision won, or the ticket belongs to another request.
     Unauthorized, ///< The bearer token or ticket is missing or wrong.
+    Unauthenticated, ///< The caller's key is missing, or no organisation holds it.
     NotAllowed, ///< No selector allows it.
     Overloaded, ///< A limit is reached; try again later.
     Unavailable, ///< The other side cannot be reached or refuses for now.
@@ -26,11 +27,12 @@
     Internal, ///< An unexpected failure inside this process.
 };
 
-inline constexpr EnumNames<ErrorCode, 14> errorCodeNames { {
+inline constexpr EnumNames<ErrorCode, 15> errorCodeNames { {
     { ErrorCode::BadInput, "bad-input" },
     { ErrorCode::NotFound, "not-found" },
     { ErrorCode::Conflict, "conflict" },
     { ErrorCode::Unauthorized, "unauthorized" },
+    { ErrorCode::Unauthenticated, "unauthenticated" },
     { ErrorCode::NotAllowed, "not-allowed" },
     { ErrorCode::Overloaded, "overloaded" },
     { ErrorCode::Unavailable, "unavailable" },
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -92,14 +92,14 @@
         co_await serveTicket(std::string(*ticket), requestId, request, writer);
         co_return;
     }
-    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
+    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline, m_context.settings.callers.keys };
     Core::Result<Work> parsed = m_context.callers.parse(request, *m_context.fleet, limits, requestId);
     if (parsed.has_error()) {
         co_await sendError(parsed.error(), requestId, false, writer);
         co_return;
     }
     Work work = std::move(parsed.value());
-    work.key = workKeyOf(request);
+    work.key = workKeyOf(request, work);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
         if (!m_shared.leaveTimes.takes(work.timeout, expected, Clock::now())) {
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,7 +71,18 @@
     /// Whatever the store had taken by then is in the list of targets, as far as the daemon knows now; null where the platform
     /// does not have such a list. The control thread moves it on, for this snapshot and those after it.
     std::shared_ptr<std::atomic<Core::BootClock::time_point> const> listConfirmedAt;
+    /// The same of the configuration.
+    std::shared_ptr<std::atomic<Core::BootClock::time_point> const> configConfirmedAt;
     bool isReady { false }; ///< The configuration and the VM list have both been read once.
+
+    /// Returns how old the configuration may be; nothing: that is not known.
+    std::optional<std::chrono::milliseconds> configurationAge() const
+    {
+        Core::BootClock::time_point confirmedAt = configConfirmedAt ? configConfirmedAt->load() : Core::BootClock::time_point();
+        if (confirmedAt == Core::BootClock::time_point())
+            return std::nullopt;
+        return std::chrono::ceil<std::chrono::milliseconds>(Core::BootClock::now() - confirmedAt);
+    }
 };
 
 using FleetPointer = std::shared_ptr<FleetSnapshot const>;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -68,6 +68,7 @@
     , m_guard(guard)
     , m_fleet(std::make_shared<FleetSnapshot>())
     , m_listConfirmedAt(std::make_shared<std::atomic<Clock::time_point>>())
+    , m_configConfirmedAt(std::make_shared<std::atomic<Clock::time_point>>())
 {
 }
 
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -167,7 +167,8 @@
     Fleet::ChangingTargets m_changing; ///< As peers said.
     Fleet::LeavingTargets m_leaving; ///< As they themselves said.
     FleetPointer m_fleet;
-    std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_listConfirmedAt; ///< As snapshots of the fleet have it.
+    std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_listConfirmedAt; ///< As snapshots of the fleet have it,
+    std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_configConfirmedAt; ///< and the same of the configuration.
     Core::BootClock::time_point m_startedAt;
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -267,6 +267,7 @@
     fleet->view = State::TargetView::create(m_labels, platformTargets);
     fleet->services = m_services;
     fleet->listConfirmedAt = m_listConfirmedAt;
+    fleet->configConfirmedAt = m_configConfirmedAt;
     fleet->configVersion = m_services->version;
     fleet->isReady = m_targetList.follower->replica().isComplete();
     m_fleet = std::move(fleet);
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -153,6 +153,8 @@
 
 void StoreControl::publishAge()
 {
+    if (std::optional<Clock::time_point> configAsOf = m_configuration.follower->asOf())
+        m_configConfirmedAt->store(*configAsOf);
     std::optional<Clock::time_point> asOf = m_targetList.follower->asOf();
     if (!asOf)
         return;
--- a/Libraries/LibDaemon/TicketHome.cpp
+++ b/Libraries/LibDaemon/TicketHome.cpp
@@ -33,9 +33,9 @@
 {
     if (!m_context.fleet->isReady)
         return Core::fail(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet");
-    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline };
+    WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline, m_context.settings.callers.keys };
     BOOST_OUTCOME_TRY(Work work, parseWork(request, m_context.fleet->view->config(), limits, std::move(requestId)));
-    work.key = workKeyOf(request);
+    work.key = workKeyOf(request, work);
     BOOST_OUTCOME_TRY(std::vector<std::uint32_t> eligible, eligibleTargets(*m_context.fleet, work));
     std::shared_ptr<KeeperSink> sink = std::make_shared<KeeperSink>(m_shared.keeper, ticket.nonce);
     std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible), sink);
--- a/Libraries/LibDaemon/Work.cpp
+++ b/Libraries/LibDaemon/Work.cpp
@@ -229,9 +229,11 @@
 
 }
 
-Request::Fingerprint workKeyOf(Http::Request const& request)
+Request::Fingerprint workKeyOf(Http::Request const& request, Work const& work)
 {
     std::string_view host = request.fields.find("Host").value_or("");
+    if (work.isAuthenticated)
+        return Request::fingerprintOf({ host, request.method, request.target, request.body, "", work.organisation });
     std::string_view credentials = request.fields.find("Authorization").value_or("");
     std::string_view organisation = request.fields.find(organisationHeader).value_or("");
     return Request::fingerprintOf({ host, request.method, request.target, request.body, credentials, organisation });
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccess/Gate.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Message.h>
 #include <LibLabel/LabelSet.h>
@@ -25,6 +26,7 @@
     Kind kind { Kind::Model };
     std::string name; ///< The model or the plain service.
     std::string organisation;
+    bool isAuthenticated { false }; ///< The organisation holds the key that the request came with.
     Label::LabelSet labels; ///< After the operators' request rules.
     int priority { 5 };
     bool isRepeatable { false };
@@ -44,6 +46,7 @@
 struct WorkLimits {
     std::chrono::milliseconds defaultTimeout { 60'000 };
     std::chrono::milliseconds longestTimeout { 600'000 };
+    Access::GateSettings keys {};
 };
 
 /// Reads a request to a model (`/v1/completions`, `/v1/chat/completions`) or a plain service
@@ -52,8 +55,8 @@
 Core::Result<Work> parseWork(Http::Request const&, State::Config const&, WorkLimits const&, std::string requestId);
 
 /// Returns what tells a caller's request from others that ask for something else: its host, method, path with query, body, and
-/// who asks as far as it says. Thread-safe.
-Request::Fingerprint workKeyOf(Http::Request const&);
+/// who asks: the organisation that holds its key, else whoever the request says. Thread-safe.
+Request::Fingerprint workKeyOf(Http::Request const&, Work const&);
 
 /// Returns the form of a request's key that logs have. Thread-safe.
 std::string toLogText(Request::Fingerprint const&);
--- a/Libraries/LibRequest/HttpMapping.cpp
+++ b/Libraries/LibRequest/HttpMapping.cpp
@@ -15,6 +15,8 @@
         return 404;
     case Core::ErrorCode::Conflict:
         return 422;
+    case Core::ErrorCode::Unauthenticated:
+        return 401;
     case Core::ErrorCode::Unauthorized:
     case Core::ErrorCode::NotAllowed:
         return 403;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -21,6 +21,7 @@
 auto const daemonOf = [](Owned& it) -> Owned::Daemon& { return it.daemon; };
 auto const callersOf = [](Owned& it) -> Owned::Callers& { return it.callers; };
 auto const serverOf = [](Owned& it) -> Http::ServerSettings& { return it.callers.server; };
+auto const keysOf = [](Owned& it) -> Access::GateSettings& { return it.callers.keys; };
 auto const operatorsOf = [](Owned& it) -> Owned::Operators& { return it.operators; };
 auto const peersOf = [](Owned& it) -> Owned::Peers& { return it.peers; };
 auto const platformOf = [](Owned& it) -> Owned::Platform& { return it.platform; };
@@ -117,6 +118,20 @@
     return key;
 }
 
+template <typename Owner, typename Struct>
+DaemonKey flagKey(std::string section, std::string name, std::string description, Owner owner, bool Struct::* member)
+{
+    DaemonKey key { std::move(section), std::move(name), "yes or no", std::move(description), false, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        if (text != "yes" && text != "no")
+            return Core::fail(Core::ErrorCode::BadInput, "read \"" + std::string(text) + "\"; allowed is yes or no");
+        owner(settings).*member = text == "yes";
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) { return owner(const_cast<Owned&>(settings)).*member ? "yes" : "no"; };
+    return key;
+}
+
 DaemonKey tokenKey()
 {
     std::string allowed = "16 or more printable characters without spaces";
@@ -157,6 +172,9 @@
     keys.push_back(numberKey<Owned>("callers", "longest_deadline_ms", "Longest deadline that a request may ask for.", 1, maximumMilliseconds, callersOf, &Owned::Callers::longestDeadline));
     keys.push_back(optional(endpointKey("callers", "directory", "Where callers ask which daemons to use.", callersOf, &Owned::Callers::directory)));
     keys.push_back(optional(endpointKey("callers", "ready", "Where the platform asks whether this daemon takes requests.", callersOf, &Owned::Callers::ready)));
+    keys.push_back(numberKey<Owned>("callers", "key_refused_within_ms", "A caller's key is only refused by a configuration that is no older; by an older one the request gets 503 (kind keyed-store).", 1, maximumMilliseconds, keysOf, &Access::GateSettings::refuseWithin));
+    keys.push_back(flagKey("callers", "key_strict", "Whether keys are accepted, too, only by a configuration that is no older than key_accepted_within_ms: a key that was taken away ends everywhere, and a daemon that is cut off from the store serves nobody who needs a key (kind keyed-store).", keysOf, &Access::GateSettings::isStrict));
+    keys.push_back(numberKey<Owned>("callers", "key_accepted_within_ms", "The oldest configuration by which keys are accepted, with key_strict.", 1, maximumMilliseconds, keysOf, &Access::GateSettings::acceptWithin));
     keys.push_back(endpointKey("operators", "listen", "Where operators, metrics and health checks connect.", operatorsOf, &Owned::Operators::listen));
     keys.push_back(optional(endpointKey("operators", "metrics", "Where metrics are fetched, beside [operators] listen (kind keyed-store).", operatorsOf, &Owned::Operators::metrics)));
     keys.push_back(tokenKey());
@@ -268,6 +286,8 @@
                 m_problems += std::string(m_fileName) + ": [" + key.section + "] " + key.name + ": missing; allowed is " + key.allowed + "\n";
         }
         checkPlatform();
+        if (m_settings.callers.keys.isStrict && m_settings.callers.keys.acceptWithin < m_settings.platform.newsWithin)
+            m_problems += std::string(m_fileName) + ": [callers] key_accepted_within_ms: read " + std::to_string(m_settings.callers.keys.acceptWithin.count()) + "; allowed with key_strict is no less than [platform] news_within_ms, or keys would be refused while all is well\n";
         if (m_settings.callers.defaultDeadline > m_settings.callers.longestDeadline)
             m_problems += std::string(m_fileName) + ": [callers] default_deadline_ms: larger than longest_deadline_ms\n";
     }
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccess/Gate.h>
 #include <LibCore/EventLog.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Client.h>
@@ -49,6 +50,7 @@
         Milliseconds leaveHold { 0 }; ///< How long a leaving daemon goes on accepting; 0: for `listHold`.
         Milliseconds defaultDeadline { 60'000 };
         Milliseconds longestDeadline { 600'000 };
+        Access::GateSettings keys;
     };
 
     struct Operators {
--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -86,6 +87,11 @@
 {
     std::string path = parseTarget(request.target).path;
     Http::Response response { 200, {}, {} };
+    for (Http::Fields::Entry const& entry : request.fields.entries()) {
+        m_keys += Http::isSameFieldName(entry.first, "Api-Key") ? 1 : 0;
+        if (Http::isSameFieldName(entry.first, "X-Tenant"))
+            m_organisations[field(request, "X-Request-Id")].insert(entry.second);
+    }
     m_arrivals += path.starts_with("/admin/") || path.starts_with("/currantvale/") ? 0 : 1;
     if (path == "/admin/runs")
         response = runs();
@@ -226,7 +232,10 @@
     boost::json::object counts;
     for (std::pair<std::string const, std::uint64_t> const& it : m_runs)
         counts[it.first] = it.second;
-    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "runs", std::move(counts) } });
+    boost::json::object organisations;
+    for (std::pair<std::string const, std::set<std::string>> const& it : m_organisations)
+        organisations[it.first] = boost::json::array(it.second.begin(), it.second.end());
+    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "keys", m_keys }, { "organisations", std::move(organisations) }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "runs", std::move(counts) } });
 }
 
 }
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -65,6 +65,8 @@
     std::uint64_t m_arrivals { 0 }; ///< Requests, whatever became of them.
     std::chrono::steady_clock::time_point m_changingUntil {};
     std::map<std::string, std::uint64_t> m_runs; ///< By request id.
+    std::map<std::string, std::set<std::string>> m_organisations; ///< By request id, all that its sends named.
+    std::uint64_t m_keys { 0 }; ///< Requests that came with a caller's key.
     Faults m_faults;
 };
 
--- a/Libraries/LibState/EntryRoutes.h
+++ b/Libraries/LibState/EntryRoutes.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds longestPause { 0 }; ///< Between two events of a stream; 0: not said.
     std::uint32_t maxAttempts { 1 }; ///< Targets to which one request may be sent.
     int priority { 5 }; ///< 0 first, 9 last.
+    bool isPublic { false }; ///< Its requests need no key.
 
     bool operator==(EntryRoute const&) const = default;
 };
--- a/Libraries/LibState/ServiceConfig.h
+++ b/Libraries/LibState/ServiceConfig.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccess/Organisations.h>
 #include <LibCore/Result.h>
 #include <LibState/Config.h>
 #include <LibState/EntryRoutes.h>
@@ -47,6 +48,7 @@
     EntryRoutes routes;
     std::vector<ServiceTerms> services;
     CallerLimits limits;
+    std::shared_ptr<Access::Organisations const> organisations; ///< Null: requests need no keys.
 
     /// Returns the service, or null.
     ServiceTerms const* find(std::string_view service) const;
--- a/Tests/LibDaemon/TestWork.cpp
+++ b/Tests/LibDaemon/TestWork.cpp
@@ -84,8 +84,8 @@
     Http::Request again = first;
     again.fields.set("X-Request-Id", "2");
     again.fields.set("X-Deadline-Ms", "4000");
-    EXPECT_EQ(Daemon::workKeyOf(first), Daemon::workKeyOf(again));
-    EXPECT_EQ(Daemon::toLogText(Daemon::workKeyOf(first)).size(), 16U);
+    EXPECT_EQ(Daemon::workKeyOf(first, {}), Daemon::workKeyOf(again, {}));
+    EXPECT_EQ(Daemon::toLogText(Daemon::workKeyOf(first, {})).size(), 16U);
 
     std::vector<Http::Request> others(5, first);
     others[0].method = "GET";
@@ -94,5 +94,5 @@
     others[3].fields.set("Host", "b.example");
     others[4].fields.set("Authorization", "Bearer x");
     for (Http::Request const& other : others)
-        EXPECT_NE(Daemon::workKeyOf(first), Daemon::workKeyOf(other)) << other.method << ' ' << other.target;
+        EXPECT_NE(Daemon::workKeyOf(first, {}), Daemon::workKeyOf(other, {})) << other.method << ' ' << other.target;
 }
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -23,6 +23,22 @@
     return std::string(CURRANTVALE_BINARY_DIR "/") + name;
 }
 
+// Keeps or drops the sections of a template, as the platform does.
+void fillSections(std::string& text, std::map<std::string, std::string> const& values)
+{
+    constexpr std::string_view begin = "{{#";
+    for (std::size_t at = text.find(begin); at != std::string::npos; at = text.find(begin, at)) {
+        std::string name = text.substr(at + begin.size(), text.find("}}", at) - at - begin.size());
+        std::string close = "{{/" + name + "}}";
+        std::size_t bodyAt = at + begin.size() + name.size() + 2;
+        std::size_t closeAt = text.find(close, bodyAt);
+        std::map<std::string, std::string>::const_iterator value = values.find(name);
+        bool isKept = value != values.end() && !value->second.empty() && value->second != "false";
+        std::string body = isKept ? text.substr(bodyAt, closeAt - bodyAt) : std::string();
+        text.replace(at, closeAt + close.size() - at, body);
+    }
+}
+
 std::filesystem::path newFolder()
 {
     static std::atomic<int> count { 0 };
@@ -151,6 +167,9 @@
     std::ostringstream text;
     text << file.rdbuf();
     std::string settings = text.str();
+    values["bounds.strict_revoke"] = m_settings.isStrict ? "true" : "false";
+    values["bounds.revoke_ms"] = "2000";
+    fillSections(settings, values);
     for (std::pair<std::string const, std::string> const& it : values)
         replaceAll(settings, "{{" + it.first + "}}", it.second);
     replaceAll(settings, "leave_hold_ms = 3000", "leave_hold_ms = " + std::to_string(m_settings.leaveHoldMs));
@@ -166,8 +185,9 @@
     std::string routes = R"({"name":"histories","host":"a.example","path_prefix":"/h/","kind":"stream","timeout_ms":6000,"goal_ms":600,"priority":2,"service":"llm","max_attempts":3,"resumable":true,"gap_target_ms":150},)"
                          R"({"name":"confirm","host":"a.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":")"
         + service + R"(","max_attempts":3},)"
-                    R"({"name":"look-up","host":"a.example","path_prefix":"/s/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2})";
-    std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}]})";
+                    R"({"name":"look-up","host":"a.example","path_prefix":"/s/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2},)"
+                    R"({"name":"open","host":"a.example","path_prefix":"/o/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2,"public":true})";
+    std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}])" + (m_organisations.empty() ? "" : R"(,"tenants":)" + m_organisations) + "}";
     Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", config) };
     if (fetch(m_store, request).status != 200)
         throw std::runtime_error("the store does not take configuration " + std::to_string(version));
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -18,6 +18,7 @@
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
     std::string crashPath; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
+    bool isStrict { false }; ///< Daemons accept keys only by a configuration that was confirmed within two seconds.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
 
@@ -54,6 +55,9 @@
     /// Writes a whole configuration, as operators do. Calls below /c/ go to `service`.
     void configure(std::uint64_t version, std::string const& service);
 
+    /// Sets the organisations that configurations from now on have, as a JSON array; empty: none, and requests need no keys.
+    void setOrganisations(std::string json) { m_organisations = std::move(json); }
+
     static Http::Request request(std::string const& method, std::string const& path, std::string const& id);
     Http::Response ask(std::size_t daemon, std::string const& method, std::string const& path, std::string const& id) const;
     bool isReady(std::size_t daemon) const;
@@ -103,6 +107,7 @@
     std::map<std::string, Target> m_targets;
     std::map<std::string, Endpoint> m_forwarders;
     std::vector<Addresses> m_daemons;
+    std::string m_organisations;
 };
 
 }
