--- a/Libraries/LibAuthority/StoreLease.cpp
+++ b/Libraries/LibAuthority/StoreLease.cpp
@@ -33,6 +33,8 @@
         return false;
     if (!m_newest || m_newest->holder == m_self)
         return true;
+    if (m_settings.isFenced)
+        return !m_orderedAt || now >= *m_orderedAt + m_settings.quietTime + m_settings.margin;
     return now >= m_changedAt + m_settings.orderTime + m_settings.quietTime + m_settings.margin;
 }
 
@@ -47,6 +49,12 @@
     return StoreLeaseAppend { m_next };
 }
 
+std::optional<StoreLeaseAppend> StoreLease::pollOwn(Time now)
+{
+    bool isOwn = m_isEndKnown && m_newest && m_newest->holder == m_self;
+    return isOwn ? poll(true, now) : std::nullopt;
+}
+
 void StoreLease::claimAppended(std::uint64_t offset)
 {
     m_isClaiming = false;
@@ -55,16 +63,20 @@
     m_newest = StoreLeaseClaim { offset, m_self };
     m_next = std::max(m_next, offset + 1);
     m_changedAt = m_begunAt;
+    m_isEndKnown = true;
     m_fencing = offset;
 }
 
 void StoreLease::claimFailed()
 {
     m_isClaiming = false;
+    // Only a read tells what stands behind the end that was known.
+    m_isEndKnown = false;
 }
 
 void StoreLease::claimUnknown()
 {
+    m_isEndKnown = false;
     // Still claiming: `observe` may find the record, and until the order time is over no other append is made.
 }
 
--- a/Libraries/LibAuthority/StoreLease.h
+++ b/Libraries/LibAuthority/StoreLease.h
@@ -16,6 +16,10 @@
     std::chrono::milliseconds quietTime { 3'000 };
     /// Differences of the boot clocks' rates, and the time that a read of the claim takes.
     std::chrono::milliseconds margin { 300 };
+    /// Whoever takes the orders refuses each number below one that it has seen: then a former holder need not be waited for, as
+    /// nothing that it still sends is carried out. Only taking turns has to be kept from: one that held the lease, and lost it,
+    /// does not claim it again before `quietTime` after its last order.
+    bool isFenced { false };
 };
 
 /// Who holds a lease: one process of one daemon.
@@ -55,6 +59,9 @@
     /// Returns a claim to append now, when this daemon wants to order, may not yet, and the lease is free.
     std::optional<StoreLeaseAppend> poll(bool wantsToOrder, Time now);
 
+    /// Returns a claim to append now without a read of the newest one, while that was this process's own as far as it knows.
+    std::optional<StoreLeaseAppend> pollOwn(Time now);
+
     /// The append ended: it stands at `offset`.
     void claimAppended(std::uint64_t offset);
 
@@ -64,6 +71,9 @@
     /// The append ended without an answer: only reading tells.
     void claimUnknown();
 
+    /// An order was written, or may have been, at `now`.
+    void noteOrder(Time now) { m_orderedAt = now; }
+
     /// An engine refused an order, or another's order came between: whoever gave it has the lease.
     void loseAuthority(Time now);
 
@@ -81,11 +91,13 @@
     std::optional<StoreLeaseClaim> m_newest;
     std::uint64_t m_next { 0 };
     bool m_isRead { false };
+    bool m_isEndKnown { false }; ///< The topic ended at `m_next` when this process last appended to it.
     Time m_changedAt; ///< When the newest claim was first read.
     bool m_isClaiming { false }; ///< An append is under way or its outcome is not known.
     Time m_begunAt; ///< Of the last append.
     std::optional<std::uint64_t> m_fencing;
     std::optional<Time> m_blockedUntil;
+    std::optional<Time> m_orderedAt; ///< This process's last order.
 };
 
 }
--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -60,9 +60,15 @@
     TargetEnded = 6007,
     TargetSaysLeaving = 6008,
     TargetPaused = 6009,
+    UsageDecided = 7001,
+    UsageReported = 7002,
+    UsageMissed = 7003,
+    DutyCallFailed = 7004,
+    EnginesWanted = 7005,
+    EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 51> eventNames { {
+inline constexpr EnumNames<Event, 57> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -114,6 +120,12 @@
     { Event::TargetEnded, "target-ended" },
     { Event::TargetSaysLeaving, "target-says-leaving" },
     { Event::TargetPaused, "target-paused" },
+    { Event::UsageDecided, "usage-decided" },
+    { Event::UsageReported, "usage-reported" },
+    { Event::UsageMissed, "usage-missed" },
+    { Event::DutyCallFailed, "duty-call-failed" },
+    { Event::EnginesWanted, "engines-wanted" },
+    { Event::EnginesOrdered, "engines-ordered" },
 } };
 
 }
--- a/Libraries/LibDaemon/Adapters.h
+++ b/Libraries/LibDaemon/Adapters.h
@@ -3,6 +3,7 @@
 #include <LibDaemon/CallerProtocol.h>
 #include <LibDaemon/TargetProtocol.h>
 #include <LibPlatform/Directory.h>
+#include <LibPlatform/DutyService.h>
 #include <LibPlatform/EngineControl.h>
 #include <LibPlatform/KeyedStore.h>
 #include <LibState/ServiceConfig.h>
@@ -33,6 +34,7 @@
     // Only for a platform whose store keeps the newest record of each key.
     std::function<std::unique_ptr<Platform::KeyedStore>(Http::Client&, std::function<boost::asio::ip::tcp::endpoint()>)> createStore; ///< The endpoint is asked for at each call.
     StoreCodec codec;
+    std::function<std::unique_ptr<Platform::DutyService>(Http::Client&, std::function<boost::asio::ip::tcp::endpoint()>)> createDutyService; ///< Likewise.
 };
 
 /// The adapters for the product's own protocols: docs/design/platform-protocols.md and docs/callers.md.
--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -66,7 +66,7 @@
     }
 }
 
-std::string BeaconExchange::nextBeacon(BeaconKind kind)
+BeaconMessage BeaconExchange::nextBeacon(BeaconKind kind)
 {
     BeaconMessage beacon = m_hooks.describe(kind);
     beacon.sender = m_self;
@@ -76,7 +76,7 @@
     beacon.isBrief = kind == BeaconKind::ToAll && now < m_nextFull;
     if (kind == BeaconKind::ToAll && !beacon.isBrief)
         m_nextFull = now + fullInterval;
-    return encode(beacon);
+    return beacon;
 }
 
 void BeaconExchange::sendSoon()
@@ -89,18 +89,24 @@
 {
     m_isSoon = false;
     m_sentAt = Core::BootClock::now();
-    std::string bytes = nextBeacon(BeaconKind::ToAll);
+    BeaconMessage beacon = nextBeacon(BeaconKind::ToAll);
+    std::string withUsage = encode(beacon);
+    beacon.usage.windows.clear();
+    std::string bytes = encode(beacon);
     for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_book.daemons()) {
         // A datagram that cannot be sent is as good as lost; the next one follows soon.
         boost::system::error_code ec;
-        m_socket.send_to(boost::asio::buffer(bytes), it.second.listed.beaconAddress, 0, ec);
+        bool isTold = std::find(beacon.usageFor.begin(), beacon.usageFor.end(), it.first) != beacon.usageFor.end();
+        m_socket.send_to(boost::asio::buffer(isTold ? withUsage : bytes), it.second.listed.beaconAddress, 0, ec);
     }
 }
 
 // A lost one costs no more than the wait for the next beacon.
 void BeaconExchange::greet(boost::asio::ip::udp::endpoint const& address)
 {
-    std::string bytes = nextBeacon(BeaconKind::Greeting);
+    BeaconMessage beacon = nextBeacon(BeaconKind::Greeting);
+    beacon.usage.windows.clear();
+    std::string bytes = encode(beacon);
     boost::system::error_code ec;
     m_socket.send_to(boost::asio::buffer(bytes), address, 0, ec);
 }
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -51,7 +51,7 @@
     boost::asio::awaitable<void> sendLoop();
     boost::asio::awaitable<void> receiveLoop();
     void take(std::string_view datagram);
-    std::string nextBeacon(BeaconKind);
+    BeaconMessage nextBeacon(BeaconKind);
     void greet(boost::asio::ip::udp::endpoint const&);
 
     /// How often a beacon tells what hardly changes: who starts or was missed is known within this, and bytes between
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -15,6 +15,8 @@
 // No clock since boot says more; a datagram may hold anything, and this does not overflow the clock's own unit.
 constexpr std::chrono::milliseconds latestClock = std::chrono::days(10 * 365);
 
+constexpr std::chrono::milliseconds latestWallClock = std::chrono::days(200 * 365);
+
 template <typename Message>
 Core::Result<Message> parse(std::string_view bytes)
 {
@@ -73,6 +75,7 @@
     message.set_targets_changed(state.targetsChanged);
     message.set_is_reading(state.isReading);
     message.set_cannot_plan(state.cannotPlan);
+    message.set_cannot_hold_duties(state.cannotHoldDuties);
     message.set_store_failing_ms(toMilliseconds(state.storeFailingFor));
     message.set_said_at_ms(toWire(state.saidAt));
     if (state.configAge)
@@ -89,6 +92,7 @@
     state.targetsChanged = message.targets_changed();
     state.isReading = message.is_reading();
     state.cannotPlan = message.cannot_plan();
+    state.cannotHoldDuties = message.cannot_hold_duties();
     state.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
     state.saidAt = fromWire(message.said_at_ms());
     if (message.has_config_age_ms())
@@ -129,6 +133,24 @@
     return report;
 }
 
+void fillWindow(Proto::UsageWindow& message, Duties::WindowNumber window, Duties::OrganisationCounts const& counts)
+{
+    message.set_window(window);
+    for (std::pair<std::string const, std::uint64_t> const& it : counts) {
+        Proto::OrganisationCount* added = message.add_counts();
+        added->set_organisation(it.first);
+        added->set_count(it.second);
+    }
+}
+
+Duties::OrganisationCounts readCounts(Proto::UsageWindow const& message)
+{
+    Duties::OrganisationCounts counts;
+    for (Proto::OrganisationCount const& it : message.counts())
+        counts[it.organisation()] += it.count();
+    return counts;
+}
+
 void fillNews(Proto::SuspectNews& message, Quarantine::SuspectNews const& news)
 {
     message.set_key_low(news.key.low);
@@ -196,6 +218,16 @@
     for (Quarantine::SuspectNews const& news : beacon.suspectNews)
         fillNews(*message.add_suspect_news(), news);
     message.set_suspect_digest(beacon.suspectDigest);
+    message.set_wall_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, beacon.wallClock.count())));
+    message.set_usage_closed_before(beacon.usage.closedBefore);
+    message.set_usage_settled_before(beacon.usage.settledBefore);
+    for (std::pair<Duties::WindowNumber const, Duties::OrganisationCounts> const& it : beacon.usage.windows)
+        fillWindow(*message.add_usage(), it.first, it.second);
+    for (std::pair<std::string const, double> const& it : beacon.sizedDemands) {
+        Proto::SizedDemand* added = message.add_sized_demands();
+        added->set_service(it.first);
+        added->set_engines(static_cast<float>(it.second));
+    }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -231,11 +263,33 @@
     for (Proto::SuspectNews const& news : message.suspect_news())
         beacon.suspectNews.push_back(readNews(news));
     beacon.suspectDigest = message.suspect_digest();
+    beacon.wallClock = std::chrono::milliseconds(std::min<std::uint64_t>(message.wall_ms(), latestWallClock.count()));
+    beacon.usage.closedBefore = message.usage_closed_before();
+    beacon.usage.settledBefore = message.usage_settled_before();
+    for (Proto::UsageWindow const& window : message.usage())
+        beacon.usage.windows[window.window()] = readCounts(window);
+    for (Proto::SizedDemand const& it : message.sized_demands()) {
+        if (std::isfinite(it.engines()) && it.engines() >= 0)
+            beacon.sizedDemands[it.service()] = it.engines();
+    }
     beacon.changing.assign(message.changing().begin(), message.changing().end());
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
 }
 
+std::string encode(Duties::UsageReport const& report)
+{
+    Proto::UsageWindow message;
+    fillWindow(message, report.window, report.counts);
+    return message.SerializeAsString();
+}
+
+Core::Result<Duties::UsageReport> decodeUsageReport(std::string_view bytes)
+{
+    BOOST_OUTCOME_TRY(Proto::UsageWindow message, parse<Proto::UsageWindow>(bytes));
+    return Duties::UsageReport { message.window(), readCounts(message) };
+}
+
 std::string encode(Platform::ListedDaemon const& daemon)
 {
     Proto::DaemonEntry message;
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -2,6 +2,7 @@
 
 #include <LibAuthority/StoreLease.h>
 #include <LibCore/Result.h>
+#include <LibDuties/Usage.h>
 #include <LibFleet/DaemonBook.h>
 #include <LibPlatform/Directory.h>
 #include <LibQuarantine/Suspect.h>
@@ -11,6 +12,7 @@
 #include <LibRouting/ServiceReport.h>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,11 +35,17 @@
     std::vector<Quarantine::SuspectNews> suspectNews; ///< Its own evidence of late; moments are by the sender's clock.
     std::uint64_t suspectDigest { 0 }; ///< Of all that it holds.
     bool isBrief { false }; ///< The sender's addresses and `services` are left out: they are as it said before.
+    std::chrono::milliseconds wallClock { 0 }; ///< The sender's when the beacon was made, since 1970.
+    Duties::UsageStatement usage {}; ///< Its windows only in beacons to `usageFor`.
+    std::map<std::string, double> sizedDemands {}; ///< In engines, by service: what the sender sizes these for.
+    std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
 
 /// Forms of what daemons say to each other and keep in the store. `decode` errors: Corrupt. Thread-safe.
 std::string encode(BeaconMessage const&);
 Core::Result<BeaconMessage> decodeBeacon(std::string_view);
+std::string encode(Duties::UsageReport const&);
+Core::Result<Duties::UsageReport> decodeUsageReport(std::string_view);
 std::string encode(Platform::ListedDaemon const&);
 Core::Result<Platform::ListedDaemon> decodeListedDaemon(std::string const& name, std::string_view);
 std::string encode(Authority::StoreLeaseHolder const&);
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -65,6 +65,7 @@
     , m_stopTimer(m_control)
     , m_settingsTimer(m_control)
     , m_retryBudget(budgetOf(m_settings))
+    , m_usage(m_settings.duties.usageWindow)
     , m_sharedBudgets({ m_settings.limits.retryRatio, m_settings.limits.retryExtra, m_settings.limits.retryWindow })
 {
 }
@@ -104,7 +105,7 @@
     BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
         return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
     };
-    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, nullptr, nullptr };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, m_usage, nullptr, nullptr };
     parts.onFindings = [this](std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared) {
         boost::asio::post(m_control, [this, findings, cleared] { noteFindings(findings, cleared); });
     };
@@ -160,7 +161,7 @@
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.onTargetsGone = [this](std::vector<std::uint64_t> const& targets) { noteTargetsGone(targets); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
-    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_incarnation, std::move(hooks)));
+    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_usage, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
     m_plane = std::move(control);
     BOOST_OUTCOME_TRY(m_operatorServer, createServer(m_settings.operators.listen, [this](Http::Request const& request) { return respondToOperators(request); }));
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -42,6 +42,7 @@
     Core::Result<void> createMetricsServer();
     Http::Response respondWithMetrics();
     Http::Response respondWithSuspects() const;
+    Http::Response respondWithDuties() const;
     void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
     void noteTargetsGone(std::vector<std::uint64_t> const&);
     Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
@@ -69,6 +70,7 @@
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_settingsTimer;
     Request::RetryBudget m_retryBudget;
+    Duties::UsageCounter m_usage;
     Request::RetryBudgets m_sharedBudgets;
     MixCounter m_mix;
     Metrics m_metrics;
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -17,6 +17,8 @@
         return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
     if (request.target == "/suspects")
         return respondWithSuspects();
+    if (request.target == "/duties")
+        return respondWithDuties();
     if (request.target != "/metrics")
         return Http::jsonResponse(Http::Status::NotFound, Request::errorBody(Core::makeError(Core::ErrorCode::NotFound, "no such path: \"" + request.target + "\""), ""));
     return respondWithMetrics();
@@ -40,6 +42,28 @@
     return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "suspects", std::move(list) } }));
 }
 
+// Who has the singleton duties, as this daemon sees it, and what it has done of them itself.
+Http::Response Daemon::respondWithDuties() const
+{
+    boost::json::array elders;
+    for (std::string const& name : m_storeControl->elders())
+        elders.emplace_back(name);
+    boost::json::object body { { "holder", elders.empty() ? boost::json::value() : elders.front() }, { "next_holders", std::move(elders) } };
+    std::optional<std::uint64_t> fencing = m_storeControl->dutyFencing();
+    body["fencing"] = fencing ? boost::json::value(*fencing) : boost::json::value();
+    if (UsageKeeper const* usage = m_storeControl->usage()) {
+        UsageKeeper::Status status = usage->status();
+        body["usage"] = boost::json::object { { "settled_before", status.settledBefore }, { "decided", status.decided }, { "reported", status.reported }, { "missed", status.missed }, { "clocks", status.clocks }, { "wall_ahead_of_boot_ms", status.offset.count() } };
+    }
+    boost::json::array services;
+    if (EngineKeeper const* engines = m_storeControl->engineNumbers()) {
+        for (EngineKeeper::Status const& it : engines->status())
+            services.push_back(boost::json::object { { "service", it.service }, { "demand", it.size.demand }, { "demand_known", it.size.isDemandKnown }, { "wanted", it.size.wanted }, { "wanted_lasting", it.size.lasting }, { "needed_after_a_loss", it.size.strained }, { "serving_lasting", it.lasting }, { "serving_reclaimable", it.reclaimable } });
+    }
+    body["engines"] = std::move(services);
+    return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(body));
+}
+
 Http::Response Daemon::respondWithMetrics()
 {
     MetricsSample sample;
@@ -49,7 +73,7 @@
     sample.liveDaemons = m_storeControl->liveDaemons();
     for (FleetTarget const& target : m_storeControl->fleet()->targets)
         ++(target.isClosed() ? sample.closedTargets : sample.openTargets);
-    sample.mayOrder = m_storeControl->roles().mayOrder();
+    sample.mayOrder = m_storeControl->engineLeases().mayOrder();
     sample.suspectedRequests = m_guard.suspectedCount();
     sample.quarantinedRequests = m_guard.refusedCount();
     sample.linesLeftOut = Core::linesLeftOut();
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -36,6 +36,7 @@
     std::uint64_t kvCapacityTokens { 0 }; ///< 0: not known.
     std::string release; ///< Of its software; empty: not told.
     bool isLeaving { false }; ///< It has said that it will end.
+    bool isReclaimable { false }; ///< The platform may take it back at short notice.
     std::string closedBecause; ///< Why it gets no new work; empty while it is open.
 
     bool isClosed() const { return !closedBecause.empty(); }
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -170,6 +170,13 @@
         m_context.dispatcher.noteOutcome(target->key, outcome);
 }
 
+// A request counts once, when its first run begins.
+void RequestRunner::noteBegun()
+{
+    if (m_work.isAuthenticated && !std::exchange(m_hasBegun, true))
+        m_context.usage.note(m_work.organisation, Core::BootClock::now());
+}
+
 // Noted before anything of the answer is passed on.
 void RequestRunner::noteNotice(FleetTarget const& target, Http::ResponseHead const& head) const
 {
@@ -210,6 +217,9 @@
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
     noteOutcome(Routing::TargetOutcome::Broken);
+    // Of a call whose answer is lost most have run.
+    if (error.verdict != Core::Verdict::NotRun && m_work.kind == Work::Kind::Service)
+        noteBegun();
     if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
         breakOffRun();
     if (error.verdict == Core::Verdict::NotRun)
@@ -271,6 +281,9 @@
         leg->exchange->cancel();
         co_return;
     }
+    // A plain service begins when it answers; an engine with its first event.
+    if (!isEventStream(leg->head))
+        noteBegun();
     // From here on the decoding target has the KV cache.
     m_kvSource.clear();
     if (isEventStream(leg->head)) {
@@ -305,6 +318,7 @@
             break;
         std::vector<std::string> events = splitter.add(*piece.value());
         if (!events.empty()) {
+            noteBegun();
             Clock::time_point now = Clock::now();
             // What waited here since the last read came in one piece.
             if (readAt)
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -86,6 +86,7 @@
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds retryAfterOf(Routing::Reason) const;
     void noteOutcome(Routing::TargetOutcome) const;
+    void noteBegun();
     void noteNotice(FleetTarget const&, Http::ResponseHead const&) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
@@ -115,6 +116,7 @@
     std::string m_kvSource; ///< Where the decoding target fetches the prompt's KV cache; empty: nowhere.
     boost::asio::ip::tcp::endpoint m_kvHolder; ///< The target that keeps it,
     std::string m_kvZone; ///< and its availability zone.
+    bool m_hasBegun { false }; ///< A target has begun to run it, as far as its answers tell.
     bool m_keepsPrompt { false }; ///< The next attempt fetches the KV cache that this one has not.
     bool m_hasReusedPrompt { false }; ///< A target has refused the output with a KV cache to fetch.
     int m_urgency { 5 }; ///< Of the present send.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -31,6 +31,11 @@
 // the users' two-year size.
 constexpr std::chrono::milliseconds unlistedDaemonsTime { 3'000 };
 constexpr std::chrono::milliseconds unlistTimeout { 500 };
+// By then whoever is there has been heard.
+constexpr std::chrono::milliseconds meetingTime { 2'000 };
+// Whoever has the duties of one daemon at a time hears this part of the daemons that it knows at least, the reciprocal: half of a site
+// may be down at once.
+constexpr std::size_t partOfDaemonsHeard = 3;
 
 // A store or an engine that is slow answers within this; one that does not is asked again.
 constexpr std::chrono::milliseconds answerTime { 1'000 };
@@ -59,6 +64,7 @@
     , m_settings(settings)
     , m_adapters(adapters)
     , m_storeAddress(settings.platform.store)
+    , m_dutyAddress(settings.duties.service)
     , m_listHold(settings.callers.listHold)
     , m_client(Http::Client::create(context, storeClient(answerTime)))
     , m_waitingClient(Http::Client::create(context, storeClient(longestWait(settings.platform))))
@@ -72,14 +78,14 @@
 {
 }
 
-Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard, std::uint64_t incarnation, Hooks hooks)
+Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard, Duties::UsageCounter& usage, std::uint64_t incarnation, Hooks hooks)
 {
     std::unique_ptr<StoreControl> control(new StoreControl(context, settings, adapters, guard));
-    BOOST_OUTCOME_TRY(control->setUp(incarnation, std::move(hooks)));
+    BOOST_OUTCOME_TRY(control->setUp(usage, incarnation, std::move(hooks)));
     return control;
 }
 
-Core::Result<void> StoreControl::setUp(std::uint64_t incarnation, Hooks hooks)
+Core::Result<void> StoreControl::setUp(Duties::UsageCounter& usage, std::uint64_t incarnation, Hooks hooks)
 {
     m_hooks = std::move(hooks);
     Platform::ListedDaemon self { m_settings.daemon.name, incarnation, m_settings.daemon.availabilityZone, m_settings.daemon.region, m_settings.callers.listen, { m_settings.peers.beacon.address(), m_settings.peers.beacon.port() }, m_settings.peers.listen };
@@ -90,10 +96,13 @@
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
     BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
-    RoleKeeper::Hooks roles { [this] { return m_view.isPlanner && !m_isLeaving && !m_roles->cannotPlan(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::uint64_t target) { noteLeaving(target); } };
+    RoleKeeper::Hooks roles { [this] { return plansRoles(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::string const& service) { return m_engineNumbers && m_engineNumbers->isFirstSizing(service, Clock::now()); }, [this](std::uint64_t target) { noteLeaving(target); } };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
-    m_roles = std::make_unique<RoleKeeper>(m_context, *m_store, *m_engines, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_settings.split, std::move(roles));
+    m_engineLeases = std::make_unique<StoreLeases>(m_context, *m_store, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_hooks.countStoreCall);
+    m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, m_settings.split, std::move(roles));
+    if (m_settings.duties.service.port() != 0)
+        createDuties(usage);
     QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall };
     m_quarantine = std::make_unique<QuarantineExchange>(m_context, m_guard, *m_store, *m_records, m_beacons->book(), self.name, std::move(quarantine));
     createTopics();
@@ -105,6 +114,23 @@
     return Core::ok();
 }
 
+void StoreControl::createDuties(Duties::UsageCounter& usage)
+{
+    Authority::StoreLeaseSettings leases;
+    leases.quietTime = m_settings.platform.leaseQuiet;
+    leases.isFenced = m_settings.duties.isFenced;
+    m_dutyService = m_adapters.createDutyService(*m_client, [this] { return m_dutyAddress; });
+    m_dutyLeases = std::make_unique<StoreLeases>(m_context, *m_store, m_engineLeases->self(), leases, m_hooks.countStoreCall);
+    m_dutyCalls = std::make_unique<DutyCalls>(m_context, *m_dutyService, *m_dutyLeases, m_settings.duties.callsPerSecond);
+    m_engineNumbers = std::make_unique<EngineKeeper>(m_context, *m_dutyCalls, m_settings.sizer, EngineKeeper::Hooks { [this] { return hasDuties(); }, [this](std::string const& service) { return demandOf(service); } });
+    if (m_settings.duties.usageWindow.count() == 0)
+        return;
+    Duties::UsageDutySettings duty;
+    duty.window = m_settings.duties.usageWindow;
+    duty.dueWithin = m_settings.duties.usageDue;
+    m_usage = std::make_unique<UsageKeeper>(m_context, *m_store, *m_dutyCalls, m_beacons->book(), usage, m_beacons->self(), duty, UsageKeeper::Hooks { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall });
+}
+
 void StoreControl::createTopics()
 {
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
@@ -158,6 +184,8 @@
     m_isStopped = true;
     wakeTopics();
     m_roles->stop();
+    m_engineLeases->stop();
+    stopDuties();
     m_quarantine->stop();
     m_beacons->stop();
 }
@@ -165,13 +193,37 @@
 void StoreControl::change(Settings::DaemonSettings const& settings)
 {
     m_storeAddress = settings.platform.store;
+    m_dutyAddress = settings.duties.service;
     m_listHold = settings.callers.listHold;
 }
 
+void StoreControl::stopDuties()
+{
+    if (m_usage)
+        m_usage->stop();
+    if (m_engineNumbers)
+        m_engineNumbers->stop();
+    if (m_dutyLeases)
+        m_dutyLeases->stop();
+}
+
+bool StoreControl::hasDuties() const
+{
+    return !m_isLeaving && !m_elders.empty() && m_elders.front() == m_settings.daemon.name && !m_dutyCalls->isBarred();
+}
+
+// Where one daemon orders engines it gives them their roles, too: two plans would fight.
+bool StoreControl::plansRoles() const
+{
+    bool isChosen = m_dutyCalls ? hasDuties() : m_view.isPlanner;
+    return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
+}
+
 void StoreControl::startLeaving()
 {
     m_isLeaving = true;
     m_roles->stop();
+    stopDuties();
     m_beacons->sendNow();
 }
 
@@ -245,7 +297,8 @@
     beacon.state.configVersion = configVersion();
     beacon.state.targetsChanged = m_targetList.newsOffset;
     beacon.state.isReading = isReading();
-    beacon.state.cannotPlan = m_roles->cannotPlan();
+    beacon.state.cannotPlan = m_engineLeases->isBarred();
+    beacon.state.cannotHoldDuties = m_dutyLeases && m_dutyLeases->isBarred();
     beacon.state.storeFailingFor = storeFailingFor();
     beacon.state.configAge = m_configuration.follower->age(now);
     beacon.state.targetsAge = m_targetList.follower->age(now);
@@ -260,6 +313,10 @@
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
     m_quarantine->describe(beacon, now);
+    if (m_usage)
+        m_usage->describe(beacon, now);
+    if (m_engineNumbers)
+        beacon.sizedDemands = m_engineNumbers->demands();
     return beacon;
 }
 
@@ -274,6 +331,7 @@
         bool isLapsed = m_targets.expire(now);
         bool isOpened = m_changing.expire(now);
         findUnreachable(now);
+        pollDuties(now);
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
         m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
@@ -285,6 +343,24 @@
     }
 }
 
+// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties.
+bool StoreControl::isFitForDuties(Clock::time_point now) const
+{
+    Fleet::DaemonBook const& book = m_beacons->book();
+    bool hasMet = now - m_startedAt >= meetingTime && (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime);
+    return hasMet && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
+}
+
+void StoreControl::pollDuties(Clock::time_point now)
+{
+    if (!m_dutyCalls)
+        return;
+    m_elders = m_beacons->book().elders(m_beacons->self(), isFitForDuties(now), now);
+    if (m_usage)
+        m_usage->tick(m_elders, now);
+    m_engineNumbers->tick(*m_fleet, now);
+}
+
 void StoreControl::refreshView(Clock::time_point now)
 {
     Fleet::SiteView before = std::exchange(m_view, m_beacons->book().view(m_settings.daemon.name, now));
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -3,9 +3,11 @@
 #include <LibDaemon/Adapters.h>
 #include <LibDaemon/BeaconExchange.h>
 #include <LibDaemon/Control.h>
+#include <LibDaemon/EngineKeeper.h>
 #include <LibDaemon/QuarantineExchange.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
+#include <LibDaemon/UsageKeeper.h>
 #include <LibFleet/ChangingTargets.h>
 #include <LibFleet/LeavingTargets.h>
 #include <LibFleet/TargetBook.h>
@@ -50,7 +52,7 @@
 
     /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
     /// cannot be bound.
-    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&, std::uint64_t incarnation, Hooks);
+    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&, Duties::UsageCounter&, std::uint64_t incarnation, Hooks);
 
     void start() override;
     void stop() override;
@@ -76,6 +78,11 @@
     std::optional<std::chrono::milliseconds> targetListAge() const; ///< How old this daemon's list may be, whoever told it.
     RoleKeeper const& roles() const { return *m_roles; }
     QuarantineExchange& quarantine() { return *m_quarantine; }
+    StoreLeases const& engineLeases() const { return *m_engineLeases; }
+    UsageKeeper const* usage() const { return m_usage.get(); } ///< Null: usage is not reported.
+    EngineKeeper const* engineNumbers() const { return m_engineNumbers.get(); } ///< Null: no engines are ordered.
+    std::vector<std::string> const& elders() const { return m_elders; } ///< The first of them has the singleton duties.
+    std::optional<std::uint64_t> dutyFencing() const { return m_dutyCalls ? m_dutyCalls->fencing() : std::nullopt; }
 
 private:
     using RecordHook = std::function<void(Platform::KeyedRecord const&)>;
@@ -97,7 +104,12 @@
     };
 
     StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&);
-    Core::Result<void> setUp(std::uint64_t incarnation, Hooks);
+    Core::Result<void> setUp(Duties::UsageCounter&, std::uint64_t incarnation, Hooks);
+    void stopDuties();
+    bool isFitForDuties(Core::BootClock::time_point now) const;
+    bool hasDuties() const;
+    bool plansRoles() const;
+    void createDuties(Duties::UsageCounter&);
     void createTopics();
     void setFollower(Followed&, Fleet::TopicFollowerSettings, Fleet::TopicFollower::NewsTest, Fleet::TopicFollower::AgeOf);
     boost::asio::awaitable<void> learn(Followed&);
@@ -114,6 +126,7 @@
     void wakeTopics();
     void publishAge();
     static std::string ageOf(Followed const&); ///< For logs.
+    void pollDuties(Core::BootClock::time_point now);
     void refreshView(Core::BootClock::time_point now);
     std::chrono::milliseconds storeFailingFor() const;
     boost::asio::awaitable<void> listSelf();
@@ -128,7 +141,7 @@
     void takeBeacon(BeaconMessage const&);
     BeaconMessage describe(BeaconKind) const;
     bool isReading() const;
-    Routing::EngineDemand demandOf(std::string const& service) const;
+    Roles::SplitDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
     void rebuild();
     void noteTargetsGone(std::set<std::uint64_t> const& keys);
@@ -140,6 +153,7 @@
     Settings::DaemonSettings const& m_settings;
     Adapters const& m_adapters;
     boost::asio::ip::tcp::endpoint m_storeAddress;
+    boost::asio::ip::tcp::endpoint m_dutyAddress;
     std::chrono::milliseconds m_listHold;
     Hooks m_hooks;
     std::unique_ptr<Http::Client> m_client;
@@ -149,7 +163,15 @@
     std::unique_ptr<Platform::EngineControl> m_engines;
     std::unique_ptr<BeaconExchange> m_beacons;
     std::unique_ptr<RecordExchange> m_records;
+    std::unique_ptr<StoreLeases> m_engineLeases;
     std::unique_ptr<RoleKeeper> m_roles;
+    // Only where the platform has a service for singleton duties.
+    std::unique_ptr<Platform::DutyService> m_dutyService;
+    std::unique_ptr<StoreLeases> m_dutyLeases;
+    std::unique_ptr<DutyCalls> m_dutyCalls;
+    std::unique_ptr<UsageKeeper> m_usage;
+    std::unique_ptr<EngineKeeper> m_engineNumbers;
+    std::vector<std::string> m_elders;
     Quarantine::Guard& m_guard;
     std::unique_ptr<QuarantineExchange> m_quarantine;
     Followed m_configuration;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -99,6 +99,12 @@
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
     m_quarantine->take(beacon, Clock::now());
+    if (m_usage)
+        m_usage->hear(beacon, m_beacons->book().daemons().at(beacon.sender.name).heldUp, Clock::now());
+    for (std::pair<std::string const, double> const& it : beacon.sizedDemands) {
+        if (m_engineNumbers)
+            m_engineNumbers->hear(it.first, it.second);
+    }
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().silentTime());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
@@ -141,8 +147,9 @@
     m_beacons->sendSoon();
 }
 
-// What the requests of all daemons that are heard ask of a service's engines.
-Routing::EngineDemand StoreControl::demandOf(std::string const& service) const
+// What the requests of all daemons that are heard ask of a service's engines. An output takes a place in a batch and memory, and the
+// scarcer of the two counts.
+Roles::SplitDemand StoreControl::demandOf(std::string const& service) const
 {
     Routing::EngineDemand sum;
     std::function<void(std::vector<Routing::ServiceReport> const&)> add = [&](std::vector<Routing::ServiceReport> const& reports) {
@@ -158,7 +165,13 @@
         if (said != m_reports.end() && m_beacons->book().isLive(it.second, now))
             add(said->second);
     }
-    return sum;
+    State::ServiceTerms const* terms = m_services ? m_services->find(service) : nullptr;
+    // Until it is learnt how long outputs take they ask for nothing, which says nothing of the split.
+    if (!terms || !terms->engine || sum.promptEngines <= 0 || sum.outputs <= 0)
+        return {};
+    double places = sum.outputs / std::max<std::uint32_t>(1, terms->engine->slots);
+    double memory = sum.kvTokens / static_cast<double>(std::max<std::uint64_t>(1, terms->engine->kvCapacityTokens));
+    return { sum.promptEngines, std::max(places, terms->engine->kvCapacityTokens != 0 ? memory : 0), true };
 }
 
 // One daemon may be cut off by itself: only what a third of the daemons, and two at least, cannot reach counts.
@@ -221,6 +234,7 @@
     target.slots = isEngine ? terms->engine->slots : listed.slots;
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
     target.release = listed.release;
+    target.isReclaimable = listed.isReclaimable;
     target.isLeaving = isLeaving(booked, key);
     target.closedBecause = whyClosed(booked, target.key);
     return target;
--- /dev/null
+++ b/Libraries/LibDaemon/StoreLeases.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibAuthority/StoreLease.h>
+#include <LibFleet/ReadTurn.h>
+#include <LibPlatform/KeyedStore.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace Daemon {
+
+/// Gains leases, each under a name of its own, by conditional appends to the platform's store. Whatever one daemon at a time may do
+/// goes through this: orders of roles, reports of usage, orders of engines. Use from the control thread only.
+class StoreLeases {
+public:
+    using CountHook = std::function<void(Fleet::StoreCallReason)>;
+
+    /// Preconditions: all references outlive the object.
+    StoreLeases(boost::asio::io_context&, Platform::KeyedStore&, Authority::StoreLeaseHolder self, Authority::StoreLeaseSettings const&, CountHook);
+
+    /// Returns the lease of a name. The reference stays valid.
+    Authority::StoreLease& of(std::string const& name);
+
+    /// Claims a lease unless this daemon may order under it as it is. Returns whether it may; false after a second and a half:
+    /// the store does not answer, or another daemon holds the lease.
+    boost::asio::awaitable<bool> gain(std::string name);
+
+    /// Whether a lease could not be had lately, so that another daemon should do what it is for.
+    bool isBarred() const { return Core::BootClock::now() < m_barredUntil; }
+
+    /// Whether this daemon may order under any of its leases now.
+    bool mayOrder() const;
+
+    /// Ends what waits; no lease is gained any more.
+    void stop() { m_isStopped = true; }
+
+    Authority::StoreLeaseHolder const& self() const { return m_self; }
+
+private:
+    struct Entry {
+        Authority::StoreLease lease;
+        bool isClaiming { false };
+    };
+
+    Entry& entryOf(std::string const& name);
+    boost::asio::awaitable<void> claim(std::string name);
+    boost::asio::awaitable<Core::Result<void>> readClaim(std::string name);
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds);
+
+    boost::asio::io_context& m_context;
+    Platform::KeyedStore& m_store;
+    Authority::StoreLeaseHolder m_self;
+    Authority::StoreLeaseSettings m_settings;
+    CountHook m_countCall;
+    std::map<std::string, Entry> m_entries;
+    Core::BootClock::time_point m_barredUntil;
+    bool m_isStopped { false };
+};
+
+}
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -6,6 +6,7 @@
 #include <LibDaemon/Metrics.h>
 #include <LibDaemon/MixCounter.h>
 #include <LibDaemon/TargetProtocol.h>
+#include <LibDuties/UsageCounter.h>
 #include <LibHttp/Client.h>
 #include <LibPeer/Clients.h>
 #include <LibPlatform/EngineControl.h>
@@ -37,6 +38,7 @@
     MixCounter& mix;
     Metrics& metrics;
     Quarantine::Guard& guard;
+    Duties::UsageCounter& usage;
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving; ///< Takes targets that say that they leave. Thread-safe.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -21,6 +21,7 @@
     CallerProtocol const& callers;
     BudgetHook budgetOf;
     Quarantine::Guard& guard;
+    Duties::UsageCounter& usage;
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving;
 };
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -90,6 +90,23 @@
     return view;
 }
 
+std::vector<std::string> DaemonBook::elders(Platform::ListedDaemon const& self, bool isSelfFit, Time now) const
+{
+    std::vector<std::pair<std::uint64_t, std::string_view>> byStart;
+    if (isSelfFit)
+        byStart.emplace_back(self.incarnation, self.name);
+    for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
+        if (isLive(it.second, now) && !it.second.said.isLeaving && !it.second.said.cannotHoldDuties)
+            byStart.emplace_back(it.second.listed.incarnation, it.first);
+    }
+    std::size_t count = std::min(byStart.size(), m_settings.elders);
+    std::partial_sort(byStart.begin(), byStart.begin() + static_cast<std::ptrdiff_t>(count), byStart.end());
+    std::vector<std::string> names;
+    for (std::size_t n = 0; n < count; ++n)
+        names.emplace_back(byStart[n].second);
+    return names;
+}
+
 std::size_t DaemonBook::liveCount(Time now) const
 {
     std::size_t count = 1;
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -21,6 +21,8 @@
     std::chrono::milliseconds intervalPerDaemon { 5 };
     /// A beacon that others wait for is sent before the next one is due, this part of the interval after the last one, the reciprocal.
     int promptPartOfInterval { 3 };
+    /// Whoever has the duties of one daemon at a time, and those who could take them over with all that it was told.
+    std::size_t elders { 3 };
     std::size_t readers { 2 }; ///< One more than the one whose loss must not delay news.
     /// In place of readers whose reads fail others read, as many as this: while the store is away for all, not all are to try.
     std::size_t standIns { 2 };
@@ -37,7 +39,7 @@
 struct DaemonState {
     bool isLeaving { false };
     bool isReading { false }; ///< It reads the store all the time, and was answered lately.
-    bool cannotPlan { false }; ///< It could not get a lease lately.
+    bool cannotPlan { false }; ///< It could not get a lease on engines lately.
     std::uint64_t configVersion { 0 }; ///< That it has in force.
     std::uint64_t targetsChanged { 0 }; ///< Offset behind the last record of the target list that was news to it.
     std::chrono::milliseconds storeFailingFor { 0 }; ///< Its reads of the store have failed for so long; 0: they do not.
@@ -45,6 +47,7 @@
     std::optional<std::chrono::milliseconds> configAge {};
     std::optional<std::chrono::milliseconds> targetsAge {};
     Time saidAt {}; ///< By its own clock.
+    bool cannotHoldDuties { false }; ///< It could not get the lease on singleton duties lately.
 
     bool operator==(DaemonState const&) const = default;
 };
@@ -108,6 +111,11 @@
     /// daemons: to be called some ten times a second, not for each request.
     SiteView view(std::string const& name, Time now) const;
 
+    /// Returns the names of the live daemons that have run for longest, that first which has run for longest of all: the first that can
+    /// get the lease has the duties of one daemon at a time. One that starts again comes last, so the first ones know what happened
+    /// before. `isSelfFit` says whether this daemon counts.
+    std::vector<std::string> elders(Platform::ListedDaemon const& self, bool isSelfFit, Time now) const;
+
     /// Returns how long a daemon may be silent and still count as live: what it last said holds as long.
     std::chrono::milliseconds silentTime() const;
 
--- a/Libraries/LibFleet/ReadTurn.h
+++ b/Libraries/LibFleet/ReadTurn.h
@@ -19,9 +19,11 @@
     Stale, ///< Nobody has confirmed lately that the copy of the topic is whole.
     Listing, ///< This daemon writes or takes back its own entry.
     Suspect, ///< This daemon writes down that a request has ended targets.
+    Lease, ///< This daemon claims a lease.
+    Report, ///< What is reported of usage is read or decided.
 };
 
-inline constexpr Core::EnumNames<StoreCallReason, 8> storeCallReasonNames { {
+inline constexpr Core::EnumNames<StoreCallReason, 10> storeCallReasonNames { {
     { StoreCallReason::Start, "start" },
     { StoreCallReason::Reader, "reader" },
     { StoreCallReason::News, "news" },
@@ -30,6 +32,8 @@
     { StoreCallReason::Stale, "stale" },
     { StoreCallReason::Listing, "listing" },
     { StoreCallReason::Suspect, "suspect" },
+    { StoreCallReason::Lease, "lease" },
+    { StoreCallReason::Report, "report" },
 } };
 
 /// How often a topic is read.
--- a/Libraries/LibPlatform/Directory.h
+++ b/Libraries/LibPlatform/Directory.h
@@ -19,6 +19,7 @@
     std::string release {}; ///< Of its software; empty: not told.
     std::uint32_t slots { 0 }; ///< Requests that it runs at once.
     bool isLeaving { false };
+    bool isReclaimable { false }; ///< The platform may take it back at short notice.
     std::optional<Routing::TargetRole> role; ///< Of an engine; absent for a plain service.
 
     bool operator==(ListedTarget const&) const = default;
--- a/Libraries/LibPlatform/KeyedStore.h
+++ b/Libraries/LibPlatform/KeyedStore.h
@@ -17,14 +17,16 @@
     Targets, ///< Written by the targets, each under its incarnation.
     Daemons, ///< Written by the daemons, each under its name.
     Leases, ///< Written by whoever claims a lease.
+    Reports, ///< What is reported of usage, decided once for each window.
     Suspects, ///< Requests that ended targets, written by daemons that saw it, each under its work's key.
 };
 
-inline constexpr Core::EnumNames<StoreTopic, 5> storeTopicNames { {
+inline constexpr Core::EnumNames<StoreTopic, 6> storeTopicNames { {
     { StoreTopic::Configuration, "configuration" },
     { StoreTopic::Targets, "targets" },
     { StoreTopic::Daemons, "daemons" },
     { StoreTopic::Leases, "leases" },
+    { StoreTopic::Reports, "reports" },
     { StoreTopic::Suspects, "suspects" },
 } };
 
--- /dev/null
+++ b/Libraries/LibRoles/FleetSizer.cpp
@@ -0,0 +1,220 @@
+#include <LibRoles/FleetSizer.h>
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Roles {
+
+namespace {
+
+std::uint32_t rounded(double engines)
+{
+    // Sums of fractions that should be whole are not.
+    constexpr double noise = 1e-6;
+    return static_cast<std::uint32_t>(std::ceil(std::max(0.0, engines - noise)));
+}
+
+std::vector<std::string> byPrice(EngineOffer const& offer, std::vector<ZoneEngines> const& zones)
+{
+    std::vector<std::string> names;
+    for (ZoneEngines const& zone : zones)
+        names.push_back(zone.availabilityZone);
+    std::sort(names.begin(), names.end(), [&offer](std::string const& one, std::string const& other) {
+        std::map<std::string, double>::const_iterator a = offer.zonePrices.find(one);
+        std::map<std::string, double>::const_iterator b = offer.zonePrices.find(other);
+        double priceOfOne = a == offer.zonePrices.end() ? 1 : a->second;
+        double priceOfOther = b == offer.zonePrices.end() ? 1 : b->second;
+        return std::pair(priceOfOne, one) < std::pair(priceOfOther, other);
+    });
+    return names;
+}
+
+}
+
+// How many engines of a price there are for each that is busy.
+double FleetSizer::marginFor(double price) const
+{
+    constexpr double leastPrice = 0.01;
+    return 1 + (1 / m_settings.utilisation - 1) / std::sqrt(std::clamp(price, leastPrice, 1.0));
+}
+
+FleetSize FleetSizer::sizeFor(EngineOffer const& offer, double demand) const
+{
+    FleetSize size;
+    size.demand = demand;
+    size.strained = rounded(demand / m_settings.strainedUtilisation);
+    size.wanted = std::max(rounded(demand * marginFor(offer.reclaimablePrice.value_or(1))), size.strained);
+    size.lasting = offer.reclaimablePrice ? std::min(size.wanted, rounded(m_settings.lastingPart * demand / m_settings.strainedUtilisation)) : size.wanted;
+    return size;
+}
+
+bool FleetSizer::isSettled(std::uint32_t found, Time now)
+{
+    if (m_found != found) {
+        m_found = found;
+        m_foundAt = now;
+    }
+    return found > 0 && now - m_foundAt >= m_settings.settle;
+}
+
+// The engines found were right for this demand, at their prices.
+double FleetSizer::demandThatFits(EngineOffer const& offer, std::vector<ZoneEngines> const& zones) const
+{
+    double demand = 0;
+    for (ZoneEngines const& zone : zones)
+        demand += zone.lasting / marginFor(1) + zone.reclaimable / marginFor(offer.reclaimablePrice.value_or(1));
+    return demand;
+}
+
+void FleetSizer::adopt(EngineOffer const& offer, double demand)
+{
+    if (m_size)
+        return;
+    m_size = sizeFor(offer, demand);
+    m_size->isDemandKnown = true;
+}
+
+// The size follows the demand when it has been unfit for some time. Before that, operators or the holder before have found as many
+// engines right; one that has just come to know a demand may know only part of it.
+void FleetSizer::follow(EngineOffer const& offer, std::vector<ZoneEngines> const& zones, std::optional<double> demand, Time now)
+{
+    if (!m_size) {
+        m_size = sizeFor(offer, std::max(demand.value_or(0), demandThatFits(offer, zones)));
+        m_size->isDemandKnown = demand.has_value();
+        return;
+    }
+    if (!demand)
+        return;
+    FleetSize next = sizeFor(offer, *demand);
+    next.isDemandKnown = true;
+    double relative = static_cast<double>(next.wanted) / std::max<std::uint32_t>(1, m_size->wanted);
+    bool isShort = relative > 1 + m_settings.leastShortage;
+    bool isUnfit = isShort || relative < 1 - m_settings.leastSurplus;
+    if (!isUnfit) {
+        m_unfitSince.reset();
+        return;
+    }
+    if (!m_unfitSince || m_isShort != isShort)
+        m_unfitSince = now;
+    m_isShort = isShort;
+    if (now - *m_unfitSince < (isShort ? m_settings.alertTime : m_settings.patience))
+        return;
+    m_size = next;
+    m_unfitSince.reset();
+}
+
+bool FleetSizer::isScarce(Pool const& pool, Time now) const
+{
+    std::map<Pool, Time>::const_iterator it = m_scarceUntil.find(pool);
+    return it != m_scarceUntil.end() && now < it->second;
+}
+
+// Whether there are to be more engines of a kind in a zone, and these may come.
+bool FleetSizer::isAwaited(EngineOffer const& offer, Pool const& pool, std::uint32_t wanted, std::uint32_t standing, Time now) const
+{
+    if (wanted <= standing || isScarce(pool, now))
+        return false;
+    std::map<Pool, Ordered>::const_iterator it = m_ordered.find(pool);
+    return it == m_ordered.end() || it->second.count != wanted || now - it->second.at < offer.bootTime + m_settings.listLag;
+}
+
+// Evenly, so that the loss of one availability zone's is the least; what is over goes where it is cheapest.
+FleetSizer::Counts FleetSizer::spreadReclaimable(EngineOffer const& offer, std::vector<std::string> const& names) const
+{
+    Counts counts;
+    std::uint32_t reclaimable = m_size->wanted - m_size->lasting;
+    std::size_t size = names.size();
+    for (std::size_t n = 0; n < size; ++n) {
+        std::uint32_t share = static_cast<std::uint32_t>(reclaimable / size + (n < reclaimable % size ? 1 : 0));
+        counts[names[n]] = std::min(share, offer.mostPerZone);
+    }
+    return counts;
+}
+
+// Lasting engines stay where they are, as far as they stay: moving one to a cheaper zone costs its cache.
+FleetSizer::Counts FleetSizer::spreadLasting(EngineOffer const& offer, std::vector<ZoneEngines> const& zones, std::vector<std::string> const& names, Counts const& reclaimable, std::uint32_t total) const
+{
+    Counts counts;
+    Counts standing;
+    std::uint32_t sum = 0;
+    for (ZoneEngines const& zone : zones) {
+        standing[zone.availabilityZone] = zone.reclaimable;
+        counts[zone.availabilityZone] = zone.lasting;
+        sum += zone.lasting;
+    }
+    for (std::vector<std::string>::const_reverse_iterator it = names.rbegin(); it != names.rend(); ++it) {
+        std::uint32_t gone = std::min(counts[*it], sum - std::min(sum, total));
+        counts[*it] -= gone;
+        sum -= gone;
+    }
+    for (std::string const& name : names) {
+        // Cheap ones that serve give no place up.
+        std::uint32_t taken = standing[name] + counts[name];
+        std::uint32_t added = std::min(total - std::min(total, sum), offer.mostPerZone - std::min(offer.mostPerZone, taken));
+        counts[name] += added;
+        sum += added;
+        counts[name] = std::max(counts[name], offer.leastPerZone - std::min(offer.leastPerZone, reclaimable.at(name)));
+    }
+    return counts;
+}
+
+// What is left is to carry the demand; and no lasting engine goes before those that replace it serve.
+std::uint32_t FleetSizer::lastingNeeded(EngineOffer const& offer, std::vector<ZoneEngines> const& zones, Counts const& reclaimable, Time now) const
+{
+    std::uint32_t lasting = 0;
+    std::uint32_t serving = 0;
+    bool isAnyAwaited = false;
+    for (ZoneEngines const& zone : zones) {
+        lasting += zone.lasting;
+        serving += zone.reclaimable;
+        isAnyAwaited = isAnyAwaited || isAwaited(offer, { zone.availabilityZone, EngineKind::Reclaimable }, reclaimable.at(zone.availabilityZone), zone.reclaimable, now);
+    }
+    std::uint32_t needed = std::max(m_size->lasting, m_size->strained - std::min(m_size->strained, serving));
+    // Before the first requests it is enough that these would be served.
+    std::uint32_t meanwhile = m_size->isDemandKnown ? m_size->wanted : m_size->strained;
+    if (isAnyAwaited)
+        needed = std::max(needed, std::min(lasting, meanwhile - std::min(meanwhile, serving)));
+    return needed;
+}
+
+std::vector<EngineOrder> FleetSizer::plan(EngineOffer const& offer, std::vector<ZoneEngines> const& zones, std::optional<double> demand, Time now)
+{
+    std::uint32_t found = std::accumulate(zones.begin(), zones.end(), 0U, [](std::uint32_t sum, ZoneEngines const& it) { return sum + it.lasting + it.reclaimable; });
+    if (!m_size && !isSettled(found, now))
+        return {};
+    follow(offer, zones, demand, now);
+    std::vector<std::string> names = byPrice(offer, zones);
+    Counts reclaimable = spreadReclaimable(offer, names);
+    Counts lasting = spreadLasting(offer, zones, names, reclaimable, lastingNeeded(offer, zones, reclaimable, now));
+    std::vector<EngineOrder> orders;
+    // Fewer ones first: the bound of a zone is for both kinds together.
+    for (ZoneEngines const& zone : zones)
+        addOrder(orders, offer, { zone.availabilityZone, EngineKind::Lasting, lasting[zone.availabilityZone] }, zone.lasting, now);
+    for (ZoneEngines const& zone : zones) {
+        std::uint32_t room = offer.mostPerZone - std::min(offer.mostPerZone, lasting[zone.availabilityZone]);
+        if (offer.reclaimablePrice)
+            addOrder(orders, offer, { zone.availabilityZone, EngineKind::Reclaimable, std::min(reclaimable[zone.availabilityZone], room) }, zone.reclaimable, now);
+    }
+    return orders;
+}
+
+void FleetSizer::addOrder(std::vector<EngineOrder>& orders, EngineOffer const& offer, EngineOrder const& order, std::uint32_t standing, Time now) const
+{
+    Pool pool { order.availabilityZone, order.kind };
+    std::map<Pool, Ordered>::const_iterator last = m_ordered.find(pool);
+    bool isOnItsWay = last != m_ordered.end() && last->second.count == order.count && now - last->second.at < offer.bootTime + m_settings.listLag;
+    if (order.count != standing && !isOnItsWay && !isScarce(pool, now))
+        orders.push_back(order);
+}
+
+void FleetSizer::noteOrdered(EngineOrder const& order, Time now)
+{
+    m_ordered[{ order.availabilityZone, order.kind }] = { order.count, now };
+}
+
+void FleetSizer::noteScarce(EngineOrder const& order, Time now)
+{
+    m_scarceUntil[{ order.availabilityZone, order.kind }] = now + m_settings.scarceTime;
+}
+
+}
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -70,11 +70,14 @@
     double busiest(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
 
 private:
+    std::vector<RoleChange> assignFresh(std::vector<EngineView> const&, std::uint32_t decode, SplitDemand const&, std::size_t total);
+    static std::vector<RoleChange> choose(std::vector<EngineView> const&, std::vector<EngineView> fit, TargetRole to, std::uint32_t count);
     bool isPressed(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
     bool isDue(std::vector<EngineView> const&, std::uint32_t prefill, std::uint32_t decode, std::uint32_t wanted, bool isDemandKnown, Time now);
 
     SplitSettings m_settings;
     std::size_t m_engines { 0 };
+    std::size_t m_groups { 0 }; ///< Of engines that can be lost at once.
     std::optional<Time> m_changedAt; ///< When the number of engines last changed.
     std::optional<Time> m_shortSince; ///< Since when the split has not been as wanted.
     bool m_hasPlanned { false };
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -25,8 +25,10 @@
 auto const operatorsOf = [](Owned& it) -> Owned::Operators& { return it.operators; };
 auto const peersOf = [](Owned& it) -> Owned::Peers& { return it.peers; };
 auto const platformOf = [](Owned& it) -> Owned::Platform& { return it.platform; };
+auto const dutiesOf = [](Owned& it) -> Owned::Duties& { return it.duties; };
 auto const limitsOf = [](Owned& it) -> Owned::Limits& { return it.limits; };
 auto const splitOf = [](Owned& it) -> Roles::SplitSettings& { return it.split; };
+auto const sizerOf = [](Owned& it) -> Roles::FleetSizerSettings& { return it.sizer; };
 auto const targetsOf = [](Owned& it) -> Http::ClientSettings& { return it.targets; };
 auto const targetLivenessOf = [](Owned& it) -> Http::SocketLiveness& { return it.targets.liveness; };
 auto const callerLivenessOf = [](Owned& it) -> Http::SocketLiveness& { return it.callers.server.liveness; };
@@ -197,6 +199,15 @@
     keys.push_back(numberKey<Owned>("platform", "retained_records", "How many records the log keeps of a stream; 0: no such limit.", 0, UINT32_MAX, platformOf, &Owned::Platform::retainedRecords));
 }
 
+void addDutyKeys(std::vector<DaemonKey>& keys)
+{
+    keys.push_back(optional(endpointKey("duties", "service", "What takes the calls that one daemon at a time makes: reports of usage, orders for engines (kind keyed-store).", dutiesOf, &Owned::Duties::service)));
+    keys.push_back(fractionKey("duties", "calls_per_s", "Calls that it takes, of all daemons together.", 0.1, 1e6, dutiesOf, &Owned::Duties::callsPerSecond));
+    keys.push_back(secondsKey("duties", "usage_window_s", "The length of a window of usage; 0: usage is not reported.", dutiesOf, &Owned::Duties::usageWindow));
+    keys.push_back(secondsKey("duties", "usage_due_s", "When a window's report is due, after its end.", dutiesOf, &Owned::Duties::usageDue));
+    keys.push_back(flagKey("duties", "fenced", "Whether the service refuses each number below one that it has seen; if not, a former holder is waited for.", dutiesOf, &Owned::Duties::isFenced));
+}
+
 void addLimitKeys(std::vector<DaemonKey>& keys)
 {
     keys.push_back(numberKey<Owned>("limits", "in_flight_per_target", "Requests that this daemon has open at one target.", 1, 1'000'000, limitsOf, &Owned::Limits::inFlightPerTarget));
@@ -220,6 +231,10 @@
     keys.push_back(fractionKey("roles", "decode_share", "The part of the engines that decodes until the demand is known (kind keyed-store).", 0.01, 0.99, splitOf, &Roles::SplitSettings::decodeShare));
     keys.push_back(numberKey<Owned>("roles", "least_decode", "Engines that decode at least.", 1, 1'000, splitOf, &Roles::SplitSettings::leastDecode));
     keys.push_back(numberKey<Owned>("roles", "patience_ms", "How long a side is short before an engine changes its role.", 0, maximumMilliseconds, splitOf, &Roles::SplitSettings::patience));
+    keys.push_back(fractionKey("engines", "utilisation", "How busy engines at the full price are to be, where they may be ordered; the cheaper they are, the less busy (kind keyed-store).", 0.05, 1, sizerOf, &Roles::FleetSizerSettings::utilisation));
+    keys.push_back(fractionKey("engines", "strained_utilisation", "How busy engines may be when all that the platform can take back in one availability zone are gone.", 0.05, 1, sizerOf, &Roles::FleetSizerSettings::strainedUtilisation));
+    keys.push_back(fractionKey("engines", "lasting_part", "The part of the demand that engines which the platform cannot take back are to carry alone, so strained.", 0, 1, sizerOf, &Roles::FleetSizerSettings::lastingPart));
+    keys.push_back(numberKey<Owned>("engines", "patience_ms", "How long there are too many engines before fewer are ordered.", 0, maximumMilliseconds, sizerOf, &Roles::FleetSizerSettings::patience));
     keys.push_back(fractionKey("routing", "imbalance_s", "Extra wait accepted for a cached prefix.", 0, 60, routingOf, &Routing::Settings::imbalanceSeconds));
 }
 
@@ -230,6 +245,7 @@
         addDaemonKeys(all);
         addListenerKeys(all);
         addPlatformKeys(all);
+        addDutyKeys(all);
         addLimitKeys(all);
         return all;
     }();
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -5,6 +5,7 @@
 #include <LibCore/Result.h>
 #include <LibHttp/Client.h>
 #include <LibHttp/Server.h>
+#include <LibRoles/FleetSizer.h>
 #include <LibRoles/SplitRule.h>
 #include <LibRouting/Settings.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -78,6 +79,14 @@
         std::uint64_t retainedRecords { 0 }; ///< How many records the log keeps; 0: no limit by number.
     };
 
+    struct Duties {
+        Endpoint service; ///< Takes reports of usage and orders for engines; port 0: there are no such duties.
+        double callsPerSecond { 10 }; ///< That the service takes, of all daemons together.
+        Milliseconds usageWindow { 0 }; ///< 0: usage is not reported.
+        Milliseconds usageDue { 10'000 }; ///< After the end of a window.
+        bool isFenced { false }; ///< The service refuses numbers below one that it has seen.
+    };
+
     struct Limits {
         std::uint32_t inFlightPerTarget { 64 };
         std::uint32_t queuedPerTarget { 256 };
@@ -94,10 +103,12 @@
     Operators operators;
     Peers peers;
     Platform platform;
+    Duties duties;
     Limits limits;
     Http::ClientSettings targets; ///< Connections to targets.
     Routing::Settings routing;
     Roles::SplitSettings split;
+    Roles::FleetSizerSettings sizer;
 
     /// Reads and checks a whole settings file.
     /// Errors (BadInput): every problem found, one line each: file, line, section, key, what was read and
--- a/Libraries/LibState/ServiceConfig.h
+++ b/Libraries/LibState/ServiceConfig.h
@@ -3,6 +3,7 @@
 #include <LibAccess/Organisations.h>
 #include <LibCore/Result.h>
 #include <LibState/Config.h>
+#include <LibState/EngineOffer.h>
 #include <LibState/EntryRoutes.h>
 #include <chrono>
 #include <cstdint>
@@ -28,6 +29,7 @@
 struct ServiceTerms {
     std::string name;
     std::optional<EngineTerms> engine; ///< Absent: a plain service.
+    std::optional<EngineOffer> offer {}; ///< Absent: its engines are not this system's to order.
 
     bool operator==(ServiceTerms const&) const = default;
 };
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -16,10 +16,17 @@
 {
     Fleet::DaemonState state { true, true, true, 9, 12, std::chrono::milliseconds(1'300), std::nullopt, std::chrono::milliseconds(0), Fleet::Time(std::chrono::hours(100)) };
     Daemon::BeaconMessage beacon { makeDaemon(), 5, state, { { 3, { 0.25, 2, 900 } } }, { 3 }, { 4, 5 }, { { 3, 8, 2 } }, { { "llm", { 2.5, 120, 400'000 }, { { 0.25, 0.5, 0.125 }, 40, 0.0625 } } }, { { 9, 3 } }, std::chrono::milliseconds(700), { 21, 22 }, { { { 11, 12 }, Quarantine::SuspectTarget { 3, "llm", "v1" }, Fleet::Time(std::chrono::milliseconds(70)), Fleet::Time(std::chrono::milliseconds(90)) }, { { 13, 14 }, std::nullopt, Fleet::Time(), Fleet::Time(std::chrono::milliseconds(80)) } }, 99 };
+    beacon.state.cannotHoldDuties = true;
+    beacon.wallClock = std::chrono::milliseconds(1'774'879'300'123);
+    beacon.usage = { { { 354, { { "org-a", 3 }, { "org-b", 1 } } }, { 355, {} } }, 355, 353 };
+    beacon.sizedDemands = { { "llm", 12.5 } };
     Daemon::BeaconMessage read = Daemon::decodeBeacon(Daemon::encode(beacon)).value();
+    EXPECT_EQ(read.wallClock, beacon.wallClock);
+    EXPECT_EQ(read.usage, beacon.usage);
+    EXPECT_EQ(read.sizedDemands, beacon.sizedDemands);
     EXPECT_EQ(read.sender, beacon.sender);
     EXPECT_EQ(read.sequence, 5U);
-    EXPECT_EQ(read.state, state);
+    EXPECT_EQ(read.state, beacon.state);
     ASSERT_EQ(read.shares.size(), 1U);
     EXPECT_EQ(read.shares[0].work, beacon.shares[0].work);
     EXPECT_EQ(read.suspects, beacon.suspects);
@@ -52,8 +59,10 @@
     EXPECT_TRUE(read.services.empty());
 }
 
-TEST(BeaconMessage, EntriesAndClaims)
+TEST(BeaconMessage, EntriesReportsAndClaims)
 {
+    Duties::UsageReport report { 354, { { "org-a", 3 }, { "org-b", 1 } } };
+    EXPECT_EQ(Daemon::decodeUsageReport(Daemon::encode(report)).value(), report);
     EXPECT_EQ(Daemon::decodeListedDaemon("front-1", Daemon::encode(makeDaemon())).value(), makeDaemon());
     Authority::StoreLeaseHolder holder { "front-1", 77 };
     EXPECT_EQ(Daemon::decodeLeaseHolder(Daemon::encode(holder)).value(), holder);
--- /dev/null
+++ b/Tests/LibDuties/TestUsageDuty.cpp
@@ -0,0 +1,61 @@
+#include <LibDuties/UsageDuty.h>
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using Duties::UsageDuty;
+using Duties::WallTime;
+using Duties::WindowNumber;
+
+class UsageDutyTest : public testing::Test {
+protected:
+    static Duties::UsageDutySettings settings() { return { 5s, 10s, 300ms, 0.5 }; }
+
+    template <typename Step>
+    std::optional<Step> next(std::chrono::milliseconds afterEnd, bool isClosed = true) const
+    {
+        std::optional<Duties::UsageStep> step = duty.next(end + afterEnd, [isClosed](WindowNumber) { return isClosed; });
+        Step const* wanted = step ? std::get_if<Step>(&*step) : nullptr;
+        return wanted ? std::optional(*wanted) : std::nullopt;
+    }
+
+    static constexpr WindowNumber first = 200;
+    WallTime end = Duties::endOf(first, 5s);
+    UsageDuty duty { settings() };
+};
+
+}
+
+TEST_F(UsageDutyTest, AWindowIsDecidedWhenAllHaveClosedItOrPatienceEnds)
+{
+    duty.begin(end - 1s);
+    EXPECT_FALSE(next<Duties::DecideReport>(299ms));
+    EXPECT_TRUE(next<Duties::DecideReport>(300ms));
+    EXPECT_FALSE(next<Duties::DecideReport>(4'999ms, false));
+    EXPECT_TRUE(next<Duties::DecideReport>(5s, false));
+    EXPECT_TRUE(next<Duties::GiveUpReport>(10s, false));
+}
+
+// Guards against a second report of a window that says something else.
+TEST_F(UsageDutyTest, WhatIsDecidedIsSentWordForWord)
+{
+    duty.begin(end - 1s);
+    duty.noteDecided({ first, { { "a", 5 } } });
+    EXPECT_EQ(next<Duties::SendReport>(300ms)->report, (Duties::UsageReport { first, { { "a", 5 } } }));
+    EXPECT_FALSE(next<Duties::DecideReport>(300ms));
+    duty.noteSettled(first);
+    EXPECT_EQ(duty.settledBefore(), first + 1);
+    EXPECT_FALSE(next<Duties::SendReport>(300ms));
+}
+
+TEST_F(UsageDutyTest, OthersTellOfOlderWindowsAndOfSettledOnes)
+{
+    duty.begin(end - 1s);
+    duty.noteUnsettled(first - 1);
+    EXPECT_EQ(next<Duties::DecideReport>(300ms)->window, first - 1);
+    duty.noteSettledBefore(first + 3);
+    EXPECT_EQ(duty.settledBefore(), first + 3);
+    duty.noteUnsettled(first);
+    EXPECT_EQ(duty.settledBefore(), first + 3);
+}
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -59,6 +59,8 @@
 {
     std::filesystem::create_directories(m_folder);
     m_store = Http::parseEndpoint(spawnStandIn("store", { "keyed-store", "--listen", "127.0.0.1:0" })).value();
+    if (m_settings.hasDuties)
+        m_dutyService = Http::parseEndpoint(spawnStandIn("duty-service", { "duty-service", "--listen", "127.0.0.1:0" })).value();
     for (std::string_view role : { "prefill", "decode", "decode", "decode" })
         addTarget("engine-" + std::to_string(m_targets.size()), "llm", std::string(role));
     for (std::string_view name : { "app-0", "app-1" })
@@ -169,6 +171,13 @@
     std::string settings = text.str();
     values["bounds.strict_revoke"] = m_settings.isStrict ? "true" : "false";
     values["bounds.revoke_ms"] = "2000";
+    if (m_settings.hasDuties) {
+        values["cloud.addr"] = Http::toString(m_dutyService);
+        values["cloud.duty_per_s"] = "50";
+        values["bounds.usage_window_s"] = "2";
+        values["bounds.usage_late_s"] = "6";
+        values["bounds.require_fence"] = "true";
+    }
     fillSections(settings, values);
     for (std::pair<std::string const, std::string> const& it : values)
         replaceAll(settings, "{{" + it.first + "}}", it.second);
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -18,6 +18,7 @@
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
     std::string crashPath; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
+    bool hasDuties { false }; ///< The platform has a service for singleton duties.
     bool isStrict { false }; ///< Daemons accept keys only by a configuration that was confirmed within two seconds.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
@@ -70,6 +71,7 @@
     std::uint64_t arrivals(std::string const& target) const;
     static std::string wholeStream(std::uint32_t pieces);
 
+    Endpoint const& dutyService() const { return m_dutyService; }
     Endpoint const& store() const { return m_store; }
     Endpoint const& front(std::size_t daemon) const { return m_daemons.at(daemon).front; }
     std::vector<Endpoint> engines() const { return endpointsOf("engine-"); }
@@ -104,6 +106,7 @@
     std::filesystem::path m_folder;
     std::map<std::string, std::unique_ptr<Process>> m_processes;
     Endpoint m_store;
+    Endpoint m_dutyService;
     std::map<std::string, Target> m_targets;
     std::map<std::string, Endpoint> m_forwarders;
     std::vector<Addresses> m_daemons;
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -1,6 +1,7 @@
 #include "Kinds.h"
 
 #include <LibHttp/Client.h>
+#include <LibStandIn/DutyServiceApi.h>
 #include <LibStandIn/EngineApi.h>
 #include <LibStandIn/Forwarder.h>
 #include <LibStandIn/KeyedStoreApi.h>
@@ -196,6 +197,11 @@
     return serve(context, arguments, StandIn::KeyedStoreApi::create());
 }
 
+Core::Result<RunningStandIn> startDutyService(io_context& context, Arguments const& arguments)
+{
+    return serve(context, arguments, StandIn::DutyServiceApi::create());
+}
+
 void addRunnerOptions(cxxopts::Options& options)
 {
     options.add_options()("service", "The service that it belongs to", cxxopts::value<std::string>()->default_value("service"), "NAME");
@@ -231,12 +237,13 @@
     return running;
 }
 
-constexpr std::array<Kind, 8> kinds { {
+constexpr std::array<Kind, 9> kinds { {
     { "log", "append-only streams of records with offsets", addLogOptions, startLog },
     { "vms", "the list of live and leaving VMs", addVmListOptions, startVmList },
     { "engine", "a model engine", addEngineOptions, startEngine },
     { "service", "a plain service that repeats what it is sent", addServiceOptions, startService },
     { "keyed-store", "the users' platform's store of keyed records", addNoOptions, startKeyedStore },
+    { "duty-service", "the users' platform's service for singleton duties", addNoOptions, startDutyService },
     { "runner", "a target on the users' platform", addRunnerOptions, startRunner },
     { "weights", "the rate-limited weight store", addWeightStoreOptions, startWeightStore },
     { "forwarder", "a TCP forwarder that can be paused and cut", addForwarderOptions, startForwarder },
