LibDaemon: Give the singleton duties' part of StoreControl a file of its own, and name their settings in the project's words

Change: StoreDuties.cpp has who should hold the duties and what they are (functions moved, none changed); the settings are report_window_s and report_due_s.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -27,15 +27,7 @@
 constexpr std::chrono::milliseconds peerConnectTimeout { 300 };
 constexpr std::chrono::milliseconds readSlack { 500 };
 constexpr std::chrono::milliseconds tickInterval { 100 };
-// Without the store's list of daemons, their number is taken from beacons after this: the longest interval between two at
-// the users' two-year size.
-constexpr std::chrono::milliseconds unlistedDaemonsTime { 3'000 };
 constexpr std::chrono::milliseconds unlistTimeout { 500 };
-// By then whoever is there has been heard.
-constexpr std::chrono::milliseconds meetingTime { 2'000 };
-// Whoever has the duties of one daemon at a time hears this part of the daemons that it knows at least, the reciprocal: half of a site
-// may be down at once.
-constexpr std::size_t partOfDaemonsHeard = 3;
 
 // A store or an engine that is slow answers within this; one that does not is asked again.
 constexpr std::chrono::milliseconds answerTime { 1'000 };
@@ -114,23 +106,6 @@
     return Core::ok();
 }
 
-void StoreControl::createDuties(Duties::UsageCounter& usage)
-{
-    Authority::StoreLeaseSettings leases;
-    leases.quietTime = m_settings.platform.leaseQuiet;
-    leases.isFenced = m_settings.duties.isFenced;
-    m_dutyService = m_adapters.createDutyService(*m_client, [this] { return m_dutyAddress; });
-    m_dutyLeases = std::make_unique<StoreLeases>(m_context, *m_store, m_engineLeases->self(), leases, m_hooks.countStoreCall);
-    m_dutyCalls = std::make_unique<DutyCalls>(m_context, *m_dutyService, *m_dutyLeases, m_settings.duties.callsPerSecond);
-    m_engineNumbers = std::make_unique<EngineKeeper>(m_context, *m_dutyCalls, m_settings.sizer, EngineKeeper::Hooks { [this] { return hasDuties(); }, [this](std::string const& service) { return demandOf(service); } });
-    if (m_settings.duties.usageWindow.count() == 0)
-        return;
-    Duties::UsageDutySettings duty;
-    duty.window = m_settings.duties.usageWindow;
-    duty.dueWithin = m_settings.duties.usageDue;
-    m_usage = std::make_unique<UsageKeeper>(m_context, *m_store, *m_dutyCalls, m_beacons->book(), usage, m_beacons->self(), duty, UsageKeeper::Hooks { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall });
-}
-
 void StoreControl::createTopics()
 {
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
@@ -197,28 +172,6 @@
     m_listHold = settings.callers.listHold;
 }
 
-void StoreControl::stopDuties()
-{
-    if (m_usage)
-        m_usage->stop();
-    if (m_engineNumbers)
-        m_engineNumbers->stop();
-    if (m_dutyLeases)
-        m_dutyLeases->stop();
-}
-
-bool StoreControl::hasDuties() const
-{
-    return !m_isLeaving && !m_elders.empty() && m_elders.front() == m_settings.daemon.name && !m_dutyCalls->isBarred();
-}
-
-// Where one daemon orders engines it gives them their roles, too: two plans would fight.
-bool StoreControl::plansRoles() const
-{
-    bool isChosen = m_dutyCalls ? hasDuties() : m_view.isPlanner;
-    return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
-}
-
 void StoreControl::startLeaving()
 {
     m_isLeaving = true;
@@ -343,24 +296,6 @@
     }
 }
 
-// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties.
-bool StoreControl::isFitForDuties(Clock::time_point now) const
-{
-    Fleet::DaemonBook const& book = m_beacons->book();
-    bool hasMet = now - m_startedAt >= meetingTime && (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime);
-    return hasMet && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
-}
-
-void StoreControl::pollDuties(Clock::time_point now)
-{
-    if (!m_dutyCalls)
-        return;
-    m_elders = m_beacons->book().elders(m_beacons->self(), isFitForDuties(now), now);
-    if (m_usage)
-        m_usage->tick(m_elders, now);
-    m_engineNumbers->tick(*m_fleet, now);
-}
-
 void StoreControl::refreshView(Clock::time_point now)
 {
     Fleet::SiteView before = std::exchange(m_view, m_beacons->book().view(m_settings.daemon.name, now));
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -87,6 +87,9 @@
 private:
     using RecordHook = std::function<void(Platform::KeyedRecord const&)>;
 
+    /// Without the store's list of daemons, their number is taken from beacons after this: the longest interval between two at the
+    /// users' two-year size.
+    static constexpr std::chrono::milliseconds unlistedDaemonsTime { 3'000 };
     static constexpr std::chrono::milliseconds retryDelay { 200 }; ///< After a call to the store that failed; it counts calls.
 
     /// A topic that is followed for ever.
--- /dev/null
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -0,0 +1,76 @@
+// The part of StoreControl that has the duties of one daemon at a time: who should have them, and what they are.
+
+#include <LibDaemon/StoreControl.h>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = Core::BootClock;
+
+// By then whoever is there has been heard.
+constexpr std::chrono::milliseconds meetingTime { 2'000 };
+// Whoever has the duties of one daemon at a time hears this part of the daemons that it knows at least, the reciprocal: half of a site
+// may be down at once.
+constexpr std::size_t partOfDaemonsHeard = 3;
+
+}
+
+void StoreControl::createDuties(Duties::UsageCounter& usage)
+{
+    Authority::StoreLeaseSettings leases;
+    leases.quietTime = m_settings.platform.leaseQuiet;
+    leases.isFenced = m_settings.duties.isFenced;
+    m_dutyService = m_adapters.createDutyService(*m_client, [this] { return m_dutyAddress; });
+    m_dutyLeases = std::make_unique<StoreLeases>(m_context, *m_store, m_engineLeases->self(), leases, m_hooks.countStoreCall);
+    m_dutyCalls = std::make_unique<DutyCalls>(m_context, *m_dutyService, *m_dutyLeases, m_settings.duties.callsPerSecond);
+    m_engineNumbers = std::make_unique<EngineKeeper>(m_context, *m_dutyCalls, m_settings.sizer, EngineKeeper::Hooks { [this] { return hasDuties(); }, [this](std::string const& service) { return demandOf(service); } });
+    if (m_settings.duties.usageWindow.count() == 0)
+        return;
+    Duties::UsageDutySettings duty;
+    duty.window = m_settings.duties.usageWindow;
+    duty.dueWithin = m_settings.duties.usageDue;
+    m_usage = std::make_unique<UsageKeeper>(m_context, *m_store, *m_dutyCalls, m_beacons->book(), usage, m_beacons->self(), duty, UsageKeeper::Hooks { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall });
+}
+
+void StoreControl::stopDuties()
+{
+    if (m_usage)
+        m_usage->stop();
+    if (m_engineNumbers)
+        m_engineNumbers->stop();
+    if (m_dutyLeases)
+        m_dutyLeases->stop();
+}
+
+bool StoreControl::hasDuties() const
+{
+    return !m_isLeaving && !m_elders.empty() && m_elders.front() == m_settings.daemon.name && !m_dutyCalls->isBarred();
+}
+
+// Where one daemon orders engines it gives them their roles, too: two plans would fight.
+bool StoreControl::plansRoles() const
+{
+    bool isChosen = m_dutyCalls ? hasDuties() : m_view.isPlanner;
+    return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
+}
+
+// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties.
+bool StoreControl::isFitForDuties(Clock::time_point now) const
+{
+    Fleet::DaemonBook const& book = m_beacons->book();
+    bool hasMet = now - m_startedAt >= meetingTime && (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime);
+    return hasMet && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
+}
+
+void StoreControl::pollDuties(Clock::time_point now)
+{
+    if (!m_dutyCalls)
+        return;
+    m_elders = m_beacons->book().elders(m_beacons->self(), isFitForDuties(now), now);
+    if (m_usage)
+        m_usage->tick(m_elders, now);
+    m_engineNumbers->tick(*m_fleet, now);
+}
+
+}
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -203,8 +203,8 @@
 {
     keys.push_back(optional(endpointKey("duties", "service", "What takes the calls that one daemon at a time makes: reports of usage, orders for engines (kind keyed-store).", dutiesOf, &Owned::Duties::service)));
     keys.push_back(fractionKey("duties", "calls_per_s", "Calls that it takes, of all daemons together.", 0.1, 1e6, dutiesOf, &Owned::Duties::callsPerSecond));
-    keys.push_back(secondsKey("duties", "usage_window_s", "The length of a window of usage; 0: usage is not reported.", dutiesOf, &Owned::Duties::usageWindow));
-    keys.push_back(secondsKey("duties", "usage_due_s", "When a window's report is due, after its end.", dutiesOf, &Owned::Duties::usageDue));
+    keys.push_back(secondsKey("duties", "report_window_s", "The length of a window of usage; 0: usage is not reported.", dutiesOf, &Owned::Duties::usageWindow));
+    keys.push_back(secondsKey("duties", "report_due_s", "When a window's report is due, after its end.", dutiesOf, &Owned::Duties::usageDue));
     keys.push_back(flagKey("duties", "fenced", "Whether the service refuses each number below one that it has seen; if not, a former holder is waited for.", dutiesOf, &Owned::Duties::isFenced));
 }
 
