LibQuarantine, LibDaemon: Take no requests before it is known which of them end targets

Cause: a daemon was ready once it knew the configuration and the targets. What it should refuse it learnt later, by a read of the store or a question to a peer, and a peer that had just started itself answered as if it knew all. Ruled out: the store (the record stood in it, the first two daemons read it); lost beacons (one host). Change: a daemon has caught up when it has read the store, when a peer that has caught up answers, or says the same digest; others send no digest and answer no question. Until then it takes no requests, for three seconds at most after it knows the rest.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -29,6 +29,7 @@
     RequestQuarantined = 2010,
     RequestSuspected = 2011,
     RequestCleared = 2012,
+    SuspectsUnknown = 2013,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -68,7 +69,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 57> eventNames { {
+inline constexpr EnumNames<Event, 58> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -89,6 +90,7 @@
     { Event::RequestQuarantined, "request-quarantined" },
     { Event::RequestSuspected, "request-suspected" },
     { Event::RequestCleared, "request-cleared" },
+    { Event::SuspectsUnknown, "suspects-unknown" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -217,7 +217,8 @@
         message.add_leaving(target);
     for (Quarantine::SuspectNews const& news : beacon.suspectNews)
         fillNews(*message.add_suspect_news(), news);
-    message.set_suspect_digest(beacon.suspectDigest);
+    if (beacon.suspectDigest)
+        message.set_suspect_digest(*beacon.suspectDigest);
     message.set_wall_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, beacon.wallClock.count())));
     message.set_usage_closed_before(beacon.usage.closedBefore);
     message.set_usage_settled_before(beacon.usage.settledBefore);
@@ -262,7 +263,8 @@
     beacon.leaving.assign(message.leaving().begin(), message.leaving().end());
     for (Proto::SuspectNews const& news : message.suspect_news())
         beacon.suspectNews.push_back(readNews(news));
-    beacon.suspectDigest = message.suspect_digest();
+    if (message.has_suspect_digest())
+        beacon.suspectDigest = message.suspect_digest();
     beacon.wallClock = std::chrono::milliseconds(std::min<std::uint64_t>(message.wall_ms(), latestWallClock.count()));
     beacon.usage.closedBefore = message.usage_closed_before();
     beacon.usage.settledBefore = message.usage_settled_before();
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -33,7 +33,7 @@
     std::chrono::milliseconds lapseGrace { 0 }; ///< The store came back lately: how long it keeps targets whose entries lapsed.
     std::vector<std::uint64_t> leaving; ///< Keys of targets that have said to it that they leave.
     std::vector<Quarantine::SuspectNews> suspectNews; ///< Its own evidence of late; moments are by the sender's clock.
-    std::uint64_t suspectDigest { 0 }; ///< Of all that it holds.
+    std::optional<std::uint64_t> suspectDigest; ///< Of all that it holds; null: it may not know all yet.
     bool isBrief { false }; ///< The sender's addresses and `services` are left out: they are as it said before.
     std::chrono::milliseconds wallClock { 0 }; ///< The sender's when the beacon was made, since 1970.
     Duties::UsageStatement usage {}; ///< Its windows only in beacons to `usageFor`.
--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -39,12 +39,13 @@
 void QuarantineExchange::describe(BeaconMessage& beacon, Clock::time_point now) const
 {
     beacon.suspectNews = m_guard.news(now, Quarantine::tellTime(m_book.beaconInterval()));
-    beacon.suspectDigest = m_guard.digest();
+    if (m_catchUp.isCaughtUp())
+        beacon.suspectDigest = m_guard.digest();
 }
 
 void QuarantineExchange::take(BeaconMessage const& beacon, Clock::time_point now)
 {
-    m_catchUp.hear(beacon.sender.name, beacon.suspectDigest, now);
+    m_catchUp.hear(beacon.sender.name, beacon.suspectDigest, m_guard.digest(), now);
     if (beacon.suspectNews.empty())
         return;
     std::vector<Quarantine::SuspectNews> news = beacon.suspectNews;
@@ -81,8 +82,10 @@
     m_hooks.tellSoon();
 }
 
-RecordsAnswer QuarantineExchange::extract() const
+Core::Result<RecordsAnswer> QuarantineExchange::extract() const
 {
+    if (!m_catchUp.isCaughtUp())
+        return Core::fail(Core::ErrorCode::Unavailable, "the suspects are not all known here");
     RecordsAnswer answer;
     answer.extract.isAll = true;
     Clock::time_point now = Clock::now();
@@ -166,8 +169,12 @@
         }
         takeRecords(page.value().records, "store");
         m_isLoaded = !page.value().hasMore || page.value().records.empty();
-        if (m_isLoaded)
+        if (m_isLoaded) {
+            m_catchUp.noteLoaded();
+            // Those that start at the same time wait for this.
+            m_hooks.tellSoon();
             break;
+        }
         after = page.value().records.back().key;
     }
     m_isCalling = false;
--- a/Libraries/LibDaemon/QuarantineExchange.h
+++ b/Libraries/LibDaemon/QuarantineExchange.h
@@ -41,8 +41,11 @@
     /// Notes that this daemon's own run cleared a request.
     void noteCleared(Quarantine::WorkKey const&);
 
-    /// Returns all that is known, for a peer.
-    RecordsAnswer extract() const;
+    /// Returns all that is known, for a peer. Errors: Unavailable until this daemon has caught up.
+    Core::Result<RecordsAnswer> extract() const;
+
+    /// Whether this daemon knows what the others, or the store, knew of suspected requests when it started.
+    bool isCaughtUp() const { return m_catchUp.isCaughtUp(); }
 
     /// Asks, reads and writes what is due, some ten times a second. `readsStore`: this daemon is one of the few that read the
     /// store for the site.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -288,7 +288,8 @@
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
         m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
-        if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
+        bool hasCaughtUp = !m_fleet->isReady && knowsEnough(now);
+        if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened || hasCaughtUp)
             rebuild();
         // Beacons tell of all that are heard within a second, also while the store is away.
         if (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime)
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -90,6 +90,8 @@
     /// Without the store's list of daemons, their number is taken from beacons after this: the longest interval between two at the
     /// users' two-year size.
     static constexpr std::chrono::milliseconds unlistedDaemonsTime { 3'000 };
+    /// A daemon that knows the configuration and the targets takes requests after this also without knowing the suspected ones.
+    static constexpr std::chrono::milliseconds longestCatchUp { 3'000 };
     static constexpr std::chrono::milliseconds retryDelay { 200 }; ///< After a call to the store that failed; it counts calls.
 
     /// A topic that is followed for ever.
@@ -146,6 +148,7 @@
     bool isReading() const;
     Roles::SplitDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
+    bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
     void noteTargetsGone(std::set<std::uint64_t> const& keys);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
@@ -195,6 +198,7 @@
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_listConfirmedAt; ///< As snapshots of the fleet have it,
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_configConfirmedAt; ///< and the same of the configuration.
     Core::BootClock::time_point m_startedAt;
+    std::optional<Core::BootClock::time_point> m_listedAt; ///< When the list of targets was first known whole.
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
     bool m_isTargetListChanged { false };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -252,6 +252,12 @@
         m_hooks.onTargetsGone(gone);
 }
 
+// Whether this daemon may take requests: not before it knows which of them end the targets that run them, but for a bounded time.
+bool StoreControl::knowsEnough(Clock::time_point now) const
+{
+    return m_fleet->isReady || (m_listedAt && (m_quarantine->isCaughtUp() || now - *m_listedAt >= longestCatchUp));
+}
+
 void StoreControl::rebuild()
 {
     if (!m_labels)
@@ -283,7 +289,12 @@
     fleet->listConfirmedAt = m_listConfirmedAt;
     fleet->configConfirmedAt = m_configConfirmedAt;
     fleet->configVersion = m_services->version;
-    fleet->isReady = m_targetList.follower->replica().isComplete();
+    Clock::time_point now = Clock::now();
+    if (m_targetList.follower->replica().isComplete())
+        m_listedAt = m_listedAt.value_or(now);
+    fleet->isReady = knowsEnough(now);
+    if (fleet->isReady && !m_fleet->isReady && !m_quarantine->isCaughtUp())
+        Core::logEvent(Core::Severity::Warning, Core::Event::SuspectsUnknown, { { "waited_ms", std::to_string(longestCatchUp.count()) } });
     m_fleet = std::move(fleet);
     m_hooks.publish(m_fleet);
 }
--- a/Libraries/LibQuarantine/CatchUp.cpp
+++ b/Libraries/LibQuarantine/CatchUp.cpp
@@ -4,11 +4,16 @@
 
 namespace Quarantine {
 
-void CatchUp::hear(std::string const& peer, std::uint64_t digest, Time now)
+void CatchUp::hear(std::string const& peer, std::optional<std::uint64_t> digest, std::uint64_t ownDigest, Time now)
 {
+    if (!digest) {
+        m_heard.erase(peer);
+        return;
+    }
     Heard& heard = m_heard[peer];
-    heard.digest = digest;
+    heard.digest = *digest;
     heard.at = now;
+    m_isCaughtUp = m_isCaughtUp || *digest == ownDigest;
 }
 
 std::optional<std::string> CatchUp::whomToAsk(std::uint64_t ownDigest, std::chrono::milliseconds patience, std::chrono::milliseconds silentAfter, Time now)
@@ -28,8 +33,7 @@
             continue;
         }
         heard.differsSince = heard.differsSince.value_or(now);
-        bool isFirst = !m_wasAnswered && heard.digest != 0;
-        if (now - *heard.differsSince >= (isFirst ? first : whole))
+        if (now - *heard.differsSince >= (m_isCaughtUp ? whole : first))
             differing.push_back(&it.first);
     }
     if (differing.empty() || m_isAsking || now < m_nextQuestion)
@@ -41,7 +45,7 @@
 void CatchUp::noteAnswer(bool isAnswered, bool isNews, Time now)
 {
     m_isAsking = false;
-    m_wasAnswered = m_wasAnswered || isAnswered;
+    m_isCaughtUp = m_isCaughtUp || isAnswered;
     // A peer that does not answer is passed over until it is heard again; one that has nothing new may be behind itself.
     m_interval = isNews ? m_settings.leastInterval : std::min(m_interval * 2, m_settings.longestInterval);
     m_nextQuestion = now + m_interval;
--- a/Tests/LibQuarantine/TestReach.cpp
+++ b/Tests/LibQuarantine/TestReach.cpp
@@ -5,7 +5,10 @@
 #include <LibQuarantine/CatchUp.h>
 #include <LibQuarantine/Guard.h>
 #include <deque>
+#include <functional>
 #include <gtest/gtest.h>
+#include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 
@@ -29,8 +32,10 @@
         : m_settings(settings)
         , m_random(settings.seed)
     {
-        for (std::size_t n = 0; n < settings.daemons; ++n)
+        for (std::size_t n = 0; n < settings.daemons; ++n) {
             m_daemons.emplace_back(m_random());
+            m_daemons.back().catchUp->noteLoaded();
+        }
         for (std::size_t n = 0; n < m_daemons.size(); ++n) {
             for (std::size_t other = 0; other < m_daemons.size(); ++other) {
                 if (other != n)
@@ -50,9 +55,9 @@
     {
         at(when, [this, target, daemon](Time now) {
             Daemon& it = m_daemons[daemon];
-            RunTable::Id run = it.guard.begin(culprit, { target, "llm", "v1" }, now - 50ms);
-            it.guard.breakOff(run, now);
-            it.guard.noteEnded(target, now);
+            RunTable::Id run = it.guard->begin(culprit, { target, "llm", "v1" }, now - 50ms);
+            it.guard->breakOff(run, now);
+            it.guard->noteEnded(target, now);
             Time soon = std::max(now, it.sentAt + it.book.promptInterval());
             at(soon, [this, daemon](Time then) { send(daemon, then); });
         });
@@ -69,7 +74,36 @@
 
     std::size_t countOpen() const
     {
-        return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](Daemon const& it) { return it.guard.standing(culprit) != Guard::Standing::Refused; }));
+        return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](Daemon const& it) { return it.guard->standing(culprit) != Guard::Standing::Refused; }));
+    }
+
+    // Has all daemons start anew. The first two read what the store kept, the time after `when` in which they do drawn at random.
+    void restartAll(Time when, std::chrono::milliseconds readWithin)
+    {
+        at(when, [this](Time) {
+            m_kept = m_daemons.front().guard->suspects();
+            for (Daemon& it : m_daemons) {
+                it.guard = std::make_unique<Guard>();
+                it.catchUp.emplace(m_random());
+            }
+        });
+        for (std::size_t n = 0; n < 2; ++n)
+            at(when + std::chrono::milliseconds(1 + pick(static_cast<std::size_t>(readWithin.count()))), [this, n](Time now) {
+                m_daemons[n].guard->take(newsOf(m_kept));
+                m_daemons[n].catchUp->noteLoaded();
+                send(n, now);
+            });
+    }
+
+    std::size_t countCaughtUp() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](Daemon const& it) { return it.catchUp->isCaughtUp(); }));
+    }
+
+    // Those that would let the culprit run although they hold themselves for ready.
+    std::size_t countCaughtUpAndOpen() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [](Daemon const& it) { return it.catchUp->isCaughtUp() && it.guard->standing(culprit) != Guard::Standing::Refused; }));
     }
 
     std::size_t questions() const { return m_questions; }
@@ -77,12 +111,13 @@
 private:
     struct Daemon {
         explicit Daemon(std::uint64_t seed)
-            : catchUp(seed)
+            : guard(std::make_unique<Guard>())
+            , catchUp(seed)
         {
         }
 
-        Guard guard;
-        CatchUp catchUp;
+        std::unique_ptr<Guard> guard;
+        std::optional<CatchUp> catchUp;
         Fleet::DaemonBook book;
         std::uint64_t sequence { 0 };
         Time sentAt;
@@ -114,6 +149,16 @@
         return std::any_of(m_daemons[daemon].cuts.begin(), m_daemons[daemon].cuts.end(), [now](std::pair<Time, Time> const& it) { return it.first <= now && now < it.second; });
     }
 
+    static std::vector<SuspectNews> newsOf(std::vector<Suspect> const& suspects)
+    {
+        std::vector<SuspectNews> news;
+        for (Suspect const& suspect : suspects) {
+            for (TargetEnd const& end : suspect.ends)
+                news.push_back({ suspect.key, end.target, end.begunAt, end.at });
+        }
+        return news;
+    }
+
     void sendRegularly(std::size_t n, Time now)
     {
         send(n, now);
@@ -125,24 +170,26 @@
         Daemon& sender = m_daemons[n];
         sender.sentAt = now;
         std::uint64_t sequence = ++sender.sequence;
-        std::vector<SuspectNews> news = sender.guard.news(now, tellTime(sender.book.beaconInterval()));
-        std::uint64_t digest = sender.guard.digest();
+        std::vector<SuspectNews> news = sender.guard->news(now, tellTime(sender.book.beaconInterval()));
+        std::optional<std::uint64_t> digest;
+        if (sender.catchUp->isCaughtUp())
+            digest = sender.guard->digest();
         for (std::size_t other = 0; other < m_daemons.size(); ++other) {
             bool isLost = other == n || isCut(n, now) || isCut(other, now) || std::bernoulli_distribution(m_settings.beaconLoss)(m_random);
             if (isLost)
                 continue;
             Daemon& receiver = m_daemons[other];
             receiver.book.hear(listed(n), sequence, {}, now);
-            receiver.catchUp.hear(nameOf(n), digest, now);
+            receiver.catchUp->hear(nameOf(n), digest, receiver.guard->digest(), now);
             if (!news.empty())
-                receiver.guard.take(news);
+                receiver.guard->take(news);
         }
     }
 
     void tick(std::size_t n, Time now)
     {
         Daemon& it = m_daemons[n];
-        std::optional<std::string> peer = it.catchUp.whomToAsk(it.guard.digest(), it.book.beaconInterval(), it.book.silentTime(), now);
+        std::optional<std::string> peer = it.catchUp->whomToAsk(it.guard->digest(), it.book.beaconInterval(), it.book.silentTime(), now);
         if (peer) {
             ++m_questions;
             std::size_t asked = std::stoul(peer->substr(peer->find('-') + 1));
@@ -154,15 +201,10 @@
 
     void answer(std::size_t n, std::size_t asked, bool isAnswered, Time now)
     {
-        std::uint64_t before = m_daemons[n].guard.digest();
-        std::vector<SuspectNews> news;
-        for (Suspect const& suspect : m_daemons[asked].guard.suspects()) {
-            for (TargetEnd const& end : suspect.ends)
-                news.push_back({ suspect.key, end.target, end.begunAt, end.at });
-        }
+        std::uint64_t before = m_daemons[n].guard->digest();
         if (isAnswered)
-            m_daemons[n].guard.take(news);
-        m_daemons[n].catchUp.noteAnswer(isAnswered, m_daemons[n].guard.digest() != before, now);
+            m_daemons[n].guard->take(newsOf(m_daemons[asked].guard->suspects()));
+        m_daemons[n].catchUp->noteAnswer(isAnswered, m_daemons[n].guard->digest() != before, now);
     }
 
     SiteSettings m_settings;
@@ -171,6 +213,7 @@
     std::priority_queue<Event> m_events;
     std::uint64_t m_order { 0 };
     std::size_t m_questions { 0 };
+    std::vector<Suspect> m_kept; ///< By the store.
 };
 
 struct Reach {
@@ -218,6 +261,26 @@
     }
 }
 
+// Guards against a daemon of a site that starts anew, which takes requests before it knows which are refused.
+TEST_P(RefusedInTime, ByEachDaemonThatHoldsItselfForReadyAfterAllHaveStartedAnew)
+{
+    constexpr std::chrono::milliseconds step { 10 };
+    for (std::uint64_t seed = 1; seed <= GetParam().seeds; ++seed) {
+        Site site({ GetParam().daemons, 0.025, seed });
+        for (std::uint64_t target = 1; target <= 3; ++target)
+            site.endTarget(target, target, origin + 10s + target * 300ms);
+        Time restart = origin + 20s;
+        site.restartAll(restart, 500ms);
+        std::size_t premature = 0;
+        for (Time now = restart; now < restart + GetParam().within; now += step) {
+            site.run(now);
+            premature += site.countCaughtUpAndOpen();
+        }
+        EXPECT_EQ(premature, 0U) << "seed " << seed;
+        EXPECT_EQ(site.countCaughtUp(), GetParam().daemons) << "seed " << seed;
+    }
+}
+
 TEST_P(RefusedInTime, WithoutQuestionsWhereNothingIsMissed)
 {
     Site site({ GetParam().daemons, 0, 1 });
