LibAuthority: Give no authority under an earlier number to whose claim was refused

What callers saw: nothing by itself; the holder of the duties that came back after another had claimed gave its next orders under its own earlier number. Where numbers are checked the platform refused them, and the daemon then kept from the lease for 5.3 s; where they are not, a lower number after a higher one is a broken rule. Cause: a holder whose last claim was its own as far as it knew claims without a read. When that claim was refused, the time of the claim was new and the number the old one: mayOrder() said yes for two seconds. Ruled out: a late answer of the store (the log shows the refusal, and the order 66 ms after it). Shown by: StoreLease.ARefusedClaimGivesNoAuthorityUnderAnEarlierNumber, which failed on the code before; the property test read the store before each claim, and so never saw it.

--- a/Libraries/LibAuthority/StoreLease.cpp
+++ b/Libraries/LibAuthority/StoreLease.cpp
@@ -70,8 +70,9 @@
 void StoreLease::claimFailed()
 {
     m_isClaiming = false;
-    // Only a read tells what stands behind the end that was known.
+    // Only a read tells what stands behind the end that was known: another's claim, so that the number of an earlier one is of no use.
     m_isEndKnown = false;
+    m_fencing.reset();
 }
 
 void StoreLease::claimUnknown()
--- a/Tests/LibAuthority/TestStoreLease.cpp
+++ b/Tests/LibAuthority/TestStoreLease.cpp
@@ -84,6 +84,23 @@
     EXPECT_TRUE(a.poll(true, start + 6s)) << "its own claim is in nobody's way";
 }
 
+// Guards against a holder that comes back, finds another's claim behind its own, and orders under its earlier number all the same.
+TEST(StoreLease, ARefusedClaimGivesNoAuthorityUnderAnEarlierNumber)
+{
+    StoreLease a = lease("a");
+    a.observe(std::nullopt, 0, start);
+    a.poll(true, start);
+    a.claimAppended(0);
+    ASSERT_TRUE(a.mayOrder(start + 1s));
+    ASSERT_TRUE(a.pollOwn(start + 10s)) << "without a read: the last claim was its own";
+    a.claimFailed();
+    EXPECT_FALSE(a.mayOrder(start + 10s));
+    EXPECT_FALSE(a.fencing());
+    a.observe(StoreLeaseClaim { 1, { "b", 1 } }, 2, start + 10s);
+    EXPECT_FALSE(a.mayOrder(start + 10s));
+    EXPECT_FALSE(a.poll(true, start + 10s)) << "the other one is waited for";
+}
+
 TEST(StoreLease, ARefusalByAnEngineEndsTheAuthority)
 {
     StoreLease a = lease("a");
