LibAuthority, LibDaemon: Order roles at once after another daemon where engines check numbers

Cause: a new holder of the engines' lease waited until the former one's time and the quiet time were over, counted from its own first read of the claim, also where engines refuse lower numbers and nothing of the former holder can be carried out. Turns are still kept from: a holder that ordered waits for the quiet time after its last order, and a process that has just started for as long after its start, since its former process may have ordered; that held for duties neither. Shown by: three tests of StoreLease, of which the two that the code before could fail did (a process that starts again takes turns).

--- a/Libraries/LibAuthority/StoreLease.cpp
+++ b/Libraries/LibAuthority/StoreLease.cpp
@@ -2,9 +2,10 @@
 
 namespace Authority {
 
-StoreLease::StoreLease(StoreLeaseSettings const& settings, StoreLeaseHolder self)
+StoreLease::StoreLease(StoreLeaseSettings const& settings, StoreLeaseHolder self, Time startedAt)
     : m_settings(settings)
     , m_self(std::move(self))
+    , m_startedAt(startedAt)
 {
 }
 
@@ -34,7 +35,7 @@
     if (!m_newest || m_newest->holder == m_self)
         return true;
     if (m_settings.isFenced)
-        return !m_orderedAt || now >= *m_orderedAt + m_settings.quietTime + m_settings.margin;
+        return now >= m_orderedAt.value_or(m_startedAt) + m_settings.quietTime + m_settings.margin;
     return now >= m_changedAt + m_settings.orderTime + m_settings.quietTime + m_settings.margin;
 }
 
--- a/Libraries/LibAuthority/StoreLease.h
+++ b/Libraries/LibAuthority/StoreLease.h
@@ -51,7 +51,8 @@
 public:
     using Time = Core::BootClock::time_point;
 
-    StoreLease(StoreLeaseSettings const&, StoreLeaseHolder self);
+    /// `startedAt`: when this process started. Until then a former process of the same daemon may have ordered.
+    StoreLease(StoreLeaseSettings const&, StoreLeaseHolder self, Time startedAt);
 
     /// Takes the newest claim (none: there never was one) and the end of its topic, as read at `now`.
     void observe(std::optional<StoreLeaseClaim> const&, std::uint64_t next, Time now);
@@ -88,6 +89,7 @@
 
     StoreLeaseSettings m_settings;
     StoreLeaseHolder m_self;
+    Time m_startedAt;
     std::optional<StoreLeaseClaim> m_newest;
     std::uint64_t m_next { 0 };
     bool m_isRead { false };
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -91,6 +91,7 @@
     RoleKeeper::Hooks roles { [this] { return plansRoles(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::string const& service) { return m_engineNumbers && m_engineNumbers->isFirstSizing(service, Clock::now()); }, [this](std::uint64_t target) { noteLeaving(target); } };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
+    leases.isFenced = m_settings.platform.areOrdersFenced;
     m_engineLeases = std::make_unique<StoreLeases>(m_context, *m_store, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_hooks.countStoreCall);
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, m_settings.split, std::move(roles));
     if (m_settings.duties.service.port() != 0)
--- a/Libraries/LibDaemon/StoreLeases.cpp
+++ b/Libraries/LibDaemon/StoreLeases.cpp
@@ -29,12 +29,13 @@
     , m_self(std::move(self))
     , m_settings(settings)
     , m_countCall(std::move(countCall))
+    , m_startedAt(Clock::now())
 {
 }
 
 StoreLeases::Entry& StoreLeases::entryOf(std::string const& name)
 {
-    return m_entries.try_emplace(name, Entry { Authority::StoreLease(m_settings, m_self), false }).first->second;
+    return m_entries.try_emplace(name, Entry { Authority::StoreLease(m_settings, m_self, m_startedAt), false }).first->second;
 }
 
 Authority::StoreLease& StoreLeases::of(std::string const& name)
--- a/Libraries/LibDaemon/StoreLeases.h
+++ b/Libraries/LibDaemon/StoreLeases.h
@@ -54,6 +54,7 @@
     Authority::StoreLeaseHolder m_self;
     Authority::StoreLeaseSettings m_settings;
     CountHook m_countCall;
+    Core::BootClock::time_point m_startedAt; ///< About when the process did.
     std::map<std::string, Entry> m_entries;
     Core::BootClock::time_point m_barredUntil;
     bool m_isStopped { false };
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -193,6 +193,7 @@
     keys.push_back(numberKey<Owned>("platform", "news_within_ms", "How soon after a change in the store every daemon is to act on it (kind keyed-store).", 1'000, maximumMilliseconds, platformOf, &Owned::Platform::newsWithin));
     keys.push_back(numberKey<Owned>("platform", "leaving_within_ms", "How soon after a target's word that it leaves, or its end, no request reaches it (kind keyed-store).", 1'000, maximumMilliseconds, platformOf, &Owned::Platform::leavingWithin));
     keys.push_back(numberKey<Owned>("platform", "lease_quiet_ms", "Least time between orders of two lease holders (kind keyed-store).", 0, maximumMilliseconds, platformOf, &Owned::Platform::leaseQuiet));
+    keys.push_back(flagKey("platform", "orders_fenced", "Whether targets refuse each number of a lease below one that they have seen; if not, a former holder is waited for (kind keyed-store).", platformOf, &Owned::Platform::areOrdersFenced));
     keys.push_back(numberKey<Owned>("platform", "vms_interval_ms", "Time between two reads of the VM list.", 10, maximumMilliseconds, platformOf, &Owned::Platform::vmsInterval));
     keys.push_back(numberKey<Owned>("platform", "state_interval_ms", "Time between two reads of a target's state.", 10, maximumMilliseconds, platformOf, &Owned::Platform::stateInterval));
     keys.push_back(numberKey<Owned>("platform", "retry_delay_ms", "Time before another try when the platform does not answer.", 10, maximumMilliseconds, platformOf, &Owned::Platform::retryDelay));
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -76,6 +76,7 @@
         Milliseconds newsWithin { 2'000 }; ///< How soon after a change in the store every daemon is to act on it.
         Milliseconds leavingWithin { 2'000 }; ///< How soon after a target's word that it leaves no request reaches it.
         Milliseconds leaseQuiet { 3'000 }; ///< Between the last order of one holder and the first of the next.
+        bool areOrdersFenced { false }; ///< Targets refuse each number of a lease below one that they have seen.
         std::uint64_t retainedRecords { 0 }; ///< How many records the log keeps; 0: no limit by number.
     };
 
--- a/Tests/LibAuthority/TestStoreLease.cpp
+++ b/Tests/LibAuthority/TestStoreLease.cpp
@@ -12,7 +12,14 @@
 
 StoreLease lease(std::string const& daemon, std::uint64_t incarnation = 1)
 {
-    return StoreLease(StoreLeaseSettings(), { daemon, incarnation });
+    return StoreLease(StoreLeaseSettings(), { daemon, incarnation }, Time());
+}
+
+StoreLease fencedLease(std::string const& daemon, std::uint64_t incarnation = 1, Time startedAt = {})
+{
+    StoreLeaseSettings settings;
+    settings.isFenced = true;
+    return StoreLease(settings, { daemon, incarnation }, startedAt);
 }
 
 }
@@ -113,6 +120,26 @@
     EXPECT_TRUE(a.poll(true, start + 6s));
 }
 
+// Guards against engines that keep their roles for five seconds when whoever ordered them is lost.
+TEST(StoreLease, WhereNumbersAreCheckedAnotherTakesOverAtOnce)
+{
+    StoreLease b = fencedLease("b");
+    b.observe(StoreLeaseClaim { 3, { "a", 1 } }, 4, start);
+    EXPECT_TRUE(b.poll(true, start));
+}
+
+// Guards against a process that starts again within the quiet time, and takes turns with whoever ordered after its former one.
+TEST(StoreLease, WhereNumbersAreCheckedAProcessThatHasJustStartedWaits)
+{
+    StoreLease a = fencedLease("a", 2, start);
+    a.observe(StoreLeaseClaim { 3, { "b", 1 } }, 4, start + 1s);
+    EXPECT_FALSE(a.poll(true, start + 3200ms));
+    EXPECT_TRUE(a.poll(true, start + 3300ms));
+    StoreLease first = fencedLease("a", 2, start);
+    first.observe(std::nullopt, 0, start);
+    EXPECT_TRUE(first.poll(true, start)) << "nobody has ordered before";
+}
+
 // Two daemons, one store that decides conditional appends, lost answers, late reads and suspensions: never may both
 // order within the quiet time of each other, and fencing numbers only grow.
 RC_GTEST_PROP(StoreLease, TwoHoldersNeverTakeTurnsWithinTheQuietTime, ())
@@ -150,3 +177,50 @@
         lastFencing = *daemon.fencing();
     }
 }
+
+// The same where engines check numbers, and with daemons that start again: one that ordered, and then another, is not to order again
+// within the quiet time of its own last order.
+RC_GTEST_PROP(StoreLease, WhereNumbersAreCheckedNoneTakesTurnsWithinTheQuietTime, ())
+{
+    std::vector<std::string> names { "a", "b" };
+    std::vector<std::uint64_t> lives { 1, 1 };
+    std::vector<StoreLease> daemons { fencedLease("a"), fencedLease("b") };
+    std::vector<StoreLeaseClaim> log;
+    std::vector<std::optional<Time>> ordered(2);
+    std::optional<std::size_t> lastOrderer;
+    std::uint64_t highest = 0;
+    Time now = start;
+    for (int step = 0; step < 80; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(1, 900));
+        std::size_t who = *rc::gen::inRange<std::size_t>(0, 2);
+        if (*rc::gen::inRange(0, 10) == 0)
+            daemons[who] = fencedLease(names[who], ++lives[who], now);
+        StoreLease& daemon = daemons[who];
+        if (*rc::gen::inRange(0, 3) != 0)
+            daemon.observe(log.empty() ? std::nullopt : std::optional(log.back()), log.size(), now);
+        if (std::optional<StoreLeaseAppend> append = daemon.poll(true, now)) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(1, 2'500));
+            bool isAppended = append->expectedNext == log.size();
+            if (isAppended)
+                log.push_back({ log.size(), { names[who], lives[who] } });
+            if (*rc::gen::inRange(0, 4) == 0)
+                daemon.claimUnknown();
+            else if (isAppended)
+                daemon.claimAppended(log.back().offset);
+            else
+                daemon.claimFailed();
+        }
+        if (!daemon.mayOrder(now))
+            continue;
+        daemon.noteOrder(now);
+        // A lower number is refused, and nothing comes of it.
+        if (*daemon.fencing() < highest) {
+            daemon.loseAuthority(now);
+            continue;
+        }
+        RC_ASSERT(!ordered[who] || lastOrderer == who || now - *ordered[who] >= 3s);
+        highest = *daemon.fencing();
+        lastOrderer = who;
+        ordered[who] = now;
+    }
+}
--- a/Tests/LibDuties/TestUsageTakeOver.cpp
+++ b/Tests/LibDuties/TestUsageTakeOver.cpp
@@ -76,7 +76,7 @@
     Daemon(std::string name, std::uint64_t count)
         : m_name(std::move(name))
         , m_count(count)
-        , m_lease(settings(), { m_name, 1 })
+        , m_lease(settings(), { m_name, 1 }, Time())
         , m_duty({ 5s, 10s, 0s, 0.0 })
     {
         m_duty.begin(Duties::endOf(window, 5s) - 1ms);
