LibRoles: Keep enough engines that decode whichever group is lost next; do not wait for those that leave

What callers saw: outputs refused for five seconds (212 of them in the worst second) when two zones' engines were taken back within six seconds of each other. Cause: four engines decoded, two of them in the zone taken back first. One in each remaining group was the least that the rule asked for, so the second loss left one, which failed. The shortage was seen when the second zone's engines said that they leave, and met with the patience that is meant for engines that come back. Change: the least number is such that as many as must be left are, when the largest group is lost; a shortage that lasts even if all engines that may return do is met after the patience for an empty side. Shown by: SplitRule.EnoughDecodeWhicheverGroupIsLostNext and ASideWhoseEnginesLeaveForGoodIsFilledSooner, which failed on the code before.

--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -105,6 +105,7 @@
         if (target.isReclaimable)
             view.lossGroup = lossGroups.try_emplace(target.availabilityZone, static_cast<std::uint32_t>(lossGroups.size() + 1)).first->second;
         view.isFresh = isFresh(target.key, now);
+        view.isLeaving = target.isLeaving;
         // Differences within what the estimates err are none.
         constexpr double step = 0.15;
         view.slowness = std::round(m_hooks.slowness(target.key, target.role) / step) * step;
--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -33,13 +33,26 @@
     return demand.prompts >= m_settings.pressed * static_cast<double>(engines - decoding) || demand.outputs >= m_settings.pressed * static_cast<double>(decoding);
 }
 
+std::size_t SplitRule::mostDecoding(std::size_t engines) const
+{
+    return engines - std::min<std::size_t>(m_settings.leastPrefill, engines - 1);
+}
+
+// One in each group that can be lost at once, and enough in the others when it is.
+std::size_t SplitRule::leastDecoding(std::size_t engines) const
+{
+    std::size_t least = std::max<std::size_t>(m_settings.leastDecode, m_groups);
+    while (m_groups > 1 && least - (least + m_groups - 1) / m_groups < m_settings.leastDecode)
+        ++least;
+    return std::clamp<std::size_t>(least, 1, mostDecoding(engines));
+}
+
 std::uint32_t SplitRule::wantedDecode(std::size_t engines, std::size_t decoding, SplitDemand const& demand) const
 {
     if (engines < 2)
         return static_cast<std::uint32_t>(engines);
-    std::size_t most = engines - std::min<std::size_t>(m_settings.leastPrefill, engines - 1);
-    // One in each group that can be lost at once.
-    std::size_t least = std::clamp<std::size_t>(std::max<std::size_t>(m_settings.leastDecode, m_groups), 1, most);
+    std::size_t most = mostDecoding(engines);
+    std::size_t least = leastDecoding(engines);
     std::size_t best = std::clamp(static_cast<std::size_t>(std::lround(static_cast<double>(engines) * m_settings.decodeShare)), least, most);
     if (!demand.isKnown)
         return static_cast<std::uint32_t>(best);
@@ -55,15 +68,23 @@
     return static_cast<std::uint32_t>(stays ? decoding : best);
 }
 
-bool SplitRule::isDue(std::vector<EngineView> const& engines, std::uint32_t prefill, std::uint32_t decode, std::uint32_t wanted, bool isDemandKnown, Time now)
+// A side has no engine, or too few, and none that may come back.
+bool SplitRule::isUrgent(Counts const& counts) const
+{
+    if (counts.prefill == 0 || counts.decode == 0)
+        return true;
+    return counts.total() > 1 && (counts.decode + counts.returningDecode < leastDecoding(counts.total()) || counts.prefill + counts.returningPrefill < m_settings.leastPrefill);
+}
+
+bool SplitRule::isDue(std::size_t listed, Counts const& counts, std::uint32_t wanted, bool isDemandKnown, Time now)
 {
-    if (!m_changedAt || engines.size() != m_engines) {
-        m_engines = engines.size();
+    if (!m_changedAt || listed != m_engines) {
+        m_engines = listed;
         m_changedAt = now;
     }
     if (isDemandKnown && !m_knownSince)
         m_knownSince = now;
-    if (decode == wanted) {
+    if (counts.decode == wanted) {
         m_hasPlanned = m_hasPlanned || now - *m_changedAt >= m_settings.settle;
         m_hasFollowedDemand = m_hasFollowedDemand || (m_knownSince && now - *m_knownSince >= m_settings.firstPatience);
         m_shortSince.reset();
@@ -71,10 +92,9 @@
     }
     if (!m_shortSince)
         m_shortSince = now;
-    bool isEmpty = prefill == 0 || decode == 0;
     bool isFirst = isDemandKnown && !m_hasFollowedDemand;
-    std::chrono::milliseconds patience = isEmpty ? m_settings.emptyPatience : isFirst ? m_settings.firstPatience
-                                                                                      : m_settings.patience;
+    std::chrono::milliseconds patience = isUrgent(counts) ? m_settings.emptyPatience : isFirst ? m_settings.firstPatience
+                                                                                               : m_settings.patience;
     if (!m_hasPlanned)
         return now - *m_changedAt >= m_settings.settle;
     return now - *m_shortSince >= patience;
@@ -121,31 +141,41 @@
     return changes;
 }
 
-std::vector<RoleChange> SplitRule::plan(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
+// Notes the groups that can be lost at once, too.
+SplitRule::Counts SplitRule::count(std::vector<EngineView> const& engines)
 {
-    std::vector<RoleChange> changes;
-    std::uint32_t prefill = 0;
-    std::uint32_t decode = 0;
+    Counts counts;
     std::set<std::uint32_t> groups;
     for (EngineView const& engine : engines) {
-        if (engine.state == EngineState::Down)
+        bool isPrefill = engine.role == TargetRole::Prefill;
+        bool isDecode = engine.role == TargetRole::Decode;
+        if (engine.state == EngineState::Down) {
+            counts.returningPrefill += isPrefill && !engine.isLeaving ? 1 : 0;
+            counts.returningDecode += isDecode && !engine.isLeaving ? 1 : 0;
             continue;
+        }
         if (engine.lossGroup != 0)
             groups.insert(engine.lossGroup);
-        prefill += engine.role == TargetRole::Prefill ? 1 : 0;
-        decode += engine.role == TargetRole::Decode ? 1 : 0;
+        counts.prefill += isPrefill ? 1 : 0;
+        counts.decode += isDecode ? 1 : 0;
     }
     m_groups = groups.size();
-    std::uint32_t wanted = wantedDecode(prefill + decode, decode, demand);
-    changes = assignFresh(engines, decode, demand, prefill + decode);
-    if (!changes.empty() || !isDue(engines, prefill, decode, wanted, demand.isKnown, now))
+    return counts;
+}
+
+std::vector<RoleChange> SplitRule::plan(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
+{
+    Counts counts = count(engines);
+    std::uint32_t wanted = wantedDecode(counts.total(), counts.decode, demand);
+    std::vector<RoleChange> changes = assignFresh(engines, counts.decode, demand, counts.total());
+    if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, now))
         return changes;
-    TargetRole from = decode < wanted ? TargetRole::Prefill : TargetRole::Decode;
-    TargetRole to = decode < wanted ? TargetRole::Decode : TargetRole::Prefill;
-    std::uint32_t missing = decode < wanted ? wanted - decode : decode - wanted;
-    bool followsDemand = demand.isKnown && decode >= m_settings.leastDecode && prefill >= m_settings.leastPrefill;
+    TargetRole from = counts.decode < wanted ? TargetRole::Prefill : TargetRole::Decode;
+    TargetRole to = counts.decode < wanted ? TargetRole::Decode : TargetRole::Prefill;
+    std::uint32_t missing = counts.decode < wanted ? wanted - counts.decode : counts.decode - wanted;
+    bool followsDemand = demand.isKnown && counts.decode >= m_settings.leastDecode && counts.prefill >= m_settings.leastPrefill;
     if (followsDemand)
-        missing = std::min(missing, std::max(1U, static_cast<std::uint32_t>(std::lround(m_settings.mostMoved * (prefill + decode)))));
+        missing = std::min(missing, std::max(1U, static_cast<std::uint32_t>(std::lround(m_settings.mostMoved * counts.total()))));
     std::vector<EngineView> fit;
     for (EngineView const& engine : engines) {
         if (engine.state == EngineState::Serving && engine.role == from && engine.allowed.has(to))
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -33,7 +33,7 @@
     /// Once the split follows the demand, it changes only when a side has this part of what it can do, or more. Mixes swing:
     /// an engine that makes long outputs is back some ten seconds after its order, when the mix may have swung back.
     double pressed { 0.9 };
-    std::uint32_t leastDecode { 2 }; ///< The loss of one leaves one.
+    std::uint32_t leastDecode { 2 }; ///< The loss of one leaves one; so many are left, too, when one group is lost at once.
     std::uint32_t leastPrefill { 1 };
     /// Before the first plan, the list of engines must not have changed for this long: they list themselves one by one.
     std::chrono::milliseconds settle { 600 };
@@ -43,7 +43,8 @@
     /// The same for the first demand that is known: what was before it was a guess, and engines that are still filling up
     /// with outputs make each of them faster than they will.
     std::chrono::milliseconds firstPatience { 3'000 };
-    /// A side without any engine ends all work, so it is filled sooner.
+    /// A side without any engine ends all work, so it is filled sooner; so is one that has too few although none of its engines may
+    /// come back.
     std::chrono::milliseconds emptyPatience { 400 };
 };
 
@@ -70,10 +71,24 @@
     double busiest(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
 
 private:
+    /// Engines of either role; `Down` ones apart.
+    struct Counts {
+        std::uint32_t prefill { 0 };
+        std::uint32_t decode { 0 };
+        std::uint32_t returningPrefill { 0 }; ///< Down, and may come back.
+        std::uint32_t returningDecode { 0 };
+
+        std::uint32_t total() const { return prefill + decode; }
+    };
+
+    Counts count(std::vector<EngineView> const&);
+    std::size_t leastDecoding(std::size_t engines) const;
+    std::size_t mostDecoding(std::size_t engines) const;
+    bool isUrgent(Counts const&) const;
     std::vector<RoleChange> assignFresh(std::vector<EngineView> const&, std::uint32_t decode, SplitDemand const&, std::size_t total);
     static std::vector<RoleChange> choose(std::vector<EngineView> const&, std::vector<EngineView> fit, TargetRole to, std::uint32_t count);
     bool isPressed(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
-    bool isDue(std::vector<EngineView> const&, std::uint32_t prefill, std::uint32_t decode, std::uint32_t wanted, bool isDemandKnown, Time now);
+    bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, Time now);
 
     SplitSettings m_settings;
     std::size_t m_engines { 0 };
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -1,4 +1,5 @@
 #include <LibRoles/SplitRule.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace {
@@ -77,6 +78,40 @@
     EXPECT_EQ(changes.front().role, TargetRole::Decode);
 }
 
+// Guards against outputs that wait for seconds while engines which have said that they leave are taken for such that come back.
+TEST(SplitRule, ASideWhoseEnginesLeaveForGoodIsFilledSooner)
+{
+    SplitRule rule = settled(fleet(7, 2));
+    std::vector<EngineView> oneLeaves = fleet(7, 2);
+    oneLeaves.back().state = EngineState::Down;
+    oneLeaves.back().isLeaving = true;
+    EXPECT_TRUE(rule.plan(oneLeaves, unknown, start + 2s).empty());
+    std::vector<RoleChange> changes = rule.plan(oneLeaves, unknown, start + 2400ms);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().role, TargetRole::Decode);
+}
+
+// Guards against two zones taken back one after the other, of which the second has half of what decodes after the first: one engine was
+// left, and outputs were refused until others had changed.
+TEST(SplitRule, EnoughDecodeWhicheverGroupIsLostNext)
+{
+    SplitDemand fewOutputs { 8, 0.5, true };
+    for (std::uint32_t groups = 2; groups <= 4; ++groups) {
+        std::vector<EngineView> engines = fleet(30, 0);
+        for (EngineView& engine : engines)
+            engine.lossGroup = engine.engine % groups + 1;
+        SplitRule rule;
+        for (SplitRule::Time now = start; now < start + 60s; now += 100ms) {
+            for (RoleChange const& change : rule.plan(engines, fewOutputs, now))
+                engines[change.engine].role = change.role;
+        }
+        for (std::uint32_t lost = 1; lost <= groups; ++lost) {
+            std::ptrdiff_t left = std::count_if(engines.begin(), engines.end(), [lost](EngineView const& it) { return it.lossGroup != lost && it.role == TargetRole::Decode; });
+            EXPECT_GE(left, 2) << groups << " groups, " << lost << " lost";
+        }
+    }
+}
+
 TEST(SplitRule, AnEmptySideIsFilledAtOnce)
 {
     SplitRule rule = settled(fleet(7, 2));
