LibFleet, LibDaemon: Tell by how long daemons have run which process is the newer one, and who has the duties

What callers saw: nothing was reported; found by reading. A daemon that starts again on a VM whose time of day was set back meanwhile has a smaller incarnation than its former process: its beacons and its entry were dropped by all others for a minute, so that callers were not told its address, and its counts of usage were lost. Cause: incarnations begin with the wall clock, and the greater one counted as the newer process; the duties went to the least one, so a daemon whose clock is behind took them over with an empty book. Change: beacons say how long the process has run, by the clock since boot; of two processes of a name the one that started later, by the receiver's clock, has it. Who has run for longest goes by the start in the fleet's agreed time, which each process finds out once and tells, so that all order daemons alike.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -136,7 +136,7 @@
             return;
         message.sender = known->second.listed;
     }
-    bool hasStarted = isNew || known->second.heardAt == Core::BootClock::time_point() || known->second.listed.incarnation < message.sender.incarnation;
+    bool hasStarted = isNew || known->second.heardAt == Core::BootClock::time_point() || known->second.listed.incarnation != message.sender.incarnation;
     if (!m_book.hear(message.sender, message.sequence, message.state, Core::BootClock::now()))
         return;
     if (isNew)
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -78,6 +78,8 @@
     message.set_cannot_hold_duties(state.cannotHoldDuties);
     message.set_store_failing_ms(toMilliseconds(state.storeFailingFor));
     message.set_said_at_ms(toWire(state.saidAt));
+    message.set_running_for_ms(static_cast<std::uint64_t>(state.runningFor.count()));
+    message.set_started_at_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, state.startedAt.count())));
     if (state.configAge)
         message.set_config_age_ms(toMilliseconds(*state.configAge));
     if (state.targetsAge)
@@ -95,6 +97,8 @@
     state.cannotHoldDuties = message.cannot_hold_duties();
     state.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
     state.saidAt = fromWire(message.said_at_ms());
+    state.runningFor = std::chrono::milliseconds(std::min<std::uint64_t>(message.running_for_ms(), latestClock.count()));
+    state.startedAt = std::chrono::milliseconds(std::min<std::uint64_t>(message.started_at_ms(), latestWallClock.count()));
     if (message.has_config_age_ms())
         state.configAge = std::chrono::milliseconds(message.config_age_ms());
     if (message.has_targets_age_ms())
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -248,6 +248,8 @@
     BeaconMessage beacon;
     Clock::time_point now = Clock::now();
     beacon.state.isLeaving = m_isLeaving;
+    beacon.state.runningFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt);
+    beacon.state.startedAt = m_ownStart.value_or(std::chrono::milliseconds(0));
     beacon.state.configVersion = configVersion();
     beacon.state.targetsChanged = m_targetList.newsOffset;
     beacon.state.isReading = isReading();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -113,6 +113,7 @@
     void stopDuties();
     bool isFitForDuties(Core::BootClock::time_point now) const;
     bool hasDuties() const;
+    std::chrono::milliseconds startInFleetTime() const;
     bool plansRoles() const;
     void createDuties(Duties::UsageCounter&);
     void createTopics();
@@ -178,6 +179,7 @@
     std::unique_ptr<UsageKeeper> m_usage;
     std::unique_ptr<EngineKeeper> m_engineNumbers;
     std::vector<std::string> m_elders;
+    std::optional<std::chrono::milliseconds> m_ownStart; ///< As `Fleet::DaemonState::startedAt`.
     Quarantine::Guard& m_guard;
     std::unique_ptr<QuarantineExchange> m_quarantine;
     Followed m_configuration;
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -63,11 +63,21 @@
     return hasMet && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
 }
 
+std::chrono::milliseconds StoreControl::startInFleetTime() const
+{
+    if (m_usage)
+        return m_usage->timeAt(m_startedAt).time_since_epoch();
+    std::chrono::system_clock::duration ago = Clock::now() - m_startedAt;
+    return std::chrono::floor<std::chrono::milliseconds>((std::chrono::system_clock::now() - ago).time_since_epoch());
+}
+
 void StoreControl::pollDuties(Clock::time_point now)
 {
     if (!m_dutyCalls)
         return;
-    m_elders = m_beacons->book().elders(m_beacons->self(), isFitForDuties(now), now);
+    if (!m_ownStart && now - m_startedAt >= meetingTime)
+        m_ownStart = startInFleetTime();
+    m_elders = m_beacons->book().elders(m_settings.daemon.name, isFitForDuties(now) ? m_ownStart : std::nullopt, now);
     if (m_usage)
         m_usage->tick(m_elders, now);
     m_engineNumbers->tick(*m_fleet, now);
--- a/Libraries/LibDaemon/UsageKeeper.h
+++ b/Libraries/LibDaemon/UsageKeeper.h
@@ -51,6 +51,9 @@
 
     void stop() { m_isStopped = true; }
 
+    /// Returns a moment of this VM's clock since boot in the fleet's true time, as far as that is known now.
+    Duties::WallTime timeAt(Time time) const { return m_clock.at(time); }
+
     Status status() const;
 
 private:
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -4,11 +4,16 @@
 namespace Fleet {
 
 void DaemonBook::list(Platform::ListedDaemon const& listed, Time now)
+{
+    std::map<std::string, BookedDaemon>::const_iterator known = m_daemons.find(listed.name);
+    bool isOther = known == m_daemons.end() || listed.incarnation != known->second.listed.incarnation;
+    if (isOther && (known == m_daemons.end() || listed.incarnation > known->second.listed.incarnation || !isLive(known->second, now)))
+        take(listed, now);
+}
+
+void DaemonBook::take(Platform::ListedDaemon const& listed, Time now)
 {
     BookedDaemon& daemon = m_daemons[listed.name];
-    bool isNewer = daemon.listed.name.empty() || listed.incarnation > daemon.listed.incarnation;
-    if (!isNewer)
-        return;
     std::optional<Time::duration> leastLag = daemon.leastLag;
     daemon = BookedDaemon();
     daemon.leastLag = leastLag;
@@ -18,11 +23,18 @@
 
 bool DaemonBook::hear(Platform::ListedDaemon const& listed, std::uint64_t sequence, DaemonState const& said, Time now)
 {
-    list(listed, now);
+    Time startedAt = now - said.runningFor;
+    std::map<std::string, BookedDaemon>::const_iterator known = m_daemons.find(listed.name);
+    bool isHeard = known != m_daemons.end() && known->second.heardAt != Time();
+    bool isSame = known != m_daemons.end() && known->second.listed.incarnation == listed.incarnation;
+    if (!isSame && isHeard && startedAt <= known->second.startedAt)
+        return false;
+    if (!isSame)
+        take(listed, now);
     BookedDaemon& daemon = m_daemons[listed.name];
-    bool isOld = listed.incarnation < daemon.listed.incarnation || sequence <= daemon.sequence;
-    if (isOld)
+    if (sequence <= daemon.sequence)
         return false;
+    daemon.startedAt = isSame && isHeard ? std::min(daemon.startedAt, startedAt) : startedAt;
     bool isFirst = daemon.sequence == 0;
     daemon.sequence = sequence;
     daemon.said = said;
@@ -90,14 +102,15 @@
     return view;
 }
 
-std::vector<std::string> DaemonBook::elders(Platform::ListedDaemon const& self, bool isSelfFit, Time now) const
+std::vector<std::string> DaemonBook::elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, Time now) const
 {
-    std::vector<std::pair<std::uint64_t, std::string_view>> byStart;
-    if (isSelfFit)
-        byStart.emplace_back(self.incarnation, self.name);
+    std::vector<std::pair<std::chrono::milliseconds, std::string_view>> byStart;
+    if (ownStart)
+        byStart.emplace_back(*ownStart, self);
     for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
-        if (isLive(it.second, now) && !it.second.said.isLeaving && !it.second.said.cannotHoldDuties)
-            byStart.emplace_back(it.second.listed.incarnation, it.first);
+        bool isFit = isLive(it.second, now) && it.second.said.startedAt.count() > 0 && !it.second.said.isLeaving && !it.second.said.cannotHoldDuties;
+        if (isFit)
+            byStart.emplace_back(it.second.said.startedAt, it.first);
     }
     std::size_t count = std::min(byStart.size(), m_settings.elders);
     std::partial_sort(byStart.begin(), byStart.begin() + static_cast<std::ptrdiff_t>(count), byStart.end());
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -48,6 +48,10 @@
     std::optional<std::chrono::milliseconds> targetsAge {};
     Time saidAt {}; ///< By its own clock.
     bool cannotHoldDuties { false }; ///< It could not get the lease on singleton duties lately.
+    std::chrono::milliseconds runningFor { 0 }; ///< Its process, by its VM's clock since boot.
+    /// When its process started, in milliseconds of the fleet's true time since 1970, as the process itself found out once for all; 0:
+    /// it has not yet.
+    std::chrono::milliseconds startedAt { 0 };
 
     bool operator==(DaemonState const&) const = default;
 };
@@ -59,6 +63,7 @@
     Time heardAt; ///< When its last beacon came; `Time()`: never.
     std::uint64_t sequence { 0 }; ///< Of its last beacon.
     DaemonState said; ///< Ages are as of `heardAt`: the time that the beacon took is added.
+    Time startedAt; ///< Its process, by this daemon's clock, as far as beacons tell: no earlier, and later by their way at most.
     /// The least time between what its clock said in a beacon and what this daemon's said when it came: the clocks' difference,
     /// and the way. A beacon that came with more was held up by the difference, on its way or in this daemon's own socket.
     std::optional<Time::duration> leastLag;
@@ -85,10 +90,12 @@
     {
     }
 
-    /// Takes a daemon's entry in the store. An older incarnation than the known one changes nothing.
+    /// Takes a daemon's entry in the store. Another incarnation than that of a daemon that is heard changes nothing, unless it is
+    /// greater: numbers are of wall clocks, which jump, and a daemon that has started again tells of itself soon.
     void list(Platform::ListedDaemon const&, Time now);
 
-    /// Takes what a beacon says. Returns false for one that is older than what is known.
+    /// Takes what a beacon says. Returns false for one that is older than what is known: of the same process, or of one that started
+    /// earlier.
     bool hear(Platform::ListedDaemon const&, std::uint64_t sequence, DaemonState const&, Time now);
 
     /// Forgets who has been silent for long.
@@ -113,8 +120,8 @@
 
     /// Returns the names of the live daemons that have run for longest, that first which has run for longest of all: the first that can
     /// get the lease has the duties of one daemon at a time. One that starts again comes last, so the first ones know what happened
-    /// before. `isSelfFit` says whether this daemon counts.
-    std::vector<std::string> elders(Platform::ListedDaemon const& self, bool isSelfFit, Time now) const;
+    /// before. `ownStart` as in `DaemonState::startedAt`; nothing: this daemon does not count.
+    std::vector<std::string> elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, Time now) const;
 
     /// Returns how long a daemon may be silent and still count as live: what it last said holds as long.
     std::chrono::milliseconds silentTime() const;
@@ -130,6 +137,8 @@
     std::vector<BookedDaemon const*> usable(Time now) const;
 
 private:
+    void take(Platform::ListedDaemon const&, Time now);
+
     DaemonBookSettings m_settings;
     std::map<std::string, BookedDaemon> m_daemons;
 };
--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -21,6 +21,7 @@
 struct VirtualSite::Daemon {
     std::size_t index { 0 };
     std::chrono::milliseconds clockDifference { 0 }; ///< Of its clock to the one that this site goes by.
+    Time startedAt; ///< By the clock of the site, which it does not know.
     Platform::ListedDaemon self;
     DaemonBook book;
     std::unique_ptr<TopicFollower> follower;
@@ -152,6 +153,7 @@
     ++daemon.life;
     daemon.isDown = false;
     daemon.self.incarnation = daemon.life;
+    daemon.startedAt = m_now;
     daemon.book = DaemonBook();
     daemon.view = SiteView();
     daemon.newsOffset = daemon.sequence = 0;
@@ -213,6 +215,7 @@
     state.targetsChanged = daemon.newsOffset;
     state.targetsAge = daemon.follower->age(m_now);
     state.saidAt = m_now + daemon.clockDifference;
+    state.runningFor = std::chrono::floor<std::chrono::milliseconds>(m_now - daemon.startedAt);
     if (daemon.view.isReader && daemon.follower->failingSince())
         state.storeFailingFor = std::chrono::ceil<std::chrono::milliseconds>(m_now - *daemon.follower->failingSince());
     return state;
