LibHttp: Check a request's fields beside its lines

Moves what makes a well-formed request unacceptable (RFC 9112, sections 3.2 and 6.1) from the connection to HeadLines; nothing else changes. TestServer covers it as before.

--- a/Libraries/LibHttp/HeadLines.cpp
+++ b/Libraries/LibHttp/HeadLines.cpp
@@ -13,4 +13,19 @@
     return true;
 }
 
+std::string_view problemOf(Request const& request, bool needsHost)
+{
+    std::size_t hosts = 0;
+    for (Fields::Entry const& entry : request.fields.entries())
+        hosts += isSameFieldName(entry.first, "Host") ? 1 : 0;
+    if (hosts > 1 || (hosts == 0 && needsHost))
+        return "exactly one Host field is required";
+    std::optional<std::string_view> coding = request.fields.find("Transfer-Encoding");
+    if (coding && !isSameFieldName(*coding, "chunked"))
+        return "the only transfer coding allowed is chunked";
+    if (request.target.empty() || (request.target.front() != '/' && request.target != "*"))
+        return "the request target must be a path";
+    return {};
+}
+
 }
--- a/Libraries/LibHttp/HeadLines.h
+++ b/Libraries/LibHttp/HeadLines.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/Message.h>
 #include <cstddef>
 #include <string_view>
 
@@ -9,4 +10,7 @@
 /// it (CRLF), and no line but the first begins with white space (obsolete folding, section 5.2). Thread-safe.
 bool hasStrictLines(std::string_view head, std::size_t from);
 
+/// Returns what makes a well-formed request unacceptable (RFC 9112, sections 3.2 and 6.1); empty: nothing does. Thread-safe.
+std::string_view problemOf(Request const&, bool needsHost);
+
 }
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -253,7 +253,7 @@
         m_callerKeepsAlive = parser.get().keep_alive();
         m_isHeadMethod = parser.get().method() == Beast::http::verb::head;
         Request request = takeRequest(parser);
-        if (std::string_view problem = problemOf(request); !problem.empty()) {
+        if (std::string_view problem = problemOf(request, m_version >= httpVersion11); !problem.empty()) {
             co_await sendRejection(Status::BadRequest, problem);
             co_return std::nullopt;
         }
@@ -318,22 +318,6 @@
         co_return ec;
     }
 
-    // Returns what makes a well-formed message unacceptable: RFC 9112, sections 3.2 and 6.1.
-    std::string_view problemOf(Request const& request) const
-    {
-        std::size_t hosts = 0;
-        for (Fields::Entry const& entry : request.fields.entries())
-            hosts += isSameFieldName(entry.first, "Host") ? 1 : 0;
-        if (hosts > 1 || (hosts == 0 && m_version >= httpVersion11))
-            return "exactly one Host field is required";
-        std::optional<std::string_view> coding = request.fields.find("Transfer-Encoding");
-        if (coding && !isSameFieldName(*coding, "chunked"))
-            return "the only transfer coding allowed is chunked";
-        if (request.target.empty() || (request.target.front() != '/' && request.target != "*"))
-            return "the request target must be a path";
-        return {};
-    }
-
     Asio::awaitable<void> reject(boost::system::error_code ec)
     {
         using Problem = Beast::http::error;
