LibOperator, LibDaemon: Show the singleton duties and suspected requests by currantctl, and the duties in metrics

Metrics: has_duties, usage_windows_decided, _reported and _missed, engine_orders, engines_wanted, engines_serving.

--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -43,6 +43,7 @@
     Http::Response respondWithMetrics();
     Http::Response respondWithSuspects() const;
     Http::Response respondWithDuties() const;
+    void sampleDuties(MetricsSample&) const;
     void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
     void noteTargetsGone(std::vector<std::uint64_t> const&);
     Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -64,6 +64,25 @@
     return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(body));
 }
 
+void Daemon::sampleDuties(MetricsSample& sample) const
+{
+    sample.hasDuties = m_storeControl->dutyFencing().has_value();
+    if (UsageKeeper const* usage = m_storeControl->usage()) {
+        UsageKeeper::Status status = usage->status();
+        sample.usageDecided = status.decided;
+        sample.usageReported = status.reported;
+        sample.usageMissed = status.missed;
+    }
+    EngineKeeper const* engines = m_storeControl->engineNumbers();
+    if (!engines)
+        return;
+    sample.engineOrders = engines->accepted();
+    for (EngineKeeper::Status const& it : engines->status()) {
+        sample.enginesWanted += it.size.wanted;
+        sample.enginesServing += it.lasting + it.reclaimable;
+    }
+}
+
 Http::Response Daemon::respondWithMetrics()
 {
     MetricsSample sample;
@@ -80,6 +99,7 @@
     sample.configOffset = m_storeControl->configVersion();
     sample.openRequests = m_dispatcher->openRequests();
     sample.roleChanges = m_storeControl->roles().accepted();
+    sampleDuties(sample);
     return Http::Response { static_cast<std::uint16_t>(Http::Status::Ok), { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text(sample) };
 }
 
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -34,6 +34,13 @@
     std::size_t suspectedRequests { 0 }; ///< That a target ended with, refused ones included.
     std::size_t quarantinedRequests { 0 };
     std::uint64_t linesLeftOut { 0 }; ///< Of the log.
+    bool hasDuties { false }; ///< This daemon has the singleton duties.
+    std::uint64_t usageDecided { 0 }; ///< Windows, by this process, as the next two.
+    std::uint64_t usageReported { 0 };
+    std::uint64_t usageMissed { 0 };
+    std::uint64_t engineOrders { 0 }; ///< That the platform has accepted from this process.
+    std::uint32_t enginesWanted { 0 }; ///< Of all services that this daemon orders engines for, as the next.
+    std::uint32_t enginesServing { 0 };
 };
 
 /// A time that requests spend. Each is a histogram of its own.
--- a/Libraries/LibOperator/Client.cpp
+++ b/Libraries/LibOperator/Client.cpp
@@ -66,6 +66,8 @@
         return Core::makeError(Core::ErrorCode::BadInput, body.message);
     case Http::Status::ServiceUnavailable:
         return { Core::ErrorCode::Unavailable, body.message, body.verdict };
+    case Http::Status::NotFound:
+        return Core::makeError(Core::ErrorCode::NotFound, "the server's platform does not have this: " + body.message);
     default:
         return Core::makeError(Core::ErrorCode::Internal, "the server's answer has status " + std::to_string(response.status) + ": " + body.message);
     }
@@ -111,7 +113,8 @@
 Core::Result<Http::Response> Client::fetch(Endpoint const& server, Http::Request request)
 {
     Answer answer;
-    request.fields.set("Authorization", "Bearer " + m_settings.token);
+    if (!m_settings.token.empty())
+        request.fields.set("Authorization", "Bearer " + m_settings.token);
     boost::asio::co_spawn(m_context, fetchInto(*m_client, server, std::move(request), answer), boost::asio::detached);
     m_context.restart();
     while (!answer)
@@ -150,6 +153,16 @@
     return decodeOk(call("GET", "/v1/status", {}), Json::parseObject);
 }
 
+Core::Result<boost::json::object> Client::duties()
+{
+    return decodeOk(call("GET", "/duties", {}), Json::parseObject);
+}
+
+Core::Result<boost::json::object> Client::suspects()
+{
+    return decodeOk(call("GET", "/suspects", {}), Json::parseObject);
+}
+
 Core::Result<boost::json::object> Client::explain(boost::json::object const& question)
 {
     return decodeOk(call("POST", "/v1/explain", boost::json::serialize(question)), Json::parseObject);
--- a/Libraries/LibOperator/Client.h
+++ b/Libraries/LibOperator/Client.h
@@ -16,7 +16,7 @@
 /// Which operators' listeners a client asks, in this order, and how.
 struct ClientSettings {
     std::vector<boost::asio::ip::tcp::endpoint> servers;
-    std::string token;
+    std::string token; ///< Empty: none is sent.
     std::chrono::milliseconds timeout { 5'000 }; ///< For one server's answer.
 };
 
@@ -34,6 +34,10 @@
     Core::Result<std::vector<HistoryEntry>> history(std::uint64_t limit);
     Core::Result<Progress> progress(std::uint64_t revision);
     Core::Result<boost::json::object> status();
+
+    /// Reads the singleton duties, or the suspected requests, of a daemon on a platform with a keyed store.
+    Core::Result<boost::json::object> duties();
+    Core::Result<boost::json::object> suspects();
     Core::Result<boost::json::object> explain(boost::json::object const& question);
 
     /// Sends a change to one server after another until one knows its outcome. Returns `Unknown` when none does
--- a/Libraries/LibOperator/CommandLine.cpp
+++ b/Libraries/LibOperator/CommandLine.cpp
@@ -27,7 +27,7 @@
     std::string_view example;
 };
 
-constexpr std::array<Usage, 10> usages { {
+constexpr std::array<Usage, 12> usages { {
     { Command::Apply, "FILE", 1, 1, "Brings the configuration to what FILE says. All of its changes are accepted, or none.",
         "currantctl apply fleet.ini --wait\n  currantctl apply fleet.ini --dry-run --prune" },
     { Command::Get, "[KIND [NAME]]", 0, 2, "Prints the configuration in force, as a file that apply reads.",
@@ -46,6 +46,10 @@
         "currantctl delete route night-work" },
     { Command::Explain, "", 0, 0, "Prints where a request would go and why, and why the other targets would not get it.",
         "currantctl explain --labels tier=night,org=tanta --path /v1/completions --model reasoning" },
+    { Command::Duties, "", 0, 0, "Prints who reports usage and orders engines, and what that came to; on a keyed store.",
+        "currantctl duties\n  currantctl duties --output json" },
+    { Command::Suspects, "", 0, 0, "Prints which requests have ended targets, and which are refused for it; on a keyed store.",
+        "currantctl suspects" },
     { Command::Story, "ID FILE...", 2, 10'000, "Prints what the daemons' log files say of one request, in order, and how it ended. Asks no server.",
         "currantctl story 811ff66a8cd5a520 front-*.log" },
 } };
@@ -146,7 +150,7 @@
         return Core::ok();
     BOOST_OUTCOME_TRY(line.servers, readServers(textOf(arguments, "server", environment(serversVariable))));
     line.tokenFile = textOf(arguments, "token-file", environment(tokenFileVariable));
-    if (line.tokenFile.empty())
+    if (line.tokenFile.empty() && !line.mayLackToken())
         return badInput("--token-file FILE is missing, and CURRANTCTL_TOKEN_FILE is not set");
     std::optional<Output> output = Core::valueOf(outputNames, arguments["output"].as<std::string>());
     if (!output)
--- a/Libraries/LibOperator/CommandLine.h
+++ b/Libraries/LibOperator/CommandLine.h
@@ -23,9 +23,11 @@
     Undrain,
     Delete,
     Explain,
+    Duties,
+    Suspects,
     Story };
 
-inline constexpr Core::EnumNames<Command, 10> commandNames { {
+inline constexpr Core::EnumNames<Command, 12> commandNames { {
     { Command::Apply, "apply" },
     { Command::Get, "get" },
     { Command::Diff, "diff" },
@@ -35,6 +37,8 @@
     { Command::Undrain, "undrain" },
     { Command::Delete, "delete" },
     { Command::Explain, "explain" },
+    { Command::Duties, "duties" },
+    { Command::Suspects, "suspects" },
     { Command::Story, "story" },
 } };
 
@@ -81,6 +85,9 @@
     /// Whether the command reads files alone and asks no server.
     bool isOffline() const { return command == Command::Story; }
 
+    /// Whether the command may do without a token: a daemon on a platform with a keyed store has nothing that operators change.
+    bool mayLackToken() const { return command == Command::Duties || command == Command::Suspects; }
+
     /// Returns the help of the whole program. Thread-safe.
     static std::string helpText();
 };
--- a/Libraries/LibOperator/Commands.cpp
+++ b/Libraries/LibOperator/Commands.cpp
@@ -97,7 +97,11 @@
     case Command::History:
         return history();
     case Command::Status:
-        return status();
+        return print(m_client.status());
+    case Command::Duties:
+        return print(m_client.duties());
+    case Command::Suspects:
+        return print(m_client.suspects());
     case Command::Drain:
         return drain(true);
     case Command::Undrain:
@@ -259,12 +263,11 @@
     return ExitCode::Ok;
 }
 
-ExitCode Commands::status()
+ExitCode Commands::print(Core::Result<boost::json::object> const& answer)
 {
-    Core::Result<boost::json::object> status = m_client.status();
-    if (!status)
-        return report(status.error());
-    m_out << (m_line.output == Output::Json ? boost::json::serialize(status.value()) + "\n" : printObject(status.value()));
+    if (!answer)
+        return report(answer.error());
+    m_out << (m_line.output == Output::Json ? boost::json::serialize(answer.value()) + "\n" : printObject(answer.value()));
     return ExitCode::Ok;
 }
 
--- a/Libraries/LibOperator/Commands.h
+++ b/Libraries/LibOperator/Commands.h
@@ -26,7 +26,7 @@
     ExitCode get();
     ExitCode diff();
     ExitCode history();
-    ExitCode status();
+    ExitCode print(Core::Result<boost::json::object> const& answer);
     ExitCode drain(bool isDrained);
     ExitCode remove();
     ExitCode explain();
--- a/Tests/LibOperator/TestCommandLine.cpp
+++ b/Tests/LibOperator/TestCommandLine.cpp
@@ -45,6 +45,7 @@
     EXPECT_EQ(errorOf({ "odd" }), "there is no command 'odd'");
     EXPECT_EQ(errorOf({ "status" }), "--server IP:PORT is missing, and CURRANTCTL_SERVERS is not set");
     EXPECT_EQ(errorOf({ "status", "--server", "127.0.0.1:1" }), "--token-file FILE is missing, and CURRANTCTL_TOKEN_FILE is not set");
+    EXPECT_EQ(errorOf({ "duties", "--server", "127.0.0.1:1" }), "none") << "where there is nothing to change there may be no token";
     std::vector<std::vector<std::string>> wrong { { "status", "--wait" }, { "apply" }, { "apply", "a", "b" }, { "get", "odd" }, { "delete", "target" },
         { "status", "--output", "xml" }, { "status", "--timeout", "0" }, { "status", "--timeout", "x" }, { "drain", "t", "--id", "x" }, { "history", "--limit", "-1" }, { "status", "x" } };
     for (std::vector<std::string> it : wrong) {
--- a/Tests/LibOperator/TestCommands.cpp
+++ b/Tests/LibOperator/TestCommands.cpp
@@ -214,6 +214,9 @@
     EXPECT_EQ(output(), "daemons:\n  name  zone\n  d1    a\ntargets:\n  name\n  t1\nblocked:\n  none\n");
     EXPECT_EQ(run({ "status", "--output", "json" }), ExitCode::Ok);
     EXPECT_EQ(output(), m_first.status + "\n");
+    EXPECT_EQ(run({ "duties" }), ExitCode::Ok);
+    EXPECT_EQ(output(), "holder: d1\nnext_holders: [\"d1\",\"d2\"]\nusage: {\"missed\":0}\nengines:\n  service  wanted\n  llm      3\n");
+    EXPECT_EQ(run({ "suspects" }), ExitCode::NotFound) << "not on this platform";
     EXPECT_EQ(run({ "explain", "--labels", "a=b" }), ExitCode::Ok);
     EXPECT_EQ(output(), "to t1\n");
     EXPECT_EQ(run({ "history", "--limit", "7" }), ExitCode::Ok);
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -74,6 +74,7 @@
     Endpoint const& dutyService() const { return m_dutyService; }
     Endpoint const& store() const { return m_store; }
     Endpoint const& front(std::size_t daemon) const { return m_daemons.at(daemon).front; }
+    Endpoint const& operators(std::size_t daemon) const { return m_daemons.at(daemon).operators; }
     std::vector<Endpoint> engines() const { return endpointsOf("engine-"); }
     std::vector<Endpoint> apps() const { return endpointsOf("app-"); }
     Endpoint const& target(std::string const& name) const { return m_targets.at(name).listen; }
--- a/Tests/Processes/TestPageCommands.cpp
+++ b/Tests/Processes/TestPageCommands.cpp
@@ -21,6 +21,7 @@
 enum class Trial : std::uint8_t {
     Here,
     Elsewhere, ///< The check runs it as a step of its own, or it runs for minutes.
+    OnKeyedStore, ///< TestSingletonDuties runs it.
 };
 
 struct PageCommand {
@@ -29,7 +30,7 @@
 };
 
 /// All commands of the pages, in an order in which they can be run. One that is not here makes the test fail.
-constexpr std::array<PageCommand, 17> pageCommands { {
+constexpr std::array<PageCommand, 19> pageCommands { {
     { "./Meta/demo.sh", Trial::Elsewhere },
     { "./Meta/demo.sh --keep", Trial::Elsewhere },
     { "./Meta/check.sh", Trial::Elsewhere },
@@ -46,6 +47,8 @@
     { "currantctl drain tanta-engine-1 --wait", Trial::Here },
     { "currantctl status", Trial::Here },
     { "currantctl explain --labels tier=night --path /v1/completions --model reasoning", Trial::Here },
+    { "currantctl duties", Trial::OnKeyedStore },
+    { "currantctl suspects", Trial::OnKeyedStore },
     { "currantctl story 811ff66a8cd5a520 front-*.log", Trial::Here },
 } };
 
@@ -184,7 +187,7 @@
         log += line + "\n";
     shell.write("front-1.log", log);
     for (PageCommand const& it : pageCommands) {
-        if (it.trial == Trial::Elsewhere)
+        if (it.trial != Trial::Here)
             continue;
         std::string command = replaced(std::string(it.text), "tanta-engine-1", Fleet::engineName(0));
         command = replaced(command, "--model reasoning", "--model " + std::string(modelName));
--- a/Tests/Processes/TestSingletonDuties.cpp
+++ b/Tests/Processes/TestSingletonDuties.cpp
@@ -3,10 +3,12 @@
 
 #include "KeyedSite.h"
 
+#include <LibHttp/Client.h>
 #include <LibPlatform/Json.h>
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <chrono>
+#include <filesystem>
 #include <gtest/gtest.h>
 #include <map>
 #include <thread>
@@ -137,3 +139,23 @@
     post(dutyService(), "/admin/faults", R"({"down":false})");
     EXPECT_TRUE(waitFor([&] { return reported() == m_served; })) << boost::json::serialize(reports());
 }
+
+// Guards against operators who cannot see who reports, and what was reported: by the tool without a token, and in metrics.
+TEST_F(SingletonDuties, OperatorsSeeWhatBecameOfThem)
+{
+    ASSERT_TRUE(waitFor([&] { return holder() < daemonCount(); }));
+    std::filesystem::path out = std::filesystem::path(testing::TempDir()) / ("duties-" + std::to_string(front(0).port()));
+    for (std::string const& verb : { std::string("duties"), std::string("suspects") }) {
+        Process tool({ CURRANTVALE_BINARY_DIR "/currantctl", verb, "--server", Http::toString(operators(holder())) }, out.string(), out.string() + ".err");
+        ASSERT_TRUE(waitFor([&] { return tool.status().has_value(); }));
+        EXPECT_EQ(tool.status(), 0) << verb;
+        EXPECT_EQ(linesWith(out, verb == "duties" ? "holder: " + daemonName(holder()) : "suspects:").size(), 1U);
+    }
+    std::size_t holders = 0;
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        holders += fetch(operators(n), { "GET", "/metrics", {}, {} }).body.find("{of=\"has_duties\"} 1\n") != std::string::npos ? 1 : 0;
+    EXPECT_LE(holders, 1U);
+    EXPECT_NE(fetch(operators(holder()), { "GET", "/metrics", {}, {} }).body.find("usage_windows_reported"), std::string::npos);
+    std::filesystem::remove(out);
+    std::filesystem::remove(out.string() + ".err");
+}
--- a/Utilities/currantctl/main.cpp
+++ b/Utilities/currantctl/main.cpp
@@ -66,7 +66,7 @@
     }
     if (line.value().isOffline())
         return tellStory(line.value().operands);
-    Core::Result<std::string> token = readToken(line.value().tokenFile);
+    Core::Result<std::string> token = line.value().tokenFile.empty() ? Core::Result<std::string>(std::string()) : readToken(line.value().tokenFile);
     if (!token)
         return fail(token.error().message);
     boost::asio::io_context context(1);
