--- a/Libraries/LibRoles/FleetSizer.cpp
+++ b/Libraries/LibRoles/FleetSizer.cpp
@@ -31,11 +31,25 @@
 
 }
 
-// How many engines of a price there are for each that is busy.
-double FleetSizer::marginFor(double price) const
+SizeRule sizeByPrice(double utilisation)
 {
-    constexpr double leastPrice = 0.01;
-    return 1 + (1 / m_settings.utilisation - 1) / std::sqrt(std::clamp(price, leastPrice, 1.0));
+    return [utilisation](double demand, double price) {
+        constexpr double leastPrice = 0.01;
+        return demand * (1 + (1 / utilisation - 1) / std::sqrt(std::clamp(price, leastPrice, 1.0)));
+    };
+}
+
+// The demand for which the rule would have so many engines.
+double FleetSizer::demandFor(std::uint32_t engines, double price) const
+{
+    constexpr int halvings = 30;
+    double low = 0;
+    double high = engines;
+    for (int n = 0; n < halvings; ++n) {
+        double middle = (low + high) / 2;
+        (m_rule(middle, price) > engines ? high : low) = middle;
+    }
+    return low;
 }
 
 FleetSize FleetSizer::sizeFor(EngineOffer const& offer, double demand) const
@@ -43,7 +57,7 @@
     FleetSize size;
     size.demand = demand;
     size.strained = rounded(demand / m_settings.strainedUtilisation);
-    size.wanted = std::max(rounded(demand * marginFor(offer.reclaimablePrice.value_or(1))), size.strained);
+    size.wanted = std::max(rounded(m_rule(demand, offer.reclaimablePrice.value_or(1))), size.strained);
     size.lasting = offer.reclaimablePrice ? std::min(size.wanted, rounded(m_settings.lastingPart * demand / m_settings.strainedUtilisation)) : size.wanted;
     return size;
 }
@@ -62,7 +76,7 @@
 {
     double demand = 0;
     for (ZoneEngines const& zone : zones)
-        demand += zone.lasting / marginFor(1) + zone.reclaimable / marginFor(offer.reclaimablePrice.value_or(1));
+        demand += demandFor(zone.lasting, 1) + demandFor(zone.reclaimable, offer.reclaimablePrice.value_or(1));
     return demand;
 }
 
--- a/Libraries/LibRoles/FleetSizer.h
+++ b/Libraries/LibRoles/FleetSizer.h
@@ -4,6 +4,7 @@
 #include <LibState/EngineOffer.h>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,11 +20,16 @@
 enum class EngineKind : std::uint8_t { Lasting,
     Reclaimable };
 
+/// Says how many engines a demand needs, where one more costs `price` of a lasting one. It grows with the demand.
+using SizeRule = std::function<double(double demand, double price)>;
+
+/// Returns the rule that keeps engines at the full price busy for `utilisation` of their time, and leaves more room the cheaper they
+/// are: by one over the root of the price, where the cost of one engine more and of the wait that it saves are level. Thread-safe.
+SizeRule sizeByPrice(double utilisation);
+
 /// How many engines a service is to have.
 struct FleetSizerSettings {
-    /// The part of the time that engines at the full price are to be busy. Cheaper ones are kept in greater number: the room left
-    /// grows with one over the root of the price, where the cost of one engine more and of the wait that it saves are level.
-    double utilisation { 0.45 };
+    double utilisation { 0.45 }; ///< As `sizeByPrice` has it.
     /// What is left when all reclaimable engines of one availability zone are gone is to be busy for this part at most.
     double strainedUtilisation { 0.8 };
     /// Lasting engines alone are to carry this part of the demand, so strained.
@@ -78,7 +84,14 @@
     using Time = Core::BootClock::time_point;
 
     explicit FleetSizer(FleetSizerSettings const& settings = {})
+        : FleetSizer(settings, sizeByPrice(settings.utilisation))
+    {
+    }
+
+    /// Goes by another rule than `sizeByPrice`.
+    FleetSizer(FleetSizerSettings const& settings, SizeRule rule)
         : m_settings(settings)
+        , m_rule(std::move(rule))
     {
     }
 
@@ -111,7 +124,7 @@
 
     using Counts = std::map<std::string, std::uint32_t>; ///< By availability zone.
 
-    double marginFor(double price) const;
+    double demandFor(std::uint32_t engines, double price) const;
     double demandThatFits(EngineOffer const&, std::vector<ZoneEngines> const&) const;
     void follow(EngineOffer const&, std::vector<ZoneEngines> const&, std::optional<double> demand, Time now);
     bool isSettled(std::uint32_t found, Time now);
@@ -123,6 +136,7 @@
     bool isAwaited(EngineOffer const&, Pool const&, std::uint32_t wanted, std::uint32_t standing, Time now) const;
 
     FleetSizerSettings m_settings;
+    SizeRule m_rule;
     std::optional<FleetSize> m_size;
     std::optional<Time> m_unfitSince; ///< Since when the size has been too small or too large for the demand.
     bool m_isShort { false }; ///< Of the two, too small.
--- a/Utilities/currantvale-measure/main.cpp
+++ b/Utilities/currantvale-measure/main.cpp
@@ -1,4 +1,5 @@
 #include "Comparison.h"
+#include "EngineNumbers.h"
 #include "Output.h"
 #include "RouterCost.h"
 #include "SvgPlot.h"
@@ -33,6 +34,7 @@
     add("set", "change a setting for a trial, NAME=VALUE:" + Measure::settingNames(), cxxopts::value<Words>());
     add("output", "table, csv or json", cxxopts::value<std::string>()->default_value("table"));
     add("plot", "write a picture of one scenario to this SVG file", cxxopts::value<std::string>());
+    add("engines", "compare rules for the number of engines instead; --plot then needs --scenario with the name of one of its days");
     add("router-cost", "print the processor time of a routing decision instead");
     add("list", "list scenarios, policies and role choices");
     add("h,help", "this text");
@@ -134,6 +136,23 @@
     return 0;
 }
 
+int runEngines(cxxopts::ParseResult const& read)
+{
+    std::uint64_t seeds = read["seeds"].as<std::uint64_t>();
+    if (seeds == 0)
+        return refuse("--seeds must be at least 1");
+    std::vector<Measure::EngineNumbersRow> rows = Measure::compareEngineNumbers(read["seed"].as<std::uint64_t>(), seeds);
+    Measure::printEngineNumbers(std::cout, rows);
+    if (!read.count("plot"))
+        return 0;
+    std::string day = read.count("scenario") ? read["scenario"].as<Words>().front() : std::string();
+    if (std::none_of(rows.begin(), rows.end(), [&](Measure::EngineNumbersRow const& it) { return it.day.name == day; }))
+        return refuse("--plot needs --scenario with the name of a day in the table; read \"" + day + "\"");
+    std::ofstream file(read["plot"].as<std::string>());
+    Measure::plotEngineNumbers(file, rows, day);
+    return file ? 0 : refuse("cannot write " + read["plot"].as<std::string>());
+}
+
 }
 
 int main(int argc, char** argv)
@@ -147,6 +166,8 @@
         }
         if (read.count("list"))
             return list();
+        if (read.count("engines"))
+            return runEngines(read);
         if (read.count("router-cost")) {
             Measure::printRouterCost(std::cout);
             return 0;
