LibState, LibDaemon: Let organisations' keys in where operators edit objects one by one

Keys were a matter of the keyed platform alone. An object [organisation NAME] has digests of keys and a priority; the fold refuses one whose key another organisation holds, in one record or over several, and the former configuration stays. The own protocol takes the key from Authorization: Bearer at the edge, ahead of tickets and of what is forwarded to a peer, and sets the organisation's name in its place: for limits, labels, priority, targets. The age of the configuration is that of the last read of the log, so that a daemon which is cut off says 503 in place of 401. What was sent under a ticket before may have run, and a refusal says so (424). An error of key-digests repeats no digest, as a key may stand there.

--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -64,12 +64,27 @@
         std::ignore = co_await writer.send(entries());
     else if (isRead && path == "/v1/models")
         std::ignore = co_await writer.send(models());
+    else if (!co_await admit(request, writer))
+        co_return;
     else if (isRead && path.starts_with(answersPrefix))
         co_await collect(request, writer);
     else
         co_await serveWork(request, writer);
 }
 
+// Returns whether the request may go on; else it has its answer.
+boost::asio::awaitable<bool> CallerApi::admit(Http::Request& request, Http::ResponseWriter& writer)
+{
+    Core::Result<void> admitted = m_context.callers.admit(request, *m_context.fleet, m_context.settings.callers.keys);
+    if (admitted.has_value())
+        co_return true;
+    // What was sent under a ticket before may have run.
+    bool mayHaveRun = request.fields.find(Request::ticketHeader) || pathOf(request.target).starts_with(answersPrefix);
+    Core::Error error = mayHaveRun ? Core::makeUncertainError(admitted.error().code, admitted.error().message) : admitted.error();
+    co_await sendError(std::move(error), m_shared.newRequestId(), false, writer);
+    co_return false;
+}
+
 boost::asio::awaitable<void> CallerApi::sendError(Core::Error error, std::string requestId, bool isRepeatable, Http::ResponseWriter& writer)
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::RequestRejected, { { "request", requestId }, { "code", std::string(Core::toString(error.code)) }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
--- a/Libraries/LibDaemon/CallerApi.h
+++ b/Libraries/LibDaemon/CallerApi.h
@@ -22,6 +22,7 @@
     boost::asio::awaitable<void> handle(Http::Request&, Http::ResponseWriter&);
 
 private:
+    boost::asio::awaitable<bool> admit(Http::Request&, Http::ResponseWriter&);
     boost::asio::awaitable<void> serveWork(Http::Request&, Http::ResponseWriter&);
     boost::asio::awaitable<void> runDirect(Work, Http::ResponseWriter&);
     boost::asio::awaitable<void> serveTicket(std::string ticket, std::string requestId, Http::Request const&, Http::ResponseWriter&);
--- a/Libraries/LibDaemon/CallerProtocol.h
+++ b/Libraries/LibDaemon/CallerProtocol.h
@@ -18,6 +18,10 @@
 
 /// What callers speak, as pure functions. Set all hooks. Thread-safe.
 struct CallerProtocol {
+    /// Lets a request in, whoever it is for, and makes of it what the rest of the system may see. Errors: Unauthenticated;
+    /// Unavailable while that cannot be told. Where nobody else asks, `parse` does it for the route that it finds.
+    std::function<Core::Result<void>(Http::Request&, FleetSnapshot const&, Access::GateSettings const&)> admit { [](Http::Request&, FleetSnapshot const&, Access::GateSettings const&) { return Core::ok(); } };
+
     /// Reads a request. Errors (all NotRun): BadInput with what was read and what is allowed, NotFound when no route
     /// or service matches, Unavailable while nothing is configured.
     std::function<Core::Result<Work>(Http::Request const&, FleetSnapshot const&, WorkLimits const&, std::string ownRequestId)> parse;
--- a/Libraries/LibDaemon/ConfigFollower.cpp
+++ b/Libraries/LibDaemon/ConfigFollower.cpp
@@ -16,6 +16,7 @@
     , m_log(log)
     , m_onChange(std::move(onChange))
     , m_config(State::Config::create(m_fold.state()))
+    , m_confirmedAt(std::make_shared<std::atomic<Core::BootClock::time_point>>())
     , m_tail(context, log, configStream, retryDelay, tailHooks())
 {
 }
@@ -30,6 +31,7 @@
         if (isAdvanced)
             publish();
     };
+    hooks.onConfirmed = [this](Core::BootClock::time_point asOf) { m_confirmedAt->store(asOf); };
     return hooks;
 }
 
--- a/Libraries/LibDaemon/ConfigFollower.h
+++ b/Libraries/LibDaemon/ConfigFollower.h
@@ -6,6 +6,7 @@
 #include <LibState/Config.h>
 #include <LibState/ConfigRecord.h>
 #include <LibState/Fold.h>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <deque>
@@ -48,6 +49,9 @@
     std::shared_ptr<State::Config const> const& config() const { return m_config; }
     std::deque<HistoryEntry> const& history() const { return m_history; }
 
+    /// The moment as of which the configuration is known to be the newest one; moved on by the control thread, read by any.
+    std::shared_ptr<std::atomic<Core::BootClock::time_point> const> confirmedAt() const { return m_confirmedAt; }
+
     /// Returns whether the stream was read to its end at least once.
     bool isCaughtUp() const { return m_tail.isCaughtUp(); }
 
@@ -65,6 +69,7 @@
     ChangeHook m_onChange;
     State::Fold m_fold;
     std::shared_ptr<State::Config const> m_config;
+    std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_confirmedAt;
     std::deque<HistoryEntry> m_history;
     std::set<Signal*> m_waiters;
     LogTail m_tail;
--- a/Libraries/LibDaemon/ControlFleet.cpp
+++ b/Libraries/LibDaemon/ControlFleet.cpp
@@ -87,6 +87,7 @@
     for (std::pair<std::string const, TargetStatus> const& it : m_targets)
         fleet->targets.push_back(describe(it.second, fleet->view->labels(position++)));
     fleet->configVersion = m_config->config()->nextOffset();
+    fleet->configConfirmedAt = m_config->confirmedAt();
     addEntries(*fleet);
     fleet->isReady = m_hasVms && m_config->isCaughtUp();
     m_closedForChange.clear();
--- a/Libraries/LibDaemon/LogTail.cpp
+++ b/Libraries/LibDaemon/LogTail.cpp
@@ -2,6 +2,7 @@
 #include <LibDaemon/LogTail.h>
 #include <LibState/LogRecord.h>
 #include <LibState/SnapshotAssembler.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -58,6 +59,7 @@
 {
     while (!m_isStopped) {
         std::chrono::milliseconds wait = m_isCaughtUp ? longPoll : std::chrono::milliseconds(0);
+        Core::BootClock::time_point askedAt = Core::BootClock::now();
         Core::Result<Platform::LogBatch> batch = co_await m_log.read(m_stream, m_hooks.nextOffset(), batchLimit, wait);
         if (m_isStopped)
             co_return;
@@ -68,12 +70,14 @@
             co_await bridgeGap(batch.value().first);
         } else {
             noteRecovery();
-            take(batch.value());
+            // Nothing came for as long as the log was to wait.
+            bool isIdle = batch.value().entries.empty();
+            take(batch.value(), isIdle ? std::min(askedAt + wait, Core::BootClock::now()) : askedAt);
         }
     }
 }
 
-void LogTail::take(Platform::LogBatch const& batch)
+void LogTail::take(Platform::LogBatch const& batch, Core::BootClock::time_point asOf)
 {
     std::uint64_t before = m_hooks.nextOffset();
     for (Platform::LogEntry const& entry : batch.entries) {
@@ -81,7 +85,10 @@
         if (applied.has_error())
             noteProblem(applied.error().message);
     }
-    bool wasCaughtUp = std::exchange(m_isCaughtUp, m_isCaughtUp || m_hooks.nextOffset() >= batch.next);
+    bool isWhole = m_hooks.nextOffset() >= batch.next;
+    bool wasCaughtUp = std::exchange(m_isCaughtUp, m_isCaughtUp || isWhole);
+    if (isWhole)
+        m_hooks.onConfirmed(asOf);
     m_hooks.onBatch(m_hooks.nextOffset() != before || wasCaughtUp != m_isCaughtUp);
 }
 
--- a/Libraries/LibDaemon/LogTail.h
+++ b/Libraries/LibDaemon/LogTail.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/BootClock.h>
 #include <LibPlatform/LogService.h>
 #include <LibState/Snapshot.h>
 #include <boost/asio/awaitable.hpp>
@@ -19,6 +20,8 @@
         std::function<Core::Result<void>(Platform::LogEntry const&)> apply; ///< Takes a record; an error is logged.
         std::function<Core::Result<bool>(State::Snapshot const&)> adopt; ///< Goes on from a snapshot that covers more.
         std::function<void(bool isAdvanced)> onBatch; ///< Called after each batch was applied.
+        /// Called when the fold has all that the stream had at a moment.
+        std::function<void(Core::BootClock::time_point)> onConfirmed { [](Core::BootClock::time_point) { } };
     };
 
     /// Preconditions: the log service and the context outlive the object; all hooks are set.
@@ -43,7 +46,7 @@
     boost::asio::awaitable<void> pause();
     boost::asio::awaitable<void> bridgeGap(std::uint64_t first);
     boost::asio::awaitable<bool> adoptFrom(std::uint64_t first);
-    void take(Platform::LogBatch const&);
+    void take(Platform::LogBatch const&, Core::BootClock::time_point asOf);
     void noteProblem(std::string);
     void noteRecovery();
 
--- a/Libraries/LibDaemon/OperatorJson.cpp
+++ b/Libraries/LibDaemon/OperatorJson.cpp
@@ -19,7 +19,7 @@
     std::string kind = Platform::stringOf(*object, "kind");
     std::optional<State::Kind> known = Core::valueOf(State::kindNames, kind);
     if (!known)
-        return problem(index, "kind: read \"" + kind + "\"; allowed are target, request-rule, route and group");
+        return problem(index, "kind: read \"" + kind + "\"; allowed are target, request-rule, route, group and organisation");
     State::Edit edit;
     edit.key = { *known, Platform::stringOf(*object, "name") };
     // Revision 0 cannot be told from none in JSON clients, so null or a missing key means: must not exist.
--- a/Libraries/LibDaemon/OwnCallerProtocol.cpp
+++ b/Libraries/LibDaemon/OwnCallerProtocol.cpp
@@ -1,3 +1,4 @@
+#include <LibDaemon/CallerKeys.h>
 #include <LibDaemon/CallerProtocol.h>
 #include <LibDaemon/HttpErrors.h>
 #include <boost/json/array.hpp>
@@ -9,6 +10,7 @@
 CallerProtocol ownCallerProtocol()
 {
     CallerProtocol protocol;
+    protocol.admit = admitByKey;
     protocol.parse = [](Http::Request const& request, FleetSnapshot const& fleet, WorkLimits const& limits, std::string ownRequestId) -> Core::Result<Work> {
         if (!fleet.isReady)
             return Core::fail(Core::ErrorCode::Unavailable, "this daemon has not read the configuration yet");
--- a/Libraries/LibDaemon/OwnTargetProtocol.cpp
+++ b/Libraries/LibDaemon/OwnTargetProtocol.cpp
@@ -18,6 +18,8 @@
     request.fields.set("X-Request-Id", attemptId(work, send));
     if (work.kind == Work::Kind::Model)
         request.fields.set("X-Priority", std::to_string(work.priority));
+    if (work.isAuthenticated)
+        request.fields.set(std::string(organisationHeader), work.organisation);
     if (!send.kvSource.empty())
         request.fields.set("X-KV-Source", send.kvSource);
     return request;
--- a/Libraries/LibDaemon/Work.cpp
+++ b/Libraries/LibDaemon/Work.cpp
@@ -97,6 +97,21 @@
     return Core::ok();
 }
 
+// Where the configuration has organisations, whoever let the request in has set the field that names one.
+void readOrganisation(Work& work, Http::Fields const& fields, State::Config const& config)
+{
+    std::optional<std::string_view> name = fields.find(organisationHeader);
+    if (!config.organisations() || !name)
+        return;
+    work.organisation = std::string(*name);
+    work.isAuthenticated = true;
+    State::ObjectPointer object = config.find({ State::Kind::Organisation, work.organisation });
+    if (!object)
+        return;
+    work.priority = std::get<State::OrganisationContent>(object->content).priority.value_or(work.priority);
+    work.shape.priority = static_cast<std::uint8_t>(work.priority);
+}
+
 void appendText(std::string& prompt, boost::json::value const& content)
 {
     if (content.is_string())
@@ -253,6 +268,7 @@
     bool isService = std::string_view(request.target).starts_with(servicePrefix);
     BOOST_OUTCOME_TRY(Label::LabelSet labels, isService ? readService(work, request) : readModel(work, request));
     BOOST_OUTCOME_TRY(finishLabels(work, std::move(labels), config, request.method));
+    readOrganisation(work, request.fields, config);
     if (std::optional<std::string_view> ticket = request.fields.find(Request::ticketHeader))
         work.ticket = std::string(*ticket);
     work.idempotencyKey = std::string(request.fields.find(idempotencyHeader).value_or(""));
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -50,7 +50,8 @@
 };
 
 /// Reads a request to a model (`/v1/completions`, `/v1/chat/completions`) or a plain service
-/// (`/services/NAME/...`). Errors (all NotRun): BadInput with what was read and what is allowed; NotFound for
+/// (`/services/NAME/...`). Precondition: where the configuration has organisations, the request has been let in by its key, and names
+/// the organisation. Errors (all NotRun): BadInput with what was read and what is allowed; NotFound for
 /// another path. Thread-safe.
 Core::Result<Work> parseWork(Http::Request const&, State::Config const&, WorkLimits const&, std::string requestId);
 
--- a/Libraries/LibOperator/Codec.cpp
+++ b/Libraries/LibOperator/Codec.cpp
@@ -44,7 +44,7 @@
     BOOST_OUTCOME_TRY(std::string name, Json::requiredString(json, "name"));
     std::optional<State::Kind> kind = Core::valueOf(State::kindNames, kindName);
     if (!kind)
-        return Core::fail(Core::ErrorCode::BadInput, "read kind '" + kindName + "', allowed: target, request-rule, route or group");
+        return Core::fail(Core::ErrorCode::BadInput, "read kind '" + kindName + "', allowed: target, request-rule, route, group or organisation");
     return State::ObjectKey { *kind, std::move(name) };
 }
 
--- a/Libraries/LibOperator/CommandLine.cpp
+++ b/Libraries/LibOperator/CommandLine.cpp
@@ -189,7 +189,7 @@
         return badInput("read " + std::to_string(line.operands.size()) + " operands, allowed: " + (usage.most == 0 ? "none" : std::string(usage.operands)));
     bool hasKind = line.command == Command::Get || line.command == Command::Delete;
     if (hasKind && !line.operands.empty() && !Core::valueOf(State::kindNames, line.operands.front()))
-        return badInput("read kind '" + line.operands.front() + "', allowed: target, request-rule, route or group");
+        return badInput("read kind '" + line.operands.front() + "', allowed: target, request-rule, route, group or organisation");
     if (changes(line.command)) {
         BOOST_OUTCOME_TRY(readChange(arguments, environment, line));
     }
--- a/Libraries/LibState/Config.cpp
+++ b/Libraries/LibState/Config.cpp
@@ -1,6 +1,7 @@
 #include <LibState/Config.h>
 #include <LibState/Groups.h>
 #include <algorithm>
+#include <cassert>
 #include <set>
 
 namespace State {
@@ -19,6 +20,21 @@
     return std::make_shared<SelectorIndex const>(SelectorIndex::create(selectors));
 }
 
+// The fold has refused whatever would give a key to two of them.
+std::shared_ptr<Access::Organisations const> findByKeys(std::vector<ObjectPointer> const& objects)
+{
+    if (objects.empty())
+        return nullptr;
+    std::vector<Access::Organisation> organisations;
+    for (ObjectPointer const& object : objects) {
+        OrganisationContent const& content = std::get<OrganisationContent>(object->content);
+        organisations.push_back({ object->key.name, content.priority, content.keys });
+    }
+    Core::Result<std::shared_ptr<Access::Organisations const>> found = Access::Organisations::create(std::move(organisations));
+    assert(found.has_value());
+    return found.value();
+}
+
 }
 
 std::shared_ptr<Config const> Config::create(FoldState const& state, std::shared_ptr<Config const> const& previous)
@@ -38,11 +54,15 @@
             m_routes.push_back(it.second);
         else if (it.first.kind == Kind::Group)
             m_groups.push_back(it.second);
+        else if (it.first.kind == Kind::Organisation)
+            m_organisationObjects.push_back(it.second);
     }
     bool hasSameRules = previous && previous->m_requestRules == m_requestRules;
     m_requestRuleIndex = hasSameRules ? previous->m_requestRuleIndex : indexOf(m_requestRules, &RequestRuleContent::when);
     bool hasSameRoutes = previous && previous->m_routes == m_routes;
     m_routeIndex = hasSameRoutes ? previous->m_routeIndex : indexOf(m_routes, &RouteContent::requests);
+    bool hasSameOrganisations = previous && previous->m_organisationObjects == m_organisationObjects;
+    m_organisations = hasSameOrganisations ? previous->m_organisations : findByKeys(m_organisationObjects);
 }
 
 Label::LabelSet Config::labelsOf(std::string_view targetName, Label::LabelSet const& platformLabels) const
--- a/Libraries/LibState/Config.h
+++ b/Libraries/LibState/Config.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccess/Organisations.h>
 #include <LibLabel/LabelSet.h>
 #include <LibState/Explanation.h>
 #include <LibState/Fold.h>
@@ -54,6 +55,9 @@
     std::vector<ObjectPointer> const& routes() const { return m_routes; } ///< Sorted by name.
     std::vector<ObjectPointer> const& groups() const { return m_groups; } ///< Sorted by name.
 
+    /// Who callers act for, found by their keys; null where there is no such object, and requests need no keys.
+    std::shared_ptr<Access::Organisations const> const& organisations() const { return m_organisations; }
+
 private:
     Config(FoldState const&, Config const* previous);
 
@@ -62,6 +66,8 @@
     std::vector<ObjectPointer> m_requestRules;
     std::vector<ObjectPointer> m_routes;
     std::vector<ObjectPointer> m_groups;
+    std::vector<ObjectPointer> m_organisationObjects;
+    std::shared_ptr<Access::Organisations const> m_organisations;
     std::shared_ptr<SelectorIndex const> m_requestRuleIndex;
     std::shared_ptr<SelectorIndex const> m_routeIndex;
 };
--- a/Libraries/LibState/ConfigFile.cpp
+++ b/Libraries/LibState/ConfigFile.cpp
@@ -120,7 +120,7 @@
     std::size_t space = header.find(' ');
     std::optional<Kind> kind = Core::valueOf(kindNames, std::string_view(header).substr(0, space));
     if (!kind || space == std::string::npos)
-        return Core::fail(Core::ErrorCode::BadInput, "read section, allowed: target NAME, request-rule NAME, route NAME, group NAME");
+        return Core::fail(Core::ErrorCode::BadInput, "read section, allowed: target NAME, request-rule NAME, route NAME, group NAME, organisation NAME");
     ObjectKey key { *kind, header.substr(space + 1) };
     BOOST_OUTCOME_TRY(checkName(key.name));
     return key;
--- a/Libraries/LibState/Content.cpp
+++ b/Libraries/LibState/Content.cpp
@@ -17,6 +17,7 @@
 constexpr std::array<std::string_view, 1> targetKeys { "labels" };
 constexpr std::array<std::string_view, 2> requestRuleKeys { "when", "set" };
 constexpr std::array<std::string_view, 2> routeKeys { "requests", "targets" };
+constexpr std::array<std::string_view, 2> organisationKeys { "key-digests", "priority" };
 constexpr std::array<std::string_view, 6> groupKeys { "targets", "roles", "change-cost", "model", "adapter", "version" };
 
 /// Adds the key to an error of its value.
@@ -140,6 +141,44 @@
     return GroupContent { std::move(targets), roles.value(), changeCost, std::move(wanted) };
 }
 
+// Digests are separated by commas. None of them is repeated in an error: a key may have been given in a digest's place.
+Core::Result<std::vector<Access::KeyDigest>> parseKeyDigests(std::string const& text)
+{
+    std::vector<Access::KeyDigest> digests;
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        std::string_view piece = rest.substr(0, rest.find(','));
+        rest.remove_prefix(std::min(rest.size(), piece.size() + 1));
+        piece.remove_prefix(std::min(piece.size(), piece.find_first_not_of(' ')));
+        piece = piece.substr(0, piece.find_last_not_of(' ') + 1);
+        Core::Result<Access::KeyDigest> digest = Access::KeyDigest::parse(piece);
+        if (!digest)
+            return inField("key-digests", digest.error());
+        if (digest.value() == Access::KeyDigest::of(""))
+            return Core::fail(Core::ErrorCode::BadInput, "key-digests: read the digest of an empty key, allowed: those of keys of one character at least");
+        if (std::find(digests.begin(), digests.end(), digest.value()) != digests.end())
+            return Core::fail(Core::ErrorCode::BadInput, "key-digests: a digest is given twice");
+        digests.push_back(digest.value());
+    }
+    return digests;
+}
+
+Core::Result<OrganisationContent> parseOrganisation(Fields const& fields)
+{
+    BOOST_OUTCOME_TRY(checkKeys(fields, organisationKeys));
+    BOOST_OUTCOME_TRY(std::string digests, require(fields, "key-digests"));
+    OrganisationContent content;
+    BOOST_OUTCOME_TRY(content.keys, parseKeyDigests(digests));
+    Fields::const_iterator priority = fields.find("priority");
+    if (priority == fields.end())
+        return content;
+    bool isDigit = priority->second.size() == 1 && priority->second.front() >= '0' && priority->second.front() <= '9';
+    if (!isDigit)
+        return Core::fail(Core::ErrorCode::BadInput, "priority: read '" + priority->second.substr(0, maximumNameLength) + "', allowed: a digit from 0 (first) to 9 (last)");
+    content.priority = priority->second.front() - '0';
+    return content;
+}
+
 template <typename T>
 Core::Result<Content> toContent(Core::Result<T> typed)
 {
@@ -171,6 +210,17 @@
     return fields;
 }
 
+Fields print(OrganisationContent const& organisation)
+{
+    std::string digests;
+    for (Access::KeyDigest const& key : organisation.keys)
+        digests += (digests.empty() ? "" : ",") + key.toString();
+    Fields fields { { "key-digests", std::move(digests) } };
+    if (organisation.priority)
+        fields["priority"] = std::to_string(*organisation.priority);
+    return fields;
+}
+
 }
 
 std::string const* GroupContent::find(WantedField field) const
@@ -203,6 +253,8 @@
         return toContent(parseRoute(fields));
     case Kind::Group:
         return toContent(parseGroup(fields));
+    case Kind::Organisation:
+        return toContent(parseOrganisation(fields));
     }
     return Core::fail(Core::ErrorCode::BadInput, "unknown kind");
 }
--- a/Libraries/LibState/Content.h
+++ b/Libraries/LibState/Content.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccess/KeyDigest.h>
 #include <LibCore/Result.h>
 #include <LibLabel/LabelSet.h>
 #include <LibLabel/Selector.h>
@@ -71,8 +72,16 @@
     bool operator==(GroupContent const&) const = default;
 };
 
+/// `organisation NAME`: whose requests come with a key that has one of `keys` as its digest. Never holds a key itself.
+struct OrganisationContent {
+    std::vector<Access::KeyDigest> keys; ///< None: the organisation's requests are refused.
+    std::optional<int> priority; ///< Of its requests, in place of the label `priority`.
+
+    bool operator==(OrganisationContent const&) const = default;
+};
+
 /// The typed content of an object; the alternatives stand in the order of `Kind`.
-using Content = std::variant<TargetContent, RequestRuleContent, RouteContent, GroupContent>;
+using Content = std::variant<TargetContent, RequestRuleContent, RouteContent, GroupContent, OrganisationContent>;
 
 /// Labels that the platform alone gives: zone, region, kind, name, pool. Thread-safe.
 bool isPlatformLabel(std::string_view key);
--- a/Libraries/LibState/Fold.cpp
+++ b/Libraries/LibState/Fold.cpp
@@ -1,5 +1,6 @@
 #include <LibState/Fold.h>
 #include <algorithm>
+#include <set>
 
 namespace State {
 
@@ -16,6 +17,11 @@
     return outcome;
 }
 
+OrganisationContent const* organisationOf(std::optional<Content> const& content)
+{
+    return content ? std::get_if<OrganisationContent>(&*content) : nullptr;
+}
+
 }
 
 Core::Result<Fold> Fold::fromSnapshot(Snapshot const& snapshot)
@@ -99,6 +105,11 @@
         if (std::optional<Outcome> conflict = conflictOf(edit, record.id))
             return *conflict;
     }
+    if (std::string problem = sharedKey(record, validated.value()); !problem.empty()) {
+        Outcome invalid = refusedAt(offset, Refusal::Invalid);
+        invalid.detail = problem.substr(0, maximumDetailLength);
+        return invalid;
+    }
     contents = std::move(validated).value();
     Outcome accepted;
     accepted.kind = OutcomeKind::Accepted;
@@ -106,6 +117,31 @@
     return accepted;
 }
 
+// Returns what is wrong where a key would be held by two organisations; else nothing. A record may hand a key over.
+std::string Fold::sharedKey(ConfigRecord const& record, std::vector<std::optional<Content>> const& contents) const
+{
+    std::set<std::string_view> edited;
+    for (Edit const& edit : record.edits) {
+        if (edit.key.kind == Kind::Organisation)
+            edited.insert(edit.key.name);
+    }
+    std::map<Access::KeyDigest, std::string_view> taken;
+    for (std::size_t n = 0; n < record.edits.size(); ++n) {
+        OrganisationContent const* organisation = organisationOf(contents[n]);
+        if (!organisation)
+            continue;
+        std::string const& name = record.edits[n].key.name;
+        for (Access::KeyDigest const& key : organisation->keys) {
+            std::map<Access::KeyDigest, std::string>::const_iterator holder = m_keyHolders.find(key);
+            bool isKept = holder != m_keyHolders.end() && !edited.contains(holder->second);
+            std::string_view other = isKept ? std::string_view(holder->second) : taken.emplace(key, name).first->second;
+            if (other != name)
+                return "organisation " + name + ": key-digests: organisation " + std::string(other) + " holds one of these keys, allowed: one holder for each key";
+        }
+    }
+    return {};
+}
+
 std::optional<Outcome> Fold::conflictOf(Edit const& edit, RecordId const& id) const
 {
     Outcome conflict = refusedAt(m_state.nextOffset, Refusal::Conflict);
@@ -130,6 +166,7 @@
     std::uint64_t offset = m_state.nextOffset;
     for (std::size_t n = 0; n < record.edits.size(); ++n) {
         ObjectKey const& key = record.edits[n].key;
+        forgetKeys(key);
         if (contents[n]) {
             m_state.objects[key] = std::make_shared<Object const>(Object { key, offset, std::move(*contents[n]) });
             m_state.deletions.erase(key);
@@ -139,6 +176,26 @@
             m_deletionOrder.emplace_back(offset, key);
         }
     }
+    for (Edit const& edit : record.edits)
+        noteKeys(edit.key);
+}
+
+void Fold::noteKeys(ObjectKey const& key)
+{
+    ObjectPointer object = key.kind == Kind::Organisation ? find(key) : nullptr;
+    if (!object)
+        return;
+    for (Access::KeyDigest const& digest : std::get<OrganisationContent>(object->content).keys)
+        m_keyHolders[digest] = key.name;
+}
+
+void Fold::forgetKeys(ObjectKey const& key)
+{
+    ObjectPointer object = key.kind == Kind::Organisation ? find(key) : nullptr;
+    if (!object)
+        return;
+    for (Access::KeyDigest const& digest : std::get<OrganisationContent>(object->content).keys)
+        m_keyHolders.erase(digest);
 }
 
 void Fold::remember(RecordId const& id, Outcome const& outcome)
@@ -170,6 +227,8 @@
     for (std::pair<ObjectKey const, std::uint64_t> const& it : m_state.deletions)
         m_deletionOrder.emplace_back(it.second, it.first);
     std::sort(m_deletionOrder.begin(), m_deletionOrder.end());
+    for (std::pair<ObjectKey const, ObjectPointer> const& it : m_state.objects)
+        noteKeys(it.first);
 }
 
 Snapshot Fold::snapshot() const
--- a/Libraries/LibState/Fold.h
+++ b/Libraries/LibState/Fold.h
@@ -7,7 +7,9 @@
 #include <LibState/SnapshotTracker.h>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -80,7 +82,10 @@
     ApplyResult applyConfig(ConfigRecord);
     Outcome decide(ConfigRecord const&, std::vector<std::optional<Content>>& contents) const;
     std::optional<Outcome> conflictOf(Edit const&, RecordId const&) const;
+    std::string sharedKey(ConfigRecord const&, std::vector<std::optional<Content>> const& contents) const;
     void commit(ConfigRecord const&, std::vector<std::optional<Content>>& contents);
+    void noteKeys(ObjectKey const&);
+    void forgetKeys(ObjectKey const&);
     void remember(RecordId const&, Outcome const&);
     void forgetOld();
     void indexState();
@@ -88,6 +93,7 @@
     FoldState m_state;
     std::deque<std::pair<std::uint64_t, RecordId>> m_outcomeOrder;
     std::deque<std::pair<std::uint64_t, ObjectKey>> m_deletionOrder;
+    std::map<Access::KeyDigest, std::string> m_keyHolders; ///< By the digest of a key, the organisation that holds it.
     SnapshotTracker m_tracker;
 };
 
--- a/Libraries/LibState/Kind.h
+++ b/Libraries/LibState/Kind.h
@@ -11,13 +11,15 @@
     RequestRule, ///< Labels that are set on requests which a selector matches.
     Route, ///< Which requests may go to which targets.
     Group, ///< Which roles and models a group of targets may take.
+    Organisation, ///< Who callers act for, and the digests of its keys.
 };
 
-inline constexpr Core::EnumNames<Kind, 4> kindNames { {
+inline constexpr Core::EnumNames<Kind, 5> kindNames { {
     { Kind::Target, "target" },
     { Kind::RequestRule, "request-rule" },
     { Kind::Route, "route" },
     { Kind::Group, "group" },
+    { Kind::Organisation, "organisation" },
 } };
 
 }
--- a/Tests/LibState/Records.h
+++ b/Tests/LibState/Records.h
@@ -25,6 +25,15 @@
     return { targetKey(name), base, std::nullopt };
 }
 
+/// An edit that gives an organisation the digests of keys.
+inline Edit setOrganisation(std::string const& name, std::optional<std::uint64_t> base, std::vector<std::string> const& keys)
+{
+    std::string digests;
+    for (std::string const& key : keys)
+        digests += (digests.empty() ? "" : ",") + Access::KeyDigest::of(key).toString();
+    return { { Kind::Organisation, name }, base, Fields { { "key-digests", digests } } };
+}
+
 /// The bytes of a record.
 inline std::string bytesOf(RecordId id, std::vector<Edit> edits)
 {
--- a/Tests/LibState/TestConfigFile.cpp
+++ b/Tests/LibState/TestConfigFile.cpp
@@ -39,7 +39,7 @@
     EXPECT_EQ(errorsOf("\n[target a]\nlabels = x\n").substr(0, 57), "ops.ini:3: [target a] labels: position 2: read the end, a");
     EXPECT_EQ(errorsOf("[target a]\nlabels = x=1\nlable = x=1\n"), "ops.ini:3: [target a] read key 'lable', allowed: labels");
     EXPECT_EQ(errorsOf("[route a]\ntargets = x\n"), "ops.ini:1: [route a] key 'requests' is missing");
-    EXPECT_EQ(errorsOf("[router a]\nx = y\n"), "ops.ini:1: [router a] read section, allowed: target NAME, request-rule NAME, route NAME, group NAME");
+    EXPECT_EQ(errorsOf("[router a]\nx = y\n"), "ops.ini:1: [router a] read section, allowed: target NAME, request-rule NAME, route NAME, group NAME, organisation NAME");
     EXPECT_EQ(errorsOf("[target a b]\nlabels = x=1\n").substr(0, 44), "ops.ini:1: [target a b] read name 'a b', all");
     EXPECT_EQ(errorsOf("labels = x=1\n"), "ops.ini:1: key 'labels' stands before the first section");
     EXPECT_EQ(errorsOf("[target a]\nlabels = x=1\nnonsense\n"), "ops.ini:3: read neither a section, a key with '=' and a value, nor a comment");
--- a/Tests/LibState/TestContent.cpp
+++ b/Tests/LibState/TestContent.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+std::string digestOf(std::string_view key)
+{
+    return Access::KeyDigest::of(key).toString();
+}
+
 struct BadFields {
     Kind kind;
     Fields fields;
@@ -41,6 +46,11 @@
         { Kind::Group, with(group, "change-cost", "86401"), "change-cost" },
         { Kind::Group, with(group, "model", ""), "model: allowed: 1 to 253" },
         { Kind::Group, with(group, "version", "1 2"), "version: allowed" },
+        { Kind::Organisation, {}, "key 'key-digests' is missing" },
+        { Kind::Organisation, { { "key-digests", "secret" } }, "key-digests: " },
+        { Kind::Organisation, { { "key-digests", digestOf("a") + "," + digestOf("a") } }, "key-digests: a digest is given twice" },
+        { Kind::Organisation, { { "key-digests", digestOf("") } }, "key-digests: read the digest of an empty key" },
+        { Kind::Organisation, { { "key-digests", "" }, { "priority", "10" } }, "priority: read '10', allowed: a digit" },
     };
     for (BadFields const& it : cases) {
         Core::Result<Content> content = parseContent(it.kind, it.fields);
@@ -57,6 +67,8 @@
         { Kind::RequestRule, { { "when", "org in (b,a)" }, { "set", "tier=night" } } },
         { Kind::Route, { { "requests", "!drain , a" }, { "targets", "zone notin (x)" } } },
         { Kind::Group, { { "targets", "pool=a" }, { "roles", "mixed, prefill" }, { "change-cost", "7.50" }, { "model", "m/1" }, { "adapter", "" }, { "version", "v" } } },
+        { Kind::Organisation, { { "key-digests", digestOf("a") + ", " + digestOf("b") }, { "priority", "3" } } },
+        { Kind::Organisation, { { "key-digests", "" } } },
     };
     for (std::pair<Kind, Fields> const& it : cases) {
         Content content = parseContent(it.first, it.second).value();
@@ -68,6 +80,14 @@
     EXPECT_EQ(group["change-cost"], "7.5");
 }
 
+// Guards against a key that an operator gave in place of its digest and that the error repeats.
+TEST(Content, ErrorsOfOrganisationsRepeatNoKey)
+{
+    Core::Result<Content> content = parseContent(Kind::Organisation, { { "key-digests", digestOf("a") + ",my-secret-key" } });
+    ASSERT_TRUE(content.has_error());
+    EXPECT_EQ(content.error().message.find("my-secret-key"), std::string::npos) << content.error().message;
+}
+
 TEST(Content, ChecksRecords)
 {
     RecordId id { 0, 1 };
--- a/Tests/LibState/TestFold.cpp
+++ b/Tests/LibState/TestFold.cpp
@@ -1,4 +1,5 @@
 #include "Records.h"
+#include <LibState/Config.h>
 #include <gtest/gtest.h>
 
 #include <rapidcheck/gtest.h>
@@ -104,6 +105,41 @@
     EXPECT_TRUE(Fold::fromSnapshot(fold.snapshot()).has_value());
 }
 
+// Guards against a key that lets its bearer in for whichever of two organisations is looked at first.
+TEST(Fold, AKeyHasOneHolder)
+{
+    Fold fold;
+    applyNext(fold, bytesOf({ 0, 1 }, { setOrganisation("a", std::nullopt, { "k1", "k2" }), setOrganisation("b", std::nullopt, { "k3" }) }));
+    ApplyResult refused = applyNext(fold, bytesOf({ 1, 2 }, { setOrganisation("c", std::nullopt, { "k4", "k2" }) }));
+    EXPECT_EQ(refused.outcome.refusal, Refusal::Invalid);
+    EXPECT_NE(refused.outcome.message().find("organisation a holds one of these keys"), std::string::npos) << refused.outcome.message();
+    EXPECT_EQ(applyNext(fold, bytesOf({ 2, 3 }, { setOrganisation("c", std::nullopt, { "k5" }), setOrganisation("d", std::nullopt, { "k5" }) })).applied, Applied::Refused);
+    EXPECT_EQ(fold.state().objects.size(), 2U);
+
+    // One record hands a key over, also where the new holder's edit comes first; and then it has a holder again.
+    EXPECT_EQ(applyNext(fold, bytesOf({ 3, 4 }, { setOrganisation("b", 0, { "k3", "k1" }), setOrganisation("a", 0, { "k2" }) })).applied, Applied::Accepted);
+    EXPECT_EQ(applyNext(fold, bytesOf({ 4, 5 }, { setOrganisation("c", std::nullopt, { "k1" }) })).applied, Applied::Refused);
+    // A snapshot knows the holders, too; and a deletion gives keys back.
+    Fold restored = Fold::fromSnapshot(fold.snapshot()).value();
+    EXPECT_EQ(applyNext(restored, bytesOf({ 5, 6 }, { setOrganisation("c", std::nullopt, { "k1" }) })).applied, Applied::Refused);
+    EXPECT_EQ(applyNext(fold, bytesOf({ 5, 6 }, { { { Kind::Organisation, "b" }, 3, std::nullopt } })).applied, Applied::Accepted);
+    EXPECT_EQ(applyNext(fold, bytesOf({ 6, 7 }, { setOrganisation("c", std::nullopt, { "k1" }) })).applied, Applied::Accepted);
+}
+
+TEST(Fold, OrganisationsAreFoundByTheirKeys)
+{
+    Fold fold;
+    EXPECT_EQ(Config::create(fold.state())->organisations(), nullptr);
+    applyNext(fold, bytesOf({ 0, 1 }, { setOrganisation("a", std::nullopt, { "k1", "k2" }) }));
+    std::shared_ptr<Config const> config = Config::create(fold.state());
+    ASSERT_TRUE(config->organisations());
+    EXPECT_EQ(config->organisations()->find("k2")->name, "a");
+    EXPECT_EQ(config->organisations()->find("k3"), nullptr);
+    // What did not change is shared: drawing a secret and digesting all keys costs time.
+    applyNext(fold, bytesOf({ 1, 2 }, { setTarget("t", std::nullopt, "x=1") }));
+    EXPECT_EQ(Config::create(fold.state(), config)->organisations(), config->organisations());
+}
+
 RC_GTEST_PROP(Fold, AnyBytesAreSurvived, (std::vector<std::string> const& records))
 {
     Fold fold;
