LibDuties: Say of no window before a process's start that it is settled

Cause: a daemon that had just started told the others that all windows before its start are settled, as that is where it begins. While the store was away for eight seconds two windows were not, and each daemon that started meanwhile made all others forget them. Ruled out: a late decision (none was logged, nor was 7003 usage-missed). Change: what is told is what was settled here or heard to be. Shown by: UsageDutyTest.WhoHasJustStartedKnowsOfNoWindowThatItIsSettled, which failed on the code before.

--- a/Libraries/LibDuties/UsageDuty.cpp
+++ b/Libraries/LibDuties/UsageDuty.cpp
@@ -8,26 +8,26 @@
     if (m_isBegun)
         return;
     m_isBegun = true;
-    m_next = std::max(windowAt(now, m_settings.window), m_settledElsewhere);
+    m_next = std::max(windowAt(now, m_settings.window), m_settledBefore);
 }
 
 void UsageDuty::noteUnsettled(WindowNumber window)
 {
-    if (m_next && window >= m_settledElsewhere)
+    if (m_next && window >= m_settledBefore)
         m_next = std::min(*m_next, window);
 }
 
 void UsageDuty::noteSettledBefore(WindowNumber window)
 {
-    m_settledElsewhere = std::max(m_settledElsewhere, window);
+    m_settledBefore = std::max(m_settledBefore, window);
     if (m_next)
         m_next = std::max(*m_next, window);
-    m_decided.erase(m_decided.begin(), m_decided.lower_bound(m_settledElsewhere));
+    m_decided.erase(m_decided.begin(), m_decided.lower_bound(m_settledBefore));
 }
 
 void UsageDuty::noteDecided(UsageReport const& report)
 {
-    if (report.window >= m_settledElsewhere)
+    if (report.window >= m_settledBefore)
         m_decided[report.window] = report;
 }
 
--- a/Libraries/LibDuties/UsageDuty.h
+++ b/Libraries/LibDuties/UsageDuty.h
@@ -67,8 +67,9 @@
     /// Returns what is to be done at `now`. `isClosed` says whether all daemons have closed a window.
     std::optional<UsageStep> next(WallTime now, std::function<bool(WindowNumber)> const& isClosed) const;
 
-    /// Returns the window in front of which all are settled.
-    WindowNumber settledBefore() const { return m_next.value_or(0); }
+    /// Returns the window in front of which all are known to be settled: what this daemon has settled, or been told. Of windows before
+    /// it began it knows nothing by itself.
+    WindowNumber settledBefore() const { return m_settledBefore; }
 
     /// Returns the report of a window, if it is known to be decided.
     std::optional<UsageReport> decided(WindowNumber) const;
@@ -77,7 +78,7 @@
     UsageDutySettings m_settings;
     std::optional<WindowNumber> m_next; ///< The first window that is not settled.
     bool m_isBegun { false };
-    WindowNumber m_settledElsewhere { 0 };
+    WindowNumber m_settledBefore { 0 };
     std::map<WindowNumber, UsageReport> m_decided;
 };
 
--- a/Tests/LibDuties/TestUsageDuty.cpp
+++ b/Tests/LibDuties/TestUsageDuty.cpp
@@ -49,6 +49,16 @@
     EXPECT_FALSE(next<Duties::SendReport>(300ms));
 }
 
+// Guards against windows that nobody reports: a daemon that had just started told the others that all before its start was settled, and
+// while the store was away two windows were not.
+TEST_F(UsageDutyTest, WhoHasJustStartedKnowsOfNoWindowThatItIsSettled)
+{
+    m_duty.begin(m_end - 1s);
+    EXPECT_EQ(m_duty.settledBefore(), 0U);
+    m_duty.noteSettled(first);
+    EXPECT_EQ(m_duty.settledBefore(), first + 1);
+}
+
 TEST_F(UsageDutyTest, OthersTellOfOlderWindowsAndOfSettledOnes)
 {
     m_duty.begin(m_end - 1s);
