LibDuties, LibDaemon: Count requests whose answers engines lost, by how such requests ended there

Cause: an engine's request counted with its first event. One whose answer was lost on the way had none, and where it may not be sent again it was never counted, though it ran; requests that a failing engine breaks off at once look the same, and do not run. Change: what was broken off before its first event is kept with its target, and counted when its window is closed if the target, by what all daemons said of it in that window, answered more than it broke off. Ruled out: telling the two apart by the time until the break (2 to 40 ms for both).

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -177,6 +177,22 @@
         m_context.usage.note(m_work.organisation, Core::BootClock::now());
 }
 
+// Of calls of plain services whose answer is lost most have run. An engine may have been lost itself.
+void RequestRunner::noteLostAnswer()
+{
+    FleetTarget const* target = targetOf(m_target);
+    if (m_work.kind == Work::Kind::Service)
+        noteBegun();
+    else if (target && !m_hasBegun && !m_lostAnswer)
+        m_lostAnswer = LostAnswer { target->key, Core::BootClock::now() };
+}
+
+void RequestRunner::countLostAnswer()
+{
+    if (m_lostAnswer && m_work.isAuthenticated && !m_hasBegun)
+        m_context.usage.noteLost(m_work.organisation, m_lostAnswer->target, m_lostAnswer->at);
+}
+
 // Noted before anything of the answer is passed on.
 void RequestRunner::noteNotice(FleetTarget const& target, Http::ResponseHead const& head) const
 {
@@ -217,9 +233,8 @@
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "exchange" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
     noteOutcome(Routing::TargetOutcome::Broken);
-    // Of a call whose answer is lost most have run.
-    if (error.verdict != Core::Verdict::NotRun && m_work.kind == Work::Kind::Service)
-        noteBegun();
+    if (error.verdict != Core::Verdict::NotRun)
+        noteLostAnswer();
     if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
         breakOffRun();
     if (error.verdict == Core::Verdict::NotRun)
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -158,6 +158,7 @@
         if (finish->verdict == Core::Verdict::NotRun && finish->retryAfter.count() == 0)
             finish->retryAfter = retryAfterOf(m_reason);
         logFinish(*finish);
+        countLostAnswer();
         co_await m_sink->finish(std::move(*finish));
     }
 }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -35,6 +35,12 @@
     Work const& work() const { return m_work; }
 
 private:
+    /// A connection that broke before anything told whether the request ran.
+    struct LostAnswer {
+        std::uint64_t target { 0 };
+        Core::BootClock::time_point at;
+    };
+
     static constexpr std::size_t wholeBodyLimit = 256U * 1024; ///< Of a refusal, or of the answer to a prefill.
     /// The machine's own deadline comes first: a connection's time-out is no news of the target.
     static constexpr std::chrono::milliseconds deadlineSlack { 200 };
@@ -87,6 +93,8 @@
     std::chrono::milliseconds retryAfterOf(Routing::Reason) const;
     void noteOutcome(Routing::TargetOutcome) const;
     void noteBegun();
+    void noteLostAnswer();
+    void countLostAnswer();
     void noteNotice(FleetTarget const&, Http::ResponseHead const&) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
@@ -117,6 +125,7 @@
     boost::asio::ip::tcp::endpoint m_kvHolder; ///< The target that keeps it,
     std::string m_kvZone; ///< and its availability zone.
     bool m_hasBegun { false }; ///< A target has begun to run it, as far as its answers tell.
+    std::optional<LostAnswer> m_lostAnswer; ///< The first one, while it is not known to have begun.
     bool m_keepsPrompt { false }; ///< The next attempt fetches the KV cache that this one has not.
     bool m_hasReusedPrompt { false }; ///< A target has refused the output with a KV cache to fetch.
     int m_urgency { 5 }; ///< Of the present send.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -269,8 +269,10 @@
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
     m_quarantine->describe(beacon, now);
-    if (m_usage)
+    if (m_usage) {
+        m_usage->noteOutcomes(beacon.outcomes, now);
         m_usage->describe(beacon, now);
+    }
     if (m_engineNumbers)
         beacon.sizedDemands = m_engineNumbers->demands();
     return beacon;
--- a/Libraries/LibDaemon/UsageKeeper.cpp
+++ b/Libraries/LibDaemon/UsageKeeper.cpp
@@ -62,8 +62,9 @@
 Duties::UsageStatement UsageKeeper::ownStatement(Time now)
 {
     Duties::UsageStatement statement;
-    statement.windows = m_counter.take(m_duty.settledBefore());
     statement.closedBefore = Duties::windowAt(m_clock.at(now - closeMargin), m_settings.window);
+    m_counter.closeBefore(statement.closedBefore);
+    statement.windows = m_counter.take(m_duty.settledBefore());
     statement.settledBefore = m_duty.settledBefore();
     return statement;
 }
@@ -79,11 +80,18 @@
 {
     if (beacon.wallClock.count() > 0)
         m_clock.observePeer(beacon.sender.name, Duties::WallTime(beacon.wallClock + heldUp), now);
+    noteOutcomes(beacon.outcomes, now);
     settleBefore(beacon.usage.settledBefore);
     m_book.hear({ beacon.sender.name, beacon.sender.incarnation }, beacon.usage);
     m_book.forget(m_duty.settledBefore());
 }
 
+void UsageKeeper::noteOutcomes(std::vector<Routing::OutcomeCounts> const& outcomes, Time now)
+{
+    for (Routing::OutcomeCounts const& it : outcomes)
+        m_counter.noteEnds(it.target, it.good, it.bad, now);
+}
+
 void UsageKeeper::settleBefore(Duties::WindowNumber window)
 {
     m_duty.noteSettledBefore(window);
--- a/Libraries/LibDaemon/UsageKeeper.h
+++ b/Libraries/LibDaemon/UsageKeeper.h
@@ -49,6 +49,9 @@
     /// Takes what a beacon says that was held up on its way for `heldUp`.
     void hear(BeaconMessage const&, std::chrono::milliseconds heldUp, Time now);
 
+    /// Takes how requests ended at targets, as this daemon tells its peers: it says whether lost answers were to requests that ran.
+    void noteOutcomes(std::vector<Routing::OutcomeCounts> const&, Time now);
+
     void stop() { m_isStopped = true; }
 
     /// Returns a moment of this VM's clock since boot in the fleet's true time, as far as that is known now.
