--- a/Tests/Processes/TestPageCommands.cpp
+++ b/Tests/Processes/TestPageCommands.cpp
@@ -30,7 +30,7 @@
 };
 
 /// All commands of the pages, in an order in which they can be run. One that is not here makes the test fail.
-constexpr std::array<PageCommand, 19> pageCommands { {
+constexpr std::array<PageCommand, 21> pageCommands { {
     { "./Meta/demo.sh", Trial::Elsewhere },
     { "./Meta/demo.sh --keep", Trial::Elsewhere },
     { "./Meta/check.sh", Trial::Elsewhere },
@@ -39,6 +39,8 @@
     { "currantvale-measure --policy none --roles planner --seeds 3 --set roles.margin=2", Trial::Elsewhere },
     { "currantvale-measure --scenario flood --policy none --roles planner --seeds 3 --set admit.fair=1", Trial::Elsewhere },
     { "currantvale-measure --router-cost", Trial::Elsewhere },
+    { "currantvale-measure --engines", Trial::Here },
+    { "currantvale-measure --engines --seeds 10 --scenario bursts --plot engines.svg", Trial::Here },
     { "currantvale-measure --help", Trial::Here },
     { "curl http://127.0.0.1:8101/v1/entries", Trial::Here },
     { "currantctl get > fleet.ini", Trial::Here },
