LibRoles, LibDaemon: Say which demand, price and loss made a service's size

Operators saw the numbers of a size, not their reasons. 7005 engines-wanted and /duties say them in one sentence. FleetSizer.SaysWhichDemandPriceAndLossMadeTheSize.

--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -58,7 +58,7 @@
     boost::json::array services;
     if (EngineKeeper const* engines = m_storeControl->engineNumbers()) {
         for (EngineKeeper::Status const& it : engines->status())
-            services.push_back(boost::json::object { { "service", it.service }, { "demand", it.size.demand }, { "demand_known", it.size.isDemandKnown }, { "wanted", it.size.wanted }, { "wanted_lasting", it.size.lasting }, { "needed_after_a_loss", it.size.strained }, { "serving_lasting", it.lasting }, { "serving_reclaimable", it.reclaimable } });
+            services.push_back(boost::json::object { { "service", it.service }, { "demand", it.size.demand }, { "demand_known", it.size.isDemandKnown }, { "wanted", it.size.wanted }, { "wanted_lasting", it.size.lasting }, { "needed_after_a_loss", it.size.strained }, { "serving_lasting", it.lasting }, { "serving_reclaimable", it.reclaimable }, { "why", it.why } });
     }
     body["engines"] = std::move(services);
     return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(body));
--- a/Libraries/LibDaemon/EngineKeeper.cpp
+++ b/Libraries/LibDaemon/EngineKeeper.cpp
@@ -44,7 +44,7 @@
         State::ServiceTerms const* terms = fleet.services->find(target.pool);
         if (!terms || !terms->offer)
             continue;
-        Service& service = m_services.try_emplace(target.pool, Service { Roles::FleetSizer(m_settings), {}, {}, {}, {} }).first->second;
+        Service& service = m_services.try_emplace(target.pool, Service { Roles::FleetSizer(m_settings), {}, {}, {}, {}, {} }).first->second;
         service.bootTime = terms->offer->bootTime;
         for (std::pair<std::string const, double> const& price : terms->offer->zonePrices)
             service.zones[price.first].availabilityZone = price.first;
@@ -80,7 +80,7 @@
         std::optional<double> engines = demand.isKnown ? std::optional(demand.prompts + demand.outputs) : std::nullopt;
         for (Roles::EngineOrder const& order : it.second.sizer.plan(*terms->offer, zones, engines, now))
             orders.push_back({ it.first, order });
-        logSize(it.first, it.second);
+        logSize(it.first, it.second, *terms->offer);
     }
     if (m_isWorking || orders.empty())
         return;
@@ -89,13 +89,14 @@
         m_context, [this, orders = std::move(orders)] { return carryOut(orders); }, boost::asio::detached);
 }
 
-void EngineKeeper::logSize(std::string const& name, Service& service)
+void EngineKeeper::logSize(std::string const& name, Service& service, State::EngineOffer const& offer)
 {
     std::optional<Roles::FleetSize> const& size = service.sizer.size();
     if (!size || service.logged == size)
         return;
     service.logged = size;
-    Core::logEvent(Core::Severity::Info, Core::Event::EnginesWanted, { { "pool", name }, { "demand", std::to_string(size->demand) }, { "known", size->isDemandKnown ? "yes" : "no" }, { "wanted", std::to_string(size->wanted) }, { "lasting", std::to_string(size->lasting) }, { "strained", std::to_string(size->strained) } });
+    service.why = service.sizer.explain(offer);
+    Core::logEvent(Core::Severity::Info, Core::Event::EnginesWanted, { { "pool", name }, { "demand", std::to_string(size->demand) }, { "known", size->isDemandKnown ? "yes" : "no" }, { "wanted", std::to_string(size->wanted) }, { "lasting", std::to_string(size->lasting) }, { "strained", std::to_string(size->strained) }, { "why", service.why } });
 }
 
 bool EngineKeeper::isFirstSizing(std::string const& service, Time now) const
@@ -164,7 +165,7 @@
 {
     std::vector<Status> all;
     for (std::pair<std::string const, Service> const& it : m_services) {
-        Status status { it.first, it.second.sizer.size().value_or(Roles::FleetSize()), 0, 0 };
+        Status status { it.first, it.second.sizer.size().value_or(Roles::FleetSize()), it.second.why, 0, 0 };
         for (std::pair<std::string const, Roles::ZoneEngines> const& zone : it.second.zones) {
             status.lasting += zone.second.lasting;
             status.reclaimable += zone.second.reclaimable;
--- a/Libraries/LibDaemon/EngineKeeper.h
+++ b/Libraries/LibDaemon/EngineKeeper.h
@@ -30,6 +30,7 @@
     struct Status {
         std::string service;
         Roles::FleetSize size;
+        std::string why; ///< That size.
         std::uint32_t lasting { 0 }; ///< That serve.
         std::uint32_t reclaimable { 0 };
     };
@@ -61,6 +62,7 @@
         Roles::FleetSizer sizer;
         std::map<std::string, Roles::ZoneEngines> zones; ///< All in which it was ever seen.
         std::optional<Roles::FleetSize> logged; ///< The last size that was logged.
+        std::string why; ///< The present size.
         std::optional<Time> firstOrderAt;
         std::chrono::milliseconds bootTime { 0 };
     };
@@ -71,7 +73,7 @@
     };
 
     void look(FleetSnapshot const&);
-    void logSize(std::string const& name, Service&);
+    void logSize(std::string const& name, Service&, State::EngineOffer const&);
     boost::asio::awaitable<void> carryOut(std::vector<Order>);
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
 
--- a/Libraries/LibRoles/FleetSizer.cpp
+++ b/Libraries/LibRoles/FleetSizer.cpp
@@ -1,7 +1,9 @@
 #include <LibRoles/FleetSizer.h>
 #include <algorithm>
 #include <cmath>
+#include <iomanip>
 #include <numeric>
+#include <sstream>
 
 namespace Roles {
 
@@ -62,6 +64,20 @@
     return size;
 }
 
+std::string FleetSizer::explain(EngineOffer const& offer) const
+{
+    if (!m_size)
+        return {};
+    constexpr int digits = 2;
+    double price = offer.reclaimablePrice.value_or(1);
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(digits) << (m_size->isDemandKnown ? "requests keep " : "the engines found would be right for ") << m_size->demand << (m_size->isDemandKnown ? " engines busy" : " busy ones")
+         << "; one more costs " << price << " of a lasting one, so " << m_size->wanted << " are wanted";
+    if (offer.reclaimablePrice)
+        text << "; " << m_size->strained << " must be left when one availability zone's reclaimable ones are gone; " << m_size->lasting << " lasting ones carry " << m_settings.lastingPart << " of the demand";
+    return text.str();
+}
+
 bool FleetSizer::isSettled(std::uint32_t found, Time now)
 {
     if (m_found != found) {
--- a/Libraries/LibRoles/FleetSizer.h
+++ b/Libraries/LibRoles/FleetSizer.h
@@ -111,6 +111,9 @@
     /// Returns the size for a demand.
     FleetSize sizeFor(EngineOffer const&, double demand) const;
 
+    /// Returns one sentence that says which demand, price and loss made the size so; empty before the first plan.
+    std::string explain(EngineOffer const&) const;
+
     /// Returns the size that the last plan went by; nothing before the first.
     std::optional<FleetSize> const& size() const { return m_size; }
 
--- a/Tests/LibRoles/TestFleetSizer.cpp
+++ b/Tests/LibRoles/TestFleetSizer.cpp
@@ -251,3 +251,13 @@
     EXPECT_GE(site.serving(), 40U);
     EXPECT_EQ(site.count(EngineKind::Reclaimable), 0U);
 }
+
+TEST(FleetSizer, SaysWhichDemandPriceAndLossMadeTheSize)
+{
+    Site site(30);
+    EXPECT_EQ(site.sizer.explain(site.offer), "");
+    site.play(20s, 10.0);
+    std::string why = site.sizer.explain(site.offer);
+    EXPECT_NE(why.find("0.25 of a lasting one"), std::string::npos) << why;
+    EXPECT_NE(why.find("must be left when one availability zone's reclaimable ones are gone"), std::string::npos) << why;
+}
