--- a/Libraries/LibOperator/Story.cpp
+++ b/Libraries/LibOperator/Story.cpp
@@ -53,15 +53,6 @@
     return std::stoi(time.substr(hour, 2)) * 3600 + std::stoi(time.substr(minute, 2)) * 60 + std::stoi(time.substr(second, 2));
 }
 
-// Also over midnight: a request lasts seconds.
-int secondsBetween(std::string const& from, std::string const& to)
-{
-    int difference = secondOfDay(to) - secondOfDay(from);
-    if (difference > secondsPerDay / 2)
-        return difference - secondsPerDay;
-    return difference < -secondsPerDay / 2 ? difference + secondsPerDay : difference;
-}
-
 // Reads key=value pairs; a value in quotes may hold white space, and quotes behind a backslash.
 std::map<std::string, std::string, std::less<>> readFields(std::string_view text)
 {
@@ -117,6 +108,14 @@
     return it != fields.end() ? std::string_view(it->second) : std::string_view();
 }
 
+int secondsBetween(std::string const& from, std::string const& to)
+{
+    int difference = secondOfDay(to) - secondOfDay(from);
+    if (difference > secondsPerDay / 2)
+        return difference - secondsPerDay;
+    return difference < -secondsPerDay / 2 ? difference + secondsPerDay : difference;
+}
+
 Core::Result<LogLine> parseLogLine(std::string_view line, std::string const& file)
 {
     std::size_t fieldsAt = line.find("event=");
--- a/Libraries/LibOperator/Story.h
+++ b/Libraries/LibOperator/Story.h
@@ -21,6 +21,10 @@
     std::string_view field(std::string_view name) const;
 };
 
+/// Returns the seconds from one line's time to another's, at most half a day apart, also over midnight. Precondition: both are the
+/// times of log lines. Thread-safe.
+int secondsBetween(std::string const& from, std::string const& to);
+
 /// Reads a line of a log, whatever stands in front of its time. Errors: NotFound when it is no event line. Thread-safe.
 Core::Result<LogLine> parseLogLine(std::string_view line, std::string const& file);
 
--- a/Utilities/currantvale-measure/EngineNumbers.cpp
+++ b/Utilities/currantvale-measure/EngineNumbers.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using Model::EngineDayFigures;
-using Point = EngineDayFigures::Point;
 
 constexpr std::array<double, 3> enginePrices { 0.03, 0.07, 0.15 };
 
@@ -29,6 +28,27 @@
     return mean;
 }
 
+template <typename Point>
+double mostOf(std::vector<Point> const& points)
+{
+    double most = 0;
+    for (Point const& point : points)
+        most = std::max({ most, point.demand, point.wanted, point.ordered, point.working });
+    return most;
+}
+
+template <typename Point>
+void drawPanel(std::ostream& out, int index, std::string const& title, std::vector<Point> const& points, double most)
+{
+    Panel panel(out, index, title, points.size(), 1, most);
+    using Line = std::pair<std::string, double Point::*>;
+    std::array<Line, 4> lines { Line { "demand", &Point::demand }, Line { "wanted", &Point::wanted }, Line { "ordered", &Point::ordered }, Line { "working", &Point::working } };
+    for (std::size_t n = 0; n < lines.size(); ++n) {
+        panel.line([&](std::size_t i) { return points[std::min(i, points.size() - 1)].*lines[n].second; }, colors[n]);
+        panel.key(static_cast<int>(n), lines[n].first, colors[n]);
+    }
+}
+
 }
 
 std::vector<EngineNumbersRow> compareEngineNumbers(std::uint64_t firstSeed, std::uint64_t seeds)
@@ -64,21 +84,20 @@
         if (it.day.name != day)
             continue;
         shown.push_back(&it);
-        for (Point const& point : it.figures.points)
-            most = std::max({ most, point.demand, point.wanted, point.ordered });
+        most = std::max(most, mostOf(it.figures.points));
     }
     beginSvg(out, shown.size(), day);
     int index = 0;
-    for (EngineNumbersRow const* row : shown) {
-        std::vector<Point> const& points = row->figures.points;
-        Panel panel(out, index++, row->rule, points.size(), 1, most);
-        using Line = std::pair<std::string, double Point::*>;
-        std::array<Line, 4> lines { Line { "demand", &Point::demand }, Line { "wanted", &Point::wanted }, Line { "ordered", &Point::ordered }, Line { "working", &Point::working } };
-        for (std::size_t n = 0; n < lines.size(); ++n) {
-            panel.line([&](std::size_t i) { return points[i].*lines[n].second; }, colors[n]);
-            panel.key(static_cast<int>(n), lines[n].first, colors[n]);
-        }
-    }
+    for (EngineNumbersRow const* row : shown)
+        drawPanel(out, index++, row->rule, row->figures.points, most);
+    out << "</svg>\n";
+}
+
+void plotEngineHistory(std::ostream& out, Operator::EngineHistory const& history, std::string const& service)
+{
+    std::vector<Operator::EngineHistory::Point> const& points = history.points();
+    beginSvg(out, 1, service);
+    drawPanel(out, 0, "engines", points, std::max(1.0, mostOf(points)));
     out << "</svg>\n";
 }
 
--- a/Utilities/currantvale-measure/EngineNumbers.h
+++ b/Utilities/currantvale-measure/EngineNumbers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibModel/EngineDay.h>
+#include <LibOperator/EngineHistory.h>
 #include <ostream>
 
 namespace Measure {
@@ -22,4 +23,7 @@
 /// Precondition: a row is of that day.
 void plotEngineNumbers(std::ostream&, std::vector<EngineNumbersRow> const&, std::string const& day);
 
+/// Writes a picture of what a daemon's log says of the engines of a service.
+void plotEngineHistory(std::ostream&, Operator::EngineHistory const&, std::string const& service);
+
 }
--- a/Utilities/currantvale-measure/main.cpp
+++ b/Utilities/currantvale-measure/main.cpp
@@ -35,6 +35,8 @@
     add("output", "table, csv or json", cxxopts::value<std::string>()->default_value("table"));
     add("plot", "write a picture of one scenario to this SVG file", cxxopts::value<std::string>());
     add("engines", "compare rules for the number of engines instead; --plot then needs --scenario with the name of one of its days");
+    add("engine-log", "draw what a daemon's log says of the engines of --service into --plot instead", cxxopts::value<std::string>());
+    add("service", "whose engines", cxxopts::value<std::string>()->default_value(""));
     add("router-cost", "print the processor time of a routing decision instead");
     add("list", "list scenarios, policies and role choices");
     add("h,help", "this text");
@@ -136,6 +138,23 @@
     return 0;
 }
 
+int drawEngineLog(cxxopts::ParseResult const& read)
+{
+    std::string service = read["service"].as<std::string>();
+    if (service.empty() || !read.count("plot"))
+        return refuse("--engine-log needs --service NAME and --plot FILE");
+    std::ifstream log(read["engine-log"].as<std::string>());
+    if (!log)
+        return refuse("cannot read " + read["engine-log"].as<std::string>());
+    Operator::EngineHistory history(service);
+    history.read(log);
+    if (history.points().empty())
+        return refuse("the log says nothing of engines of \"" + service + "\"");
+    std::ofstream file(read["plot"].as<std::string>());
+    Measure::plotEngineHistory(file, history, service);
+    return file ? 0 : refuse("cannot write " + read["plot"].as<std::string>());
+}
+
 int runEngines(cxxopts::ParseResult const& read)
 {
     std::uint64_t seeds = read["seeds"].as<std::uint64_t>();
@@ -168,6 +187,8 @@
             return list();
         if (read.count("engines"))
             return runEngines(read);
+        if (read.count("engine-log"))
+            return drawEngineLog(read);
         if (read.count("router-cost")) {
             Measure::printRouterCost(std::cout);
             return 0;
