--- a/Tests/LibDaemon/TestCallerKeys.cpp
+++ b/Tests/LibDaemon/TestCallerKeys.cpp
@@ -97,10 +97,11 @@
 {
     std::string key = *rc::gen::container<std::string>(rc::gen::inRange<char>('!', '~'));
     std::string scheme = *rc::gen::element<std::string>("Bearer ", "bearer   ", "BEARER ", "Basic ", "");
+    std::string credentials = scheme + "secret-" + key;
     Http::Fields fields;
     int count = *rc::gen::inRange(1, 4);
     for (int n = 0; n < count; ++n)
-        fields.add(*rc::gen::element<std::string>("Authorization", "AUTHORIZATION", "authorization"), scheme + "secret-" + key);
+        fields.add(*rc::gen::element<std::string>("Authorization", "AUTHORIZATION", "authorization"), credentials);
     Http::Request request = makeRequest(std::move(fields));
     Core::Result<void> admitted = Daemon::admitByKey(request, makeFleet(true), {});
     RC_ASSERT(admitted.has_error());
