LibDaemon: Give the counting of usage a file of its own, and its metrics the project's words

The metrics of reports of usage are named usage_reports_decided, _accepted and _missed now, as SingletonDuties.OperatorsSeeWhatBecameOfThem asks.

--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -102,9 +102,9 @@
     m_values.Add({ { "of", "quarantined_requests" } }).Set(static_cast<double>(sample.quarantinedRequests));
     m_values.Add({ { "of", "log_lines_left_out" } }).Set(static_cast<double>(sample.linesLeftOut));
     m_values.Add({ { "of", "has_duties" } }).Set(sample.hasDuties ? 1 : 0);
-    m_values.Add({ { "of", "usage_windows_decided" } }).Set(static_cast<double>(sample.usageDecided));
-    m_values.Add({ { "of", "usage_windows_reported" } }).Set(static_cast<double>(sample.usageReported));
-    m_values.Add({ { "of", "usage_windows_missed" } }).Set(static_cast<double>(sample.usageMissed));
+    m_values.Add({ { "of", "usage_reports_decided" } }).Set(static_cast<double>(sample.usageDecided));
+    m_values.Add({ { "of", "usage_reports_accepted" } }).Set(static_cast<double>(sample.usageReported));
+    m_values.Add({ { "of", "usage_reports_missed" } }).Set(static_cast<double>(sample.usageMissed));
     m_values.Add({ { "of", "engine_orders" } }).Set(static_cast<double>(sample.engineOrders));
     m_values.Add({ { "of", "engines_wanted" } }).Set(sample.enginesWanted);
     m_values.Add({ { "of", "engines_serving" } }).Set(sample.enginesServing);
--- /dev/null
+++ b/Libraries/LibDaemon/RequestUsage.cpp
@@ -0,0 +1,30 @@
+// The part of RequestRunner that counts a request for its organisation's usage.
+
+#include <LibDaemon/RequestRunner.h>
+
+namespace Daemon {
+
+// A request counts once, when its first run begins.
+void RequestRunner::noteBegun()
+{
+    if (m_work.isAuthenticated && !std::exchange(m_hasBegun, true))
+        m_context.usage.note(m_work.organisation, Core::BootClock::now());
+}
+
+// Of calls of plain services whose answer is lost most have run. An engine may have been lost itself.
+void RequestRunner::noteLostAnswer()
+{
+    FleetTarget const* target = targetOf(m_target);
+    if (m_work.kind == Work::Kind::Service)
+        noteBegun();
+    else if (target && !m_hasBegun && !m_lostAnswer)
+        m_lostAnswer = LostAnswer { target->key, Core::BootClock::now() };
+}
+
+void RequestRunner::countLostAnswer()
+{
+    if (m_lostAnswer && m_work.isAuthenticated && !m_hasBegun)
+        m_context.usage.noteLost(m_work.organisation, m_lostAnswer->target, m_lostAnswer->at);
+}
+
+}
