--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -3,6 +3,7 @@
 #include "KeyedSite.h"
 
 #include <gtest/gtest.h>
+#include <iostream>
 #include <thread>
 
 namespace {
@@ -73,6 +74,19 @@
         std::this_thread::sleep_for(100ms);
         restartEnded();
         EXPECT_EQ(m_ends, before) << daemon;
+        if (HasFailure())
+            std::cerr << whatItKnew(daemon);
+    }
+
+    // What the daemon's log says of how it learnt of suspects.
+    std::string whatItKnew(std::size_t daemon) const
+    {
+        std::string text;
+        for (char const* what : { "name=process-started", "stream=suspects", "name=suspects-unknown", "name=request-suspected", "name=request-quarantined", "name=request-cleared" }) {
+            for (std::string const& line : logLines(daemonName(daemon), what))
+                text += line + "\n";
+        }
+        return text;
     }
 
     std::size_t m_ends { 0 };
