--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -30,6 +30,7 @@
     RequestSuspected = 2011,
     RequestCleared = 2012,
     SuspectsUnknown = 2013,
+    CallerLeft = 2014,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -69,7 +70,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 58> eventNames { {
+inline constexpr EnumNames<Event, 59> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -91,6 +92,7 @@
     { Event::RequestSuspected, "request-suspected" },
     { Event::RequestCleared, "request-cleared" },
     { Event::SuspectsUnknown, "suspects-unknown" },
+    { Event::CallerLeft, "caller-left" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -40,6 +40,9 @@
     prometheus::Family<prometheus::Counter>& storeCalls = prometheus::BuildCounter().Name("currantvale_store_calls_total").Help("Calls to the platform's store, by their reason.").Register(*m_registry);
     for (std::pair<Fleet::StoreCallReason, std::string_view> const& it : Fleet::storeCallReasonNames)
         m_storeCalls[static_cast<std::size_t>(it.first)] = &storeCalls.Add({ { "reason", std::string(it.second) } });
+    prometheus::Family<prometheus::Counter>& callersLeft = prometheus::BuildCounter().Name("currantvale_callers_left_total").Help("Callers who closed the connection before the final answer, by how far the request had come.").Register(*m_registry);
+    for (std::pair<CallerLeftAt, std::string_view> const& it : callerLeftNames)
+        m_callersLeft[static_cast<std::size_t>(it.first)] = &callersLeft.Add({ { "step", std::string(it.second) } });
     m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
 }
 
@@ -63,6 +66,11 @@
     m_storeCalls[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::countCallerLeft(CallerLeftAt step)
+{
+    m_callersLeft[static_cast<std::size_t>(step)]->Increment();
+}
+
 void Metrics::countConnection(bool isKept)
 {
     m_connections[isKept ? 1 : 0]->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -58,6 +58,19 @@
     { TimeOf::Pause, "pause" },
 } };
 
+/// How far a request had come when its caller closed the connection.
+enum class CallerLeftAt : std::uint8_t {
+    Unplaced, ///< No target has been asked for.
+    Waiting, ///< For a target or a connection to it; nothing of this attempt has been sent.
+    Sent, ///< The request or its prompt has been sent to a target.
+};
+
+inline constexpr Core::EnumNames<CallerLeftAt, 3> callerLeftNames { {
+    { CallerLeftAt::Unplaced, "unplaced" },
+    { CallerLeftAt::Waiting, "waiting" },
+    { CallerLeftAt::Sent, "sent" },
+} };
+
 /// The daemon's metrics (prometheus-cpp), given out as text by the operators' listener. Thread-safe.
 class Metrics {
 public:
@@ -84,6 +97,9 @@
     /// Notes that an exchange with a target began on a connection that was kept, or on a new one.
     void countConnection(bool isKept);
 
+    /// Counts a caller who closed the connection before the final answer.
+    void countCallerLeft(CallerLeftAt);
+
     /// Notes a call to the platform's store.
     void countStoreCall(Fleet::StoreCallReason);
 
@@ -101,6 +117,7 @@
     std::array<prometheus::Counter*, Core::errorCodeNames.size()> m_errors {};
     std::array<prometheus::Counter*, Routing::targetOutcomeNames.size()> m_outcomes {};
     std::array<prometheus::Counter*, 2> m_connections {};
+    std::array<prometheus::Counter*, callerLeftNames.size()> m_callersLeft {};
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -95,6 +95,8 @@
         Request::RequestEvent event = std::move(m_events.front());
         m_events.pop_front();
         m_queueSpaceSignal.notify();
+        if (std::holds_alternative<Request::CallerGone>(event))
+            noteCallerLeft();
         Request::RequestActions actions = m_machine.handle(std::move(event), now());
         for (Request::RequestAction& action : actions)
             co_await perform(std::move(action));
@@ -290,6 +292,15 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_fleet->listConfirmedAt->load()).count());
 }
 
+void RequestRunner::noteCallerLeft() const
+{
+    CallerLeftAt step = CallerLeftAt::Unplaced;
+    if (m_leg)
+        step = m_leg->exchange ? CallerLeftAt::Sent : CallerLeftAt::Waiting;
+    m_context.metrics.countCallerLeft(step);
+    Core::logEvent(Core::Severity::Info, Core::Event::CallerLeft, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "step", std::string(Core::nameOf(callerLeftNames, step)) }, { "target", m_target }, { "age_ms", millisecondsSince(m_startedAt, Clock::now()) } });
+}
+
 void RequestRunner::logFinish(Request::Finish const& finish) const
 {
     m_context.metrics.countFinished(finish.verdict, finish.error.has_value());
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -101,6 +101,7 @@
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
     std::string fleetAge() const;
     std::string listAge() const;
+    void noteCallerLeft() const;
     void logFinish(Request::Finish const&) const;
 
     TrafficContext& m_context;
