Tests: Show work that goes on for callers who have left

The close during a pipelined second request is noticed (a test that passes), so that hypothesis is ruled out.

The stand-in target gets work_ms and counts what is at work and what its caller abandoned.

--- a/Libraries/LibStandIn/FaultsReader.cpp
+++ b/Libraries/LibStandIn/FaultsReader.cpp
@@ -18,11 +18,12 @@
     bool Faults::* member;
 };
 
-constexpr std::array<NumberFault, 4> numberFaults { {
+constexpr std::array<NumberFault, 5> numberFaults { {
     { "lose_replies", &Faults::loseReplies },
     { "delay_ms", &Faults::delayMs },
     { "cut_after_events", &Faults::cutAfterEvents },
     { "turn_away_ms", &Faults::turnAwayMs },
+    { "work_ms", &Faults::workMs },
 } };
 
 constexpr std::array<BoolFault, 5> boolFaults { {
--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -106,9 +106,11 @@
         addNotice(response.fields);
     } else if (path.starts_with("/currantvale/"))
         response.status = static_cast<std::uint16_t>(Http::Status::Ok);
-    else if (field(request, "X-Stage") == "prefill")
+    else if (field(request, "X-Stage") == "prefill") {
+        if (!co_await work(writer))
+            co_return;
         response = prefill(request);
-    else {
+    } else {
         co_await run(request, writer);
         co_return;
     }
@@ -178,6 +180,26 @@
     return m_settings.role == "decode" && !isChanging() && !m_faults.refuses && (source.empty() || source.find('/') != std::string::npos);
 }
 
+// Returns false if the caller closed the connection meanwhile; the work ends then.
+boost::asio::awaitable<bool> RunnerApi::work(Http::ResponseWriter& writer)
+{
+    if (m_faults.workMs == 0)
+        co_return true;
+    std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds(m_faults.workMs));
+    std::shared_ptr<bool> isAbandoned = std::make_shared<bool>(false);
+    writer.onCallerGone([timer, isAbandoned] {
+        *isAbandoned = true;
+        timer->cancel();
+    });
+    ++m_working;
+    boost::system::error_code ec;
+    co_await timer->async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    --m_working;
+    writer.onCallerGone(nullptr);
+    m_abandoned += *isAbandoned ? 1 : 0;
+    co_return !*isAbandoned;
+}
+
 boost::asio::awaitable<void> RunnerApi::run(Http::Request const& request, Http::ResponseWriter& writer)
 {
     bool isEngine = !m_settings.role.empty();
@@ -189,6 +211,8 @@
     ++m_runs[field(request, "X-Request-Id")];
     if (!m_settings.crashesOn.empty() && request.target.find(m_settings.crashesOn) != std::string::npos)
         std::_Exit(crashedStatus);
+    if (!co_await work(writer))
+        co_return;
     if (isEngine) {
         co_await stream(request, writer);
         co_return;
@@ -235,7 +259,7 @@
     boost::json::object organisations;
     for (std::pair<std::string const, std::set<std::string>> const& it : m_organisations)
         organisations[it.first] = boost::json::array(it.second.begin(), it.second.end());
-    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "keys", m_keys }, { "organisations", std::move(organisations) }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "runs", std::move(counts) } });
+    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "keys", m_keys }, { "organisations", std::move(organisations) }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "working", m_working }, { "abandoned", m_abandoned }, { "runs", std::move(counts) } });
 }
 
 }
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -42,6 +42,7 @@
 private:
     RunnerApi(boost::asio::io_context&, RunnerSettings);
     boost::asio::awaitable<void> heartbeat(std::string address);
+    boost::asio::awaitable<bool> work(Http::ResponseWriter&);
     boost::asio::awaitable<void> run(Http::Request const&, Http::ResponseWriter&);
     boost::asio::awaitable<void> stream(Http::Request const&, Http::ResponseWriter&);
     std::string entry(std::string const& address) const;
@@ -67,6 +68,8 @@
     std::map<std::string, std::uint64_t> m_runs; ///< By request id.
     std::map<std::string, std::set<std::string>> m_organisations; ///< By request id, all that its sends named.
     std::uint64_t m_keys { 0 }; ///< Requests that came with a caller's key.
+    std::uint64_t m_working { 0 }; ///< Runs and prompts at work now.
+    std::uint64_t m_abandoned { 0 }; ///< Runs and prompts that ended because the caller closed its connection.
     Faults m_faults;
 };
 
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -156,6 +157,87 @@
     EXPECT_TRUE(isNoticed);
 }
 
+// Guards against a closed connection that goes unnoticed behind bytes that the caller had sent after its request.
+TEST_F(HttpServer, CallerThatGoesAwayIsNoticedBehindPipelinedBytes)
+{
+    std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (std::string const& trailer : { std::string("\r\n"), std::string("GET"), request, std::string(100'000, 'x') }) {
+        for (bool isTogether : { true, false }) {
+            bool isNoticed = false;
+            std::promise<void> isBegun;
+            Asio::steady_timer giveUp(m_context, std::chrono::seconds(10));
+            giveUp.async_wait([this](boost::system::error_code ec) {
+                if (!ec)
+                    m_context.stop();
+            });
+            start([&](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+                Asio::steady_timer timer(m_context, std::chrono::hours(1));
+                writer.onCallerGone([&] {
+                    isNoticed = true;
+                    timer.cancel();
+                });
+                isBegun.set_value();
+                boost::system::error_code ec;
+                co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+                writer.abort();
+                m_context.stop();
+            });
+            std::thread caller([&] {
+                Asio::io_context context;
+                Tcp::socket socket(context);
+                socket.connect(m_endpoint);
+                Asio::write(socket, Asio::buffer(isTogether ? request + trailer : request));
+                isBegun.get_future().wait();
+                if (!isTogether)
+                    Asio::write(socket, Asio::buffer(trailer));
+            });
+            m_context.restart();
+            m_context.run();
+            caller.join();
+            EXPECT_TRUE(isNoticed) << trailer.substr(0, 10) << (isTogether ? " with the request" : " after it");
+        }
+    }
+}
+
+// Guards against the close of a second request's caller that is missed because the watch of the first had not ended.
+TEST_F(HttpServer, CallerThatGoesAwayIsNoticedDuringAPipelinedRequest)
+{
+    int served = 0;
+    bool isNoticed = false;
+    Asio::steady_timer giveUp(m_context, std::chrono::seconds(10));
+    giveUp.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            m_context.stop();
+    });
+    std::promise<void> isSecondBegun;
+    start([&](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        Asio::steady_timer timer(m_context, std::chrono::hours(1));
+        writer.onCallerGone([&] {
+            isNoticed = true;
+            timer.cancel();
+        });
+        if (++served == 1) {
+            EXPECT_TRUE((co_await writer.send(Http::Response())).has_value());
+            co_return;
+        }
+        isSecondBegun.set_value();
+        boost::system::error_code ec;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        m_context.stop();
+    });
+    std::thread caller([&] {
+        Asio::io_context context;
+        Tcp::socket socket(context);
+        socket.connect(m_endpoint);
+        std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        Asio::write(socket, Asio::buffer(request + request));
+        isSecondBegun.get_future().wait();
+    });
+    m_context.run();
+    caller.join();
+    EXPECT_TRUE(isNoticed);
+}
+
 TEST_F(HttpServer, BadInputIsRejected)
 {
     struct Case {
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -253,6 +253,16 @@
     return numberOf(getObject(target(name), "/admin/runs"), "arrivals");
 }
 
+std::optional<double> KeyedSite::metric(std::size_t daemon, std::string const& name) const
+{
+    std::istringstream lines(fetch(m_daemons[daemon].operators, { "GET", "/metrics", {}, {} }).body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(name + " "))
+            return std::stod(line.substr(name.size() + 1));
+    }
+    return std::nullopt;
+}
+
 std::string KeyedSite::wholeStream(std::uint32_t pieces)
 {
     std::string text;
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,8 @@
     std::uint64_t runs(std::vector<Endpoint> const& targets, std::string const& id) const;
     /// Returns how many requests have come to a target, whatever became of them.
     std::uint64_t arrivals(std::string const& target) const;
+    /// Returns a metric of a daemon by its name with labels, or nothing while there is none.
+    std::optional<double> metric(std::size_t daemon, std::string const& name) const;
     static std::string wholeStream(std::uint32_t pieces);
 
     Endpoint const& dutyService() const { return m_dutyService; }
