LibHttp: Notice a caller's close behind bytes that it sent before

What callers saw: nothing, since they had left; targets worked on for them until the deadline.

Cause: the wait for the close ended at the first byte behind a request (a line end, a pipelined request) and was not started again, and a peek sees the bytes in front, never the end behind them.

Change: CloseWatch asks the socket's hang-up state where unread bytes hide its end, every 100 ms as long as they do. Each watch has a generation, so that a wait of a former request neither ends nor stands in for the present one.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,3 +1,4 @@
+#include <LibHttp/CloseWatch.h>
 #include <LibHttp/HeadLines.h>
 #include <LibHttp/ServerConnection.h>
 #include <boost/asio/co_spawn.hpp>
@@ -10,7 +11,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
-#include <sys/socket.h>
 
 namespace Http {
 
@@ -52,6 +52,7 @@
         : m_shared(std::move(shared))
         , m_stream(std::move(socket))
         , m_readTimer(m_stream.get_executor())
+        , m_closeWatch(CloseWatch::create(m_stream.socket()))
     {
         ++m_shared->connections;
     }
@@ -134,9 +135,10 @@
 
     void onCallerGone(std::function<void()> hook) override
     {
-        m_onCallerGone = std::move(hook);
-        if (m_onCallerGone && !m_isWatching)
-            watchCaller();
+        if (hook)
+            m_closeWatch->start(std::move(hook));
+        else
+            m_closeWatch->stop();
     }
 
     bool hasBegun() const override { return m_hasBegun; }
@@ -165,30 +167,10 @@
         return Core::fail(Core::ErrorCode::Canceled, "the caller's connection failed: " + ec.message());
     }
 
-    // Waits until the socket can be read: either the caller closed it or it has pipelined a request.
-    void watchCaller()
-    {
-        m_isWatching = true;
-        m_stream.socket().async_wait(Tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code ec) {
-            self->m_isWatching = false;
-            if (ec || !self->m_onCallerGone || !self->isClosedByCaller())
-                return;
-            std::function<void()> hook = std::exchange(self->m_onCallerGone, nullptr);
-            hook();
-        });
-    }
-
-    bool isClosedByCaller()
-    {
-        char byte = 0;
-        ssize_t n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
-    }
-
     void endWatch()
     {
-        m_onCallerGone = nullptr;
-        if (m_isWatching) {
+        m_closeWatch->stop();
+        if (m_closeWatch->isWaiting()) {
             boost::system::error_code ec;
             m_stream.socket().cancel(ec);
         }
@@ -367,12 +349,11 @@
     Beast::tcp_stream m_stream;
     Asio::steady_timer m_readTimer;
     Beast::flat_buffer m_buffer;
-    std::function<void()> m_onCallerGone;
+    std::shared_ptr<CloseWatch> m_closeWatch;
     unsigned m_version { httpVersion11 };
     bool m_callerKeepsAlive { true };
     bool m_isHeadMethod { false };
     bool m_isServing { false };
-    bool m_isWatching { false };
     bool m_isReadTimedOut { false };
     bool m_isLastRequest { false };
     bool m_hasBegun { false };
