LibDaemon: Send nothing for a caller who has left, and end its work at once

What callers saw: nothing, since they had left. Targets got prompts and requests that nobody waited for.

Cause: whether a caller is still there was learnt only from a wait on its connection, which starts with the placement of its request. For a request that was read after its caller had closed the connection (a daemon that is behind, a full backlog) the wait and the send raced, and a prompt on a kept connection was written first. Besides, the event queued behind the request's other events, and the connection to the target was closed only after the answer to the caller had been written.

Change: the last step before each send (request, prompt, resumed stream) looks at the caller's connection itself. When a caller leaves, its attempt and placement end in that very call, the event overtakes all others, and no further attempt starts; the request machine decides the rest as before.

--- a/Libraries/LibDaemon/AnswerSink.h
+++ b/Libraries/LibDaemon/AnswerSink.h
@@ -22,6 +22,9 @@
 
     /// Takes the end; without an error the answer is whole.
     virtual boost::asio::awaitable<void> finish(Request::Finish) = 0;
+
+    /// Returns whether nobody is left to take the answer, so that work for it should end.
+    virtual bool isAbandoned() const { return false; }
 };
 
 }
--- a/Libraries/LibDaemon/AnswerSinks.h
+++ b/Libraries/LibDaemon/AnswerSinks.h
@@ -17,6 +17,7 @@
     boost::asio::awaitable<void> head(Http::ResponseHead) override;
     boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) override;
     boost::asio::awaitable<void> finish(Request::Finish) override;
+    bool isAbandoned() const override { return m_writer.isCallerGone(); }
 
 private:
     boost::asio::awaitable<void> beginStream(Core::Verdict);
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -141,7 +141,7 @@
     std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible.value()), sink);
     writer.onCallerGone([weak = std::weak_ptr<RequestRunner>(runner)] {
         if (std::shared_ptr<RequestRunner> alive = weak.lock())
-            alive->post(Request::CallerGone());
+            alive->callerLeft();
     });
     co_await runner->run();
     writer.onCallerGone(nullptr);
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -90,7 +90,7 @@
     }
     post(Request::Connected { leg->leg, target->incarnation });
     co_await leg->goAhead.wait();
-    if (leg->isAbandoned)
+    if (leg->isAbandoned || !maySend())
         co_return;
     beginRun(*target);
     bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
@@ -229,7 +229,7 @@
     if (leg->isAbandoned)
         co_return;
     FleetTarget const* target = targetOf(resume.target);
-    if (!co_await connect(leg, *target))
+    if (!co_await connect(leg, *target) || !maySend())
         co_return;
     Http::Request request;
     request.target = "/v1/streams/" + attemptId(resume.leg.attempt) + "?from=" + std::to_string(resume.from);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -77,6 +77,28 @@
     m_eventSignal.notify();
 }
 
+// The machine learns of it before anything that is queued, so that no event of an ended attempt starts another one.
+void RequestRunner::callerLeft()
+{
+    if (m_hasCallerLeft || m_machine.isFinished() || m_work.ticket)
+        return;
+    m_hasCallerLeft = true;
+    noteCallerLeft();
+    abandonLeg();
+    releasePlacement();
+    m_events.push_front(Request::CallerGone());
+    m_eventSignal.notify();
+}
+
+// The last check before a send. A caller may have left before its request was read, and the watch of its connection reports
+// that only after this thread has polled it again.
+bool RequestRunner::maySend()
+{
+    if (m_sink->isAbandoned())
+        callerLeft();
+    return !m_hasCallerLeft;
+}
+
 boost::asio::awaitable<void> RequestRunner::run()
 {
     m_deadlineTimer.expires_at(m_machine.deadline());
@@ -86,7 +108,8 @@
             self->post(Request::DeadlineReached());
     });
     chooseMixPool();
-    post(Request::Admitted());
+    if (maySend())
+        post(Request::Admitted());
     while (!m_machine.isFinished()) {
         if (m_events.empty()) {
             co_await m_eventSignal.wait();
@@ -95,8 +118,6 @@
         Request::RequestEvent event = std::move(m_events.front());
         m_events.pop_front();
         m_queueSpaceSignal.notify();
-        if (std::holds_alternative<Request::CallerGone>(event))
-            noteCallerLeft();
         Request::RequestActions actions = m_machine.handle(std::move(event), now());
         for (Request::RequestAction& action : actions)
             co_await perform(std::move(action));
@@ -195,6 +216,8 @@
 {
     abandonLeg();
     releasePlacement();
+    if (m_hasCallerLeft)
+        return;
     m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), Request::Leg { attempt, 1 });
     if (attempt > 1) {
         m_context.metrics.countRetry();
@@ -206,6 +229,8 @@
 void RequestRunner::startResume(Request::Resume const& resume)
 {
     abandonLeg();
+    if (m_hasCallerLeft)
+        return;
     m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), resume.leg);
     Core::logEvent(Core::Severity::Info, Core::Event::AnswerResumed, { { "request", m_work.requestId }, { "target", resume.target }, { "from", std::to_string(resume.from) }, { "connection", std::to_string(resume.leg.connection) } });
     boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, resume]() { return self->runResume(leg, resume); }, boost::asio::detached);
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -29,8 +29,8 @@
     /// Runs the request until its final response is delivered.
     boost::asio::awaitable<void> run();
 
-    /// Queues an event from outside the runner, such as `CallerGone`.
-    void post(Request::RequestEvent);
+    /// Ends all work for the request at once, unless it outlives its caller. Call when the caller has closed the connection.
+    void callerLeft();
 
     Work const& work() const { return m_work; }
 
@@ -49,6 +49,8 @@
 
     static Request::RequestProfile profileOf(Work const&, TargetProtocol const&, std::chrono::steady_clock::time_point deadline);
 
+    void post(Request::RequestEvent);
+    bool maySend();
     boost::asio::awaitable<void> perform(Request::RequestAction);
     void startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay);
     void startResume(Request::Resume const&);
@@ -119,6 +121,7 @@
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0 if none.
     Quarantine::RunTable::Id m_run { 0 }; ///< Run at the attempt's target; 0 if none.
+    bool m_hasCallerLeft { false }; ///< No further attempt starts and nothing more is sent.
     Routing::Reason m_reason { Routing::Reason::NoCandidate }; ///< Reason of the last placement.
     std::string m_target; ///< Name of the attempt's target, for logs.
     std::string m_mixPool; ///< The pool whose workload mix counts the request.
--- a/Libraries/LibHttp/ResponseWriter.h
+++ b/Libraries/LibHttp/ResponseWriter.h
@@ -33,6 +33,9 @@
     /// the handler runs. An empty hook ends the watch.
     virtual void onCallerGone(std::function<void()> hook) = 0;
 
+    /// Returns whether the caller has closed the connection by now, noticed by a watch or not.
+    virtual bool isCallerGone() const = 0;
+
     /// Returns whether any part of the response has been handed to the connection.
     virtual bool hasBegun() const = 0;
 };
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -141,6 +141,8 @@
             m_closeWatch->stop();
     }
 
+    bool isCallerGone() const override { return m_closeWatch->isClosed(); }
+
     bool hasBegun() const override { return m_hasBegun; }
 
 private:
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -179,6 +179,7 @@
                 isBegun.set_value();
                 boost::system::error_code ec;
                 co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+                EXPECT_TRUE(writer.isCallerGone());
                 writer.abort();
                 m_context.stop();
             });
