Tests: Show targets that get more than the limit that they name

The stand-in target names a limit when it is told to and counts for itself the most that it got in any four seconds.

--- a/Libraries/LibStandIn/Faults.h
+++ b/Libraries/LibStandIn/Faults.h
@@ -15,6 +15,7 @@
     bool saysLeaving { false }; ///< A runner says in all its answers that it leaves; its entry in the store does not.
     std::uint64_t turnAwayMs { 0 }; ///< A runner's refusals say that it wants nothing for so long.
     std::uint64_t workMs { 0 }; ///< A runner works so long before it answers a run or a prompt, unless its caller closes the connection.
+    std::uint64_t limitPer1000Seconds { 0 }; ///< A runner names this limit in its answers, in requests per 1,000 seconds; 0: none.
     std::uint64_t cutAfterEvents { 0 }; ///< Streams are cut after so many events; 0: never.
 };
 
--- a/Libraries/LibStandIn/FaultsReader.cpp
+++ b/Libraries/LibStandIn/FaultsReader.cpp
@@ -18,12 +18,13 @@
     bool Faults::* member;
 };
 
-constexpr std::array<NumberFault, 5> numberFaults { {
+constexpr std::array<NumberFault, 6> numberFaults { {
     { "lose_replies", &Faults::loseReplies },
     { "delay_ms", &Faults::delayMs },
     { "cut_after_events", &Faults::cutAfterEvents },
     { "turn_away_ms", &Faults::turnAwayMs },
     { "work_ms", &Faults::workMs },
+    { "limit_per_1000_s", &Faults::limitPer1000Seconds },
 } };
 
 constexpr std::array<BoolFault, 5> boolFaults { {
--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -92,12 +92,15 @@
         if (Http::isSameFieldName(entry.first, "X-Tenant"))
             m_organisations[field(request, "X-Request-Id")].insert(entry.second);
     }
-    m_arrivals += path.starts_with("/admin/") || path.starts_with("/currantvale/") ? 0 : 1;
+    if (!path.starts_with("/admin/") && !path.starts_with("/currantvale/"))
+        noteArrival();
     if (path == "/admin/runs")
         response = runs();
-    else if (path == "/admin/faults")
+    else if (path == "/admin/faults") {
         response = resultResponse(applyFaults(request.body, m_faults));
-    else if (path == "/currantvale/report")
+        m_mostIn4Seconds = 0;
+        m_recentArrivals.clear();
+    } else if (path == "/currantvale/report")
         response = report();
     else if (std::string meant = field(request, "X-Target-Instance"); !meant.empty() && meant != m_settings.incarnation)
         response = refusal(request, misdirected);
@@ -151,8 +154,21 @@
     return { status, std::move(fields), {} };
 }
 
+void RunnerApi::noteArrival()
+{
+    constexpr std::chrono::seconds window { 4 };
+    std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    ++m_arrivals;
+    m_recentArrivals.push_back(now);
+    while (now - m_recentArrivals.front() > window)
+        m_recentArrivals.pop_front();
+    m_mostIn4Seconds = std::max<std::uint64_t>(m_mostIn4Seconds, m_recentArrivals.size());
+}
+
 void RunnerApi::addNotice(Http::Fields& fields) const
 {
+    if (m_faults.limitPer1000Seconds > 0)
+        fields.set("Server-Limit", std::to_string(static_cast<double>(m_faults.limitPer1000Seconds) / millisecondsPerSecond));
     if (m_faults.saysLeaving)
         fields.set("Server-Leaving", "1");
 }
@@ -259,7 +275,7 @@
     boost::json::object organisations;
     for (std::pair<std::string const, std::set<std::string>> const& it : m_organisations)
         organisations[it.first] = boost::json::array(it.second.begin(), it.second.end());
-    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "keys", m_keys }, { "organisations", std::move(organisations) }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "working", m_working }, { "abandoned", m_abandoned }, { "runs", std::move(counts) } });
+    return objectResponse(Http::Status::Ok, { { "role", m_settings.role }, { "keys", m_keys }, { "organisations", std::move(organisations) }, { "orders", m_orders }, { "prefills", m_prefills }, { "arrivals", m_arrivals }, { "most_in_4_s", m_mostIn4Seconds }, { "working", m_working }, { "abandoned", m_abandoned }, { "runs", std::move(counts) } });
 }
 
 }
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -51,6 +52,7 @@
     Http::Response prefill(Http::Request const&);
     Http::Response runs() const;
     Http::Response refusal(Http::Request const&, std::uint16_t status) const;
+    void noteArrival();
     void addNotice(Http::Fields&) const;
     Http::Fields sealed(Http::Request const&) const;
     bool takesOutput(Http::Request const&);
@@ -68,6 +70,8 @@
     std::map<std::string, std::uint64_t> m_runs; ///< By request id.
     std::map<std::string, std::set<std::string>> m_organisations; ///< By request id, all that its sends named.
     std::uint64_t m_keys { 0 }; ///< Requests that came with a caller's key.
+    std::deque<std::chrono::steady_clock::time_point> m_recentArrivals; ///< Of the last four seconds.
+    std::uint64_t m_mostIn4Seconds { 0 }; ///< Arrivals in any four seconds since the last change of faults.
     std::uint64_t m_working { 0 }; ///< Runs and prompts at work now.
     std::uint64_t m_abandoned { 0 }; ///< Runs and prompts that ended because the caller closed its connection.
     Faults m_faults;
