LibRouting, LibDaemon: Keep the rate limits that targets state, all daemons together

What callers saw: nothing yet. Targets in need got three to nine times the requests that they had said they take.

Cause: the one typed reading of an answer's head knew two of the three fields that a target states about itself; Server-Limit was dropped at the boundary.

Change: the boundary reads the limit (a decimal number; what cannot be read changes nothing; of several the smallest). RateLimits keeps it for the incarnation, until an answer to a later request does not state one, and gives this daemon its share: a hash of the daemons' names chooses the few that send to a limited target, with equal shares of one request a second or more, so that the sum holds at any number of daemons and a share is large enough to be used. A daemon that does not know the others yet has none. Peers hear of limits, and of their end, in beacons. A request holds its share from its placement to its write; the write looks once more, for a limit that was learnt in between. Where all targets are at their limits a request books the next share if that comes within a third of its time, else it is refused at once, with a Retry-After of when the share allows the next.

Sight: event 6010 target-limited, currantvale_target_rate_limit{target}, and the refusal's error text.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -62,6 +62,7 @@
     TargetEnded = 6007,
     TargetSaysLeaving = 6008,
     TargetPaused = 6009,
+    TargetLimited = 6010,
     UsageDecided = 7001,
     UsageReported = 7002,
     UsageMissed = 7003,
@@ -70,7 +71,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 59> eventNames { {
+inline constexpr EnumNames<Event, 60> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -124,6 +125,7 @@
     { Event::TargetEnded, "target-ended" },
     { Event::TargetSaysLeaving, "target-says-leaving" },
     { Event::TargetPaused, "target-paused" },
+    { Event::TargetLimited, "target-limited" },
     { Event::UsageDecided, "usage-decided" },
     { Event::UsageReported, "usage-reported" },
     { Event::UsageMissed, "usage-missed" },
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -233,6 +233,13 @@
         added->set_service(it.first);
         added->set_engines(static_cast<float>(it.second));
     }
+    for (Routing::RateLimitReport const& it : beacon.rateLimits) {
+        Proto::RateLimit* added = message.add_rate_limits();
+        added->set_target(it.target);
+        if (it.perSecond)
+            added->set_per_second(*it.perSecond);
+        added->set_age_ms(toMilliseconds(it.age));
+    }
     for (std::uint64_t target : beacon.changing)
         message.add_changing(target);
     for (std::uint64_t target : beacon.suspects)
@@ -278,6 +285,11 @@
         if (std::isfinite(it.engines()) && it.engines() >= 0)
             beacon.sizedDemands[it.service()] = it.engines();
     }
+    for (Proto::RateLimit const& it : message.rate_limits()) {
+        bool isUsable = !it.has_per_second() || (std::isfinite(it.per_second()) && it.per_second() >= 0);
+        if (isUsable)
+            beacon.rateLimits.push_back({ it.target(), it.has_per_second() ? std::optional<double>(it.per_second()) : std::nullopt, std::chrono::milliseconds(it.age_ms()) });
+    }
     beacon.changing.assign(message.changing().begin(), message.changing().end());
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -9,6 +9,7 @@
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
 #include <LibRouting/PrefixIndex.h>
+#include <LibRouting/RateLimits.h>
 #include <LibRouting/ServiceReport.h>
 #include <chrono>
 #include <cstdint>
@@ -38,6 +39,7 @@
     std::chrono::milliseconds wallClock { 0 }; ///< The sender's when the beacon was made, since 1970.
     Duties::UsageStatement usage {}; ///< Its windows only in beacons to `usageFor`.
     std::map<std::string, double> sizedDemands {}; ///< In engines, by service: what the sender sizes these for.
+    std::vector<Routing::RateLimitReport> rateLimits {}; ///< That targets have recently stated to it.
     std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
 
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -160,6 +160,9 @@
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.onTargetsGone = [this](std::vector<std::uint64_t> const& targets) { noteTargetsGone(targets); };
+    hooks.setSharers = [this](std::vector<std::string> const& others) { m_dispatcher->setDaemons(m_settings.daemon.name, others); };
+    hooks.rateLimitReports = [this] { return m_dispatcher->rateLimitReports(); };
+    hooks.takePeerRateLimits = [this](std::string const& peer, std::vector<Routing::RateLimitReport> const& reports) { m_dispatcher->takePeerRateLimits(peer, reports); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
     BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_usage, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -87,6 +87,7 @@
 {
     MetricsSample sample;
     sample.configVersion = m_storeControl->configVersion();
+    sample.targetRateLimits = m_dispatcher->rateLimits();
     sample.storeReadAge = m_storeControl->storeReadAge();
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
     sample.liveDaemons = m_storeControl->liveDaemons();
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -143,7 +143,7 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that cannot be chosen now are candidates, too, because the outputs pending from them count.
-        bool isUnusable = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow);
+        bool isUnusable = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow) || isRateExhausted(waiter, target.key, bootNow);
         bool isClosed = isExcluded || isUnusable;
         // An excluded target counts, because it may still generate the output if no other is left.
         hasOutputTarget = hasOutputTarget || (role->second != Routing::TargetRole::Prefill && !isUnusable);
@@ -238,6 +238,7 @@
     constexpr double negligibleSeconds = 1e-6;
     waiter.isOnlyPrompt = m_openWork.total(key, Clock::now()).prefillSeconds < negligibleSeconds;
     m_openWork.begin(key, waiter.work);
+    takeRate(waiter, key);
     waiter.sentAt = Clock::now();
     std::uint32_t id = waiter.request.fleet->targets[*waiter.outcome.position].id;
     bool hasPrompt = waiter.request.shape.phase != Routing::Phase::Decode;
@@ -275,6 +276,7 @@
         it->second->outcome.position.reset();
         it->second->outcome.error = refusal.error;
         it->second->outcome.retryAfter = refusal.retryAfter;
+        returnRate(*it->second);
         wake(it->second);
         m_waiters.erase(it);
     }
@@ -317,15 +319,15 @@
             std::lock_guard lock(m_mutex);
             if (waiter->isResolved)
                 break;
-            // If all targets are paused, wakes up when the first one accepts requests again.
+            // If all targets are paused or at their rate limits, wakes up when the first one accepts requests again.
             Core::BootClock::time_point now = Core::BootClock::now();
-            std::optional<Core::BootClock::time_point> opening = nextReopening(waiter->request);
-            if (opening && Clock::now() + (*opening - now) >= until) {
-                rejectWhilePaused(*waiter, *opening - now);
+            std::optional<Reopening> opening = nextReopening(*waiter);
+            if (opening && (!opening->isWorthWaiting || opening->at - now >= until - Clock::now())) {
+                rejectWhilePaused(*waiter, opening->at - now);
                 co_return waiter->outcome;
             }
             if (opening)
-                until = Clock::now() + (*opening - now);
+                until = Clock::now() + (opening->at - now);
         }
         waiter->timer.expires_at(until);
         boost::system::error_code ec;
@@ -341,6 +343,7 @@
     if (!waiter->isResolved) {
         // Released by its owner, or the timer fired slightly before the deadline. In both cases it does not start.
         std::ignore = m_admission->release(id, Clock::now());
+        returnRate(*waiter);
         m_waiters.erase(id);
         waiter->outcome.position.reset();
         waiter->outcome.error = Core::makeError(Core::ErrorCode::Timeout, "no target was free before the deadline");
@@ -356,6 +359,7 @@
         return;
     std::shared_ptr<Waiter> waiter = it->second;
     m_waiters.erase(it);
+    returnRate(*waiter);
     if (waiter->isResolved && waiter->outcome.position) {
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
         m_speeds.noteOpenTime(waiter->request.work, waiter->outcome.decision.role, std::chrono::duration<double>(Clock::now() - waiter->sentAt).count());
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -8,6 +8,7 @@
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
 #include <LibRouting/PrefixIndex.h>
+#include <LibRouting/RateLimits.h>
 #include <LibRouting/Router.h>
 #include <LibRouting/ServiceReport.h>
 #include <LibRouting/SpeedBook.h>
@@ -107,11 +108,25 @@
     /// Records how a send to a target ended.
     void noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome);
 
-    /// Records a target's notice about itself from a response. Returns true if it is the first that says it leaves.
-    bool noteNotice(std::uint64_t targetKey, Routing::TargetNotice const&);
+    /// Records a target's notice about itself from a response to a request that was sent at `sentAt`, or at zero if that is not
+    /// known. Returns true if it is the first that says it leaves.
+    bool noteNotice(std::uint64_t targetKey, Routing::TargetNotice const&, Core::BootClock::time_point sentAt);
 
-    /// Returns whether a request that was placed at a target may still be written to it.
-    bool mayWrite(FleetTarget const&) const;
+    /// Returns whether a request that was placed at a target may be written to it now. If so and the target states a rate limit,
+    /// the request counts against it. `id` is that of the placement.
+    bool mayWrite(FleetTarget const&, std::uint64_t id);
+
+    /// Sets the daemons that share the rate limits of targets with this one.
+    void setDaemons(std::string const& self, std::vector<std::string> const& others);
+
+    /// Returns the rate limits that targets have stated to this daemon, for its peers.
+    std::vector<Routing::RateLimitReport> rateLimitReports() const;
+
+    /// Applies the rate limits that targets have stated to a peer.
+    void takePeerRateLimits(std::string const& peer, std::vector<Routing::RateLimitReport> const&);
+
+    /// Returns the rate limits in force, in requests per second by target name.
+    std::map<std::string, double> rateLimits() const;
 
     /// Returns the shared prompt prefixes that this daemon was the first known to send to a target since the last call.
     std::vector<Routing::HeldPart> takeHeldParts();
@@ -139,13 +154,24 @@
 
 private:
     struct Waiter;
+
+    /// When a request's first target that is paused or at its rate limit accepts it.
+    struct Reopening {
+        Core::BootClock::time_point at;
+        bool isWorthWaiting { true };
+    };
+
     Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, std::uint64_t seed);
 
     std::optional<Admission::TargetId> chooseTarget(Admission::RequestId);
     void resolve(std::vector<Admission::Grant> const&);
     void resolve(std::vector<Admission::Refusal> const&);
     void applyAdmissionResults();
-    std::optional<Core::BootClock::time_point> nextReopening(PlacementRequest const&) const;
+    std::optional<Reopening> nextReopening(Waiter&);
+    bool isRateExhausted(Waiter const&, std::uint64_t targetKey, Core::BootClock::time_point now) const;
+    void takeRate(Waiter&, std::uint64_t targetKey);
+    void returnRate(Waiter&);
+    void logRateLimit(std::uint64_t targetKey, std::string const& toldBy) const;
     void retryReopenedTargets(PlacementRequest const&);
     void rejectWhilePaused(Waiter&, Core::BootClock::duration left);
     void wake(std::shared_ptr<Waiter> const&);
@@ -168,6 +194,7 @@
     Routing::OpenWork m_openWork;
     Routing::TargetHealth m_health;
     Routing::TargetNotices m_notices;
+    Routing::RateLimits m_rates;
     Routing::OutlierFinder m_outliers;
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -50,6 +50,7 @@
     for (FleetTarget const& target : fleet->targets)
         listed.insert(target.key);
     m_notices.keepListed(listed, Core::BootClock::now());
+    m_rates.keepListed(listed, Core::BootClock::now());
     if (!fleet->targets.empty() && highest >= m_loads.size())
         m_loads.resize(highest + 1);
     for (std::uint32_t id : m_knownTargets) {
--- a/Libraries/LibDaemon/DispatcherWaiter.h
+++ b/Libraries/LibDaemon/DispatcherWaiter.h
@@ -20,6 +20,8 @@
     bool computesSharedPrefix { false }; ///< The shared prefix is not known to be cached there yet.
     Routing::TargetWork work; ///< Work that the request adds to the chosen target.
     std::chrono::steady_clock::time_point sentAt; ///< When its target was chosen.
+    std::optional<std::uint64_t> bookedTarget; ///< Key of a rate-limited target whose next free share it waits for.
+    bool holdsRate { false }; ///< It has a share of the chosen target's rate limit, which its write uses up.
     bool isResolved { false };
     bool isPrefilled { false };
 };
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -7,6 +7,7 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_retries(&prometheus::BuildCounter().Name("currantvale_retries_total").Help("Attempts after a request's first.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
+    , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
 {
     prometheus::Family<prometheus::Counter>& finished = prometheus::BuildCounter().Name("currantvale_requests_finished_total").Help("Final answers by verdict.").Register(*m_registry);
     for (std::pair<Core::Verdict, std::string_view> const& it : Core::verdictNames) {
@@ -91,6 +92,24 @@
     m_retries->Increment();
 }
 
+// A target whose limit has ended has no value any more.
+void Metrics::setRateLimits(std::map<std::string, double> const& limits)
+{
+    std::lock_guard lock(m_rateLimitsMutex);
+    std::erase_if(m_rateLimitsByTarget, [&](std::pair<std::string const, prometheus::Gauge*> const& it) {
+        bool isEnded = !limits.contains(it.first);
+        if (isEnded)
+            m_rateLimits.Remove(it.second);
+        return isEnded;
+    });
+    for (std::pair<std::string const, double> const& it : limits) {
+        prometheus::Gauge*& gauge = m_rateLimitsByTarget[it.first];
+        if (!gauge)
+            gauge = &m_rateLimits.Add({ { "target", it.first } });
+        gauge->Set(it.second);
+    }
+}
+
 std::string Metrics::text(MetricsSample const& sample)
 {
     m_values.Add({ { "of", "config_offset" } }).Set(static_cast<double>(sample.configOffset));
@@ -116,6 +135,7 @@
     m_values.Add({ { "of", "engine_orders" } }).Set(static_cast<double>(sample.engineOrders));
     m_values.Add({ { "of", "engines_wanted" } }).Set(sample.enginesWanted);
     m_values.Add({ { "of", "engines_serving" } }).Set(sample.enginesServing);
+    setRateLimits(sample.targetRateLimits);
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -7,7 +7,9 @@
 #include <LibRouting/TargetHealth.h>
 #include <array>
 #include <chrono>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -41,6 +43,7 @@
     std::uint64_t engineOrders { 0 }; ///< That the platform has accepted from this process.
     std::uint32_t enginesWanted { 0 }; ///< Of all services that this daemon orders engines for, as the next.
     std::uint32_t enginesServing { 0 };
+    std::map<std::string, double> targetRateLimits {}; ///< Requests per second, by target name.
 };
 
 /// A time that requests spend. Each is a histogram of its own.
@@ -107,6 +110,7 @@
     std::string text(MetricsSample const&);
 
 private:
+    void setRateLimits(std::map<std::string, double> const&);
     void addTimes();
     void addCounters();
 
@@ -121,6 +125,9 @@
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
+    prometheus::Family<prometheus::Gauge>& m_rateLimits;
+    std::map<std::string, prometheus::Gauge*> m_rateLimitsByTarget;
+    std::mutex m_rateLimitsMutex;
 };
 
 }
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -84,7 +84,7 @@
     if (!co_await connect(leg, *target) || finishIfQuarantined(leg))
         co_return;
     // The target may meanwhile have announced that it leaves or accepts no requests for now.
-    if (!m_context.dispatcher.mayWrite(*target)) {
+    if (!m_context.dispatcher.mayWrite(*target, m_placement)) {
         post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
         co_return;
     }
@@ -97,14 +97,13 @@
     leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
     Http::Request request = m_context.targets.request(m_work, send);
+    Core::BootClock::time_point sentAt = Core::BootClock::now();
     Core::Result<void> started = co_await leg->exchange->start(request);
-    if (started.has_value())
-        noteNotice(*target, leg->exchange->head());
+    bool isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
     // Skips responses to earlier requests on this connection.
-    for (int n = 0; n < maxForeignAnswers && !leg->isAbandoned && started.has_value() && m_context.targets.judge(m_work, send, leg->exchange->head(), nullptr) == AnswerProof::Foreign; ++n) {
+    for (int n = 0; n < maxForeignAnswers && !leg->isAbandoned && isForeign; ++n) {
         started = co_await leg->exchange->skipResponse();
-        if (started.has_value())
-            noteNotice(*target, leg->exchange->head());
+        isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
     }
     if (leg->isAbandoned)
         co_return;
@@ -170,18 +169,24 @@
         m_context.dispatcher.noteOutcome(target->key, outcome);
 }
 
-// Called before any of the response is passed on.
-void RequestRunner::noteNotice(FleetTarget const& target, Http::ResponseHead const& head) const
+// Returns whether the response belongs to an earlier request on this connection.
+bool RequestRunner::noteHead(FleetTarget const& target, Http::ResponseHead const& head, TargetSend const& send, Core::BootClock::time_point sentAt) const
+{
+    bool isForeign = m_context.targets.judge(m_work, send, head, nullptr) == AnswerProof::Foreign;
+    noteNotice(target, head, isForeign ? Core::BootClock::time_point() : sentAt);
+    return isForeign;
+}
+
+// Called before any of the response is passed on. `sentAt` is when its request was sent, zero if that is not known.
+void RequestRunner::noteNotice(FleetTarget const& target, Http::ResponseHead const& head, Core::BootClock::time_point sentAt) const
 {
     constexpr std::uint16_t misdirected = 421; // The response comes from a different target.
     if (!m_context.targets.readNotice || head.status == misdirected)
         return;
     Routing::TargetNotice notice = m_context.targets.readNotice(head.status, head.fields);
-    if (notice == Routing::TargetNotice())
-        return;
     if (notice.pause)
         Core::logEvent(Core::Severity::Info, Core::Event::TargetPaused, { { "target", target.name }, { "pause_ms", std::to_string(notice.pause->count()) } });
-    if (!m_context.dispatcher.noteNotice(target.key, notice))
+    if (!m_context.dispatcher.noteNotice(target.key, notice, sentAt))
         return;
     Core::logEvent(Core::Severity::Info, Core::Event::TargetSaysLeaving, { { "target", target.name } });
     m_context.onLeaving(target.key);
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -30,7 +30,7 @@
     if (std::optional<Core::Error> refusal = quarantineError())
         co_return Core::Result<std::string>(std::move(*refusal));
     // The target may meanwhile have announced that it leaves or accepts no requests for now.
-    if (!m_context.dispatcher.mayWrite(*target))
+    if (!m_context.dispatcher.mayWrite(*target, m_placement))
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Unavailable, "the target was closed before the prompt was written"));
     if (!maySend())
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the caller left before the prompt was written"));
@@ -38,6 +38,7 @@
     beginRun(*target);
     TargetSend send = sendOf(leg->leg.attempt);
     Clock::time_point sentAt = Clock::now();
+    Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
     wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
     if (started.has_error() && !leg->isAbandoned) {
@@ -47,7 +48,7 @@
     }
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was abandoned"));
-    noteNotice(*target, leg->exchange->head());
+    noteNotice(*target, leg->exchange->head(), sentAtBoot);
     Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, bufferedBodyLimit);
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was abandoned"));
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -97,7 +97,8 @@
     void noteBegun();
     void noteLostAnswer();
     void countLostAnswer();
-    void noteNotice(FleetTarget const&, Http::ResponseHead const&) const;
+    bool noteHead(FleetTarget const&, Http::ResponseHead const&, TargetSend const&, Core::BootClock::time_point sentAt) const;
+    void noteNotice(FleetTarget const&, Http::ResponseHead const&, Core::BootClock::time_point sentAt) const;
     std::string attemptId(std::uint32_t attempt) const;
     FleetTarget const* targetOf(std::string const& name) const;
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -261,6 +261,7 @@
     beacon.shares = m_hooks.openWork();
     beacon.changing = m_roles->changing();
     beacon.leaving = m_leaving.own();
+    beacon.rateLimits = m_hooks.rateLimitReports();
     beacon.suspects = m_hooks.suspects();
     if (kind == BeaconKind::ToAll) {
         beacon.outcomes = m_hooks.takeOutcomes();
@@ -298,7 +299,7 @@
             rebuild();
         // Beacons tell of all that are heard within a second, also while the store is away.
         if (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime)
-            m_hooks.setDaemons(m_beacons->book().knownCount());
+            shareAmongDaemons(now);
     }
 }
 
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -46,6 +46,9 @@
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
+        std::function<void(std::vector<std::string> const& others)> setSharers; ///< Who else shares the rate limits of targets.
+        std::function<std::vector<Routing::RateLimitReport>()> rateLimitReports; ///< Rate limits that targets have stated to this daemon.
+        std::function<void(std::string const& peer, std::vector<Routing::RateLimitReport> const&)> takePeerRateLimits;
         std::function<void(Fleet::StoreCallReason)> countStoreCall;
         std::function<void(std::vector<std::uint64_t> const&)> onTargetsGone; ///< Takes the keys of targets that went without a word.
     };
@@ -151,6 +154,7 @@
     void findUnreachable(Core::BootClock::time_point now);
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
+    void shareAmongDaemons(Core::BootClock::time_point now);
     void noteTargetsGone(std::set<std::uint64_t> const& keys);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key); }
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -11,6 +11,8 @@
 
 using Clock = Core::BootClock;
 
+// A daemon that is silent for this long has ended or is cut off, and its share of rate limits goes to others.
+constexpr std::chrono::seconds sharerTimeout { 5 };
 // Entries that cannot be used are remembered, so that each is logged once; more of them than this are no accident.
 constexpr std::size_t mostUnusableEntries = 1'000;
 // Of an entry that cannot be used, so much goes into the log.
@@ -108,6 +110,8 @@
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().livenessTimeout());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
+    if (!beacon.rateLimits.empty())
+        m_hooks.takePeerRateLimits(beacon.sender.name, beacon.rateLimits);
     if (beacon.suspects.empty())
         m_suspects.erase(beacon.sender.name);
     else
@@ -139,6 +143,18 @@
     m_isTargetListChanged = m_isTargetListChanged || isOther;
 }
 
+void StoreControl::shareAmongDaemons(Clock::time_point now)
+{
+    m_hooks.setDaemons(m_beacons->book().knownCount());
+    std::vector<std::string> sharers;
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        // One that is not heard may still send for a while, and one that is new has its share before its first beacon.
+        if (now - std::max(it.second.heardAt, it.second.knownSince) < sharerTimeout)
+            sharers.push_back(it.first);
+    }
+    m_hooks.setSharers(sharers);
+}
+
 void StoreControl::noteLeaving(std::uint64_t target)
 {
     if (!m_leaving.noteOwn(target))
--- a/Libraries/LibRouting/TargetNotices.h
+++ b/Libraries/LibRouting/TargetNotices.h
@@ -13,6 +13,8 @@
 struct TargetNotice {
     bool isLeaving { false }; ///< It is shutting down and accepts no new requests.
     std::optional<std::chrono::milliseconds> pause {}; ///< How long this daemon should send it nothing.
+    std::optional<double> requestsPerSecond {}; ///< The rate that it accepts from all daemons together; empty: no limit.
+    bool hasUnreadableLimit { false }; ///< It states a limit that cannot be read; an earlier one remains in force.
 
     bool operator==(TargetNotice const&) const = default;
 };
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -22,7 +22,9 @@
     beacon.wallClock = std::chrono::milliseconds(1'774'879'300'123);
     beacon.usage = { { { 354, { { "org-a", 3 }, { "org-b", 1 } } }, { 355, {} } }, 355, 353 };
     beacon.sizedDemands = { { "llm", 12.5 } };
+    beacon.rateLimits = { { 3, 4.5, std::chrono::milliseconds(250) }, { 4, std::nullopt, std::chrono::milliseconds(0) } };
     Daemon::BeaconMessage read = Daemon::decodeBeacon(Daemon::encode(beacon)).value();
+    EXPECT_EQ(read.rateLimits, beacon.rateLimits);
     EXPECT_EQ(read.wallClock, beacon.wallClock);
     EXPECT_EQ(read.usage, beacon.usage);
     EXPECT_EQ(read.sizedDemands, beacon.sizedDemands);
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -228,8 +228,8 @@
 {
     Daemon::FleetPointer fleet = fleetOf(2);
     m_dispatcher->setFleet(fleet);
-    m_dispatcher->noteNotice(1, { false, std::chrono::seconds(40) });
-    m_dispatcher->noteNotice(2, { false, std::chrono::seconds(20) });
+    m_dispatcher->noteNotice(1, { false, std::chrono::seconds(40) }, {});
+    m_dispatcher->noteNotice(2, { false, std::chrono::seconds(20) }, {});
     Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
     request.latestStart = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     std::optional<Daemon::PlacementOutcome> outcome;
@@ -246,16 +246,16 @@
 {
     Daemon::FleetPointer fleet = fleetOf(1);
     m_dispatcher->setFleet(fleet);
-    m_dispatcher->noteNotice(1, { false, std::chrono::milliseconds(50) });
+    m_dispatcher->noteNotice(1, { false, std::chrono::milliseconds(50) }, {});
     std::optional<Daemon::PlacementOutcome> outcome;
     place(requestFor(fleet, { 0 }), outcome);
     EXPECT_FALSE(outcome);
-    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], 0));
     m_context.restart();
     m_context.run();
     ASSERT_TRUE(outcome);
     EXPECT_TRUE(outcome->position);
-    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0]));
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], 0));
 }
 
 // Guards against writing a request that was placed before the target announced that it leaves.
@@ -263,12 +263,12 @@
 {
     Daemon::FleetPointer fleet = fleetOf(2);
     m_dispatcher->setFleet(fleet);
-    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0]));
-    EXPECT_TRUE(m_dispatcher->noteNotice(1, { true, {} }));
-    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], 0));
+    EXPECT_TRUE(m_dispatcher->noteNotice(1, { true, {} }, {}));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], 0));
     // An older list that still has the target as ready changes nothing.
     m_dispatcher->setFleet(fleetOf(2));
-    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0]));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], 0));
     for (int n = 0; n < 5; ++n) {
         std::optional<Daemon::PlacementOutcome> outcome;
         std::uint64_t id = place(requestFor(fleet, { 0, 1 }), outcome);
@@ -278,9 +278,9 @@
     }
     // Targets that are closed in the list or missing from it may not be written to, either.
     m_dispatcher->setFleet(fleetOf(2, "leaving"));
-    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1]));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1], 0));
     m_dispatcher->setFleet(fleetOf(1));
-    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1]));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[1], 0));
 }
 
 // Guards against key collisions, by which one unreachable target would close all others.
@@ -298,3 +298,80 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->position, 1U);
 }
+
+// Guards against a request that a target gets beyond its rate limit because it was placed before the limit was known.
+TEST_F(DispatcherTest, ARequestPlacedBeforeTheRateLimitWasKnownCountsAgainstItWhenItIsWritten)
+{
+    Daemon::FleetPointer fleet = fleetOf(2);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->setDaemons("front-0", {});
+    std::optional<Daemon::PlacementOutcome> outcome;
+    std::uint64_t id = place(requestFor(fleet, { 0 }), outcome);
+    ASSERT_TRUE(outcome && outcome->position);
+    m_dispatcher->noteNotice(1, { false, {}, 1.0 }, {});
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], id)) << "a new limit allows nothing for the time before";
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[1], id));
+    // Others go to the target without a limit.
+    for (int n = 0; n < 3; ++n) {
+        std::optional<Daemon::PlacementOutcome> other;
+        std::uint64_t otherId = place(requestFor(fleet, { 0, 1 }), other);
+        ASSERT_TRUE(other);
+        EXPECT_EQ(other->position, 1U);
+        EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[1], otherId));
+        m_dispatcher->release(otherId);
+    }
+    EXPECT_EQ(m_dispatcher->rateLimits(), (std::map<std::string, double> { { "e-0", 1.0 } }));
+}
+
+// Guards against requests that wait beyond what a rate limit lets through in their time, and against a share that is lost with a
+// caller who left.
+TEST_F(DispatcherTest, RequestsWaitForTheirShareOfARateLimitInTurnOrAreRefusedAtOnce)
+{
+    Daemon::FleetPointer fleet = fleetOf(1);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->setDaemons("front-0", {});
+    m_dispatcher->noteNotice(1, { false, {}, 20.0 }, {});
+    std::vector<std::optional<Daemon::PlacementOutcome>> outcomes(10);
+    std::vector<std::uint64_t> ids;
+    for (std::optional<Daemon::PlacementOutcome>& it : outcomes) {
+        Daemon::PlacementRequest request = requestFor(fleet, { 0 });
+        request.latestStart = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
+        ids.push_back(place(std::move(request), it));
+    }
+    // A third of 600 ms has room for four at 20 a second.
+    int refused = 0;
+    for (std::optional<Daemon::PlacementOutcome> const& it : outcomes) {
+        refused += it ? 1 : 0;
+        if (it) {
+            EXPECT_FALSE(it->position);
+            EXPECT_GE(it->retryAfter, std::chrono::milliseconds(150));
+            EXPECT_LE(it->retryAfter, std::chrono::milliseconds(1'000));
+        }
+    }
+    EXPECT_GE(refused, 6);
+    EXPECT_FALSE(outcomes[0]);
+    EXPECT_FALSE(outcomes[1]);
+    m_dispatcher->release(ids[0]);
+    m_context.restart();
+    m_context.run_for(std::chrono::milliseconds(400));
+    ASSERT_TRUE(outcomes[1]);
+    EXPECT_TRUE(outcomes[1]->position);
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], ids[1]));
+}
+
+// Guards against daemons without a share that hold requests or send them all the same.
+TEST_F(DispatcherTest, WithoutAShareOfARateLimitRequestsAreRefusedAtOnce)
+{
+    Daemon::FleetPointer fleet = fleetOf(1);
+    m_dispatcher->setFleet(fleet);
+    m_dispatcher->takePeerRateLimits("front-1", { { 1, 5.0, std::chrono::milliseconds(10) } });
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(requestFor(fleet, { 0 }), outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_FALSE(outcome->position);
+    EXPECT_EQ(outcome->error.verdict, Core::Verdict::NotRun);
+    EXPECT_EQ(outcome->retryAfter.count(), 0) << "not known here";
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], 0));
+    m_dispatcher->takePeerRateLimits("front-1", { { 1, std::nullopt, std::chrono::milliseconds(0) } });
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], 0));
+}
--- a/Tests/platform/TestTargets.cpp
+++ b/Tests/platform/TestTargets.cpp
@@ -109,3 +109,20 @@
         EXPECT_FALSE(read(200, { { "Server-Leaving", text } }).isLeaving) << text;
     EXPECT_EQ(read(503, { { "Retry-After", "1" }, { "Retry-After", "x" }, { "Retry-After", "4" } }).pause, 4s);
 }
+
+// Guards against a rate limit that is not read, and against one that cannot be read and opens or closes its target.
+TEST(PlatformTargets, ReadsTheRateLimitThatATargetStates)
+{
+    std::function<Routing::TargetNotice(std::uint16_t, Http::Fields const&)> read = UsersPlatform::targetProtocol().readNotice;
+    for (std::uint16_t status : { 200, 404, 429, 500, 503 })
+        EXPECT_EQ(read(status, { { "server-limit", "4.5" } }).requestsPerSecond, 4.5) << status;
+    EXPECT_EQ(read(200, { { "Server-Limit", "12" } }).requestsPerSecond, 12.0);
+    EXPECT_EQ(read(200, { { "Server-Limit", "0" } }).requestsPerSecond, 0.0);
+    EXPECT_EQ(read(200, { { "Server-Limit", "9" }, { "Server-Limit", "2.5" } }).requestsPerSecond, 2.5) << "the smaller one";
+    for (char const* text : { "", "-1", "-0", "nan", "inf", "1e30", "0x10", " 3", "+3", "3,5", "3/s", ".5" }) {
+        Routing::TargetNotice notice = read(200, { { "Server-Limit", text } });
+        EXPECT_FALSE(notice.requestsPerSecond) << text;
+        EXPECT_TRUE(notice.hasUnreadableLimit) << text;
+    }
+    EXPECT_FALSE(read(200, {}).hasUnreadableLimit);
+}
