LibOperator, LibDaemon: Show operators the rate limits of targets and a daemon's share

currantctl limits (GET /limits) lists what targets state and the asked daemon's share of each, 0 where it sends the target nothing. A caller who left before anything was sent is logged with step=waiting, and its request takes no share.

TestTargetLimits has a fourth case: the sum holds, and shares do not stay unused, while daemons are killed, stopped and started under load.

--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -42,6 +42,7 @@
     Core::Result<void> createMetricsServer();
     Http::Response respondWithMetrics();
     Http::Response respondWithSuspects() const;
+    Http::Response respondWithLimits() const;
     Http::Response respondWithDuties() const;
     void sampleDuties(MetricsSample&) const;
     void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -17,6 +17,8 @@
         return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
     if (request.target == "/suspects")
         return respondWithSuspects();
+    if (request.target == "/limits")
+        return respondWithLimits();
     if (request.target == "/duties")
         return respondWithDuties();
     if (request.target != "/metrics")
@@ -42,6 +44,15 @@
     return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "suspects", std::move(list) } }));
 }
 
+// Rate limits that targets state, and this daemon's share of each.
+Http::Response Daemon::respondWithLimits() const
+{
+    boost::json::array list;
+    for (std::pair<std::string const, Routing::RateLimitStatus> const& it : m_dispatcher->rateLimits())
+        list.push_back(boost::json::object { { "target", it.first }, { "per_second", it.second.perSecond }, { "share_per_second", it.second.share } });
+    return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "limits", std::move(list) } }));
+}
+
 // Who has the singleton duties, as this daemon sees it, and what it has done of them itself.
 Http::Response Daemon::respondWithDuties() const
 {
@@ -87,7 +98,8 @@
 {
     MetricsSample sample;
     sample.configVersion = m_storeControl->configVersion();
-    sample.targetRateLimits = m_dispatcher->rateLimits();
+    for (std::pair<std::string const, Routing::RateLimitStatus> const& it : m_dispatcher->rateLimits())
+        sample.targetRateLimits.emplace(it.first, it.second.perSecond);
     sample.storeReadAge = m_storeControl->storeReadAge();
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
     sample.liveDaemons = m_storeControl->liveDaemons();
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -323,7 +323,7 @@
             Core::BootClock::time_point now = Core::BootClock::now();
             std::optional<Reopening> opening = nextReopening(*waiter);
             if (opening && (!opening->isWorthWaiting || opening->at - now >= until - Clock::now())) {
-                rejectWhilePaused(*waiter, opening->at - now);
+                rejectWhilePaused(*waiter, opening->at);
                 co_return waiter->outcome;
             }
             if (opening)
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -125,8 +125,8 @@
     /// Applies the rate limits that targets have stated to a peer.
     void takePeerRateLimits(std::string const& peer, std::vector<Routing::RateLimitReport> const&);
 
-    /// Returns the rate limits in force, in requests per second by target name.
-    std::map<std::string, double> rateLimits() const;
+    /// Returns the rate limits in force by target name.
+    std::map<std::string, Routing::RateLimitStatus> rateLimits() const;
 
     /// Returns the shared prompt prefixes that this daemon was the first known to send to a target since the last call.
     std::vector<Routing::HeldPart> takeHeldParts();
@@ -173,7 +173,7 @@
     void returnRate(Waiter&);
     void logRateLimit(std::uint64_t targetKey, std::string const& toldBy) const;
     void retryReopenedTargets(PlacementRequest const&);
-    void rejectWhilePaused(Waiter&, Core::BootClock::duration left);
+    void rejectWhilePaused(Waiter&, Core::BootClock::time_point opensAt);
     void wake(std::shared_ptr<Waiter> const&);
     Admission::GroupId groupOf(PlacementRequest const&);
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
--- a/Libraries/LibDaemon/DispatcherNotices.cpp
+++ b/Libraries/LibDaemon/DispatcherNotices.cpp
@@ -14,8 +14,6 @@
 
 // If all targets are paused, up to the wait divided by this is added to Retry-After at random.
 constexpr int pauseSpreadDivisor = 4;
-// A longer time stands for one that is not known.
-constexpr std::chrono::hours longestKnownPause { 24 };
 // A request waits for its share of a rate limit for at most its time to start divided by this.
 constexpr int rateWaitDivisor = 3;
 
@@ -140,11 +138,11 @@
     }
 }
 
-std::map<std::string, double> Dispatcher::rateLimits() const
+std::map<std::string, Routing::RateLimitStatus> Dispatcher::rateLimits() const
 {
     std::lock_guard lock(m_mutex);
-    std::map<std::string, double> limits;
-    for (std::pair<std::uint64_t const, double> const& it : m_rates.limits()) {
+    std::map<std::string, Routing::RateLimitStatus> limits;
+    for (std::pair<std::uint64_t const, Routing::RateLimitStatus> const& it : m_rates.limits()) {
         std::unordered_map<std::uint64_t, std::string>::const_iterator name = m_targetNames.find(it.first);
         if (name != m_targetNames.end())
             limits.emplace(name->second, it.second);
@@ -172,8 +170,8 @@
     applyAdmissionResults();
 }
 
-// Called with the mutex held. All targets are paused beyond the latest start, so that the request is refused at once.
-void Dispatcher::rejectWhilePaused(Waiter& waiter, Core::BootClock::duration left)
+// Called with the mutex held. The first target accepts the request again at `opensAt`, which is too late for it.
+void Dispatcher::rejectWhilePaused(Waiter& waiter, Core::BootClock::time_point opensAt)
 {
     std::ignore = m_admission->release(waiter.outcome.id, Clock::now());
     returnRate(waiter);
@@ -183,12 +181,12 @@
     waiter.outcome.error = Core::makeError(Core::ErrorCode::Unavailable, "all targets have paused new requests or are at the rate limits that they stated");
     waiter.isResolved = true;
     m_waiters.erase(id);
-    // Of a limit that this daemon has no share of it does not know when the next request is allowed; another daemon may serve it now.
-    if (left > longestKnownPause)
+    // Another daemon may have a share and serve the request at once.
+    if (opensAt == Routing::RateLimits::never)
         return;
     // Randomized, so that callers refused at the same time do not retry at the same time.
-    std::chrono::milliseconds wait = std::chrono::ceil<std::chrono::milliseconds>(left);
-    std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(0, wait.count() / pauseSpreadDivisor);
+    std::chrono::milliseconds wait = std::chrono::ceil<std::chrono::milliseconds>(opensAt - Core::BootClock::now());
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(0, std::max<std::chrono::milliseconds::rep>(0, wait.count() / pauseSpreadDivisor));
     waiter.outcome.retryAfter = wait + std::chrono::milliseconds(spread(m_random));
 }
 
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -29,11 +29,11 @@
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
     if (std::optional<Core::Error> refusal = quarantineError())
         co_return Core::Result<std::string>(std::move(*refusal));
+    if (!maySend())
+        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the caller left before the prompt was written"));
     // The target may meanwhile have announced that it leaves or accepts no requests for now.
     if (!m_context.dispatcher.mayWrite(*target, m_placement))
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Unavailable, "the target was closed before the prompt was written"));
-    if (!maySend())
-        co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the caller left before the prompt was written"));
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
     beginRun(*target);
     TargetSend send = sendOf(leg->leg.attempt);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -321,7 +321,7 @@
 {
     CallerLeftAt step = CallerLeftAt::Unplaced;
     if (m_leg)
-        step = m_leg->exchange ? CallerLeftAt::Sent : CallerLeftAt::Waiting;
+        step = m_run != 0 ? CallerLeftAt::Sent : CallerLeftAt::Waiting;
     m_context.metrics.countCallerLeft(step);
     Core::logEvent(Core::Severity::Info, Core::Event::CallerLeft, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "step", std::string(Core::nameOf(callerLeftNames, step)) }, { "target", m_target }, { "age_ms", millisecondsSince(m_startedAt, Clock::now()) } });
 }
--- a/Libraries/LibOperator/Client.cpp
+++ b/Libraries/LibOperator/Client.cpp
@@ -158,6 +158,11 @@
     return decodeOk(call("GET", "/duties", {}), Json::parseObject);
 }
 
+Core::Result<boost::json::object> Client::limits()
+{
+    return decodeOk(call("GET", "/limits", {}), Json::parseObject);
+}
+
 Core::Result<boost::json::object> Client::suspects()
 {
     return decodeOk(call("GET", "/suspects", {}), Json::parseObject);
--- a/Libraries/LibOperator/CommandLine.h
+++ b/Libraries/LibOperator/CommandLine.h
@@ -25,9 +25,10 @@
     Explain,
     Duties,
     Suspects,
+    Limits,
     Story };
 
-inline constexpr Core::EnumNames<Command, 12> commandNames { {
+inline constexpr Core::EnumNames<Command, 13> commandNames { {
     { Command::Apply, "apply" },
     { Command::Get, "get" },
     { Command::Diff, "diff" },
@@ -39,6 +40,7 @@
     { Command::Explain, "explain" },
     { Command::Duties, "duties" },
     { Command::Suspects, "suspects" },
+    { Command::Limits, "limits" },
     { Command::Story, "story" },
 } };
 
@@ -86,7 +88,7 @@
     bool isOffline() const { return command == Command::Story; }
 
     /// Whether the command may do without a token: a daemon on a platform with a keyed store has nothing that operators change.
-    bool mayLackToken() const { return command == Command::Duties || command == Command::Suspects; }
+    bool mayLackToken() const { return command == Command::Duties || command == Command::Suspects || command == Command::Limits; }
 
     /// Returns the help of the whole program. Thread-safe.
     static std::string helpText();
--- a/Libraries/LibOperator/Commands.cpp
+++ b/Libraries/LibOperator/Commands.cpp
@@ -102,6 +102,8 @@
         return print(m_client.duties());
     case Command::Suspects:
         return print(m_client.suspects());
+    case Command::Limits:
+        return print(m_client.limits());
     case Command::Drain:
         return drain(true);
     case Command::Undrain:
--- a/Libraries/LibRouting/RateLimits.cpp
+++ b/Libraries/LibRouting/RateLimits.cpp
@@ -129,12 +129,12 @@
     return it == m_targets.end() ? std::nullopt : it->second.perSecond;
 }
 
-std::map<std::uint64_t, double> RateLimits::limits() const
+std::map<std::uint64_t, RateLimitStatus> RateLimits::limits() const
 {
-    std::map<std::uint64_t, double> limits;
+    std::map<std::uint64_t, RateLimitStatus> limits;
     for (std::pair<std::uint64_t const, TargetState> const& it : m_targets) {
         if (it.second.perSecond)
-            limits.emplace(it.first, *it.second.perSecond);
+            limits.emplace(it.first, RateLimitStatus { *it.second.perSecond, it.second.share });
     }
     return limits;
 }
@@ -157,7 +157,7 @@
     if (it == m_targets.end() || !it->second.perSecond)
         return now;
     if (it->second.share <= 0)
-        return Time::max();
+        return never;
     double missing = 1 - tokensAt(it->second, now);
     return missing <= 0 ? now : now + secondsToDuration(missing / it->second.share);
 }
--- a/Libraries/LibRouting/RateLimits.h
+++ b/Libraries/LibRouting/RateLimits.h
@@ -21,6 +21,14 @@
     bool operator==(RateLimitReport const&) const = default;
 };
 
+/// A rate limit in force, in requests per second.
+struct RateLimitStatus {
+    double perSecond { 0 }; ///< From all daemons together.
+    double share { 0 }; ///< Of this daemon; 0 if it sends the target nothing.
+
+    bool operator==(RateLimitStatus const&) const = default;
+};
+
 /// Keeps the rate limits that targets state and this daemon's share of each. All daemons choose the same few of them to send to
 /// a limited target, by a hash of their names, and each of these gets an equal share: the more daemons there are, the less an
 /// equal share of all would be used. A limit applies to the incarnation that stated it, until an answer to a later request does
@@ -29,6 +37,8 @@
 public:
     using Time = Core::BootClock::time_point;
 
+    static constexpr Time never = Time::max();
+
     enum class Admission : std::uint8_t {
         Unlimited,
         Taken, ///< One request of the share has been used.
@@ -52,10 +62,10 @@
     std::optional<double> limitOf(std::uint64_t target) const;
 
     /// Returns all limited targets.
-    std::map<std::uint64_t, double> limits() const;
+    std::map<std::uint64_t, RateLimitStatus> limits() const;
 
-    /// Returns when this daemon may send the target a request that has no booking: `now` or earlier if at once, Time::max() if it
-    /// has no share.
+    /// Returns when this daemon may send the target a request that has no booking: `now` if at once, `never` if it has no
+    /// share.
     Time opensAt(std::uint64_t target, Time now) const;
 
     /// Takes one request of the share, if one is left now.
@@ -64,7 +74,7 @@
     /// Returns one request to the share that was taken and not sent.
     void giveBack(std::uint64_t target);
 
-    /// Takes the next request of the share before it is due. Precondition: `opensAt` is not Time::max().
+    /// Takes the next request of the share before it is due. Precondition: `opensAt` is not `never`.
     void book(std::uint64_t target, Time now);
 
     /// Returns when the next booking of any waiting request is due; empty if there is none.
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -320,7 +320,7 @@
         EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[1], otherId));
         m_dispatcher->release(otherId);
     }
-    EXPECT_EQ(m_dispatcher->rateLimits(), (std::map<std::string, double> { { "e-0", 1.0 } }));
+    EXPECT_EQ(m_dispatcher->rateLimits(), (std::map<std::string, Routing::RateLimitStatus> { { "e-0", { 1.0, 1.0 } } }));
 }
 
 // Guards against requests that wait beyond what a rate limit lets through in their time, and against a share that is lost with a
--- a/Tests/LibRouting/TestRateLimits.cpp
+++ b/Tests/LibRouting/TestRateLimits.cpp
@@ -110,7 +110,7 @@
 {
     RateLimits limits;
     limits.note(target, 5.0, origin, origin);
-    EXPECT_EQ(limits.opensAt(target, origin + 1h), RateLimits::Time::max());
+    EXPECT_EQ(limits.opensAt(target, origin + 1h), RateLimits::never);
     EXPECT_EQ(limits.take(target, origin + 1h), RateLimits::Admission::Exhausted);
     limits.setDaemons("a", {}, origin + 1h);
     EXPECT_EQ(limits.take(target, origin + 1h + 1s), RateLimits::Admission::Taken);
--- a/Tests/Processes/TestPageCommands.cpp
+++ b/Tests/Processes/TestPageCommands.cpp
@@ -30,7 +30,7 @@
 };
 
 /// All commands of the pages, in an order in which they can be run. One that is not here makes the test fail.
-constexpr std::array<PageCommand, 21> pageCommands { {
+constexpr std::array<PageCommand, 22> pageCommands { {
     { "./Meta/demo.sh", Trial::Elsewhere },
     { "./Meta/demo.sh --keep", Trial::Elsewhere },
     { "./Meta/check.sh", Trial::Elsewhere },
@@ -51,6 +51,7 @@
     { "currantctl explain --labels tier=night --path /v1/completions --model reasoning", Trial::Here },
     { "currantctl duties", Trial::OnKeyedStore },
     { "currantctl suspects", Trial::OnKeyedStore },
+    { "currantctl limits", Trial::OnKeyedStore },
     { "currantctl story 811ff66a8cd5a520 front-*.log", Trial::Here },
 } };
 
--- a/Tests/Processes/TestTargetLimits.cpp
+++ b/Tests/Processes/TestTargetLimits.cpp
@@ -4,6 +4,7 @@
 
 #include <LibPlatform/Json.h>
 #include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -94,6 +95,9 @@
     EXPECT_LE(mostIn4Seconds("app-0"), allowedIn4Seconds(limit));
     EXPECT_GE(arrivals("app-0") - before, 7U) << "a limited target is slow, not dead";
     EXPECT_EQ(counts.refused + counts.other, 0);
+    boost::json::object listed = getObject(operators(0), "/limits");
+    ASSERT_EQ(listed.at("limits").as_array().size(), 1U);
+    EXPECT_EQ(listed.at("limits").as_array().front().at("per_second").to_number<double>(), limit);
     // Once it names none, it gets its part again.
     setLimit("app-0", 0);
     EXPECT_TRUE(waitFor([&] {
@@ -146,3 +150,29 @@
     EXPECT_EQ(counts.withoutRetryAfter, 0);
     EXPECT_LE(counts.slowRefusals, counts.refused / 20);
 }
+
+// Guards against a daemon that takes a share of its own when it starts, or keeps that of one that has ended.
+TEST_F(TargetLimits, ALimitHoldsWhileDaemonsEndAndStart)
+{
+    constexpr double limit = 4.5;
+    setLimit("app-0", limit);
+    Counts settling;
+    load("POST", "/c/1", settleTime, settling);
+    setLimit("app-0", limit);
+    std::uint64_t before = arrivals("app-0");
+    Counts counts;
+    std::thread callers([&] { load("POST", "/c/1", 16s, counts); });
+    std::this_thread::sleep_for(1s);
+    process(daemonName(2)).kill();
+    std::this_thread::sleep_for(1s);
+    process(daemonName(1)).send(SIGSTOP);
+    std::this_thread::sleep_for(2s);
+    startDaemon(2);
+    std::this_thread::sleep_for(1s);
+    process(daemonName(1)).send(SIGCONT);
+    process(daemonName(0)).kill();
+    startDaemon(0);
+    callers.join();
+    EXPECT_LE(mostIn4Seconds("app-0"), allowedIn4Seconds(limit));
+    EXPECT_GE(arrivals("app-0") - before, 16U) << "shares of daemons that have ended stay unused";
+}
