--- a/Tests/Processes/TestCallersLeaving.cpp
+++ b/Tests/Processes/TestCallersLeaving.cpp
@@ -100,3 +100,22 @@
         }
     }
 }
+
+// Guards against an output that is made for nobody: the prompt has been computed, and the caller leaves before the first event.
+TEST_F(CallersLeaving, ACallerWhoLeavesBeforeTheOutputBeginsEndsItsWork)
+{
+    constexpr std::chrono::seconds bound = 2s; // The daemon ends the work itself at the request's deadline, after 5 s.
+    for (std::string const& name : targetNames()) {
+        if (Platform::stringOf(getObject(target(name), "/admin/runs"), "role") == "decode")
+            post(target(name), "/admin/faults", R"({"work_ms":20000})");
+    }
+    for (RawCaller::Closing closing : closings) {
+        RawCaller caller(front(0));
+        caller.write(bytesOf(kinds[2]));
+        ASSERT_TRUE(waitFor([&] { return sum("working") == 1; }));
+        std::uint64_t before = sum("abandoned");
+        caller.close(closing);
+        EXPECT_TRUE(waitFor([&] { return sum("working") == 0; }, bound));
+        EXPECT_EQ(sum("abandoned"), before + 1);
+    }
+}
--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -1,6 +1,7 @@
 // A request that ends whatever target begins to run it, on three daemons before four engines and two plain services.
 
 #include "KeyedSite.h"
+#include "RawCaller.h"
 
 #include <gtest/gtest.h>
 #include <iostream>
@@ -151,3 +152,23 @@
     ASSERT_TRUE(waitFor([&] { return isReady(1) && send(1, "/h/1").status == 200; }));
     expectRefused(1, "/h/crash");
 }
+
+// Guards against a request that ends one target after the other unnoticed because its callers give it up each time.
+TEST_F(CrashingRequest, IsRefusedAlsoWhenItsCallersLeave)
+{
+    constexpr int mostTries = 20;
+    for (int n = 0; n < mostTries && m_ends < endsToRefuse; ++n) {
+        RawCaller caller(front(static_cast<std::size_t>(n) % daemonCount()));
+        caller.write(RawCaller::bytesOf(request("POST", "/h/crash", "given-up-" + std::to_string(n))));
+        std::this_thread::sleep_for(100ms);
+        caller.close(RawCaller::Closing::Normal);
+        std::this_thread::sleep_for(100ms);
+        restartEnded();
+        ASSERT_TRUE(waitFor([&] { return countEngines("decode") >= 1; }));
+    }
+    ASSERT_GE(m_ends, endsToRefuse);
+    std::this_thread::sleep_for(refusedWithin);
+    restartEnded();
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        expectRefused(n, "/h/crash");
+}
