--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -46,7 +46,7 @@
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
-        std::function<void(std::vector<std::string> const& others)> setSharers; ///< Who else shares the rate limits of targets.
+        std::function<void(std::vector<std::string> const& others)> setSharers; ///< Names of the other daemons that share the rate limits of targets.
         std::function<std::vector<Routing::RateLimitReport>()> rateLimitReports; ///< Rate limits that targets have stated to this daemon.
         std::function<void(std::string const& peer, std::vector<Routing::RateLimitReport> const&)> takePeerRateLimits;
         std::function<void(Fleet::StoreCallReason)> countStoreCall;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -148,7 +148,7 @@
     m_hooks.setDaemons(m_beacons->book().knownCount());
     std::vector<std::string> sharers;
     for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
-        // One that is not heard may still send for a while, and one that is new has its share before its first beacon.
+        // A silent daemon may still send for a while, and a listed one may send before its first beacon.
         if (now - std::max(it.second.heardAt, it.second.knownSince) < sharerTimeout)
             sharers.push_back(it.first);
     }
