LibRoles, LibDaemon: Count an engine as changing from its order on, not from the wish

What callers saw: requests refused with no-candidate and no-output-target for two seconds and more, without any order sent.

Cause: RoleKeeper entered an order into its book when it decided on it, and gained the lease after that. From then on the engine was in its new role for the next plan, and the beacon took it from all daemons' candidates, for the 1.5 s after which the lease was given up. The next plan moved a second engine to make up for the first, and the first was not taken back when its reason had gone.

Change: SplitOrders decides anew at each poll. What SplitRule proposes is only wanted until the lease is held and the engines have answered; then it is decided on what is known at that moment, and the engine counts as changing. A wish replaces the one before. An engine that does not answer is passed over for another. Who takes the lease from another daemon asks every engine before its first order, since orders of that daemon may be under way. Beacons name the new roles of engines that change, so that another planner counts them there.

Shown by: TestSplitOrders (AChangeWhoseReasonHasGoneIsNotOrdered, AnEngineCountsAsChangingOnlyOnceItIsOrdered and three more); the interface is new, so that they cannot run on the code before.

--- a/Libraries/LibAuthority/StoreLease.cpp
+++ b/Libraries/LibAuthority/StoreLease.cpp
@@ -16,6 +16,7 @@
     m_next = std::max(m_next, next);
     if (!isChanged)
         return;
+    m_isSuccessor = m_newest && m_newest->holder != m_self;
     m_newest = newest;
     m_changedAt = now;
     bool isOwn = newest && newest->holder == m_self;
@@ -61,6 +62,7 @@
     m_isClaimPending = false;
     if (m_newest && m_newest->offset > offset)
         return;
+    m_isSuccessor = m_newest && m_newest->holder != m_self;
     m_newest = StoreLeaseClaim { offset, m_self };
     m_next = std::max(m_next, offset + 1);
     m_changedAt = m_appendStartedAt;
--- a/Libraries/LibAuthority/StoreLease.h
+++ b/Libraries/LibAuthority/StoreLease.h
@@ -81,6 +81,9 @@
     /// Returns whether an order may be written now. Must be checked immediately before each write.
     bool mayOrder(Time now) const;
 
+    /// Returns whether the claim before the newest one was another process's, so that orders of that process may be under way.
+    bool isSuccessor() const { return m_isSuccessor; }
+
     /// Returns the fencing token for orders while the newest claim is this process's.
     std::optional<std::uint64_t> fencing() const { return m_fencing; }
 
@@ -98,6 +101,7 @@
     bool m_isClaimPending { false }; ///< An append is in progress or its outcome is unknown.
     Time m_appendStartedAt; ///< When the last append was started.
     std::optional<std::uint64_t> m_fencing;
+    bool m_isSuccessor { false };
     std::optional<Time> m_blockedUntil;
     std::optional<Time> m_orderedAt; ///< When this process last wrote an order.
 };
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -240,8 +240,11 @@
             added->set_per_second(*it.perSecond);
         added->set_age_ms(toMilliseconds(it.age));
     }
-    for (std::uint64_t target : beacon.changing)
+    for (std::uint64_t target : beacon.changing) {
         message.add_changing(target);
+        std::map<std::uint64_t, Routing::TargetRole>::const_iterator role = beacon.changingTo.find(target);
+        message.add_changing_to(role == beacon.changingTo.end() ? std::string() : std::string(Core::nameOf(Routing::targetRoleNames, role->second)));
+    }
     for (std::uint64_t target : beacon.suspects)
         message.add_suspects(target);
     return message.SerializeAsString();
@@ -291,6 +294,10 @@
             beacon.rateLimits.push_back({ it.target(), it.has_per_second() ? std::optional<double>(it.per_second()) : std::nullopt, std::chrono::milliseconds(it.age_ms()) });
     }
     beacon.changing.assign(message.changing().begin(), message.changing().end());
+    for (int n = 0; n < std::min(message.changing_size(), message.changing_to_size()); ++n) {
+        if (std::optional<Routing::TargetRole> role = Core::valueOf(Routing::targetRoleNames, message.changing_to(n)))
+            beacon.changingTo.emplace(message.changing(n), *role);
+    }
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     return beacon;
 }
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -39,6 +39,7 @@
     std::chrono::milliseconds wallClock { 0 }; ///< The sender's when the beacon was made, since 1970.
     Duties::UsageStatement usage {}; ///< Its windows only in beacons to `usageFor`.
     std::map<std::string, double> sizedDemands {}; ///< In engines, by service: what the sender sizes these for.
+    std::map<std::uint64_t, Routing::TargetRole> changingTo {}; ///< The new roles of those in `changing`.
     std::vector<Routing::RateLimitReport> rateLimits {}; ///< That targets have recently stated to it.
     std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -37,6 +37,7 @@
     std::string release; ///< Its software version; empty if not reported.
     bool isLeaving { false }; ///< It has announced that it shuts down.
     bool isReclaimable { false }; ///< The platform may reclaim it at short notice (a spot VM).
+    std::optional<Routing::TargetRole> nextRole; ///< The role that it is changing to.
     std::string closeReason; ///< Why it gets no new requests; empty while it is open.
 
     bool isClosed() const { return !closeReason.empty(); }
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cmath>
+#include <utility>
 
 namespace Daemon {
 
@@ -17,10 +18,6 @@
 constexpr std::chrono::milliseconds freshTime { 1'500 };
 // Those that are there when a daemon starts list themselves within this, or are read in parts.
 constexpr std::chrono::seconds listingTime { 5 };
-// An accepted change takes seconds; the platform lists the new role with the engine's next heartbeat.
-constexpr std::chrono::seconds changeTimeout { 10 };
-// An order whose reply was lost may still be carried out up to 12 s later (the platform's word).
-constexpr std::chrono::seconds uncertainTimeout { 14 };
 
 }
 
@@ -33,77 +30,71 @@
 {
 }
 
-Roles::SplitRule& RoleKeeper::ruleOf(std::string const& service)
+RoleKeeper::Service& RoleKeeper::serviceOf(std::string const& name)
 {
-    return m_rules.try_emplace(service, m_splitSettings).first->second;
+    return m_services.try_emplace(name, Service { Roles::SplitOrders(m_splitSettings), false }).first->second;
 }
 
-bool RoleKeeper::isChanging(std::uint64_t key) const
+std::optional<Routing::TargetRole> RoleKeeper::nextRole(std::uint64_t key) const
 {
-    return std::any_of(m_orders.begin(), m_orders.end(), [key](std::pair<std::string const, Order> const& it) { return it.second.key == key; });
+    for (std::pair<std::string const, Service> const& it : m_services) {
+        if (std::optional<Routing::TargetRole> role = it.second.orders.nextRole(key))
+            return role;
+    }
+    return std::nullopt;
 }
 
-std::vector<std::uint64_t> RoleKeeper::changing() const
+std::map<std::uint64_t, Routing::TargetRole> RoleKeeper::changing() const
 {
-    std::vector<std::uint64_t> keys;
-    for (std::pair<std::string const, Order> const& it : m_orders)
-        keys.push_back(it.second.key);
-    return keys;
+    std::map<std::uint64_t, Routing::TargetRole> all;
+    for (std::pair<std::string const, Service> const& it : m_services)
+        all.merge(it.second.orders.changing());
+    return all;
 }
 
 void RoleKeeper::poll(FleetSnapshot const& fleet, std::set<std::uint64_t> const& unreachable)
 {
     Time now = Clock::now();
-    settle(fleet, now);
-    if (m_isStopped || !fleet.isReady || !fleet.services)
-        return;
-    // A daemon that does not plan looks on, to know since when a side is short should it come to plan; that may wait.
-    bool plans = m_hooks.isPlanner() || m_leases.mayOrder();
-    if (!plans && now < m_nextLook)
-        return;
-    m_nextLook = now + lookInterval;
-    std::map<std::string, std::vector<std::uint32_t>> engines;
     std::erase_if(m_firstSeen, [&fleet](std::pair<std::uint64_t const, Time> const& it) {
         return std::none_of(fleet.targets.begin(), fleet.targets.end(), [&it](FleetTarget const& target) { return target.key == it.first; });
     });
+    std::map<std::string, std::vector<std::uint32_t>> engines;
     for (std::uint32_t position = 0; position < fleet.targets.size(); ++position) {
         if (fleet.targets[position].kind == Platform::VmKind::Engine)
             engines[fleet.targets[position].pool].push_back(position);
     }
+    // A daemon that does not plan looks on, to know since when a side is short should it come to plan; that may wait.
+    bool plans = m_hooks.isPlanner() || m_leases.mayOrder();
+    bool looks = plans || now >= m_nextLook;
+    bool isKnown = !m_isStopped && fleet.isReady && fleet.services;
+    if (looks)
+        m_nextLook = now + lookInterval;
+    for (std::pair<std::string const, Service>& it : m_services)
+        engines.try_emplace(it.first);
     for (std::pair<std::string const, std::vector<std::uint32_t>> const& it : engines) {
-        if (m_hooks.isBeingSized(it.first))
+        Roles::SplitOrders& orders = serviceOf(it.first).orders;
+        if (!looks && orders.changing().empty())
             continue;
-        plan(fleet, it.first, it.second, unreachable, now);
+        std::vector<Roles::EngineView> views = viewsOf(fleet, it.second, unreachable, now);
+        if (orders.settle(views, now))
+            m_hooks.onChange();
+        if (looks && isKnown && !it.second.empty() && !m_hooks.isBeingSized(it.first))
+            plan(fleet, it.first, views, now);
     }
 }
 
-// Ends orders whose engine is seen in its new role, is gone, or has had its time.
-void RoleKeeper::settle(FleetSnapshot const& fleet, Time now)
-{
-    std::size_t ended = std::erase_if(m_orders, [&](std::pair<std::string const, Order> const& it) {
-        for (FleetTarget const& target : fleet.targets) {
-            // An order is over, too, when its engine has started anew: that one is another, with the role it has.
-            if (target.name == it.first)
-                return target.key != it.second.key || target.role == it.second.role || now >= it.second.until;
-        }
-        return true;
-    });
-    if (ended > 0)
-        m_hooks.onChange();
-}
-
-void RoleKeeper::plan(FleetSnapshot const& fleet, std::string const& service, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now)
+std::vector<Roles::EngineView> RoleKeeper::viewsOf(FleetSnapshot const& fleet, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now)
 {
     std::vector<Roles::EngineView> views;
-    std::map<std::string, std::uint32_t> lossGroups; // By availability zone.
+    std::map<std::string, std::uint32_t> failureDomains; // By availability zone.
     for (std::uint32_t position : positions) {
         FleetTarget const& target = fleet.targets[position];
-        std::map<std::string, Order>::const_iterator order = m_orders.find(target.name);
         Roles::EngineView view;
         view.engine = position;
-        view.role = order != m_orders.end() ? order->second.role : target.role;
+        view.key = target.key;
+        view.role = target.role;
         if (target.isReclaimable)
-            view.failureDomain = lossGroups.try_emplace(target.availabilityZone, static_cast<std::uint32_t>(lossGroups.size() + 1)).first->second;
+            view.failureDomain = failureDomains.try_emplace(target.availabilityZone, static_cast<std::uint32_t>(failureDomains.size() + 1)).first->second;
         view.isFresh = isFresh(target.key, now);
         view.isLeaving = target.isLeaving;
         // Differences within what the estimates err are none.
@@ -114,24 +105,49 @@
             view.allowed = view.allowed.with(Routing::TargetRole::Prefill);
         if (allowed.contains(State::Role::Decode))
             view.allowed = view.allowed.with(Routing::TargetRole::Decode);
-        view.state = order != m_orders.end() ? Roles::EngineState::Changing : target.isClosed() || unreachable.contains(target.key) ? Roles::EngineState::Down
-                                                                                                                                    : Roles::EngineState::Serving;
+        bool isDown = target.isLeaving || unreachable.contains(target.key) || (target.isClosed() && !target.nextRole);
+        if (isDown)
+            view.state = Roles::EngineState::Down;
+        else if (target.nextRole && !nextRole(target.key)) {
+            // Ordered by another daemon.
+            view.role = *target.nextRole;
+            view.state = Roles::EngineState::Changing;
+        }
         views.push_back(view);
     }
-    // The rule always sees the fleet, so that whoever comes to plan knows since when a side is short.
-    Roles::SplitDemand demand = m_hooks.demand(service);
-    std::vector<Roles::RoleChange> changes = ruleOf(service).plan(views, demand, now);
-    if (!m_hooks.isPlanner() && !m_leases.of(service).mayOrder(now))
+    return views;
+}
+
+void RoleKeeper::plan(FleetSnapshot const& fleet, std::string const& name, std::vector<Roles::EngineView> const& views, Time now)
+{
+    Service& service = serviceOf(name);
+    Roles::SplitDemand demand = m_hooks.demand(name);
+    bool mayOrder = m_leases.of(name).mayOrder(now);
+    if (!m_hooks.isPlanner() && !mayOrder) {
+        service.orders.observe(views, demand, now);
         return;
-    for (Roles::RoleChange const& change : changes) {
-        FleetTarget const& target = fleet.targets[change.engine];
-        Order order { service, target.key, target.bornAtMs, target.endpoint, change.role, now + changeTimeout };
-        Core::logEvent(Core::Severity::Info, Core::Event::RoleDecided, { { "pool", service }, { "engine", target.name }, { "from", std::string(Core::nameOf(Routing::targetRoleNames, target.role)) }, { "to", std::string(Core::nameOf(Routing::targetRoleNames, change.role)) }, { "engines", std::to_string(views.size()) }, { "prompts_keep_busy", std::to_string(demand.prompts) }, { "outputs_keep_busy", std::to_string(demand.outputs) } });
-        m_orders.emplace(target.name, order);
+    }
+    bool isOrdering = false;
+    for (Roles::SplitStep const& step : service.orders.plan(views, demand, mayOrder, now)) {
+        if (step.action == Roles::SplitAction::GainLease) {
+            if (!std::exchange(service.isGaining, true))
+                boost::asio::co_spawn(
+                    m_context, [this, name] { return gainLease(name); }, boost::asio::detached);
+            continue;
+        }
+        FleetTarget const& target = fleet.targets[step.change.engine];
+        Engine engine { name, target.name, target.key, target.bornAtMs, target.endpoint };
+        if (step.action == Roles::SplitAction::ReadState) {
+            boost::asio::co_spawn(
+                m_context, [this, engine] { return readState(engine); }, boost::asio::detached);
+            continue;
+        }
+        isOrdering = true;
+        Core::logEvent(Core::Severity::Info, Core::Event::RoleDecided, { { "pool", name }, { "engine", target.name }, { "from", std::string(Core::nameOf(Routing::targetRoleNames, target.role)) }, { "to", std::string(Core::nameOf(Routing::targetRoleNames, step.change.role)) }, { "engines", std::to_string(views.size()) }, { "prompts_keep_busy", std::to_string(demand.prompts) }, { "outputs_keep_busy", std::to_string(demand.outputs) } });
         boost::asio::co_spawn(
-            m_context, [this, name = target.name, order]() { return carryOut(name, order); }, boost::asio::detached);
+            m_context, [this, engine, step] { return sendOrder(engine, step); }, boost::asio::detached);
     }
-    if (changes.empty())
+    if (!isOrdering)
         return;
     m_hooks.onChange();
     m_hooks.onPlan();
@@ -146,70 +162,90 @@
     return seen.first->second - m_firstLook >= listingTime && now - seen.first->second < freshTime;
 }
 
-void RoleKeeper::giveUp(std::string const& target, std::string_view why)
+void RoleKeeper::logBlocked(std::string const& service, std::string const& engine, std::string_view why)
 {
-    Core::logEvent(Core::Severity::Warning, Core::Event::ChangeBlocked, { { "engine", target }, { "reason", std::string(why) } });
-    if (m_orders.erase(target) > 0)
-        m_hooks.onChange();
+    Core::logEvent(Core::Severity::Warning, Core::Event::ChangeBlocked, { { "pool", service }, { "engine", engine }, { "reason", std::string(why) } });
 }
 
-boost::asio::awaitable<void> RoleKeeper::carryOut(std::string target, Order order)
+boost::asio::awaitable<void> RoleKeeper::gainLease(std::string name)
 {
-    bool isHolder = co_await m_leases.gain(order.service);
+    bool isHolder = co_await m_leases.gain(name);
+    Service& service = serviceOf(name);
+    service.isGaining = false;
     if (m_isStopped)
         co_return;
-    if (!isHolder) {
-        giveUp(target, "the lease is not to be had now");
-        co_return;
+    if (isHolder && m_leases.of(name).isSuccessor())
+        service.orders.noteTakeover();
+    if (isHolder)
+        m_hooks.onReady();
+    else
+        logBlocked(name, "-", "the lease is not to be had now");
+}
+
+Roles::EngineReadiness RoleKeeper::judge(Engine const& engine, Core::Result<Platform::EngineState> const& state) const
+{
+    if (state.has_error()) {
+        logBlocked(engine.service, engine.name, state.error().message);
+        return Roles::EngineReadiness::Unavailable;
     }
-    Core::Result<Platform::EngineState> state = co_await m_engines.state(order.endpoint);
-    if (m_isStopped)
-        co_return;
-    if (state.has_value() && order.bornAtMs != 0 && state.value().bornAtMs != 0 && state.value().bornAtMs != order.bornAtMs) {
-        giveUp(target, "the engine has started anew");
-        co_return;
+    if (engine.bornAtMs != 0 && state.value().bornAtMs != 0 && state.value().bornAtMs != engine.bornAtMs) {
+        logBlocked(engine.service, engine.name, "the engine has started anew");
+        return Roles::EngineReadiness::Unavailable;
     }
-    if (state.has_value() && state.value().phase == Platform::EnginePhase::Draining) {
-        m_hooks.onLeaving(order.key);
-        giveUp(target, "the engine leaves");
-        co_return;
+    if (state.value().phase == Platform::EnginePhase::Draining) {
+        m_hooks.onLeaving(engine.key);
+        logBlocked(engine.service, engine.name, "the engine leaves");
+        return Roles::EngineReadiness::Unavailable;
     }
-    bool isIdle = state.has_value() && state.value().phase == Platform::EnginePhase::Serving;
-    Authority::StoreLease& lease = m_leases.of(order.service);
-    if (!isIdle || !lease.mayOrder(Clock::now())) {
-        giveUp(target, state.has_error() ? state.error().message : isIdle ? "the lease's time is over"
-                                                                          : "the engine is changing");
+    if (state.value().phase == Platform::EnginePhase::Serving)
+        return Roles::EngineReadiness::Ready;
+    logBlocked(engine.service, engine.name, "the engine is changing");
+    return Roles::EngineReadiness::Changing;
+}
+
+boost::asio::awaitable<void> RoleKeeper::readState(Engine engine)
+{
+    Core::Result<Platform::EngineState> state = co_await m_engines.state(engine.endpoint);
+    if (m_isStopped)
         co_return;
-    }
+    Roles::EngineReadiness readiness = judge(engine, state);
+    Roles::SplitOrders& orders = serviceOf(engine.service).orders;
+    orders.noteReadiness(engine.key, readiness, state.has_value() ? state.value().acceptedOrders : 0, Clock::now());
+    if (readiness == Roles::EngineReadiness::Changing)
+        m_hooks.onChange();
+    if (!orders.isReading())
+        m_hooks.onReady();
+}
+
+boost::asio::awaitable<void> RoleKeeper::sendOrder(Engine engine, Roles::SplitStep step)
+{
+    Authority::StoreLease& lease = m_leases.of(engine.service);
     Platform::EngineOrder sent;
-    sent.id = target;
-    sent.fencing = *lease.fencing();
-    sent.role = std::string(Core::nameOf(Routing::targetRoleNames, order.role));
+    sent.id = engine.name;
+    sent.fencing = lease.fencing().value_or(0);
+    sent.role = std::string(Core::nameOf(Routing::targetRoleNames, step.change.role));
     sent.holder = m_leases.self().daemon;
-    sent.incarnation = target;
-    sent.expectedAccepted = state.value().acceptedOrders;
-    Core::logEvent(Core::Severity::Info, Core::Event::OrderSent, { { "pool", order.service }, { "engine", target }, { "role", *sent.role }, { "fencing", std::to_string(sent.fencing) }, { "expected", std::to_string(state.value().acceptedOrders) } });
+    sent.incarnation = engine.name;
+    sent.expectedAccepted = step.acceptedOrders;
+    Core::logEvent(Core::Severity::Info, Core::Event::OrderSent, { { "pool", engine.service }, { "engine", engine.name }, { "role", *sent.role }, { "fencing", std::to_string(sent.fencing) }, { "expected", std::to_string(step.acceptedOrders) } });
     lease.recordOrder(Clock::now());
-    Core::Result<Platform::OrderReply> reply = co_await m_engines.order(order.endpoint, sent, [&lease, fencing = sent.fencing] { return lease.mayOrder(Clock::now()) && lease.fencing() == fencing; });
+    Core::Result<Platform::OrderReply> reply = co_await m_engines.order(engine.endpoint, sent, [&lease, fencing = sent.fencing] { return lease.mayOrder(Clock::now()) && lease.fencing() == fencing; });
     lease.recordOrder(Clock::now());
     bool isUnknown = reply.has_error() && reply.error().verdict != Core::Verdict::NotRun;
-    std::string answer = reply.has_value() ? (reply.value().isAccepted ? "accepted" : "refused") : "unknown";
-    Core::logEvent(Core::Severity::Info, Core::Event::OrderAnswered, { { "pool", order.service }, { "engine", target }, { "answer", answer }, { "error", reply.has_error() ? reply.error().message : "-" } });
+    bool isAccepted = reply.has_value() && reply.value().isAccepted;
+    Roles::OrderAnswer answer = isAccepted ? Roles::OrderAnswer::Accepted : isUnknown ? Roles::OrderAnswer::Unknown
+                                                                                      : Roles::OrderAnswer::Refused;
+    Core::logEvent(Core::Severity::Info, Core::Event::OrderAnswered, { { "pool", engine.service }, { "engine", engine.name }, { "answer", std::string(Core::nameOf(Roles::orderAnswerNames, answer)) }, { "error", reply.has_error() ? reply.error().message : "-" } });
     if (reply.has_value() && reply.value().isLeaving)
-        m_hooks.onLeaving(order.key);
-    if (reply.has_value() && reply.value().isAccepted) {
-        ++m_accepted;
-        co_return;
-    }
-    if (isUnknown) {
-        std::map<std::string, Order>::iterator it = m_orders.find(target);
-        if (it != m_orders.end())
-            it->second.until = Clock::now() + uncertainTimeout;
+        m_hooks.onLeaving(engine.key);
+    m_accepted += isAccepted ? 1 : 0;
+    serviceOf(engine.service).orders.noteAnswer(engine.key, answer, Clock::now());
+    if (answer != Roles::OrderAnswer::Refused)
         co_return;
-    }
     if (reply.has_value() && reply.value().isOutdated)
         lease.loseAuthority(Clock::now());
-    giveUp(target, "the engine refused the order");
+    logBlocked(engine.service, engine.name, "the engine refused the order");
+    m_hooks.onChange();
 }
 
 }
--- a/Libraries/LibDaemon/RoleKeeper.h
+++ b/Libraries/LibDaemon/RoleKeeper.h
@@ -4,12 +4,13 @@
 #include <LibDaemon/StoreLeases.h>
 #include <LibFleet/StoreReplica.h>
 #include <LibPlatform/EngineControl.h>
-#include <LibRoles/SplitRule.h>
+#include <LibRoles/SplitOrders.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target in a role, next to the others.
         std::function<bool(std::string const& service)> isBeingSized; ///< Engines come and go before the first requests.
         std::function<void(std::uint64_t target)> onLeaving; ///< Called when a target says that it will end.
+        std::function<void()> onReady; ///< Called when `poll` has more to do: a lease was gained, or engines have answered.
     };
 
     /// Preconditions: all references outlive the object.
@@ -41,11 +43,11 @@
     /// Ends all plans; orders that were sent stay sent.
     void stop() { m_isStopped = true; }
 
-    /// Keys of the targets that this daemon has ordered to change and that have not been seen in their new role.
-    std::vector<std::uint64_t> changing() const;
+    /// The new roles of the targets that this daemon has ordered to change and that have not been seen in them, by key.
+    std::map<std::uint64_t, Routing::TargetRole> changing() const;
 
-    /// Whether this daemon has ordered the target of that key to change.
-    bool isChanging(std::uint64_t key) const;
+    /// The role that this daemon has ordered the target of that key to change to; nothing: none.
+    std::optional<Routing::TargetRole> nextRole(std::uint64_t key) const;
 
     /// How many role changes engines have accepted from this process.
     std::uint64_t accepted() const { return m_accepted; }
@@ -53,21 +55,28 @@
 private:
     using Time = Core::BootClock::time_point;
 
-    /// An order to one engine, from its plan until the engine is seen in its new role.
-    struct Order {
+    /// The engine that an order is for.
+    struct Engine {
         std::string service;
+        std::string name;
         std::uint64_t key { 0 };
         std::uint64_t bornAtMs { 0 }; ///< Of the incarnation that is meant; 0: not told.
         boost::asio::ip::tcp::endpoint endpoint;
-        Routing::TargetRole role { Routing::TargetRole::Prefill };
-        Time until; ///< After this time it is given up.
     };
 
-    Roles::SplitRule& ruleOf(std::string const& service);
-    void settle(FleetSnapshot const&, Time now);
-    void plan(FleetSnapshot const&, std::string const& service, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now);
-    boost::asio::awaitable<void> carryOut(std::string target, Order);
-    void giveUp(std::string const& target, std::string_view why);
+    struct Service {
+        Roles::SplitOrders orders;
+        bool isGaining { false }; ///< Its lease.
+    };
+
+    Service& serviceOf(std::string const& name);
+    std::vector<Roles::EngineView> viewsOf(FleetSnapshot const&, std::vector<std::uint32_t> const& positions, std::set<std::uint64_t> const& unreachable, Time now);
+    void plan(FleetSnapshot const&, std::string const& name, std::vector<Roles::EngineView> const&, Time now);
+    boost::asio::awaitable<void> gainLease(std::string service);
+    boost::asio::awaitable<void> readState(Engine);
+    boost::asio::awaitable<void> sendOrder(Engine, Roles::SplitStep);
+    Roles::EngineReadiness judge(Engine const&, Core::Result<Platform::EngineState> const&) const;
+    static void logBlocked(std::string const& service, std::string const& engine, std::string_view why);
     bool isFresh(std::uint64_t key, Time now);
 
     boost::asio::io_context& m_context;
@@ -75,8 +84,7 @@
     Platform::EngineControl& m_engines;
     Roles::SplitSettings m_splitSettings;
     Hooks m_hooks;
-    std::map<std::string, Roles::SplitRule> m_rules; ///< By service.
-    std::map<std::string, Order> m_orders; ///< By target.
+    std::map<std::string, Service> m_services;
     std::map<std::uint64_t, Time> m_firstSeen; ///< By target's key.
     Time m_firstLook;
     Time m_nextLook; ///< Of a daemon that does not plan.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -88,7 +88,7 @@
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
     BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
-    RoleKeeper::Hooks roles { [this] { return plansRoles(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::string const& service) { return m_engineNumbers && m_engineNumbers->isFirstSizing(service, Clock::now()); }, [this](std::uint64_t target) { noteLeaving(target); } };
+    RoleKeeper::Hooks roles { [this] { return plansRoles(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::string const& service) { return m_engineNumbers && m_engineNumbers->isFirstSizing(service, Clock::now()); }, [this](std::uint64_t target) { noteLeaving(target); }, [this] { m_roles->poll(*m_fleet, m_unreachable); } };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
     leases.isFenced = m_settings.platform.areOrdersFenced;
@@ -259,7 +259,9 @@
     beacon.state.configAge = m_configuration.follower->age(now);
     beacon.state.targetsAge = m_targetList.follower->age(now);
     beacon.shares = m_hooks.openWork();
-    beacon.changing = m_roles->changing();
+    beacon.changingTo = m_roles->changing();
+    for (std::pair<std::uint64_t const, Routing::TargetRole> const& it : beacon.changingTo)
+        beacon.changing.push_back(it.first);
     beacon.leaving = m_leaving.own();
     beacon.rateLimits = m_hooks.rateLimitReports();
     beacon.suspects = m_hooks.suspects();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -158,6 +158,7 @@
     void noteTargetsGone(std::set<std::uint64_t> const& keys);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key); }
+    std::optional<Routing::TargetRole> nextRole(Fleet::BookedTarget const&, std::uint64_t key) const;
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
 
     boost::asio::io_context& m_context;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -139,7 +139,7 @@
     bool isAnyLeaving = m_leaving.hear(beacon.leaving);
     if (isAnyLeaving)
         rebuild();
-    bool isOther = m_changing.hear(beacon.sender.name, beacon.changing, now, m_beacons->book().livenessTimeout());
+    bool isOther = m_changing.hear(beacon.sender.name, beacon.changing, beacon.changingTo, now, m_beacons->book().livenessTimeout());
     m_isTargetListChanged = m_isTargetListChanged || isOther;
 }
 
@@ -217,11 +217,21 @@
     m_hooks.setAvoided(m_unreachable);
 }
 
+// A peer may not have seen yet that a change has ended.
+std::optional<Routing::TargetRole> StoreControl::nextRole(Fleet::BookedTarget const& target, std::uint64_t key) const
+{
+    if (std::optional<Routing::TargetRole> own = m_roles->nextRole(key))
+        return own;
+    std::optional<Routing::TargetRole> role = m_changing.roleOf(key);
+    return role == target.listed.role ? std::nullopt : role;
+}
+
 std::string StoreControl::whyClosed(Fleet::BookedTarget const& target, std::uint64_t key) const
 {
     if (isLeaving(target, key))
         return "leaving";
-    if (m_roles->isChanging(key) || m_changing.contains(key))
+    bool isRoleUnknown = m_changing.contains(key) && !m_changing.roleOf(key);
+    if (nextRole(target, key) || isRoleUnknown)
         return "changing its role";
     return {};
 }
@@ -252,7 +262,8 @@
     target.release = listed.release;
     target.isReclaimable = listed.isReclaimable;
     target.isLeaving = isLeaving(booked, key);
-    target.closeReason = whyClosed(booked, target.key);
+    target.nextRole = nextRole(booked, key);
+    target.closeReason = whyClosed(booked, key);
     return target;
 }
 
--- a/Libraries/LibRoles/FleetView.h
+++ b/Libraries/LibRoles/FleetView.h
@@ -39,6 +39,7 @@
     bool isLeaving { false }; ///< Permanently down, so it can be replaced without waiting for its return.
     bool isFresh { false }; ///< Started recently, so no requests depend on its current role yet.
     double slowness { 1 }; ///< Processing time relative to other engines for its current work.
+    std::uint64_t key { 0 }; ///< Identifies the engine's process, also in later views.
 };
 
 /// Prompts are counted in two classes because long ones delay decoding on a mixed engine most.
--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -162,13 +162,16 @@
     return counts;
 }
 
-std::vector<RoleChange> SplitRule::plan(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
+std::vector<RoleChange> SplitRule::propose(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
 {
     Counts counts = countEngines(engines);
     std::uint32_t wanted = wantedDecode(counts.total(), counts.decode, demand);
+    m_isSplitDue = false;
+    m_isDemandKnown = demand.isKnown;
     std::vector<RoleChange> changes = assignNewEngines(engines, counts.decode, demand, counts.total());
     if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, now))
         return changes;
+    m_isSplitDue = true;
     TargetRole from = counts.decode < wanted ? TargetRole::Prefill : TargetRole::Decode;
     TargetRole to = counts.decode < wanted ? TargetRole::Decode : TargetRole::Prefill;
     std::uint32_t missing = counts.decode < wanted ? wanted - counts.decode : counts.decode - wanted;
@@ -180,10 +183,22 @@
         if (engine.state == EngineState::Serving && engine.role == from && engine.allowed.has(to))
             eligible.push_back(engine);
     }
-    changes = selectEngines(engines, std::move(eligible), to, missing);
+    return selectEngines(engines, std::move(eligible), to, missing);
+}
+
+void SplitRule::commit()
+{
+    if (!m_isSplitDue)
+        return;
     m_hasPlanned = true;
-    m_hasFollowedDemand = m_hasFollowedDemand || demand.isKnown;
+    m_hasFollowedDemand = m_hasFollowedDemand || m_isDemandKnown;
     m_mismatchSince.reset();
+}
+
+std::vector<RoleChange> SplitRule::plan(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
+{
+    std::vector<RoleChange> changes = propose(engines, demand, now);
+    commit();
     return changes;
 }
 
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -63,6 +63,12 @@
     /// Only serving engines whose allowed roles contain the new one are changed.
     std::vector<RoleChange> plan(std::vector<EngineView> const&, SplitDemand const&, Time now);
 
+    /// As `plan`, for changes that may not be ordered yet: they stay due until `commit`.
+    std::vector<RoleChange> propose(std::vector<EngineView> const&, SplitDemand const&, Time now);
+
+    /// Records that the changes last proposed have been ordered.
+    void commit();
+
     /// Returns how many of `engines` should decode, given that `decoding` of them do now.
     std::uint32_t wantedDecode(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
 
@@ -98,6 +104,8 @@
     bool m_hasPlanned { false };
     std::optional<Time> m_demandKnownSince; ///< When the demand became known.
     bool m_hasFollowedDemand { false }; ///< Whether the split has ever been matched to a known demand.
+    bool m_isSplitDue { false }; ///< Whether the last proposal was for the split as a whole, not only for new engines.
+    bool m_isDemandKnown { false }; ///< As of the last proposal.
 };
 
 }
