LibRoles: Keep the last engine of a role in service until another one serves

What callers saw: after engines had left, no engine took prompts for about a second, and requests were refused meanwhile (the line in KNOWN-RED of TargetNotices.EnginesThatSayTheyLeaveGetNoMore; in its trace the order to the last prefill engine at 12.1 s).

Cause: SplitRule counts engines that change in their new role, and takes the number that is over from those that serve. With one engine on its way to prefill, the only one that served there was free to go.

Change: one serving engine stays in a role until another serves in it, also if one is on its way, unless the role is to be empty or no engine has the other role, without which nothing is served either. The change stays due and is made when the other one serves.

Shown by: SplitOrders.TheLastServingEngineOfARoleStaysUntilAnotherServes and the property ChangesAreFewAndLeaveNoRoleEmpty over 1 to 3 daemons, which of them holds the lease, plans, dies, is cut off or starts as the first by name, and engines that leave, die and come.

--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -114,6 +114,8 @@
         if (engine.isFresh && engine.state == EngineState::Serving && engine.role != to && engine.allowed.has(to))
             newEngines.push_back(engine);
     }
+    TargetRole from = to == TargetRole::Decode ? TargetRole::Prefill : TargetRole::Decode;
+    missing = std::min(missing, movableEngines(engines, from, from == TargetRole::Decode ? wanted : static_cast<std::uint32_t>(total) - wanted));
     return selectEngines(engines, newEngines, to, missing);
 }
 
@@ -162,6 +164,22 @@
     return counts;
 }
 
+// Returns how many engines may leave a role now. One keeps serving until another does, even if that one is on its way; only where no
+// engine has the other role, without which nothing is served, the engine on its way is enough.
+std::uint32_t SplitRule::movableEngines(std::vector<EngineView> const& engines, TargetRole from, std::uint32_t wantedLeft)
+{
+    std::uint32_t serving = 0;
+    bool isOtherRoleTaken = false;
+    for (EngineView const& engine : engines) {
+        if (engine.state == EngineState::Down)
+            continue;
+        serving += engine.role == from && engine.state == EngineState::Serving ? 1 : 0;
+        isOtherRoleTaken = isOtherRoleTaken || engine.role != from;
+    }
+    bool mayBeEmptied = wantedLeft == 0 || !isOtherRoleTaken;
+    return mayBeEmptied ? serving : serving - std::min(serving, 1U);
+}
+
 std::vector<RoleChange> SplitRule::propose(std::vector<EngineView> const& engines, SplitDemand const& demand, Time now)
 {
     Counts counts = countEngines(engines);
@@ -178,6 +196,7 @@
     bool followsDemand = demand.isKnown && counts.decode >= m_settings.leastDecode && counts.prefill >= m_settings.leastPrefill;
     if (followsDemand)
         missing = std::min(missing, std::max(1U, static_cast<std::uint32_t>(std::lround(m_settings.maxMovedShare * counts.total()))));
+    missing = std::min(missing, movableEngines(engines, from, from == TargetRole::Decode ? wanted : counts.total() - wanted));
     std::vector<EngineView> eligible;
     for (EngineView const& engine : engines) {
         if (engine.state == EngineState::Serving && engine.role == from && engine.allowed.has(to))
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -60,7 +60,8 @@
     }
 
     /// Returns the changes to order now. Changing engines count in their target role; engines that are down do not count.
-    /// Only serving engines whose allowed roles contain the new one are changed.
+    /// Only serving engines whose allowed roles contain the new one are changed, and never the last serving engine of a role before
+    /// another one serves in that role.
     std::vector<RoleChange> plan(std::vector<EngineView> const&, SplitDemand const&, Time now);
 
     /// As `plan`, for changes that may not be ordered yet: they stay due until `commit`.
@@ -92,6 +93,7 @@
     std::size_t maxDecoding(std::size_t engines) const;
     bool isUrgent(Counts const&) const;
     std::vector<RoleChange> assignNewEngines(std::vector<EngineView> const&, std::uint32_t decode, SplitDemand const&, std::size_t total);
+    static std::uint32_t movableEngines(std::vector<EngineView> const&, TargetRole from, std::uint32_t wantedLeft);
     static std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count);
     bool isUnderPressure(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
     bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, Time now);
--- a/Tests/LibRoles/TestSplitOrders.cpp
+++ b/Tests/LibRoles/TestSplitOrders.cpp
@@ -1,5 +1,8 @@
+#include "SplitSite.h"
+
 #include <LibRoles/SplitOrders.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace {
 
@@ -131,3 +134,34 @@
         EXPECT_TRUE(orders.plan(engines, unknown, true, now += 100ms).empty()) << n;
     EXPECT_EQ(orders.nextRole(engines[3].key), prefill);
 }
+
+// Guards against prompts that no engine computes because the last one that did was ordered to decode before another had taken its place.
+TEST(SplitOrders, TheLastServingEngineOfARoleStaysUntilAnotherServes)
+{
+    SplitOrders orders;
+    SplitOrders::Time now = start;
+    std::vector<EngineView> engines = makeFleet({ prefill, prefill, decode, decode, decode, decode, decode, decode });
+    engines[0].state = EngineState::Changing;
+    engines[0].role = prefill;
+    for (std::size_t n = 3; n < engines.size(); ++n)
+        engines[n].state = EngineState::Down;
+    for (int n = 0; n < 60; ++n)
+        EXPECT_TRUE(orders.plan(engines, unknown, true, now += 100ms).empty()) << "one that serves, one on its way, one to decode";
+    engines[0].state = EngineState::Serving;
+    EXPECT_FALSE(orders.plan(engines, unknown, true, now += 100ms).empty());
+}
+
+// Daemons of which any may hold the lease and plan, before engines that leave, die and come, in any order.
+RC_GTEST_PROP(SplitOrders, ChangesAreFewAndLeaveNoRoleEmpty, ())
+{
+    bool isFenced = *rc::gen::arbitrary<bool>();
+    SplitSite site({ *rc::gen::inRange<std::size_t>(1, 4), *rc::gen::inRange<std::size_t>(2, 9), isFenced, *rc::gen::arbitrary<std::uint64_t>() });
+    site.run(10s);
+    int disturbances = *rc::gen::inRange(1, 6);
+    for (int n = 0; n < disturbances; ++n) {
+        site.disturb(static_cast<SplitSite::Disturbance>(*rc::gen::inRange(0, static_cast<int>(SplitSite::disturbanceNames.size()))), *rc::gen::inRange<std::size_t>(0, 100));
+        site.run(std::chrono::milliseconds(*rc::gen::inRange(0, 4'000)));
+    }
+    site.run(40s);
+    RC_ASSERT(site.problems() == std::vector<std::string>());
+}
