LibAuthority, LibFleet, LibDaemon: Count a claim's age from when it was made, and let the lease's holder go on planning

What callers saw: after the daemon that plans roles had died, or another one that comes first by name had started, no engine got an order for 4 s and more on platforms that check no numbers; a side that had lost its engines stayed empty, and requests were refused.

Cause: (1) StoreLease::observe takes the first read of a claim for the time at which it was made, so that each daemon waits out the whole term of a claim that may be minutes old. (2) gain() gives up after 1.5 s and the daemon steps back for 6 s, to the next, which begins anew. (3) The first by name plans, whoever holds the lease.

Change: a daemon's beacon tells the offset after its newest claim; claims share a topic, so that a claim is no younger than any report of a later offset (ClaimTimes). The live daemon with the newest claim plans; without one the first by name, as before. Where the lease is another's for now, the planner waits for its end without reading the store meanwhile, and does not step back; where numbers are checked only this process has to wait, and leaves planning to others until then.

--- a/Libraries/LibAuthority/StoreLease.cpp
+++ b/Libraries/LibAuthority/StoreLease.cpp
@@ -1,4 +1,5 @@
 #include <LibAuthority/StoreLease.h>
+#include <algorithm>
 
 namespace Authority {
 
@@ -9,7 +10,7 @@
 {
 }
 
-void StoreLease::observe(std::optional<StoreLeaseClaim> const& newest, std::uint64_t next, Time now)
+void StoreLease::observe(std::optional<StoreLeaseClaim> const& newest, std::uint64_t next, Time now, std::optional<Time> madeBy)
 {
     bool isChanged = !m_isRead || newest != m_newest;
     m_isRead = true;
@@ -18,7 +19,7 @@
         return;
     m_isSuccessor = m_newest && m_newest->holder != m_self;
     m_newest = newest;
-    m_changedAt = now;
+    m_changedAt = std::min(now, madeBy.value_or(now));
     bool isOwn = newest && newest->holder == m_self;
     if (!isOwn) {
         m_fencing.reset();
@@ -29,15 +30,27 @@
     m_isClaimPending = false;
 }
 
-bool StoreLease::isFree(Time now) const
+// When another process's claim no longer keeps this one from claiming.
+StoreLease::Time StoreLease::termEnd() const
 {
-    if (!m_isRead || (m_blockedUntil && now < *m_blockedUntil))
-        return false;
     if (!m_newest || m_newest->holder == m_self)
-        return true;
+        return Time();
     if (m_settings.isFenced)
-        return now >= m_orderedAt.value_or(m_startedAt) + m_settings.quietTime + m_settings.margin;
-    return now >= m_changedAt + m_settings.orderTime + m_settings.quietTime + m_settings.margin;
+        return m_orderedAt.value_or(m_startedAt) + m_settings.quietTime + m_settings.margin;
+    return m_changedAt + m_settings.orderTime + m_settings.quietTime + m_settings.margin;
+}
+
+std::optional<StoreLease::Time> StoreLease::opensAt() const
+{
+    if (!m_isRead)
+        return std::nullopt;
+    return std::max(termEnd(), m_blockedUntil.value_or(Time()));
+}
+
+bool StoreLease::isFree(Time now) const
+{
+    std::optional<Time> opens = opensAt();
+    return opens && now >= *opens;
 }
 
 std::optional<StoreLeaseAppend> StoreLease::poll(bool wantsToOrder, Time now)
--- a/Libraries/LibAuthority/StoreLease.h
+++ b/Libraries/LibAuthority/StoreLease.h
@@ -54,8 +54,9 @@
     /// `startedAt`: when this process started. Until then an earlier process of the same daemon may have sent orders.
     StoreLease(StoreLeaseSettings const&, StoreLeaseHolder self, Time startedAt);
 
-    /// Takes the newest claim (none if there never was one) and the end offset of its topic, as read at `now`.
-    void observe(std::optional<StoreLeaseClaim> const&, std::uint64_t next, Time now);
+    /// Takes the newest claim (none if there never was one) and the end offset of its topic, as read at `now`. `madeBy`: a time by
+    /// which the claim is known to have been made, if that is known.
+    void observe(std::optional<StoreLeaseClaim> const&, std::uint64_t next, Time now, std::optional<Time> madeBy = {});
 
     /// Returns a claim to append now if this daemon has orders to send, may not send them yet, and the lease is free.
     std::optional<StoreLeaseAppend> poll(bool wantsToOrder, Time now);
@@ -78,6 +79,9 @@
     /// Handles a rejected order or an intervening order of another daemon: that daemon holds the lease.
     void loseAuthority(Time now);
 
+    /// Returns when the lease is free for this process to claim; nothing while no claim has been read.
+    std::optional<Time> opensAt() const;
+
     /// Returns whether an order may be written now. Must be checked immediately before each write.
     bool mayOrder(Time now) const;
 
@@ -89,6 +93,7 @@
 
 private:
     bool isFree(Time now) const;
+    Time termEnd() const;
 
     StoreLeaseSettings m_settings;
     StoreLeaseHolder m_self;
@@ -97,7 +102,7 @@
     std::uint64_t m_next { 0 };
     bool m_isRead { false };
     bool m_isEndKnown { false }; ///< The topic ended at `m_next` when this process last appended to it.
-    Time m_changedAt; ///< When the newest claim was first read or, if it is this process's own, sent.
+    Time m_changedAt; ///< By when the newest claim was made: when it was known or read first or, if it is this process's own, sent.
     bool m_isClaimPending { false }; ///< An append is in progress or its outcome is unknown.
     Time m_appendStartedAt; ///< When the last append was started.
     std::optional<std::uint64_t> m_fencing;
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -75,6 +75,7 @@
     message.set_targets_changed(state.targetsChanged);
     message.set_is_reading(state.isReading);
     message.set_cannot_plan(state.cannotPlan);
+    message.set_lease_claimed(state.leaseClaimed);
     message.set_cannot_hold_duties(state.cannotHoldDuties);
     message.set_store_failing_ms(toMilliseconds(state.storeFailingFor));
     message.set_said_at_ms(toWire(state.saidAt));
@@ -94,6 +95,7 @@
     state.targetsChanged = message.targets_changed();
     state.isReading = message.is_reading();
     state.cannotPlan = message.cannot_plan();
+    state.leaseClaimed = message.lease_claimed();
     state.cannotHoldDuties = message.cannot_hold_duties();
     state.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
     state.saidAt = fromWire(message.said_at_ms());
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -130,7 +130,7 @@
     bool isOrdering = false;
     for (Roles::SplitStep const& step : service.orders.plan(views, demand, mayOrder, now)) {
         if (step.action == Roles::SplitAction::GainLease) {
-            if (!std::exchange(service.isGaining, true))
+            if (!m_leases.isHeld(name) && !std::exchange(service.isGaining, true))
                 boost::asio::co_spawn(
                     m_context, [this, name] { return gainLease(name); }, boost::asio::detached);
             continue;
@@ -169,7 +169,7 @@
 
 boost::asio::awaitable<void> RoleKeeper::gainLease(std::string name)
 {
-    bool isHolder = co_await m_leases.gain(name);
+    bool isHolder = co_await m_leases.gain(name, StoreLeases::IfHeld::Wait);
     Service& service = serviceOf(name);
     service.isGaining = false;
     if (m_isStopped)
@@ -179,7 +179,7 @@
     if (isHolder)
         m_hooks.onReady();
     else
-        logBlocked(name, "-", "the lease is not to be had now");
+        logBlocked(name, "-", m_leases.isHeld(name) ? "the lease is another daemon's for now" : "the lease is not to be had now");
 }
 
 Roles::EngineReadiness RoleKeeper::judge(Engine const& engine, Core::Result<Platform::EngineState> const& state) const
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -254,6 +254,7 @@
     beacon.state.targetsChanged = m_targetList.newsOffset;
     beacon.state.isReading = isReading();
     beacon.state.cannotPlan = m_engineLeases->isBarred();
+    beacon.state.leaseClaimed = m_engineLeases->claimed();
     beacon.state.cannotHoldDuties = m_dutyLeases && m_dutyLeases->isBarred();
     beacon.state.storeFailingFor = storeFailingFor();
     beacon.state.configAge = m_configuration.follower->age(now);
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -130,6 +130,9 @@
     m_configuration.follower->hear(said, now);
     m_targetList.follower->hear(said, now);
     publishAge();
+    m_engineLeases->hear(said.leaseClaimed);
+    if (m_dutyLeases)
+        m_dutyLeases->hear(said.leaseClaimed);
     bool isNews = said.configVersion > m_view.newest.configVersion || said.targetsChanged > m_view.newest.targetsChanged;
     m_view.newest.configVersion = std::max(m_view.newest.configVersion, said.configVersion);
     m_view.newest.targetsChanged = std::max(m_view.newest.targetsChanged, said.targetsChanged);
--- a/Libraries/LibDaemon/StoreLeases.cpp
+++ b/Libraries/LibDaemon/StoreLeases.cpp
@@ -49,13 +49,38 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [now](std::pair<std::string const, Entry> const& it) { return it.second.lease.mayOrder(now); });
 }
 
-boost::asio::awaitable<bool> StoreLeases::gain(std::string name)
+bool StoreLeases::isHeld(std::string const& name) const
+{
+    std::map<std::string, Entry>::const_iterator it = m_entries.find(name);
+    if (it == m_entries.end())
+        return false;
+    std::optional<Clock::time_point> opensAt = it->second.lease.opensAt();
+    return opensAt && Clock::now() < *opensAt;
+}
+
+std::uint64_t StoreLeases::claimed() const
+{
+    std::uint64_t newest = 0;
+    for (std::pair<std::string const, Entry> const& it : m_entries) {
+        if (std::optional<std::uint64_t> offset = it.second.lease.fencing())
+            newest = std::max(newest, *offset + 1);
+    }
+    return newest;
+}
+
+boost::asio::awaitable<bool> StoreLeases::gain(std::string name, IfHeld ifHeld)
 {
     Clock::time_point giveUpAt = Clock::now() + gainTimeout;
     while (!m_isStopped && Clock::now() < giveUpAt) {
         Entry& entry = entryOf(name);
         if (entry.lease.mayOrder(Clock::now()))
             co_return true;
+        if (ifHeld == IfHeld::Wait && isHeld(name)) {
+            // Where orders are fenced only this process has to wait. Otherwise none could have the lease sooner.
+            if (m_settings.isFenced)
+                m_barredUntil = *of(name).opensAt();
+            co_return false;
+        }
         if (!std::exchange(entry.isClaiming, true)) {
             co_await claim(name);
             entryOf(name).isClaiming = false;
@@ -121,7 +146,7 @@
         }
         hasMore = page.value().hasMore && !page.value().records.empty();
     }
-    of(name).observe(newest, next, Clock::now());
+    of(name).observe(newest, next, Clock::now(), newest ? m_claimTimes.madeBy(newest->offset) : std::nullopt);
     co_return Core::ok();
 }
 
--- a/Libraries/LibDaemon/StoreLeases.h
+++ b/Libraries/LibDaemon/StoreLeases.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/ClaimTimes.h>
 #include <LibAuthority/StoreLease.h>
 #include <LibFleet/ReadTurn.h>
 #include <LibPlatform/KeyedStore.h>
@@ -23,9 +24,24 @@
     /// Returns the lease of a name. The reference stays valid.
     Authority::StoreLease& of(std::string const& name);
 
+    /// What to do about a lease that is another daemon's for now.
+    enum class IfHeld : std::uint8_t {
+        StepBack, ///< Let another daemon do what the lease is for.
+        Wait, ///< Ask again when the lease is open.
+    };
+
     /// Claims a lease unless this daemon may order under it as it is. Returns whether it may; false after a second and a half:
-    /// the store does not answer, or another daemon holds the lease.
-    boost::asio::awaitable<bool> gain(std::string name);
+    /// the store does not answer, or another daemon holds the lease. With `Wait` the latter is answered at once.
+    boost::asio::awaitable<bool> gain(std::string name, IfHeld = IfHeld::StepBack);
+
+    /// Whether a lease is another daemon's for now, as far as this daemon has read.
+    bool isHeld(std::string const& name) const;
+
+    /// Takes the offset after the newest claim that another daemon reports of itself.
+    void hear(std::uint64_t claimed) { m_claimTimes.note(claimed, Core::BootClock::now()); }
+
+    /// Returns the offset after this process's newest claim that no other is known to have followed; 0: none.
+    std::uint64_t claimed() const;
 
     /// Whether a lease could not be had lately, so that another daemon should do what it is for.
     bool isBarred() const { return Core::BootClock::now() < m_barredUntil; }
@@ -56,6 +72,7 @@
     CountHook m_countCall;
     Core::BootClock::time_point m_startedAt; ///< About when the process did.
     std::map<std::string, Entry> m_entries;
+    Authority::ClaimTimes m_claimTimes;
     Core::BootClock::time_point m_barredUntil;
     bool m_isStopped { false };
 };
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -94,7 +94,9 @@
         failingBefore += isFirst && isFailing ? 1 : 0;
         readersBefore += isFirst && !said.isLeaving && !isFailing ? 1 : 0;
         view.hasLiveReader = view.hasLiveReader || said.isReading;
-        view.isPlanner = view.isPlanner && !(isFirst && !said.isLeaving && !said.cannotPlan);
+        bool canPlan = !said.isLeaving && !said.cannotPlan;
+        view.isPlanner = view.isPlanner && !(isFirst && canPlan);
+        view.leaseClaimed = std::max(view.leaseClaimed, canPlan ? said.leaseClaimed : 0);
         view.newest.configVersion = std::max(view.newest.configVersion, said.configVersion);
         view.newest.targetsChanged = std::max(view.newest.targetsChanged, said.targetsChanged);
     }
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -52,6 +52,7 @@
     std::chrono::milliseconds runningFor { 0 }; ///< Process uptime, measured with its VM's boot clock.
     /// Process start in milliseconds since 1970 on the fleet's agreed true time; the process determines it once. 0 until then.
     std::chrono::milliseconds startedAt { 0 };
+    std::uint64_t leaseClaimed { 0 }; ///< Offset after its newest claim of a lease on engines; 0 if it has none.
 
     bool operator==(DaemonState const&) const = default;
 };
@@ -76,9 +77,14 @@
     std::size_t live { 1 }; ///< Number of live daemons, including this one.
     bool isReader { true }; ///< This daemon should read the store continuously.
     bool hasLiveReader { false }; ///< Another daemon that does so is live, so its beacons announce updates.
-    bool isPlanner { true }; ///< This daemon should plan the roles of engines.
+    bool isPlanner { true }; ///< This daemon should plan the roles of engines, unless another one holds a lease on them.
+    std::uint64_t leaseClaimed { 0 }; ///< Greatest of all other live daemons that can plan; 0: none of them holds a lease.
     DaemonState newest; ///< The newest values reported by any live daemon.
 
+    /// Whether this daemon should plan the roles of engines, given the offset after its own newest claim of a lease on them (0:
+    /// none). Whoever holds the lease goes on planning while it lives, since another could only gain the lease after its term.
+    bool plansWith(std::uint64_t ownClaim) const { return ownClaim != leaseClaimed ? ownClaim > leaseClaimed : isPlanner; }
+
     bool operator==(SiteView const&) const = default;
 };
 
--- a/Tests/LibRoles/SplitSite.cpp
+++ b/Tests/LibRoles/SplitSite.cpp
@@ -39,6 +39,7 @@
     int name { 0 };
     std::uint64_t id { 0 };
     Authority::StoreLease lease;
+    Authority::ClaimTimes claimTimes;
     SplitOrders orders;
     std::optional<Time> diedAt;
     bool isGaining { false };
@@ -83,7 +84,7 @@
     Authority::StoreLeaseSettings lease;
     lease.isFenced = m_settings.isFenced;
     std::uint64_t id = ++m_lastId;
-    m_daemons[name] = std::make_unique<Daemon>(Daemon { name, id, Authority::StoreLease(lease, { std::to_string(name), id }, m_now), SplitOrders(), {}, false, {}, {} });
+    m_daemons[name] = std::make_unique<Daemon>(Daemon { name, id, Authority::StoreLease(lease, { std::to_string(name), id }, m_now), {}, SplitOrders(), {}, false, {}, {} });
     after(delay(100), [this, id] {
         if (Daemon* daemon = daemonOf(id))
             tick(*daemon);
@@ -105,15 +106,19 @@
     return it == m_engines.end() ? nullptr : &it->second;
 }
 
-// The first daemon that the others take for alive and that can get the lease.
+// Of the daemons that the others take for alive and that can get the lease, the one that claimed it last, or the first.
 SplitSite::Daemon* SplitSite::planner()
 {
+    Daemon* first = nullptr;
     for (std::pair<int const, std::unique_ptr<Daemon>> const& it : m_daemons) {
         bool isTakenForDead = it.second->diedAt && m_now - *it.second->diedAt >= silentAfter;
-        if (!isTakenForDead && m_now >= it.second->barredUntil)
-            return it.second.get();
+        if (isTakenForDead || m_now < it.second->barredUntil)
+            continue;
+        bool isHolder = first && it.second->lease.fencing() && it.second->lease.fencing() > first->lease.fencing();
+        if (!first || isHolder)
+            first = it.second.get();
     }
-    return nullptr;
+    return first;
 }
 
 std::size_t SplitSite::serving(TargetRole role) const
@@ -148,13 +153,18 @@
 
 void SplitSite::tick(Daemon& daemon)
 {
+    for (std::pair<int const, std::unique_ptr<Daemon>> const& it : m_daemons) {
+        if (!it.second->diedAt && it.second->lease.fencing())
+            daemon.claimTimes.note(*it.second->lease.fencing() + 1, m_now);
+    }
     std::vector<EngineView> engines = views(daemon);
     daemon.orders.settle(engines, m_now);
     bool mayOrder = daemon.lease.mayOrder(m_now);
     if (planner() == &daemon || mayOrder) {
         for (SplitStep const& step : daemon.orders.plan(engines, {}, mayOrder, m_now)) {
             if (step.action == SplitAction::GainLease) {
-                if (!std::exchange(daemon.isGaining, true))
+                bool isHeld = daemon.lease.opensAt() && m_now < *daemon.lease.opensAt();
+                if (!isHeld && !std::exchange(daemon.isGaining, true))
                     gain(daemon.id, m_now + gainTimeout);
             } else if (step.action == SplitAction::ReadState) {
                 read(daemon.id, engines[step.change.engine].key);
@@ -186,10 +196,13 @@
             gain(id, giveUpAt);
             return;
         }
-        daemon->lease.observe(m_claims.empty() ? std::nullopt : std::optional(m_claims.back()), m_claims.size(), m_now);
+        daemon->lease.observe(m_claims.empty() ? std::nullopt : std::optional(m_claims.back()), m_claims.size(), m_now, m_claims.empty() ? std::nullopt : daemon->claimTimes.madeBy(m_claims.back().offset));
         std::optional<Authority::StoreLeaseAppend> append = daemon->lease.poll(true, m_now);
+        bool isHeld = m_now < *daemon->lease.opensAt();
         if (!append) {
-            daemon->isGaining = !daemon->lease.mayOrder(m_now);
+            if (isHeld && m_settings.isFenced)
+                daemon->barredUntil = *daemon->lease.opensAt();
+            daemon->isGaining = !daemon->lease.mayOrder(m_now) && !isHeld;
             if (daemon->isGaining)
                 after(50ms, [this, id, giveUpAt] { gain(id, giveUpAt); });
             return;
--- a/Tests/LibRoles/SplitSite.h
+++ b/Tests/LibRoles/SplitSite.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAuthority/ClaimTimes.h>
 #include <LibAuthority/StoreLease.h>
 #include <LibCore/EnumNames.h>
 #include <LibRoles/SplitOrders.h>
