LibDaemon, LibHttp: Log what a probe of a target found after a connection broke

CrashingRequest.IsRefusedByADaemonThatStartsWhileTheStoreIsAway: of four targets that a request had ended all daemons together had counted two. No decision changes; TestDocs compares the event with its page.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -63,6 +63,7 @@
     TargetSaysLeaving = 6008,
     TargetPaused = 6009,
     TargetLimited = 6010,
+    TargetProbed = 6011,
     UsageDecided = 7001,
     UsageReported = 7002,
     UsageMissed = 7003,
@@ -71,7 +72,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 60> eventNames { {
+inline constexpr EnumNames<Event, 61> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -126,6 +127,7 @@
     { Event::TargetSaysLeaving, "target-says-leaving" },
     { Event::TargetPaused, "target-paused" },
     { Event::TargetLimited, "target-limited" },
+    { Event::TargetProbed, "target-probed" },
     { Event::UsageDecided, "usage-decided" },
     { Event::UsageReported, "usage-reported" },
     { Event::UsageMissed, "usage-missed" },
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/EnumNames.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Message.h>
 #include <LibHttp/SocketLiveness.h>
@@ -84,6 +85,12 @@
     Unknown, ///< No answer, or another failure.
 };
 
+inline constexpr Core::EnumNames<Reach, 3> reachNames { {
+    { Reach::Reached, "reached" },
+    { Reach::Refused, "refused" },
+    { Reach::Unknown, "unknown" },
+} };
+
 /// An HTTP/1.1 client with a pool of connections, on one io_context that one thread runs.
 /// Errors carry the verdict: NotRun until the first byte was written, MayHaveRun after.
 /// Thread safety: use from that thread only.
--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -83,7 +83,7 @@
     std::string whatItKnew(std::size_t daemon) const
     {
         std::string text;
-        for (char const* what : { "name=process-started", "stream=suspects", "name=suspects-unknown", "name=request-suspected", "name=request-quarantined", "name=request-cleared" }) {
+        for (char const* what : { "name=process-started", "stream=suspects", "name=target-probed", "name=target-ended", "name=target-added", "name=suspects-unknown", "name=request-suspected", "name=request-quarantined", "name=request-cleared" }) {
             for (std::string const& line : logLines(daemonName(daemon), what))
                 text += line + "\n";
         }
