LibQuarantine, LibDaemon: Take a connection to a target's address for no sign of life of the process before

What callers saw: a request that ends its targets was let through once more than allowed, since ends were not counted: all daemons together had counted two of four (CrashingRequest.IsRefusedByADaemonThatStartsWhileTheStoreIsAway, listed as known red).

Cause: after a connection broke the daemon connects to the address. Reached was taken for a sign of life, and the broken runs were dropped, so that the end counted for nothing, also when the list showed another process. But whoever listens there may be the target's next process, started before the daemon looked.

Provoked: a daemon is stopped while its target ends and starts again.

Change: Reached leaves the runs for later evidence, as an unknown outcome does. New evidence: another process that lists itself at the address shows that the one before has ended; a request that was completed over a connection that was open when another broke shows that it has not. Broken runs are kept for as long as the list of targets has not been read since, as when the store is away.

RunTable's new tests need the new calls. Elsewhere: TargetHealth, TargetNotices, RateLimits and LeavingTargets go by the same key; what they keep for too long errs on the safe side (nothing is sent). EvidenceFinder leaves out answers that may come from an earlier process already.

--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -38,7 +38,7 @@
 
 void QuarantineExchange::describe(BeaconMessage& beacon, Clock::time_point now) const
 {
-    beacon.suspectNews = m_guard.news(now, Quarantine::newsLifetime(m_book.beaconInterval()));
+    beacon.suspectNews = m_guard.news(now, Quarantine::newsLifetime(m_book.beaconInterval()), m_hooks.listedAsOf());
     if (m_catchUp.isCaughtUp())
         beacon.suspectDigest = m_guard.digest();
 }
--- a/Libraries/LibDaemon/QuarantineExchange.h
+++ b/Libraries/LibDaemon/QuarantineExchange.h
@@ -24,6 +24,7 @@
     struct Hooks {
         std::function<void()> requestBeacon; ///< Requests a beacon before the next regular one.
         std::function<void(Fleet::StoreCallReason)> countStoreCall;
+        std::function<Core::BootClock::time_point()> listedAsOf; ///< As of when the list of targets is known.
     };
 
     /// Precondition: all referenced objects outlive this one.
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -101,7 +101,8 @@
         m_context.context, [self = shared_from_this(), copy = *target] { return self->probeTarget(copy); }, boost::asio::detached);
 }
 
-// Tells a crashed target, whose address refuses connections, from a connection that broke for another reason.
+// An address that refuses connections shows that the target has crashed. One that takes them shows nothing: the target's next process
+// may listen there already.
 boost::asio::awaitable<void> RequestRunner::probeTarget(FleetTarget target)
 {
     Clock::time_point begunAt = Clock::now();
@@ -112,8 +113,6 @@
         m_context.dispatcher.noteOutcome(target.key, Routing::TargetOutcome::Unreachable);
     if (reach == Http::Reach::Refused)
         noteEnded(target, "refused");
-    else if (reach == Http::Reach::Reached)
-        m_context.guard.noteAlive(target.key, begunAt);
     else
         m_context.guard.noteUnknown(target.key);
 }
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -96,7 +96,7 @@
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, m_settings.split, std::move(roles));
     if (m_settings.duties.service.port() != 0)
         createDuties(usage);
-    QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall };
+    QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall, [this] { return m_targetList.follower->asOf().value_or(m_startedAt); } };
     m_quarantine = std::make_unique<QuarantineExchange>(m_context, m_guard, *m_store, *m_records, m_beacons->book(), self.name, std::move(quarantine));
     createTopics();
     // While another daemon's reads are answered, it is this one that is cut off, not the store that is away.
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -155,7 +155,7 @@
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
     void shareAmongDaemons(Core::BootClock::time_point now);
-    void noteTargetsGone(std::set<std::uint64_t> const& keys);
+    void noteTargetsGone(FleetSnapshot const&);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key); }
     std::optional<Routing::TargetRole> nextRole(Fleet::BookedTarget const&, std::uint64_t key) const;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -270,12 +270,23 @@
     return target;
 }
 
-// What has ended as it had said it would ended for that.
-void StoreControl::noteTargetsGone(std::set<std::uint64_t> const& keys)
+// A target has ended when its entry is gone, or when another process has listed itself at its address since. What has ended as it had
+// said it would ended for that.
+void StoreControl::noteTargetsGone(FleetSnapshot const& fleet)
 {
+    std::set<std::uint64_t> before;
+    for (FleetTarget const& target : m_fleet->targets)
+        before.insert(target.key);
+    std::set<std::uint64_t> keys;
+    std::map<boost::asio::ip::tcp::endpoint, std::uint64_t> newcomers; // By address.
+    for (FleetTarget const& target : fleet.targets) {
+        keys.insert(target.key);
+        if (!before.contains(target.key))
+            newcomers.emplace(target.endpoint, target.key);
+    }
     std::vector<std::uint64_t> gone;
     for (FleetTarget const& target : m_fleet->targets) {
-        if (!target.isLeaving && !keys.contains(target.key))
+        if (!target.isLeaving && (!keys.contains(target.key) || newcomers.contains(target.endpoint)))
             gone.push_back(target.key);
     }
     if (!gone.empty())
@@ -312,7 +323,7 @@
         fleet->targets.push_back(std::move(target));
     }
     m_leaving.keepListed(keys, Clock::now());
-    noteTargetsGone(keys);
+    noteTargetsGone(*fleet);
     std::erase_if(m_targetIds, [&keys](std::pair<std::uint64_t const, std::uint32_t> const& it) { return !keys.contains(it.first); });
     fleet->view = State::TargetView::create(m_labels, platformTargets);
     fleet->services = m_services;
--- a/Libraries/LibQuarantine/Guard.cpp
+++ b/Libraries/LibQuarantine/Guard.cpp
@@ -47,7 +47,7 @@
 {
     std::lock_guard lock(m_mutex);
     WorkKey key = m_runs.at(id).key;
-    m_runs.finish(id);
+    m_runs.finishSuccessfully(id, now);
     if (!m_suspects.noteSurvived(key, now))
         return false;
     m_suspects.addNews({ key, std::nullopt, now, now }, now);
@@ -117,10 +117,10 @@
     m_suspects.setReleases(std::move(releases));
 }
 
-std::vector<SuspectNews> Guard::news(Time now, std::chrono::milliseconds lifetime)
+std::vector<SuspectNews> Guard::news(Time now, std::chrono::milliseconds lifetime, Time listedAsOf)
 {
     std::lock_guard lock(m_mutex);
-    m_runs.expire(now);
+    m_runs.expire(now, listedAsOf);
     return m_suspects.news(now, lifetime);
 }
 
--- a/Libraries/LibQuarantine/Guard.h
+++ b/Libraries/LibQuarantine/Guard.h
@@ -62,7 +62,10 @@
     void setReleases(std::map<std::string, std::set<std::string>>);
 
     /// Returns the evidence to send to peers now, and removes expired evidence and runs.
-    std::vector<SuspectNews> news(Time now, std::chrono::milliseconds lifetime);
+    std::vector<SuspectNews> news(Time now, std::chrono::milliseconds lifetime) { return news(now, lifetime, now); }
+
+    /// As above, where the list of targets is known as of `listedAsOf`.
+    std::vector<SuspectNews> news(Time now, std::chrono::milliseconds lifetime, Time listedAsOf);
 
     std::uint64_t digest() const;
     std::vector<Suspect> suspects() const;
--- a/Libraries/LibQuarantine/RunTable.cpp
+++ b/Libraries/LibQuarantine/RunTable.cpp
@@ -46,18 +46,29 @@
     return ends;
 }
 
-void RunTable::noteAlive(std::uint64_t incarnation, Time asOf)
+void RunTable::finishSuccessfully(Id id, Time now)
+{
+    Run const& run = m_open.at(id);
+    noteAlive(run.target.incarnation, now, run.begunAt);
+    m_open.erase(id);
+}
+
+void RunTable::noteAlive(std::uint64_t incarnation, Time asOf, Time since)
 {
     m_pendingProbes.erase(incarnation);
     std::map<std::uint64_t, std::vector<BrokenRun>>::iterator it = m_broken.find(incarnation);
     if (it != m_broken.end())
-        std::erase_if(it->second, [&](BrokenRun const& one) { return one.at <= asOf; });
+        std::erase_if(it->second, [&](BrokenRun const& one) { return one.at >= since && one.at <= asOf; });
 }
 
-void RunTable::expire(Time now)
+void RunTable::expire(Time now, Time listedAsOf)
 {
+    std::size_t count = 0;
+    for (std::pair<std::uint64_t const, std::vector<BrokenRun>> const& it : m_broken)
+        count += it.second.size();
+    Time knownUntil = count > m_settings.maxBrokenRuns ? now : std::min(now, listedAsOf);
     for (std::pair<std::uint64_t const, std::vector<BrokenRun>>& it : m_broken)
-        std::erase_if(it.second, [&](BrokenRun const& one) { return now - one.at > m_settings.brokenRunRetention; });
+        std::erase_if(it.second, [&](BrokenRun const& one) { return knownUntil - one.at > m_settings.brokenRunRetention; });
     std::erase_if(m_broken, [](std::pair<std::uint64_t const, std::vector<BrokenRun>> const& it) { return it.second.empty(); });
     std::erase_if(m_ended, [&](std::pair<std::uint64_t const, Time> const& it) { return now - it.second > m_settings.endedTargetRetention; });
 }
--- a/Libraries/LibQuarantine/RunTable.h
+++ b/Libraries/LibQuarantine/RunTable.h
@@ -16,6 +16,7 @@
     /// How long a run with a broken connection is kept. The platform's target list, the slowest source on ended targets, lags by
     /// three heartbeats of about a second, and by two more seconds after a store outage.
     std::chrono::seconds brokenRunRetention { 8 };
+    std::size_t maxBrokenRuns { 4'096 }; ///< While the list of targets cannot be read they are kept for longer.
     /// How long the end of a target is remembered. Connections to it break within this time.
     std::chrono::seconds endedTargetRetention { 30 };
 };
@@ -61,14 +62,21 @@
     /// as they break. May be called again for a target that restarted under the same id without this daemon's knowledge.
     std::vector<std::pair<WorkKey, TargetEnd>> noteEnded(std::uint64_t incarnation, Time now);
 
-    /// Records that the target was alive at `asOf`: connections that broke until then failed in the network.
-    void noteAlive(std::uint64_t incarnation, Time asOf);
+    /// Ends a run that the target completed. Its connection was open from its begin until now, so that other connections that broke
+    /// meanwhile failed in the network. Precondition: the run is in progress.
+    void finishSuccessfully(Id, Time now);
+
+    /// Records that the target's process of `since` was alive at `asOf`: connections that broke between failed in the network.
+    void noteAlive(std::uint64_t incarnation, Time asOf, Time since = Time());
 
     /// Records that the probe was inconclusive; later evidence may still decide.
     void noteUnknown(std::uint64_t incarnation) { m_pendingProbes.erase(incarnation); }
 
     /// Removes broken runs and ended targets past their retention.
-    void expire(Time now);
+    void expire(Time now) { expire(now, now); }
+
+    /// As above, where the list of targets is known as of `listedAsOf`: targets that ended later are not known to have.
+    void expire(Time now, Time listedAsOf);
 
     /// Returns the incarnations of targets with runs in progress of other requests that satisfy `matches`.
     std::set<std::uint64_t> targetsWithOthers(WorkKey const&, std::function<bool(WorkKey const&)> const& matches) const;
--- a/Tests/LibQuarantine/TestRunTable.cpp
+++ b/Tests/LibQuarantine/TestRunTable.cpp
@@ -44,6 +44,38 @@
     EXPECT_TRUE(runs.noteEnded(target, origin + 2s).empty());
 }
 
+// Guards against runs that were on a broken connection to a target that completes other requests all the while.
+TEST(RunTable, ACompletedRunShowsThatConnectionsBrokeInTheNetwork)
+{
+    RunTable runs;
+    RunTable::Id before = runs.begin({ 1, 1 }, suspectTarget(), origin);
+    RunTable::Id completed = runs.begin({ 2, 2 }, suspectTarget(), origin + 2s);
+    RunTable::Id during = runs.begin({ 3, 3 }, suspectTarget(), origin + 2s);
+    EXPECT_EQ(runs.noteConnectionLost(before, origin + 1s), RunTable::BreakAction::Probe);
+    runs.noteUnknown(target);
+    EXPECT_EQ(runs.noteConnectionLost(during, origin + 3s), RunTable::BreakAction::Probe);
+    runs.noteUnknown(target);
+    runs.finishSuccessfully(completed, origin + 4s);
+    std::vector<std::pair<WorkKey, TargetEnd>> ends = runs.noteEnded(target, origin + 5s);
+    ASSERT_EQ(ends.size(), 1U) << "the process of before may have ended, and the next one have run the other request";
+    EXPECT_EQ(ends[0].first, (WorkKey { 1, 1 }));
+}
+
+// Guards against ends that are forgotten because the store is away for longer than the list of targets takes otherwise.
+TEST(RunTable, BrokenRunsAreKeptUntilTheListHasCaughtUp)
+{
+    RunTable runs;
+    RunTable::Id broken = runs.begin({ 1, 1 }, suspectTarget(), origin);
+    runs.noteConnectionLost(broken, origin + 1s);
+    runs.noteUnknown(target);
+    runs.expire(origin + 60s, origin + 500ms);
+    EXPECT_EQ(runs.noteEnded(target, origin + 60s).size(), 1U);
+    RunTable::Id other = runs.begin({ 2, 2 }, { 8, "llm", "v1" }, origin + 70s);
+    runs.noteConnectionLost(other, origin + 71s);
+    runs.expire(origin + 90s, origin + 85s);
+    EXPECT_TRUE(runs.noteEnded(8, origin + 90s).empty()) << "the list was read since and still had the target";
+}
+
 TEST(RunTable, InconclusiveProbeIsEvidenceOnceTheTargetIsListedAsEnded)
 {
     RunTable runs;
--- a/Tests/Processes/TestCrashingRequest.cpp
+++ b/Tests/Processes/TestCrashingRequest.cpp
@@ -3,6 +3,7 @@
 #include "KeyedSite.h"
 #include "RawCaller.h"
 
+#include <csignal>
 #include <gtest/gtest.h>
 #include <iostream>
 #include <thread>
@@ -153,6 +154,31 @@
     expectRefused(1, "/h/crash");
 }
 
+// Guards against ends that count for nothing because the target's next process listens at its address before the daemon looks.
+TEST_F(CrashingRequest, IsRefusedWhenItsTargetsAreBackBeforeTheirEndIsSeen)
+{
+    for (std::size_t n = 0; n < endsToRefuse; ++n) {
+        std::string id = "unseen-" + std::to_string(n);
+        for (std::string const& name : { std::string("app-0"), std::string("app-1") })
+            process(name).send(SIGSTOP);
+        RawCaller caller(front(n));
+        caller.write(RawCaller::bytesOf(request("POST", "/c/unseen", id)));
+        ASSERT_TRUE(waitFor([&] { return !logLines(daemonName(n), "name=route-decided request=" + id).empty(); }));
+        std::this_thread::sleep_for(100ms);
+        process(daemonName(n)).send(SIGSTOP);
+        for (std::string const& name : { std::string("app-0"), std::string("app-1") }) {
+            process(name).kill();
+            startTarget(name);
+        }
+        process(daemonName(n)).send(SIGCONT);
+        ASSERT_TRUE(waitFor([&] { return send(n, "/c/other").status == 200; }));
+    }
+    std::this_thread::sleep_for(refusedWithin);
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        expectRefused(n, "/c/unseen");
+    EXPECT_TRUE(waitFor([&] { return send(0, "/c/other").status == 200; }));
+}
+
 // Guards against a request that ends one target after the other unnoticed because its callers give it up each time.
 TEST_F(CrashingRequest, IsRefusedAlsoWhenItsCallersLeave)
 {
