LibAdmission: Say what passed when a request has waited for too long

The log of a request that was refused while all targets of a role were out of service said that its deadline had passed in the queue, with 4.4 s of the deadline left: what had passed is the time that it may wait for a target.

--- a/Libraries/LibAdmission/Controller.cpp
+++ b/Libraries/LibAdmission/Controller.cpp
@@ -256,7 +256,7 @@
         OrganisationId id = m_queued.find(request)->second.handle.organisation;
         dequeue(request);
         removeIfIdle(id);
-        refusals.push_back(Refusal { request, Core::makeError(Core::ErrorCode::Timeout, "The deadline passed in the queue."), {} });
+        refusals.push_back(Refusal { request, Core::makeError(Core::ErrorCode::Timeout, "No target was free within the time that the request may wait."), {} });
     }
     return refusals;
 }
