LibDaemon: Look at the fleet of targets only when roles may be planned or changes are under way

As before it looks once a second, or while its own orders are under way; the comparison goes by a set. No decision changes.

--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -55,26 +55,26 @@
 void RoleKeeper::poll(FleetSnapshot const& fleet, std::set<std::uint64_t> const& unreachable)
 {
     Time now = Clock::now();
-    std::erase_if(m_firstSeen, [&fleet](std::pair<std::uint64_t const, Time> const& it) {
-        return std::none_of(fleet.targets.begin(), fleet.targets.end(), [&it](FleetTarget const& target) { return target.key == it.first; });
-    });
-    std::map<std::string, std::vector<std::uint32_t>> engines;
-    for (std::uint32_t position = 0; position < fleet.targets.size(); ++position) {
-        if (fleet.targets[position].kind == Platform::VmKind::Engine)
-            engines[fleet.targets[position].pool].push_back(position);
-    }
     // A daemon that does not plan looks on, to know since when a side is short should it come to plan; that may wait.
     bool plans = m_hooks.isPlanner() || m_leases.mayOrder();
     bool looks = plans || now >= m_nextLook;
     bool isKnown = !m_isStopped && fleet.isReady && fleet.services;
+    if (!looks && changing().empty())
+        return;
     if (looks)
         m_nextLook = now + lookInterval;
-    for (std::pair<std::string const, Service>& it : m_services)
+    std::map<std::string, std::vector<std::uint32_t>> engines;
+    for (std::pair<std::string const, Service> const& it : m_services)
         engines.try_emplace(it.first);
+    std::set<std::uint64_t> keys;
+    for (std::uint32_t position = 0; position < fleet.targets.size(); ++position) {
+        keys.insert(fleet.targets[position].key);
+        if (fleet.targets[position].kind == Platform::VmKind::Engine)
+            engines[fleet.targets[position].pool].push_back(position);
+    }
+    std::erase_if(m_firstSeen, [&keys](std::pair<std::uint64_t const, Time> const& it) { return !keys.contains(it.first); });
     for (std::pair<std::string const, std::vector<std::uint32_t>> const& it : engines) {
         Roles::SplitOrders& orders = serviceOf(it.first).orders;
-        if (!looks && orders.changing().empty())
-            continue;
         std::vector<Roles::EngineView> views = viewsOf(fleet, it.second, unreachable, now);
         if (orders.settle(views, now))
             m_hooks.onChange();
