Tests: Check the new fields of beacons, the roles that peers report, and what becomes of an old claim

TestBeaconMessage writes and reads the newest claim and the new roles; TestChangingTargets and TestStoreLease cover roleOf, opensAt and isSuccessor.

--- a/Tests/LibAuthority/TestStoreLease.cpp
+++ b/Tests/LibAuthority/TestStoreLease.cpp
@@ -120,6 +120,22 @@
     EXPECT_TRUE(a.poll(true, start + 6s));
 }
 
+TEST(StoreLease, AnOldClaimNeedNotBeWaitedFor)
+{
+    StoreLease b = lease("b");
+    EXPECT_FALSE(b.opensAt()) << "nothing was read yet";
+    b.observe(StoreLeaseClaim { 3, { "a", 1 } }, 4, start, start - 5s);
+    EXPECT_EQ(b.opensAt(), start + 300ms);
+    EXPECT_FALSE(b.poll(true, start + 200ms));
+    EXPECT_TRUE(b.poll(true, start + 300ms));
+    EXPECT_FALSE(b.isSuccessor());
+    b.claimAppended(4);
+    EXPECT_TRUE(b.isSuccessor()) << "orders of a may be under way";
+    ASSERT_TRUE(b.poll(true, start + 10s));
+    b.claimAppended(5);
+    EXPECT_FALSE(b.isSuccessor());
+}
+
 // Guards against engines that are left without role changes for five seconds after the loss of the lease holder.
 TEST(StoreLease, WithFencingChecksAnotherDaemonTakesOverAtOnce)
 {
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -17,6 +17,8 @@
     Fleet::DaemonState state { true, true, true, 9, 12, std::chrono::milliseconds(1'300), std::nullopt, std::chrono::milliseconds(0), Fleet::Time(std::chrono::hours(100)) };
     Daemon::BeaconMessage beacon { makeDaemon(), 5, state, { { 3, { 0.25, 2, 900 } } }, { 3 }, { 4, 5 }, { { 3, 8, 2 } }, { { "llm", { 2.5, 120, 400'000 }, { { 0.25, 0.5, 0.125 }, 40, 0.0625 } } }, { { 9, 3 } }, std::chrono::milliseconds(700), { 21, 22 }, { { { 11, 12 }, Quarantine::SuspectTarget { 3, "llm", "v1" }, Fleet::Time(std::chrono::milliseconds(70)), Fleet::Time(std::chrono::milliseconds(90)) }, { { 13, 14 }, std::nullopt, Fleet::Time(), Fleet::Time(std::chrono::milliseconds(80)) } }, 99 };
     beacon.state.cannotHoldDuties = true;
+    beacon.state.leaseClaimed = 18;
+    beacon.changingTo = { { 4, Routing::TargetRole::Decode }, { 5, Routing::TargetRole::Prefill } };
     beacon.state.runningFor = std::chrono::seconds(40);
     beacon.state.startedAt = std::chrono::milliseconds(1'774'879'260'120);
     beacon.wallClock = std::chrono::milliseconds(1'774'879'300'123);
@@ -35,6 +37,7 @@
     EXPECT_EQ(read.shares[0].work, beacon.shares[0].work);
     EXPECT_EQ(read.suspects, beacon.suspects);
     EXPECT_EQ(read.changing, beacon.changing);
+    EXPECT_EQ(read.changingTo, beacon.changingTo);
     EXPECT_EQ(read.outcomes, beacon.outcomes);
     EXPECT_EQ(read.heldParts, beacon.heldParts);
     EXPECT_EQ(read.lapseGrace, beacon.lapseGrace);
--- a/Tests/LibFleet/TestChangingTargets.cpp
+++ b/Tests/LibFleet/TestChangingTargets.cpp
@@ -44,3 +44,15 @@
     EXPECT_TRUE(changing.expire(start + lifetime));
     EXPECT_FALSE(changing.contains(7));
 }
+
+// Guards against planners that count an engine in its former role while another daemon's order is being carried out.
+TEST(ChangingTargets, TellTheNewRoleThatThePeerReports)
+{
+    ChangingTargets changing;
+    changing.hear("planner", { 7, 8 }, { { 7, Routing::TargetRole::Decode } }, start, lifetime);
+    EXPECT_EQ(changing.roleOf(7), Routing::TargetRole::Decode);
+    EXPECT_FALSE(changing.roleOf(8)) << "the peer's version reports no roles";
+    EXPECT_TRUE(changing.contains(8));
+    changing.settle(7);
+    EXPECT_FALSE(changing.roleOf(7));
+}
