LibDaemon: Open a target again that lists itself in a new role

Change: a target that lists itself in a new role is alive, and what was known of its health is dropped. An answer that comes after the list still closes it.

Before: ATargetThatListsItselfInANewRoleIsOpenAgain fails twice. After: TestDaemon 47 pass (plain).

--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -29,7 +29,7 @@
     std::lock_guard lock(m_mutex);
     std::uint32_t highest = 0;
     std::vector<std::uint32_t> known;
-    m_roles.clear();
+    std::unordered_map<std::uint32_t, Routing::TargetRole> formerRoles = std::exchange(m_roles, {});
     m_targetNames.clear();
     m_targetIdsByKey.clear();
     std::map<std::tuple<std::string, Routing::TargetRole>, std::vector<std::uint64_t>> groups;
@@ -40,6 +40,10 @@
         highest = std::max(highest, target.id);
         known.push_back(target.id);
         m_roles.emplace(target.id, target.role);
+        // A target that changes its role rejects requests for the former one in the same way as another process at its address would.
+        std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator former = formerRoles.find(target.id);
+        if (former != formerRoles.end() && former->second != target.role)
+            m_health.forget(target.key);
     }
     std::vector<std::vector<std::uint64_t>> outlierGroups;
     for (std::pair<std::tuple<std::string, Routing::TargetRole> const, std::vector<std::uint64_t>>& it : groups)
--- a/Libraries/LibRouting/TargetHealth.h
+++ b/Libraries/LibRouting/TargetHealth.h
@@ -57,7 +57,7 @@
     /// Returns the targets that were recently unreachable, for peers and for the role planner.
     std::vector<std::uint64_t> suspects(Time now) const;
 
-    /// Removes a target that is no longer listed.
+    /// Removes what is known of a target: it is no longer listed, or has listed itself in a new role.
     void forget(std::uint64_t target) { m_failures.erase(target); }
 
 private:
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -375,3 +375,26 @@
     m_dispatcher->takePeerRateLimits("front-1", { { 1, std::nullopt, std::chrono::milliseconds(0) } });
     EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], 0));
 }
+
+// Guards against an engine that a daemon never uses again because a request for its former role reached it while it changed.
+TEST_F(DispatcherTest, ATargetThatListsItselfInANewRoleIsOpenAgain)
+{
+    std::shared_ptr<Daemon::FleetSnapshot> before = fleetOf(1);
+    before->targets[0].role = Routing::TargetRole::Prefill;
+    m_dispatcher->setFleet(before);
+    m_dispatcher->noteOutcome(before->targets[0].key, Routing::TargetOutcome::Replaced);
+    std::shared_ptr<Daemon::FleetSnapshot> same = fleetOf(1);
+    same->targets[0].role = Routing::TargetRole::Prefill;
+    m_dispatcher->setFleet(same);
+    EXPECT_EQ(m_dispatcher->suspects().size(), 1U);
+    std::shared_ptr<Daemon::FleetSnapshot> changed = fleetOf(1);
+    changed->targets[0].role = Routing::TargetRole::Decode;
+    m_dispatcher->setFleet(changed);
+    EXPECT_TRUE(m_dispatcher->suspects().empty());
+    Daemon::PlacementRequest request = requestFor(changed, { 0 });
+    request.shape.phase = Routing::Phase::Decode;
+    std::optional<Daemon::PlacementOutcome> outcome;
+    place(std::move(request), outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(outcome->position, 0U);
+}
