platform: Tell a target that rejects another role from one that was replaced

Cause, from the log of such a run: an engine that has been ordered to another role answers a prompt that was placed before with 421, as a process that was not meant does. Each 421 was read as the second: TargetHealth closed the engine for good, and the quarantine of requests took its process for ended. The list of targets opened it again only if it showed the new role after that answer.

Looked for elsewhere: orders to engines take a 421 for a refusal, and reports of engines carry no expected process.

--- a/Tests/platform/TestTargets.cpp
+++ b/Tests/platform/TestTargets.cpp
@@ -75,6 +75,22 @@
         EXPECT_EQ(judge(status, { { "X-Request-Id", "r1" }, { "X-Server-Seal", "s" } }), AnswerProof::Unusable) << status;
 }
 
+// Guards against an engine that is closed for good, and against a request that counts as the end of one, after a send for a former role.
+TEST(PlatformTargets, OnlyAResponseOfAnotherProcessShowsThatTheTargetIsReplaced)
+{
+    Http::Fields own { { "X-Request-Id", "r1" }, { "X-Not-Executed", "1" }, { "X-Instance-Id", "i-1" } };
+    Http::Fields other { { "X-Request-Id", "r1" }, { "X-Not-Executed", "1" }, { "X-Instance-Id", "i-2" } };
+    EXPECT_EQ(judge(421, own), AnswerProof::NotRun);
+    EXPECT_EQ(judge(421, other), AnswerProof::Replaced);
+    Daemon::TargetProtocol protocol = UsersPlatform::targetProtocol();
+    Daemon::FleetTarget target;
+    target.incarnation = "i-1";
+    Core::Result<std::string> rejected = protocol.readPrefill(target, makeWork(), { 421, own, "" });
+    EXPECT_EQ(rejected.error().code, Core::ErrorCode::Unavailable);
+    EXPECT_EQ(rejected.error().verdict, Core::Verdict::NotRun);
+    EXPECT_EQ(protocol.readPrefill(target, makeWork(), { 421, other, "" }).error().code, Core::ErrorCode::NotFound);
+}
+
 TEST(PlatformTargets, APrefillGivesTheSourceOfItsKvCache)
 {
     Daemon::TargetProtocol protocol = UsersPlatform::targetProtocol();
