LibDaemon: Take the singleton duties only once peers have heard of this daemon's start

What operators saw: two daemons that both show has_duties (SingletonDuties.OperatorsSeeWhatBecameOfThem, once in an address run with six programs side by side: two of three daemons). The service refuses what the former holder still sends, so no report was made twice.

Cause: a daemon takes itself for the first elder as soon as it may, up to a beacon before the others hear of its start. Where daemons start together and a report is due, two claim the lease, 13 ms apart in a kept log, each with a number of its own, and the first goes on showing its lease until the end of its term.

Change: a daemon is fit for the duties once its start has been reported for as long as a live daemon can go unheard, and reports it at once. The metric is 1 only at the daemon that has the lease and should have the duties. A restart of all daemons at one time leaves the duties, and the roles of engines where duties exist, without a holder for one second more.

--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -77,7 +77,8 @@
 
 void Daemon::sampleDuties(MetricsSample& sample) const
 {
-    sample.hasDuties = m_storeControl->dutyFencing().has_value();
+    // A lease that was left to another daemon lasts until the end of its term.
+    sample.hasDuties = m_storeControl->hasDuties() && m_storeControl->dutyFencing().has_value();
     if (UsageKeeper const* usage = m_storeControl->usage()) {
         UsageKeeper::Status status = usage->status();
         sample.usageDecided = status.decided;
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -85,6 +85,7 @@
     UsageKeeper const* usage() const { return m_usage.get(); } ///< Null: usage is not reported.
     EngineKeeper const* engineNumbers() const { return m_engineNumbers.get(); } ///< Null: no engines are ordered.
     std::vector<std::string> const& elders() const { return m_elders; } ///< The first of them has the singleton duties.
+    bool hasDuties() const; ///< Whether this daemon should carry out the singleton duties.
     std::optional<std::uint64_t> dutyFencing() const { return m_dutyCalls ? m_dutyCalls->fencing() : std::nullopt; }
 
 private:
@@ -115,7 +116,6 @@
     Core::Result<void> setUp(Duties::UsageCounter&, std::uint64_t incarnation, Hooks);
     void stopDuties();
     bool isFitForDuties(Core::BootClock::time_point now) const;
-    bool hasDuties() const;
     std::chrono::milliseconds startInFleetTime() const;
     bool plansRoles() const;
     void createDuties(Duties::UsageCounter&);
@@ -185,6 +185,7 @@
     std::unique_ptr<EngineKeeper> m_engineNumbers;
     std::vector<std::string> m_elders;
     std::optional<std::chrono::milliseconds> m_ownStart; ///< As `Fleet::DaemonState::startedAt`.
+    std::optional<Core::BootClock::time_point> m_startReportedAt; ///< When `m_ownStart` was first reported to peers.
     Quarantine::Guard& m_guard;
     std::unique_ptr<QuarantineExchange> m_quarantine;
     Followed m_configuration;
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -55,12 +55,14 @@
     return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
 }
 
-// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties.
+// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties. Daemons that
+// start together agree on the first of them only once each has heard of the others' starts.
 bool StoreControl::isFitForDuties(Clock::time_point now) const
 {
     Fleet::DaemonBook const& book = m_beacons->book();
+    bool isStartKnown = m_startReportedAt && now - *m_startReportedAt >= book.livenessTimeout();
     bool hasMet = now - m_startedAt >= meetingTime && (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime);
-    return hasMet && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
+    return hasMet && isStartKnown && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
 }
 
 std::chrono::milliseconds StoreControl::startInFleetTime() const
@@ -75,8 +77,11 @@
 {
     if (!m_dutyCalls)
         return;
-    if (!m_ownStart && now - m_startedAt >= meetingTime)
+    if (!m_ownStart && now - m_startedAt >= meetingTime) {
         m_ownStart = startInFleetTime();
+        m_startReportedAt = now;
+        m_beacons->sendSoon();
+    }
     m_elders = m_beacons->book().elders(m_settings.daemon.name, isFitForDuties(now) ? m_ownStart : std::nullopt, now);
     if (m_usage)
         m_usage->tick(m_elders, now);
--- a/Tests/Processes/TestSingletonDuties.cpp
+++ b/Tests/Processes/TestSingletonDuties.cpp
@@ -91,6 +91,26 @@
         return daemonCount();
     }
 
+    // How often each daemon has claimed the lease on the duties.
+    std::vector<std::size_t> claims() const
+    {
+        std::vector<std::size_t> counts;
+        for (std::size_t n = 0; n < daemonCount(); ++n) {
+            std::vector<std::string> lines = logLines(daemonName(n), "lease-gained");
+            counts.push_back(static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [](std::string const& line) { return line.find("duties") != std::string::npos; })));
+        }
+        return counts;
+    }
+
+    std::size_t countClaimersSince(std::vector<std::size_t> const& before) const
+    {
+        std::vector<std::size_t> now = claims();
+        std::size_t count = 0;
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            count += now[n] > before[n] ? 1 : 0;
+        return count;
+    }
+
     std::map<std::string, std::uint64_t> m_served;
 
 private:
@@ -125,6 +145,23 @@
     EXPECT_EQ(reported(), m_served);
 }
 
+// Guards against duties that two daemons have in turn when all start together: each takes them before it hears of the other's start.
+TEST_F(SingletonDuties, DaemonsThatStartTogetherLeaveTheDutiesToOne)
+{
+    constexpr int rounds = 4;
+    std::vector<std::size_t> before(daemonCount());
+    for (int round = 0; round < rounds; ++round) {
+        ASSERT_TRUE(waitFor([&] { return countClaimersSince(before) > 0; }));
+        std::this_thread::sleep_for(window);
+        EXPECT_EQ(countClaimersSince(before), 1U) << "round " << round;
+        before = claims();
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            process(daemonName(n)).kill();
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            startDaemon(n);
+    }
+}
+
 // Guards against reports that are missed because the service is away for a while or does not answer, and against others in their place.
 TEST_F(SingletonDuties, AServiceThatIsAwayOrDoesNotAnswerGetsTheSameReportLater)
 {
