--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/Client.h>
 #include <LibPlatform/Json.h>
 #include <atomic>
+#include <cstdlib>
 #include <fstream>
 #include <platform/Store.h>
 #include <sstream>
@@ -77,6 +78,8 @@
 KeyedSite::~KeyedSite()
 {
     m_processes.clear();
+    if (std::getenv("CURRANTVALE_KEEP_LOGS") != nullptr)
+        return;
     std::error_code ec;
     std::filesystem::remove_all(m_folder, ec);
 }
