--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -40,7 +40,7 @@
         highest = std::max(highest, target.id);
         known.push_back(target.id);
         m_roles.emplace(target.id, target.role);
-        // A target that changes its role rejects requests for the former one in the same way as another process at its address would.
+        // A target that rejects a request for its former role, and does not say which process it is, was taken for replaced.
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator former = formerRoles.find(target.id);
         if (former != formerRoles.end() && former->second != target.role)
             m_health.forget(target.key);
