--- a/Tests/Processes/TestSingletonDuties.cpp
+++ b/Tests/Processes/TestSingletonDuties.cpp
@@ -154,9 +154,9 @@
         ASSERT_TRUE(waitFor([&] { return countClaimersSince(before) > 0; }));
         std::this_thread::sleep_for(window);
         EXPECT_EQ(countClaimersSince(before), 1U) << "round " << round;
-        before = claims();
         for (std::size_t n = 0; n < daemonCount(); ++n)
             process(daemonName(n)).kill();
+        before = claims();
         for (std::size_t n = 0; n < daemonCount(); ++n)
             startDaemon(n);
     }
