--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -55,8 +55,8 @@
     return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
 }
 
-// One that has just started, or hears few of those that it knows, may be the one that is cut off: others have the duties. Daemons that
-// start together agree on the first of them only once each has heard of the others' starts.
+// A daemon that has just started, or hears few of the daemons that it knows, may be cut off itself and leaves the duties to others.
+// Daemons that start together agree on their order only once each has heard of the others' starts.
 bool StoreControl::isFitForDuties(Clock::time_point now) const
 {
     Fleet::DaemonBook const& book = m_beacons->book();
