LibHttp, LibDaemon: Log the records sent to peers and what of a request its target's host has not received

The hypotheses of the incident differ in where a late request waited: in the event loop, in this VM's socket and link, or at the target. caller-left now says how many bytes of the request are unacknowledged, and records-served (3010, debug) how many bytes of records are sent to which peer.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -40,6 +40,7 @@
     SnapshotLoaded = 3007,
     StoreRead = 3008,
     PeerRecords = 3009,
+    RecordsServed = 3010,
     LeaseClaimed = 4001,
     LeaseGained = 4002,
     LeaseLost = 4003,
@@ -72,7 +73,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 61> eventNames { {
+inline constexpr EnumNames<Event, 62> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -104,6 +105,7 @@
     { Event::SnapshotLoaded, "snapshot-loaded" },
     { Event::StoreRead, "store-read" },
     { Event::PeerRecords, "peer-records" },
+    { Event::RecordsServed, "records-served" },
     { Event::LeaseClaimed, "lease-claimed" },
     { Event::LeaseGained, "lease-gained" },
     { Event::LeaseLost, "lease-lost" },
--- a/Libraries/LibDaemon/RecordExchange.cpp
+++ b/Libraries/LibDaemon/RecordExchange.cpp
@@ -1,4 +1,5 @@
 #include <Control.pb.h>
+#include <LibCore/EventLog.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibPeer/Call.h>
 #include <algorithm>
@@ -113,8 +114,11 @@
     }
     Core::Result<RecordsAnswer> known = m_answer(asked.value());
     stream.sendHead(known.has_value() ? okStatus : unavailableStatus);
-    if (known.has_value())
-        std::ignore = stream.send(encode(known.value())); // An empty queue takes a piece of any size.
+    if (known.has_value()) {
+        std::string body = encode(known.value());
+        Core::logEvent(Core::Severity::Debug, Core::Event::RecordsServed, { { "stream", std::string(Core::nameOf(Platform::storeTopicNames, asked.value().topic)) }, { "daemon", request.senderName }, { "bytes", std::to_string(body.size()) } });
+        std::ignore = stream.send(body); // An empty queue takes a piece of any size.
+    }
     stream.end();
 }
 
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -323,7 +323,7 @@
     if (m_leg)
         step = m_run != 0 ? CallerLeftAt::Sent : CallerLeftAt::Waiting;
     m_context.metrics.countCallerLeft(step);
-    Core::logEvent(Core::Severity::Info, Core::Event::CallerLeft, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "step", std::string(Core::nameOf(callerLeftNames, step)) }, { "target", m_target }, { "age_ms", millisecondsSince(m_startedAt, Clock::now()) } });
+    Core::logEvent(Core::Severity::Info, Core::Event::CallerLeft, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "step", std::string(Core::nameOf(callerLeftNames, step)) }, { "target", m_target }, { "age_ms", millisecondsSince(m_startedAt, Clock::now()) }, { "unacknowledged_bytes", std::to_string(m_leg && m_leg->exchange ? m_leg->exchange->unacknowledgedBytes() : 0) } });
 }
 
 void RequestRunner::logFinish(Request::Finish const& finish) const
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -54,6 +54,9 @@
     /// Whether its connection was kept from an earlier exchange. Precondition: the response was not read to its end.
     virtual bool isOnKeptConnection() const = 0;
 
+    /// Returns how many bytes of the request the server's host has not acknowledged; 0 when that is not known.
+    virtual std::size_t unacknowledgedBytes() const = 0;
+
     /// Closes the connection; a waiting `start` or `read` returns Canceled.
     virtual void cancel() = 0;
 };
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,4 +1,5 @@
 #include <LibHttp/Exchange.h>
+#include <LibHttp/SocketQueue.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -179,6 +180,11 @@
     m_return(std::move(connection));
 }
 
+std::size_t ConnectionExchange::unacknowledgedBytes() const
+{
+    return m_connection ? Http::unacknowledgedBytes(m_connection->stream.socket()) : 0;
+}
+
 void ConnectionExchange::cancel()
 {
     m_isCanceled = true;
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -38,6 +38,7 @@
     void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
     bool isOnKeptConnection() const override { return m_connection->keepUntil != Core::BootClock::time_point(); }
+    std::size_t unacknowledgedBytes() const override;
     void cancel() override;
     boost::asio::awaitable<Core::Result<void>> skipResponse() override;
 
--- /dev/null
+++ b/Libraries/LibHttp/SocketQueue.cpp
@@ -0,0 +1,13 @@
+#include <LibHttp/SocketQueue.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+namespace Http {
+
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+}
