--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -15,6 +15,13 @@
 constexpr std::chrono::milliseconds askTimeout { 400 };
 constexpr std::chrono::milliseconds startupDelay { 250 }; // Time from a daemon's start to its first read or query.
 constexpr std::chrono::milliseconds longestTransit { 3 };
+constexpr std::size_t beaconBytes = 1'200;
+constexpr std::size_t callBytes = 300; // A query, or a store call without records.
+
+std::size_t sizeOf(std::vector<Platform::KeyedRecord> const& records, std::size_t recordBytes)
+{
+    return callBytes + records.size() * recordBytes;
+}
 
 }
 
@@ -37,6 +44,8 @@
     bool isDown { false };
     bool beaconRequested { false }; ///< Its next beacon is sent ahead of schedule.
     Time sentAt {}; ///< Send time of its last beacon.
+    Time uplinkFreeAt {}; ///< When its link has sent everything queued.
+    Time downlinkFreeAt {}; ///< When its link has received everything sent to it.
 };
 
 VirtualSite::VirtualSite(VirtualSiteSettings const& settings)
@@ -147,6 +156,28 @@
     return std::chrono::milliseconds(std::uniform_int_distribution<int>(1, static_cast<int>(longestTransit.count()))(m_random));
 }
 
+Time::duration VirtualSite::transmissionTime(std::size_t bytes) const
+{
+    if (m_settings.linkBytesPerSecond == 0)
+        return {};
+    return std::chrono::duration_cast<Time::duration>(std::chrono::duration<double>(static_cast<double>(bytes) / static_cast<double>(m_settings.linkBytesPerSecond)));
+}
+
+// Queues a message on the daemon's link. Returns when its last byte has left.
+Time VirtualSite::send(Daemon& daemon, std::size_t bytes)
+{
+    daemon.uplinkFreeAt = std::max(daemon.uplinkFreeAt, m_now) + transmissionTime(bytes);
+    m_longestLinkQueue = std::max(m_longestLinkQueue, daemon.uplinkFreeAt - m_now);
+    return daemon.uplinkFreeAt;
+}
+
+// Returns when a daemon has received a message whose last byte was sent at `sentAt`.
+Time VirtualSite::arrival(Daemon& daemon, Time sentAt, std::size_t bytes)
+{
+    daemon.downlinkFreeAt = std::max(daemon.downlinkFreeAt, sentAt) + transmissionTime(bytes);
+    return daemon.downlinkFreeAt + transit();
+}
+
 // A starting daemon gets the list of daemons from the store and learns the rest from its peers.
 void VirtualSite::start(Daemon& daemon)
 {
@@ -255,7 +286,7 @@
         if (other->index == daemon.index || isLost)
             continue;
         Daemon& to = *other;
-        atDaemon(to, m_now + transit(), [this, &to, from = daemon.self, sequence = daemon.sequence, state] { receive(to, from, sequence, state); });
+        atDaemon(to, arrival(to, send(daemon, beaconBytes), beaconBytes), [this, &to, from = daemon.self, sequence = daemon.sequence, state] { receive(to, from, sequence, state); });
     }
 }
 
@@ -284,11 +315,12 @@
     Daemon& peer = **found;
     if (peer.isDown || isStruck(daemon.index, Fault::PeerCut, m_now) || isStruck(peer.index, Fault::PeerCut, m_now))
         return;
-    atDaemon(peer, m_now + transit(), [this, &daemon, &peer, number, step = question.step] {
+    atDaemon(peer, arrival(peer, send(daemon, callBytes), callBytes), [this, &daemon, &peer, number, step = question.step] {
         if (!peer.follower->replica().isComplete())
             return;
         StoreReplica::Extract extract = peer.follower->replica().extract(step.from, step.isNewest);
-        atDaemon(daemon, m_now + transit(), [this, &daemon, number, extract, age = peer.follower->age(m_now)] {
+        std::size_t bytes = sizeOf(extract.records, m_settings.recordBytes);
+        atDaemon(daemon, arrival(daemon, send(peer, bytes), bytes), [this, &daemon, number, extract, age = peer.follower->age(m_now)] {
             if (daemon.question != number)
                 return;
             ++daemon.question;
@@ -308,7 +340,7 @@
     if (isStruck(daemon.index, Fault::StoreCut, m_now))
         return;
     daemon.hasConnection = true;
-    at(m_now + transit(), [this, &daemon, due, call, life = daemon.life] {
+    at(send(daemon, callBytes) + transit(), [this, &daemon, due, call, life = daemon.life] {
         std::function<void()> answer = [this, &daemon, due, call, life] {
             if (daemon.life == life)
                 answerRead(daemon, due, call);
@@ -335,7 +367,8 @@
     Platform::KeyedBatch batch { 0, m_log.size(), {}, false };
     if (!due.step.isNewest)
         batch.records.assign(m_log.begin() + static_cast<std::ptrdiff_t>(due.step.from), m_log.end());
-    atDaemon(daemon, m_now + transit(), [this, &daemon, due, call, page, batch] {
+    std::size_t bytes = sizeOf(due.step.isNewest ? page.records : batch.records, m_settings.recordBytes);
+    atDaemon(daemon, arrival(daemon, m_now, bytes), [this, &daemon, due, call, page, batch] {
         if (daemon.call != call)
             return;
         ++daemon.call;
--- a/Tests/LibFleet/VirtualSite.h
+++ b/Tests/LibFleet/VirtualSite.h
@@ -31,6 +31,8 @@
     std::size_t zones { 5 };
     std::chrono::milliseconds newsWithin { 3'000 }; ///< Deadline for every daemon to act on a store change.
     double beaconLoss { 0.025 };
+    std::uint64_t linkBytesPerSecond { 0 }; ///< Bandwidth of each daemon's link, each way; 0 means unlimited.
+    std::size_t recordBytes { 100 }; ///< Size of a changed record on the wire.
     std::uint64_t seed { 1 };
 };
 
@@ -64,6 +66,9 @@
     /// Returns the daemons that did not learn of a change within `within`, among those without faults for `calmTime` by then.
     std::vector<Breach> breaches(std::chrono::milliseconds within, std::chrono::milliseconds calmTime) const;
 
+    /// Returns the longest time that a message would have waited for a daemon's link to send what was queued before it.
+    std::chrono::milliseconds longestLinkQueue() const { return std::chrono::ceil<std::chrono::milliseconds>(m_longestLinkQueue); }
+
     /// Returns the longest time that a daemon without faults took to learn of a change, among those that learned of it at all.
     std::chrono::milliseconds worstDelay(std::chrono::milliseconds calmTime) const;
 
@@ -113,6 +118,9 @@
     void fail(Daemon&, std::uint64_t call);
     void take(Daemon&, std::vector<Platform::KeyedRecord> const&);
     std::chrono::milliseconds transit();
+    Time::duration transmissionTime(std::size_t bytes) const;
+    Time send(Daemon&, std::size_t bytes);
+    Time arrival(Daemon&, Time sentAt, std::size_t bytes);
 
     VirtualSiteSettings m_settings;
     std::mt19937_64 m_random;
@@ -126,6 +134,7 @@
     std::vector<WaitingRead> m_waiting;
     std::size_t m_storeCalls { 0 };
     std::size_t m_beacons { 0 };
+    Time::duration m_longestLinkQueue { 0 };
 };
 
 }
