LibHttp: Take back what a canceled request still has in the socket

Callers' requests reached targets seconds after the callers had left. cancel() closed the connection in the ordinary way, so the kernel went on delivering what it still held, with the end of the connection behind it.

An abortive close (SO_LINGER with 0 seconds) discards those bytes and resets the connection. Nobody reads the response of a canceled exchange, so nothing else is lost by it. What the network already carries is not taken back.

Test, before: a canceled request of 100,066 bytes arrives whole, followed by the end of the connection. After: a reset, with less than the body.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -188,10 +188,8 @@
 void ConnectionExchange::cancel()
 {
     m_isCanceled = true;
-    if (!m_connection)
-        return;
-    boost::system::error_code ec;
-    m_connection->stream.socket().close(ec);
+    if (m_connection)
+        abortConnection(m_connection->stream.socket());
 }
 
 Core::Error ConnectionExchange::errorOf(boost::system::error_code ec, std::string_view step) const
--- a/Libraries/LibHttp/SocketQueue.cpp
+++ b/Libraries/LibHttp/SocketQueue.cpp
@@ -10,4 +10,11 @@
     return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+void abortConnection(boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ec; // Without the option the connection closes in the ordinary way.
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+}
+
 }
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -2,8 +2,12 @@
 
 #include <LibHttp/Client.h>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
@@ -205,3 +209,40 @@
         EXPECT_EQ(co_await m_client->reach(m_endpoint), Http::Reach::Refused);
     });
 }
+
+// Guards against requests that reach a target although they were canceled: the kernel used to deliver what it still held.
+TEST_F(ClientConnections, ACanceledRequestThatWasNotSentYetDoesNotArrive)
+{
+    constexpr std::size_t bodySize = 100'000; // More than the peer's socket takes while nobody reads.
+    Asio::steady_timer mayRead(m_context, Asio::steady_timer::time_point::max());
+    std::size_t received = 0;
+    boost::system::error_code end;
+    serve([&](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        boost::system::error_code ec;
+        co_await mayRead.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        std::string bytes;
+        received = co_await Asio::async_read(*socket, Asio::dynamic_buffer(bytes), Asio::transfer_all(), Asio::redirect_error(Asio::use_awaitable, end));
+        m_context.stop();
+    });
+    run([&]() -> Asio::awaitable<void> {
+        Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_client->connect(m_endpoint, Http::ConnectionChoice::Fresh);
+        std::unique_ptr<Http::Exchange> exchange = std::move(connected.value());
+        Asio::co_spawn(
+            m_context, [&]() -> Asio::awaitable<void> {
+                Http::Request request;
+                request.method = "POST";
+                request.body = std::string(bodySize, 'x');
+                std::ignore = co_await exchange->start(request);
+            },
+            Asio::detached);
+        Asio::steady_timer wait(m_context, std::chrono::milliseconds(100));
+        co_await wait.async_wait(Asio::use_awaitable);
+        EXPECT_GT(exchange->unacknowledgedBytes(), 0U) << "the test needs a request that waits in the socket";
+        exchange->cancel();
+        mayRead.cancel();
+        Asio::steady_timer limit(m_context, std::chrono::seconds(10));
+        co_await limit.async_wait(Asio::use_awaitable);
+    });
+    EXPECT_LT(received, bodySize);
+    EXPECT_EQ(end, Asio::error::connection_reset);
+}
