LibFleet, LibDaemon: Report only ages that come from a daemon's own reads

A configuration was in force at one daemon 9 to 12 s after it was written (3 s allowed). A copy that nobody confirms is meant to be read again after 2.25 s of the 3 s; among daemons that lacked the same change it hardly aged: each passed on the age that it had heard, and each beacon on the way left out the part of its transit time that was always the same, such as the wait for the sender's link.

Beacons now carry the age according to the sender's own reads, so that one transit time at most is left out. Daemons that read for others are heard by all; one that does not hear them reads by itself. Answers to queries keep passing ages on: those count from when the query was sent, and are never too low.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -257,8 +257,8 @@
     beacon.state.leaseClaimed = m_engineLeases->claimed();
     beacon.state.cannotHoldDuties = m_dutyLeases && m_dutyLeases->isBarred();
     beacon.state.storeFailingFor = storeFailingFor();
-    beacon.state.configAge = m_configuration.follower->age(now);
-    beacon.state.targetsAge = m_targetList.follower->age(now);
+    beacon.state.configAge = m_configuration.follower->ownReadAge(now);
+    beacon.state.targetsAge = m_targetList.follower->ownReadAge(now);
     beacon.shares = m_hooks.openWork();
     beacon.changingTo = m_roles->changing();
     for (std::pair<std::uint64_t const, Routing::TargetRole> const& it : beacon.changingTo)
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -44,7 +44,7 @@
     std::uint64_t configVersion { 0 }; ///< The version in effect.
     std::uint64_t targetsChanged { 0 }; ///< Offset after the last target list record that was new to it.
     std::chrono::milliseconds storeFailingFor { 0 }; ///< How long its store reads have been failing; 0 if they are not.
-    /// Maximum age of its copies of the configuration and the target list; empty if unknown.
+    /// Maximum age of its copies of the configuration and the target list according to its own reads; empty if unknown.
     std::optional<std::chrono::milliseconds> configAge {};
     std::optional<std::chrono::milliseconds> targetsAge {};
     Time saidAt {}; ///< According to its own clock.
--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -20,6 +20,11 @@
 constexpr int maxStalePercent = 75;
 constexpr int hundred = 100;
 
+std::optional<std::chrono::milliseconds> ageOf(std::optional<Time> asOf, Time now)
+{
+    return asOf ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(now - *asOf)) : std::nullopt;
+}
+
 }
 
 TopicFollowerSettings TopicFollowerSettings::create(ReadTurnSettings const& pace, std::chrono::milliseconds newsWithin)
@@ -53,11 +58,20 @@
     m_asOf = std::max(asOf, m_asOf.value_or(asOf));
 }
 
+void TopicFollower::confirmByRead(Time asOf)
+{
+    confirm(asOf);
+    m_readAsOf = std::max(asOf, m_readAsOf.value_or(asOf));
+}
+
 std::optional<std::chrono::milliseconds> TopicFollower::age(Time now) const
 {
-    if (!m_asOf)
-        return std::nullopt;
-    return std::chrono::ceil<std::chrono::milliseconds>(now - *m_asOf);
+    return ageOf(m_asOf, now);
+}
+
+std::optional<std::chrono::milliseconds> TopicFollower::ownReadAge(Time now) const
+{
+    return ageOf(m_readAsOf, now);
 }
 
 bool TopicFollower::isStale(Time now) const
@@ -172,7 +186,7 @@
     // An empty answer was produced at the end of the wait; for one with records the time is unknown.
     bool hasWaited = batch.records.empty() && now >= m_readSentAt + read.wait;
     if (isWhole)
-        confirm(hasWaited ? m_readSentAt + read.wait : m_readSentAt);
+        confirmByRead(hasWaited ? m_readSentAt + read.wait : m_readSentAt);
     return news;
 }
 
@@ -187,7 +201,7 @@
     std::vector<Platform::KeyedRecord> news = m_replica.take(page);
     bool isWhole = m_replica.isComplete() && !m_replica.next().isNewest;
     if (isWhole)
-        confirm(m_firstPageSentAt);
+        confirmByRead(m_firstPageSentAt);
     return news;
 }
 
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -58,7 +58,7 @@
     /// Whether a daemon that reports this state has newer records of the topic than this one.
     using NewsTest = std::function<bool(DaemonState const&)>;
 
-    /// Returns the age that a peer reports for its copy of the topic; empty if the peer does not know it.
+    /// Returns the age that a peer reports for its copy of the topic according to its own reads; empty if the peer does not know it.
     using AgeOf = std::function<std::optional<std::chrono::milliseconds>(DaemonState const&)>;
 
     /// `seed` must differ between daemons so that they do not read simultaneously.
@@ -104,6 +104,10 @@
     /// Returns the copy's maximum age: it contains every change that the store had accepted by then. Empty if unknown.
     std::optional<std::chrono::milliseconds> age(Time now) const;
 
+    /// Returns the copy's maximum age according to this daemon's own reads of the store. Daemons report it to their peers: an age
+    /// that is passed on by several daemons is too low by the transit time of each beacon. Empty if there was no read.
+    std::optional<std::chrono::milliseconds> ownReadAge(Time now) const;
+
     /// Returns the time up to which the copy contains every change that the store accepted; empty if unknown.
     std::optional<Time> asOf() const { return m_asOf; }
 
@@ -111,6 +115,7 @@
     std::optional<StoreCallReason> dueReason(SiteView const&, Time now);
     bool isStale(Time now) const;
     void confirm(Time asOf);
+    void confirmByRead(Time asOf);
     void noteRead(Time now);
     std::chrono::milliseconds randomTime(std::chrono::milliseconds least, std::chrono::milliseconds most);
     std::chrono::milliseconds nextWait(Time now) const;
@@ -135,6 +140,7 @@
     Time m_readAt {};
     std::optional<Time> m_failingSince;
     std::optional<Time> m_asOf; ///< The copy contains every change that the store accepted by then.
+    std::optional<Time> m_readAsOf; ///< The same according to this daemon's own reads alone.
     std::chrono::milliseconds m_staleAfter { 0 }; ///< Chosen at random between the settings' two bounds for each read.
 };
 
--- a/Tests/LibFleet/TestNarrowLinks.cpp
+++ b/Tests/LibFleet/TestNarrowLinks.cpp
@@ -15,6 +15,8 @@
 // A request may reach a target this long after its caller has left; it must not wait longer for the link.
 constexpr std::chrono::milliseconds maxLinkQueue { 500 };
 constexpr std::chrono::milliseconds newsWithin { 3'000 };
+// A beacon's own way may take this long without a sign; more must not add up.
+constexpr std::chrono::milliseconds maxBeaconTime { 200 };
 constexpr std::chrono::milliseconds calmTime { 4'000 };
 
 VirtualSite siteOf(std::size_t daemons, std::size_t recordBytes, std::uint64_t seed)
@@ -45,6 +47,19 @@
 
 }
 
+// Guards against a daemon that takes its copy for current although it lacks a change: each beacon that passed an age on left out
+// the time that it had waited for the link, so that among daemons that lacked the same change their copies hardly aged.
+TEST(NarrowLinks, LetNoCopyCountAsYoungerThanItIs)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        VirtualSite site = siteOf(90, 450'000, seed);
+        Time start = site.now();
+        site.change(start + 6s);
+        site.run(start + 12s);
+        EXPECT_LE(site.worstAgeError(), maxBeaconTime) << "seed " << seed;
+    }
+}
+
 TEST(NarrowLinks, CarryACompressedConfigurationToSevenDaemons) { expectInTime(7, 40'000, 5); }
 TEST(NarrowLinks, CarryACompressedConfigurationToNinetyDaemons) { expectInTime(90, 40'000, 3); }
 TEST(NarrowLinks, CarryACompressedConfigurationToThreeHundredDaemons) { expectInTime(295, 40'000, 1); }
--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -207,8 +207,19 @@
     atDaemon(daemon, m_now + startupDelay, [this, &daemon] { look(daemon); });
 }
 
+void VirtualSite::checkAge(Daemon const& daemon)
+{
+    std::optional<Time> asOf = daemon.follower->asOf();
+    for (Change const& change : m_changes) {
+        bool isMissing = !change.knownAt[daemon.index];
+        if (asOf && isMissing && *asOf > change.at)
+            m_worstAgeError = std::max(m_worstAgeError, *asOf - change.at);
+    }
+}
+
 void VirtualSite::tick(Daemon& daemon)
 {
+    checkAge(daemon);
     SiteView before = std::exchange(daemon.view, daemon.book.view(daemon.self.name, m_now));
     if (before.isReader != daemon.view.isReader || before.hasLiveReader != daemon.view.hasLiveReader || daemon.follower->hasNews(daemon.view))
         look(daemon);
@@ -244,7 +255,7 @@
     DaemonState state;
     state.isReading = isReading(daemon);
     state.targetsChanged = daemon.newsOffset;
-    state.targetsAge = daemon.follower->age(m_now);
+    state.targetsAge = daemon.follower->ownReadAge(m_now);
     state.saidAt = m_now + daemon.clockDifference;
     state.runningFor = std::chrono::floor<std::chrono::milliseconds>(m_now - daemon.startedAt);
     if (daemon.view.isReader && daemon.follower->failingSince())
--- a/Tests/LibFleet/VirtualSite.h
+++ b/Tests/LibFleet/VirtualSite.h
@@ -66,6 +66,10 @@
     /// Returns the daemons that did not learn of a change within `within`, among those without faults for `calmTime` by then.
     std::vector<Breach> breaches(std::chrono::milliseconds within, std::chrono::milliseconds calmTime) const;
 
+    /// Returns by how much a daemon took its copy for younger than it was, at most: it counted as containing a change that it
+    /// lacked.
+    std::chrono::milliseconds worstAgeError() const { return std::chrono::ceil<std::chrono::milliseconds>(m_worstAgeError); }
+
     /// Returns the longest time that a message would have waited for a daemon's link to send what was queued before it.
     std::chrono::milliseconds longestLinkQueue() const { return std::chrono::ceil<std::chrono::milliseconds>(m_longestLinkQueue); }
 
@@ -106,6 +110,7 @@
     void start(Daemon&);
     void look(Daemon&);
     void tick(Daemon&);
+    void checkAge(Daemon const&);
     void tellSoon(Daemon&);
     void sendBeacons(Daemon&);
     void sendRegularly(Daemon&);
@@ -135,6 +140,7 @@
     std::size_t m_storeCalls { 0 };
     std::size_t m_beacons { 0 };
     Time::duration m_longestLinkQueue { 0 };
+    Time::duration m_worstAgeError { 0 };
 };
 
 }
