LibDaemon: Pace beacons instead of sending them in one burst

A beacon went to all other daemons at once: 90 datagrams in front of whatever the VM sent next. On a link of 10 Mbit/s that is some 0.1 s, two and more times a second; with 295 daemons some 0.3 s (datagrams of 1.2 KB, by arithmetic).

The datagrams of a beacon now go out in slices, 10 ms apart, at half of the link's declared bandwidth ([peers] link_mbps). Each round begins at another daemon: one that was always last would take its constant wait for the clocks' difference.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -6,10 +6,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 
 namespace Daemon {
 
-Core::Result<std::unique_ptr<BeaconExchange>> BeaconExchange::create(boost::asio::io_context& context, Platform::ListedDaemon self, Hooks hooks)
+Core::Result<std::unique_ptr<BeaconExchange>> BeaconExchange::create(boost::asio::io_context& context, Platform::ListedDaemon self, std::uint64_t bytesPerSecond, Hooks hooks)
 {
     boost::asio::ip::udp::socket socket(context);
     boost::system::error_code ec;
@@ -18,13 +19,16 @@
         socket.bind(self.beaconAddress, ec);
     if (ec)
         return Core::fail(Core::ErrorCode::Unavailable, "cannot bind the beacons' address " + Http::toString({ self.beaconAddress.address(), self.beaconAddress.port() }) + ": " + ec.message());
-    return std::unique_ptr<BeaconExchange>(new BeaconExchange(context, std::move(socket), std::move(self), std::move(hooks)));
+    return std::unique_ptr<BeaconExchange>(new BeaconExchange(context, std::move(socket), std::move(self), bytesPerSecond, std::move(hooks)));
 }
 
-BeaconExchange::BeaconExchange(boost::asio::io_context& context, boost::asio::ip::udp::socket socket, Platform::ListedDaemon self, Hooks hooks)
+BeaconExchange::BeaconExchange(boost::asio::io_context& context, boost::asio::ip::udp::socket socket, Platform::ListedDaemon self, std::uint64_t bytesPerSecond, Hooks hooks)
     : m_context(context)
     , m_socket(std::move(socket))
     , m_sendTimer(context)
+    , m_sliceTimer(context)
+    , m_bytesPerSecond(bytesPerSecond)
+    , m_random(std::random_device()())
     , m_self(std::move(self))
     , m_hooks(std::move(hooks))
 {
@@ -42,6 +46,7 @@
 {
     m_isStopped = true;
     m_sendTimer.cancel();
+    m_sliceTimer.cancel();
     boost::system::error_code ec;
     m_socket.close(ec);
 }
@@ -90,15 +95,41 @@
     m_isSoon = false;
     m_sentAt = Core::BootClock::now();
     BeaconMessage beacon = nextBeacon(BeaconKind::ToAll);
-    std::string withUsage = encode(beacon);
+    m_round.bytesWithUsage = encode(beacon);
     beacon.usage.windows.clear();
-    std::string bytes = encode(beacon);
-    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_book.daemons()) {
+    m_round.bytes = encode(beacon);
+    m_round.usageFor = { beacon.usageFor.begin(), beacon.usageFor.end() };
+    m_round.remaining = m_book.daemons().size();
+    // A recipient that always came last would take its wait for the least transit time.
+    std::map<std::string, Fleet::BookedDaemon>::const_iterator first = m_book.daemons().begin();
+    if (m_round.remaining > 0)
+        std::advance(first, m_random() % m_round.remaining);
+    m_lastRecipient = m_round.remaining > 0 ? first->first : std::string();
+    sendSlice();
+}
+
+void BeaconExchange::sendSlice()
+{
+    std::map<std::string, Fleet::BookedDaemon> const& daemons = m_book.daemons();
+    std::uint64_t budget = m_bytesPerSecond * static_cast<std::uint64_t>(sliceInterval.count()) / std::milli::den;
+    for (std::uint64_t sent = 0; m_round.remaining > 0 && !daemons.empty() && sent <= budget; --m_round.remaining) {
+        std::map<std::string, Fleet::BookedDaemon>::const_iterator it = daemons.upper_bound(m_lastRecipient);
+        if (it == daemons.end())
+            it = daemons.begin();
+        m_lastRecipient = it->first;
+        std::string const& bytes = m_round.usageFor.contains(it->first) ? m_round.bytesWithUsage : m_round.bytes;
         // A datagram that cannot be sent is as good as lost; the next one follows soon.
         boost::system::error_code ec;
-        bool isTold = std::find(beacon.usageFor.begin(), beacon.usageFor.end(), it.first) != beacon.usageFor.end();
-        m_socket.send_to(boost::asio::buffer(isTold ? withUsage : bytes), it.second.listed.beaconAddress, 0, ec);
+        m_socket.send_to(boost::asio::buffer(bytes), it->second.listed.beaconAddress, 0, ec);
+        sent += bytes.size();
     }
+    if (m_round.remaining == 0 || daemons.empty())
+        return;
+    m_sliceTimer.expires_after(sliceInterval);
+    m_sliceTimer.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            sendSlice();
+    });
 }
 
 // A lost one costs no more than the wait for the next beacon.
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -7,8 +7,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
+#include <set>
+#include <string>
 
 namespace Daemon {
 
@@ -29,14 +33,15 @@
     };
 
     /// Binds the socket; nothing is sent yet. Errors: Unavailable when the address cannot be bound.
-    static Core::Result<std::unique_ptr<BeaconExchange>> create(boost::asio::io_context&, Platform::ListedDaemon self, Hooks);
+    /// `bytesPerSecond` limits how fast a beacon goes out to all: the other daemons get it one after the other.
+    static Core::Result<std::unique_ptr<BeaconExchange>> create(boost::asio::io_context&, Platform::ListedDaemon self, std::uint64_t bytesPerSecond, Hooks);
 
     /// Starts to send and to receive. Precondition: called once.
     void start();
 
     void stop();
 
-    /// Sends a beacon at once, as when this daemon begins to leave.
+    /// Begins to send a beacon at once, as when this daemon begins to leave. One that is being sent ends.
     void sendNow();
 
     /// Sends a beacon before the next regular one is due, as when others wait for what this daemon has just learnt: at once, if
@@ -47,9 +52,18 @@
     Platform::ListedDaemon const& self() const { return m_self; }
 
 private:
-    BeaconExchange(boost::asio::io_context&, boost::asio::ip::udp::socket, Platform::ListedDaemon self, Hooks);
+    /// A beacon on its way to all other daemons.
+    struct Round {
+        std::string bytes;
+        std::string bytesWithUsage;
+        std::set<std::string> usageFor; ///< Names of the daemons that get the longer form.
+        std::size_t remaining { 0 }; ///< How many daemons have not been sent it.
+    };
+
+    BeaconExchange(boost::asio::io_context&, boost::asio::ip::udp::socket, Platform::ListedDaemon self, std::uint64_t bytesPerSecond, Hooks);
     boost::asio::awaitable<void> sendLoop();
     boost::asio::awaitable<void> receiveLoop();
+    void sendSlice();
     void take(std::string_view datagram);
     BeaconMessage nextBeacon(BeaconKind);
     void greet(boost::asio::ip::udp::endpoint const&);
@@ -58,10 +72,17 @@
     /// availability zones, which beacons make most of, are halved.
     static constexpr std::chrono::milliseconds fullInterval { 2'000 };
     static constexpr std::size_t largestDatagram = 64 * 1024;
+    /// Datagrams that go out together; callers' requests pass between two slices.
+    static constexpr std::chrono::milliseconds sliceInterval { 10 };
 
     boost::asio::io_context& m_context;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_sendTimer;
+    boost::asio::steady_timer m_sliceTimer;
+    std::uint64_t m_bytesPerSecond;
+    Round m_round;
+    std::string m_lastRecipient; ///< The round goes on behind it.
+    std::mt19937_64 m_random; ///< Draws where a round begins.
     Platform::ListedDaemon m_self;
     Hooks m_hooks;
     Fleet::DaemonBook m_book;
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds readSlack { 500 };
 constexpr std::chrono::milliseconds tickInterval { 100 };
 constexpr std::chrono::milliseconds unlistTimeout { 500 };
+// Beacons may use the VM's link divided by this; the rest is for callers' requests and this daemon's own calls.
+constexpr std::uint64_t beaconShareDivisor = 2;
 
 // A store or an engine that is slow answers within this; one that does not is asked again.
 constexpr std::chrono::milliseconds answerTime { 1'000 };
@@ -82,7 +84,7 @@
     m_hooks = std::move(hooks);
     Platform::ListedDaemon self { m_settings.daemon.name, incarnation, m_settings.daemon.availabilityZone, m_settings.daemon.region, m_settings.callers.listen, { m_settings.peers.beacon.address(), m_settings.peers.beacon.port() }, m_settings.peers.listen };
     BeaconExchange::Hooks beacons { [this](BeaconKind kind) { return describe(kind); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); }, [this] { return m_wasReading; } };
-    BOOST_OUTCOME_TRY(m_beacons, BeaconExchange::create(m_context, self, std::move(beacons)));
+    BOOST_OUTCOME_TRY(m_beacons, BeaconExchange::create(m_context, self, m_settings.peers.bytesPerSecond() / beaconShareDivisor, std::move(beacons)));
     Peer::Settings peers;
     peers.senderName = self.name;
     peers.senderIncarnation = incarnation;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -182,6 +182,7 @@
     keys.push_back(tokenKey());
     keys.push_back(endpointKey("peers", "listen", "Where other daemons connect.", peersOf, &Owned::Peers::listen));
     keys.push_back(optional(endpointKey("peers", "beacon", "Where other daemons' beacons come in, over UDP (kind keyed-store).", peersOf, &Owned::Peers::beacon)));
+    keys.push_back(fractionKey("peers", "link_mbps", "Bandwidth of the VM's link in Mbit/s; what goes to other daemons is paced by it.", 0.1, 1e6, peersOf, &Owned::Peers::linkMegabitsPerSecond));
 }
 
 void addPlatformKeys(std::vector<DaemonKey>& keys)
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -63,6 +63,9 @@
     struct Peers {
         Endpoint listen;
         Endpoint beacon; ///< Where beacons come in (UDP); port 0: none are exchanged.
+        double linkMegabitsPerSecond { 100 }; ///< Bandwidth of the VM's link.
+
+        std::uint64_t bytesPerSecond() const { return static_cast<std::uint64_t>(linkMegabitsPerSecond * 1e6 / 8); }
     };
 
     struct Platform {
--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds askTimeout { 400 };
 constexpr std::chrono::milliseconds startupDelay { 250 }; // Time from a daemon's start to its first read or query.
 constexpr std::chrono::milliseconds longestTransit { 3 };
+constexpr int beaconShareDivisor = 2; // Of the link, for beacons.
 constexpr std::size_t beaconBytes = 1'200;
 constexpr std::size_t callBytes = 300; // A query, or a store call without records.
 
@@ -291,13 +292,20 @@
     DaemonState state = describe(daemon);
     ++daemon.sequence;
     bool isCut = isStruck(daemon.index, Fault::PeerCut, m_now);
-    for (std::unique_ptr<Daemon> const& other : m_daemons) {
+    // Beacons go out one after the other, from a different recipient on each time.
+    Time sendAt = m_now;
+    std::size_t first = m_random() % m_daemons.size();
+    for (std::size_t n = 0; n < m_daemons.size(); ++n) {
+        std::unique_ptr<Daemon> const& other = m_daemons[(first + n) % m_daemons.size()];
         ++m_beacons;
         bool isLost = other->isDown || isCut || isStruck(other->index, Fault::PeerCut, m_now) || std::bernoulli_distribution(m_settings.beaconLoss)(m_random);
         if (other->index == daemon.index || isLost)
             continue;
         Daemon& to = *other;
-        atDaemon(to, arrival(to, send(daemon, beaconBytes), beaconBytes), [this, &to, from = daemon.self, sequence = daemon.sequence, state] { receive(to, from, sequence, state); });
+        sendAt += beaconShareDivisor * transmissionTime(beaconBytes);
+        atDaemon(daemon, sendAt, [this, &daemon, &to, from = daemon.self, sequence = daemon.sequence, state] {
+            atDaemon(to, arrival(to, send(daemon, beaconBytes), beaconBytes), [this, &to, from, sequence, state] { receive(to, from, sequence, state); });
+        });
     }
 }
 
