LibFleet, LibDaemon: Bound what a daemon sends to its peers, and refer them to those that have it

Requests reached their targets up to 2.09 s after their callers had left, and a grown configuration was in force at one daemon 9 to 12 s after it was written (3 s allowed). Each daemon asked the one that had announced a change for its records, all in the same second: 88 copies out of one link, with callers' requests, connections and reads of the store behind them. An asker gave up after 400 ms and asked again, while the answer was sent to its end all the same.

- RecordUploads: a quarter of the declared link at most for all peers together, in chunks of 8 KB, short answers first.
A peer that would wait for longer than 0.25 s is told at once when to ask again and which daemons have the records, so that copies spread from one to the next.
- TopicFollower asks those it is referred to, comes back at a random moment, and reads the store when that would take too long for the bound.
- Answers are compressed (Zstandard), as a difference where the asker has a former version that is still known; the same answer is compressed once.
- An answer that arrives is not given up; one that was given up is not sent on.

--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -103,6 +103,7 @@
         sample.targetRateLimits.emplace(it.first, it.second.perSecond);
     sample.storeReadAge = m_storeControl->storeReadAge();
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
+    sample.unsentRecordBytes = m_storeControl->unsentRecordBytes();
     sample.liveDaemons = m_storeControl->liveDaemons();
     for (FleetTarget const& target : m_storeControl->fleet()->targets)
         ++(target.isClosed() ? sample.closedTargets : sample.openTargets);
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -29,6 +29,7 @@
     std::uint64_t configVersion { 0 }; ///< Of a configuration that comes whole.
     std::chrono::milliseconds storeReadAge { 0 }; ///< Since the list of targets was last read from the store.
     std::chrono::milliseconds targetListAge { 0 }; ///< How old the list of targets may be, whoever told it.
+    std::size_t unsentRecordBytes { 0 }; ///< That wait to be sent to peers.
     std::size_t liveDaemons { 0 }; ///< This one included.
     std::size_t openTargets { 0 }; ///< That may get work, as far as the list says.
     std::size_t closedTargets { 0 };
--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -13,6 +13,9 @@
 
 using Clock = Core::BootClock;
 
+// Suspect records are few; a peer that has not sent them by then is passed over.
+constexpr std::chrono::milliseconds askTimeout { 1'000 };
+
 }
 
 void logFindings(std::vector<Quarantine::Finding> const& findings, std::string const& reportedBy)
@@ -145,13 +148,15 @@
         co_return;
     }
     RecordsRequest request { Platform::StoreTopic::Suspects, 0, true };
-    Core::Result<RecordsAnswer> answer = co_await m_records.ask(it->second.listed.peerAddress, request);
+    Core::Result<RecordExchange::Reply> reply = co_await m_records.ask(it->second.listed.peerAddress, request, std::string(), askTimeout);
     if (m_isStopped)
         co_return;
-    bool isNews = answer.has_value() && takeRecords(answer.value().extract.records, peer);
-    m_catchUp.noteReply(answer.has_value(), isNews, Clock::now());
-    std::string problem = answer.has_error() ? answer.error().message : "-";
-    Core::logEvent(answer.has_error() ? Core::Severity::Info : Core::Severity::Debug, Core::Event::PeerRecords, { { "stream", "suspects" }, { "daemon", peer }, { "news", isNews ? "yes" : "no" }, { "error", problem } });
+    RecordsAnswer const* answer = reply.has_value() ? std::get_if<RecordsAnswer>(&reply.value()) : nullptr;
+    bool isNews = answer && takeRecords(answer->extract.records, peer);
+    m_catchUp.noteReply(answer != nullptr, isNews, Clock::now());
+    std::string problem = reply.has_error() ? reply.error().message : answer ? "-"
+                                                                             : "the peer is busy";
+    Core::logEvent(reply.has_error() ? Core::Severity::Info : Core::Severity::Debug, Core::Event::PeerRecords, { { "stream", "suspects" }, { "daemon", peer }, { "news", isNews ? "yes" : "no" }, { "error", problem } });
 }
 
 boost::asio::awaitable<void> QuarantineExchange::load()
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -28,7 +28,9 @@
 constexpr std::chrono::milliseconds readSlack { 500 };
 constexpr std::chrono::milliseconds tickInterval { 100 };
 constexpr std::chrono::milliseconds unlistTimeout { 500 };
-// Beacons may use the VM's link divided by this; the rest is for callers' requests and this daemon's own calls.
+// Records for peers may use the VM's link divided by this; the rest is for callers' requests and this daemon's own calls.
+constexpr std::uint64_t uploadShareDivisor = 4;
+// The same for beacons, which are short and carry what bounds depend on.
 constexpr std::uint64_t beaconShareDivisor = 2;
 
 // A store or an engine that is slow answers within this; one that does not is asked again.
@@ -89,7 +91,10 @@
     peers.senderName = self.name;
     peers.senderIncarnation = incarnation;
     peers.connectTimeout = peerConnectTimeout;
-    BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, [this](RecordsRequest const& request) { return extract(request); }));
+    Fleet::RecordUploadSettings uploads;
+    uploads.bytesPerSecond = m_settings.peers.bytesPerSecond() / uploadShareDivisor;
+    RecordExchange::Hooks records { [this](RecordsRequest const& request) { return extract(request); }, [this](Platform::StoreTopic topic, std::uint64_t offset) { return findVersion(topic, offset); } };
+    BOOST_OUTCOME_TRY(m_records, RecordExchange::create(m_context, self.peerAddress, peers, uploads, std::move(records)));
     RoleKeeper::Hooks roles { [this] { return plansRoles(); }, [this] { m_isTargetListChanged = true; }, [this] { m_beacons->sendNow(); }, [this](std::string const& service) { return demandOf(service); }, m_hooks.slowness, [this](std::string const& service) { return m_engineNumbers && m_engineNumbers->isFirstSizing(service, Clock::now()); }, [this](std::uint64_t target) { noteLeaving(target); }, [this] { m_roles->poll(*m_fleet, m_unreachable); } };
     Authority::StoreLeaseSettings leases;
     leases.quietTime = m_settings.platform.leaseQuiet;
@@ -136,6 +141,7 @@
     settings.daemon = m_settings.daemon.name;
     settings.availabilityZone = m_settings.daemon.availabilityZone;
     topic.isToldByPeers = settings.pace.isToldByPeers;
+    topic.queryTimeout = settings.staleAfter;
     topic.follower = std::make_unique<Fleet::TopicFollower>(settings, std::move(isNews), std::move(ageOf), std::random_device()());
     topic.turn = std::make_unique<boost::asio::steady_timer>(m_context);
     topic.news = std::make_unique<boost::asio::steady_timer>(m_context);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -77,6 +77,7 @@
     FleetPointer const& fleet() const { return m_fleet; }
     std::uint64_t configVersion() const { return m_services ? m_services->version : 0; }
     std::size_t liveDaemons() const; ///< This one included.
+    std::size_t unsentRecordBytes() const { return m_records->pendingBytes(); } ///< That wait to be sent to peers.
     std::chrono::milliseconds storeReadAge() const; ///< Since the list of targets was last read from the store.
     std::optional<std::chrono::milliseconds> targetListAge() const; ///< How old this daemon's list may be, whoever told it.
     RoleKeeper const& roles() const { return *m_roles; }
@@ -106,6 +107,7 @@
         std::function<void()> onRead { [] { } }; ///< Called after each read that succeeded, ahead of its records.
         std::function<void()> onFailure { [] { } }; ///< Called after each read that failed.
         std::unique_ptr<Fleet::TopicFollower> follower; ///< Set once the daemon's hooks are.
+        std::chrono::milliseconds queryTimeout { 0 }; ///< Of a query to a peer; by then this daemon reads the store itself.
         std::uint64_t newsOffset { 0 }; ///< Behind the last record that changed anything.
         std::string problem; ///< Why it cannot be read now; empty while it can.
         std::unique_ptr<boost::asio::steady_timer> turn; ///< Waits for the next read; cancelled when that may be due.
@@ -129,6 +131,9 @@
     boost::asio::awaitable<void> ask(Followed&, Fleet::PeerQuery);
     void apply(Followed&, std::vector<Platform::KeyedRecord> const&, bool wasComplete);
     Core::Result<RecordsAnswer> extract(RecordsRequest const&) const;
+    Followed const* find(Platform::StoreTopic) const;
+    std::string const* findVersion(Platform::StoreTopic, std::uint64_t offset) const;
+    Core::BootClock::duration timeToNextQuery(Followed const&);
     boost::asio::awaitable<void> waitToMeet(Followed const&);
     boost::asio::awaitable<void> meetOthers();
     std::array<Followed*, 3> topics() { return { &m_configuration, &m_targetList, &m_daemonList }; }
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/EventLog.h>
 #include <LibDaemon/StoreControl.h>
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -30,10 +31,17 @@
         if (question)
             co_await ask(topic, std::move(*question));
         else
-            co_await waitFor(*topic.news, newsCheckInterval);
+            co_await waitFor(*topic.news, timeToNextQuery(topic));
     }
 }
 
+Clock::duration StoreControl::timeToNextQuery(Followed const& topic)
+{
+    Clock::time_point now = Clock::now();
+    std::optional<Clock::time_point> next = topic.follower->nextDeferredQueryAt(now);
+    return std::min<Clock::duration>(newsCheckInterval, next ? *next - now : newsCheckInterval);
+}
+
 boost::asio::awaitable<void> StoreControl::follow(Followed& topic)
 {
     if (topic.isToldByPeers)
@@ -105,7 +113,12 @@
 boost::asio::awaitable<void> StoreControl::ask(Followed& topic, Fleet::PeerQuery question)
 {
     RecordsRequest request { topic.topic, question.step.from, question.step.isNewest };
-    Core::Result<RecordsAnswer> told = co_await m_records->ask(question.peer.listed.peerAddress, request);
+    std::string base;
+    if (Platform::KeyedRecord const* largest = topic.follower->replica().largestRecord()) {
+        request.baseOffset = largest->offset;
+        base = *largest->value;
+    }
+    Core::Result<RecordExchange::Reply> told = co_await m_records->ask(question.peer.listed.peerAddress, request, std::move(base), topic.queryTimeout);
     if (m_isStopped)
         co_return;
     std::string stream(Core::nameOf(Platform::storeTopicNames, topic.topic));
@@ -115,19 +128,38 @@
         Core::logEvent(Core::Severity::Info, Core::Event::PeerRecords, { { "stream", stream }, { "daemon", name }, { "news", "-" }, { "next", std::to_string(topic.follower->replica().nextOffset()) }, { "error", told.error().message } });
         co_return;
     }
+    if (Fleet::Deferral const* deferral = std::get_if<Fleet::Deferral>(&told.value())) {
+        topic.follower->noteDeferral(*deferral, Clock::now());
+        Core::logEvent(Core::Severity::Debug, Core::Event::PeerRecords, { { "stream", stream }, { "daemon", name }, { "news", "-" }, { "next", std::to_string(topic.follower->replica().nextOffset()) }, { "retry_after_ms", std::to_string(deferral->retryAfter.count()) }, { "referrals", std::to_string(deferral->referrals.size()) }, { "error", "-" } });
+        co_return;
+    }
+    RecordsAnswer const& answer = std::get<RecordsAnswer>(told.value());
     bool wasComplete = topic.follower->replica().isComplete();
-    std::vector<Platform::KeyedRecord> news = topic.follower->takeAnswer(told.value().extract, told.value().age);
+    std::vector<Platform::KeyedRecord> news = topic.follower->takeAnswer(answer.extract, answer.age);
     apply(topic, news, wasComplete);
     Core::logEvent(Core::Severity::Debug, Core::Event::PeerRecords, { { "stream", stream }, { "daemon", name }, { "news", std::to_string(news.size()) }, { "next", std::to_string(topic.follower->replica().nextOffset()) }, { "age_ms", ageOf(topic) }, { "error", "-" } });
 }
 
+StoreControl::Followed const* StoreControl::find(Platform::StoreTopic topic) const
+{
+    for (Followed const* it : { &m_configuration, &m_targetList, &m_daemonList }) {
+        if (it->topic == topic)
+            return it;
+    }
+    return nullptr;
+}
+
+std::string const* StoreControl::findVersion(Platform::StoreTopic topic, std::uint64_t offset) const
+{
+    Followed const* followed = find(topic);
+    return followed ? followed->follower->replica().findVersion(offset) : nullptr;
+}
+
 Core::Result<RecordsAnswer> StoreControl::extract(RecordsRequest const& request) const
 {
     if (request.topic == Platform::StoreTopic::Suspects)
         return m_quarantine->extract();
-    Followed const* followed = nullptr;
-    for (Followed const* topic : { &m_configuration, &m_targetList, &m_daemonList })
-        followed = topic->topic == request.topic ? topic : followed;
+    Followed const* followed = find(request.topic);
     if (!followed || !followed->follower->replica().isComplete())
         return Core::fail(Core::ErrorCode::Unavailable, "the topic is not known here");
     return RecordsAnswer { followed->follower->replica().extract(request.from, request.wantsAll), followed->follower->age(Clock::now()) };
--- a/Libraries/LibFleet/StoreReplica.cpp
+++ b/Libraries/LibFleet/StoreReplica.cpp
@@ -4,6 +4,15 @@
 
 namespace Fleet {
 
+namespace {
+
+// Of smaller records a difference saves nothing.
+constexpr std::size_t largeRecordBytes = std::size_t { 4 } << 10U;
+// A peer that is being updated may be one version behind, or two where versions follow each other quickly.
+constexpr std::size_t maxReplaced = 2;
+
+}
+
 StoreReplica::Step StoreReplica::next() const
 {
     return { m_readsNewest, m_after, m_next };
@@ -107,10 +116,44 @@
         return true;
     if (record.offset <= added.first->second.offset)
         return false;
+    keepReplaced(added.first->second);
     added.first->second = record;
     return true;
 }
 
+void StoreReplica::keepReplaced(Platform::KeyedRecord& record)
+{
+    if (!record.value || record.value->size() < largeRecordBytes)
+        return;
+    m_replaced.push_back(std::move(record));
+    if (m_replaced.size() > maxReplaced)
+        m_replaced.pop_front();
+}
+
+std::string const* StoreReplica::findVersion(std::uint64_t offset) const
+{
+    for (Platform::KeyedRecord const& it : m_replaced) {
+        if (it.offset == offset)
+            return &*it.value;
+    }
+    for (std::pair<std::string const, Platform::KeyedRecord> const& it : m_records) {
+        if (it.second.offset == offset && it.second.value)
+            return &*it.second.value;
+    }
+    return nullptr;
+}
+
+Platform::KeyedRecord const* StoreReplica::largestRecord() const
+{
+    Platform::KeyedRecord const* largest = nullptr;
+    for (std::pair<std::string const, Platform::KeyedRecord> const& it : m_records) {
+        bool isLarge = it.second.value && it.second.value->size() >= largeRecordBytes;
+        if (isLarge && (!largest || it.second.value->size() > largest->value->size()))
+            largest = &it.second;
+    }
+    return largest;
+}
+
 Platform::KeyedRecord const* StoreReplica::find(std::string const& key) const
 {
     std::map<std::string, Platform::KeyedRecord>::const_iterator it = m_records.find(key);
--- a/Libraries/LibFleet/StoreReplica.h
+++ b/Libraries/LibFleet/StoreReplica.h
@@ -2,6 +2,7 @@
 
 #include <LibPlatform/KeyedStore.h>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -56,10 +57,18 @@
     /// Returns the newest record of a key, or null if there is none or it was removed.
     Platform::KeyedRecord const* find(std::string const& key) const;
 
+    /// Returns the value of the record at an offset: a current one, or a large one that was replaced recently. Null if it is not
+    /// known here.
+    std::string const* findVersion(std::uint64_t offset) const;
+
+    /// Returns the largest current record whose replacement by a new version is worth sending as a difference, or null.
+    Platform::KeyedRecord const* largestRecord() const;
+
     std::map<std::string, Platform::KeyedRecord> const& records() const { return m_records; } ///< By key, including removed ones.
 
 private:
     std::vector<Platform::KeyedRecord> finishPages();
+    void keepReplaced(Platform::KeyedRecord&);
 
     std::map<std::string, Platform::KeyedRecord> m_records;
     std::uint64_t m_next { 0 };
@@ -69,6 +78,7 @@
     std::uint64_t m_pagesFrom { 0 }; ///< End offset of the topic when the first page was read.
     std::uint64_t m_wholeFrom { 0 }; ///< Every change from this offset on was seen; of earlier ones only the newest per key.
     std::vector<Platform::KeyedRecord> m_pages;
+    std::deque<Platform::KeyedRecord> m_replaced; ///< Former versions of large records, latest last.
 };
 
 }
--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -19,6 +19,8 @@
 constexpr int stalePercent = 55;
 constexpr int maxStalePercent = 75;
 constexpr int hundred = 100;
+// The part of the time until a copy is stale that queries of busy peers may take is the whole divided by this.
+constexpr int deferralShareDivisor = 2;
 
 std::optional<std::chrono::milliseconds> ageOf(std::optional<Time> asOf, Time now)
 {
@@ -99,6 +101,8 @@
     if (!hasNews(view)) {
         m_newsSince.reset();
         m_failedPeerQueries = 0;
+        m_queryPeerAt.clear();
+        m_referrals.clear();
     } else {
         m_newsSince = m_newsSince.value_or(now);
     }
@@ -116,16 +120,33 @@
 
 std::vector<Platform::KeyedRecord> TopicFollower::takeAnswer(StoreReplica::Extract const& extract, std::optional<std::chrono::milliseconds> age)
 {
-    m_unresponsivePeers.erase(m_peerQuery->peer.listed.name);
+    std::string peer = m_peerQuery->peer.listed.name;
+    m_unresponsivePeers.erase(peer);
     m_peerQuery.reset();
     // Under frequent changes every beacon announces updates, so they are batched: at most one query per topic interval.
     m_nextPeerQueryAt = m_peerQueriedAt + m_settings.pace.interval;
+    if (m_replica.isComplete() && extract.next <= m_replica.nextOffset())
+        m_queryPeerAt[peer] = m_peerQueriedAt + m_settings.emptyAnswerDelay;
     std::vector<Platform::KeyedRecord> news = m_replica.take(extract);
     if (age && m_replica.isComplete() && m_replica.nextOffset() >= extract.next)
         confirm(m_peerQueriedAt - *age);
     return news;
 }
 
+// Deferred daemons return at random moments, so that they do not all wait for the same chunk.
+void TopicFollower::noteDeferral(Deferral const& deferral, Time now)
+{
+    std::string peer = m_peerQuery->peer.listed.name;
+    m_peerQuery.reset();
+    m_unresponsivePeers.erase(peer);
+    m_queryPeerAt[peer] = now + randomTime(deferral.retryAfter, 2 * deferral.retryAfter);
+    // Records that are this slow to come by are read from the store while there is time.
+    if (m_newsSince && now + deferral.retryAfter - *m_newsSince > m_settings.staleAfter / deferralShareDivisor)
+        ++m_failedPeerQueries;
+    for (std::string const& it : deferral.referrals)
+        m_referrals[it] = now;
+}
+
 void TopicFollower::noteFailedPeerQuery(Time now)
 {
     m_unresponsivePeers[m_peerQuery->peer.listed.name] = now;
@@ -223,6 +244,7 @@
         if (due > now)
             next = std::min(next, due);
     }
+    next = std::min(next, nextDeferredQueryAt(now).value_or(next));
     return std::max(next, now + std::chrono::milliseconds(1));
 }
 
@@ -231,13 +253,33 @@
     return !m_failingSince && m_readAt > now - m_settings.wait - m_settings.slack;
 }
 
+bool TopicFollower::isCandidate(BookedDaemon const& peer, Time now) const
+{
+    std::map<std::string, Time>::const_iterator later = m_queryPeerAt.find(peer.listed.name);
+    if (later != m_queryPeerAt.end() && now < later->second)
+        return false;
+    std::map<std::string, Time>::const_iterator referral = m_referrals.find(peer.listed.name);
+    bool isReferred = referral != m_referrals.end() && now - referral->second < m_settings.referralTimeout;
+    return isReferred || m_isNews(peer.said);
+}
+
+std::optional<Time> TopicFollower::nextDeferredQueryAt(Time now) const
+{
+    std::optional<Time> next;
+    for (std::pair<std::string const, Time> const& it : m_queryPeerAt) {
+        if (it.second > now)
+            next = std::min(next.value_or(it.second), it.second);
+    }
+    return next;
+}
+
 // Prefers a peer in the same availability zone; otherwise hashing by daemon spreads the queries over different peers.
 BookedDaemon const* TopicFollower::choosePeer(DaemonBook const& book, Time now) const
 {
     BookedDaemon const* best = nullptr;
     std::tuple<bool, bool, std::uint64_t> bestRank;
     for (std::pair<std::string const, BookedDaemon> const& it : book.daemons()) {
-        if (!book.isLive(it.second, now) || !m_isNews(it.second.said))
+        if (!isCandidate(it.second, now) || !book.isLive(it.second, now))
             continue;
         std::map<std::string, Time>::const_iterator silent = m_unresponsivePeers.find(it.first);
         bool isSilent = silent != m_unresponsivePeers.end() && now - silent->second < m_settings.peerBackoff;
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFleet/ReadTurn.h>
+#include <LibFleet/RecordUploads.h>
 #include <LibFleet/StoreReplica.h>
 #include <functional>
 #include <map>
@@ -26,6 +27,10 @@
     std::chrono::milliseconds maxRetryDelay { 2'000 };
     /// A peer that did not answer is not queried again for this long, unless no other peer is available.
     std::chrono::milliseconds peerBackoff { 2'000 };
+    /// How long a daemon that was named as having new records counts as having them, before its own beacon says so.
+    std::chrono::milliseconds referralTimeout { 2'000 };
+    /// A peer that had nothing new is not queried again for this long.
+    std::chrono::milliseconds emptyAnswerDelay { 100 };
     /// A reader queries a peer for updates that its own read has not returned within this time.
     std::chrono::milliseconds ownReadTimeout { 200 };
     /// A read that is unanswered for this long past its wait no longer counts as delivering updates.
@@ -74,6 +79,9 @@
     /// Applies a peer's answer, given the age of the peer's copy. Returns the new records. Precondition: a query is pending.
     std::vector<Platform::KeyedRecord> takeAnswer(StoreReplica::Extract const&, std::optional<std::chrono::milliseconds> age);
 
+    /// Records that the peer is busy sending records to others. Precondition: a query is pending.
+    void noteDeferral(Deferral const&, Time now);
+
     /// Records that the peer did not answer or does not know the topic. Precondition: a query is pending.
     void noteFailedPeerQuery(Time now);
 
@@ -91,6 +99,9 @@
     /// Returns when a query or read may become due without any further input.
     Time nextCheckAt(Time now) const;
 
+    /// Returns when a peer that deferred this daemon may be queried again; empty if none did.
+    std::optional<Time> nextDeferredQueryAt(Time now) const;
+
     /// Whether a peer is known to have newer records.
     bool hasNews(SiteView const& view) const { return m_isNews(view.newest); }
 
@@ -120,6 +131,7 @@
     std::chrono::milliseconds randomTime(std::chrono::milliseconds least, std::chrono::milliseconds most);
     std::chrono::milliseconds nextWait(Time now) const;
     BookedDaemon const* choosePeer(DaemonBook const&, Time now) const;
+    bool isCandidate(BookedDaemon const&, Time now) const;
 
     TopicFollowerSettings m_settings;
     NewsTest m_isNews;
@@ -136,6 +148,8 @@
     std::optional<Time> m_newsSince; ///< Since when a peer is known to have newer records.
     std::size_t m_failedPeerQueries { 0 }; ///< Failed queries since this copy last caught up with all announced updates.
     std::map<std::string, Time> m_unresponsivePeers; ///< Time of the unanswered query, by peer.
+    std::map<std::string, Time> m_queryPeerAt; ///< By peer that deferred this daemon or had nothing new: when to query it again.
+    std::map<std::string, Time> m_referrals; ///< Time of the referral, by the daemon referred to.
     Time m_retryAt {}; ///< When the store may be read again after a failure.
     Time m_readAt {};
     std::optional<Time> m_failingSince;
--- a/Libraries/LibPeer/Call.h
+++ b/Libraries/LibPeer/Call.h
@@ -11,9 +11,18 @@
     std::string body;
 };
 
-/// Sends a request and collects its answer, for at most `timeout`; then, or when the answer is larger than
+/// How long a call waits for its answer.
+struct CallTimeouts {
+    std::chrono::milliseconds silence { 0 }; ///< For the first sign of the answer, and between two parts of it.
+    std::chrono::milliseconds total { 0 };
+};
+
+/// Sends a request and collects its answer. After a timeout, or when the answer is larger than
 /// `Settings::maxReplyBytes`, the stream is canceled. The error's verdict is that of `Client::open`.
 /// Precondition: awaited on the client's thread, and the client lives until then.
+boost::asio::awaitable<Core::Result<Reply>> call(Client&, std::string path, std::string body, CallTimeouts);
+
+/// The same with one timeout for the whole answer.
 boost::asio::awaitable<Core::Result<Reply>> call(Client&, std::string path, std::string body, std::chrono::milliseconds timeout);
 
 }
--- a/Meta/packages.sh
+++ b/Meta/packages.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build ccache git
     libboost1.81-dev libboost-json1.81-dev libnghttp2-dev prometheus-cpp-dev libcxxopts-dev liblog4cxx-dev
-    librapidcheck-dev libinih-dev libprotobuf-dev libxxhash-dev libgtest-dev libssl-dev
+    librapidcheck-dev libinih-dev libprotobuf-dev libxxhash-dev libgtest-dev libssl-dev libzstd-dev
     clang-format-19 clang-tidy-19 curl
 )
 
--- a/Tests/LibFleet/TestStoreReplica.cpp
+++ b/Tests/LibFleet/TestStoreReplica.cpp
@@ -231,3 +231,20 @@
     // The key may be added again.
     EXPECT_TRUE(reader.takeRecord({ 15, "b", "2" }));
 }
+
+TEST(StoreReplica, KeepsTheFormerVersionsOfLargeRecordsOnly)
+{
+    StoreReplica replica;
+    std::string large(5'000, 'x');
+    replica.take(KeyedPage { { { 1, "large", large + "1" }, { 2, "small", "1" } }, 3, false });
+    replica.take(KeyedBatch { 0, 6, { { 3, "large", large + "2" }, { 4, "small", "2" }, { 5, "large", large + "3" } }, false });
+    EXPECT_EQ(*replica.findVersion(1), large + "1");
+    EXPECT_EQ(*replica.findVersion(3), large + "2");
+    EXPECT_EQ(*replica.findVersion(5), large + "3");
+    EXPECT_EQ(*replica.findVersion(4), "2");
+    EXPECT_EQ(replica.findVersion(2), nullptr);
+    EXPECT_EQ(replica.largestRecord()->offset, 5U);
+    replica.take(KeyedBatch { 0, 8, { { 6, "large", large + "4" }, { 7, "large", std::nullopt } }, false });
+    EXPECT_EQ(replica.findVersion(1), nullptr) << "two are kept";
+    EXPECT_EQ(replica.largestRecord(), nullptr);
+}
--- a/Tests/LibFleet/TestTopicFollower.cpp
+++ b/Tests/LibFleet/TestTopicFollower.cpp
@@ -90,6 +90,39 @@
     EXPECT_FALSE(m_follower.hasNews(m_view));
 }
 
+TEST_F(TopicFollowerOfNonReader, ADeferredDaemonQueriesThoseItIsReferredTo)
+{
+    hear("busy", said(12, 100ms), start + 1s);
+    hear("other", said(10, 100ms), start + 1s);
+    EXPECT_EQ(m_follower.beginPeerQuery(m_book, m_view, start + 1s)->peer.listed.name, "busy");
+    m_follower.noteDeferral({ 200ms, { "other" } }, start + 1s);
+    EXPECT_EQ(m_follower.beginPeerQuery(m_book, m_view, start + 1s)->peer.listed.name, "other");
+    m_follower.takeAnswer({ {}, 10, false }, 100ms);
+    EXPECT_FALSE(m_follower.beginPeerQuery(m_book, m_view, start + 1'090ms)) << "it did not have the records yet, and the other one is busy";
+    EXPECT_FALSE(m_follower.beginRead(m_view, start + 1'090ms)) << "a deferral is no failure";
+    std::optional<Time> next = m_follower.nextDeferredQueryAt(start + 1'090ms);
+    ASSERT_TRUE(next);
+    EXPECT_LE(*next, start + 1'100ms);
+    EXPECT_EQ(m_follower.beginPeerQuery(m_book, m_view, start + 1'160ms)->peer.listed.name, "other");
+    m_follower.takeAnswer({ { { 11, "t", "leaving" } }, 12, false }, 100ms);
+    EXPECT_FALSE(m_follower.hasNews(m_view));
+}
+
+TEST_F(TopicFollowerOfNonReader, ADeferredDaemonReadsTheStoreBeforeItsCopyIsTooOld)
+{
+    std::optional<StoreRead> read;
+    Time now = start;
+    for (; !read && now < start + 5s; now += 50ms) {
+        hear("busy", said(12, 0ms), now);
+        while (m_follower.beginPeerQuery(m_book, m_view, now))
+            m_follower.noteDeferral({ 50ms, {} }, now);
+        read = m_follower.beginRead(m_view, now);
+    }
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->reason, StoreCallReason::News);
+    EXPECT_LE(now - start, settings().staleAfter + 100ms);
+}
+
 TEST_F(TopicFollowerOfNonReader, AnUnconfirmedCopyIsReadInTime)
 {
     std::set<Time> readAt;
--- a/Tests/LibFleet/VirtualSite.cpp
+++ b/Tests/LibFleet/VirtualSite.cpp
@@ -12,9 +12,10 @@
 constexpr std::chrono::milliseconds tickInterval { 100 };
 constexpr std::chrono::milliseconds connectTimeout { 500 }; // Connection timeout of a store call.
 constexpr std::chrono::milliseconds readSlack { 500 };
-constexpr std::chrono::milliseconds askTimeout { 400 };
+constexpr std::chrono::milliseconds silenceTimeout { 400 };
 constexpr std::chrono::milliseconds startupDelay { 250 }; // Time from a daemon's start to its first read or query.
 constexpr std::chrono::milliseconds longestTransit { 3 };
+constexpr std::uint64_t uploadShareDivisor = 4; // Of the link, for records.
 constexpr int beaconShareDivisor = 2; // Of the link, for beacons.
 constexpr std::size_t beaconBytes = 1'200;
 constexpr std::size_t callBytes = 300; // A query, or a store call without records.
@@ -45,6 +46,16 @@
     bool isDown { false };
     bool beaconRequested { false }; ///< Its next beacon is sent ahead of schedule.
     Time sentAt {}; ///< Send time of its last beacon.
+    struct Answer {
+        std::size_t asker { 0 };
+        std::uint64_t question { 0 };
+        StoreReplica::Extract extract;
+        std::optional<std::chrono::milliseconds> age; ///< Of the copy when it was extracted.
+    };
+    std::unique_ptr<RecordUploads> uploads;
+    std::map<RecordUploads::Id, Answer> answers; ///< That are being sent.
+    Time heardAnswerAt {}; ///< When the last part of the answer to the current query arrived.
+    Time queryEndsAt {};
     Time uplinkFreeAt {}; ///< When its link has sent everything queued.
     Time downlinkFreeAt {}; ///< When its link has received everything sent to it.
 };
@@ -191,6 +202,10 @@
     daemon.newsOffset = daemon.sequence = 0;
     daemon.hasConnection = true;
     daemon.wasReading = daemon.beaconRequested = false;
+    RecordUploadSettings uploads;
+    uploads.bytesPerSecond = m_settings.linkBytesPerSecond / uploadShareDivisor;
+    daemon.uploads = std::make_unique<RecordUploads>(uploads);
+    daemon.answers.clear();
     TopicFollowerSettings settings = TopicFollowerSettings::create({}, m_settings.newsWithin);
     settings.daemon = daemon.self.name;
     settings.availabilityZone = daemon.self.availabilityZone;
@@ -323,38 +338,88 @@
 void VirtualSite::ask(Daemon& daemon, PeerQuery const& question)
 {
     std::uint64_t number = ++daemon.question;
-    atDaemon(daemon, m_now + askTimeout, [this, &daemon, number] {
-        if (daemon.question != number)
-            return;
-        ++daemon.question;
-        daemon.follower->noteFailedPeerQuery(m_now);
-        look(daemon);
-    });
+    daemon.heardAnswerAt = m_now;
+    daemon.queryEndsAt = m_now + TopicFollowerSettings::create({}, m_settings.newsWithin).staleAfter;
+    awaitAnswer(daemon, number);
     std::vector<std::unique_ptr<Daemon>>::iterator found = std::find_if(m_daemons.begin(), m_daemons.end(), [&](std::unique_ptr<Daemon> const& it) { return it->self.name == question.peer.listed.name; });
     Daemon& peer = **found;
     if (peer.isDown || isStruck(daemon.index, Fault::PeerCut, m_now) || isStruck(peer.index, Fault::PeerCut, m_now))
         return;
-    atDaemon(peer, arrival(peer, send(daemon, callBytes), callBytes), [this, &daemon, &peer, number, step = question.step] {
-        if (!peer.follower->replica().isComplete())
+    atDaemon(peer, arrival(peer, send(daemon, callBytes), callBytes), [this, &daemon, &peer, number, step = question.step] { answerQuery(daemon, peer, number, step); });
+}
+
+// Gives the query up after a silence, or when it has taken too long.
+void VirtualSite::awaitAnswer(Daemon& daemon, std::uint64_t question)
+{
+    atDaemon(daemon, std::min(daemon.heardAnswerAt + silenceTimeout, daemon.queryEndsAt), [this, &daemon, question] {
+        if (daemon.question != question)
             return;
-        StoreReplica::Extract extract = peer.follower->replica().extract(step.from, step.isNewest);
-        std::size_t bytes = sizeOf(extract.records, m_settings.recordBytes);
-        atDaemon(daemon, arrival(daemon, send(peer, bytes), bytes), [this, &daemon, number, extract, age = peer.follower->age(m_now)] {
-            if (daemon.question != number)
-                return;
-            ++daemon.question;
-            take(daemon, daemon.follower->takeAnswer(extract, age));
-            look(daemon);
-        });
+        if (m_now < daemon.heardAnswerAt + silenceTimeout && m_now < daemon.queryEndsAt) {
+            awaitAnswer(daemon, question);
+            return;
+        }
+        endQuery(daemon, question, [this, &daemon] { daemon.follower->noteFailedPeerQuery(m_now); });
     });
 }
 
+void VirtualSite::endQuery(Daemon& daemon, std::uint64_t question, std::function<void()> end)
+{
+    if (daemon.question != question)
+        return;
+    ++daemon.question;
+    end();
+    look(daemon);
+}
+
+void VirtualSite::answerQuery(Daemon& asker, Daemon& peer, std::uint64_t question, StoreReplica::Step const& step)
+{
+    if (!peer.follower->replica().isComplete())
+        return;
+    StoreReplica::Extract extract = peer.follower->replica().extract(step.from, step.isNewest);
+    std::size_t bytes = sizeOf(extract.records, m_settings.recordBytes);
+    std::variant<RecordUploads::Id, Deferral> begun = peer.uploads->begin(Platform::StoreTopic::Targets, extract.next, asker.self.name, bytes, m_now);
+    if (Deferral const* deferral = std::get_if<Deferral>(&begun)) {
+        atDaemon(asker, arrival(asker, send(peer, callBytes), callBytes), [this, &asker, question, deferral = *deferral] { endQuery(asker, question, [this, &asker, &deferral] { asker.follower->noteDeferral(deferral, m_now); }); });
+        return;
+    }
+    peer.answers[std::get<RecordUploads::Id>(begun)] = { asker.index, question, std::move(extract), peer.follower->age(m_now) };
+    sendChunks(peer);
+}
+
+void VirtualSite::sendChunks(Daemon& daemon)
+{
+    while (std::optional<RecordUploads::Chunk> chunk = daemon.uploads->takeChunk(m_now)) {
+        Daemon::Answer answer = daemon.answers.at(chunk->upload);
+        Daemon& asker = *m_daemons[answer.asker];
+        if (asker.question != answer.question) {
+            // The asker has reset the stream.
+            daemon.uploads->cancel(chunk->upload);
+            daemon.answers.erase(chunk->upload);
+            continue;
+        }
+        Time at = arrival(asker, send(daemon, chunk->bytes), chunk->bytes);
+        atDaemon(asker, at, [this, &asker, question = answer.question] {
+            if (asker.question == question)
+                asker.heardAnswerAt = m_now;
+        });
+        if (!chunk->isLast)
+            continue;
+        daemon.answers.erase(chunk->upload);
+        atDaemon(asker, at, [this, &asker, answer] { endQuery(asker, answer.question, [this, &asker, &answer] { take(asker, asker.follower->takeAnswer(answer.extract, answer.age)); }); });
+    }
+    std::optional<Time> next = daemon.uploads->nextChunkAt();
+    if (next)
+        atDaemon(daemon, *next, [this, &daemon] { sendChunks(daemon); });
+}
+
 // A connection with a hung call is closed, and no new one can be established during the partition.
 void VirtualSite::read(Daemon& daemon, StoreRead const& due)
 {
     ++m_storeCalls;
     std::uint64_t call = ++daemon.call;
-    std::chrono::milliseconds patience = daemon.hasConnection ? due.wait + readSlack : connectTimeout;
+    // An answer that is arriving is waited for.
+    std::size_t expectedBytes = due.step.isNewest || due.step.from < m_log.size() ? m_settings.recordBytes : 0;
+    Time::duration patience = daemon.hasConnection ? due.wait + readSlack + 2 * transmissionTime(expectedBytes) : Time::duration(connectTimeout);
     atDaemon(daemon, m_now + patience, [this, &daemon, call] { fail(daemon, call); });
     if (isStruck(daemon.index, Fault::StoreCut, m_now))
         return;
--- a/Tests/LibFleet/VirtualSite.h
+++ b/Tests/LibFleet/VirtualSite.h
@@ -118,6 +118,10 @@
     DaemonState describe(Daemon const&) const;
     bool isReading(Daemon const&) const;
     void ask(Daemon&, PeerQuery const&);
+    void answerQuery(Daemon& asker, Daemon& peer, std::uint64_t question, StoreReplica::Step const&);
+    void sendChunks(Daemon&);
+    void awaitAnswer(Daemon&, std::uint64_t question);
+    void endQuery(Daemon&, std::uint64_t question, std::function<void()> end);
     void read(Daemon&, StoreRead const&);
     void answerRead(Daemon&, StoreRead const&, std::uint64_t call);
     void fail(Daemon&, std::uint64_t call);
