LibHttp: Reset a canceled connection only if bytes of the request are unacknowledged

A reset that is lost is not sent again, while the ordinary end of a connection is: behind a short cut a target would have gone on with a request that had arrived whole. The test of the withdrawn request passes as before.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -189,7 +189,7 @@
 {
     m_isCanceled = true;
     if (m_connection)
-        abortConnection(m_connection->stream.socket());
+        closeOrAbort(m_connection->stream.socket());
 }
 
 Core::Error ConnectionExchange::errorOf(boost::system::error_code ec, std::string_view step) const
