LibDaemon: Send each beacon to all before the next one begins

A round that an urgent beacon replaced left out those not reached yet, and with them what a beacon tells only once (outcomes, held parts). The last datagram of a slice also went beyond the rate.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -63,8 +63,11 @@
             regularAt = now + m_book.beaconInterval();
         }
         if (isRegular || (m_isSoon && now >= soonAt))
+            m_isDue = true;
+        // What a beacon tells once would not reach the rest of a round that is cut short.
+        if (m_isDue && m_round.remaining == 0)
             sendNow();
-        Core::BootClock::time_point next = m_isSoon ? std::min(soonAt, regularAt) : regularAt;
+        Core::BootClock::time_point next = m_isSoon && !m_isDue ? std::min(soonAt, regularAt) : regularAt;
         m_sendTimer.expires_after(std::chrono::ceil<std::chrono::milliseconds>(next - now));
         boost::system::error_code ec;
         co_await m_sendTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
@@ -93,6 +96,7 @@
 void BeaconExchange::sendNow()
 {
     m_isSoon = false;
+    m_isDue = false;
     m_sentAt = Core::BootClock::now();
     BeaconMessage beacon = nextBeacon(BeaconKind::ToAll);
     m_round.bytesWithUsage = encode(beacon);
@@ -112,7 +116,8 @@
 {
     std::map<std::string, Fleet::BookedDaemon> const& daemons = m_book.daemons();
     std::uint64_t budget = m_bytesPerSecond * static_cast<std::uint64_t>(sliceInterval.count()) / std::milli::den;
-    for (std::uint64_t sent = 0; m_round.remaining > 0 && !daemons.empty() && sent <= budget; --m_round.remaining) {
+    std::uint64_t sent = 0;
+    for (; m_round.remaining > 0 && !daemons.empty() && sent <= budget; --m_round.remaining) {
         std::map<std::string, Fleet::BookedDaemon>::const_iterator it = daemons.upper_bound(m_lastRecipient);
         if (it == daemons.end())
             it = daemons.begin();
@@ -123,9 +128,15 @@
         m_socket.send_to(boost::asio::buffer(bytes), it->second.listed.beaconAddress, 0, ec);
         sent += bytes.size();
     }
-    if (m_round.remaining == 0 || daemons.empty())
+    if (daemons.empty())
+        m_round.remaining = 0;
+    if (m_round.remaining == 0) {
+        if (m_isDue)
+            m_sendTimer.cancel();
         return;
-    m_sliceTimer.expires_after(sliceInterval);
+    }
+    // The last datagram of a slice may exceed the budget.
+    m_sliceTimer.expires_after(std::max(sliceInterval, std::chrono::milliseconds(sent * std::milli::den / m_bytesPerSecond)));
     m_sliceTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
             sendSlice();
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -72,7 +72,7 @@
     /// availability zones, which beacons make most of, are halved.
     static constexpr std::chrono::milliseconds fullInterval { 2'000 };
     static constexpr std::size_t largestDatagram = 64 * 1024;
-    /// Datagrams that go out together; callers' requests pass between two slices.
+    /// Least time between two slices of a beacon's datagrams.
     static constexpr std::chrono::milliseconds sliceInterval { 10 };
 
     boost::asio::io_context& m_context;
@@ -88,6 +88,7 @@
     Fleet::DaemonBook m_book;
     std::uint64_t m_sequence { 0 };
     Core::BootClock::time_point m_sentAt; ///< The last beacon to all.
+    bool m_isDue { false }; ///< A beacon is to be sent once the one before has been sent to all.
     bool m_isSoon { false }; ///< A beacon is to be sent before the next regular one.
     Core::BootClock::time_point m_nextFull; ///< When the next beacon to all is a full one.
     std::array<char, largestDatagram> m_buffer {};
