LibStandIn: Let the forwarder be as slow as a narrow link

POST /rate {"bytes_per_s":N} sets a rate for each direction, shared by all of its connections; 0 lifts it. GET /state says how many connections are open and how many pieces wait.

Test: 40,000 bytes take 0.2 s or longer at 200,000 bytes/s; at 1 byte/s a request waits until the rate is lifted.

--- a/Tests/LibStandIn/TestOtherApis.cpp
+++ b/Tests/LibStandIn/TestOtherApis.cpp
@@ -74,3 +74,30 @@
     EXPECT_EQ(api->core().total(), 2U);
     EXPECT_EQ(send(admin, "POST", "/odd").status, 404);
 }
+
+TEST_F(OtherApiTest, ForwarderIsNoFasterThanItsRateUntilThatIsLifted)
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr std::size_t bodyBytes = 40'000;
+    std::shared_ptr<StandIn::ServiceApi> api = StandIn::ServiceApi::create("s");
+    Endpoint service = serve(api);
+    Endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+    std::shared_ptr<StandIn::Forwarder> forwarder = StandIn::Forwarder::create(m_context, any, service).value();
+    Endpoint admin = serve(forwarder);
+    Endpoint through(any.address(), forwarder->port());
+    EXPECT_EQ(send(admin, "POST", "/rate", "{}").status, 400);
+    EXPECT_EQ(send(admin, "POST", "/rate", R"({"bytes_per_s":200000})").status, 200);
+    Clock::time_point begun = Clock::now();
+    EXPECT_EQ(send(through, "POST", "/1", std::string(bodyBytes, 'x')).status, 200);
+    EXPECT_GE(Clock::now() - begun, std::chrono::milliseconds(200));
+    EXPECT_EQ(send(admin, "POST", "/rate", R"({"bytes_per_s":1})").status, 200);
+    Answer held;
+    begin(held, through, { "POST", "/2", {}, std::string(bodyBytes, 'x') });
+    runUntil([&] { return send(admin, "GET", "/state").body.find(R"("waiting_forward":1)") != std::string::npos; });
+    EXPECT_FALSE(held);
+    EXPECT_EQ(api->core().total(), 1U);
+    EXPECT_EQ(send(admin, "POST", "/rate", R"({"bytes_per_s":0})").status, 200);
+    runUntil([&] { return held.has_value(); });
+    EXPECT_TRUE(held->has_value());
+    EXPECT_EQ(api->core().total(), 2U);
+}
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -174,7 +174,7 @@
 void addForwarderOptions(cxxopts::Options& options)
 {
     options.add_options()("to", "Where connections go on to", cxxopts::value<std::string>(), "IP:PORT");
-    options.add_options()("admin", "Listens for POST /pause {\"direction\":\"both|forward|backward\"}, /resume and /cut", cxxopts::value<std::string>(), "IP:PORT");
+    options.add_options()("admin", "Listens for POST /pause {\"direction\":\"both|forward|backward\"}, /resume, /cut and /rate {\"bytes_per_s\":N}", cxxopts::value<std::string>(), "IP:PORT");
 }
 
 Core::Result<RunningStandIn> startForwarder(io_context& context, Arguments const& arguments)
@@ -246,7 +246,7 @@
     { "duty-service", "the users' platform's service for singleton duties", addNoOptions, startDutyService },
     { "runner", "a target on the users' platform", addRunnerOptions, startRunner },
     { "weights", "the rate-limited weight store", addWeightStoreOptions, startWeightStore },
-    { "forwarder", "a TCP forwarder that can be paused and cut", addForwarderOptions, startForwarder },
+    { "forwarder", "a TCP forwarder that can be paused, cut and slowed down", addForwarderOptions, startForwarder },
 } };
 
 Kind const* findKind(std::string_view name)
