Tests: Let the soak slow links down

Links to the store and to targets carry 5 to 300 KB/s for 0.2 to 2.5 s. These faults are drawn from a generator of their own, after the others: the other faults of a seed, their victims and times are drawn as before, so a seed keeps them and gets slow links besides. To that extent runs of former seeds are not the same any more.

--- a/Tests/Processes/FaultInjector.cpp
+++ b/Tests/Processes/FaultInjector.cpp
@@ -10,6 +10,7 @@
 FaultInjector::FaultInjector(KeyedSite& site, std::uint64_t seed)
     : m_site(site)
     , m_rng(seed)
+    , m_rateRng(~seed)
 {
 }
 
@@ -60,7 +61,8 @@
 
 void FaultInjector::inject()
 {
-    switch (below(9)) {
+    constexpr std::size_t kinds = 9;
+    switch (below(kinds)) {
     case 0:
         pause(KeyedSite::daemonName(below(KeyedSite::daemonCount())));
         break;
@@ -88,6 +90,8 @@
     default:
         configure();
     }
+    if (m_rateRng() % kinds == 0)
+        slowDown();
 }
 
 std::string FaultInjector::anyTarget()
@@ -153,6 +157,23 @@
     });
 }
 
+// A link of a few to a few hundred kilobytes a second: what is sent over it waits with its sender.
+void FaultInjector::slowDown()
+{
+    std::size_t n = m_rateRng() % (KeyedSite::daemonCount() + m_site.targetNames().size());
+    std::string link = n < KeyedSite::daemonCount() ? KeyedSite::storeForwarder(n) : KeyedSite::targetForwarder(m_site.targetNames()[n - KeyedSite::daemonCount()]);
+    std::string rate = std::to_string(std::uniform_int_distribution<int>(5'000, 300'000)(m_rateRng));
+    Milliseconds time(std::uniform_int_distribution<int>(200, 2'500)(m_rateRng));
+    if (!claim("rate of " + link))
+        return;
+    note("let " + link + " carry " + rate + " bytes/s for " + std::to_string(time.count()) + " ms");
+    post(m_site.forwarderAdmin(link), "/rate", R"({"bytes_per_s":)" + rate + "}");
+    undoLater(time, [this, link] {
+        post(m_site.forwarderAdmin(link), "/rate", R"({"bytes_per_s":0})");
+        m_busy.erase("rate of " + link);
+    });
+}
+
 void FaultInjector::cut(std::string const& link)
 {
     note("cut " + link);
--- a/Tests/Processes/FaultInjector.h
+++ b/Tests/Processes/FaultInjector.h
@@ -52,12 +52,14 @@
     void restartDaemon(std::size_t n, int signal);
     void restartTarget(std::string const& name);
     void holdUp(std::string const& link);
+    void slowDown();
     void cut(std::string const& link);
     void spoil();
     void configure();
 
     KeyedSite& m_site;
     std::mt19937_64 m_rng;
+    std::mt19937_64 m_rateRng; ///< Of its own, so that the other faults of a seed are what they were before links had rates.
     Clock::time_point m_start;
     std::multimap<Clock::time_point, Action> m_undo;
     std::set<std::string> m_busy;
--- a/Tests/Processes/Soak.h
+++ b/Tests/Processes/Soak.h
@@ -24,7 +24,7 @@
 
 /// Runs real daemons, targets and a store as processes of their own, lets callers use them over kept connections, and
 /// injects faults from outside: processes are stopped, paused, killed and started again, connections are held up one way
-/// or both and cut, the store goes away, targets lose answers, the configuration changes. Faults overlap.
+/// or both, cut and slowed down, the store goes away, targets lose answers, the configuration changes. Faults overlap.
 /// Checked: a request that may not be repeated runs once at most, and not at all where the caller was told so; an answer is
 /// its target's own and whole; nothing that is configured is denied; at the end all is served again, by the newest
 /// configuration. Errors: std::runtime_error when the processes cannot be started.
