--- a/Tests/Processes/TestNarrowLinks.cpp
+++ b/Tests/Processes/TestNarrowLinks.cpp
@@ -18,7 +18,7 @@
 std::vector<std::pair<std::string, std::string>> const kinds { { "GET", "/s/1" }, { "POST", "/c/1" }, { "POST", "/h/1" } };
 
 constexpr std::size_t callersOfEach = 4; // Every other one resets its connection.
-constexpr std::chrono::milliseconds bound { 500 }; // Rule GONE.
+constexpr std::chrono::milliseconds bound { 500 }; // A request may reach its target this long after its caller has left.
 
 class NarrowLinks : public testing::Test, protected KeyedSite {
 protected:
