LibHttp, LibDaemon: Report how callers' connections end

An end of a connection left no line and no count, whatever was open on it, so that the hypotheses of the incident could not be told apart. Each end now has its reason; one that leaves something without an answer is logged (2015 connection-ended-unanswered) and counted (currantvale_connections_ended_total). 1005 shutdown-phase says what a traffic thread still has open when its listener closes, when it is idle and when it ends. The daemon goes before the log does, so that connections that are still open can log their end.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -31,6 +31,7 @@
     RequestCleared = 2012,
     SuspectsUnknown = 2013,
     CallerLeft = 2014,
+    ConnectionEndedUnanswered = 2015,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -73,7 +74,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 62> eventNames { {
+inline constexpr EnumNames<Event, 63> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -96,6 +97,7 @@
     { Event::RequestCleared, "request-cleared" },
     { Event::SuspectsUnknown, "suspects-unknown" },
     { Event::CallerLeft, "caller-left" },
+    { Event::ConnectionEndedUnanswered, "connection-ended-unanswered" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -44,6 +44,11 @@
     prometheus::Family<prometheus::Counter>& callersLeft = prometheus::BuildCounter().Name("currantvale_callers_left_total").Help("Callers who closed the connection before the final answer, by how far the request had come.").Register(*m_registry);
     for (std::pair<CallerLeftAt, std::string_view> const& it : callerLeftNames)
         m_callersLeft[static_cast<std::size_t>(it.first)] = &callersLeft.Add({ { "step", std::string(it.second) } });
+    prometheus::Family<prometheus::Counter>& ends = prometheus::BuildCounter().Name("currantvale_connections_ended_total").Help("Callers' connections that ended, by the reason and by whether something that was sent on them got no answer.").Register(*m_registry);
+    for (std::pair<Http::ConnectionEndReason, std::string_view> const& it : Http::connectionEndReasonNames) {
+        std::string reason(it.second);
+        m_connectionEnds[static_cast<std::size_t>(it.first)] = { &ends.Add({ { "reason", reason }, { "unanswered", "no" } }), &ends.Add({ { "reason", reason }, { "unanswered", "yes" } }) };
+    }
     m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
 }
 
@@ -72,6 +77,11 @@
     m_callersLeft[static_cast<std::size_t>(step)]->Increment();
 }
 
+void Metrics::countConnectionEnd(Http::ConnectionEnd const& end)
+{
+    m_connectionEnds[static_cast<std::size_t>(end.reason)][end.isUnanswered() ? 1 : 0]->Increment();
+}
+
 void Metrics::countConnection(bool isKept)
 {
     m_connections[isKept ? 1 : 0]->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -3,6 +3,7 @@
 #include <LibCore/Error.h>
 #include <LibCore/Verdict.h>
 #include <LibFleet/ReadTurn.h>
+#include <LibHttp/ConnectionEnd.h>
 #include <LibRouting/Decision.h>
 #include <LibRouting/TargetHealth.h>
 #include <array>
@@ -104,6 +105,9 @@
     /// Counts a caller who closed the connection before the final answer.
     void countCallerLeft(CallerLeftAt);
 
+    /// Counts the end of a caller's connection.
+    void countConnectionEnd(Http::ConnectionEnd const&);
+
     /// Notes a call to the platform's store.
     void countStoreCall(Fleet::StoreCallReason);
 
@@ -123,6 +127,7 @@
     std::array<prometheus::Counter*, Routing::targetOutcomeNames.size()> m_outcomes {};
     std::array<prometheus::Counter*, 2> m_connections {};
     std::array<prometheus::Counter*, callerLeftNames.size()> m_callersLeft {};
+    std::array<std::array<prometheus::Counter*, 2>, Http::connectionEndReasonNames.size()> m_connectionEnds {};
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/EventLog.h>
 #include <LibDaemon/HttpErrors.h>
 #include <LibDaemon/TrafficThread.h>
 #include <boost/asio/post.hpp>
@@ -8,6 +9,11 @@
 
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
 
+void logUnanswered(Http::ConnectionEnd const& end)
+{
+    Core::logEvent(Core::Severity::Warning, Core::Event::ConnectionEndedUnanswered, { { "reason", std::string(Core::nameOf(Http::connectionEndReasonNames, end.reason)) }, { "requests", std::to_string(end.requests) }, { "answers", std::to_string(end.answers) }, { "unread_bytes", std::to_string(end.unreadBytes) }, { "unsent_bytes", std::to_string(end.unsentBytes) } });
+}
+
 }
 
 TrafficThread::TrafficThread(std::unique_ptr<boost::asio::io_context> context, std::shared_ptr<Peer::Clients> peers, TrafficParts const& parts)
@@ -33,6 +39,11 @@
     CallerApi* api = thread->m_api.get();
     Http::Handler handler = [api](Http::Request& request, Http::ResponseWriter& writer) { return api->handle(request, writer); };
     BOOST_OUTCOME_TRY(thread->m_server, Http::Server::create(thread->m_context, parts.settings.callers.listen, server, std::move(handler), rejectionResponse));
+    thread->m_server->onConnectionEnd([&metrics = parts.shared.metrics](Http::ConnectionEnd const& end) {
+        metrics.countConnectionEnd(end);
+        if (end.isUnanswered())
+            logUnanswered(end);
+    });
     return thread;
 }
 
@@ -78,6 +89,7 @@
 void TrafficThread::drain(std::function<void()> onIdle)
 {
     post([this, onIdle = std::move(onIdle)] {
+        logState("closing-listener");
         m_server->stop();
         if (m_peerServer)
             m_peerServer->shutDown([] { });
@@ -88,6 +100,7 @@
 void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
 {
     if (m_server->activeRequests() == 0 && m_traffic.runningRequests == 0 && (!m_peerServer || m_peerServer->openStreams() == 0)) {
+        logState("idle");
         onIdle();
         return;
     }
@@ -102,8 +115,15 @@
 {
     m_guard.reset();
     m_context.stop();
-    if (m_thread.joinable())
-        m_thread.join();
+    if (!m_thread.joinable())
+        return;
+    m_thread.join();
+    logState("thread-ended");
+}
+
+void TrafficThread::logState(std::string_view phase) const
+{
+    Core::logEvent(Core::Severity::Info, Core::Event::ShutdownPhase, { { "phase", std::string(phase) }, { "requests", std::to_string(m_server->activeRequests()) }, { "connections", std::to_string(m_server->openConnections()) }, { "waiting_connections", std::to_string(m_server->waitingConnections()) } });
 }
 
 }
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <future>
 #include <memory>
+#include <string_view>
 #include <thread>
 
 namespace Daemon {
@@ -67,6 +68,7 @@
 private:
     TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, TrafficParts const&);
     void waitUntilIdle(std::function<void()> onIdle);
+    void logState(std::string_view phase) const;
 
     std::unique_ptr<boost::asio::io_context> m_ownContext;
     boost::asio::io_context& m_context;
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Server.h>
 #include <LibHttp/ServerConnection.h>
+#include <LibHttp/SocketQueue.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -29,6 +30,8 @@
 
     ~ListeningServer() override { stop(); }
 
+    void onConnectionEnd(ConnectionEndHook hook) override { m_shared->onConnectionEnd = std::move(hook); }
+
     void start() override
     {
         Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_idle), Asio::detached);
@@ -46,6 +49,8 @@
     void setPort(std::uint16_t port) { m_port = port; }
     void beginDraining() override { m_shared->isDraining = true; }
     std::size_t activeRequests() const override { return m_shared->activeRequests; }
+    std::size_t openConnections() const override { return m_shared->connections; }
+    std::size_t waitingConnections() const override { return m_acceptor->is_open() ? acceptQueueLength(*m_acceptor) : 0; }
 
     void stop() override
     {
@@ -82,8 +87,11 @@
                 co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
                 continue;
             }
-            if (shared->connections >= shared->settings.connectionLimit)
+            if (shared->connections >= shared->settings.connectionLimit) {
+                if (shared->onConnectionEnd)
+                    shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
                 continue;
+            }
             socket.set_option(Tcp::no_delay(true), ec);
             setLiveness(socket, shared->settings.liveness);
             connections->push_back(serveConnection(shared, std::move(socket)));
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/ConnectionEnd.h>
 #include <LibHttp/ResponseWriter.h>
 #include <LibHttp/SocketLiveness.h>
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,9 @@
 
     virtual ~Server() = default;
 
+    /// Calls `hook` at the end of each connection. Precondition: no connection was accepted yet.
+    virtual void onConnectionEnd(ConnectionEndHook hook) = 0;
+
     /// Begins to accept connections. Precondition: called once.
     virtual void start() = 0;
 
@@ -54,11 +58,17 @@
     /// Announces `Connection: close` on further responses; connections are still accepted.
     virtual void beginDraining() = 0;
 
-    /// Stops accepting and closes connections that serve no request.
+    /// Stops accepting; connections close once they serve no request. May be called again.
     virtual void stop() = 0;
 
     /// Returns how many requests are being served.
     virtual std::size_t activeRequests() const = 0;
+
+    /// Returns how many connections are open.
+    virtual std::size_t openConnections() const = 0;
+
+    /// Returns how many connections wait to be accepted; 0 when that is not known, or after `stop`.
+    virtual std::size_t waitingConnections() const = 0;
 };
 
 }
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/CloseWatch.h>
 #include <LibHttp/HeadLines.h>
 #include <LibHttp/ServerConnection.h>
+#include <LibHttp/SocketQueue.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -57,19 +58,28 @@
         ++m_shared->connections;
     }
 
-    ~Connection() override { --m_shared->connections; }
+    ~Connection() override
+    {
+        --m_shared->connections;
+        noteEnd(ConnectionEndReason::ThreadEnded);
+        if (m_shared->onConnectionEnd)
+            m_shared->onConnectionEnd(m_end);
+    }
 
     Asio::awaitable<void> run()
     {
         while (co_await serveOne()) { }
+        noteEnd(ConnectionEndReason::LastAnswer);
         boost::system::error_code ec;
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
     }
 
     void closeIfIdle() override
     {
-        if (!m_isServing)
-            abort();
+        if (m_isServing)
+            return;
+        noteEnd(ConnectionEndReason::ServerStopped);
+        abort();
     }
 
     Asio::awaitable<Core::Result<void>> send(Response response) override
@@ -146,6 +156,18 @@
     bool hasBegun() const override { return m_hasBegun; }
 
 private:
+    // The first reason counts: what follows comes of it.
+    void noteEnd(ConnectionEndReason reason)
+    {
+        if (std::exchange(m_hasEnd, true))
+            return;
+        m_end.reason = reason;
+        if (!m_stream.socket().is_open())
+            return;
+        m_end.unreadBytes = m_buffer.size() + unreadBytes(m_stream.socket());
+        m_end.unsentBytes = unacknowledgedBytes(m_stream.socket());
+    }
+
     bool keepsAlive()
     {
         m_isLastRequest = m_isLastRequest || m_shared->isDraining || !m_callerKeepsAlive;
@@ -166,6 +188,7 @@
         if (!ec)
             return Core::ok();
         m_isLastRequest = true;
+        noteEnd(ConnectionEndReason::WriteFailed);
         return Core::fail(Core::ErrorCode::Canceled, "the caller's connection failed: " + ec.message());
     }
 
@@ -186,11 +209,16 @@
         if (!request)
             co_return false;
         m_isServing = true;
+        ++m_end.requests;
         ++m_shared->activeRequests;
         co_await m_shared->handler(*request, *this);
         --m_shared->activeRequests;
         m_isServing = false;
         endWatch();
+        if (m_isEnded && !m_hasEnd)
+            ++m_end.answers;
+        if (!m_isEnded)
+            noteEnd(ConnectionEndReason::NoAnswer);
         if (!m_isEnded)
             abort(); // A handler that gave up in mid-answer must not look like one that ended it.
         co_return !m_isLastRequest && !m_shared->isStopped;
@@ -202,8 +230,10 @@
         if (m_buffer.size() == 0) {
             m_stream.expires_after(m_shared->settings.idleTimeout);
             std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
-            if (ec)
+            if (ec) {
+                noteEnd(ec == Beast::error::timeout ? ConnectionEndReason::IdleTimeout : ConnectionEndReason::CallerClosed);
                 co_return std::nullopt;
+            }
             m_buffer.commit(n);
         }
         m_stream.expires_never();
@@ -309,8 +339,10 @@
             co_await sendRejection(Status::RequestTimeout, "the request did not arrive whole in time");
             co_return;
         }
-        if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset)
+        if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset) {
+            noteEnd(ConnectionEndReason::ReadFailed);
             co_return;
+        }
         if (ec == Problem::body_limit)
             co_await sendRejection(Status::ContentTooLarge, "the body is larger than " + std::to_string(m_shared->settings.bodyLimit) + " bytes, which is the limit");
         else if (ec == Problem::header_limit)
@@ -330,11 +362,13 @@
         if (sent.has_error())
             co_return;
         co_await discardInput();
+        noteEnd(ConnectionEndReason::Rejected);
     }
 
     // Closing while unread bytes wait would reset the connection and destroy the response on its way.
     Asio::awaitable<void> discardInput()
     {
+        m_buffer.clear();
         boost::system::error_code ec;
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
         m_stream.expires_after(discardTime);
@@ -360,6 +394,8 @@
     bool m_isLastRequest { false };
     bool m_hasBegun { false };
     bool m_isEnded { false };
+    bool m_hasEnd { false };
+    ConnectionEnd m_end;
 };
 
 }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -12,6 +12,7 @@
     ServerSettings settings;
     Handler handler;
     RejectionHandler rejection;
+    ConnectionEndHook onConnectionEnd;
     std::size_t activeRequests { 0 };
     std::size_t connections { 0 };
     bool isDraining { false };
--- a/Libraries/LibHttp/SocketQueue.cpp
+++ b/Libraries/LibHttp/SocketQueue.cpp
@@ -1,6 +1,8 @@
 #include <LibHttp/SocketQueue.h>
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace Http {
 
@@ -10,6 +12,21 @@
     return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
+std::size_t unreadBytes(boost::asio::ip::tcp::socket const& socket)
+{
+    boost::system::error_code ec;
+    std::size_t n = socket.available(ec);
+    return ec ? 0 : n;
+}
+
+std::size_t acceptQueueLength(boost::asio::ip::tcp::acceptor& acceptor)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    // Of a listening socket the kernel tells the length of its queue in this field.
+    return ::getsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
+}
+
 void closeOrAbort(boost::asio::ip::tcp::socket& socket)
 {
     boost::system::error_code ec; // Without the option the connection closes in the ordinary way.
--- a/Libraries/LibHttp/SocketQueue.h
+++ b/Libraries/LibHttp/SocketQueue.h
@@ -9,6 +9,13 @@
 /// Use from the socket's thread only.
 std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket&);
 
+/// Returns how many received bytes wait to be read (FIONREAD); 0 when that is not known. Use from the socket's thread only.
+std::size_t unreadBytes(boost::asio::ip::tcp::socket const&);
+
+/// Returns how many connections wait to be accepted (TCP_INFO of a listening socket); 0 when that is not known.
+/// Use from the acceptor's thread only.
+std::size_t acceptQueueLength(boost::asio::ip::tcp::acceptor&);
+
 /// Closes a connection. If the peer's host has not acknowledged all that was written, discards what the kernel still holds, which
 /// an ordinary close would deliver (RFC 9293, section 3.10.5), and resets the connection. Does nothing if the socket is closed.
 /// Use from the socket's thread only.
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -55,6 +55,7 @@
         return EXIT_FAILURE;
     }
     daemon.value()->run();
+    daemon.value().reset(); // Connections that are still open log their end.
     Core::stopEventLog();
     return EXIT_SUCCESS;
 }
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -283,3 +283,34 @@
     start(echo, settings);
     EXPECT_EQ(exchangeRaw("GET / HTTP/1.1\r\nHo").substr(0, 12), "HTTP/1.1 408");
 }
+
+// Guards against connections whose end leaves no trace although a request on them got no answer.
+TEST_F(HttpServer, AnEndWithoutAnAnswerIsReportedWithItsReason)
+{
+    struct Case {
+        std::string input;
+        Http::ConnectionEndReason reason;
+        bool isUnanswered;
+    };
+    std::vector<Case> cases {
+        { "GET /abandoned HTTP/1.1\r\nHost: a\r\n\r\n", Http::ConnectionEndReason::NoAnswer, true },
+        { "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", Http::ConnectionEndReason::LastAnswer, false },
+        { "GET /\r\n\r\n", Http::ConnectionEndReason::Rejected, false },
+    };
+    for (Case const& it : cases) {
+        std::vector<Http::ConnectionEnd> ends;
+        start([](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+            if (request.target != "/abandoned")
+                std::ignore = co_await writer.send(Http::Response());
+        });
+        m_server->onConnectionEnd([&](Http::ConnectionEnd const& end) { ends.push_back(end); });
+        m_context.restart();
+        exchangeRaw(it.input);
+        // The server may still wait for the caller's end of the connection.
+        m_context.restart();
+        while (ends.empty() && m_context.run_one_for(std::chrono::seconds(5)) > 0) { }
+        ASSERT_EQ(ends.size(), 1U) << it.input;
+        EXPECT_EQ(ends.front().reason, it.reason) << it.input;
+        EXPECT_EQ(ends.front().isUnanswered(), it.isUnanswered) << it.input;
+    }
+}
