LibHttp: Read requests in a class of its own

Moves what reads a request out of the connection, which is to get states of its own next. One fault goes with it: a timeout that had expired while the read's completion was queued still canceled the stream's next operation, which could be the answer, or missed the read that followed, which then had no limit. CancelableTimer never calls a hook behind its cancel, and the reader cancels again until the read has ended.

--- /dev/null
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -0,0 +1,157 @@
+#include <LibHttp/HeadLines.h>
+#include <LibHttp/RequestReader.h>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Http {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+
+constexpr unsigned httpVersion11 = 11;
+constexpr std::size_t readSize = 4 * 1024;
+// A cancel misses an operation whose completion is queued already.
+constexpr std::chrono::milliseconds cancelInterval { 50 };
+
+std::string toString(Beast::string_view text) { return { text.data(), text.size() }; }
+
+Request takeRequest(Beast::http::request<Beast::http::string_body>& message)
+{
+    Request request;
+    request.method = toString(message.method_string());
+    request.target = toString(message.target());
+    for (Beast::http::fields::value_type const& field : message)
+        request.fields.add(toString(field.name_string()), toString(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+RequestRead rejected(Status problem, std::string message)
+{
+    RequestRead read;
+    read.problem = problem;
+    read.message = std::move(message);
+    return read;
+}
+
+}
+
+RequestReader::RequestReader(Beast::tcp_stream& stream, Beast::flat_buffer& buffer, ServerSettings const& settings)
+    : m_stream(stream)
+    , m_buffer(buffer)
+    , m_settings(settings)
+    , m_timer(stream.get_executor())
+{
+}
+
+Asio::awaitable<RequestRead> RequestReader::read()
+{
+    m_stream.expires_never();
+    RequestRead read = co_await readWithTimeouts();
+    m_timer.cancel();
+    co_return read;
+}
+
+// Beast's own timeout closes the socket, which leaves no way to tell a slow sender so.
+void RequestReader::limitTime(std::chrono::milliseconds time)
+{
+    m_isTimedOut = false;
+    m_timer.start(time, [this] {
+        m_stream.cancel();
+        limitTime(cancelInterval);
+        m_isTimedOut = true;
+    });
+}
+
+Asio::awaitable<RequestRead> RequestReader::readWithTimeouts()
+{
+    boost::system::error_code ec;
+    limitTime(m_settings.headTimeout);
+    Status problem = co_await receiveHead(ec);
+    if (problem == Status::HeaderFieldsTooLarge)
+        co_return rejected(problem, "the head is larger than " + std::to_string(m_settings.headLimit) + " bytes, which is the limit");
+    if (problem != Status::Ok)
+        co_return rejected(problem, "malformed HTTP: a line that does not end with CRLF, or a folded field");
+    if (ec)
+        co_return failed(ec);
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_settings.headLimit));
+    parser.body_limit(m_settings.bodyLimit);
+    co_await Beast::http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    if (!ec)
+        ec = co_await readBody(parser);
+    if (ec)
+        co_return failed(ec);
+    RequestRead read;
+    read.version = parser.get().version();
+    read.keepsAlive = parser.get().keep_alive();
+    read.request = takeRequest(parser.get());
+    if (std::string_view invalid = problemOf(*read.request, read.version >= httpVersion11); !invalid.empty())
+        co_return rejected(Status::BadRequest, std::string(invalid));
+    co_return read;
+}
+
+// Reads until the head is whole in the buffer. The parser takes bare line feeds and folded fields as the RFC allows
+// it to (RFC 9112, sections 2.2 and 5.2); what stands before or behind us may see other requests in them, so a head
+// with either is refused. Returns Ok for a head that the parser may look at, also a broken one.
+Asio::awaitable<Status> RequestReader::receiveHead(boost::system::error_code& ec)
+{
+    constexpr std::string_view end = "\r\n\r\n";
+    std::size_t checked = 0;
+    while (true) {
+        std::string_view bytes(static_cast<char const*>(m_buffer.data().data()), m_buffer.size());
+        std::size_t at = bytes.find(end);
+        std::string_view head = bytes.substr(0, at == std::string_view::npos ? bytes.size() : at + 2);
+        if (!hasStrictLines(head, checked))
+            co_return Status::BadRequest;
+        if (at != std::string_view::npos)
+            co_return Status::Ok;
+        if (bytes.size() > m_settings.headLimit)
+            co_return Status::HeaderFieldsTooLarge;
+        // The last byte may be the CR whose LF is still to come.
+        checked = head.empty() ? 0 : head.size() - 1;
+        std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
+        if (ec == Asio::error::eof)
+            ec = Beast::http::error::partial_message;
+        if (ec)
+            co_return Status::Ok;
+        m_buffer.commit(n);
+    }
+}
+
+Asio::awaitable<boost::system::error_code> RequestReader::readBody(Parser& parser)
+{
+    boost::system::error_code ec;
+    if (parser.is_done())
+        co_return ec;
+    limitTime(m_settings.bodyTimeout);
+    // RFC 9110, section 10.1.1: answer the expectation before waiting for the body.
+    if (Beast::iequals(parser.get()[Beast::http::field::expect], "100-continue")) {
+        Beast::http::response<Beast::http::empty_body> message(Beast::http::status::continue_, httpVersion11);
+        co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
+    }
+    if (!ec)
+        co_await Beast::http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    co_return ec;
+}
+
+RequestRead RequestReader::failed(boost::system::error_code ec) const
+{
+    using Problem = Beast::http::error;
+    if (m_isTimedOut)
+        return rejected(Status::RequestTimeout, "the request did not arrive whole in time");
+    if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset)
+        return RequestRead();
+    if (ec == Problem::body_limit)
+        return rejected(Status::ContentTooLarge, "the body is larger than " + std::to_string(m_settings.bodyLimit) + " bytes, which is the limit");
+    if (ec == Problem::header_limit)
+        return rejected(Status::HeaderFieldsTooLarge, "the head is larger than " + std::to_string(m_settings.headLimit) + " bytes, which is the limit");
+    if (ec == Problem::partial_message)
+        return rejected(Status::BadRequest, "the connection ended before the request was whole");
+    return rejected(Status::BadRequest, "malformed HTTP: " + ec.message());
+}
+
+}
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,11 +1,10 @@
 #include <LibHttp/CloseWatch.h>
-#include <LibHttp/HeadLines.h>
+#include <LibHttp/RequestReader.h>
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SocketQueue.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,23 +19,9 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast;
 using Tcp = Asio::ip::tcp;
-using Parser = Beast::http::request_parser<Beast::http::string_body>;
 
 constexpr unsigned httpVersion11 = 11;
 
-std::string toString(Beast::string_view text) { return { text.data(), text.size() }; }
-
-Request takeRequest(Parser& parser)
-{
-    Request request;
-    request.method = toString(parser.get().method_string());
-    request.target = toString(parser.get().target());
-    for (Beast::http::fields::value_type const& field : parser.get())
-        request.fields.add(toString(field.name_string()), toString(field.value()));
-    request.body = std::move(parser.get().body());
-    return request;
-}
-
 Beast::http::response_header<> makeHead(std::uint16_t status, Fields const& fields, unsigned version)
 {
     Beast::http::response_header<> head;
@@ -52,7 +37,7 @@
     Connection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
         : m_shared(std::move(shared))
         , m_stream(std::move(socket))
-        , m_readTimer(m_stream.get_executor())
+        , m_reader(m_stream, m_buffer, m_shared->settings)
         , m_closeWatch(CloseWatch::create(m_stream.socket()))
     {
         ++m_shared->connections;
@@ -224,6 +209,7 @@
         co_return !m_isLastRequest && !m_shared->isStopped;
     }
 
+    // Returns nothing if the connection is to end; whatever could be answered then has its answer.
     Asio::awaitable<std::optional<Request>> readRequest()
     {
         boost::system::error_code ec;
@@ -236,121 +222,19 @@
             }
             m_buffer.commit(n);
         }
-        m_stream.expires_never();
-        armReadTimer(m_shared->settings.headTimeout);
-        if (Status problem = co_await receiveHead(ec); problem != Status::Ok) {
-            m_readTimer.cancel();
-            // Named: g++ 12 destroys a conditional's temporary inside a co_await expression twice.
-            std::string message = "malformed HTTP: a line that does not end with CRLF, or a folded field";
-            if (problem == Status::HeaderFieldsTooLarge)
-                message = "the head is larger than " + std::to_string(m_shared->settings.headLimit) + " bytes, which is the limit";
-            co_await sendRejection(problem, message);
-            co_return std::nullopt;
-        }
-        if (ec) {
-            m_readTimer.cancel();
-            co_await reject(ec);
-            co_return std::nullopt;
-        }
-        Parser parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_shared->settings.headLimit));
-        parser.body_limit(m_shared->settings.bodyLimit);
-        co_await Beast::http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
-        if (!ec)
-            ec = co_await readBody(parser);
-        m_readTimer.cancel();
-        if (ec) {
-            co_await reject(ec);
+        RequestRead read = co_await m_reader.read();
+        if (read.problem != Status::Ok) {
+            co_await sendRejection(read.problem, read.message);
             co_return std::nullopt;
         }
-        m_version = parser.get().version();
-        m_callerKeepsAlive = parser.get().keep_alive();
-        m_isHeadMethod = parser.get().method() == Beast::http::verb::head;
-        Request request = takeRequest(parser);
-        if (std::string_view problem = problemOf(request, m_version >= httpVersion11); !problem.empty()) {
-            co_await sendRejection(Status::BadRequest, problem);
-            co_return std::nullopt;
-        }
-        co_return request;
-    }
-
-    // Reads until the head is whole in the buffer. The parser takes bare line feeds and folded fields as the RFC allows
-    // it to (RFC 9112, sections 2.2 and 5.2); what stands before or behind us may see other requests in them, so a head
-    // with either is refused. Returns Ok for a head that the parser may look at, also a broken one.
-    Asio::awaitable<Status> receiveHead(boost::system::error_code& ec)
-    {
-        constexpr std::string_view end = "\r\n\r\n";
-        std::size_t checked = 0;
-        while (true) {
-            std::string_view bytes(static_cast<char const*>(m_buffer.data().data()), m_buffer.size());
-            std::size_t at = bytes.find(end);
-            std::string_view head = bytes.substr(0, at == std::string_view::npos ? bytes.size() : at + 2);
-            if (!hasStrictLines(head, checked))
-                co_return Status::BadRequest;
-            if (at != std::string_view::npos)
-                co_return Status::Ok;
-            if (bytes.size() > m_shared->settings.headLimit)
-                co_return Status::HeaderFieldsTooLarge;
-            // The last byte may be the CR whose LF is still to come.
-            checked = head.empty() ? 0 : head.size() - 1;
-            std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
-            if (ec == Asio::error::eof)
-                ec = Beast::http::error::partial_message;
-            if (ec)
-                co_return Status::Ok;
-            m_buffer.commit(n);
-        }
-    }
-
-    // Beast's own timeout closes the socket, which leaves no way to tell a slow sender so.
-    void armReadTimer(std::chrono::milliseconds timeout)
-    {
-        m_isReadTimedOut = false;
-        m_readTimer.expires_after(timeout);
-        m_readTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
-            std::shared_ptr<Connection> self = weak.lock();
-            if (ec || !self)
-                return;
-            self->m_isReadTimedOut = true;
-            self->m_stream.cancel();
-        });
-    }
-
-    Asio::awaitable<boost::system::error_code> readBody(Parser& parser)
-    {
-        boost::system::error_code ec;
-        if (parser.is_done())
-            co_return ec;
-        armReadTimer(m_shared->settings.bodyTimeout);
-        // RFC 9110, section 10.1.1: answer the expectation before waiting for the body.
-        if (Beast::iequals(parser.get()[Beast::http::field::expect], "100-continue")) {
-            Beast::http::response<Beast::http::empty_body> message(Beast::http::status::continue_, httpVersion11);
-            co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
-        }
-        if (!ec)
-            co_await Beast::http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
-        co_return ec;
-    }
-
-    Asio::awaitable<void> reject(boost::system::error_code ec)
-    {
-        using Problem = Beast::http::error;
-        if (m_isReadTimedOut) {
-            co_await sendRejection(Status::RequestTimeout, "the request did not arrive whole in time");
-            co_return;
-        }
-        if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset) {
+        if (!read.request) {
             noteEnd(ConnectionEndReason::ReadFailed);
-            co_return;
+            co_return std::nullopt;
         }
-        if (ec == Problem::body_limit)
-            co_await sendRejection(Status::ContentTooLarge, "the body is larger than " + std::to_string(m_shared->settings.bodyLimit) + " bytes, which is the limit");
-        else if (ec == Problem::header_limit)
-            co_await sendRejection(Status::HeaderFieldsTooLarge, "the head is larger than " + std::to_string(m_shared->settings.headLimit) + " bytes, which is the limit");
-        else if (ec == Problem::partial_message)
-            co_await sendRejection(Status::BadRequest, "the connection ended before the request was whole");
-        else
-            co_await sendRejection(Status::BadRequest, "malformed HTTP: " + ec.message());
+        m_version = read.version;
+        m_callerKeepsAlive = read.keepsAlive;
+        m_isHeadMethod = read.request->method == "HEAD";
+        co_return std::move(read.request);
     }
 
     Asio::awaitable<void> sendRejection(Status status, std::string_view message)
@@ -383,14 +267,13 @@
 
     std::shared_ptr<ServerShared> m_shared;
     Beast::tcp_stream m_stream;
-    Asio::steady_timer m_readTimer;
     Beast::flat_buffer m_buffer;
+    RequestReader m_reader;
     std::shared_ptr<CloseWatch> m_closeWatch;
     unsigned m_version { httpVersion11 };
     bool m_callerKeepsAlive { true };
     bool m_isHeadMethod { false };
     bool m_isServing { false };
-    bool m_isReadTimedOut { false };
     bool m_isLastRequest { false };
     bool m_hasBegun { false };
     bool m_isEnded { false };
