LibHttp: Close no connection that may hold a request when a server stops

What callers saw: a request on a kept connection, or on a new one, whose connection ended without an answer as a daemon was stopped; it may have run at a target.

Cause: a connection counted as idle until its request had been read to the end. Between the kernel's bytes and that point stand completions that are queued and not run; a stop among them closed the socket, the request was read and handled all the same, and its answer had no connection. Connections that waited to be accepted were reset with the listener, and one that had been promised to stay was closed behind its answer.

Change: a connection has states (idle, reading, serving, ending). An idle one waits for its socket to be readable and takes nothing from the kernel before that wait is over, whatever ended it; only one of which nothing can be read then is closed. A server that stops takes over the connections that wait, closes its listener, and leaves idle connections open for a second more, which is when a request that was on its way arrives; each further answer ends its connection. Empty lines in front of a request are skipped (RFC 9112, section 2.2).

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -18,23 +18,55 @@
 using PortSharing = Asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr std::chrono::milliseconds acceptPause { 50 };
+constexpr int mostWaiting = 2 * SOMAXCONN; ///< Connections that are taken over when the server stops.
+
+/// Handles of the connections that are open, and of some that have closed.
+class Connections {
+public:
+    void add(std::weak_ptr<ServedConnection> connection)
+    {
+        m_handles.push_back(std::move(connection));
+        if (m_handles.size() < m_sweepAt)
+            return;
+        std::erase_if(m_handles, [](std::weak_ptr<ServedConnection> const& it) { return it.expired(); });
+        m_sweepAt = leastSweep + 2 * m_handles.size();
+    }
+
+    void forEach(std::function<void(ServedConnection&)> const& visit) const
+    {
+        for (std::weak_ptr<ServedConnection> const& it : m_handles) {
+            if (std::shared_ptr<ServedConnection> connection = it.lock())
+                visit(*connection);
+        }
+    }
+
+private:
+    static constexpr std::size_t leastSweep = 64;
+
+    std::vector<std::weak_ptr<ServedConnection>> m_handles;
+    std::size_t m_sweepAt { leastSweep };
+};
 
 class ListeningServer final : public Server {
 public:
     ListeningServer(Tcp::acceptor acceptor, std::shared_ptr<ServerShared> shared)
         : m_acceptor(std::make_shared<Tcp::acceptor>(std::move(acceptor)))
         , m_shared(std::move(shared))
-        , m_idle(std::make_shared<Connections>())
+        , m_connections(std::make_shared<Connections>())
     {
     }
 
-    ~ListeningServer() override { stop(); }
+    ~ListeningServer() override
+    {
+        stop();
+        m_connections->forEach([](ServedConnection& it) { it.closeUnlessServing(); });
+    }
 
     void onConnectionEnd(ConnectionEndHook hook) override { m_shared->onConnectionEnd = std::move(hook); }
 
     void start() override
     {
-        Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_idle), Asio::detached);
+        Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_connections), Asio::detached);
     }
 
     void setLimits(ServerSettings const& settings) override
@@ -54,57 +86,63 @@
 
     void stop() override
     {
+        if (m_shared->isStopped)
+            return;
         m_shared->isDraining = true;
         m_shared->isStopped = true;
+        acceptWaiting();
         boost::system::error_code ec;
         m_acceptor->close(ec);
-        for (std::weak_ptr<IdleCloser> const& it : *m_idle) {
-            if (std::shared_ptr<IdleCloser> connection = it.lock())
-                connection->closeIfIdle();
-        }
-        m_idle->clear();
+        m_connections->forEach([](ServedConnection& it) { it.endWhenIdle(); });
     }
 
 private:
-    using Connections = std::vector<std::weak_ptr<IdleCloser>>;
+    // To their callers, connections that wait to be accepted are open, and may hold requests.
+    void acceptWaiting()
+    {
+        boost::system::error_code ec;
+        m_acceptor->non_blocking(true, ec);
+        for (int n = 0; !ec && n < mostWaiting; ++n) {
+            Tcp::socket socket = m_acceptor->accept(ec);
+            if (!ec)
+                serve(std::move(socket), m_shared, *m_connections);
+        }
+    }
 
-    static void forgetClosed(Connections& connections)
+    static void serve(Tcp::socket socket, std::shared_ptr<ServerShared> const& shared, Connections& connections)
     {
-        std::erase_if(connections, [](std::weak_ptr<IdleCloser> const& it) { return it.expired(); });
+        if (shared->connections >= shared->settings.connectionLimit) {
+            if (shared->onConnectionEnd)
+                shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
+            return;
+        }
+        boost::system::error_code ec; // It only costs delays.
+        socket.set_option(Tcp::no_delay(true), ec);
+        setLiveness(socket, shared->settings.liveness);
+        connections.add(serveConnection(shared, std::move(socket)));
     }
 
     static Asio::awaitable<void> accept(std::shared_ptr<Tcp::acceptor> acceptor, std::shared_ptr<ServerShared> shared, std::shared_ptr<Connections> connections)
     {
-        std::size_t sweepAt = 64;
         while (!shared->isStopped) {
             boost::system::error_code ec;
             Tcp::socket socket = co_await acceptor->async_accept(Asio::redirect_error(Asio::use_awaitable, ec));
-            if (shared->isStopped)
-                co_return;
-            if (ec) {
-                // Out of descriptors, most likely: accepting at once again would only spin.
-                Asio::steady_timer timer(acceptor->get_executor(), acceptPause);
-                co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
-                continue;
-            }
-            if (shared->connections >= shared->settings.connectionLimit) {
-                if (shared->onConnectionEnd)
-                    shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
+            // One that was accepted before the server stopped is served, although this comes later.
+            if (!ec) {
+                serve(std::move(socket), shared, *connections);
                 continue;
             }
-            socket.set_option(Tcp::no_delay(true), ec);
-            setLiveness(socket, shared->settings.liveness);
-            connections->push_back(serveConnection(shared, std::move(socket)));
-            if (connections->size() >= sweepAt) {
-                forgetClosed(*connections);
-                sweepAt = 64 + 2 * connections->size();
-            }
+            if (shared->isStopped)
+                co_return;
+            // Out of descriptors, most likely: accepting at once again would only spin.
+            Asio::steady_timer timer(acceptor->get_executor(), acceptPause);
+            co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
         }
     }
 
     std::shared_ptr<Tcp::acceptor> m_acceptor;
     std::shared_ptr<ServerShared> m_shared;
-    std::shared_ptr<Connections> m_idle;
+    std::shared_ptr<Connections> m_connections;
     std::uint16_t m_port { 0 };
 };
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -21,6 +21,19 @@
 using Tcp = Asio::ip::tcp;
 
 constexpr unsigned httpVersion11 = 11;
+constexpr std::size_t readSize = 4 * 1024;
+// A caller that got a list of servers, or connected, before this server stopped may still be about to send.
+constexpr std::chrono::milliseconds lastRequestWait { 1'000 };
+constexpr std::chrono::milliseconds lingerTime { 2'000 };
+constexpr std::size_t lingerLimit = 16 * 1024 * 1024;
+
+/// What a connection does for its caller. Only an idle one may be closed without a word.
+enum class ConnectionState : std::uint8_t {
+    Idle, ///< No byte of a request has been taken from the kernel.
+    Reading,
+    Serving, ///< The handler has a whole request.
+    Ending, ///< No more requests are taken.
+};
 
 Beast::http::response_header<> makeHead(std::uint16_t status, Fields const& fields, unsigned version)
 {
@@ -32,15 +45,18 @@
     return head;
 }
 
-class Connection final : public IdleCloser, public ResponseWriter, public std::enable_shared_from_this<Connection> {
+class Connection final : public ServedConnection, public ResponseWriter, public std::enable_shared_from_this<Connection> {
 public:
     Connection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
         : m_shared(std::move(shared))
         , m_stream(std::move(socket))
+        , m_idleTimer(m_stream.get_executor())
         , m_reader(m_stream, m_buffer, m_shared->settings)
         , m_closeWatch(CloseWatch::create(m_stream.socket()))
     {
         ++m_shared->connections;
+        boost::system::error_code ec; // A socket that fails here fails at its first use.
+        m_stream.socket().non_blocking(true, ec);
     }
 
     ~Connection() override
@@ -53,15 +69,25 @@
 
     Asio::awaitable<void> run()
     {
-        while (co_await serveOne()) { }
+        // A co_await as the condition of a loop makes g++ 12 lose the frame's `this`.
+        bool isOpen = true;
+        while (isOpen)
+            isOpen = co_await serveOne();
+        m_state = ConnectionState::Ending;
         noteEnd(ConnectionEndReason::LastAnswer);
-        boost::system::error_code ec;
-        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+        if (m_end.reason == ConnectionEndReason::Rejected)
+            co_await linger();
+    }
+
+    void endWhenIdle() override
+    {
+        if (m_state == ConnectionState::Idle)
+            limitIdleTime();
     }
 
-    void closeIfIdle() override
+    void closeUnlessServing() override
     {
-        if (m_isServing)
+        if (m_state == ConnectionState::Serving)
             return;
         noteEnd(ConnectionEndReason::ServerStopped);
         abort();
@@ -193,12 +219,11 @@
         std::optional<Request> request = co_await readRequest();
         if (!request)
             co_return false;
-        m_isServing = true;
+        m_state = ConnectionState::Serving;
         ++m_end.requests;
         ++m_shared->activeRequests;
         co_await m_shared->handler(*request, *this);
         --m_shared->activeRequests;
-        m_isServing = false;
         endWatch();
         if (m_isEnded && !m_hasEnd)
             ++m_end.answers;
@@ -206,22 +231,16 @@
             noteEnd(ConnectionEndReason::NoAnswer);
         if (!m_isEnded)
             abort(); // A handler that gave up in mid-answer must not look like one that ended it.
-        co_return !m_isLastRequest && !m_shared->isStopped;
+        co_return !m_isLastRequest;
     }
 
     // Returns nothing if the connection is to end; whatever could be answered then has its answer.
     Asio::awaitable<std::optional<Request>> readRequest()
     {
-        boost::system::error_code ec;
-        if (m_buffer.size() == 0) {
-            m_stream.expires_after(m_shared->settings.idleTimeout);
-            std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
-            if (ec) {
-                noteEnd(ec == Beast::error::timeout ? ConnectionEndReason::IdleTimeout : ConnectionEndReason::CallerClosed);
-                co_return std::nullopt;
-            }
-            m_buffer.commit(n);
-        }
+        bool hasBytes = co_await waitForRequest();
+        if (!hasBytes)
+            co_return std::nullopt;
+        m_state = ConnectionState::Reading;
         RequestRead read = co_await m_reader.read();
         if (read.problem != Status::Ok) {
             co_await sendRejection(read.problem, read.message);
@@ -234,7 +253,57 @@
         m_version = read.version;
         m_callerKeepsAlive = read.keepsAlive;
         m_isHeadMethod = read.request->method == "HEAD";
-        co_return std::move(read.request);
+        co_return read.request;
+    }
+
+    // Waits until the buffer holds the first bytes of a request. Nothing is read before the wait is over, whatever ends it:
+    // what the kernel has received by then is served, however late the event loop comes to it.
+    Asio::awaitable<bool> waitForRequest()
+    {
+        skipEmptyLines();
+        m_state = ConnectionState::Idle;
+        m_isIdleTimeOver = false;
+        limitIdleTime();
+        while (m_buffer.size() == 0) {
+            boost::system::error_code ec;
+            co_await m_stream.socket().async_wait(Tcp::socket::wait_read, Asio::redirect_error(Asio::use_awaitable, ec));
+            if (!m_stream.socket().is_open())
+                co_return false;
+            std::size_t n = m_stream.socket().read_some(m_buffer.prepare(readSize), ec);
+            if (!ec) {
+                m_buffer.commit(n);
+                skipEmptyLines();
+                continue;
+            }
+            bool hasNothing = ec == Asio::error::would_block || ec == Asio::error::try_again;
+            if (hasNothing && !m_isIdleTimeOver)
+                continue;
+            ConnectionEndReason timeOver = m_shared->isStopped ? ConnectionEndReason::ServerStopped : ConnectionEndReason::IdleTimeout;
+            noteEnd(hasNothing ? timeOver : ConnectionEndReason::CallerClosed);
+            break;
+        }
+        m_idleTimer.cancel();
+        co_return m_buffer.size() > 0;
+    }
+
+    // RFC 9112, section 2.2: empty lines in front of a request line are ignored.
+    void skipEmptyLines()
+    {
+        constexpr std::string_view lineEnd = "\r\n";
+        while (std::string_view(static_cast<char const*>(m_buffer.data().data()), m_buffer.size()).starts_with(lineEnd))
+            m_buffer.consume(lineEnd.size());
+    }
+
+    void limitIdleTime()
+    {
+        std::chrono::milliseconds time = m_shared->settings.idleTimeout;
+        if (m_shared->isStopped)
+            time = std::min(time, lastRequestWait);
+        m_idleTimer.start(time, [this] {
+            m_isIdleTimeOver = true;
+            boost::system::error_code ec;
+            m_stream.socket().cancel(ec);
+        });
     }
 
     Asio::awaitable<void> sendRejection(Status status, std::string_view message)
@@ -245,35 +314,33 @@
         Core::Result<void> sent = co_await send(m_shared->rejection(status, message));
         if (sent.has_error())
             co_return;
-        co_await discardInput();
+        m_buffer.clear();
         noteEnd(ConnectionEndReason::Rejected);
     }
 
-    // Closing while unread bytes wait would reset the connection and destroy the response on its way.
-    Asio::awaitable<void> discardInput()
+    // RFC 9112, section 9.6: a close while unread bytes wait resets the connection and destroys what the caller has not
+    // received yet of the last answer.
+    Asio::awaitable<void> linger()
     {
-        m_buffer.clear();
         boost::system::error_code ec;
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
-        m_stream.expires_after(discardTime);
+        m_stream.expires_after(lingerTime);
         std::array<char, 16 * 1024> waste;
-        for (std::size_t total = 0; !ec && total < discardLimit;)
+        for (std::size_t total = 0; !ec && total < lingerLimit;)
             total += co_await m_stream.async_read_some(Asio::buffer(waste), Asio::redirect_error(Asio::use_awaitable, ec));
     }
 
-    static constexpr std::size_t readSize = 4 * 1024;
-    static constexpr std::size_t discardLimit = 16 * 1024 * 1024;
-    static constexpr std::chrono::seconds discardTime { 2 };
-
     std::shared_ptr<ServerShared> m_shared;
     Beast::tcp_stream m_stream;
     Beast::flat_buffer m_buffer;
+    CancelableTimer m_idleTimer;
     RequestReader m_reader;
     std::shared_ptr<CloseWatch> m_closeWatch;
+    ConnectionState m_state { ConnectionState::Idle };
     unsigned m_version { httpVersion11 };
     bool m_callerKeepsAlive { true };
     bool m_isHeadMethod { false };
-    bool m_isServing { false };
+    bool m_isIdleTimeOver { false };
     bool m_isLastRequest { false };
     bool m_hasBegun { false };
     bool m_isEnded { false };
@@ -283,7 +350,7 @@
 
 }
 
-std::weak_ptr<IdleCloser> serveConnection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
+std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
 {
     Asio::any_io_executor executor = socket.get_executor();
     std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket));
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -19,15 +19,20 @@
     bool isStopped { false };
 };
 
-/// A connection that can be closed when it serves nothing.
-class IdleCloser {
+/// An accepted connection, as its server sees it. Use from the server's thread only.
+class ServedConnection {
 public:
-    virtual ~IdleCloser() = default;
-    virtual void closeIfIdle() = 0;
+    virtual ~ServedConnection() = default;
+
+    /// Shortens the time that the connection may stay idle, now and behind later answers: the server has stopped.
+    virtual void endWhenIdle() = 0;
+
+    /// Closes the connection at once, unless it serves a request.
+    virtual void closeUnlessServing() = 0;
 };
 
 /// Serves the requests of one accepted connection, one after the other, until it closes.
 /// Use from the server's thread only. Returns a handle that does not keep the connection alive.
-std::weak_ptr<IdleCloser> serveConnection(std::shared_ptr<ServerShared>, boost::asio::ip::tcp::socket);
+std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared>, boost::asio::ip::tcp::socket);
 
 }
--- a/Tests/LibHttp/TestServerClosing.cpp
+++ b/Tests/LibHttp/TestServerClosing.cpp
@@ -307,6 +307,25 @@
     EXPECT_NE(answer->find("Connection: close"), std::string::npos);
 }
 
+// Guards against a server that callers keep from ending because they hold idle connections.
+TEST_F(ServerClosing, IdleConnectionsEndSoonAfterTheServerStops)
+{
+    start(answeringLater());
+    std::vector<std::unique_ptr<Caller>> callers = keptConnections(20);
+    post([this] { m_server->stop(); });
+    for (std::unique_ptr<Caller> const& caller : callers)
+        EXPECT_FALSE(caller->readAnswer());
+    callers.clear();
+    std::size_t open = callersAtOnce;
+    for (int n = 0; n < 500 && open > 0; ++n) {
+        std::promise<std::size_t> connections;
+        post([&] { connections.set_value(m_server->openConnections()); });
+        open = connections.get_future().get();
+        std::this_thread::sleep_for(10ms);
+    }
+    EXPECT_EQ(open, 0U);
+}
+
 // Guards against a request that has arrived before its connection's idle time ends, and is closed with it while the thread is behind.
 TEST_F(ServerClosing, ARequestThatArrivedBeforeTheIdleTimeEndedIsAnswered)
 {
