LibHttp: Let the caller take the last answer before its connection is closed

What callers saw: a last answer (Connection: close) that was cut short, where they had sent more than the request that it answers, if only an empty line.

Cause: a close while unread bytes wait makes the kernel send a reset, and drop what it had not sent yet. Only rejections waited for the caller's end of the connection (RFC 9112, section 9.6).

Change: each connection that ends with an answer of ours is closed for writing, and read until the caller closes it, for two seconds at most. While draining, an answer announces the end of the connection only when nothing more has been received on it: a caller that has sent two requests gets two answers.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -75,7 +75,8 @@
             isOpen = co_await serveOne();
         m_state = ConnectionState::Ending;
         noteEnd(ConnectionEndReason::LastAnswer);
-        if (m_end.reason == ConnectionEndReason::Rejected)
+        bool isAnswered = m_end.reason == ConnectionEndReason::LastAnswer || m_end.reason == ConnectionEndReason::Rejected;
+        if (isAnswered)
             co_await linger();
     }
 
@@ -179,12 +180,15 @@
         m_end.unsentBytes = unacknowledgedBytes(m_stream.socket());
     }
 
+    // While draining, each connection ends with the answer to all that its caller has sent on it.
     bool keepsAlive()
     {
-        m_isLastRequest = m_isLastRequest || m_shared->isDraining || !m_callerKeepsAlive;
+        m_isLastRequest = m_isLastRequest || !m_callerKeepsAlive || (m_shared->isDraining && !hasNextRequest());
         return !m_isLastRequest;
     }
 
+    bool hasNextRequest() const { return m_buffer.size() > 0 || unreadBytes(m_stream.socket()) > 0; }
+
     template <typename Message>
     Asio::awaitable<Core::Result<void>> sendMessage(Message& message)
     {
