LibDaemon: Answer what is open when the time to stop is over

What callers saw: a request whose connection ended without a word 0.7 s before its daemon would have been killed, whether it waited for a target or had been sent to one.

Cause: at the end of its time a daemon stopped its threads with whatever was open. The request machine has had an event for that case (ShutdownForced), which nothing posted.

Change: 0.7 s before the process would be killed each thread takes over the connections that wait and ends every open request with the answer that holds then: 503 where nothing was sent, else 502; a stream that has begun breaks visibly. The process ends when its callers have these answers and closed their connections, 0.25 s before it would be killed at the latest.

--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -56,7 +56,9 @@
     void reloadSettings(std::string_view cause);
     void startLeaving();
     void drainTraffic();
+    void endRequests();
     void finish();
+    void stopWhenAnswered(std::chrono::steady_clock::time_point limit);
     void expireAnswers();
 
     Settings::DaemonSettings m_settings;
@@ -87,6 +89,8 @@
     std::unique_ptr<Http::Server> m_operatorServer;
     std::vector<std::unique_ptr<Http::Server>> m_entryServers;
     std::size_t m_idleThreads { 0 };
+    bool m_isDraining { false };
+    bool m_isFinishing { false };
 };
 
 }
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -43,7 +43,7 @@
     , m_queueSpaceSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
 {
-    ++m_context.runningRequests;
+    m_context.runners.insert(this);
 }
 
 Request::RequestProfile RequestRunner::profileOf(Work const& work, TargetProtocol const& targets, Clock::time_point deadline)
@@ -90,6 +90,12 @@
     m_eventSignal.notify();
 }
 
+void RequestRunner::endNow()
+{
+    m_events.push_front(Request::ShutdownForced());
+    m_eventSignal.notify();
+}
+
 // The last check before a send. A caller may have left before its request was read, and the watch of its connection reports
 // that only after this thread has polled it again.
 bool RequestRunner::maySend()
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -22,7 +22,7 @@
     /// Precondition: the context outlives the runner. `allowed` holds indices into the fleet's targets.
     RequestRunner(TrafficContext&, Work, FleetPointer, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink>);
 
-    ~RequestRunner() { --m_context.runningRequests; }
+    ~RequestRunner() { m_context.runners.erase(this); }
     RequestRunner(RequestRunner const&) = delete;
     RequestRunner& operator=(RequestRunner const&) = delete;
 
@@ -32,6 +32,9 @@
     /// Ends all work for the request at once, unless it outlives its caller. Call when the caller has closed the connection.
     void callerLeft();
 
+    /// Ends the request with the answer that holds now, because the process is about to end.
+    void endNow();
+
     Work const& work() const { return m_work; }
 
 private:
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -14,6 +14,7 @@
 #include <LibRequest/RetryBudget.h>
 #include <LibSettings/DaemonSettings.h>
 #include <boost/asio/io_context.hpp>
+#include <set>
 
 namespace Daemon {
 
@@ -23,6 +24,8 @@
 /// Takes what this daemon's runs have shown of requests: findings, and works that were cleared. Thread-safe.
 using FindingsHook = std::function<void(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> cleared)>;
 
+class RequestRunner;
+
 /// What the requests of one traffic thread work with. Only the dispatcher, the budget and the guard are shared with other
 /// threads. Use from the thread only.
 struct TrafficContext {
@@ -42,7 +45,7 @@
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving; ///< Takes targets that say that they leave. Thread-safe.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
-    std::size_t runningRequests { 0 }; ///< Also those whose caller is gone.
+    std::set<RequestRunner*> runners {}; ///< All that exist, also those whose caller is gone.
 };
 
 }
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -54,6 +54,9 @@
     /// Stops accepting; `onIdle` is called on the traffic thread once no request is served. Thread-safe.
     void drain(std::function<void()> onIdle);
 
+    /// Gives every open request its last answer, and takes no more connections. Thread-safe.
+    void endRequests();
+
     /// Ends the event loop and joins the thread. Precondition: called from another thread.
     void stop();
 
