currantvaled: Ignore SIGHUP until the daemon handles it

What operators would have seen: a daemon that ends because it is told to read its settings while it starts, with the connections that its kernel had taken. Until the signal handlers are installed SIGHUP has its default effect. The settings are read after the signal is ignored, so nothing is missed. What remains: the time between exec and main.

--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/Daemon.h>
 #include <LibSettings/DaemonSettings.h>
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
@@ -94,6 +95,8 @@
 
 int main(int argc, char** argv)
 {
+    // One that comes while the process starts asks for settings that are about to be read.
+    std::signal(SIGHUP, SIG_IGN);
     cxxopts::Options options = makeOptions();
     try {
         return run(options.parse(argc, argv), options);
--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -3,9 +3,13 @@
 #include "KeyedSite.h"
 
 #include <csignal>
+#include <fcntl.h>
+#include <filesystem>
 #include <future>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -57,3 +61,23 @@
     EXPECT_TRUE(waitFor([&] { return m_site->process(KeyedSite::daemonName(0)).status().has_value(); }));
     EXPECT_EQ(m_site->process(KeyedSite::daemonName(0)).status(), 0);
 }
+
+// Guards against a daemon that a SIGHUP ends while it starts: here while it reads its settings.
+TEST(Start, ASignalToReloadDoesNotEndADaemonThatStarts)
+{
+    std::filesystem::path folder = std::filesystem::temp_directory_path() / ("currantvale-start-" + std::to_string(getpid()));
+    std::filesystem::create_directories(folder);
+    std::string settings = folder / "settings.ini";
+    ASSERT_EQ(mkfifo(settings.c_str(), 0600), 0);
+    {
+        Process daemon({ CURRANTVALE_BINARY_DIR "/currantvaled", "--settings", settings }, folder / "out", folder / "log");
+        int writer = -1;
+        // Succeeds once the daemon has opened the file.
+        ASSERT_TRUE(waitFor([&] { return (writer = open(settings.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }));
+        daemon.send(SIGHUP);
+        std::this_thread::sleep_for(200ms);
+        EXPECT_FALSE(daemon.status().has_value());
+        close(writer);
+    }
+    std::filesystem::remove_all(folder);
+}
