Tests: Stop daemons under callers who go on using their connections

PlannedStops.CallersWhoGoOnUsingADaemonLoseNoRequest, and the same beside more busy threads than the machine has cores: 400 callers on kept connections, four stops, each behind a configuration and a SIGHUP.

--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -1,7 +1,9 @@
 // Daemons that are asked to stop while their callers' requests wait and run.
 
+#include "ConnectionLoad.h"
 #include "KeyedSite.h"
 
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -34,11 +36,66 @@
             post(m_site->target(name), "/admin/faults", "{\"work_ms\":" + std::to_string(time.count()) + "}");
     }
 
+    /// Asks one daemon after the other to stop, and starts it again, while callers go on using it. Before each stop the
+    /// configuration changes and the daemon is told to read its settings. Expects that no request is lost.
+    void expectStopsToLoseNothing(ConnectionLoadSettings const& settings, int stops, std::size_t busyThreads)
+    {
+        constexpr std::chrono::milliseconds bound { 200 }; // For a request that was not passed on.
+        start(5s);
+        std::atomic<bool> isOver { false };
+        std::vector<std::thread> busy;
+        for (std::size_t n = 0; n < busyThreads; ++n)
+            busy.emplace_back([&isOver] { while (!isOver) { } });
+        ConnectionLoad load(*m_site, settings);
+        for (int n = 0; n < stops; ++n) {
+            std::size_t daemon = static_cast<std::size_t>(n) % KeyedSite::daemonCount();
+            Process& process = m_site->process(KeyedSite::daemonName(daemon));
+            std::this_thread::sleep_for(500ms);
+            m_site->configure(static_cast<std::uint64_t>(n) + 2, "app");
+            process.send(SIGHUP);
+            process.send(SIGTERM);
+            EXPECT_TRUE(waitFor([&] { return process.status().has_value(); }));
+            EXPECT_EQ(process.status(), 0);
+            m_site->startDaemon(daemon);
+            EXPECT_TRUE(waitFor([&] { return m_site->isReady(daemon); }));
+        }
+        load.stop();
+        isOver = true;
+        for (std::thread& thread : busy)
+            thread.join();
+        std::vector<Unanswered> unanswered = load.unanswered();
+        std::cout << load.sent() << " requests, " << unanswered.size() << " without an answer" << std::endl;
+        for (Unanswered const& it : unanswered) {
+            std::uint64_t runs = m_site->runs(m_site->apps(), it.id);
+            EXPECT_EQ(runs, 0U) << it.id << " ran, and got no answer: " << it.answer.error;
+            EXPECT_LE(it.answer.sinceSent(), bound) << it.id << " got no answer: " << it.answer.error;
+            if (testing::Test::HasFailure())
+                break;
+        }
+    }
+
     std::optional<KeyedSite> m_site;
 };
 
 }
 
+// Guards against requests of kept connections that end without an answer when their daemon stops, on a busy machine too.
+TEST_F(PlannedStops, CallersWhoGoOnUsingADaemonLoseNoRequest)
+{
+    ConnectionLoadSettings settings;
+    settings.callers = 400;
+    settings.longestPause = 200ms;
+    expectStopsToLoseNothing(settings, 4, 0);
+}
+
+TEST_F(PlannedStops, CallersWhoGoOnUsingADaemonLoseNoRequestOnABusyMachine)
+{
+    ConnectionLoadSettings settings;
+    settings.callers = 400;
+    settings.longestPause = 100ms;
+    expectStopsToLoseNothing(settings, 4, std::thread::hardware_concurrency() + 4);
+}
+
 // Guards against requests whose connections end without a word because the time that their daemon has to stop is over.
 TEST_F(PlannedStops, RequestsThatAreOpenWhenTheTimeEndsAreAnswered)
 {
