LibDaemon: Let the set of running requests outlive the event loop

A coroutine that is left when the event loop is destroyed ends its request behind the traffic context, and took itself out of a set that was gone. The set is now declared in front of the loop.

--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -32,6 +32,7 @@
 
 RequestRunner::RequestRunner(TrafficContext& context, Work work, FleetPointer fleet, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink> sink)
     : m_context(context)
+    , m_runners(context.runners)
     , m_work(std::move(work))
     , m_fleet(std::move(fleet))
     , m_allowed(std::move(allowed))
@@ -43,7 +44,7 @@
     , m_queueSpaceSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
 {
-    m_context.runners.insert(this);
+    m_runners.insert(this);
 }
 
 Request::RequestProfile RequestRunner::profileOf(Work const& work, TargetProtocol const& targets, Clock::time_point deadline)
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -45,7 +45,7 @@
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving; ///< Takes targets that say that they leave. Thread-safe.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
-    std::set<RequestRunner*> runners {}; ///< All that exist, also those whose caller is gone.
+    std::set<RequestRunner*>& runners; ///< All that exist, also those whose caller is gone. Outlives the event loop.
 };
 
 }
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -23,7 +23,7 @@
     , m_client(Http::Client::create(m_context, parts.settings.targets))
     , m_engines(Platform::createHttpEngineControl(*m_client))
     , m_peers(std::move(peers))
-    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, std::make_shared<FleetSnapshot>() }
+    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, std::make_shared<FleetSnapshot>(), m_runners }
     , m_api(std::make_unique<CallerApi>(m_traffic, parts.shared))
     , m_idleTimer(m_context)
 {
@@ -102,14 +102,14 @@
     post([this] {
         logState("ending-requests");
         m_server->stop();
-        for (RequestRunner* runner : m_traffic.runners)
+        for (RequestRunner* runner : m_runners)
             runner->endNow();
     });
 }
 
 void TrafficThread::waitUntilIdle(std::function<void()> onIdle)
 {
-    if (m_server->openConnections() == 0 && m_traffic.runners.empty() && (!m_peerServer || m_peerServer->openStreams() == 0)) {
+    if (m_server->openConnections() == 0 && m_runners.empty() && (!m_peerServer || m_peerServer->openStreams() == 0)) {
         logState("idle");
         onIdle();
         return;
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -73,6 +73,7 @@
     void waitUntilIdle(std::function<void()> onIdle);
     void logState(std::string_view phase) const;
 
+    std::set<RequestRunner*> m_runners; ///< The event loop holds runners until it is destroyed.
     std::unique_ptr<boost::asio::io_context> m_ownContext;
     boost::asio::io_context& m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
