Tests: Judge in the soak what ended without an answer, and what is late

The soak gave a request whose connection ended status 0 and judged nothing of it, so that it could not fail for LOST. Now a request that a daemon took while it was neither paused nor killed must get an answer, around planned stops too: none may be without one that ran at a target, none later than 200 ms after it was sent; only a stream that has begun may break off. Of the requests that take longer than their time no more than a quarter (of eight or more) may lack an answer half a second later.

--- a/Tests/Processes/FaultInjector.cpp
+++ b/Tests/Processes/FaultInjector.cpp
@@ -106,9 +106,11 @@
         return;
     Milliseconds time = between(200, 2'500);
     note("pause " + name + " for " + std::to_string(time.count()) + " ms");
+    Clock::time_point from = Clock::now();
     m_site.process(name).send(SIGSTOP);
-    undoLater(time, [this, name] {
+    undoLater(time, [this, name, from] {
         m_site.process(name).send(SIGCONT);
+        m_impairments.push_back({ name, from, Clock::now() });
         m_busy.erase(name);
     });
 }
@@ -121,10 +123,13 @@
     // A daemon that was asked to stop has its time to do so.
     Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
     note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
+    Clock::time_point from = Clock::now();
     m_site.process(name).send(signal);
-    undoLater(time, [this, n, name] {
+    undoLater(time, [this, n, name, signal, from] {
         m_site.process(name).kill();
         m_site.startDaemon(n);
+        if (signal != SIGTERM)
+            m_impairments.push_back({ name, from, Clock::now() });
         m_busy.erase(name);
     });
 }
--- a/Tests/Processes/FaultInjector.h
+++ b/Tests/Processes/FaultInjector.h
@@ -13,6 +13,13 @@
 
 namespace Processes {
 
+/// A span in which a process stood still or was gone without having been asked to stop.
+struct Impairment {
+    std::string process;
+    std::chrono::steady_clock::time_point from;
+    std::chrono::steady_clock::time_point until;
+};
+
 /// Does one thing after the other to the processes of a site and to their connections, and undoes each later. What is done,
 /// to whom and when follows from the seed. Not thread-safe.
 class FaultInjector {
@@ -28,6 +35,9 @@
     /// Returns a line for each fault, with its moment.
     std::vector<std::string> const& done() const { return m_done; }
 
+    /// Returns the spans in which processes were impaired. Precondition: `run` has returned.
+    std::vector<Impairment> const& impairments() const { return m_impairments; }
+
     /// Returns the version of the last configuration that was written.
     std::uint64_t version() const { return m_version; }
 
@@ -64,6 +74,7 @@
     std::multimap<Clock::time_point, Action> m_undo;
     std::set<std::string> m_busy;
     std::vector<std::string> m_done;
+    std::vector<Impairment> m_impairments;
     std::uint64_t m_version { 1 };
 };
 
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -2,9 +2,10 @@
 
 #include "FaultInjector.h"
 #include "KeyedSite.h"
+#include "TimedAnswer.h"
 
 #include <LibCore/EnumNames.h>
-#include <LibHttp/Client.h>
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,6 +30,11 @@
 // A daemon that is down refuses connections at once: callers do not ask it thousands of times a second.
 constexpr Milliseconds betweenRequests { 10 };
 constexpr std::chrono::seconds recoveryBound { 20 }; // The users ask for 12 s; a busy machine needs time to start processes.
+// The users' bounds: for a connection that ends without an answer although its request was not passed on, and behind a route's time.
+constexpr Milliseconds unansweredBound { 200 };
+constexpr Milliseconds lateBound { 500 };
+constexpr std::size_t leastLate = 8;
+constexpr std::size_t lateShare = 4;
 constexpr Milliseconds settleTime { 3'500 }; // Longer than the longest fault, so that what it held up has come to its end.
 
 /// What callers ask for.
@@ -49,9 +55,10 @@
     std::string id;
     Kind kind { Kind::Safe };
     std::size_t daemon { 0 };
-    std::uint16_t status { 0 }; ///< 0: the connection ended without a whole answer.
-    std::string answerId;
-    std::string body;
+    TimedAnswer answer;
+
+    /// Returns 0 if there was no whole answer.
+    std::uint16_t status() const { return answer.response ? answer.response->status : 0; }
 };
 
 std::string pathOf(Kind kind)
@@ -60,6 +67,12 @@
                                                                 : "/s/1";
 }
 
+// What the routes and the requests of KeyedSite allow.
+Milliseconds timeoutOf(Kind kind)
+{
+    return kind == Kind::Stream ? Milliseconds(5'000) : Milliseconds(3'000);
+}
+
 std::string methodOf(Kind kind)
 {
     return kind == Kind::Safe ? "GET" : "POST";
@@ -107,12 +120,7 @@
         asked.kind = kindNames[m_rng() % kindNames.size()].first;
         asked.daemon = m_rng() % KeyedSite::daemonCount();
         Http::Request request = KeyedSite::request(methodOf(asked.kind), pathOf(asked.kind), asked.id);
-        Core::Result<Http::Response> response = co_await client.fetch(m_site.front(asked.daemon), std::move(request));
-        if (response.has_value()) {
-            asked.status = response.value().status;
-            asked.answerId = response.value().fields.find("X-Request-Id").value_or("");
-            asked.body = std::move(response.value().body);
-        }
+        asked.answer = co_await askTimed(client, m_site.front(asked.daemon), std::move(request));
         m_asked.push_back(std::move(asked));
         boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, betweenRequests);
         boost::system::error_code ec;
@@ -161,8 +169,9 @@
 /// The promises, checked when all is over.
 class Judge {
 public:
-    Judge(KeyedSite const& site, SoakReport& report)
-        : m_report(report)
+    Judge(KeyedSite const& site, std::vector<Impairment> const& impairments, SoakReport& report)
+        : m_impairments(impairments)
+        , m_report(report)
     {
         for (Endpoint const& target : site.apps())
             collect(target, m_appRuns);
@@ -173,19 +182,31 @@
     void judge(Asked const& asked)
     {
         ++m_report.requests;
-        m_report.served += asked.status == 200 ? 1 : 0;
+        std::uint16_t status = asked.status();
+        m_report.served += status == 200 ? 1 : 0;
         std::map<std::string, std::uint64_t> const& counts = asked.kind == Kind::Stream ? m_engineRuns : m_appRuns;
         std::map<std::string, std::uint64_t>::const_iterator it = counts.find(asked.id);
         std::uint64_t runs = it != counts.end() ? it->second : 0;
         if (asked.kind == Kind::Unsafe && runs > 1)
             blame(asked, "ran " + std::to_string(runs) + " times");
-        if (isPromise(asked.status) && runs > 0)
+        if (isPromise(status) && runs > 0)
             blame(asked, "was said not to have run and ran");
-        if (asked.status == 200)
+        if (status == 200)
             judgeAnswer(asked);
-        bool isDenied = asked.status >= 400 && asked.status < 500 && !isPromise(asked.status);
+        bool isDenied = status >= 400 && status < 500 && !isPromise(status);
         if (isDenied)
             blame(asked, "was denied");
+        if (!isImpaired(asked)) {
+            judgeEnd(asked, runs);
+            judgeTime(asked);
+        }
+    }
+
+    /// Judges what only all requests together show.
+    void judgeAll()
+    {
+        if (m_late >= leastLate && m_late > m_long / lateShare)
+            m_report.violations.push_back(std::to_string(m_late) + " of " + std::to_string(m_long) + " requests that took longer than their time had no answer half a second behind it");
     }
 
 private:
@@ -198,21 +219,52 @@
         }
     }
 
+    // Whether the daemon stood still or was gone at any time while the request was under way.
+    bool isImpaired(Asked const& asked) const
+    {
+        return std::any_of(m_impairments.begin(), m_impairments.end(), [&](Impairment const& it) {
+            return it.process == KeyedSite::daemonName(asked.daemon) && it.from <= asked.answer.endedAt && it.until >= asked.answer.sentAt;
+        });
+    }
+
+    // A stream that has begun may break off with its target; any other request that a daemon has taken gets an answer.
+    void judgeEnd(Asked const& asked, std::uint64_t runs)
+    {
+        bool isBrokenStream = asked.kind == Kind::Stream && asked.answer.hasBegun;
+        if (asked.answer.response || !asked.answer.wasSent || isBrokenStream)
+            return;
+        if (runs > 0)
+            blame(asked, "ran and got no answer: " + asked.answer.error);
+        else if (asked.answer.sinceSent() > unansweredBound)
+            blame(asked, "got no answer after " + std::to_string(asked.answer.sinceSent().count()) + " ms: " + asked.answer.error);
+    }
+
+    void judgeTime(Asked const& asked)
+    {
+        m_long += asked.answer.sinceSent() > timeoutOf(asked.kind) ? 1 : 0;
+        m_late += asked.answer.sinceSent() > timeoutOf(asked.kind) + lateBound ? 1 : 0;
+    }
+
     void judgeAnswer(Asked const& asked)
     {
-        if (asked.answerId != asked.id)
-            blame(asked, "got the answer of \"" + asked.answerId + "\"");
+        std::string answerId(asked.answer.response->fields.find("X-Request-Id").value_or(""));
+        std::string const& body = asked.answer.response->body;
+        if (answerId != asked.id)
+            blame(asked, "got the answer of \"" + answerId + "\"");
         std::string expected = asked.kind == Kind::Stream ? KeyedSite::wholeStream(piecesOfStream) : methodOf(asked.kind) + " " + pathOf(asked.kind) + " " + (asked.kind == Kind::Safe ? "" : "body");
-        if (asked.body != expected)
-            blame(asked, "got \"" + asked.body + "\" as a whole answer");
+        if (body != expected)
+            blame(asked, "got \"" + body + "\" as a whole answer");
     }
 
     void blame(Asked const& asked, std::string const& what)
     {
-        m_report.violations.push_back(asked.id + " (" + std::string(Core::nameOf(kindNames, asked.kind)) + " at " + KeyedSite::daemonName(asked.daemon) + ", status " + std::to_string(asked.status) + ") " + what);
+        m_report.violations.push_back(asked.id + " (" + std::string(Core::nameOf(kindNames, asked.kind)) + " at " + KeyedSite::daemonName(asked.daemon) + ", status " + std::to_string(asked.status()) + ") " + what);
     }
 
+    std::vector<Impairment> const& m_impairments;
     SoakReport& m_report;
+    std::size_t m_long { 0 }; ///< Requests that took longer than their time.
+    std::size_t m_late { 0 }; ///< Of these, those that had no answer a while later.
     std::map<std::string, std::uint64_t> m_appRuns;
     std::map<std::string, std::uint64_t> m_engineRuns;
 };
@@ -257,11 +309,12 @@
     report.faults = injector.done();
     checkRecovery(site, injector.version(), report);
     std::this_thread::sleep_for(settleTime);
-    Judge judge(site, report);
+    Judge judge(site, injector.impairments(), report);
     for (std::unique_ptr<Caller> const& caller : callers.all()) {
         for (Asked const& asked : caller->asked())
             judge.judge(asked);
     }
+    judge.judgeAll();
     return report;
 }
 
--- a/Tests/Processes/Soak.h
+++ b/Tests/Processes/Soak.h
@@ -26,7 +26,8 @@
 /// injects faults from outside: processes are stopped, paused, killed and started again, connections are held up one way
 /// or both, cut and slowed down, the store goes away, targets lose answers, the configuration changes. Faults overlap.
 /// Checked: a request that may not be repeated runs once at most, and not at all where the caller was told so; an answer is
-/// its target's own and whole; nothing that is configured is denied; at the end all is served again, by the newest
+/// its target's own and whole; a request that a daemon took while it was not impaired gets an answer, in time, around planned
+/// stops too; nothing that is configured is denied; at the end all is served again, by the newest
 /// configuration. Errors: std::runtime_error when the processes cannot be started.
 SoakReport runSoak(SoakSettings const&);
 
