Tests: Stop a daemon whose caller takes no more of its answers

PlannedStops.ACallerWhoReadsNothingDoesNotKeepItsDaemonFromEnding: three pipelined requests with answers of 3.5 MB that nobody reads keep one of them open until the thread ends; the daemon must end in its time and with status 0, and log the end of that connection. It guards the order in which a traffic thread and the requests in its event loop are destroyed.

--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -2,6 +2,7 @@
 
 #include "ConnectionLoad.h"
 #include "KeyedSite.h"
+#include "RawCaller.h"
 
 #include <atomic>
 #include <csignal>
@@ -79,6 +80,27 @@
 
 }
 
+// Guards against a daemon that does not end in its time, or not cleanly, because a caller takes no more of its answer.
+TEST_F(PlannedStops, ACallerWhoReadsNothingDoesNotKeepItsDaemonFromEnding)
+{
+    // Together more than the sockets' buffers hold.
+    constexpr std::size_t answerSize = 3'500 * 1024;
+    constexpr int requests = 3;
+    start(2s);
+    RawCaller caller(m_site->front(0));
+    for (int n = 0; n < requests; ++n) {
+        Http::Request request = KeyedSite::request("POST", "/c/1", "unread-" + std::to_string(n));
+        request.body = std::string(answerSize, 'x');
+        caller.write(RawCaller::bytesOf(request));
+        ASSERT_TRUE(n + 1 == requests || waitFor([&] { return m_site->runs(m_site->apps(), "unread-" + std::to_string(n)) == 1; }));
+    }
+    Process& process = m_site->process(KeyedSite::daemonName(0));
+    process.send(SIGTERM);
+    EXPECT_TRUE(waitFor([&] { return process.status().has_value(); }));
+    EXPECT_EQ(process.status(), 0);
+    EXPECT_FALSE(m_site->logLines(KeyedSite::daemonName(0), "reason=thread_ended").empty());
+}
+
 // Guards against requests of kept connections that end without an answer when their daemon stops, on a busy machine too.
 TEST_F(PlannedStops, CallersWhoGoOnUsingADaemonLoseNoRequest)
 {
