LibHttp: Answer connections beyond the limit before they end

Callers saw: a connection beyond `connection_limit` was accepted and closed at once, so that a request on it ended in an end of stream or a reset, and its caller could not tell whether it had run.

Cause: the server dropped the accepted socket without reading from it.

Change: such a connection is refused. It reads one request as any other, with the same limits and timeouts, gets the rejection handler's 503 with `Connection: close`, and lingers. The handler is not called. At most 256 are open at once for this; more are closed as before and reported with the reason connection_limit. They take no room of the others, and `openConnections` counts them, so that a stop waits for them too.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::chrono::milliseconds acceptPause { 50 };
 constexpr int mostWaiting = 2 * SOMAXCONN; ///< Connections that are taken over when the server stops.
+constexpr std::size_t mostRefused = 256; ///< Connections beyond the limit that are open to be told so.
 
 /// Handles of the connections that are open, and of some that have closed.
 class Connections {
@@ -81,7 +82,7 @@
     void setPort(std::uint16_t port) { m_port = port; }
     void beginDraining() override { m_shared->isDraining = true; }
     std::size_t activeRequests() const override { return m_shared->activeRequests; }
-    std::size_t openConnections() const override { return m_shared->connections; }
+    std::size_t openConnections() const override { return m_shared->connections + m_shared->refusedConnections; }
     std::size_t waitingConnections() const override { return m_acceptor->is_open() ? acceptQueueLength(*m_acceptor) : 0; }
 
     void stop() override
@@ -111,7 +112,8 @@
 
     static void serve(Tcp::socket socket, std::shared_ptr<ServerShared> const& shared, Connections& connections)
     {
-        if (shared->connections >= shared->settings.connectionLimit) {
+        Admission admission = shared->connections < shared->settings.connectionLimit ? Admission::Served : Admission::Refused;
+        if (admission == Admission::Refused && shared->refusedConnections >= mostRefused) {
             if (shared->onConnectionEnd)
                 shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
             return;
@@ -119,7 +121,7 @@
         boost::system::error_code ec; // It only costs delays.
         socket.set_option(Tcp::no_delay(true), ec);
         setLiveness(socket, shared->settings.liveness);
-        connections.add(serveConnection(shared, std::move(socket)));
+        connections.add(serveConnection(shared, std::move(socket), admission));
     }
 
     static Asio::awaitable<void> accept(std::shared_ptr<Tcp::acceptor> acceptor, std::shared_ptr<ServerShared> shared, std::shared_ptr<Connections> connections)
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -47,21 +47,22 @@
 
 class Connection final : public ServedConnection, public ResponseWriter, public std::enable_shared_from_this<Connection> {
 public:
-    Connection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
+    Connection(std::shared_ptr<ServerShared> shared, Tcp::socket socket, Admission admission)
         : m_shared(std::move(shared))
         , m_stream(std::move(socket))
         , m_idleTimer(m_stream.get_executor())
         , m_reader(m_stream, m_buffer, m_shared->settings)
         , m_closeWatch(CloseWatch::create(m_stream.socket()))
+        , m_admission(admission)
     {
-        ++m_shared->connections;
+        ++openCount();
         boost::system::error_code ec; // A socket that fails here fails at its first use.
         m_stream.socket().non_blocking(true, ec);
     }
 
     ~Connection() override
     {
-        --m_shared->connections;
+        --openCount();
         noteEnd(ConnectionEndReason::ThreadEnded);
         if (m_shared->onConnectionEnd)
             m_shared->onConnectionEnd(m_end);
@@ -168,6 +169,8 @@
     bool hasBegun() const override { return m_hasBegun; }
 
 private:
+    std::size_t& openCount() { return m_admission == Admission::Refused ? m_shared->refusedConnections : m_shared->connections; }
+
     // The first reason counts: what follows comes of it.
     void noteEnd(ConnectionEndReason reason)
     {
@@ -257,6 +260,10 @@
         m_version = read.version;
         m_callerKeepsAlive = read.keepsAlive;
         m_isHeadMethod = read.request->method == "HEAD";
+        if (m_admission == Admission::Refused) {
+            co_await sendRejection(Status::ServiceUnavailable, "this listener has as many connections as it may");
+            co_return std::nullopt;
+        }
         co_return read.request;
     }
 
@@ -340,6 +347,7 @@
     CancelableTimer m_idleTimer;
     RequestReader m_reader;
     std::shared_ptr<CloseWatch> m_closeWatch;
+    Admission m_admission;
     ConnectionState m_state { ConnectionState::Idle };
     unsigned m_version { httpVersion11 };
     bool m_callerKeepsAlive { true };
@@ -354,10 +362,10 @@
 
 }
 
-std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared> shared, Tcp::socket socket)
+std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared> shared, Tcp::socket socket, Admission admission)
 {
     Asio::any_io_executor executor = socket.get_executor();
-    std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket));
+    std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket), admission);
     Asio::co_spawn(
         executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
     return connection;
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Server.h>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -15,6 +16,7 @@
     ConnectionEndHook onConnectionEnd;
     std::size_t activeRequests { 0 };
     std::size_t connections { 0 };
+    std::size_t refusedConnections { 0 }; ///< Open ones beyond the limit; not of `connections`.
     bool isDraining { false };
     bool isStopped { false };
 };
@@ -31,8 +33,14 @@
     virtual void closeUnlessServing() = 0;
 };
 
+/// Whether the server has room for a connection.
+enum class Admission : std::uint8_t {
+    Served,
+    Refused, ///< Its one request is told so.
+};
+
 /// Serves the requests of one accepted connection, one after the other, until it closes.
 /// Use from the server's thread only. Returns a handle that does not keep the connection alive.
-std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared>, boost::asio::ip::tcp::socket);
+std::weak_ptr<ServedConnection> serveConnection(std::shared_ptr<ServerShared>, boost::asio::ip::tcp::socket, Admission);
 
 }
--- a/Tests/LibHttp/TestServerClosing.cpp
+++ b/Tests/LibHttp/TestServerClosing.cpp
@@ -82,6 +82,9 @@
         }
     }
 
+    /// Ends the sending side; the other one stays open.
+    void endSending() { ::shutdown(m_socket.native_handle(), SHUT_WR); }
+
     /// Reads until `text` has come. Returns false if the connection ends before.
     bool readUntil(std::string const& text)
     {
@@ -343,3 +346,64 @@
         EXPECT_EQ(answered, callers.size()) << "round " << round;
     }
 }
+
+// Guards against a connection beyond the limit that is dropped without a word, with the request on it.
+TEST_F(ServerClosing, AConnectionBeyondTheLimitIsToldSo)
+{
+    Http::ServerSettings settings;
+    settings.connectionLimit = 2;
+    start(answeringLater(), settings);
+    std::vector<std::unique_ptr<Caller>> kept = keptConnections(settings.connectionLimit);
+    for (std::string const& method : std::vector<std::string> { "POST", "HEAD" }) {
+        Caller refused(m_endpoint);
+        refused.write(method + " /beyond HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(refused.readUntil("HTTP/1.1 503 ")) << method;
+        EXPECT_TRUE(refused.readUntil("Connection: close\r\n")) << method;
+        EXPECT_EQ(refused.readUntil("this listener has as many connections as it may"), method == "POST") << method;
+    }
+    for (std::unique_ptr<Caller> const& caller : kept) {
+        caller->write(headOf("kept"));
+        EXPECT_TRUE(caller->readAnswer());
+    }
+    end();
+    EXPECT_TRUE(m_handled.contains("/kept"));
+    EXPECT_FALSE(m_handled.contains("/beyond"));
+}
+
+// Guards against refused connections that take the room of others, and against refusals without a bound.
+TEST_F(ServerClosing, RefusedConnectionsAreBoundedAndTakeNoRoom)
+{
+    constexpr std::size_t beyondAllBounds = 600;
+    Http::ServerSettings settings;
+    settings.connectionLimit = 2;
+    std::atomic<std::size_t> dropped { 0 };
+    start(answeringLater(), settings);
+    post([&] {
+        m_server->onConnectionEnd([&](Http::ConnectionEnd const& it) { dropped += it.reason == Http::ConnectionEndReason::ConnectionLimit ? 1 : 0; });
+    });
+    std::vector<std::unique_ptr<Caller>> kept = keptConnections(settings.connectionLimit);
+    std::vector<std::unique_ptr<Caller>> beyond;
+    for (std::size_t n = 0; n < beyondAllBounds; ++n)
+        beyond.push_back(std::make_unique<Caller>(m_endpoint));
+    std::size_t refused = 0;
+    for (std::unique_ptr<Caller> const& caller : beyond) {
+        caller->write(headOf("beyond"));
+        std::optional<std::string> answer = caller->readAnswer();
+        refused += answer && answer->starts_with("HTTP/1.1 503 ") ? 1 : 0;
+    }
+    EXPECT_GT(refused, 0U);
+    EXPECT_GT(dropped, 0U);
+    EXPECT_EQ(refused + dropped, beyondAllBounds);
+    kept.clear();
+    bool isServed = false;
+    for (int n = 0; n < 500 && !isServed; ++n) {
+        Caller caller(m_endpoint);
+        caller.write(headOf("room"));
+        std::optional<std::string> answer = caller.readAnswer();
+        isServed = answer && answer->starts_with("HTTP/1.1 200 ");
+        std::this_thread::sleep_for(2ms);
+    }
+    EXPECT_TRUE(isServed);
+    end();
+    EXPECT_FALSE(m_handled.contains("/beyond"));
+}
