LibDaemon: Deliver what is complete before a forced end, and send nothing behind an error

Found in review of the fix for stops whose time is over. - An answer whose end was queued already was replaced by an error: the forced end is queued behind it now. - While a caller is told that its request has failed, its attempt could still send a prompt to a target: it is abandoned first. - A thread could count as idle while a connection that it had accepted was queued: it looks again after the queue. - The last answers, the control thread's last questions and the end of the process each have their time before the kill. - A signal that comes while the daemon is destroyed does not end the process before its log is written.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -384,7 +384,7 @@
     for (std::unique_ptr<TrafficThread> const& thread : m_traffic)
         thread->endRequests();
     drainTraffic();
-    m_stopTimer.expires_after(answerMargin - stopMargin);
+    m_stopTimer.expires_after(answerMargin - lastQuestions - stopMargin);
     m_stopTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
             finish();
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -91,10 +91,10 @@
     m_eventSignal.notify();
 }
 
+// An answer whose end has come in already is queued in front of this, and is delivered.
 void RequestRunner::endNow()
 {
-    m_events.push_front(Request::ShutdownForced());
-    m_eventSignal.notify();
+    post(Request::ShutdownForced());
 }
 
 // The last check before a send. A caller may have left before its request was read, and the watch of its connection reports
@@ -189,6 +189,11 @@
             finish->retryAfter = retryAfterOf(m_reason);
         logFinish(*finish);
         countLostAnswer();
+        // Nothing may be sent to a target while the caller is told that the request has failed.
+        if (finish->error) {
+            abandonLeg();
+            releasePlacement();
+        }
         co_await m_sink->finish(std::move(*finish));
     }
 }
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -93,7 +93,8 @@
         m_server->stop();
         if (m_peerServer)
             m_peerServer->shutDown([] { });
-        waitUntilIdle(onIdle);
+        // An accepted connection may still be queued behind this.
+        checkIdleLater(onIdle);
     });
 }
 
@@ -114,6 +115,11 @@
         onIdle();
         return;
     }
+    checkIdleLater(std::move(onIdle));
+}
+
+void TrafficThread::checkIdleLater(std::function<void()> onIdle)
+{
     m_idleTimer.expires_after(idleCheckInterval);
     m_idleTimer.async_wait([this, onIdle = std::move(onIdle)](boost::system::error_code ec) {
         if (!ec)
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -71,6 +71,7 @@
 private:
     TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, TrafficParts const&);
     void waitUntilIdle(std::function<void()> onIdle);
+    void checkIdleLater(std::function<void()> onIdle);
     void logState(std::string_view phase) const;
 
     std::set<RequestRunner*> m_runners; ///< The event loop holds runners until it is destroyed.
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -1,6 +1,8 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/Daemon.h>
 #include <LibSettings/DaemonSettings.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -56,6 +58,9 @@
         return EXIT_FAILURE;
     }
     daemon.value()->run();
+    // The daemon's own handlers go with it, and a signal must not end the process before the log is written.
+    boost::asio::io_context context;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     daemon.value().reset(); // Connections that are still open log their end.
     Core::stopEventLog();
     return EXIT_SUCCESS;
