--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -10,9 +10,12 @@
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <cstdio>
+#include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/file.h>
 #include <thread>
 #include <unistd.h>
 
@@ -55,13 +58,34 @@
 
 }
 
+namespace {
+
+// Programs that run side by side may come to the same port while whoever has it is being restarted: it stays this program's
+// until that ends. Returns whether it was free.
+bool reservePort(unsigned port)
+{
+    std::string name = std::filesystem::temp_directory_path() / ("currantvale-port-" + std::to_string(port));
+    int file = open(name.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    if (file < 0)
+        throw std::runtime_error("cannot open " + name);
+    if (flock(file, LOCK_EX | LOCK_NB) == 0)
+        return true; // The lock ends with the process.
+    close(file);
+    return false;
+}
+
+}
+
 // Each call goes on behind the port before.
 Endpoint freeEndpoint()
 {
     static unsigned next = static_cast<unsigned>(getpid()) * portStride;
     boost::asio::io_context context;
     while (true) {
-        Endpoint endpoint = loopback(static_cast<std::uint16_t>(firstPort + next++ % portCount));
+        unsigned port = firstPort + next++ % portCount;
+        if (!reservePort(port))
+            continue;
+        Endpoint endpoint = loopback(static_cast<std::uint16_t>(port));
         tcp::acceptor acceptor(context, tcp::v4());
         boost::system::error_code ec;
         acceptor.bind(endpoint, ec);
