--- a/Libraries/LibDaemon/HttpErrors.cpp
+++ b/Libraries/LibDaemon/HttpErrors.cpp
@@ -21,7 +21,8 @@
 
 Http::Response rejectionResponse(Http::Status status, std::string_view message)
 {
-    Core::Error error = Core::makeError(Core::ErrorCode::BadInput, std::string(message));
+    Core::ErrorCode code = status == Http::Status::ServiceUnavailable ? Core::ErrorCode::Unavailable : Core::ErrorCode::BadInput;
+    Core::Error error = Core::makeError(code, std::string(message));
     Http::Response response = errorResponse(error, Request::HttpErrorContext());
     response.status = static_cast<std::uint16_t>(status);
     return response;
