--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -132,7 +132,7 @@
         while (!shared->isStopped) {
             boost::system::error_code ec;
             Tcp::socket socket = co_await acceptor->async_accept(Asio::redirect_error(Asio::use_awaitable, ec));
-            // One that was accepted before the server stopped is served, although this comes later.
+            // A connection that was accepted before the server stopped is served, although this comes later.
             if (!ec) {
                 serve(std::move(socket), shared, *connections);
                 continue;
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -100,7 +100,7 @@
 
 int main(int argc, char** argv)
 {
-    // One that comes while the process starts asks for settings that are about to be read.
+    // A SIGHUP that comes while the process starts asks for settings that are about to be read.
     std::signal(SIGHUP, SIG_IGN);
     cxxopts::Options options = makeOptions();
     try {
