LibDaemon: Release a request's placement before the event loop that it waits in is destroyed

What operators would have seen: a daemon that does not end with status 0, or crashes, at the end of a stop whose time ended with a request open. Cause: a placement holds a timer of its thread's event loop, and stayed with the dispatcher, which is destroyed behind the loop. A runner that is destroyed with its loop releases its placement now.

--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -33,6 +33,7 @@
 RequestRunner::RequestRunner(TrafficContext& context, Work work, FleetPointer fleet, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink> sink)
     : m_context(context)
     , m_runners(context.runners)
+    , m_dispatcher(context.dispatcher)
     , m_work(std::move(work))
     , m_fleet(std::move(fleet))
     , m_allowed(std::move(allowed))
@@ -47,6 +48,14 @@
     m_runners.insert(this);
 }
 
+// A placement holds a timer of the event loop, so that it goes before the loop does.
+RequestRunner::~RequestRunner()
+{
+    m_runners.erase(this);
+    if (m_placement != 0)
+        m_dispatcher.release(m_placement);
+}
+
 Request::RequestProfile RequestRunner::profileOf(Work const& work, TargetProtocol const& targets, Clock::time_point deadline)
 {
     Request::RequestProfile profile;
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -22,7 +22,7 @@
     /// Precondition: the context outlives the runner. `allowed` holds indices into the fleet's targets.
     RequestRunner(TrafficContext&, Work, FleetPointer, std::vector<std::uint32_t> allowed, std::shared_ptr<AnswerSink>);
 
-    ~RequestRunner() { m_runners.erase(this); }
+    ~RequestRunner();
     RequestRunner(RequestRunner const&) = delete;
     RequestRunner& operator=(RequestRunner const&) = delete;
 
@@ -111,7 +111,9 @@
     void logFinish(Request::Finish const&) const;
 
     TrafficContext& m_context;
-    std::set<RequestRunner*>& m_runners; ///< The context may be gone before the last runner.
+    // These two outlive the runner, the context may not.
+    std::set<RequestRunner*>& m_runners;
+    Dispatcher& m_dispatcher;
     Work m_work;
     FleetPointer m_fleet;
     std::vector<std::uint32_t> m_allowed;
