LibHttp, LibSettings: Let operators choose the local address of connections to targets

[targets] local_address, for a VM with several addresses of which only one is routed to the targets. Left out, the kernel chooses, as before.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -142,9 +142,21 @@
         co_return std::move(connection);
     }
 
+    static void bindTo(Asio::ip::address const& address, Tcp::socket& socket, boost::system::error_code& ec)
+    {
+        Tcp::endpoint local(address, 0);
+        socket.open(local.protocol(), ec);
+        if (!ec)
+            socket.bind(local, ec);
+    }
+
     Asio::awaitable<std::shared_ptr<ClientConnection>> connectSocket(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot, boost::system::error_code& ec)
     {
         std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(m_context.get_executor());
+        if (m_settings.localAddress)
+            bindTo(*m_settings.localAddress, connection->stream.socket(), ec);
+        if (ec)
+            co_return std::move(connection);
         if (slot)
             slot->cancel = [raw = connection.get()] { raw->stream.cancel(); };
         connection->stream.expires_after(m_settings.connectTimeout);
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -22,6 +22,7 @@
     std::chrono::milliseconds keepTime { 20'000 }; ///< For an unused connection; less where the server announces less.
     std::size_t keptPerEndpoint { 64 };
     SocketLiveness liveness; ///< When a connection that went silent counts as lost.
+    std::optional<boost::asio::ip::address> localAddress; ///< Connections are made from it; empty: the kernel chooses.
 };
 
 /// One request and its response on a connection of its own. Use from the client's thread only.
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -57,6 +57,25 @@
     return key;
 }
 
+template <typename Owner, typename Struct>
+DaemonKey addressKey(std::string section, std::string name, std::string description, Owner owner, std::optional<boost::asio::ip::address> Struct::* member)
+{
+    DaemonKey key { std::move(section), std::move(name), "an IP address, such as 10.0.0.1", std::move(description), false, {}, {} };
+    key.read = [=](Owned& settings, std::string_view text) -> Core::Result<void> {
+        boost::system::error_code ec;
+        boost::asio::ip::address address = boost::asio::ip::make_address(std::string(text), ec);
+        if (ec)
+            return Core::fail(Core::ErrorCode::BadInput, "read \"" + std::string(text) + "\"; allowed is an IP address, such as 10.0.0.1");
+        owner(settings).*member = address;
+        return Core::ok();
+    };
+    key.print = [=](Owned const& settings) {
+        std::optional<boost::asio::ip::address> const& address = owner(const_cast<Owned&>(settings)).*member;
+        return address ? address->to_string() : std::string();
+    };
+    return key;
+}
+
 template <typename Owner, typename Struct>
 DaemonKey nameKey(std::string section, std::string name, std::string description, Owner owner, std::string Struct::* member)
 {
@@ -221,6 +240,7 @@
     keys.push_back(fractionKey("limits", "retry_extra", "Retries in a window beyond the ratio, for all daemons together; 0: each daemon has a few of its own.", 0, 1e6, limitsOf, &Owned::Limits::retryExtra));
     keys.push_back(secondsKey("limits", "retry_window_s", "The window that the extra retries are for.", limitsOf, &Owned::Limits::retryWindow));
     keys.push_back(numberKey<Owned>("targets", "connect_timeout_ms", "Time for a connection to a target to be made.", 1, maximumMilliseconds, targetsOf, &Http::ClientSettings::connectTimeout));
+    keys.push_back(addressKey("targets", "local_address", "The local address of connections to targets, on a VM with several; left out: the kernel chooses.", targetsOf, &Http::ClientSettings::localAddress));
     keys.push_back(numberKey<Owned>("targets", "keep_ms", "How long an unused connection to a target is kept.", 0, maximumMilliseconds, targetsOf, &Http::ClientSettings::keepTime));
     keys.push_back(numberKey<Owned>("targets", "unacknowledged_ms", "A connection fails whose bytes are not acknowledged for this long; 0: the kernel's time.", 0, maximumMilliseconds, targetLivenessOf, &Http::SocketLiveness::unacknowledged));
     keys.push_back(numberKey<Owned>("targets", "probe_s", "A silent connection is probed after this long, three times; 0: not at all.", 0, 3600, targetLivenessOf, &Http::SocketLiveness::probeAfter));
