LibRouting, LibDaemon: Report to how many targets a daemon can connect

Now Routing::PathTable counts both for each service; beacons carry the counts, currantvale_target_paths shows them, and paths-changed (6012) and targets-avoided (6013) say when they change. Nothing decides by them yet.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -66,6 +66,8 @@
     TargetPaused = 6009,
     TargetLimited = 6010,
     TargetProbed = 6011,
+    PathsChanged = 6012,
+    TargetsAvoided = 6013,
     UsageDecided = 7001,
     UsageReported = 7002,
     UsageMissed = 7003,
@@ -74,7 +76,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 63> eventNames { {
+inline constexpr EnumNames<Event, 65> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -132,6 +134,8 @@
     { Event::TargetPaused, "target-paused" },
     { Event::TargetLimited, "target-limited" },
     { Event::TargetProbed, "target-probed" },
+    { Event::PathsChanged, "paths-changed" },
+    { Event::TargetsAvoided, "targets-avoided" },
     { Event::UsageDecided, "usage-decided" },
     { Event::UsageReported, "usage-reported" },
     { Event::UsageMissed, "usage-missed" },
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -249,6 +249,12 @@
     }
     for (std::uint64_t target : beacon.suspects)
         message.add_suspects(target);
+    for (Routing::PathCounts const& it : beacon.paths) {
+        Proto::PathCounts* added = message.add_paths();
+        added->set_service(it.service);
+        added->set_reached(it.reached);
+        added->set_failed(it.failed);
+    }
     return message.SerializeAsString();
 }
 
@@ -301,6 +307,8 @@
             beacon.changingTo.emplace(message.changing(n), *role);
     }
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
+    for (Proto::PathCounts const& it : message.paths())
+        beacon.paths.push_back({ it.service(), it.reached(), it.failed() });
     return beacon;
 }
 
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -8,6 +8,7 @@
 #include <LibQuarantine/Suspect.h>
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
+#include <LibRouting/PathTable.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/ServiceReport.h>
@@ -41,6 +42,7 @@
     std::map<std::string, double> sizedDemands {}; ///< In engines, by service: what the sender sizes these for.
     std::map<std::uint64_t, Routing::TargetRole> changingTo {}; ///< The new roles of those in `changing`.
     std::vector<Routing::RateLimitReport> rateLimits {}; ///< That targets have recently stated to it.
+    std::vector<Routing::PathCounts> paths {}; ///< Of the services whose targets it has tried to reach lately.
     std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
 
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -152,6 +152,7 @@
     hooks.takePeerReports = [this](std::string const& peer, std::vector<Routing::ServiceReport> const& reports) { m_dispatcher->takePeerReports(peer, reports); };
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
+    hooks.paths = [this] { return m_dispatcher->paths().counts(); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.onTargetsGone = [this](std::vector<std::uint64_t> const& targets) { noteTargetsGone(targets); };
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -114,6 +114,7 @@
     sample.configOffset = m_storeControl->configVersion();
     sample.openRequests = m_dispatcher->openRequests();
     sample.roleChanges = m_storeControl->roles().accepted();
+    sample.paths = m_dispatcher->paths().counts();
     sampleDuties(sample);
     return Http::Response { static_cast<std::uint16_t>(Http::Status::Ok), { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.text(sample) };
 }
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <LibAdmission/Controller.h>
 #include <LibDaemon/FleetSnapshot.h>
+#include <LibDaemon/PathBook.h>
 #include <LibDaemon/Work.h>
 #include <LibRouting/DemandMeter.h>
 #include <LibRouting/LoadTable.h>
@@ -140,6 +141,9 @@
     /// Applies the outcome counts of a peer's requests.
     void takePeerOutcomes(std::vector<Routing::OutcomeCounts> const&);
 
+    /// Returns the paths to targets. The reference stays valid.
+    PathBook& paths() { return m_paths; }
+
     /// Returns the keys of targets that this daemon recently failed to reach.
     std::vector<std::uint64_t> suspects() const;
 
@@ -201,6 +205,7 @@
     Routing::SpeedBook m_speeds;
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
+    PathBook m_paths;
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
     Routing::PrefixIndex m_prefixes;
     std::vector<Routing::HeldPart> m_unreportedParts;
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -26,6 +26,7 @@
 
 void Dispatcher::setFleet(FleetPointer fleet)
 {
+    m_paths.setFleet(*fleet);
     std::lock_guard lock(m_mutex);
     std::uint32_t highest = 0;
     std::vector<std::uint32_t> known;
@@ -83,6 +84,10 @@
     std::lock_guard lock(m_mutex);
     Clock::time_point now = Clock::now();
     m_health.note(targetKey, outcome, now);
+    if (outcome == Routing::TargetOutcome::Unreachable)
+        m_paths.note(targetKey, Routing::PathEvidence::Unreachable);
+    else if (outcome != Routing::TargetOutcome::Broken && outcome != Routing::TargetOutcome::Replaced)
+        m_paths.note(targetKey, Routing::PathEvidence::Answered);
     // A refusal is retried elsewhere and loses no response, so that it is not counted. `m_health` handles unreachable targets.
     if (outcome == Routing::TargetOutcome::Answered)
         m_outliers.note(targetKey, true, now);
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -8,6 +8,7 @@
     , m_retries(&prometheus::BuildCounter().Name("currantvale_retries_total").Help("Attempts after a request's first.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
     , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
+    , m_paths(prometheus::BuildGauge().Name("currantvale_target_paths").Help("Targets of a service by whether the last connection to them, made lately, succeeded.").Register(*m_registry))
 {
     prometheus::Family<prometheus::Counter>& finished = prometheus::BuildCounter().Name("currantvale_requests_finished_total").Help("Final answers by verdict.").Register(*m_registry);
     for (std::pair<Core::Verdict, std::string_view> const& it : Core::verdictNames) {
@@ -120,6 +121,23 @@
     }
 }
 
+// A service without recent evidence has neither.
+void Metrics::setPaths(std::vector<Routing::PathCounts> const& paths)
+{
+    std::lock_guard lock(m_rateLimitsMutex);
+    std::map<std::string, Routing::PathCounts> byService;
+    for (std::string const& service : m_services)
+        byService.emplace(service, Routing::PathCounts {});
+    for (Routing::PathCounts const& it : paths) {
+        byService[it.service] = it;
+        m_services.insert(it.service);
+    }
+    for (std::pair<std::string const, Routing::PathCounts> const& it : byService) {
+        m_paths.Add({ { "service", it.first }, { "path", "reached" } }).Set(it.second.reached);
+        m_paths.Add({ { "service", it.first }, { "path", "failed" } }).Set(it.second.failed);
+    }
+}
+
 std::string Metrics::text(MetricsSample const& sample)
 {
     m_values.Add({ { "of", "config_offset" } }).Set(static_cast<double>(sample.configOffset));
@@ -147,6 +165,7 @@
     m_values.Add({ { "of", "engines_wanted" } }).Set(sample.enginesWanted);
     m_values.Add({ { "of", "engines_serving" } }).Set(sample.enginesServing);
     setRateLimits(sample.targetRateLimits);
+    setPaths(sample.paths);
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -5,6 +5,7 @@
 #include <LibFleet/ReadTurn.h>
 #include <LibHttp/ConnectionEnd.h>
 #include <LibRouting/Decision.h>
+#include <LibRouting/PathTable.h>
 #include <LibRouting/TargetHealth.h>
 #include <array>
 #include <chrono>
@@ -15,7 +16,9 @@
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace Daemon {
 
@@ -46,6 +49,7 @@
     std::uint32_t enginesWanted { 0 }; ///< Of all services that this daemon orders engines for, as the next.
     std::uint32_t enginesServing { 0 };
     std::map<std::string, double> targetRateLimits {}; ///< Requests per second, by target name.
+    std::vector<Routing::PathCounts> paths {}; ///< Of the services whose targets this daemon has tried to reach lately.
 };
 
 /// A time that requests spend. Each is a histogram of its own.
@@ -115,6 +119,7 @@
     std::string text(MetricsSample const&);
 
 private:
+    void setPaths(std::vector<Routing::PathCounts> const&);
     void setRateLimits(std::map<std::string, double> const&);
     void addTimes();
     void addCounters();
@@ -132,7 +137,9 @@
     prometheus::Counter* m_retries;
     prometheus::Family<prometheus::Gauge>& m_values;
     prometheus::Family<prometheus::Gauge>& m_rateLimits;
+    prometheus::Family<prometheus::Gauge>& m_paths;
     std::map<std::string, prometheus::Gauge*> m_rateLimitsByTarget;
+    std::set<std::string> m_services; ///< That paths were reported of.
     std::mutex m_rateLimitsMutex;
 };
 
--- /dev/null
+++ b/Libraries/LibDaemon/PathBook.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibDaemon/FleetSnapshot.h>
+#include <LibRouting/PathTable.h>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Daemon {
+
+/// Which targets this daemon can connect to, as its traffic threads find out. One per daemon. Thread-safe.
+class PathBook {
+public:
+    /// Takes the listed targets.
+    void setFleet(FleetSnapshot const&);
+
+    /// Records evidence on the path to a target; evidence on a target that is not listed is ignored.
+    void note(std::uint64_t targetKey, Routing::PathEvidence);
+
+    /// Returns the counts of all services with evidence, for peers and operators.
+    std::vector<Routing::PathCounts> counts() const;
+
+private:
+    void logIfChanged(std::string const& service, Routing::PathTable::Time now);
+
+    mutable std::mutex m_mutex;
+    Routing::PathTable m_table;
+    std::map<std::uint64_t, std::string> m_services; ///< By target key.
+    std::map<std::string, bool> m_cutOff; ///< Whether this daemon was cut off when its state was last logged, by service.
+};
+
+}
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -208,6 +208,8 @@
     }
     leg->exchange = std::move(connected.value());
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
+    if (!leg->exchange->isOnKeptConnection())
+        m_context.dispatcher.paths().note(target.key, Routing::PathEvidence::Connected);
     co_return true;
 }
 
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -27,6 +27,8 @@
     // Owned by the leg, so that abandoning the attempt also ends the prefill.
     leg->exchange = std::move(connected.value());
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
+    if (!leg->exchange->isOnKeptConnection())
+        m_context.dispatcher.paths().note(target->key, Routing::PathEvidence::Connected);
     if (std::optional<Core::Error> refusal = quarantineError())
         co_return Core::Result<std::string>(std::move(*refusal));
     if (!maySend())
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -109,7 +109,9 @@
     Http::Reach reach = co_await m_context.client.reach(target.endpoint);
     std::chrono::milliseconds breakAge = std::chrono::ceil<std::chrono::milliseconds>(Clock::now() - begunAt);
     Core::logEvent(Core::Severity::Info, Core::Event::TargetProbed, { { "target", target.name }, { "key", std::to_string(target.key) }, { "reach", std::string(Core::nameOf(Http::reachNames, reach)) }, { "break_age_ms", std::to_string(breakAge.count()) } });
-    if (reach != Http::Reach::Reached)
+    if (reach == Http::Reach::Reached)
+        m_context.dispatcher.paths().note(target.key, Routing::PathEvidence::Connected);
+    else
         m_context.dispatcher.noteOutcome(target.key, Routing::TargetOutcome::Unreachable);
     if (reach == Http::Reach::Refused)
         noteEnded(target, "refused");
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -277,6 +277,7 @@
     beacon.leaving = m_leaving.own();
     beacon.rateLimits = m_hooks.rateLimitReports();
     beacon.suspects = m_hooks.suspects();
+    beacon.paths = m_hooks.paths();
     if (kind == BeaconKind::ToAll) {
         beacon.outcomes = m_hooks.takeOutcomes();
         beacon.heldParts = m_hooks.takeHeldParts();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -44,6 +44,7 @@
         std::function<void(std::string const& peer, std::vector<Routing::ServiceReport> const&)> takePeerReports;
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target's key in a role, as learnt.
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
+        std::function<std::vector<Routing::PathCounts>()> paths; ///< To how many targets this daemon could connect lately.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
         std::function<void(std::vector<std::string> const& others)> setSharers; ///< Names of the other daemons that share the rate limits of targets.
@@ -157,6 +158,7 @@
     bool isReading() const;
     Roles::SplitDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
+    void logAvoided(std::map<std::uint64_t, std::size_t> const& votes, std::size_t needed) const;
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
     void shareAmongDaemons(Core::BootClock::time_point now);
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t mostUnusableEntries = 1'000;
 // Of an entry that cannot be used, so much goes into the log.
 constexpr std::size_t loggedEntryBytes = 200;
+// Of the names of targets that are avoided, so many bytes go into the log.
+constexpr std::size_t loggedNamesBytes = 500;
 
 // All that was believed of the incarnation before stands under its own key, and counts no more.
 std::uint64_t keyOf(Platform::ListedTarget const& listed)
@@ -217,9 +219,20 @@
     if (unreachable == m_unreachable)
         return;
     m_unreachable = std::move(unreachable);
+    logAvoided(counts, needed);
     m_hooks.setAvoided(m_unreachable);
 }
 
+void StoreControl::logAvoided(std::map<std::uint64_t, std::size_t> const& votes, std::size_t needed) const
+{
+    std::string names;
+    for (FleetTarget const& target : m_fleet->targets) {
+        if (m_unreachable.contains(target.key))
+            names += (names.empty() ? "" : ",") + target.name + ":" + std::to_string(votes.at(target.key));
+    }
+    Core::logEvent(Core::Severity::Warning, Core::Event::TargetsAvoided, { { "targets", std::to_string(m_unreachable.size()) }, { "of", std::to_string(m_fleet->targets.size()) }, { "votes_needed", std::to_string(needed) }, { "names", names.substr(0, loggedNamesBytes) } });
+}
+
 // A peer may not have seen yet that a change has ended.
 std::optional<Routing::TargetRole> StoreControl::nextRole(Fleet::BookedTarget const& target, std::uint64_t key) const
 {
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -25,8 +25,10 @@
     beacon.usage = { { { 354, { { "org-a", 3 }, { "org-b", 1 } } }, { 355, {} } }, 355, 353 };
     beacon.sizedDemands = { { "llm", 12.5 } };
     beacon.rateLimits = { { 3, 4.5, std::chrono::milliseconds(250) }, { 4, std::nullopt, std::chrono::milliseconds(0) } };
+    beacon.paths = { { "llm", 7, 2 }, { "app", 0, 3 } };
     Daemon::BeaconMessage read = Daemon::decodeBeacon(Daemon::encode(beacon)).value();
     EXPECT_EQ(read.rateLimits, beacon.rateLimits);
+    EXPECT_EQ(read.paths, beacon.paths);
     EXPECT_EQ(read.wallClock, beacon.wallClock);
     EXPECT_EQ(read.usage, beacon.usage);
     EXPECT_EQ(read.sizedDemands, beacon.sizedDemands);
