--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -160,6 +160,14 @@
     spawnStandIn(name, m_targets.at(name).arguments);
 }
 
+void KeyedSite::setCutOff(std::size_t daemon, bool isCutOff)
+{
+    if (isCutOff)
+        m_cutOff.insert(daemon);
+    else
+        m_cutOff.erase(daemon);
+}
+
 // Fills deploy/entry.ini in, as the platform does.
 void KeyedSite::startDaemon(std::size_t n)
 {
@@ -185,6 +193,9 @@
     for (std::pair<std::string const, std::string> const& it : values)
         replaceAll(settings, "{{" + it.first + "}}", it.second);
     replaceAll(settings, "leave_hold_ms = 3000", "leave_hold_ms = " + std::to_string(m_settings.leaveHoldMs));
+    // No host of ours has this address (RFC 5737), so that no connection can be made from it.
+    if (m_cutOff.contains(n))
+        replaceAll(settings, "[targets]\n", "[targets]\nlocal_address = 192.0.2.1\n");
     // The port of the metrics is one for a VM, and these daemons share one.
     replaceAll(settings, "metrics = 127.0.0.1:9464\n", "");
     std::string name = (m_folder / (daemonName(n) + ".ini")).string();
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
 
     Process& process(std::string const& name) { return *m_processes.at(name); }
 
+    /// Cuts a daemon off from all targets, or no longer, from its next start on: it cannot make a connection to any of them, while
+    /// callers, the store and the other daemons reach it.
+    void setCutOff(std::size_t daemon, bool);
+
     /// Starts a daemon again, at its former addresses.
     void startDaemon(std::size_t n);
     /// Starts a target again, at its former address: under its former id where it has an odd number, else under a new one.
@@ -114,6 +119,7 @@
     std::map<std::string, Target> m_targets;
     std::map<std::string, Endpoint> m_forwarders;
     std::vector<Addresses> m_daemons;
+    std::set<std::size_t> m_cutOff; ///< Daemons.
     std::string m_organisations;
 };
 
