LibRouting: Count no votes against targets from daemons that are cut off themselves

Cause: findUnreachable closed a target for all once max(2, live / 3) daemons could not connect to it. Daemons that reach nothing have the whole fleet closed for the rest: the observer's fault was taken for the target's.

Change: Routing::PathVote. A daemon whose last connections to most of a service's targets failed has no vote on that service, unless all are cut off from it; a third of those that are left, and two at least, decide; a target that answers anyone later than the first vote stays open.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -145,7 +145,10 @@
     hooks.openWork = [this] { return m_dispatcher->openWork(); };
     hooks.takePeerWork = [this](std::string const& peer, std::vector<Routing::TargetShare> const& shares, std::chrono::milliseconds lifetime) { m_dispatcher->takePeerWork(peer, shares, lifetime); };
     hooks.takeOutcomes = [this] { return m_dispatcher->takeOutcomes(); };
-    hooks.takePeerOutcomes = [this](std::vector<Routing::OutcomeCounts> const& outcomes) { m_dispatcher->takePeerOutcomes(outcomes); };
+    hooks.takePeerOutcomes = [this](std::vector<Routing::OutcomeCounts> const& outcomes) {
+        m_dispatcher->takePeerOutcomes(outcomes);
+        m_dispatcher->paths().notePeerAnswers(outcomes);
+    };
     hooks.takeHeldParts = [this] { return m_dispatcher->takeHeldParts(); };
     hooks.serviceReports = [this] { return m_dispatcher->serviceReports(); };
     hooks.slowness = [this](std::uint64_t target, Routing::TargetRole role) { return m_dispatcher->slowness(target, role); };
@@ -153,6 +156,7 @@
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.paths = [this] { return m_dispatcher->paths().counts(); };
+    hooks.decideUnreachable = [this](std::vector<Routing::PathReport> const& reports, std::size_t live, std::chrono::milliseconds settle) { return m_dispatcher->paths().decideUnreachable(reports, live, settle); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
     hooks.onTargetsGone = [this](std::vector<std::uint64_t> const& targets) { noteTargetsGone(targets); };
--- a/Libraries/LibDaemon/PathBook.cpp
+++ b/Libraries/LibDaemon/PathBook.cpp
@@ -26,6 +26,8 @@
         return;
     Clock::time_point now = Clock::now();
     m_table.note(targetKey, evidence, now);
+    if (evidence != Routing::PathEvidence::Unreachable)
+        m_vote.noteAnswered(targetKey, now);
     logIfChanged(service->second, now);
 }
 
@@ -35,6 +37,21 @@
     return m_table.allCounts(Clock::now());
 }
 
+std::set<std::uint64_t> PathBook::decideUnreachable(std::vector<Routing::PathReport> const& reports, std::size_t live, std::chrono::milliseconds settle)
+{
+    std::lock_guard lock(m_mutex);
+    return m_vote.decide(reports, live, m_table, m_services, settle, Clock::now());
+}
+
+void PathBook::notePeerAnswers(std::vector<Routing::OutcomeCounts> const& outcomes)
+{
+    std::lock_guard lock(m_mutex);
+    for (Routing::OutcomeCounts const& it : outcomes) {
+        if (it.good > 0)
+            m_vote.noteAnswered(it.target, Clock::now());
+    }
+}
+
 void PathBook::logIfChanged(std::string const& service, Routing::PathTable::Time now)
 {
     Routing::PathCounts counts = m_table.counts(service, now);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -13,6 +13,7 @@
 #include <LibFleet/TargetBook.h>
 #include <LibFleet/TopicFollower.h>
 #include <LibHttp/Client.h>
+#include <LibRouting/PathVote.h>
 #include <LibSettings/DaemonSettings.h>
 #include <array>
 #include <atomic>
@@ -45,6 +46,7 @@
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target's key in a role, as learnt.
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<std::vector<Routing::PathCounts>()> paths; ///< To how many targets this daemon could connect lately.
+        std::function<std::set<std::uint64_t>(std::vector<Routing::PathReport> const&, std::size_t live, std::chrono::milliseconds settle)> decideUnreachable; ///< As `PathBook`.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
         std::function<void(std::vector<std::string> const& others)> setSharers; ///< Names of the other daemons that share the rate limits of targets.
@@ -158,7 +160,8 @@
     bool isReading() const;
     Roles::SplitDemand demandOf(std::string const& service) const;
     void findUnreachable(Core::BootClock::time_point now);
-    void logAvoided(std::map<std::uint64_t, std::size_t> const& votes, std::size_t needed) const;
+    std::vector<Routing::PathReport> pathReports(Core::BootClock::time_point now) const;
+    void logAvoided() const;
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
     void shareAmongDaemons(Core::BootClock::time_point now);
@@ -205,6 +208,7 @@
     std::map<std::uint64_t, std::uint32_t> m_targetIds; ///< By key.
     std::uint32_t m_nextTargetId { 0 };
     std::map<std::string, std::vector<std::uint64_t>> m_suspects; ///< By peer, as last said.
+    std::map<std::string, std::vector<Routing::PathCounts>> m_peerPaths; ///< Likewise.
     std::map<std::string, std::vector<Routing::ServiceReport>> m_reports; ///< Likewise.
     std::set<std::uint64_t> m_unreachable; ///< Targets that enough daemons cannot reach.
     Fleet::ChangingTargets m_changing; ///< As peers said.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -118,6 +118,7 @@
         m_suspects.erase(beacon.sender.name);
     else
         m_suspects[beacon.sender.name] = beacon.suspects;
+    m_peerPaths[beacon.sender.name] = beacon.paths;
     if (!beacon.isBrief) {
         m_hooks.takePeerReports(beacon.sender.name, beacon.services);
         m_reports[beacon.sender.name] = beacon.services;
@@ -195,42 +196,43 @@
     return { sum.promptEngines, std::max(places, terms->engine->kvCapacityTokens != 0 ? memory : 0), true };
 }
 
-// One daemon may be cut off by itself: only what a third of the daemons, and two at least, cannot reach counts.
-void StoreControl::findUnreachable(Clock::time_point now)
+// This daemon's and those of live peers that have anything to say against a target or a path.
+std::vector<Routing::PathReport> StoreControl::pathReports(Clock::time_point now) const
 {
-    constexpr std::size_t partOfDaemons = 3;
-    std::map<std::uint64_t, std::size_t> counts;
-    for (std::uint64_t target : m_hooks.suspects())
-        ++counts[target];
+    std::vector<Routing::PathReport> reports { { m_hooks.suspects(), m_hooks.paths() } };
     std::map<std::string, Fleet::BookedDaemon> const& daemons = m_beacons->book().daemons();
-    for (std::pair<std::string const, std::vector<std::uint64_t>> const& it : m_suspects) {
+    for (std::pair<std::string const, std::vector<Routing::PathCounts>> const& it : m_peerPaths) {
         std::map<std::string, Fleet::BookedDaemon>::const_iterator peer = daemons.find(it.first);
         if (peer == daemons.end() || !m_beacons->book().isLive(peer->second, now))
             continue;
-        for (std::uint64_t target : it.second)
-            ++counts[target];
-    }
-    std::size_t needed = std::max<std::size_t>(2, m_view.live / partOfDaemons);
-    std::set<std::uint64_t> unreachable;
-    for (std::pair<std::uint64_t const, std::size_t> const& it : counts) {
-        if (it.second >= needed)
-            unreachable.insert(it.first);
+        std::map<std::string, std::vector<std::uint64_t>>::const_iterator suspects = m_suspects.find(it.first);
+        bool hasFailed = std::any_of(it.second.begin(), it.second.end(), [](Routing::PathCounts const& counts) { return counts.failed > 0; });
+        if (hasFailed || suspects != m_suspects.end())
+            reports.push_back({ suspects == m_suspects.end() ? std::vector<std::uint64_t>() : suspects->second, it.second });
     }
+    return reports;
+}
+
+void StoreControl::findUnreachable(Clock::time_point now)
+{
+    // Outcomes are told with the next beacon, so an answer that is heard later than two of them is younger than the first vote.
+    std::chrono::milliseconds settle = 2 * m_beacons->book().beaconInterval();
+    std::set<std::uint64_t> unreachable = m_hooks.decideUnreachable(pathReports(now), m_view.live, settle);
     if (unreachable == m_unreachable)
         return;
     m_unreachable = std::move(unreachable);
-    logAvoided(counts, needed);
+    logAvoided();
     m_hooks.setAvoided(m_unreachable);
 }
 
-void StoreControl::logAvoided(std::map<std::uint64_t, std::size_t> const& votes, std::size_t needed) const
+void StoreControl::logAvoided() const
 {
     std::string names;
     for (FleetTarget const& target : m_fleet->targets) {
         if (m_unreachable.contains(target.key))
-            names += (names.empty() ? "" : ",") + target.name + ":" + std::to_string(votes.at(target.key));
+            names += (names.empty() ? "" : ",") + target.name;
     }
-    Core::logEvent(Core::Severity::Warning, Core::Event::TargetsAvoided, { { "targets", std::to_string(m_unreachable.size()) }, { "of", std::to_string(m_fleet->targets.size()) }, { "votes_needed", std::to_string(needed) }, { "names", names.substr(0, loggedNamesBytes) } });
+    Core::logEvent(Core::Severity::Warning, Core::Event::TargetsAvoided, { { "targets", std::to_string(m_unreachable.size()) }, { "of", std::to_string(m_fleet->targets.size()) }, { "names", names.substr(0, loggedNamesBytes) } });
 }
 
 // A peer may not have seen yet that a change has ended.
