LibDaemon: Pass requests to a peer while this daemon is cut off from their targets

What callers saw: daemons that reached no target served 0 of 153 and 0 of 156 first tries (users' record) and 0 of 150 and 0 of 155 (our run), though their peers reached all targets and they reached their peers.

Cause: a daemon was the only way from its callers to the targets. Nothing passed a request on.

Change: a daemon that is cut off from a service sends the request, as its caller sent it and with the time that is left, to a peer that is not; one hop at most, spread over the peers, 256 open at one of them. The peer's own errors carry a verdict, so that a refusal stays 'not run' and leads to another peer.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -32,6 +32,7 @@
     SuspectsUnknown = 2013,
     CallerLeft = 2014,
     ConnectionEndedUnanswered = 2015,
+    RequestRelayed = 2016,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -76,7 +77,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 65> eventNames { {
+inline constexpr EnumNames<Event, 66> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -100,6 +101,7 @@
     { Event::SuspectsUnknown, "suspects-unknown" },
     { Event::CallerLeft, "caller-left" },
     { Event::ConnectionEndedUnanswered, "connection-ended-unanswered" },
+    { Event::RequestRelayed, "request-relayed" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/AnswerSinks.cpp
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -10,14 +10,23 @@
 
 }
 
-CallerSink::CallerSink(Http::ResponseWriter& writer, CallerProtocol const& protocol, std::string requestId, bool isRepeatable)
+CallerSink::CallerSink(Http::ResponseWriter& writer, CallerProtocol const& protocol, std::string requestId, bool isRepeatable, bool isRelayed)
     : m_writer(writer)
     , m_protocol(protocol)
     , m_requestId(std::move(requestId))
     , m_isRepeatable(isRepeatable)
+    , m_isRelayed(isRelayed)
 {
 }
 
+Http::Response CallerSink::errorResponse(CallerProtocol const& protocol, Core::Error const& error, Request::HttpErrorContext const& context, bool isRelayed)
+{
+    Http::Response response = protocol.error(error, context);
+    if (isRelayed)
+        response.fields.set(std::string(relayVerdictHeader), std::string(Core::toString(error.verdict)));
+    return response;
+}
+
 boost::asio::awaitable<void> CallerSink::head(Http::ResponseHead head)
 {
     m_isEventStream = head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
@@ -73,7 +82,7 @@
     context.requestId = m_requestId;
     context.isRepeatable = m_isRepeatable;
     context.retryAfter = finish.retryAfter;
-    std::ignore = co_await m_writer.send(m_protocol.error(error, context));
+    std::ignore = co_await m_writer.send(errorResponse(m_protocol, error, context, m_isRelayed));
 }
 
 boost::asio::awaitable<void> CallerSink::finishWhole(Core::Verdict verdict)
--- a/Libraries/LibDaemon/AnswerSinks.h
+++ b/Libraries/LibDaemon/AnswerSinks.h
@@ -12,13 +12,16 @@
 class CallerSink final : public AnswerSink {
 public:
     /// Precondition: writer and protocol outlive the sink.
-    CallerSink(Http::ResponseWriter&, CallerProtocol const&, std::string requestId, bool isRepeatable);
+    CallerSink(Http::ResponseWriter&, CallerProtocol const&, std::string requestId, bool isRepeatable, bool isRelayed = false);
 
     boost::asio::awaitable<void> head(Http::ResponseHead) override;
     boost::asio::awaitable<void> piece(std::uint64_t position, std::string bytes) override;
     boost::asio::awaitable<void> finish(Request::Finish) override;
     bool isAbandoned() const override { return m_writer.isCallerGone(); }
 
+    /// The response to an error. For a peer that has passed the request on, it carries the verdict.
+    static Http::Response errorResponse(CallerProtocol const&, Core::Error const&, Request::HttpErrorContext const&, bool isRelayed);
+
 private:
     boost::asio::awaitable<void> beginStream(Core::Verdict);
     boost::asio::awaitable<void> finishWhole(Core::Verdict);
@@ -30,6 +33,7 @@
     CallerProtocol const& m_protocol;
     std::string m_requestId;
     bool m_isRepeatable;
+    bool m_isRelayed;
     std::optional<Http::ResponseHead> m_head;
     std::string m_held; ///< A body that is not streamed, until its end is known.
     bool m_isBegun { false };
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -85,7 +85,7 @@
     co_return false;
 }
 
-boost::asio::awaitable<void> CallerApi::sendError(Core::Error error, std::string requestId, bool isRepeatable, Http::ResponseWriter& writer)
+boost::asio::awaitable<void> CallerApi::sendError(Core::Error error, std::string requestId, bool isRepeatable, Http::ResponseWriter& writer, bool isRelayed)
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::RequestRejected, { { "request", requestId }, { "code", std::string(Core::toString(error.code)) }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
     m_context.metrics.countError(error.code);
@@ -95,7 +95,7 @@
     bool isEarly = error.verdict == Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable;
     if (isEarly)
         context.retryAfter = retryAfterStart;
-    std::ignore = co_await writer.send(m_context.callers.error(error, context));
+    std::ignore = co_await writer.send(CallerSink::errorResponse(m_context.callers, error, context, isRelayed));
 }
 
 boost::asio::awaitable<void> CallerApi::serveWork(Http::Request& request, Http::ResponseWriter& writer)
@@ -107,18 +107,22 @@
         co_await serveTicket(std::string(*ticket), requestId, request, writer);
         co_return;
     }
+    // A caller who sends it gets its request served here or not at all.
+    bool isRelayed = request.fields.find(relayHeader).has_value();
+    request.fields.remove(relayHeader);
     WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline, m_context.settings.callers.keys };
     Core::Result<Work> parsed = m_context.callers.parse(request, *m_context.fleet, limits, requestId);
     if (parsed.has_error()) {
-        co_await sendError(parsed.error(), requestId, false, writer);
+        co_await sendError(parsed.error(), requestId, false, writer, isRelayed);
         co_return;
     }
     Work work = std::move(parsed.value());
+    work.isRelayed = isRelayed;
     work.key = workKeyOf(request, work);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
         if (!m_shared.leaveTimes.accepts(work.timeout, expected, Clock::now())) {
-            co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon is stopping, and would end before the answer does"), work.requestId, work.isRepeatable, writer);
+            co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon is stopping, and would end before the answer does"), work.requestId, work.isRepeatable, writer, isRelayed);
             co_return;
         }
     }
@@ -134,10 +138,10 @@
 {
     Core::Result<std::vector<std::uint32_t>> eligible = eligibleTargets(*m_context.fleet, work);
     if (eligible.has_error()) {
-        co_await sendError(eligible.error(), work.requestId, work.isRepeatable, writer);
+        co_await sendError(eligible.error(), work.requestId, work.isRepeatable, writer, work.isRelayed);
         co_return;
     }
-    std::shared_ptr<CallerSink> sink = std::make_shared<CallerSink>(writer, m_context.callers, work.requestId, work.isRepeatable);
+    std::shared_ptr<CallerSink> sink = std::make_shared<CallerSink>(writer, m_context.callers, work.requestId, work.isRepeatable, work.isRelayed);
     std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible.value()), sink);
     writer.onCallerGone([weak = std::weak_ptr<RequestRunner>(runner)] {
         if (std::shared_ptr<RequestRunner> alive = weak.lock())
--- a/Libraries/LibDaemon/CallerApi.h
+++ b/Libraries/LibDaemon/CallerApi.h
@@ -29,7 +29,7 @@
     boost::asio::awaitable<void> collect(Http::Request const&, Http::ResponseWriter&);
     boost::asio::awaitable<void> follow(Request::TicketNonce, Request::AnswerOffset, CallerSink&, Http::ResponseWriter&);
     boost::asio::awaitable<void> forward(ForwardedRequest, Request::Ticket const&, std::chrono::milliseconds timeout, CallerSink&, Http::ResponseWriter&);
-    boost::asio::awaitable<void> sendError(Core::Error, std::string requestId, bool isRepeatable, Http::ResponseWriter&);
+    boost::asio::awaitable<void> sendError(Core::Error, std::string requestId, bool isRepeatable, Http::ResponseWriter&, bool isRelayed = false);
 
     bool isHome(Request::Ticket const&) const;
     Http::Response entries() const;
--- a/Libraries/LibDaemon/CallerProtocol.h
+++ b/Libraries/LibDaemon/CallerProtocol.h
@@ -29,6 +29,10 @@
     /// The answer for an error; its verdict decides what the caller is told.
     std::function<Http::Response(Core::Error const&, Request::HttpErrorContext const&)> error;
 
+    /// The request as a caller sends it, for a peer that serves it in place of this daemon; of a stream that has begun, from behind the
+    /// event with this id. Empty: requests are not passed on.
+    std::function<Http::Request(Work const&, std::chrono::milliseconds timeLeft, std::string const& lastEventId)> relayed;
+
     /// The answer to the question which daemons to use.
     std::function<Http::Response(EntryList const&)> entries;
 
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -156,6 +156,13 @@
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.paths = [this] { return m_dispatcher->paths().counts(); };
+    hooks.needsRelays = [this] { return m_dispatcher->paths().isImpaired(); };
+    hooks.setRelayPeers = [this](std::vector<RelayPeer> peers) { m_dispatcher->paths().setPeers(std::move(peers)); };
+    hooks.probePaths = [this] {
+        std::vector<std::uint64_t> targets = m_dispatcher->paths().takeProbes();
+        if (!targets.empty())
+            m_traffic.front()->probe(std::move(targets));
+    };
     hooks.decideUnreachable = [this](std::vector<Routing::PathReport> const& reports, std::size_t live, std::chrono::milliseconds settle) { return m_dispatcher->paths().decideUnreachable(reports, live, settle); };
     hooks.setAvoided = [this](std::set<std::uint64_t> targets) { m_dispatcher->setAvoided(std::move(targets)); };
     hooks.countStoreCall = [this](Fleet::StoreCallReason reason) { m_metrics.countStoreCall(reason); };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -55,6 +55,7 @@
     , m_prefixes(std::move(prefixes))
     , m_random(seed)
     , m_preferenceSeed(m_random())
+    , m_paths(m_random())
 {
 }
 
@@ -143,7 +144,7 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that cannot be chosen now are candidates, too, because the outputs pending from them count.
-        bool isUnusable = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow) || isRateExhausted(waiter, target.key, bootNow);
+        bool isUnusable = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_paths.isClosed(target.key) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow) || isRateExhausted(waiter, target.key, bootNow);
         bool isClosed = isExcluded || isUnusable;
         // An excluded target counts, because it may still generate the output if no other is left.
         hasOutputTarget = hasOutputTarget || (role->second != Routing::TargetRole::Prefill && !isUnusable);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -205,7 +205,6 @@
     Routing::SpeedBook m_speeds;
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
-    PathBook m_paths;
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
     Routing::PrefixIndex m_prefixes;
     std::vector<Routing::HeldPart> m_unreportedParts;
@@ -213,6 +212,7 @@
     std::unique_ptr<Admission::Controller> m_admission;
     std::mt19937_64 m_random;
     std::uint64_t m_preferenceSeed; ///< Differs per daemon, and with it the preferred targets.
+    PathBook m_paths;
     std::uint64_t m_lastId { 0 };
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters; ///< Waiting and granted placements.
     std::map<std::vector<std::uint32_t>, Admission::GroupId> m_groups; ///< By the sorted ids of the allowed targets.
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -6,6 +6,7 @@
 Metrics::Metrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_retries(&prometheus::BuildCounter().Name("currantvale_retries_total").Help("Attempts after a request's first.").Register(*m_registry).Add({}))
+    , m_relays(&prometheus::BuildCounter().Name("currantvale_relays_total").Help("Requests passed on to a peer because this daemon could not reach their targets.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
     , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
     , m_paths(prometheus::BuildGauge().Name("currantvale_target_paths").Help("Targets of a service by whether the last connection to them, made lately, succeeded.").Register(*m_registry))
@@ -98,6 +99,11 @@
     m_decisions[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::countRelay()
+{
+    m_relays->Increment();
+}
+
 void Metrics::countRetry()
 {
     m_retries->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -94,6 +94,9 @@
     /// Notes a further attempt.
     void countRetry();
 
+    /// Counts a request that was passed on to a peer.
+    void countRelay();
+
     /// Notes a time that a request spent.
     void observe(TimeOf, std::chrono::nanoseconds);
 
@@ -135,6 +138,7 @@
     std::array<std::array<prometheus::Counter*, 2>, Http::connectionEndReasonNames.size()> m_connectionEnds {};
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
+    prometheus::Counter* m_relays;
     prometheus::Family<prometheus::Gauge>& m_values;
     prometheus::Family<prometheus::Gauge>& m_rateLimits;
     prometheus::Family<prometheus::Gauge>& m_paths;
--- a/Libraries/LibDaemon/PathBook.cpp
+++ b/Libraries/LibDaemon/PathBook.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/PathBook.h>
+#include <algorithm>
 
 namespace Daemon {
 
@@ -37,6 +38,66 @@
     return m_table.allCounts(Clock::now());
 }
 
+bool PathBook::isImpaired() const
+{
+    std::vector<Routing::PathCounts> all = counts();
+    return std::any_of(all.begin(), all.end(), [](Routing::PathCounts const& it) { return it.failed > it.reached; });
+}
+
+bool PathBook::isCutOff() const
+{
+    return isCutOff(counts());
+}
+
+bool PathBook::isCutOff(std::vector<Routing::PathCounts> const& counts) const
+{
+    std::lock_guard lock(m_mutex);
+    return std::any_of(counts.begin(), counts.end(), [this](Routing::PathCounts const& it) { return m_table.isCutOff(it); });
+}
+
+bool PathBook::isClosed(std::uint64_t targetKey) const
+{
+    std::lock_guard lock(m_mutex);
+    Clock::time_point now = Clock::now();
+    if (!m_table.isFailed(targetKey, now))
+        return false;
+    return m_table.isCutOff(m_table.counts(m_services.at(targetKey), now));
+}
+
+std::vector<std::uint64_t> PathBook::takeProbes()
+{
+    std::lock_guard lock(m_mutex);
+    return m_table.takeProbes(Clock::now());
+}
+
+void PathBook::setPeers(std::vector<RelayPeer> peers)
+{
+    std::lock_guard lock(m_mutex);
+    m_peers = std::move(peers);
+}
+
+std::optional<RelayPeer> PathBook::beginRelay(std::string const& service, std::vector<std::string> const& excluded, bool isRetry)
+{
+    std::lock_guard lock(m_mutex);
+    Routing::PathCounts own = m_table.counts(service, Clock::now());
+    bool isNeeded = isRetry ? own.failed > own.reached : m_table.isCutOff(own);
+    if (!isNeeded)
+        return std::nullopt;
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (!isRetry && draw(m_random) < Routing::PathTable::shareOf(own))
+        return std::nullopt;
+    std::vector<RelayPeer const*> candidates;
+    for (RelayPeer const& peer : m_peers) {
+        if (mayServe(peer, service, excluded))
+            candidates.push_back(&peer);
+    }
+    RelayPeer const* peer = lessBusy(candidates);
+    if (!peer)
+        return std::nullopt;
+    ++m_open[peer->name];
+    return *peer;
+}
+
 std::set<std::uint64_t> PathBook::decideUnreachable(std::vector<Routing::PathReport> const& reports, std::size_t live, std::chrono::milliseconds settle)
 {
     std::lock_guard lock(m_mutex);
@@ -52,6 +113,38 @@
     }
 }
 
+void PathBook::endRelay(std::string const& peer)
+{
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, std::size_t>::iterator it = m_open.find(peer);
+    if (it != m_open.end() && --it->second == 0)
+        m_open.erase(it);
+}
+
+bool PathBook::mayServe(RelayPeer const& peer, std::string const& service, std::vector<std::string> const& excluded) const
+{
+    std::map<std::string, std::size_t>::const_iterator open = m_open.find(peer.name);
+    if (open != m_open.end() && open->second >= maxOpenPerPeer)
+        return false;
+    bool isCutOff = std::any_of(peer.paths.begin(), peer.paths.end(), [&](Routing::PathCounts const& it) { return it.service == service && m_table.isCutOff(it); });
+    return !isCutOff && std::find(excluded.begin(), excluded.end(), peer.name) == excluded.end();
+}
+
+// Of two peers at random the one with fewer relayed requests of this daemon, so that daemons without a common view spread theirs.
+RelayPeer const* PathBook::lessBusy(std::vector<RelayPeer const*> const& candidates)
+{
+    if (candidates.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+    RelayPeer const* first = candidates[draw(m_random)];
+    RelayPeer const* second = candidates[draw(m_random)];
+    auto const rank = [this](RelayPeer const& it) {
+        std::map<std::string, std::size_t>::const_iterator open = m_open.find(it.name);
+        return std::pair(open == m_open.end() ? 0 : open->second, !it.isInSameZone);
+    };
+    return rank(*second) < rank(*first) ? second : first;
+}
+
 void PathBook::logIfChanged(std::string const& service, Routing::PathTable::Time now)
 {
     Routing::PathCounts counts = m_table.counts(service, now);
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -26,11 +26,16 @@
 // An attempt skips at most this many consecutive responses to other requests, then it fails.
 constexpr int maxForeignAnswers = 2;
 
-bool isEventStream(Http::ResponseHead const& head)
+}
+
+bool RequestRunner::isEventStream(Http::ResponseHead const& head)
 {
     return head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
 }
 
+void RequestRunner::postRefusal(LegPointer const& leg, Core::Error error, std::chrono::milliseconds retryAfter)
+{
+    post(Request::NoTarget { leg->leg.attempt, std::move(error), retryAfter });
 }
 
 boost::asio::awaitable<void> RequestRunner::wait(std::chrono::milliseconds duration)
@@ -77,7 +82,14 @@
 {
     if (delay.count() > 0)
         co_await wait(delay);
-    if (leg->isAbandoned || !co_await placeAttempt(leg, std::move(excluded)))
+    if (leg->isAbandoned)
+        co_return;
+    m_isAtPeer = false;
+    if (std::optional<RelayPeer> peer = beginRelay(leg->leg.attempt, excluded)) {
+        co_await runAtPeer(leg, std::move(*peer));
+        co_return;
+    }
+    if (!co_await placeAttempt(leg, std::move(excluded)))
         co_return;
     FleetTarget const* target = targetOf(m_target);
     post(Request::TargetPicked { leg->leg.attempt, m_target });
@@ -98,6 +110,7 @@
     TargetSend send = sendOf(leg->leg.attempt);
     Http::Request request = m_context.targets.request(m_work, send);
     Core::BootClock::time_point sentAt = Core::BootClock::now();
+    watchAcknowledgement(leg, *target);
     Core::Result<void> started = co_await leg->exchange->start(request);
     bool isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
     // Skips responses to earlier requests on this connection.
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -41,6 +41,7 @@
     TargetSend send = sendOf(leg->leg.attempt);
     Clock::time_point sentAt = Clock::now();
     Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
+    watchAcknowledgement(leg, *target);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
     wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
     if (started.has_error() && !leg->isAbandoned) {
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -50,6 +50,8 @@
 
     using LegPointer = std::shared_ptr<UpstreamLeg>;
 
+    static constexpr std::uint16_t noStatus = 0; ///< Of a leg whose response has not begun.
+
     static Request::RequestProfile profileOf(Work const&, TargetProtocol const&, std::chrono::steady_clock::time_point deadline);
 
     void post(Request::RequestEvent);
@@ -74,6 +76,12 @@
     bool keepPrompt();
     void notePrefillBroken(Core::Error const&);
     void logPrefillFailure(Core::Error const&) const;
+    std::optional<RelayPeer> beginRelay(std::uint32_t attempt, std::vector<std::string> const& excluded);
+    boost::asio::awaitable<void> runAtPeer(LegPointer, RelayPeer);
+    boost::asio::awaitable<void> readPeerAnswer(LegPointer, bool isContinued);
+    void logRelayFailure(Core::Error const&) const;
+    void watchAcknowledgement(LegPointer const&, FleetTarget const&);
+    boost::asio::awaitable<void> probePath(LegPointer, FleetTarget);
     boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
     boost::asio::awaitable<void> readAnswer(LegPointer, TargetSend);
     boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex, bool isContinued);
@@ -83,6 +91,8 @@
     boost::asio::awaitable<void> postWithBackpressure(Request::RequestEvent);
 
     void postFailure(LegPointer const&, Core::Error const&);
+    void postRefusal(LegPointer const&, Core::Error, std::chrono::milliseconds retryAfter);
+    static bool isEventStream(Http::ResponseHead const&);
     std::optional<Core::Error> quarantineError() const;
     bool finishIfQuarantined(LegPointer const&);
     void excludeOtherSuspects(std::vector<std::string>& excluded) const;
@@ -128,6 +138,8 @@
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0 if none.
     Quarantine::RunTable::Id m_run { 0 }; ///< Run at the attempt's target; 0 if none.
+    bool m_isAtPeer { false }; ///< A peer serves the current attempt, and counts its usage.
+    std::uint32_t m_peerRefusals { 0 };
     bool m_hasCallerLeft { false }; ///< No further attempt starts and nothing more is sent.
     Routing::Reason m_reason { Routing::Reason::NoCandidate }; ///< Reason of the last placement.
     std::string m_target; ///< Name of the attempt's target, for logs.
--- a/Libraries/LibDaemon/RequestUsage.cpp
+++ b/Libraries/LibDaemon/RequestUsage.cpp
@@ -7,13 +7,15 @@
 // Each request is counted once, when its first run begins.
 void RequestRunner::noteBegun()
 {
-    if (m_work.isAuthenticated && !std::exchange(m_hasBegun, true))
+    if (m_work.isAuthenticated && !m_isAtPeer && !std::exchange(m_hasBegun, true))
         m_context.usage.countRequest(m_work.organisation, Core::BootClock::now());
 }
 
 // Most calls to plain services whose response is lost have run, so that they count. An engine may itself have been lost.
 void RequestRunner::noteLostAnswer()
 {
+    if (m_isAtPeer)
+        return;
     FleetTarget const* target = targetOf(m_target);
     if (m_work.kind == Work::Kind::Service)
         noteBegun();
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -305,6 +305,7 @@
         bool isLapsed = m_targets.expire(now);
         bool isOpened = m_changing.expire(now);
         findUnreachable(now);
+        pollPaths(now);
         pollDuties(now);
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -4,6 +4,7 @@
 #include <LibDaemon/BeaconExchange.h>
 #include <LibDaemon/Control.h>
 #include <LibDaemon/EngineKeeper.h>
+#include <LibDaemon/PathBook.h>
 #include <LibDaemon/QuarantineExchange.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
@@ -13,7 +14,6 @@
 #include <LibFleet/TargetBook.h>
 #include <LibFleet/TopicFollower.h>
 #include <LibHttp/Client.h>
-#include <LibRouting/PathVote.h>
 #include <LibSettings/DaemonSettings.h>
 #include <array>
 #include <atomic>
@@ -46,6 +46,9 @@
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target's key in a role, as learnt.
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<std::vector<Routing::PathCounts>()> paths; ///< To how many targets this daemon could connect lately.
+        std::function<bool()> needsRelays; ///< Whether this daemon reaches few of the targets of some service.
+        std::function<void(std::vector<RelayPeer>)> setRelayPeers; ///< Takes the daemons that may serve requests in place of this one.
+        std::function<void()> probePaths; ///< Has targets probed that this daemon could not reach, where that is due.
         std::function<std::set<std::uint64_t>(std::vector<Routing::PathReport> const&, std::size_t live, std::chrono::milliseconds settle)> decideUnreachable; ///< As `PathBook`.
         std::function<void(std::set<std::uint64_t>)> setAvoided; ///< Takes those that enough daemons cannot reach.
         std::function<void(std::size_t daemons)> setDaemons; ///< How many daemons share the site's budgets.
@@ -162,6 +165,8 @@
     void findUnreachable(Core::BootClock::time_point now);
     std::vector<Routing::PathReport> pathReports(Core::BootClock::time_point now) const;
     void logAvoided() const;
+    void pollPaths(Core::BootClock::time_point now);
+    std::vector<RelayPeer> relayPeers(Core::BootClock::time_point now) const;
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
     void shareAmongDaemons(Core::BootClock::time_point now);
@@ -220,6 +225,7 @@
     std::optional<Core::BootClock::time_point> m_listedAt; ///< When the list of targets was first known whole.
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
+    bool m_hasRelayPeers { false };
     bool m_isTargetListChanged { false };
     bool m_isLeaving { false };
     bool m_isStopped { false };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -225,6 +225,32 @@
     m_hooks.setAvoided(m_unreachable);
 }
 
+std::vector<RelayPeer> StoreControl::relayPeers(Clock::time_point now) const
+{
+    std::vector<RelayPeer> peers;
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        if (!m_beacons->book().isLive(it.second, now) || it.second.said.isLeaving)
+            continue;
+        std::map<std::string, std::vector<Routing::PathCounts>>::const_iterator paths = m_peerPaths.find(it.first);
+        peers.push_back({ it.first, it.second.listed.callerAddress, it.second.listed.availabilityZone == m_settings.daemon.availabilityZone, paths == m_peerPaths.end() ? std::vector<Routing::PathCounts>() : paths->second });
+    }
+    return peers;
+}
+
+// The list of peers is made only while it is needed, because it takes time at a large site.
+void StoreControl::pollPaths(Clock::time_point now)
+{
+    m_hooks.probePaths();
+    bool isNeeded = m_hooks.needsRelays();
+    if (isNeeded)
+        m_hooks.setRelayPeers(relayPeers(now));
+    else if (m_hasRelayPeers)
+        m_hooks.setRelayPeers({});
+    // Peers must not choose a daemon that needs them itself.
+    if (std::exchange(m_hasRelayPeers, isNeeded) != isNeeded)
+        m_beacons->sendSoon();
+}
+
 void StoreControl::logAvoided() const
 {
     std::string names;
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -33,7 +33,8 @@
     Settings::DaemonSettings const& settings;
     Dispatcher& dispatcher;
     BudgetHook budgetOf; ///< The retry budget that a request draws on.
-    Http::Client& client;
+    Http::Client& client; ///< For targets.
+    Http::Client& peerClient; ///< For peers that serve requests in place of this daemon.
     Platform::EngineControl& engines;
     TargetProtocol const& targets;
     CallerProtocol const& callers;
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -1,6 +1,9 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/HttpErrors.h>
 #include <LibDaemon/TrafficThread.h>
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace Daemon {
@@ -9,6 +12,13 @@
 
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
 
+// Peers are reached over the VM's own network, whatever leads to the targets.
+Http::ClientSettings peerClientSettings(Http::ClientSettings settings)
+{
+    settings.localAddress.reset();
+    return settings;
+}
+
 void logUnanswered(Http::ConnectionEnd const& end)
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::ConnectionEndedUnanswered, { { "reason", std::string(Core::nameOf(Http::connectionEndReasonNames, end.reason)) }, { "requests", std::to_string(end.requests) }, { "answers", std::to_string(end.answers) }, { "unread_bytes", std::to_string(end.unreadBytes) }, { "unsent_bytes", std::to_string(end.unsentBytes) } });
@@ -21,9 +31,10 @@
     , m_context(*m_ownContext)
     , m_guard(m_context.get_executor())
     , m_client(Http::Client::create(m_context, parts.settings.targets))
+    , m_peerClient(Http::Client::create(m_context, peerClientSettings(parts.settings.targets)))
     , m_engines(Platform::createHttpEngineControl(*m_client))
     , m_peers(std::move(peers))
-    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, std::make_shared<FleetSnapshot>(), m_runners }
+    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_peerClient, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, std::make_shared<FleetSnapshot>(), m_runners }
     , m_api(std::make_unique<CallerApi>(m_traffic, parts.shared))
     , m_idleTimer(m_context)
 {
@@ -98,6 +109,22 @@
     });
 }
 
+void TrafficThread::probe(std::vector<std::uint64_t> targetKeys)
+{
+    post([this, keys = std::move(targetKeys)] {
+        for (FleetTarget const& target : m_traffic.fleet->targets) {
+            if (std::find(keys.begin(), keys.end(), target.key) != keys.end())
+                boost::asio::co_spawn(m_context, [this, key = target.key, endpoint = target.endpoint] { return probe(key, endpoint); }, boost::asio::detached);
+        }
+    });
+}
+
+boost::asio::awaitable<void> TrafficThread::probe(std::uint64_t targetKey, boost::asio::ip::tcp::endpoint endpoint)
+{
+    Http::Reach reach = co_await m_client->reach(endpoint);
+    m_traffic.dispatcher.paths().note(targetKey, reach == Http::Reach::Reached ? Routing::PathEvidence::Connected : Routing::PathEvidence::Unreachable);
+}
+
 void TrafficThread::endRequests()
 {
     post([this] {
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -54,6 +54,9 @@
     /// Stops accepting; `onIdle` is called on the traffic thread once no request is served. Thread-safe.
     void drain(std::function<void()> onIdle);
 
+    /// Connects to targets to find out whether they can be reached. Thread-safe.
+    void probe(std::vector<std::uint64_t> targetKeys);
+
     /// Gives every open request its last answer, and takes no more connections. Thread-safe.
     void endRequests();
 
@@ -70,6 +73,7 @@
 
 private:
     TrafficThread(std::unique_ptr<boost::asio::io_context>, std::shared_ptr<Peer::Clients>, TrafficParts const&);
+    boost::asio::awaitable<void> probe(std::uint64_t targetKey, boost::asio::ip::tcp::endpoint);
     void waitUntilIdle(std::function<void()> onIdle);
     void checkIdleLater(std::function<void()> onIdle);
     void logState(std::string_view phase) const;
@@ -79,6 +83,7 @@
     boost::asio::io_context& m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::unique_ptr<Http::Client> m_client;
+    std::unique_ptr<Http::Client> m_peerClient;
     std::unique_ptr<Platform::EngineControl> m_engines;
     std::shared_ptr<Peer::Clients> m_peers;
     TrafficContext m_traffic;
--- a/Libraries/LibDaemon/UpstreamLeg.h
+++ b/Libraries/LibDaemon/UpstreamLeg.h
@@ -4,6 +4,7 @@
 #include <LibHttp/Client.h>
 #include <LibRequest/RequestEvent.h>
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -17,13 +18,16 @@
         : leg(number)
         , goAhead(executor)
         , connecting(std::make_shared<Http::CancelSlot>())
+        , acknowledgementTimer(executor)
     {
+        head.status = 0;
     }
 
     /// Gives the connection up: whatever it waits for ends.
     void abandon()
     {
         isAbandoned = true;
+        acknowledgementTimer.cancel();
         connecting->trigger();
         goAhead.notify();
         if (exchange)
@@ -34,7 +38,8 @@
     Signal goAhead; ///< Notified when the request is to be written.
     std::shared_ptr<Http::CancelSlot> connecting;
     std::unique_ptr<Http::Exchange> exchange;
-    Http::ResponseHead head;
+    boost::asio::steady_timer acknowledgementTimer; ///< Fires if the request may not have arrived at the target's host.
+    Http::ResponseHead head; ///< Its status is 0 before the response begins.
     bool isAbandoned { false };
 };
 
--- a/Tests/platform/TestKeys.cpp
+++ b/Tests/platform/TestKeys.cpp
@@ -153,3 +153,20 @@
         RC_ASSERT((named(sent) == expected));
     }
 }
+
+// Guards against a peer that rejects what was passed on to it, because the caller's key stayed behind.
+TEST(PlatformKeys, APassedOnRequestIsReadAsTheCallerSentIt)
+{
+    Daemon::Work work = parse("/h/x", { { "Api-Key", "key-a2" }, { "X-Deadline-Ms", "5000" }, { "X-Token-Usage", "100,10" }, { "X-Prompt-Prefix", "a:60,b:40" }, { "X-Tenant", "org-b" } }).value();
+    Http::Request relayed = UsersPlatform::callerProtocol().relayed(work, 1'234ms, "7");
+    EXPECT_EQ(relayed.fields.find("X-Deadline-Ms"), "1234");
+    EXPECT_EQ(relayed.fields.find("Last-Event-Id"), "7");
+    EXPECT_TRUE(named(relayed).empty());
+    Daemon::Work read = UsersPlatform::callerProtocol().parse(relayed, makeFleet(0ms), {}, "own").value();
+    EXPECT_EQ(read.organisation, "org-a");
+    EXPECT_EQ(read.requestId, work.requestId);
+    EXPECT_EQ(read.timeout, 1'234ms);
+    EXPECT_EQ(read.prefix.size(), work.prefix.size());
+    EXPECT_EQ(read.upstream.body, work.upstream.body);
+    EXPECT_EQ(read.priority, work.priority);
+}
