LibDaemon: Take a refused connection for the end of a target only beside one that is reached

What callers saw: requests that had run at daemons whose path reset all connections were suspected of ending targets (refused while another of the same ran, kept from targets), at all daemons.

Cause: a path that resets connections looks like a host where nothing listens.

Change: the daemon connects to another target of the service just then, and counts the end only if that is reached. Otherwise it stays open until the list of targets decides.

No test of its own: a process test cannot refuse one daemon's connections and take another's on loopback.

--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -101,6 +101,7 @@
     void noteAnswerEnd(Http::ResponseHead const&, bool isWhole);
     void breakOffRun();
     boost::asio::awaitable<void> probeTarget(FleetTarget);
+    boost::asio::awaitable<bool> reachesAnother(FleetTarget);
     void noteEnded(FleetTarget const&, std::string_view sign);
     TargetSend sendOf(std::uint32_t attempt) const;
     std::chrono::steady_clock::time_point now() const;
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -113,12 +113,30 @@
         m_context.dispatcher.paths().note(target.key, Routing::PathEvidence::Connected);
     else
         m_context.dispatcher.noteOutcome(target.key, Routing::TargetOutcome::Unreachable);
-    if (reach == Http::Reach::Refused)
+    if (reach == Http::Reach::Refused && co_await reachesAnother(target))
         noteEnded(target, "refused");
     else
         m_context.guard.noteUnknown(target.key);
 }
 
+// Whether this daemon can connect to any other target of the service, or there is none to compare with. A path that resets connections
+// looks like a host where nothing listens.
+boost::asio::awaitable<bool> RequestRunner::reachesAnother(FleetTarget target)
+{
+    std::vector<FleetTarget const*> others;
+    for (FleetTarget const& it : m_context.fleet->targets) {
+        if (it.work() == target.work() && it.key != target.key && !it.isClosed())
+            others.push_back(&it);
+    }
+    if (others.empty())
+        co_return true;
+    FleetTarget witness = *others[std::hash<std::string>()(m_work.requestId) % others.size()];
+    Http::Reach reach = co_await m_context.client.reach(witness.endpoint);
+    bool isReached = reach == Http::Reach::Reached;
+    m_context.dispatcher.paths().note(witness.key, isReached ? Routing::PathEvidence::Connected : Routing::PathEvidence::Unreachable);
+    co_return isReached;
+}
+
 void RequestRunner::noteEnded(FleetTarget const& target, std::string_view sign)
 {
     std::vector<Quarantine::Finding> findings = m_context.guard.noteEnded(target.key, Clock::now());
