LibDaemon: Leave leases and duties on targets to a peer while cut off from them

Cause: whoever could reach the store could lead, whether or not its orders arrived, and planned for a fleet in which all that it could not reach was down.

Change: a daemon that is cut off while a live peer is not gives its leases up, claims none, plans no roles, is no candidate for the singleton duties, and says so in its beacons.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -156,6 +156,7 @@
     hooks.takePeerParts = [this](std::vector<Routing::HeldPart> const& parts) { m_dispatcher->takePeerParts(parts); };
     hooks.suspects = [this] { return m_dispatcher->suspects(); };
     hooks.paths = [this] { return m_dispatcher->paths().counts(); };
+    hooks.isCutOff = [this](std::vector<Routing::PathCounts> const& counts) { return m_dispatcher->paths().isCutOff(counts); };
     hooks.needsRelays = [this] { return m_dispatcher->paths().isImpaired(); };
     hooks.setRelayPeers = [this](std::vector<RelayPeer> peers) { m_dispatcher->paths().setPeers(std::move(peers)); };
     hooks.probePaths = [this] {
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -264,9 +264,9 @@
     beacon.state.configVersion = configVersion();
     beacon.state.targetsChanged = m_targetList.newsOffset;
     beacon.state.isReading = isReading();
-    beacon.state.cannotPlan = m_engineLeases->isBarred();
+    beacon.state.cannotPlan = m_engineLeases->isBarred() || m_isOutOfTouch;
     beacon.state.leaseClaimed = m_engineLeases->claimed();
-    beacon.state.cannotHoldDuties = m_dutyLeases && m_dutyLeases->isBarred();
+    beacon.state.cannotHoldDuties = m_dutyLeases && (m_dutyLeases->isBarred() || m_isOutOfTouch);
     beacon.state.storeFailingFor = storeFailingFor();
     beacon.state.configAge = m_configuration.follower->ownReadAge(now);
     beacon.state.targetsAge = m_targetList.follower->ownReadAge(now);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -46,6 +46,7 @@
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target's key in a role, as learnt.
         std::function<std::vector<std::uint64_t>()> suspects; ///< Keys of targets that this daemon could not reach lately.
         std::function<std::vector<Routing::PathCounts>()> paths; ///< To how many targets this daemon could connect lately.
+        std::function<bool(std::vector<Routing::PathCounts> const&)> isCutOff; ///< Whether a daemon with these counts is cut off from some service.
         std::function<bool()> needsRelays; ///< Whether this daemon reaches few of the targets of some service.
         std::function<void(std::vector<RelayPeer>)> setRelayPeers; ///< Takes the daemons that may serve requests in place of this one.
         std::function<void()> probePaths; ///< Has targets probed that this daemon could not reach, where that is due.
@@ -166,6 +167,8 @@
     std::vector<Routing::PathReport> pathReports(Core::BootClock::time_point now) const;
     void logAvoided() const;
     void pollPaths(Core::BootClock::time_point now);
+    bool isCutOff(std::string const& peer) const;
+    void leaveTargetsToPeers(bool isOutOfTouch);
     std::vector<RelayPeer> relayPeers(Core::BootClock::time_point now) const;
     bool knowsEnough(Core::BootClock::time_point now) const;
     void rebuild();
@@ -226,6 +229,7 @@
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
     bool m_hasRelayPeers { false };
+    bool m_isOutOfTouch { false }; ///< It is cut off from targets, and a peer is not.
     bool m_isTargetListChanged { false };
     bool m_isLeaving { false };
     bool m_isStopped { false };
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -52,7 +52,7 @@
 bool StoreControl::plansRoles() const
 {
     bool isChosen = m_dutyCalls ? hasDuties() : m_view.plansWith(m_engineLeases->claimed());
-    return isChosen && !m_isLeaving && !m_engineLeases->isBarred();
+    return isChosen && !m_isLeaving && !m_isOutOfTouch && !m_engineLeases->isBarred();
 }
 
 // A daemon that has just started, or hears few of the daemons that it knows, may be cut off itself and leaves the duties to others.
@@ -62,7 +62,7 @@
     Fleet::DaemonBook const& book = m_beacons->book();
     bool isStartKnown = m_startReportedAt && now - *m_startReportedAt >= book.livenessTimeout();
     bool hasMet = now - m_startedAt >= meetingTime && (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime);
-    return hasMet && isStartKnown && !m_isLeaving && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
+    return hasMet && isStartKnown && !m_isLeaving && !m_isOutOfTouch && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
 }
 
 std::chrono::milliseconds StoreControl::startInFleetTime() const
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -237,6 +237,21 @@
     return peers;
 }
 
+bool StoreControl::isCutOff(std::string const& peer) const
+{
+    std::map<std::string, std::vector<Routing::PathCounts>>::const_iterator paths = m_peerPaths.find(peer);
+    return paths != m_peerPaths.end() && m_hooks.isCutOff(paths->second);
+}
+
+// Orders from here would not arrive, and what is known here of the targets is no base for a plan.
+void StoreControl::leaveTargetsToPeers(bool isOutOfTouch)
+{
+    if (std::exchange(m_isOutOfTouch, isOutOfTouch) == isOutOfTouch || !isOutOfTouch)
+        return;
+    m_engineLeases->giveUp();
+    m_beacons->sendSoon();
+}
+
 // The list of peers is made only while it is needed, because it takes time at a large site.
 void StoreControl::pollPaths(Clock::time_point now)
 {
@@ -246,6 +261,8 @@
         m_hooks.setRelayPeers(relayPeers(now));
     else if (m_hasRelayPeers)
         m_hooks.setRelayPeers({});
+    bool isPeerInTouch = isNeeded && std::any_of(m_beacons->book().daemons().begin(), m_beacons->book().daemons().end(), [&](std::pair<std::string const, Fleet::BookedDaemon> const& it) { return m_beacons->book().isLive(it.second, now) && !it.second.said.isLeaving && !isCutOff(it.first); });
+    leaveTargetsToPeers(isPeerInTouch && m_hooks.isCutOff(m_hooks.paths()));
     // Peers must not choose a daemon that needs them itself.
     if (std::exchange(m_hasRelayPeers, isNeeded) != isNeeded)
         m_beacons->sendSoon();
--- a/Libraries/LibDaemon/StoreLeases.cpp
+++ b/Libraries/LibDaemon/StoreLeases.cpp
@@ -49,6 +49,17 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [now](std::pair<std::string const, Entry> const& it) { return it.second.lease.mayOrder(now); });
 }
 
+void StoreLeases::giveUp()
+{
+    Clock::time_point now = Clock::now();
+    for (std::pair<std::string const, Entry>& it : m_entries) {
+        if (!it.second.lease.mayOrder(now))
+            continue;
+        it.second.lease.loseAuthority(now);
+        Core::logEvent(Core::Severity::Info, Core::Event::LeaseLost, { { "pool", it.first }, { "phase", "given up" }, { "error", "this daemon is cut off from the targets" } });
+    }
+}
+
 bool StoreLeases::isHeld(std::string const& name) const
 {
     std::map<std::string, Entry>::const_iterator it = m_entries.find(name);
--- a/Libraries/LibDaemon/StoreLeases.h
+++ b/Libraries/LibDaemon/StoreLeases.h
@@ -34,6 +34,9 @@
     /// the store does not answer, or another daemon holds the lease. With `Wait` the latter is answered at once.
     boost::asio::awaitable<bool> gain(std::string name, IfHeld = IfHeld::StepBack);
 
+    /// Gives all leases up that this daemon may order under, so that another daemon may claim them.
+    void giveUp();
+
     /// Whether a lease is another daemon's for now, as far as this daemon has read.
     bool isHeld(std::string const& name) const;
 
