LibDaemon: Leave daemons that are cut off out of the list for callers

While a peer reaches the targets, callers are told its address and not that of a daemon that passes everything on: each such request crosses the site twice. Where no daemon reaches them the list is as before. The daemon stays ready and closes no connection.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -358,10 +358,14 @@
 {
     EntryList list;
     list.hold = m_listHold;
-    if (!m_isLeaving)
+    if (!m_isLeaving && !m_isOutOfTouch)
         list.addresses.push_back(Http::toString(m_settings.callers.listen));
+    std::vector<std::string> cutOff;
     for (Fleet::BookedDaemon const* daemon : m_beacons->book().usable(Clock::now()))
-        list.addresses.push_back(Http::toString(daemon->listed.callerAddress));
+        (isCutOff(daemon->listed.name) ? cutOff : list.addresses).push_back(Http::toString(daemon->listed.callerAddress));
+    // Callers of daemons that are cut off are served by way of the others. Where there are no others, every address counts.
+    if (list.addresses.empty())
+        list.addresses = std::move(cutOff);
     return list;
 }
 
