LibDaemon: Compare a refused connection with up to three other targets

Where several targets have ended within seconds the one other target that was asked may have ended too, and the end that was to be told from a broken path was not counted until the list of targets showed it. Now up to three are asked, one after the other.

--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/EventLog.h>
 #include <LibDaemon/RequestRunner.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -13,6 +14,8 @@
 
 // Only a new release of the targets' software lifts the quarantine, and deploying one takes minutes.
 constexpr std::chrono::milliseconds retryAfterQuarantine { 60'000 };
+// Several targets may end within seconds, each time before it is known.
+constexpr std::size_t maxWitnesses = 3;
 constexpr std::uint16_t noContent = 204;
 constexpr std::uint16_t notModified = 304;
 
@@ -130,11 +133,20 @@
     }
     if (others.empty())
         co_return true;
-    FleetTarget witness = *others[std::hash<std::string>()(m_work.requestId) % others.size()];
-    Http::Reach reach = co_await m_context.client.reach(witness.endpoint);
-    bool isReached = reach == Http::Reach::Reached;
-    m_context.dispatcher.paths().note(witness.key, isReached ? Routing::PathEvidence::Connected : Routing::PathEvidence::Unreachable);
-    co_return isReached;
+    std::size_t first = std::hash<std::string>()(m_work.requestId) % others.size();
+    std::size_t count = std::min(others.size(), maxWitnesses);
+    std::vector<std::pair<std::uint64_t, boost::asio::ip::tcp::endpoint>> witnesses;
+    for (std::size_t n = 0; n < count; ++n) {
+        FleetTarget const& witness = *others[(first + n) % others.size()];
+        witnesses.emplace_back(witness.key, witness.endpoint);
+    }
+    for (std::pair<std::uint64_t, boost::asio::ip::tcp::endpoint> const& it : witnesses) {
+        bool isReached = co_await m_context.client.reach(it.second) == Http::Reach::Reached;
+        m_context.dispatcher.paths().note(it.first, isReached ? Routing::PathEvidence::Connected : Routing::PathEvidence::Unreachable);
+        if (isReached)
+            co_return true;
+    }
+    co_return false;
 }
 
 void RequestRunner::noteEnded(FleetTarget const& target, std::string_view sign)
