--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -33,6 +33,7 @@
     CallerLeft = 2014,
     ConnectionEndedUnanswered = 2015,
     RequestRelayed = 2016,
+    RunBroken = 2017,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -77,7 +78,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 66> eventNames { {
+inline constexpr EnumNames<Event, 67> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -102,6 +103,7 @@
     { Event::CallerLeft, "caller-left" },
     { Event::ConnectionEndedUnanswered, "connection-ended-unanswered" },
     { Event::RequestRelayed, "request-relayed" },
+    { Event::RunBroken, "run-broken" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -85,6 +85,7 @@
     if (leg->isAbandoned)
         co_return;
     m_isAtPeer = false;
+    m_hasEvent = false;
     if (std::optional<RelayPeer> peer = beginRelay(leg->leg.attempt, excluded)) {
         co_await runAtPeer(leg, std::move(*peer));
         co_return;
@@ -330,6 +331,7 @@
             break;
         std::vector<std::string> events = splitter.add(*piece.value());
         if (!events.empty()) {
+            m_hasEvent = true;
             noteBegun();
             Clock::time_point now = Clock::now();
             // Events that arrived together share the time since the last read.
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -93,6 +93,7 @@
     void postFailure(LegPointer const&, Core::Error const&);
     void postRefusal(LegPointer const&, Core::Error, std::chrono::milliseconds retryAfter);
     static bool isEventStream(Http::ResponseHead const&);
+    static std::string partsText(std::vector<std::uint64_t> const&);
     std::optional<Core::Error> quarantineError() const;
     bool finishIfQuarantined(LegPointer const&);
     void excludeOtherSuspects(std::vector<std::string>& excluded) const;
@@ -139,6 +140,7 @@
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0 if none.
     Quarantine::RunTable::Id m_run { 0 }; ///< Run at the attempt's target; 0 if none.
+    bool m_hasEvent { false }; ///< The first event of the current attempt's answer has come.
     bool m_isAtPeer { false }; ///< A peer serves the current attempt, and counts its usage.
     std::uint32_t m_peerRefusals { 0 };
     bool m_hasCallerLeft { false }; ///< No further attempt starts and nothing more is sent.
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -3,8 +3,10 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/RequestRunner.h>
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 
 namespace Daemon {
 
@@ -21,6 +23,17 @@
 
 }
 
+std::string RequestRunner::partsText(std::vector<std::uint64_t> const& parts)
+{
+    std::string text;
+    for (std::uint64_t part : parts) {
+        std::array<char, 2 * sizeof(part)> digits {};
+        std::to_chars_result written = std::to_chars(digits.data(), digits.data() + digits.size(), part, 16);
+        text += (text.empty() ? "" : ",") + std::string(digits.data(), written.ptr);
+    }
+    return text.empty() ? "-" : text;
+}
+
 std::optional<Core::Error> RequestRunner::quarantineError() const
 {
     switch (m_context.guard.disposition(m_work.key)) {
@@ -90,6 +103,7 @@
     FleetTarget const* target = targetOf(m_target);
     if (run == 0 || !target)
         return;
+    Core::logEvent(Core::Severity::Info, Core::Event::RunBroken, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", target->name }, { "has_begun", m_hasEvent ? "yes" : "no" }, { "parts", partsText(m_work.sharedParts) } });
     // A target that announced its shutdown was not ended by a request.
     if (target->isLeaving) {
         m_context.guard.finish(run);
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -41,6 +41,7 @@
     std::string idempotencyKey;
     Routing::RequestShape shape;
     std::vector<Routing::PrefixBlock> prefix;
+    std::vector<std::uint64_t> sharedParts; ///< Ids of the prompt's parts that other requests may have too, each once.
     Http::Request upstream; ///< The request to the target, without the fields set per attempt.
 };
 
