--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -29,6 +29,14 @@
     return std::string(request.fields.find(name).value_or(""));
 }
 
+// Whether a part of the prompt, other than the last, has this id.
+bool hasPart(Http::Request const& request, std::string const& id)
+{
+    std::string parts = field(request, "X-Prompt-Prefix");
+    std::string shared = "," + parts.substr(0, parts.rfind(','));
+    return !id.empty() && parts.find(',') != std::string::npos && shared.find("," + id + ":") != std::string::npos;
+}
+
 std::uint64_t numberUnder(boost::json::object const& object, std::string_view key, std::uint64_t fallback)
 {
     boost::json::value const* value = object.if_contains(key);
@@ -229,6 +237,8 @@
         std::_Exit(crashedStatus);
     if (!co_await work(writer))
         co_return;
+    if (isEngine && hasPart(request, m_settings.crashesOnPart))
+        std::_Exit(crashedStatus);
     if (isEngine) {
         co_await stream(request, writer);
         co_return;
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -135,6 +135,8 @@
         target.arguments.insert(target.arguments.end(), { "--id", targetId(name) });
     if (!role.empty())
         target.arguments.insert(target.arguments.end(), { "--role", role });
+    if (!m_settings.crashPart.empty() && !role.empty())
+        target.arguments.insert(target.arguments.end(), { "--crash-on-part", m_settings.crashPart });
     if (!m_settings.crashPath.empty())
         target.arguments.insert(target.arguments.end(), { "--crash-on", m_settings.crashPath });
     if (m_settings.hasForwarders)
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -19,7 +19,8 @@
     /// Daemons reach the store, and all reach the targets, through forwarders that can be held up and cut.
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
-    std::string crashPath; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
+    std::string crashPart {}; ///< Engines end when they begin to answer a prompt that has this id among its shared parts; empty: none does.
+    std::string crashPath {}; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
     bool hasDuties { false }; ///< The platform has a service for singleton duties.
     bool isStrict { false }; ///< Daemons accept keys only by a configuration that was confirmed within two seconds.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -210,6 +210,7 @@
     options.add_options()("pieces", "Events of a stream", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("piece-ms", "Time between two events", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("id", "What it lists itself under; a new one unless given", cxxopts::value<std::string>(), "ID");
+    options.add_options()("crash-on-part", "Ends as it begins to answer a prompt that has a shared part with this id", cxxopts::value<std::string>()->default_value(""), "ID");
     options.add_options()("crash-on", "Ends when it begins to run a request whose path holds this", cxxopts::value<std::string>()->default_value(""), "TEXT");
     options.add_options()("listed-as", "The address that it lists, such as a forwarder's; its own unless given", cxxopts::value<std::string>(), "IP:PORT");
     options.add_options()("store", "The store that it lists itself in", cxxopts::value<std::string>(), "IP:PORT");
@@ -224,6 +225,7 @@
     settings.pieces = arguments["pieces"].as<std::uint32_t>();
     settings.pieceTime = milliseconds(arguments["piece-ms"].as<std::uint32_t>());
     settings.incarnation = arguments.count("id") != 0 ? arguments["id"].as<std::string>() : "i-" + newIncarnation();
+    settings.crashesOnPart = arguments["crash-on-part"].as<std::string>();
     settings.crashesOn = arguments["crash-on"].as<std::string>();
     settings.bornAtMs = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     BOOST_OUTCOME_TRY(settings.store, endpointOf(arguments, "store"));
