LibQuarantine: Refuse a part of a prompt that ends each engine which begins to answer it

Cause: evidence was kept for the whole request and not for what it is made of. No two of these requests were alike, so each was the first.

Change: each shared part of a prompt has a key of its own in the same evidence. An end accuses the parts of requests that had been sent to the engine which was to write the answer, and of which no event had come. The first event clears its parts, at all daemons that hear of it. Of parts in the same prompts the one with the most ends counts; equal ones run once at a time until one differs. Three ends refuse a part at once, as not run.

--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -63,7 +63,7 @@
         if (!it.ended && m_stored.contains(it.key))
             m_pendingWrites.insert(it.key);
     }
-    logFindings(m_guard.merge(news), beacon.sender.name);
+    logFindings(m_guard.merge(news, Core::BootClock::now()), beacon.sender.name);
 }
 
 void QuarantineExchange::noteFindings(std::vector<Quarantine::Finding> const& findings)
@@ -116,7 +116,7 @@
         if (suspect.value().survivedAt != Clock::time_point())
             news.push_back({ suspect.value().key, std::nullopt, suspect.value().survivedAt, suspect.value().survivedAt });
     }
-    logFindings(m_guard.merge(news), reportedBy);
+    logFindings(m_guard.merge(news, Core::BootClock::now()), reportedBy);
     return m_guard.digest() != before;
 }
 
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -105,7 +105,7 @@
     co_await leg->goAhead.wait();
     if (leg->isAbandoned || !maySend())
         co_return;
-    beginRun(*target);
+    beginRun(*target, RunStep::Answer);
     bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
     leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
@@ -331,7 +331,7 @@
             break;
         std::vector<std::string> events = splitter.add(*piece.value());
         if (!events.empty()) {
-            m_hasEvent = true;
+            noteAnswerBegun();
             noteBegun();
             Clock::time_point now = Clock::now();
             // Events that arrived together share the time since the last read.
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -37,7 +37,7 @@
     if (!m_context.dispatcher.mayWrite(*target, m_placement))
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Unavailable, "the target was closed before the prompt was written"));
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
-    beginRun(*target);
+    beginRun(*target, RunStep::Prompt);
     TargetSend send = sendOf(leg->leg.attempt);
     Clock::time_point sentAt = Clock::now();
     Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -45,6 +45,8 @@
     , m_queueSpaceSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
 {
+    for (std::uint64_t part : m_work.sharedParts)
+        m_parts.push_back(Quarantine::partKeyOf(m_work.name, part));
     m_runners.insert(this);
 }
 
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -97,7 +97,12 @@
     std::optional<Core::Error> quarantineError() const;
     bool finishIfQuarantined(LegPointer const&);
     void excludeOtherSuspects(std::vector<std::string>& excluded) const;
-    void beginRun(FleetTarget const&);
+    /// What a target that has been sent the request is to do.
+    enum class RunStep : std::uint8_t { Prompt,
+        Answer };
+
+    void beginRun(FleetTarget const&, RunStep);
+    void noteAnswerBegun();
     void finishRun();
     void noteAnswerEnd(Http::ResponseHead const&, bool isWhole);
     void breakOffRun();
@@ -139,6 +144,8 @@
     boost::asio::steady_timer m_deadlineTimer;
     LegPointer m_leg;
     std::uint64_t m_placement { 0 }; ///< 0 if none.
+    std::vector<Quarantine::WorkKey> m_parts; ///< The parts of the prompt that other requests may have too, in the order of the work's.
+    std::vector<Quarantine::RunTable::Id> m_partRuns; ///< Of the parts at the attempt's target, while its answer has not begun.
     Quarantine::RunTable::Id m_run { 0 }; ///< Run at the attempt's target; 0 if none.
     bool m_hasEvent { false }; ///< The first event of the current attempt's answer has come.
     bool m_isAtPeer { false }; ///< A peer serves the current attempt, and counts its usage.
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -36,6 +36,13 @@
 
 std::optional<Core::Error> RequestRunner::quarantineError() const
 {
+    for (std::size_t n = 0; n < m_parts.size(); ++n) {
+        Quarantine::Guard::Disposition disposition = m_context.guard.disposition(m_parts[n]);
+        if (disposition == Quarantine::Guard::Disposition::Exclusive && m_context.guard.isOpen(m_parts[n]))
+            return Core::makeError(Core::ErrorCode::Unavailable, "A request with the same part of a prompt is being run, and targets have ended while they began to answer such.");
+        if (disposition == Quarantine::Guard::Disposition::Refused)
+            return Core::makeError(Core::ErrorCode::Quarantined, "Part " + partsText({ m_work.sharedParts[n] }) + " of this prompt has ended several targets that began to answer it. Requests with it are not run until the targets' software is replaced.");
+    }
     switch (m_context.guard.disposition(m_work.key)) {
     case Quarantine::Guard::Disposition::Open:
         return std::nullopt;
@@ -71,14 +78,33 @@
     }
 }
 
-void RequestRunner::beginRun(FleetTarget const& target)
+// A prompt that was computed shows nothing of its parts: a target may end on one as it begins to write the answer.
+void RequestRunner::beginRun(FleetTarget const& target, RunStep step)
 {
     finishRun();
-    m_run = m_context.guard.begin(m_work.key, { target.key, target.work(), target.release, target.name }, Clock::now());
+    Quarantine::SuspectTarget suspect { target.key, target.work(), target.release, target.name };
+    m_run = m_context.guard.begin(m_work.key, suspect, Clock::now());
+    if (step == RunStep::Prompt)
+        return;
+    for (Quarantine::WorkKey const& part : m_parts)
+        m_partRuns.push_back(m_context.guard.beginPart(part, suspect, Clock::now()));
+}
+
+// Clears the parts at once, also if the target ends later: what it ends on then is not what it began with.
+void RequestRunner::noteAnswerBegun()
+{
+    m_hasEvent = true;
+    std::vector<Quarantine::RunTable::Id> runs = std::exchange(m_partRuns, {});
+    for (std::size_t n = 0; n < runs.size(); ++n) {
+        if (m_context.guard.noteBegun(runs[n], Clock::now()))
+            m_context.onFindings({}, m_parts[n]);
+    }
 }
 
 void RequestRunner::finishRun()
 {
+    for (Quarantine::RunTable::Id run : std::exchange(m_partRuns, {}))
+        m_context.guard.finish(run);
     m_context.guard.finish(std::exchange(m_run, 0));
 }
 
@@ -92,6 +118,7 @@
         breakOffRun();
         return;
     }
+    noteAnswerBegun();
     Quarantine::RunTable::Id run = std::exchange(m_run, 0);
     if (run != 0 && m_context.guard.finishSuccessfully(run, Clock::now()))
         m_context.onFindings({}, m_work.key);
@@ -99,20 +126,27 @@
 
 void RequestRunner::breakOffRun()
 {
-    Quarantine::RunTable::Id run = std::exchange(m_run, 0);
     FleetTarget const* target = targetOf(m_target);
-    if (run == 0 || !target)
+    if (m_run == 0 || !target) {
+        finishRun();
         return;
+    }
     Core::logEvent(Core::Severity::Info, Core::Event::RunBroken, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", target->name }, { "has_begun", m_hasEvent ? "yes" : "no" }, { "parts", partsText(m_work.sharedParts) } });
     // A target that announced its shutdown was not ended by a request.
     if (target->isLeaving) {
-        m_context.guard.finish(run);
+        finishRun();
         return;
     }
-    Quarantine::Guard::ConnectionLoss broken = m_context.guard.noteConnectionLost(run, Clock::now());
-    if (!broken.findings.empty())
-        m_context.onFindings(broken.findings, std::nullopt);
-    if (!broken.needsProbe)
+    std::vector<Quarantine::RunTable::Id> runs = std::exchange(m_partRuns, {});
+    runs.push_back(std::exchange(m_run, 0));
+    bool needsProbe = false;
+    for (Quarantine::RunTable::Id run : runs) {
+        Quarantine::Guard::ConnectionLoss broken = m_context.guard.noteConnectionLost(run, Clock::now());
+        if (!broken.findings.empty())
+            m_context.onFindings(broken.findings, std::nullopt);
+        needsProbe = needsProbe || broken.needsProbe;
+    }
+    if (!needsProbe)
         return;
     boost::asio::co_spawn(
         m_context.context, [self = shared_from_this(), copy = *target] { return self->probeTarget(copy); }, boost::asio::detached);
--- a/Libraries/LibQuarantine/Guard.cpp
+++ b/Libraries/LibQuarantine/Guard.cpp
@@ -13,7 +13,7 @@
 {
     std::lock_guard lock(m_mutex);
     if (m_suspects.isRefused(key))
-        return Disposition::Refused;
+        return isPartKey(key) && m_suspects.isTied(key) ? Disposition::Exclusive : Disposition::Refused;
     return m_suspects.ends(key) >= endsToRunExclusively ? Disposition::Exclusive : Disposition::Open;
 }
 
@@ -37,6 +37,31 @@
     return m_runs.begin(key, target, now);
 }
 
+RunTable::Id Guard::beginPart(WorkKey const& part, SuspectTarget const& target, Time now)
+{
+    std::lock_guard lock(m_mutex);
+    return m_runs.begin(part, target, now, RunKind::Part);
+}
+
+// The target may have ended since it wrote what was read here, so that nothing follows for its other runs.
+bool Guard::noteBegun(RunTable::Id id, Time now)
+{
+    std::lock_guard lock(m_mutex);
+    WorkKey part = m_runs.at(id).key;
+    m_runs.finish(id);
+    m_sound.note(part, now);
+    return noteSurvived(part, now);
+}
+
+// Precondition: the mutex is held.
+bool Guard::noteSurvived(WorkKey const& key, Time now)
+{
+    if (!m_suspects.noteSurvived(key, now))
+        return false;
+    m_suspects.addNews({ key, std::nullopt, now, now }, now);
+    return true;
+}
+
 void Guard::finish(RunTable::Id id)
 {
     std::lock_guard lock(m_mutex);
@@ -48,10 +73,7 @@
     std::lock_guard lock(m_mutex);
     WorkKey key = m_runs.at(id).key;
     m_runs.finishSuccessfully(id, now);
-    if (!m_suspects.noteSurvived(key, now))
-        return false;
-    m_suspects.addNews({ key, std::nullopt, now, now }, now);
-    return true;
+    return noteSurvived(key, now);
 }
 
 Guard::ConnectionLoss Guard::noteConnectionLost(RunTable::Id id, Time now)
@@ -75,6 +97,8 @@
 {
     std::vector<Finding> findings;
     for (std::pair<WorkKey, TargetEnd> const& it : m_runs.noteEnded(incarnation, now)) {
+        if (m_sound.contains(it.first, now))
+            continue;
         std::optional<Finding> finding = m_suspects.noteEnd(it.first, it.second);
         if (!finding)
             continue;
@@ -96,7 +120,7 @@
     m_runs.noteUnknown(incarnation);
 }
 
-std::vector<Finding> Guard::merge(std::vector<SuspectNews> const& news)
+std::vector<Finding> Guard::merge(std::vector<SuspectNews> const& news, Time now)
 {
     std::lock_guard lock(m_mutex);
     std::vector<Finding> findings;
@@ -105,6 +129,12 @@
             m_suspects.noteSurvived(it.key, it.at);
             continue;
         }
+        // A peer that has not seen the part begin an answer learns that this daemon has.
+        if (m_sound.contains(it.key, now)) {
+            if (m_sound.takeTelling(it.key, now))
+                m_suspects.addNews({ it.key, std::nullopt, it.at, it.at }, now);
+            continue;
+        }
         if (std::optional<Finding> finding = m_suspects.noteEnd(it.key, { *it.ended, it.begunAt, it.at }))
             findings.push_back(std::move(*finding));
     }
@@ -114,7 +144,8 @@
 void Guard::setReleases(std::map<std::string, std::set<std::string>> releases)
 {
     std::lock_guard lock(m_mutex);
-    m_suspects.setReleases(std::move(releases));
+    if (m_suspects.setReleases(std::move(releases)))
+        m_sound.clear();
 }
 
 std::vector<SuspectNews> Guard::news(Time now, std::chrono::milliseconds lifetime, Time listedAsOf)
--- a/Libraries/LibQuarantine/Guard.h
+++ b/Libraries/LibQuarantine/Guard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibQuarantine/RunTable.h>
+#include <LibQuarantine/SoundParts.h>
 #include <LibQuarantine/SuspectBook.h>
 #include <mutex>
 
@@ -35,6 +36,14 @@
     /// Records that a request is being sent to a target. End the run with one of the next three functions.
     RunTable::Id begin(WorkKey const&, SuspectTarget const&, Time now);
 
+    /// Records that a request with a part is being sent to the target that will write the answer. `part` identifies the part, whatever
+    /// else the request holds. End the run with `finish`, `noteBegun` or `noteConnectionLost`.
+    RunTable::Id beginPart(WorkKey const& part, SuspectTarget const&, Time now);
+
+    /// Ends the run of a part whose target has begun to write the answer. From then on the part is sound: ends with it accuse other
+    /// parts, at all daemons that hear of it. Returns whether that cleared a suspect.
+    bool noteBegun(RunTable::Id, Time now);
+
     /// Ends a run without evidence for or against the request. Unknown ids are ignored.
     void finish(RunTable::Id);
 
@@ -56,7 +65,7 @@
     void noteUnknown(std::uint64_t incarnation);
 
     /// Merges evidence from a peer. Returns the resulting findings.
-    std::vector<Finding> merge(std::vector<SuspectNews> const&);
+    std::vector<Finding> merge(std::vector<SuspectNews> const&, Time now);
 
     /// Sets the software releases that the targets of each service run now.
     void setReleases(std::map<std::string, std::set<std::string>>);
@@ -74,11 +83,13 @@
     std::size_t suspectedCount() const;
 
 private:
+    bool noteSurvived(WorkKey const&, Time now);
     std::vector<Finding> noteOwnEnds(std::uint64_t incarnation, Time now);
 
     mutable std::mutex m_mutex;
     SuspectBook m_suspects;
     RunTable m_runs;
+    SoundParts m_sound;
 };
 
 }
--- a/Libraries/LibQuarantine/RunTable.cpp
+++ b/Libraries/LibQuarantine/RunTable.cpp
@@ -3,9 +3,9 @@
 
 namespace Quarantine {
 
-RunTable::Id RunTable::begin(WorkKey const& key, SuspectTarget const& target, Time now)
+RunTable::Id RunTable::begin(WorkKey const& key, SuspectTarget const& target, Time now, RunKind kind)
 {
-    m_open.emplace(++m_lastId, Run { key, target, now });
+    m_open.emplace(++m_lastId, Run { key, target, now, kind });
     return m_lastId;
 }
 
@@ -77,7 +77,7 @@
 {
     std::set<std::uint64_t> targets;
     for (std::pair<Id const, Run> const& it : m_open) {
-        if (it.second.key != key && matches(it.second.key))
+        if (it.second.kind == RunKind::Request && it.second.key != key && matches(it.second.key))
             targets.insert(it.second.target.incarnation);
     }
     return targets;
--- a/Libraries/LibQuarantine/RunTable.h
+++ b/Libraries/LibQuarantine/RunTable.h
@@ -21,6 +21,12 @@
     std::chrono::seconds endedTargetRetention { 30 };
 };
 
+/// What a run is evidence on.
+enum class RunKind : std::uint8_t {
+    Request, ///< A whole request, from when it is sent until its answer ends.
+    Part, ///< A part of a request's prompt, from when it is sent until its answer begins.
+};
+
 /// This daemon's runs of requests at targets, and those whose connection broke. A broken connection alone is no evidence: it
 /// counts only once the target is known to have ended. Performs no I/O. Not thread-safe.
 class RunTable {
@@ -33,7 +39,7 @@
     }
 
     /// Records that a request is being sent to a target. The id is never 0.
-    Id begin(WorkKey const&, SuspectTarget const&, Time now);
+    Id begin(WorkKey const&, SuspectTarget const&, Time now, RunKind = RunKind::Request);
 
     /// Ends a run for any reason other than a broken connection. Unknown ids are ignored.
     void finish(Id);
@@ -43,6 +49,7 @@
         WorkKey key;
         SuspectTarget target;
         Time begunAt;
+        RunKind kind { RunKind::Request };
     };
 
     /// Returns a run. Precondition: it is in progress.
@@ -78,7 +85,7 @@
     /// As above, where the list of targets is known as of `listedAsOf`: targets that ended later are not known to have.
     void expire(Time now, Time listedAsOf);
 
-    /// Returns the incarnations of targets with runs in progress of other requests that satisfy `matches`.
+    /// Returns the incarnations of targets with runs in progress of other whole requests that satisfy `matches`.
     std::set<std::uint64_t> targetsWithOthers(WorkKey const&, std::function<bool(WorkKey const&)> const& matches) const;
 
     /// Whether a run of the request is in progress at any target.
--- a/Libraries/LibQuarantine/Suspect.h
+++ b/Libraries/LibQuarantine/Suspect.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Quarantine {
@@ -15,6 +16,12 @@
 /// Identifies a request by its content; equal for all attempts.
 using WorkKey = Request::Fingerprint;
 
+/// Returns the key of a part of prompts, the same for all requests to the service that have it. Thread-safe.
+WorkKey partKeyOf(std::string_view service, std::uint64_t part);
+
+/// Whether a key is that of a part and not that of a whole request. Thread-safe.
+bool isPartKey(WorkKey const&);
+
 /// A target as identified in evidence.
 struct SuspectTarget {
     std::uint64_t incarnation { 0 }; ///< The same at every daemon; changes with a restart.
--- a/Libraries/LibQuarantine/SuspectBook.cpp
+++ b/Libraries/LibQuarantine/SuspectBook.cpp
@@ -118,7 +118,29 @@
 
 bool SuspectBook::isRefused(Suspect const& suspect) const
 {
-    return suspect.ends.size() >= m_settings.endsToRefuse && isSoftwareInUse(suspect);
+    if (suspect.ends.size() < m_settings.endsToRefuse || !isSoftwareInUse(suspect))
+        return false;
+    return !isPartKey(suspect.key) || unexplainedEnds(suspect) >= m_settings.endsToRefuse;
+}
+
+std::size_t SuspectBook::unexplainedEnds(Suspect const& part) const
+{
+    return static_cast<std::size_t>(std::count_if(part.ends.begin(), part.ends.end(), [&](TargetEnd const& end) {
+        return std::none_of(m_suspects.begin(), m_suspects.end(), [&](std::pair<WorkKey const, Suspect> const& it) {
+            return isPartKey(it.first) && it.second.ends.size() > part.ends.size() && hasEnd(it.second, end);
+        });
+    }));
+}
+
+bool SuspectBook::isTied(WorkKey const& part) const
+{
+    std::map<WorkKey, Suspect>::const_iterator own = m_suspects.find(part);
+    if (own == m_suspects.end())
+        return false;
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](std::pair<WorkKey const, Suspect> const& it) {
+        bool isOther = isPartKey(it.first) && it.first != part && it.second.ends.size() == own->second.ends.size();
+        return isOther && std::all_of(it.second.ends.begin(), it.second.ends.end(), [&](TargetEnd const& end) { return hasEnd(own->second, end); });
+    });
 }
 
 bool SuspectBook::isSoftwareInUse(Suspect const& suspect) const
@@ -134,9 +156,11 @@
     return std::any_of(suspect.ends.begin(), suspect.ends.end(), [&](TargetEnd const& own) { return isSameEnd(own, end); });
 }
 
-void SuspectBook::setReleases(std::map<std::string, std::set<std::string>> releases)
+bool SuspectBook::setReleases(std::map<std::string, std::set<std::string>> releases)
 {
+    bool isChanged = releases != m_releases;
     m_releases = std::move(releases);
+    return isChanged;
 }
 
 std::vector<Suspect> SuspectBook::suspects() const
--- a/Libraries/LibQuarantine/SuspectBook.h
+++ b/Libraries/LibQuarantine/SuspectBook.h
@@ -50,13 +50,17 @@
     /// Returns the number of target ends that the request is suspected of.
     std::size_t ends(WorkKey const&) const;
 
-    /// Whether the request is refused: it has ended enough targets, and a release that it ended is still in use.
+    /// Whether the request or part is refused: it has ended enough targets, and a release that it ended is still in use. Ends of a
+    /// part that another refused part with more ends shares don't count: the two were in the same prompts.
     bool isRefused(WorkKey const&) const;
 
+    /// Whether a part is refused, and another part has just the same ends: one of them may be innocent.
+    bool isTied(WorkKey const& part) const;
+
     /// Sets the releases that each service's targets run now. A refused request may be retried once none of the releases that
     /// it ended is in use: the bug may be fixed, and one more end refuses it again. A service without targets is no evidence
-    /// of a fix.
-    void setReleases(std::map<std::string, std::set<std::string>>);
+    /// of a fix. Returns whether they have changed.
+    bool setReleases(std::map<std::string, std::set<std::string>>);
 
     /// Equal at daemons that hold the same suspects with the same number of ends, up to the refusal limit. 0 without suspects.
     std::uint64_t digest() const { return m_digest; }
@@ -73,6 +77,7 @@
 
 private:
     bool isRefused(Suspect const&) const;
+    std::size_t unexplainedEnds(Suspect const& part) const;
     void evictIfFull();
     void dropEndsUntil(Suspect&, Time);
     std::uint64_t digestOf(Suspect const&) const;
--- a/Tests/LibDaemon/TestPathBook.cpp
+++ b/Tests/LibDaemon/TestPathBook.cpp
@@ -54,6 +54,8 @@
 TEST_F(PathBookTest, ADaemonThatIsCutOffSpreadsItsRequestsOverPeersThatAreNot)
 {
     constexpr int requests = 300;
+    constexpr int requestsEach = 100;
+    constexpr int tolerance = 20;
     m_book.setPeers({ peer("a", 9, 0), peer("b", 0, 9), peer("c", 9, 0), peer("d", 0, 0) });
     note(1, 9, Routing::PathEvidence::Unreachable);
     EXPECT_TRUE(m_book.isImpaired());
@@ -66,12 +68,14 @@
     }
     EXPECT_EQ(relayed.count("b"), 0U);
     for (std::string const name : { "a", "c", "d" })
-        EXPECT_NEAR(relayed[name], requests / 3, requests / 15) << name;
+        EXPECT_NEAR(relayed[name], requestsEach, tolerance) << name;
 }
 
 TEST_F(PathBookTest, ATargetThatIsReachedGoesOnServingItsPart)
 {
     constexpr int requests = 900;
+    constexpr int expected = 800;
+    constexpr int tolerance = 45;
     m_book.setPeers({ peer("a", 9, 0) });
     note(1, 8, Routing::PathEvidence::Unreachable);
     note(9, 9, Routing::PathEvidence::Connected);
@@ -82,7 +86,7 @@
         if (chosen)
             m_book.endRelay(chosen->name);
     }
-    EXPECT_NEAR(relayed, requests * 8 / 9, requests / 20);
+    EXPECT_NEAR(relayed, expected, tolerance);
     EXPECT_TRUE(m_book.isClosed(1));
     EXPECT_FALSE(m_book.isClosed(9));
 }
--- a/Tests/LibQuarantine/TestReach.cpp
+++ b/Tests/LibQuarantine/TestReach.cpp
@@ -89,7 +89,7 @@
         });
         for (std::size_t n = 0; n < 2; ++n)
             at(when + std::chrono::milliseconds(1 + pick(static_cast<std::size_t>(readWithin.count()))), [this, n](Time now) {
-                m_daemons[n].guard->merge(newsOf(m_stored));
+                m_daemons[n].guard->merge(newsOf(m_stored), now);
                 m_daemons[n].catchUp->noteLoaded();
                 send(n, now);
             });
@@ -182,7 +182,7 @@
             receiver.book.hear(listed(n), sequence, {}, now);
             receiver.catchUp->notePeerDigest(nameOf(n), digest, receiver.guard->digest(), now);
             if (!news.empty())
-                receiver.guard->merge(news);
+                receiver.guard->merge(news, now);
         }
     }
 
@@ -203,7 +203,7 @@
     {
         std::uint64_t before = m_daemons[n].guard->digest();
         if (hasReplied)
-            m_daemons[n].guard->merge(newsOf(m_daemons[queried].guard->suspects()));
+            m_daemons[n].guard->merge(newsOf(m_daemons[queried].guard->suspects()), now);
         m_daemons[n].catchUp->noteReply(hasReplied, m_daemons[n].guard->digest() != before, now);
     }
 
--- a/Tests/platform/TestCallers.cpp
+++ b/Tests/platform/TestCallers.cpp
@@ -53,6 +53,7 @@
     EXPECT_EQ(work.shape.sharedTokens, 1210U);
     EXPECT_EQ(work.shape.expectedOutputTokens, 30U);
     EXPECT_EQ(work.prefix.size(), 3U);
+    EXPECT_EQ(work.sharedParts, (std::vector<std::uint64_t> { 0x5c1e07a2, 0x91bd3f06 })) << "the last part is the request's own";
     EXPECT_FALSE(work.isRepeatable);
     EXPECT_FALSE(work.mayContinue);
     EXPECT_EQ(work.upstream.target, "/h/x?y=1");
