LibRouting: Keep paths only of targets that were tried

A daemon of a fleet with thousands of targets looked at each of them ten times a second, and took a lock for each candidate of a decision. Now the table holds the targets with evidence, and a decision takes no lock while none has failed. A long request on a narrow link no longer has its target probed while the target is reached otherwise. By reading; not measured.

--- a/Libraries/LibDaemon/PathBook.cpp
+++ b/Libraries/LibDaemon/PathBook.cpp
@@ -27,6 +27,7 @@
         return;
     Clock::time_point now = Clock::now();
     m_table.note(targetKey, evidence, now);
+    m_hasFailures = m_table.hasFailures();
     if (evidence != Routing::PathEvidence::Unreachable)
         m_vote.noteAnswered(targetKey, now);
     logIfChanged(service->second, now);
@@ -40,6 +41,8 @@
 
 bool PathBook::isImpaired() const
 {
+    if (!m_hasFailures)
+        return false;
     std::vector<Routing::PathCounts> all = counts();
     return std::any_of(all.begin(), all.end(), [](Routing::PathCounts const& it) { return it.failed > it.reached; });
 }
@@ -55,8 +58,16 @@
     return std::any_of(counts.begin(), counts.end(), [this](Routing::PathCounts const& it) { return m_table.isCutOff(it); });
 }
 
+bool PathBook::isReached(std::uint64_t targetKey) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_table.isReached(targetKey, Clock::now());
+}
+
 bool PathBook::isClosed(std::uint64_t targetKey) const
 {
+    if (!m_hasFailures)
+        return false;
     std::lock_guard lock(m_mutex);
     Clock::time_point now = Clock::now();
     if (!m_table.isFailed(targetKey, now))
@@ -66,6 +77,8 @@
 
 std::vector<std::uint64_t> PathBook::takeProbes()
 {
+    if (!m_hasFailures)
+        return {};
     std::lock_guard lock(m_mutex);
     return m_table.takeProbes(Clock::now());
 }
--- a/Libraries/LibDaemon/PathBook.h
+++ b/Libraries/LibDaemon/PathBook.h
@@ -4,6 +4,7 @@
 #include <LibRouting/OutlierFinder.h>
 #include <LibRouting/PathTable.h>
 #include <LibRouting/PathVote.h>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -53,6 +54,9 @@
     /// Whether the target's service is one that this daemon is cut off from, and its last connection to the target failed.
     bool isClosed(std::uint64_t targetKey) const;
 
+    /// Whether a connection to the target was made, or an answer of it came, lately.
+    bool isReached(std::uint64_t targetKey) const;
+
     /// Returns the targets to probe now; see `Routing::PathTable::takeProbes`.
     std::vector<std::uint64_t> takeProbes();
 
@@ -83,6 +87,7 @@
     void logIfChanged(std::string const& service, Routing::PathTable::Time now);
 
     mutable std::mutex m_mutex;
+    std::atomic<bool> m_hasFailures { false }; ///< Of the table, so that a decision over many targets takes no lock for each.
     Routing::PathTable m_table;
     Routing::PathVote m_vote;
     std::map<std::uint64_t, std::string> m_services; ///< By target key.
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -148,6 +148,11 @@
         bool isWaiting = !ec && self && leg && !leg->isAbandoned && leg->exchange && leg->head.status == noStatus;
         if (!isWaiting || leg->exchange->unacknowledgedBytes() == 0)
             return;
+        // A narrow link takes its time for a long request.
+        if (self->m_context.dispatcher.paths().isReached(target.key)) {
+            self->watchAcknowledgement(leg, target);
+            return;
+        }
         boost::asio::co_spawn(self->m_context.context, [self, leg, target] { return self->probePath(leg, target); }, boost::asio::detached);
     });
 }
--- a/Libraries/LibRouting/PathTable.cpp
+++ b/Libraries/LibRouting/PathTable.cpp
@@ -5,22 +5,29 @@
 
 namespace Routing {
 
-void PathTable::setTargets(std::map<std::uint64_t, std::string> services)
+void PathTable::setTargets(std::map<std::uint64_t, std::string> const& services)
 {
-    std::erase_if(m_paths, [&](std::pair<std::uint64_t const, Path> const& it) { return !services.contains(it.first); });
-    m_targets.clear();
-    for (std::pair<std::uint64_t const, std::string>& it : services) {
-        m_targets[it.second].push_back(it.first);
-        m_paths[it.first].service = std::move(it.second);
+    std::map<std::string, Service> former = std::exchange(m_services, {});
+    m_serviceOf.clear();
+    for (std::pair<std::uint64_t const, std::string> const& it : services) {
+        m_serviceOf.emplace(it.first, it.second);
+        Service& service = m_services[it.second];
+        service.targets.push_back(it.first);
+        Paths& before = former[it.second].paths;
+        Paths::const_iterator path = before.find(it.first);
+        if (path != before.end())
+            service.paths.insert(*path);
     }
 }
 
 void PathTable::note(std::uint64_t target, PathEvidence evidence, Time now)
 {
-    std::unordered_map<std::uint64_t, Path>::iterator it = m_paths.find(target);
-    if (it == m_paths.end())
+    std::unordered_map<std::uint64_t, std::string>::const_iterator name = m_serviceOf.find(target);
+    if (name == m_serviceOf.end())
         return;
-    Path& path = it->second;
+    Paths& paths = m_services.at(name->second).paths;
+    std::erase_if(paths, [&](Paths::value_type const& it) { return it.second.notedAt != Time() && !isCurrent(it.second, now); });
+    Path& path = paths[target];
     bool isOutweighed = evidence == PathEvidence::Answered && path.isFailed && isCurrent(path, now);
     if (isOutweighed)
         return;
@@ -33,25 +40,27 @@
     return path.notedAt != Time() && now - path.notedAt < (path.isFailed ? m_settings.failureLifetime : m_settings.successLifetime);
 }
 
-PathCounts PathTable::counts(std::string const& service, Time now) const
+PathCounts PathTable::counts(std::string const& name, Service const& service, Time now) const
 {
-    PathCounts counts { service, 0, 0 };
-    std::map<std::string, std::vector<std::uint64_t>>::const_iterator targets = m_targets.find(service);
-    if (targets == m_targets.end())
-        return counts;
-    for (std::uint64_t target : targets->second) {
-        Path const& path = m_paths.at(target);
-        if (isCurrent(path, now))
-            ++(path.isFailed ? counts.failed : counts.reached);
+    PathCounts counts { name, 0, 0 };
+    for (Paths::value_type const& it : service.paths) {
+        if (isCurrent(it.second, now))
+            ++(it.second.isFailed ? counts.failed : counts.reached);
     }
     return counts;
 }
 
+PathCounts PathTable::counts(std::string const& service, Time now) const
+{
+    std::map<std::string, Service>::const_iterator it = m_services.find(service);
+    return it == m_services.end() ? PathCounts { service, 0, 0 } : counts(service, it->second, now);
+}
+
 std::vector<PathCounts> PathTable::allCounts(Time now) const
 {
     std::vector<PathCounts> all;
-    for (std::pair<std::string const, std::vector<std::uint64_t>> const& it : m_targets) {
-        PathCounts counts = this->counts(it.first, now);
+    for (std::pair<std::string const, Service> const& it : m_services) {
+        PathCounts counts = this->counts(it.first, it.second, now);
         if (counts.reached + counts.failed > 0)
             all.push_back(std::move(counts));
     }
@@ -66,42 +75,63 @@
 
 bool PathTable::isCutOff(PathCounts const& counts) const
 {
-    std::map<std::string, std::vector<std::uint64_t>>::const_iterator targets = m_targets.find(counts.service);
-    std::size_t listed = targets == m_targets.end() ? m_settings.minFailed : targets->second.size();
+    std::map<std::string, Service>::const_iterator service = m_services.find(counts.service);
+    std::size_t listed = service == m_services.end() ? m_settings.minFailed : service->second.targets.size();
     std::size_t needed = std::max<std::size_t>(1, std::min<std::size_t>(m_settings.minFailed, listed));
     return counts.failed >= needed && shareOf(counts) < m_settings.minShare;
 }
 
 bool PathTable::isFailed(std::uint64_t target, Time now) const
 {
-    std::unordered_map<std::uint64_t, Path>::const_iterator it = m_paths.find(target);
-    return it != m_paths.end() && it->second.isFailed && isCurrent(it->second, now);
+    std::optional<Path> path = find(target);
+    return path && path->isFailed && isCurrent(*path, now);
+}
+
+bool PathTable::isReached(std::uint64_t target, Time now) const
+{
+    std::optional<Path> path = find(target);
+    return path && !path->isFailed && isCurrent(*path, now);
+}
+
+std::optional<PathTable::Path> PathTable::find(std::uint64_t target) const
+{
+    std::unordered_map<std::uint64_t, std::string>::const_iterator name = m_serviceOf.find(target);
+    if (name == m_serviceOf.end())
+        return std::nullopt;
+    Paths const& paths = m_services.at(name->second).paths;
+    Paths::const_iterator path = paths.find(target);
+    return path == paths.end() ? std::nullopt : std::optional(path->second);
+}
+
+bool PathTable::hasFailures() const
+{
+    return std::any_of(m_services.begin(), m_services.end(), [](std::pair<std::string const, Service> const& it) {
+        return std::any_of(it.second.paths.begin(), it.second.paths.end(), [](Paths::value_type const& path) { return path.second.isFailed; });
+    });
 }
 
 std::vector<std::uint64_t> PathTable::takeProbes(Time now)
 {
     std::vector<std::uint64_t> probes;
-    for (std::pair<std::string const, std::vector<std::uint64_t>> const& it : m_targets) {
-        PathCounts counts = this->counts(it.first, now);
+    for (std::pair<std::string const, Service>& it : m_services) {
+        PathCounts counts = this->counts(it.first, it.second, now);
         if (counts.failed == 0 || shareOf(counts) >= m_settings.minShare)
             continue;
-        std::vector<std::uint64_t> due;
-        for (std::uint64_t target : it.second) {
-            Path const& path = m_paths.at(target);
+        Paths& paths = it.second.paths;
+        std::vector<std::tuple<bool, Time, std::uint64_t>> due; // Failed ones first, and of these the one probed longest ago.
+        for (std::uint64_t target : it.second.targets) {
+            Paths::const_iterator found = paths.find(target);
+            Path path = found == paths.end() ? Path() : found->second;
             bool isReached = isCurrent(path, now) && !path.isFailed;
             if (!isReached && now - path.probedAt >= m_settings.probeInterval)
-                due.push_back(target);
+                due.emplace_back(!(isCurrent(path, now) && path.isFailed), path.probedAt, target);
+        }
+        std::size_t n = std::min(due.size(), m_settings.probesAtOnce);
+        std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(n), due.end());
+        for (std::size_t i = 0; i < n; ++i) {
+            paths[std::get<std::uint64_t>(due[i])].probedAt = now;
+            probes.push_back(std::get<std::uint64_t>(due[i]));
         }
-        // Failed ones first, and of these the one that was probed longest ago.
-        std::sort(due.begin(), due.end(), [&](std::uint64_t a, std::uint64_t b) {
-            Path const& left = m_paths.at(a);
-            Path const& right = m_paths.at(b);
-            return std::tuple(!isFailed(a, now), left.probedAt, a) < std::tuple(!isFailed(b, now), right.probedAt, b);
-        });
-        due.resize(std::min(due.size(), m_settings.probesAtOnce));
-        for (std::uint64_t target : due)
-            m_paths.at(target).probedAt = now;
-        probes.insert(probes.end(), due.begin(), due.end());
     }
     return probes;
 }
--- a/Libraries/LibRouting/PathTable.h
+++ b/Libraries/LibRouting/PathTable.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -58,7 +59,7 @@
     }
 
     /// Sets the service of each listed target and forgets all other targets.
-    void setTargets(std::map<std::uint64_t, std::string> services);
+    void setTargets(std::map<std::uint64_t, std::string> const& services);
 
     /// Records evidence on a listed target; that on any other is ignored. An answer does not outweigh a failure to connect,
     /// because connections that were open before may outlive a path that takes no new ones.
@@ -79,23 +80,38 @@
     /// Whether the last connection to a target failed.
     bool isFailed(std::uint64_t target, Time now) const;
 
+    /// Whether a target was reached lately.
+    bool isReached(std::uint64_t target, Time now) const;
+
+    /// Whether any evidence is a failure, current or not.
+    bool hasFailures() const;
+
     /// Returns the targets to probe now, and notes that they are being probed. Targets are probed while fewer of their service
     /// are reached than `minShare`, those that failed first.
     std::vector<std::uint64_t> takeProbes(Time now);
 
 private:
     struct Path {
-        std::string service;
         bool isFailed { false };
         Time notedAt; ///< Zero if there is no evidence.
         Time probedAt;
     };
 
+    /// Only of targets with evidence, which are few at a large site.
+    using Paths = std::unordered_map<std::uint64_t, Path>;
+
+    struct Service {
+        std::vector<std::uint64_t> targets; ///< All that are listed.
+        Paths paths;
+    };
+
     bool isCurrent(Path const&, Time now) const;
+    std::optional<Path> find(std::uint64_t target) const;
+    PathCounts counts(std::string const& name, Service const&, Time now) const;
 
     PathTableSettings m_settings;
-    std::unordered_map<std::uint64_t, Path> m_paths; ///< By target key.
-    std::map<std::string, std::vector<std::uint64_t>> m_targets; ///< By service.
+    std::unordered_map<std::uint64_t, std::string> m_serviceOf; ///< By target key.
+    std::map<std::string, Service> m_services;
 };
 
 }
