LibQuarantine: Accuse no part of a prompt at plain services, nor for one request that is repeated

Cause: parts were accused wherever a request ran, and only other parts could explain a part's ends. A request that is repeated has the ends of its parts.

Change: only engines accuse parts; a request with more ends than a part explains the part's, and one with just the same ends makes it run once at a time until an answer begins.

--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -45,7 +45,8 @@
     , m_queueSpaceSignal(context.context.get_executor())
     , m_deadlineTimer(context.context.get_executor())
 {
-    for (std::uint64_t part : m_work.sharedParts)
+    // A plain service computes no prompt, whatever a caller says of one.
+    for (std::uint64_t part : m_work.kind == Work::Kind::Model ? m_work.sharedParts : std::vector<std::uint64_t>())
         m_parts.push_back(Quarantine::partKeyOf(m_work.name, part));
     m_runners.insert(this);
 }
--- a/Libraries/LibQuarantine/SuspectBook.cpp
+++ b/Libraries/LibQuarantine/SuspectBook.cpp
@@ -127,7 +127,7 @@
 {
     return static_cast<std::size_t>(std::count_if(part.ends.begin(), part.ends.end(), [&](TargetEnd const& end) {
         return std::none_of(m_suspects.begin(), m_suspects.end(), [&](std::pair<WorkKey const, Suspect> const& it) {
-            return isPartKey(it.first) && it.second.ends.size() > part.ends.size() && hasEnd(it.second, end);
+            return it.second.ends.size() > part.ends.size() && hasEnd(it.second, end);
         });
     }));
 }
@@ -138,7 +138,7 @@
     if (own == m_suspects.end())
         return false;
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](std::pair<WorkKey const, Suspect> const& it) {
-        bool isOther = isPartKey(it.first) && it.first != part && it.second.ends.size() == own->second.ends.size();
+        bool isOther = it.first != part && it.second.ends.size() == own->second.ends.size();
         return isOther && std::all_of(it.second.ends.begin(), it.second.ends.end(), [&](TargetEnd const& end) { return hasEnd(own->second, end); });
     });
 }
--- a/Libraries/LibQuarantine/SuspectBook.h
+++ b/Libraries/LibQuarantine/SuspectBook.h
@@ -51,10 +51,10 @@
     std::size_t ends(WorkKey const&) const;
 
     /// Whether the request or part is refused: it has ended enough targets, and a release that it ended is still in use. Ends of a
-    /// part that another refused part with more ends shares don't count: the two were in the same prompts.
+    /// part that another part or a request with more ends shares don't count: the two were sent together.
     bool isRefused(WorkKey const&) const;
 
-    /// Whether a part is refused, and another part has just the same ends: one of them may be innocent.
+    /// Whether a part is refused, and another part or a request has just the same ends: one of them may be innocent.
     bool isTied(WorkKey const& part) const;
 
     /// Sets the releases that each service's targets run now. A refused request may be retried once none of the releases that
--- a/Tests/LibQuarantine/TestGuard.cpp
+++ b/Tests/LibQuarantine/TestGuard.cpp
@@ -142,6 +142,25 @@
     EXPECT_NE(guard.disposition(otherPart), Guard::Disposition::Refused);
 }
 
+// Guards against sound prompts that are refused because one request with their first part ends targets again and again.
+TEST(Guard, APartIsNotRefusedForOneRequestThatIsRepeated)
+{
+    Guard guard;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        Time at = origin + n * 1s;
+        RunTable::Id run = guard.begin(culprit, targetOf(n), at - 50ms);
+        RunTable::Id part = guard.beginPart(otherPart, targetOf(n), at - 50ms);
+        guard.noteConnectionLost(run, at);
+        guard.noteConnectionLost(part, at);
+        guard.noteEnded(n, at);
+    }
+    EXPECT_EQ(guard.disposition(culprit), Guard::Disposition::Refused);
+    EXPECT_EQ(guard.disposition(otherPart), Guard::Disposition::Exclusive);
+    guard.noteBegun(guard.beginPart(otherPart, targetOf(9), origin + 4s), origin + 5s);
+    EXPECT_EQ(guard.disposition(otherPart), Guard::Disposition::Open);
+    EXPECT_EQ(guard.disposition(culprit), Guard::Disposition::Refused);
+}
+
 // Guards against all targets being avoided by a suspect because they run requests that share its first part.
 TEST(Guard, PartsDoNotKeepASuspectFromTargets)
 {
