LibDaemon: Take no verdict of a relay from a target's answer

A target that named the header of a daemon's verdict could have had its answer taken for a refusal that has not run. It is dropped from answers of targets. Besides, a function with one use is gone and a mutex has the name of what it guards. Found by reading.

--- a/Libraries/LibDaemon/AnswerSinks.cpp
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -32,6 +32,8 @@
     m_isEventStream = head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
     m_head = Http::ResponseHead { head.status, Http::withoutHopByHop(head.fields) };
     m_head->fields.remove("Content-Length");
+    // Only a daemon may vouch that a request has not run here.
+    m_head->fields.remove(relayVerdictHeader);
     m_head->fields.set(std::string(requestIdHeader), m_requestId);
     if (m_isEventStream)
         co_await beginStream(Core::Verdict::MayHaveRun);
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -112,7 +112,7 @@
 // A target whose limit has ended has no value any more.
 void Metrics::setRateLimits(std::map<std::string, double> const& limits)
 {
-    std::lock_guard lock(m_rateLimitsMutex);
+    std::lock_guard lock(m_gaugesMutex);
     std::erase_if(m_rateLimitsByTarget, [&](std::pair<std::string const, prometheus::Gauge*> const& it) {
         bool isEnded = !limits.contains(it.first);
         if (isEnded)
@@ -130,7 +130,7 @@
 // A service without recent evidence has neither.
 void Metrics::setPaths(std::vector<Routing::PathCounts> const& paths)
 {
-    std::lock_guard lock(m_rateLimitsMutex);
+    std::lock_guard lock(m_gaugesMutex);
     std::map<std::string, Routing::PathCounts> byService;
     for (std::string const& service : m_services)
         byService.emplace(service, Routing::PathCounts {});
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -144,7 +144,7 @@
     prometheus::Family<prometheus::Gauge>& m_paths;
     std::map<std::string, prometheus::Gauge*> m_rateLimitsByTarget;
     std::set<std::string> m_services; ///< That paths were reported of.
-    std::mutex m_rateLimitsMutex;
+    std::mutex m_gaugesMutex;
 };
 
 }
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -33,11 +33,6 @@
     return head.fields.find("Content-Type").value_or("").starts_with("text/event-stream");
 }
 
-void RequestRunner::postRefusal(LegPointer const& leg, Core::Error error, std::chrono::milliseconds retryAfter)
-{
-    post(Request::NoTarget { leg->leg.attempt, std::move(error), retryAfter });
-}
-
 boost::asio::awaitable<void> RequestRunner::wait(std::chrono::milliseconds duration)
 {
     boost::asio::steady_timer timer(m_context.context, duration);
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t maxPeerRefusals = 2;
 // A host in the same region acknowledges a request within milliseconds, however busy the process is.
 constexpr std::chrono::milliseconds acknowledgementTime { 200 };
-// Of a daemon that refuses whatever comes before it has read the request (RFC 9110, section 15.5 and 15.6).
+// A daemon answers so where it has not read the request whole, or has no room for it (RFC 9110, sections 15.5 and 15.6).
 constexpr std::array<std::uint16_t, 5> unreadStatuses { 408, 413, 429, 431, 503 };
 
 std::chrono::milliseconds readRetryAfter(Http::Fields const& fields)
@@ -115,7 +115,7 @@
         if (++m_peerRefusals < maxPeerRefusals)
             post(Request::ConnectFailed { leg->leg, true });
         else
-            postRefusal(leg, std::move(refusal), retryAfter);
+            post(Request::NoTarget { leg->leg.attempt, std::move(refusal), retryAfter });
         co_return;
     }
     if (ownVerdict || proof != AnswerProof::Answer) {
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -91,7 +91,6 @@
     boost::asio::awaitable<void> postWithBackpressure(Request::RequestEvent);
 
     void postFailure(LegPointer const&, Core::Error const&);
-    void postRefusal(LegPointer const&, Core::Error, std::chrono::milliseconds retryAfter);
     static bool isEventStream(Http::ResponseHead const&);
     static std::string partsText(std::vector<std::uint64_t> const&);
     std::optional<Core::Error> quarantineError() const;
