--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -157,6 +157,45 @@
     return counts;
 }
 
+void fillPlaceDemand(Proto::PlaceDemand& message, Admission::PlaceDemand const& demand)
+{
+    message.set_service(demand.service);
+    for (Admission::OrganisationDemand const& it : demand.organisations) {
+        Proto::OrganisationDemand* added = message.add_organisations();
+        added->set_organisation(it.organisation);
+        added->set_places(static_cast<float>(it.places));
+    }
+}
+
+Admission::PlaceDemand readPlaceDemand(Proto::PlaceDemand const& message)
+{
+    Admission::PlaceDemand demand { message.service(), {} };
+    for (Proto::OrganisationDemand const& it : message.organisations()) {
+        if (std::isfinite(it.places()) && it.places() >= 0)
+            demand.organisations.push_back({ it.organisation(), it.places() });
+    }
+    return demand;
+}
+
+void fillPaceSample(Proto::PaceSample& message, Routing::PaceSample const& sample)
+{
+    message.set_target(sample.target);
+    message.set_kind(std::string(Core::nameOf(Routing::paceKindNames, sample.kind)));
+    message.set_open(sample.open);
+    message.set_answers(sample.answers);
+    message.set_expected_s(static_cast<float>(sample.expectedSeconds));
+    message.set_taken_s(static_cast<float>(sample.seconds));
+}
+
+std::optional<Routing::PaceSample> readPaceSample(Proto::PaceSample const& message)
+{
+    std::optional<Routing::PaceKind> kind = Core::valueOf(Routing::paceKindNames, message.kind());
+    bool isUsable = kind && std::isfinite(message.expected_s()) && message.expected_s() >= 0 && std::isfinite(message.taken_s()) && message.taken_s() >= 0;
+    if (!isUsable)
+        return std::nullopt;
+    return Routing::PaceSample { message.target(), *kind, message.open(), message.answers(), message.expected_s(), message.taken_s() };
+}
+
 void fillNews(Proto::SuspectNews& message, Quarantine::SuspectNews const& news)
 {
     message.set_key_low(news.key.low);
@@ -255,6 +294,15 @@
         added->set_reached(it.reached);
         added->set_failed(it.failed);
     }
+    for (Admission::PlaceDemand const& it : beacon.placeDemands)
+        fillPlaceDemand(*message.add_place_demands(), it);
+    for (Routing::PaceSample const& it : beacon.paceSamples)
+        fillPaceSample(*message.add_pace_samples(), it);
+    for (Routing::PartUse const& it : beacon.partUses) {
+        Proto::PartUse* added = message.add_part_uses();
+        added->set_part(it.part);
+        added->set_uses(it.uses);
+    }
     return message.SerializeAsString();
 }
 
@@ -309,6 +357,14 @@
     beacon.suspects.assign(message.suspects().begin(), message.suspects().end());
     for (Proto::PathCounts const& it : message.paths())
         beacon.paths.push_back({ it.service(), it.reached(), it.failed() });
+    for (Proto::PlaceDemand const& it : message.place_demands())
+        beacon.placeDemands.push_back(readPlaceDemand(it));
+    for (Proto::PaceSample const& it : message.pace_samples()) {
+        if (std::optional<Routing::PaceSample> sample = readPaceSample(it))
+            beacon.paceSamples.push_back(*sample);
+    }
+    for (Proto::PartUse const& it : message.part_uses())
+        beacon.partUses.push_back({ it.part(), it.uses() });
     return beacon;
 }
 
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/PlaceShares.h>
 #include <LibAuthority/StoreLease.h>
 #include <LibCore/Result.h>
 #include <LibDuties/Usage.h>
@@ -8,6 +9,8 @@
 #include <LibQuarantine/Suspect.h>
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
+#include <LibRouting/PaceBook.h>
+#include <LibRouting/PartHomes.h>
 #include <LibRouting/PathTable.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RateLimits.h>
@@ -43,6 +46,9 @@
     std::map<std::uint64_t, Routing::TargetRole> changingTo {}; ///< The new roles of those in `changing`.
     std::vector<Routing::RateLimitReport> rateLimits {}; ///< That targets have recently stated to it.
     std::vector<Routing::PathCounts> paths {}; ///< Of the services whose targets it has tried to reach lately.
+    std::vector<Admission::PlaceDemand> placeDemands {}; ///< On services whose places are scarce.
+    std::vector<Routing::PaceSample> paceSamples {}; ///< Of its answers, since its last beacon.
+    std::vector<Routing::PartUse> partUses {}; ///< Of its requests, since its last beacon.
     std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
 
--- /dev/null
+++ b/Libraries/LibRouting/PaceBook.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <LibCore/EnumNames.h>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// What a target did of a request. Each kind has a pace of its own.
+enum class PaceKind : std::uint8_t {
+    Prompt, ///< It computed a prompt.
+    Event, ///< It generated events of a stream.
+    Whole, ///< It answered a request of a plain service.
+};
+
+inline constexpr Core::EnumNames<PaceKind, 3> paceKindNames { {
+    { PaceKind::Prompt, "prompt" },
+    { PaceKind::Event, "event" },
+    { PaceKind::Whole, "whole" },
+} };
+
+/// Answers of one target that found about the same number of requests open there, summed up by the daemon that got them.
+/// All daemons use the same `target` identifier.
+struct PaceSample {
+    std::uint64_t target { 0 };
+    PaceKind kind { PaceKind::Whole };
+    std::uint32_t open { 0 }; ///< Requests open at the target when these were sent, of all daemons as far as known, with them.
+    std::uint32_t answers { 0 };
+    double expectedSeconds { 0 }; ///< Sum of what they take at an average target of the service with no other work.
+    double seconds { 0 }; ///< Sum of what they took.
+
+    bool operator==(PaceSample const&) const = default;
+};
+
+/// What is known of one target, relative to the others of its group.
+struct TargetPace {
+    double factor { 1 }; ///< Time for the same work with few other requests; 1: as the group's median.
+    std::optional<std::uint32_t> knee; ///< Open requests beyond which another one slows all more than it is worth; empty: none seen.
+    double evidence { 0 }; ///< Weight of the answers that this rests on; older answers weigh less.
+    std::chrono::milliseconds age { 0 }; ///< Of the newest answer.
+};
+
+/// A knee that has moved by a quarter or more, for a log line.
+struct KneeChange {
+    std::uint64_t target { 0 };
+    PaceKind kind { PaceKind::Whole };
+    std::optional<std::uint32_t> before;
+    std::optional<std::uint32_t> after;
+};
+
+/// Finds out how fast each target is and how many requests at once it takes well, from the answers that all daemons get. Nothing is
+/// configured; old answers lose their weight within seconds, so that changes are followed. Performs no I/O. Not thread-safe.
+class PaceBook {
+public:
+    using Time = std::chrono::steady_clock::time_point;
+
+    /// Sets the groups of targets that do the same kind of work, and forgets all other targets. A target that starts again has a new
+    /// identifier, so nothing is carried over.
+    void setGroups(std::vector<std::vector<std::uint64_t>> groups);
+
+    /// Records an answer that this daemon got. `expectedSeconds` is what such work takes at an average target that has no other work;
+    /// answers for which that is not known are not recorded. Precondition: both times are positive and finite; others are ignored.
+    void note(std::uint64_t target, PaceKind, std::uint32_t open, double expectedSeconds, double seconds, Time now);
+
+    /// Returns the answers recorded since the last call, to be sent to the peers: at most `limit` samples, those with most answers
+    /// first; the rest is kept for the next call.
+    std::vector<PaceSample> takeUnreported(std::size_t limit);
+
+    /// Adds the answers that a peer got. Samples with values that are no times are ignored.
+    void merge(std::vector<PaceSample> const&, Time now);
+
+    /// Returns what is known of a target; a factor of 1 and no knee while there is too little evidence.
+    TargetPace pace(std::uint64_t target, PaceKind, Time now) const;
+
+    /// Updates factors and knees. Call about ten times a second. Returns the knees that have moved by a quarter or more.
+    std::vector<KneeChange> update(Time now);
+};
+
+}
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -32,7 +32,12 @@
 
     double imbalanceSeconds { 0.25 }; ///< PrefixAffinity: wait above the minimum that is accepted for a cached prefix.
 
+    /// How fast each target is, and how many requests at once it takes well, is learned from the answers of all daemons.
+    bool learnsPace { false };
+
     // Policy::PromptHome.
+    /// Shared parts that many prompts ask for get more homes, and faster targets are home to more parts.
+    bool spreadsParts { false };
     /// A shared part that is computed away from its home takes memory there, and the next request does not find it: its cost
     /// is multiplied by this weight. At its second home, the next request that overflows finds it. Both are ratios, independent
     /// of the engine's speed; higher values than 20 and 4 bring no improvement (docs/design/platform.md).
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -239,6 +239,9 @@
     keys.push_back(fractionKey("limits", "retry_ratio", "Retries allowed per first send.", 0, 1, limitsOf, &Owned::Limits::retryRatio));
     keys.push_back(fractionKey("limits", "retry_extra", "Retries in a window beyond the ratio, for all daemons together; 0: each daemon has a few of its own.", 0, 1e6, limitsOf, &Owned::Limits::retryExtra));
     keys.push_back(secondsKey("limits", "retry_window_s", "The window that the extra retries are for.", limitsOf, &Owned::Limits::retryWindow));
+    keys.push_back(flagKey("limits", "share_places", "Whether daemons divide the places of targets among themselves while these are scarce (kind keyed-store).", limitsOf, &Owned::Limits::sharesPlaces));
+    keys.push_back(flagKey("limits", "repeat_overdue_prompts", "Whether a prompt that takes much longer than such prompts do is computed at another target, within the route's attempts and the retry budget.", limitsOf, &Owned::Limits::repeatsOverduePrompts));
+    keys.push_back(numberKey<Owned>("limits", "held_answer_bytes", "Memory for answers that callers have not read yet; beyond it the slowest reader's connection is closed; 0: no limit.", 0, maximumBytes, limitsOf, &Owned::Limits::heldAnswerBytes));
     keys.push_back(numberKey<Owned>("targets", "connect_timeout_ms", "Time for a connection to a target to be made.", 1, maximumMilliseconds, targetsOf, &Http::ClientSettings::connectTimeout));
     keys.push_back(addressKey("targets", "local_address", "The local address of connections to targets, on a VM with several; left out: the kernel chooses.", targetsOf, &Http::ClientSettings::localAddress));
     keys.push_back(numberKey<Owned>("targets", "keep_ms", "How long an unused connection to a target is kept.", 0, maximumMilliseconds, targetsOf, &Http::ClientSettings::keepTime));
@@ -249,6 +252,8 @@
     keys.push_back(choiceKey("routing", "policy", "How a target is chosen among the allowed ones.", Routing::policyNames, routingOf, &Routing::Settings::policy));
     keys.push_back(fractionKey("routing", "stray_weight", "How much more the cost of a shared part counts where it is not at home (policy prompt-home).", 0, 100, routingOf, &Routing::Settings::nonHomeWeight));
     keys.push_back(fractionKey("routing", "second_home_weight", "The same at its second home.", 0, 100, routingOf, &Routing::Settings::secondHomeWeight));
+    keys.push_back(flagKey("routing", "learn_pace", "Whether daemons learn from their answers how fast each target is and how many requests at once it takes well.", routingOf, &Routing::Settings::learnsPace));
+    keys.push_back(flagKey("routing", "spread_parts", "Whether shared parts that many prompts ask for get more homes, and faster targets more parts (policy prompt-home).", routingOf, &Routing::Settings::spreadsParts));
     keys.push_back(fractionKey("routing", "far_kv_s", "Extra wait accepted to fetch a prompt's KV cache within the availability zone.", 0, 60, routingOf, &Routing::Settings::crossZoneKvSeconds));
     keys.push_back(fractionKey("roles", "decode_share", "The part of the engines that decodes until the demand is known (kind keyed-store).", 0.01, 0.99, splitOf, &Roles::SplitSettings::decodeShare));
     keys.push_back(numberKey<Owned>("roles", "least_decode", "Engines that decode at least.", 1, 1'000, splitOf, &Roles::SplitSettings::leastDecode));
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -100,6 +100,9 @@
         double retryRatio { 0.1 };
         double retryExtra { 0 }; ///< Retries in a window beyond the ratio, for all daemons together; 0: each its own few.
         Milliseconds retryWindow { 10'000 };
+        bool sharesPlaces { false }; ///< Daemons divide the places of scarce targets among themselves.
+        bool repeatsOverduePrompts { false }; ///< A prompt whose answer is overdue is computed at another target.
+        std::uint64_t heldAnswerBytes { 0 }; ///< Memory for answers that callers have not read yet; 0: no limit.
     };
 
     Daemon daemon;
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -26,7 +26,13 @@
     beacon.sizedDemands = { { "llm", 12.5 } };
     beacon.rateLimits = { { 3, 4.5, std::chrono::milliseconds(250) }, { 4, std::nullopt, std::chrono::milliseconds(0) } };
     beacon.paths = { { "llm", 7, 2 }, { "app", 0, 3 } };
+    beacon.placeDemands = { { "app", { { "org-a", 2.5 }, { "", 0.5 } } }, { "llm", {} } };
+    beacon.paceSamples = { { 3, Routing::PaceKind::Prompt, 2, 5, 0.5, 0.75 }, { 4, Routing::PaceKind::Whole, 6, 1, 0.0625, 0.125 } };
+    beacon.partUses = { { 9, 4 } };
     Daemon::BeaconMessage read = Daemon::decodeBeacon(Daemon::encode(beacon)).value();
+    EXPECT_EQ(read.placeDemands, beacon.placeDemands);
+    EXPECT_EQ(read.paceSamples, beacon.paceSamples);
+    EXPECT_EQ(read.partUses, beacon.partUses);
     EXPECT_EQ(read.rateLimits, beacon.rateLimits);
     EXPECT_EQ(read.paths, beacon.paths);
     EXPECT_EQ(read.wallClock, beacon.wallClock);
