LibRequest, LibDaemon: Count the attempts of a request over all daemons that handle it

Change: a relayed request carries the attempts that are left and the targets that have failed it; an answer of the peer says how many it made. What was granted counts as used until then, so a lost answer or a dead peer never leads to one target too many. The daemon that took the request earns for it, the peer does not.

--- a/Libraries/LibDaemon/AnswerSinks.cpp
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -19,11 +19,13 @@
 {
 }
 
-Http::Response CallerSink::errorResponse(CallerProtocol const& protocol, Core::Error const& error, Request::HttpErrorContext const& context, bool isRelayed)
+Http::Response CallerSink::errorResponse(CallerProtocol const& protocol, Core::Error const& error, Request::HttpErrorContext const& context, std::optional<RelayAttempts> const& relayed)
 {
     Http::Response response = protocol.error(error, context);
-    if (isRelayed)
+    if (relayed) {
         response.fields.set(std::string(relayVerdictHeader), std::string(Core::toString(error.verdict)));
+        writeRelayAttempts(response.fields, *relayed);
+    }
     return response;
 }
 
@@ -84,7 +86,10 @@
     context.requestId = m_requestId;
     context.isRepeatable = m_isRepeatable;
     context.retryAfter = finish.retryAfter;
-    std::ignore = co_await m_writer.send(errorResponse(m_protocol, error, context, m_isRelayed));
+    std::optional<RelayAttempts> relayed;
+    if (m_isRelayed)
+        relayed = RelayAttempts { finish.attempts, std::move(finish.triedTargets) };
+    std::ignore = co_await m_writer.send(errorResponse(m_protocol, error, context, relayed));
 }
 
 boost::asio::awaitable<void> CallerSink::finishWhole(Core::Verdict verdict)
--- a/Libraries/LibDaemon/AnswerSinks.h
+++ b/Libraries/LibDaemon/AnswerSinks.h
@@ -19,8 +19,8 @@
     boost::asio::awaitable<void> finish(Request::Finish) override;
     bool isAbandoned() const override { return m_writer.isCallerGone(); }
 
-    /// The response to an error. For a peer that has passed the request on, it carries the verdict.
-    static Http::Response errorResponse(CallerProtocol const&, Core::Error const&, Request::HttpErrorContext const&, bool isRelayed);
+    /// The response to an error. For a peer that has passed the request on, it carries the verdict and the attempts made.
+    static Http::Response errorResponse(CallerProtocol const&, Core::Error const&, Request::HttpErrorContext const&, std::optional<RelayAttempts> const&);
 
 private:
     boost::asio::awaitable<void> beginStream(Core::Verdict);
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -95,7 +95,10 @@
     bool isEarly = error.verdict == Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable;
     if (isEarly)
         context.retryAfter = retryAfterStart;
-    std::ignore = co_await writer.send(CallerSink::errorResponse(m_context.callers, error, context, isRelayed));
+    std::optional<RelayAttempts> relayed;
+    if (isRelayed)
+        relayed.emplace();
+    std::ignore = co_await writer.send(CallerSink::errorResponse(m_context.callers, error, context, relayed));
 }
 
 boost::asio::awaitable<void> CallerApi::serveWork(Http::Request& request, Http::ResponseWriter& writer)
@@ -110,6 +113,7 @@
     // A caller who sends it gets its request served here or not at all.
     bool isRelayed = request.fields.find(relayHeader).has_value();
     request.fields.remove(relayHeader);
+    std::optional<RelayAttempts> grant = takeRelayAttempts(request.fields);
     WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline, m_context.settings.callers.keys };
     Core::Result<Work> parsed = m_context.callers.parse(request, *m_context.fleet, limits, requestId);
     if (parsed.has_error()) {
@@ -118,6 +122,8 @@
     }
     Work work = std::move(parsed.value());
     work.isRelayed = isRelayed;
+    if (isRelayed)
+        work.grant = std::move(grant);
     work.key = workKeyOf(request, work);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -19,6 +19,8 @@
 // A daemon answers so where it has not read the request whole, or has no room for it (RFC 9110, sections 15.5 and 15.6).
 constexpr std::array<std::uint16_t, 5> unreadStatuses { 408, 413, 429, 431, 503 };
 
+constexpr std::uint16_t firstServerError = 500;
+
 std::chrono::milliseconds readRetryAfter(Http::Fields const& fields)
 {
     constexpr double longest = 3'600;
@@ -63,7 +65,7 @@
     dropKv();
     m_context.metrics.countRelay();
     Core::logEvent(Core::Severity::Info, Core::Event::RequestRelayed, { { "request", m_work.requestId }, { "attempt", std::to_string(leg->leg.attempt) }, { "work", m_work.name }, { "peer", peer.name }, { "left_ms", std::to_string(timeLeft().count()) } });
-    post(Request::TargetPicked { leg->leg.attempt, m_target });
+    post(Request::TargetPicked { leg->leg.attempt, m_target, true });
     // A kept connection may have been closed meanwhile, which leaves a doubt whether the request ran.
     Http::ConnectionChoice choice = m_work.isRepeatable ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
     Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.peerClient.connect(peer.address, choice, leg->connecting);
@@ -83,6 +85,7 @@
     std::string lastEventId = m_machine.deliveredPieces() > 0 ? m_lastEventId : std::string();
     Http::Request request = m_context.callers.relayed(m_work, timeLeft(), lastEventId);
     request.fields.set(std::string(relayHeader), m_context.settings.daemon.name);
+    writeRelayAttempts(request.fields, { m_machine.grantedToPeer(), m_machine.triedTargets() });
     Core::Result<void> started = co_await leg->exchange->start(request);
     if (leg->isAbandoned)
         co_return;
@@ -101,6 +104,11 @@
 {
     leg->head = leg->exchange->head();
     std::uint16_t status = leg->head.status;
+    std::optional<RelayAttempts> made = takeRelayAttempts(leg->head.fields);
+    // A stream that has begun may still be continued at other targets there.
+    bool isFinal = status >= firstServerError || leg->head.fields.find(relayVerdictHeader);
+    if (made && isFinal)
+        post(Request::PeerReported { leg->leg.attempt, made->attempts, std::move(made->triedTargets) });
     std::optional<std::string_view> ownVerdict = leg->head.fields.find(relayVerdictHeader);
     TargetSend send = sendOf(leg->leg.attempt);
     AnswerProof proof = m_context.targets.judge(m_work, send, leg->head, nullptr);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -66,7 +66,10 @@
     profile.mayContinue = work.mayContinue;
     profile.canResume = targets.resumesAtTarget && work.kind == Work::Kind::Model && work.isStreamed;
     profile.canCancel = targets.takesCancels && work.kind == Work::Kind::Model;
-    profile.maxAttempts = work.maxAttempts;
+    profile.maxAttempts = work.grant ? std::min(work.maxAttempts, work.grant->attempts) : work.maxAttempts;
+    profile.earnsRetries = !work.grant;
+    if (work.grant)
+        profile.triedTargets = work.grant->triedTargets;
     profile.unsentTries = targets.countsUnsent ? 0 : maxUnsentTries;
     profile.outlivesCaller = work.ticket.has_value();
     profile.deadline = deadline;
@@ -184,6 +187,10 @@
         if (m_leg)
             delivered = m_leg->head;
         delivered.status = static_cast<std::uint16_t>(head->status);
+        // Only a daemon may say how many attempts were made.
+        std::ignore = takeRelayAttempts(delivered.fields);
+        if (m_work.isRelayed)
+            writeRelayAttempts(delivered.fields, { m_machine.attemptsUsed(), triedTargets() });
         co_await m_sink->head(std::move(delivered));
     } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
         Clock::time_point now = Clock::now();
@@ -206,10 +213,20 @@
             abandonLeg();
             releasePlacement();
         }
+        finish->attempts = m_machine.attemptsUsed();
+        finish->triedTargets = triedTargets();
         co_await m_sink->finish(std::move(*finish));
     }
 }
 
+std::vector<std::string> RequestRunner::triedTargets() const
+{
+    std::vector<std::string> targets = m_machine.triedTargets();
+    if (!m_target.empty() && !m_isAtPeer)
+        targets.push_back(m_target);
+    return targets;
+}
+
 std::chrono::milliseconds RequestRunner::retryAfterOf(Routing::Reason reason) const
 {
     // An engine takes seconds to change its role, and an earlier retry would be refused again.
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -76,6 +76,7 @@
     bool keepPrompt();
     void notePrefillBroken(Core::Error const&);
     void logPrefillFailure(Core::Error const&) const;
+    std::vector<std::string> triedTargets() const;
     std::optional<RelayPeer> beginRelay(std::uint32_t attempt, std::vector<std::string> const& excluded);
     boost::asio::awaitable<void> runAtPeer(LegPointer, RelayPeer);
     boost::asio::awaitable<void> readPeerAnswer(LegPointer, bool isContinued);
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -2,6 +2,7 @@
 
 #include <LibAccess/Gate.h>
 #include <LibCore/Result.h>
+#include <LibDaemon/RelayHeaders.h>
 #include <LibHttp/Message.h>
 #include <LibLabel/LabelSet.h>
 #include <LibRequest/Fingerprint.h>
@@ -26,6 +27,7 @@
     Kind kind { Kind::Model };
     std::string name; ///< The model or the plain service.
     std::string organisation;
+    std::optional<RelayAttempts> grant {}; ///< By the peer that has passed it on; empty if that peer states none.
     bool isRelayed { false }; ///< A peer has passed it on to this daemon, which is the last to serve it.
     std::string callerKey {}; ///< The API key as the caller sent it, for a peer that serves the request; empty: none.
     bool isAuthenticated { false }; ///< The request's API key belongs to the organisation.
@@ -69,11 +71,6 @@
 inline constexpr std::string_view organisationHeader = "Currantvale-Organisation";
 inline constexpr std::string_view anonymousOrganisation = "anonymous";
 
-/// Between daemons: the name of the daemon that passed a request on, and the verdict of an error that the daemon which serves it
-/// has met itself. An answer of a target bears no such verdict.
-inline constexpr std::string_view relayHeader = "Currantvale-Relayed-By";
-inline constexpr std::string_view relayVerdictHeader = "Currantvale-Relay-Verdict";
-
 inline constexpr std::string_view servicePrefix = "/services/";
 
 }
--- a/Libraries/LibRequest/RequestAction.h
+++ b/Libraries/LibRequest/RequestAction.h
@@ -59,6 +59,8 @@
     Core::Verdict verdict { Core::Verdict::NotRun };
     std::optional<Core::Error> error;
     std::chrono::milliseconds retryAfter { 0 };
+    std::uint32_t attempts { 0 }; ///< Targets that may have run the request, for the daemon that has passed it on.
+    std::vector<std::string> triedTargets {}; ///< Likewise.
 };
 
 using RequestAction = std::variant<Dispatch, Continue, WriteRequest, Resume, CancelAtTarget, DeliverHead, DeliverPiece, Finish>;
--- a/Libraries/LibRequest/RequestEvent.h
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Request {
 
@@ -43,6 +44,13 @@
 struct TargetPicked {
     std::uint32_t attempt { 0 };
     std::string target;
+    bool isPeer { false }; ///< A peer makes the attempt, and further ones that it is allowed; `target` is its name.
+};
+/// The peer that makes the attempt has said how many attempts it made, and at which targets. Follow with the event of its answer.
+struct PeerReported {
+    std::uint32_t attempt { 0 };
+    std::uint32_t attempts { 0 };
+    std::vector<std::string> triedTargets;
 };
 /// Routing found no target for the attempt.
 struct NoTarget {
@@ -124,7 +132,7 @@
 struct ShutdownForced { };
 
 /// All events that the request machine handles.
-using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PromptComputed, NoTarget, Connected, ConnectFailed, TargetRefused,
+using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PeerReported, PromptComputed, NoTarget, Connected, ConnectFailed, TargetRefused,
     ResponseHead, Piece, StreamEnded, StreamBroken, SilentConnection, ResumeAccepted, ResumeUnknown,
     CancelAcknowledged, HomeAnswered, CallerGone, DeadlineReached, ShutdownForced>;
 
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -1,5 +1,6 @@
 #include <LibRequest/RequestMachine.h>
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Request {
@@ -27,9 +28,11 @@
 }
 
 RequestMachine::RequestMachine(RequestProfile profile, RetryBudget& budget)
-    : m_profile(profile)
+    : m_profile(std::move(profile))
     , m_budget(&budget)
-    , m_mayHaveRunBefore(profile.goesToHome)
+    , m_mayHaveRunBefore(m_profile.goesToHome)
+    , m_allowance(m_profile.maxAttempts)
+    , m_excluded(m_profile.triedTargets)
 {
 }
 
@@ -71,7 +74,7 @@
 {
     if (m_phase != Phase::Queued || m_attempt != 0)
         return;
-    if (startAttempt(now))
+    if (startAttempt(now) && m_profile.earnsRetries)
         m_budget->earn();
 }
 
@@ -84,8 +87,18 @@
 
 void RequestMachine::on(TargetPicked&& event, TimePoint)
 {
-    if (m_phase == Phase::Connecting && event.attempt == m_attempt)
-        m_target = std::move(event.target);
+    if (m_phase != Phase::Connecting || event.attempt != m_attempt)
+        return;
+    m_target = std::move(event.target);
+    m_isAtPeer = event.isPeer;
+}
+
+void RequestMachine::on(PeerReported&& event, TimePoint)
+{
+    if (event.attempt != m_attempt || !m_isAtPeer)
+        return;
+    m_allowance.settle(event.attempts);
+    m_excluded.insert(m_excluded.end(), std::make_move_iterator(event.triedTargets.begin()), std::make_move_iterator(event.triedTargets.end()));
 }
 
 void RequestMachine::on(PromptComputed&& event, TimePoint)
@@ -112,6 +125,8 @@
     m_wasWritten = true;
     m_targetIncarnation = std::move(event.targetIncarnation);
     m_phase = Phase::AwaitingHead;
+    if (m_isAtPeer)
+        m_granted = m_allowance.grant();
     act(WriteRequest { event.leg });
 }
 
@@ -128,9 +143,11 @@
         return;
     m_wasWritten = false;
     m_keepsPrompt = event.keepsPrompt;
+    m_allowance.settle(1);
     bool isFree = event.isUnsent && m_unsent < m_profile.unsentTries;
     if (isFree && (repeatedPrompts() == 0 || m_budget->take(now, repeatedPrompts()))) {
         ++m_unsent;
+        m_allowance.takeBack();
         startAttempt(now);
         return;
     }
@@ -323,6 +340,9 @@
     m_target.clear();
     std::chrono::milliseconds delay = m_profile.goesToHome ? delayAfter(m_attempt) : std::chrono::milliseconds(0);
     ++m_attempt;
+    m_allowance.begin();
+    m_isAtPeer = false;
+    m_granted = 0;
     m_connection = 1;
     m_resumes = 0;
     m_status = 0;
@@ -354,7 +374,7 @@
 /// first, so recomputing a prompt is one send and the run is another.
 bool RequestMachine::mayRetry(TimePoint now)
 {
-    return m_attempt - m_unsent < m_profile.maxAttempts && m_budget->take(now, 1 + repeatedPrompts());
+    return m_allowance.left() > 0 && m_budget->take(now, 1 + repeatedPrompts());
 }
 
 void RequestMachine::deliverHeadOnce()
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -3,6 +3,7 @@
 #include <LibRequest/RequestAction.h>
 #include <LibRequest/RequestEvent.h>
 #include <LibRequest/RetryBudget.h>
+#include <LibRequest/SendAllowance.h>
 #include <LibRequest/Ticket.h>
 #include <cstdint>
 #include <string>
@@ -18,7 +19,9 @@
     bool canCancel { false }; ///< Its targets accept cancels and fence the request's id.
     bool outlivesCaller { false }; ///< It has a ticket: when the caller disconnects, it continues and its answer is stored.
     bool goesToHome { false }; ///< It is forwarded to its ticket's home, which alone may say 'not run'.
-    std::uint32_t maxAttempts { 4 };
+    std::uint32_t maxAttempts { 4 }; ///< Over all daemons, or what the daemon that passed the request on has granted.
+    bool earnsRetries { true }; ///< False: the daemon that passed the request on has earned for it.
+    std::vector<std::string> triedTargets {}; ///< Have failed the request at another daemon.
     std::uint32_t unsentTries { 0 }; ///< Up to this many attempts that sent nothing count neither as attempts nor as retries.
     std::uint32_t maxResumes { 4 }; ///< Consecutive new connections without a new piece.
     TimePoint deadline;
@@ -55,6 +58,15 @@
     /// The current attempt's number; 0 before the first.
     std::uint32_t attempt() const { return m_attempt; }
 
+    /// How many attempts the peer that makes the current one may make; 0 before `WriteRequest`, or if no peer makes it.
+    std::uint32_t grantedToPeer() const { return m_granted; }
+
+    /// How many targets may have run the request, as far as known here; a peer that has not reported has used all it was granted.
+    std::uint32_t attemptsUsed() const { return m_allowance.used(); }
+
+    /// The targets that have been tried, here or at other daemons.
+    std::vector<std::string> const& triedTargets() const { return m_excluded; }
+
     /// How many pieces have been delivered.
     std::uint64_t deliveredPieces() const { return m_delivered; }
 
@@ -68,6 +80,7 @@
     void on(Admitted&&, TimePoint);
     void on(Refused&&, TimePoint);
     void on(TargetPicked&&, TimePoint);
+    void on(PeerReported&&, TimePoint);
     void on(PromptComputed&&, TimePoint);
     void on(NoTarget&&, TimePoint);
     void on(Connected&&, TimePoint);
@@ -114,6 +127,9 @@
     bool m_endsEvent { true }; ///< The delivered pieces end at an event boundary.
     std::uint32_t m_attempt { 0 };
     std::uint32_t m_unsent { 0 }; ///< Attempts that do not count.
+    SendAllowance m_allowance;
+    bool m_isAtPeer { false }; ///< A peer makes the current attempt.
+    std::uint32_t m_granted { 0 };
     std::uint32_t m_connection { 0 };
     std::uint32_t m_resumes { 0 };
     int m_status { 0 }; ///< Of the current attempt's head; 0 before it.
--- a/Libraries/LibRequest/SendAllowance.h
+++ b/Libraries/LibRequest/SendAllowance.h
@@ -1,23 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-#include <vector>
 
 namespace Request {
 
-/// What a daemon that passes a request on to a peer allows it: attempts at targets, and the targets that have failed the request.
-struct RelayGrant {
-    std::uint32_t attempts { 0 }; ///< Targets that the peer may send the request to; 0: the request is not passed on.
-    std::vector<std::string> triedTargets; ///< Not asked again while others are left.
-    bool isPaid { false }; ///< The daemon has counted the peer's first send in its own retry budget and earned for the request.
-
-    bool operator==(RelayGrant const&) const = default;
-};
-
 /// Counts over how many targets a request may have run, over all daemons that handle it. What was granted to a peer counts as used
 /// until the peer has said how many attempts it made, so that a lost answer or a dead peer never leads to one target too many.
-/// A pure function of its calls. Not thread-safe.
+/// Not thread-safe.
 class SendAllowance {
 public:
     /// `attempts`: the most targets that the request may be sent to, by its route or by the grant that it came with.
@@ -26,26 +15,28 @@
     {
     }
 
-    /// Counts a send to a target.
-    void noteSent();
+    /// Counts an attempt that is about to be made. The first one is counted whatever the limit is.
+    void begin();
+
+    /// Takes back the attempt begun last: nothing of it has reached a target. Precondition: one was begun.
+    void takeBack();
 
-    /// Takes back a send that has proved not to have reached its target, or that the target has refused without running.
-    void noteNotRun();
+    /// Allows a peer the attempt begun last and all that are left, and returns how many those are. Precondition: one was begun.
+    std::uint32_t grant();
 
-    /// Grants all attempts that are left to a peer; the grant's `attempts` is 0 if none is left.
-    RelayGrant grant(std::vector<std::string> triedTargets, bool isPaid);
+    /// Ends the open grant, if there is one: the peer has made so many attempts. Counts one at least and the grant at most.
+    void settle(std::uint32_t used);
 
-    /// Records how many targets the peer may have sent the request to. Precondition: the last grant is open; not above its attempts,
-    /// larger numbers count as these.
-    void settleGrant(std::uint32_t used);
+    /// Attempts that were made or granted.
+    std::uint32_t used() const { return m_used; }
 
-    /// Attempts that may still be made, here or at a peer.
-    std::uint32_t left() const;
+    /// Attempts that may still be begun.
+    std::uint32_t left() const { return m_attempts > m_used ? m_attempts - m_used : 0; }
 
 private:
     std::uint32_t m_attempts { 0 };
     std::uint32_t m_used { 0 };
-    std::uint32_t m_granted { 0 }; ///< Of the open grant.
+    std::uint32_t m_granted { 0 }; ///< By the open grant; 0 if there is none.
 };
 
 }
