LibRouting, LibDaemon: Learn from the answers of all daemons how fast each target is

Cause: engines of one service differ in speed and some targets slow down before they are full; a daemon knew only what its own few answers showed, and nothing of plain targets. Change: PaceBook learns each target's time factor and knee from samples in beacons. With [routing] learn_pace (off by default) routing goes by it: prompts, events, whole answers, and the places of plain targets. Shown at /paces and in metrics; target-knee-moved.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -70,6 +70,7 @@
     TargetProbed = 6011,
     PathsChanged = 6012,
     TargetsAvoided = 6013,
+    TargetKneeMoved = 6014,
     UsageDecided = 7001,
     UsageReported = 7002,
     UsageMissed = 7003,
@@ -78,7 +79,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 67> eventNames { {
+inline constexpr EnumNames<Event, 68> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -140,6 +141,7 @@
     { Event::TargetProbed, "target-probed" },
     { Event::PathsChanged, "paths-changed" },
     { Event::TargetsAvoided, "targets-avoided" },
+    { Event::TargetKneeMoved, "target-knee-moved" },
     { Event::UsageDecided, "usage-decided" },
     { Event::UsageReported, "usage-reported" },
     { Event::UsageMissed, "usage-missed" },
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -150,6 +150,8 @@
         m_dispatcher->paths().notePeerAnswers(outcomes);
     };
     hooks.takeHeldParts = [this] { return m_dispatcher->takeHeldParts(); };
+    hooks.takePaceSamples = [this] { return m_dispatcher->takePaceSamples(); };
+    hooks.takePeerPaces = [this](std::vector<Routing::PaceSample> const& samples) { m_dispatcher->takePeerPaces(samples); };
     hooks.serviceReports = [this] { return m_dispatcher->serviceReports(); };
     hooks.slowness = [this](std::uint64_t target, Routing::TargetRole role) { return m_dispatcher->slowness(target, role); };
     hooks.takePeerReports = [this](std::string const& peer, std::vector<Routing::ServiceReport> const& reports) { m_dispatcher->takePeerReports(peer, reports); };
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -43,6 +43,7 @@
     Http::Response respondWithMetrics();
     Http::Response respondWithSuspects() const;
     Http::Response respondWithLimits() const;
+    Http::Response respondWithPaces() const;
     Http::Response respondWithDuties() const;
     void sampleDuties(MetricsSample&) const;
     void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -19,6 +19,8 @@
         return respondWithSuspects();
     if (request.target == "/limits")
         return respondWithLimits();
+    if (request.target == "/paces")
+        return respondWithPaces();
     if (request.target == "/duties")
         return respondWithDuties();
     if (request.target != "/metrics")
@@ -53,6 +55,15 @@
     return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "limits", std::move(list) } }));
 }
 
+// How fast targets are, and how many requests at once they take well, as the answers of all daemons show.
+Http::Response Daemon::respondWithPaces() const
+{
+    boost::json::array list;
+    for (PaceStatus const& it : m_dispatcher->paces())
+        list.push_back(boost::json::object { { "target", it.target }, { "kind", Core::nameOf(Routing::paceKindNames, it.kind) }, { "time_factor", it.pace.factor }, { "knee", it.pace.knee ? boost::json::value(*it.pace.knee) : boost::json::value() }, { "answers", it.pace.evidence }, { "age_ms", it.pace.age.count() } });
+    return Http::jsonResponse(Http::Status::Ok, boost::json::serialize(boost::json::object { { "paces", std::move(list) } }));
+}
+
 // Who has the singleton duties, as this daemon sees it, and what it has done of them itself.
 Http::Response Daemon::respondWithDuties() const
 {
@@ -101,6 +112,8 @@
     sample.configVersion = m_storeControl->configVersion();
     for (std::pair<std::string const, Routing::RateLimitStatus> const& it : m_dispatcher->rateLimits())
         sample.targetRateLimits.emplace(it.first, it.second.perSecond);
+    for (PaceStatus const& it : m_dispatcher->paces())
+        sample.targetPaces.emplace(std::pair(it.target, std::string(Core::nameOf(Routing::paceKindNames, it.kind))), it.pace.factor);
     sample.storeReadAge = m_storeControl->storeReadAge();
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
     sample.unsentRecordBytes = m_storeControl->unsentRecordBytes();
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -52,6 +52,7 @@
     : m_inFlightPerTarget(settings.limits.inFlightPerTarget)
     , m_router(router)
     , m_loads(std::move(loads))
+    , m_learnsPace(settings.routing.learnsPace)
     , m_prefixes(std::move(prefixes))
     , m_random(seed)
     , m_preferenceSeed(m_random())
@@ -134,6 +135,7 @@
     m_candidatePositions.clear();
     m_failingCandidates.clear();
     updateOutliers(now);
+    updatePaces(now);
     bool hasOutputTarget = false;
     Routing::AgeWeightedWork stale;
     std::size_t fitTargets = 0;
@@ -151,10 +153,10 @@
         bool isFailing = !isClosed && m_outliers.isOutlier(target.key, now);
         // Uses the target's current role, because it may have changed while the request was waiting.
         Routing::Candidate candidate { target.id, role->second, target.distance, isClosed || isFailing, 0, m_loads.load(target.id, now), m_openWork.total(target.key, now) };
-        candidate.slots = target.slots;
+        candidate.slots = placesOf(target, now);
         candidate.preference = Routing::homeWeight(m_preferenceSeed, target.key);
-        candidate.promptFactor = m_speeds.promptFactor(target.key);
-        candidate.eventFactor = m_speeds.eventFactor(target.key);
+        candidate.promptFactor = promptFactor(target.key);
+        candidate.eventFactor = eventFactor(target.key, role->second, now);
         if (!isClosed && Routing::takes(role->second, request.shape.phase)) {
             stale += m_openWork.ageWeighted(target.key, now);
             ++fitTargets;
@@ -174,6 +176,7 @@
     markHomes(request);
     Routing::RequestShape shape = request.shape;
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
+    shape.wholeSeconds = wholeSeconds(request);
     shape.outputSeconds = outputSeconds(*request.fleet, request.work, shape, now);
     shape.unseenRequests = unseenRequests(request.work, shape.phase, stale, fitTargets);
     // In the decode phase, the output being placed is no longer pending itself.
@@ -237,7 +240,10 @@
 {
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
     constexpr double negligibleSeconds = 1e-6;
-    waiter.isOnlyPrompt = m_openWork.total(key, Clock::now()).prefillSeconds < negligibleSeconds;
+    Routing::TargetWork before = m_openWork.total(key, Clock::now());
+    waiter.isOnlyPrompt = before.prefillSeconds < negligibleSeconds;
+    waiter.aheadSeconds = before.prefillSeconds;
+    waiter.openAtSend = before.requests + 1;
     m_openWork.begin(key, waiter.work);
     takeRate(waiter, key);
     waiter.sentAt = Clock::now();
@@ -364,6 +370,7 @@
     if (waiter->isResolved && waiter->outcome.position) {
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
         m_speeds.noteOpenTime(waiter->request.work, waiter->outcome.decision.role, std::chrono::duration<double>(Clock::now() - waiter->sentAt).count());
+        noteWholePace(*waiter);
         m_openWork.end(waiter->request.fleet->targets[*waiter->outcome.position].key, waiter->work);
         if (!waiter->isPrefilled)
             m_loads.prefilled(targetId, waiter->promptTokens, Clock::now());
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -8,6 +8,7 @@
 #include <LibRouting/LoadTable.h>
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
+#include <LibRouting/PaceBook.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/Router.h>
@@ -55,6 +56,13 @@
     std::chrono::milliseconds retryAfter { 0 };
 };
 
+/// What is known of one target's pace for one kind of work.
+struct PaceStatus {
+    std::string target;
+    Routing::PaceKind kind { Routing::PaceKind::Whole };
+    Routing::TargetPace pace;
+};
+
 /// Admits requests within the configured limits and chooses their targets. Combines admission, target loads, the prefix
 /// index and routing. One per daemon. Thread-safe.
 class Dispatcher {
@@ -141,6 +149,18 @@
     /// Applies the outcome counts of a peer's requests.
     void takePeerOutcomes(std::vector<Routing::OutcomeCounts> const&);
 
+    /// Records that a plain service has answered the placement's request, so that its time counts for the target's pace.
+    void noteAnswered(std::uint64_t id);
+
+    /// Returns how fast targets were in this daemon's answers since the last call, for its peers.
+    std::vector<Routing::PaceSample> takePaceSamples();
+
+    /// Applies how fast targets were in a peer's answers.
+    void takePeerPaces(std::vector<Routing::PaceSample> const&);
+
+    /// Returns what is known of the pace of each target for each kind of work with evidence, for operators.
+    std::vector<PaceStatus> paces() const;
+
     /// Returns the paths to targets. The reference stays valid.
     PathBook& paths() { return m_paths; }
 
@@ -186,6 +206,13 @@
     void noteDemand(PlacementRequest const&);
     double outputSeconds(FleetSnapshot const&, std::string const& service, Routing::RequestShape const&, std::chrono::steady_clock::time_point now) const;
     void updateOutliers(std::chrono::steady_clock::time_point now);
+    void updatePaces(std::chrono::steady_clock::time_point now);
+    void notePromptPace(Waiter const&, std::chrono::steady_clock::duration);
+    void noteWholePace(Waiter const&);
+    double promptFactor(std::uint64_t targetKey) const;
+    double eventFactor(std::uint64_t targetKey, Routing::TargetRole, std::chrono::steady_clock::time_point now) const;
+    std::uint32_t placesOf(FleetTarget const&, std::chrono::steady_clock::time_point now) const;
+    double wholeSeconds(PlacementRequest const&) const;
     void markHomes(PlacementRequest const&);
     double unseenRequests(std::string const& service, Routing::Phase, Routing::AgeWeightedWork const&, std::size_t targets) const;
     std::uint32_t limitOf(FleetTarget const&) const;
@@ -203,6 +230,8 @@
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
     Routing::SpeedBook m_speeds;
+    bool m_learnsPace { false };
+    Routing::PaceBook m_paces;
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -15,6 +15,18 @@
 // Outcomes arrive about ten times a second. With enough of them, a failing target is detected within this interval.
 constexpr std::chrono::milliseconds outlierInterval { 100 };
 
+// Targets of one service, whatever their roles: an engine that changes its role keeps its pace.
+std::vector<std::vector<std::uint64_t>> paceGroups(FleetSnapshot const& fleet)
+{
+    std::map<std::string, std::vector<std::uint64_t>> groups;
+    for (FleetTarget const& target : fleet.targets)
+        groups[target.work()].push_back(target.key);
+    std::vector<std::vector<std::uint64_t>> keys;
+    for (std::pair<std::string const, std::vector<std::uint64_t>>& it : groups)
+        keys.push_back(std::move(it.second));
+    return keys;
+}
+
 }
 
 void Dispatcher::report(std::uint32_t targetId, Routing::LoadReport const& report)
@@ -49,6 +61,7 @@
     std::vector<std::vector<std::uint64_t>> outlierGroups;
     for (std::pair<std::tuple<std::string, Routing::TargetRole> const, std::vector<std::uint64_t>>& it : groups)
         outlierGroups.push_back(std::move(it.second));
+    m_paces.setGroups(paceGroups(*fleet));
     m_outliers.setGroups(std::move(outlierGroups));
     m_speeds.keepTargets(m_targetNames);
     std::set<std::uint64_t> listed;
@@ -76,7 +89,7 @@
         return 0;
     // A plain service reports its slots; an engine queues requests by urgency itself.
     bool isPlain = target.kind == Platform::VmKind::Service;
-    return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
+    return isPlain && target.slots != 0 ? std::min(placesOf(target, Clock::now()), m_inFlightPerTarget) : m_inFlightPerTarget;
 }
 
 void Dispatcher::noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome outcome)
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -20,7 +20,10 @@
 {
     std::lock_guard lock(m_mutex);
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(id);
-    if (it == m_waiters.end() || !it->second->outcome.position || !it->second->isOnlyPrompt)
+    if (it == m_waiters.end() || !it->second->outcome.position)
+        return;
+    notePromptPace(*it->second, duration);
+    if (!it->second->isOnlyPrompt)
         return;
     Waiter const& waiter = *it->second;
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
@@ -38,7 +41,10 @@
     if (it == m_waiters.end() || !it->second->outcome.position)
         return;
     Waiter const& waiter = *it->second;
-    m_speeds.noteEventGap(waiter.request.work, waiter.request.fleet->targets[*waiter.outcome.position].key, secondsOf(duration));
+    std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
+    if (m_learnsPace)
+        m_paces.note(key, Routing::PaceKind::Event, m_openWork.total(key, Clock::now()).requests, m_speeds.speed(waiter.request.work, Clock::now()).eventSeconds, secondsOf(duration), Clock::now());
+    m_speeds.noteEventGap(waiter.request.work, key, secondsOf(duration));
 }
 
 double Dispatcher::expectedOutputSeconds(FleetSnapshot const& fleet, std::string const& service, Routing::RequestShape const& shape) const
@@ -88,7 +94,7 @@
 double Dispatcher::slowness(std::uint64_t targetKey, Routing::TargetRole role) const
 {
     std::lock_guard lock(m_mutex);
-    return role == Routing::TargetRole::Prefill ? m_speeds.promptFactor(targetKey) : m_speeds.eventFactor(targetKey);
+    return role == Routing::TargetRole::Prefill ? promptFactor(targetKey) : eventFactor(targetKey, role, Clock::now());
 }
 
 void Dispatcher::takePeerReports(std::string const& peer, std::vector<Routing::ServiceReport> const& reports)
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -9,6 +9,7 @@
     , m_relays(&prometheus::BuildCounter().Name("currantvale_relays_total").Help("Requests passed on to a peer because this daemon could not reach their targets.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
     , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
+    , m_paces(prometheus::BuildGauge().Name("currantvale_target_time_factor").Help("Time that a target takes for a kind of work, relative to the answers of its service on average.").Register(*m_registry))
     , m_paths(prometheus::BuildGauge().Name("currantvale_target_paths").Help("Targets of a service by whether the last connection to them, made lately, succeeded.").Register(*m_registry))
 {
     prometheus::Family<prometheus::Counter>& finished = prometheus::BuildCounter().Name("currantvale_requests_finished_total").Help("Final answers by verdict.").Register(*m_registry);
@@ -127,6 +128,25 @@
     }
 }
 
+// A target without recent answers has no value any more.
+void Metrics::setPaces(std::map<std::pair<std::string, std::string>, double> const& paces)
+{
+    using Entry = std::pair<std::pair<std::string, std::string> const, prometheus::Gauge*>;
+    std::lock_guard lock(m_gaugesMutex);
+    std::erase_if(m_pacesByTarget, [&](Entry const& it) {
+        bool isEnded = !paces.contains(it.first);
+        if (isEnded)
+            m_paces.Remove(it.second);
+        return isEnded;
+    });
+    for (std::pair<std::pair<std::string, std::string> const, double> const& it : paces) {
+        prometheus::Gauge*& gauge = m_pacesByTarget[it.first];
+        if (!gauge)
+            gauge = &m_paces.Add({ { "target", it.first.first }, { "kind", it.first.second } });
+        gauge->Set(it.second);
+    }
+}
+
 // A service without recent evidence has neither.
 void Metrics::setPaths(std::vector<Routing::PathCounts> const& paths)
 {
@@ -171,6 +191,7 @@
     m_values.Add({ { "of", "engines_wanted" } }).Set(sample.enginesWanted);
     m_values.Add({ { "of", "engines_serving" } }).Set(sample.enginesServing);
     setRateLimits(sample.targetRateLimits);
+    setPaces(sample.targetPaces);
     setPaths(sample.paths);
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -49,6 +49,7 @@
     std::uint32_t enginesWanted { 0 }; ///< Of all services that this daemon orders engines for, as the next.
     std::uint32_t enginesServing { 0 };
     std::map<std::string, double> targetRateLimits {}; ///< Requests per second, by target name.
+    std::map<std::pair<std::string, std::string>, double> targetPaces; ///< Time factors, by target and kind of work.
     std::vector<Routing::PathCounts> paths {}; ///< Of the services whose targets this daemon has tried to reach lately.
 };
 
@@ -124,6 +125,7 @@
 private:
     void setPaths(std::vector<Routing::PathCounts> const&);
     void setRateLimits(std::map<std::string, double> const&);
+    void setPaces(std::map<std::pair<std::string, std::string>, double> const&);
     void addTimes();
     void addCounters();
 
@@ -141,8 +143,10 @@
     prometheus::Counter* m_relays;
     prometheus::Family<prometheus::Gauge>& m_values;
     prometheus::Family<prometheus::Gauge>& m_rateLimits;
+    prometheus::Family<prometheus::Gauge>& m_paces;
     prometheus::Family<prometheus::Gauge>& m_paths;
     std::map<std::string, prometheus::Gauge*> m_rateLimitsByTarget;
+    std::map<std::pair<std::string, std::string>, prometheus::Gauge*> m_pacesByTarget;
     std::set<std::string> m_services; ///< That paths were reported of.
     std::mutex m_gaugesMutex;
 };
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -176,6 +176,8 @@
     m_context.metrics.countOutcome(outcome);
     if (FleetTarget const* target = targetOf(m_target))
         m_context.dispatcher.noteOutcome(target->key, outcome);
+    if (outcome == Routing::TargetOutcome::Answered && m_placement != 0)
+        m_context.dispatcher.noteAnswered(m_placement);
 }
 
 // Returns whether the response belongs to an earlier request on this connection.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -281,6 +281,7 @@
     if (kind == BeaconKind::ToAll) {
         beacon.outcomes = m_hooks.takeOutcomes();
         beacon.heldParts = m_hooks.takeHeldParts();
+        beacon.paceSamples = m_hooks.takePaceSamples();
     }
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -112,6 +112,7 @@
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().livenessTimeout());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
+    m_hooks.takePeerPaces(beacon.paceSamples);
     if (!beacon.rateLimits.empty())
         m_hooks.takePeerRateLimits(beacon.sender.name, beacon.rateLimits);
     if (beacon.suspects.empty())
--- a/Libraries/LibRouting/PaceBook.h
+++ b/Libraries/LibRouting/PaceBook.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <LibCore/EnumNames.h>
+#include <LibRouting/PaceWindow.h>
 #include <chrono>
+#include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace Routing {
@@ -37,7 +41,7 @@
 
 /// What is known of one target, relative to the others of its group.
 struct TargetPace {
-    double factor { 1 }; ///< Time for the same work with few other requests; 1: as the group's median.
+    double factor { 1 }; ///< Time for the same work with few other requests; 1: as the group's answers on average.
     std::optional<std::uint32_t> knee; ///< Open requests beyond which another one slows all more than it is worth; empty: none seen.
     double evidence { 0 }; ///< Weight of the answers that this rests on; older answers weigh less.
     std::chrono::milliseconds age { 0 }; ///< Of the newest answer.
@@ -75,8 +79,42 @@
     /// Returns what is known of a target; a factor of 1 and no knee while there is too little evidence.
     TargetPace pace(std::uint64_t target, PaceKind, Time now) const;
 
-    /// Updates factors and knees. Call about ten times a second. Returns the knees that have moved by a quarter or more.
+    /// Updates factors and knees, twice a second however often it is called. Returns the knees that have moved by a quarter or more.
     std::vector<KneeChange> update(Time now);
+
+private:
+    struct Subject {
+        std::uint64_t target { 0 };
+        PaceKind kind { PaceKind::Whole };
+
+        auto operator<=>(Subject const&) const = default;
+    };
+
+    struct State {
+        PaceWindow window;
+        double factor { 1 };
+        double evidence { 0 };
+        std::optional<std::uint32_t> knee;
+        std::int64_t kneeMovedAt { 0 }; ///< Number of the half second.
+        Time newest;
+    };
+
+    struct Unreported {
+        std::uint32_t answers { 0 };
+        double expectedSeconds { 0 };
+        double seconds { 0 };
+    };
+
+    void add(PaceSample const&, Time now);
+    void updateGroup(std::vector<std::uint64_t> const& group, PaceKind, std::int64_t slot, std::vector<KneeChange>&);
+    static LoadCurve loadCurve(std::vector<State*> const&);
+    static void updateKnee(State&, std::int64_t slot);
+
+    std::vector<std::vector<std::uint64_t>> m_groups;
+    std::set<std::uint64_t> m_listed;
+    std::map<Subject, State> m_states;
+    std::map<std::pair<Subject, std::size_t>, Unreported> m_unreported; ///< By the range of open requests, too.
+    std::int64_t m_updatedSlot { 0 };
 };
 
 }
--- a/Libraries/LibRouting/RequestShape.h
+++ b/Libraries/LibRouting/RequestShape.h
@@ -15,6 +15,7 @@
     double unseenRequests { 0 }; ///< Estimated requests per suitable target that peers have sent since their last reports.
     std::uint64_t prefixHash { 0 }; ///< Hash of the longest reusable prefix; 0: none. Only logged; matches are in the candidates.
     double outputSeconds { 0 }; ///< Learned duration of its output on an average engine; 0: unknown.
+    double wholeSeconds { 0 }; ///< Learned time of such a request at an average target of a plain service; 0: not used.
     PromptCost promptCost {}; ///< Learned cost model of the engines that serve it.
     std::uint32_t sharedTokens { 0 }; ///< Length of the prompt's beginning that other requests share.
 };
--- a/Libraries/LibRouting/RouterHome.cpp
+++ b/Libraries/LibRouting/RouterHome.cpp
@@ -16,7 +16,7 @@
     if (hasNoFreeSlot)
         wait += (candidate.open.requests - candidate.slots + 1) * m_settings.secondsPerSlot;
     if (shape.phase == Phase::Decode || shape.phase == Phase::Whole)
-        return wait + shape.outputSeconds * (candidate.eventFactor - 1) * m_settings.slowOutputWeight + (candidate.fetchesCrossZoneKv ? m_settings.crossZoneKvSeconds : 0);
+        return wait + shape.wholeSeconds * candidate.eventFactor + shape.outputSeconds * (candidate.eventFactor - 1) * m_settings.slowOutputWeight + (candidate.fetchesCrossZoneKv ? m_settings.crossZoneKvSeconds : 0);
     std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
     std::uint32_t cached = std::min(candidate.prefixMatchTokens, shape.promptTokens);
     double seconds = shape.promptCost.seconds(shape.promptTokens - cached, shape.promptTokens) * candidate.promptFactor;
