LibAdmission, LibDaemon: Divide the places of scarce targets among daemons by their demand

Cause: each daemon may fill all places of a target whatever its peers do, so work queues at the target, first come, first served, and the fair order of admission decides nothing. Change: PlaceShares deals the places of a service, one owner each, by the demand that daemons tell in beacons, and among organisations by max-min fairness; parts of a place come in turn. With [limits] share_places (off by default), and only while demand exceeds the places.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -34,6 +34,7 @@
     ConnectionEndedUnanswered = 2015,
     RequestRelayed = 2016,
     RunBroken = 2017,
+    PlacesDivided = 2020,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -79,7 +80,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 68> eventNames { {
+inline constexpr EnumNames<Event, 69> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -105,6 +106,7 @@
     { Event::ConnectionEndedUnanswered, "connection-ended-unanswered" },
     { Event::RequestRelayed, "request-relayed" },
     { Event::RunBroken, "run-broken" },
+    { Event::PlacesDivided, "places-divided" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -152,6 +152,9 @@
     hooks.takeHeldParts = [this] { return m_dispatcher->takeHeldParts(); };
     hooks.takePaceSamples = [this] { return m_dispatcher->takePaceSamples(); };
     hooks.takePeerPaces = [this](std::vector<Routing::PaceSample> const& samples) { m_dispatcher->takePeerPaces(samples); };
+    hooks.placeDemands = [this] { return m_dispatcher->placeDemands(); };
+    hooks.takePeerPlaceDemands = [this](std::string const& peer, std::vector<Admission::PlaceDemand> const& demands, std::chrono::milliseconds lifetime) { m_dispatcher->takePeerPlaceDemands(peer, demands, lifetime); };
+    hooks.updateShares = [this] { m_dispatcher->updateShares(); };
     hooks.serviceReports = [this] { return m_dispatcher->serviceReports(); };
     hooks.slowness = [this](std::uint64_t target, Routing::TargetRole role) { return m_dispatcher->slowness(target, role); };
     hooks.takePeerReports = [this](std::string const& peer, std::vector<Routing::ServiceReport> const& reports) { m_dispatcher->takePeerReports(peer, reports); };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -38,7 +38,8 @@
     BOOST_OUTCOME_TRY(Routing::Router router, Routing::Router::create(settings.routing));
     BOOST_OUTCOME_TRY(Routing::LoadTable loads, Routing::LoadTable::create(Routing::LoadTable::Settings()));
     BOOST_OUTCOME_TRY(Routing::PrefixIndex prefixes, Routing::PrefixIndex::create(prefixIndexCapacity));
-    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, router, std::move(loads), std::move(prefixes), seed));
+    BOOST_OUTCOME_TRY(Admission::PlaceShares shares, Admission::PlaceShares::create({}, settings.daemon.name));
+    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, router, std::move(loads), std::move(prefixes), std::move(shares), seed));
     Admission::Controller::Limits limits;
     limits.inFlightPerOrganisation = settings.limits.inFlightPerOrganisation;
     limits.queuedPerOrganisation = settings.limits.queuedPerOrganisation;
@@ -48,7 +49,7 @@
     return dispatcher;
 }
 
-Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, std::uint64_t seed)
+Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, Admission::PlaceShares shares, std::uint64_t seed)
     : m_inFlightPerTarget(settings.limits.inFlightPerTarget)
     , m_router(router)
     , m_loads(std::move(loads))
@@ -57,6 +58,8 @@
     , m_random(seed)
     , m_preferenceSeed(m_random())
     , m_paths(m_random())
+    , m_sharesPlaces(settings.limits.sharesPlaces)
+    , m_shares(std::move(shares))
 {
 }
 
@@ -91,7 +94,7 @@
         m_groupsOfTarget[id].push_back(group);
         std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(id);
         if (limit != m_limits.end())
-            resolve(m_admission->setTarget(id, limit->second, m_groupsOfTarget[id]));
+            resolve(m_admission->setTarget(id, admittedAt(id), m_groupsOfTarget[id]));
     }
 }
 
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmission/Controller.h>
+#include <LibAdmission/PlaceShares.h>
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/PathBook.h>
 #include <LibDaemon/Work.h>
@@ -160,6 +161,17 @@
 
     /// Returns what is known of the pace of each target for each kind of work with evidence, for operators.
     std::vector<PaceStatus> paces() const;
+    /// Returns this daemon's demand on the places of services where these may become scarce, for its peers.
+    std::vector<Admission::PlaceDemand> placeDemands() const;
+
+    /// Replaces a peer's demand on places. It expires after `lifetime`.
+    void takePeerPlaceDemands(std::string const& peer, std::vector<Admission::PlaceDemand>, std::chrono::milliseconds lifetime);
+
+    /// Measures this daemon's demand, and opens so many places of scarce targets as are this daemon's now. Call ten times a second.
+    void updateShares();
+
+    /// Returns the demand of all daemons over the places, for each service whose places are divided now.
+    std::map<std::string, double> scarcities() const;
 
     /// Returns the paths to targets. The reference stays valid.
     PathBook& paths() { return m_paths; }
@@ -185,7 +197,7 @@
         bool isWorthWaiting { true };
     };
 
-    Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, std::uint64_t seed);
+    Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, Admission::PlaceShares, std::uint64_t seed);
 
     std::optional<Admission::TargetId> chooseTarget(Admission::RequestId);
     void resolve(std::vector<Admission::Grant> const&);
@@ -216,6 +228,12 @@
     void markHomes(PlacementRequest const&);
     double unseenRequests(std::string const& service, Routing::Phase, Routing::AgeWeightedWork const&, std::size_t targets) const;
     std::uint32_t limitOf(FleetTarget const&) const;
+    std::uint32_t admittedAt(std::uint32_t targetId) const;
+    void setPlaces(FleetSnapshot const&);
+    void measureDemand();
+    bool mayBecomeScarce(std::string const& service, std::vector<Admission::TargetPlaces> const&);
+    void setAllotment(std::string const& service, std::optional<Admission::PlaceAllotment> const&);
+    void logDivision(std::string const& service, bool isDivided) const;
     Admission::Demand demandOf(PlacementRequest const&, std::uint64_t id);
 
     mutable std::mutex m_mutex;
@@ -247,6 +265,13 @@
     std::map<std::vector<std::uint32_t>, Admission::GroupId> m_groups; ///< By the sorted ids of the allowed targets.
     std::unordered_map<std::uint32_t, std::vector<Admission::GroupId>> m_groupsOfTarget;
     Admission::GroupId m_nextGroup { 1 };
+    bool m_sharesPlaces { false };
+    Admission::PlaceShares m_shares;
+    std::map<std::string, std::vector<Admission::TargetPlaces>> m_places; ///< Of plain services' open targets, by service.
+    std::map<std::string, std::map<std::string, double>> m_placeDemands; ///< This daemon's, smoothed, by service and organisation.
+    std::set<std::string> m_scarceServices; ///< Those whose places may become scarce, so that peers are told of the demand.
+    std::map<std::string, double> m_divided; ///< Services whose places are divided now, and how scarce these are.
+    std::unordered_map<std::uint32_t, std::uint32_t> m_allotted; ///< This daemon's places at targets of these services, by target id.
     std::unordered_map<std::uint32_t, std::uint32_t> m_limits; ///< Maximum in flight per known target; 0 while it is closed.
     std::vector<std::uint32_t> m_knownTargets;
     std::unordered_map<std::uint32_t, Routing::TargetRole> m_roles; ///< Current roles of the known targets.
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -76,11 +76,12 @@
             m_admission->removeTarget(id);
     }
     m_knownTargets = std::move(known);
+    setPlaces(*fleet);
     m_limits.clear();
     for (FleetTarget const& target : fleet->targets)
         m_limits.emplace(target.id, limitOf(target));
     for (FleetTarget const& target : fleet->targets)
-        resolve(m_admission->setTarget(target.id, m_limits[target.id], m_groupsOfTarget[target.id]));
+        resolve(m_admission->setTarget(target.id, admittedAt(target.id), m_groupsOfTarget[target.id]));
 }
 
 std::uint32_t Dispatcher::limitOf(FleetTarget const& target) const
--- a/Libraries/LibDaemon/DispatcherNotices.cpp
+++ b/Libraries/LibDaemon/DispatcherNotices.cpp
@@ -165,7 +165,7 @@
         std::uint32_t id = request.fleet->targets[position].id;
         std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(id);
         if (limit != m_limits.end())
-            resolve(m_admission->setTarget(id, limit->second, m_groupsOfTarget[id]));
+            resolve(m_admission->setTarget(id, admittedAt(id), m_groupsOfTarget[id]));
     }
     applyAdmissionResults();
 }
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -276,6 +276,7 @@
         beacon.changing.push_back(it.first);
     beacon.leaving = m_leaving.own();
     beacon.rateLimits = m_hooks.rateLimitReports();
+    beacon.placeDemands = m_hooks.placeDemands();
     beacon.suspects = m_hooks.suspects();
     beacon.paths = m_hooks.paths();
     if (kind == BeaconKind::ToAll) {
@@ -308,6 +309,7 @@
         findUnreachable(now);
         pollPaths(now);
         pollDuties(now);
+        m_hooks.updateShares();
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
         m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -110,6 +110,7 @@
             m_engineNumbers->hear(it.first, it.second);
     }
     m_hooks.takePeerWork(beacon.sender.name, beacon.shares, m_beacons->book().livenessTimeout());
+    m_hooks.takePeerPlaceDemands(beacon.sender.name, beacon.placeDemands, m_beacons->book().livenessTimeout());
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
     m_hooks.takePeerPaces(beacon.paceSamples);
