LibRouting, LibDaemon: Give shared parts of prompts homes by their demand and the targets' speeds

Cause: each shared part had one home and a second one, whatever its demand and however fast the targets are. Change: PartHomes counts over all daemons how often parts are asked for and gives each as many homes as its prompts keep busy; rendezvous hashing is weighted with rounded speeds. With [routing] spread_parts (off by default); with equal speeds and little demand the homes are the former ones.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -155,6 +155,8 @@
     hooks.placeDemands = [this] { return m_dispatcher->placeDemands(); };
     hooks.takePeerPlaceDemands = [this](std::string const& peer, std::vector<Admission::PlaceDemand> const& demands, std::chrono::milliseconds lifetime) { m_dispatcher->takePeerPlaceDemands(peer, demands, lifetime); };
     hooks.updateShares = [this] { m_dispatcher->updateShares(); };
+    hooks.takePartUses = [this] { return m_dispatcher->takePartUses(); };
+    hooks.takePeerPartUses = [this](std::vector<Routing::PartUse> const& uses) { m_dispatcher->takePeerPartUses(uses); };
     hooks.serviceReports = [this] { return m_dispatcher->serviceReports(); };
     hooks.slowness = [this](std::uint64_t target, Routing::TargetRole role) { return m_dispatcher->slowness(target, role); };
     hooks.takePeerReports = [this](std::string const& peer, std::vector<Routing::ServiceReport> const& reports) { m_dispatcher->takePeerReports(peer, reports); };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -54,6 +54,7 @@
     , m_router(router)
     , m_loads(std::move(loads))
     , m_learnsPace(settings.routing.learnsPace)
+    , m_spreadsParts(settings.routing.spreadsParts)
     , m_prefixes(std::move(prefixes))
     , m_random(seed)
     , m_preferenceSeed(m_random())
@@ -219,26 +220,6 @@
     return targets > 0 && openSeconds > 0 ? requests / static_cast<double>(targets) / openSeconds : 0;
 }
 
-// The home targets of a shared prefix are the same at all daemons, whatever each has seen of it.
-void Dispatcher::markHomes(PlacementRequest const& request)
-{
-    if (request.shape.phase != Routing::Phase::WholeOrPrefill || request.shape.prefixHash == 0)
-        return;
-    m_homeKeys.clear();
-    m_homeCandidates.clear();
-    for (std::size_t n = 0; n < m_candidates.size(); ++n) {
-        if (m_candidates[n].role != Routing::TargetRole::Prefill || m_candidates[n].closed)
-            continue;
-        m_homeKeys.push_back(request.fleet->targets[m_candidatePositions[n]].key);
-        m_homeCandidates.push_back(n);
-    }
-    Routing::Homes homes = Routing::homesOf(request.shape.prefixHash, m_homeKeys);
-    if (homes.first < m_homeKeys.size())
-        m_candidates[m_homeCandidates[homes.first]].isHome = true;
-    if (homes.second < m_homeKeys.size())
-        m_candidates[m_homeCandidates[homes.second]].isSecondHome = true;
-}
-
 void Dispatcher::noteSent(Waiter& waiter)
 {
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -10,6 +10,7 @@
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
 #include <LibRouting/PaceBook.h>
+#include <LibRouting/PartHomes.h>
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/Router.h>
@@ -144,6 +145,12 @@
     /// Applies the prompt prefixes that a peer was the first to send to targets.
     void takePeerParts(std::vector<Routing::HeldPart> const&);
 
+    /// Returns how often this daemon's requests have asked for shared parts of prompts since the last call, for its peers.
+    std::vector<Routing::PartUse> takePartUses();
+
+    /// Applies how often a peer's requests have asked for shared parts of prompts.
+    void takePeerPartUses(std::vector<Routing::PartUse> const&);
+
     /// Returns the outcome counts of this daemon's requests since the last call, for its peers.
     std::vector<Routing::OutcomeCounts> takeOutcomes();
 
@@ -226,6 +233,8 @@
     std::uint32_t placesOf(FleetTarget const&, std::chrono::steady_clock::time_point now) const;
     double wholeSeconds(PlacementRequest const&) const;
     void markHomes(PlacementRequest const&);
+    void markSpreadHomes(PlacementRequest const&);
+    void notePartUse(PlacementRequest const&);
     double unseenRequests(std::string const& service, Routing::Phase, Routing::AgeWeightedWork const&, std::size_t targets) const;
     std::uint32_t limitOf(FleetTarget const&) const;
     std::uint32_t admittedAt(std::uint32_t targetId) const;
@@ -250,6 +259,9 @@
     Routing::SpeedBook m_speeds;
     bool m_learnsPace { false };
     Routing::PaceBook m_paces;
+    bool m_spreadsParts { false };
+    Routing::PartHomes m_partHomes;
+    Routing::HomeSpeeds m_homeSpeeds;
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
@@ -279,6 +291,7 @@
     std::vector<std::uint32_t> m_candidatePositions;
     std::vector<std::size_t> m_failingCandidates; ///< Reused: indices of candidates closed only as outliers.
     std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates.
+    std::vector<Routing::HomeTarget> m_homeTargets; ///< Reused: the same targets with their speeds.
     std::vector<std::size_t> m_homeCandidates; ///< Reused: their indices among the candidates.
 };
 
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -64,6 +64,7 @@
     m_paces.setGroups(paceGroups(*fleet));
     m_outliers.setGroups(std::move(outlierGroups));
     m_speeds.keepTargets(m_targetNames);
+    m_homeSpeeds.keepTargets(m_targetNames);
     std::set<std::uint64_t> listed;
     for (FleetTarget const& target : fleet->targets)
         listed.insert(target.key);
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -67,6 +67,7 @@
 // once after a start or the loss of a target is not part of the steady demand.
 void Dispatcher::noteDemand(PlacementRequest const& request)
 {
+    notePartUse(request);
     bool isFirst = request.shape.phase == Routing::Phase::WholeOrPrefill && request.excluded.empty();
     State::ServiceTerms const* terms = request.fleet->services ? request.fleet->services->find(request.work) : nullptr;
     if (!isFirst || !terms || !terms->engine)
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -283,6 +283,7 @@
         beacon.outcomes = m_hooks.takeOutcomes();
         beacon.heldParts = m_hooks.takeHeldParts();
         beacon.paceSamples = m_hooks.takePaceSamples();
+        beacon.partUses = m_hooks.takePartUses();
     }
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -46,6 +46,8 @@
         std::function<std::vector<Admission::PlaceDemand>()> placeDemands; ///< This daemon's, on places that may become scarce.
         std::function<void(std::string const& peer, std::vector<Admission::PlaceDemand> const&, std::chrono::milliseconds lifetime)> takePeerPlaceDemands;
         std::function<void()> updateShares; ///< Called ten times a second.
+        std::function<std::vector<Routing::PartUse>()> takePartUses; ///< How often this daemon's requests asked for shared parts since the last call.
+        std::function<void(std::vector<Routing::PartUse> const&)> takePeerPartUses;
         std::function<std::vector<Routing::ServiceReport>()> serviceReports; ///< What this daemon's requests ask of engines.
         std::function<void(std::string const& peer, std::vector<Routing::ServiceReport> const&)> takePeerReports;
         std::function<double(std::uint64_t target, Routing::TargetRole)> slowness; ///< Of a target's key in a role, as learnt.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -114,6 +114,7 @@
     m_hooks.takePeerOutcomes(beacon.outcomes);
     m_hooks.takePeerParts(beacon.heldParts);
     m_hooks.takePeerPaces(beacon.paceSamples);
+    m_hooks.takePeerPartUses(beacon.partUses);
     if (!beacon.rateLimits.empty())
         m_hooks.takePeerRateLimits(beacon.sender.name, beacon.rateLimits);
     if (beacon.suspects.empty())
--- a/Libraries/LibRouting/PartHomes.h
+++ b/Libraries/LibRouting/PartHomes.h
@@ -41,11 +41,45 @@
     /// Returns how many homes a part needs where one of its prompts keeps a target busy for `promptSeconds`; 1 at least.
     /// Daemons may differ by one home for a moment, which costs a computation of the part.
     std::size_t homesNeeded(std::uint64_t part, double promptSeconds, Time now) const;
+
+    /// Number of parts that are remembered.
+    std::size_t size() const { return m_uses.size(); }
+
+private:
+    struct Uses {
+        double recent { 0 }; ///< Decays by half in each half-life.
+        Time at;
+    };
+
+    void add(std::uint64_t part, double uses, Time now);
+    void forgetUnused(Time now);
+
+    std::unordered_map<std::uint64_t, Uses> m_uses;
+    std::unordered_map<std::uint64_t, std::uint32_t> m_unreported;
+};
+
+/// Rounds the speeds of targets to a few steps, and keeps a step until the speed has clearly left it, so that daemons which have
+/// measured a little differently agree on homes and these hardly move. Not thread-safe.
+class HomeSpeeds {
+public:
+    /// Returns the rounded speed of a target that needs `factor` times as long for its prompts as others.
+    /// Precondition: the factor is positive and finite.
+    double speed(std::uint64_t target, double factor);
+
+    /// Removes targets that are not in `keys`.
+    template <typename Keys>
+    void keepTargets(Keys const& keys)
+    {
+        std::erase_if(m_steps, [&keys](std::pair<std::uint64_t const, int> const& it) { return !keys.contains(it.first); });
+    }
+
+private:
+    std::unordered_map<std::uint64_t, int> m_steps;
 };
 
 /// Returns the indices of a part's homes among the targets, the preferred one first, by weighted rendezvous hashing: the same at all
-/// daemons that know the same targets and speeds, and when a speed changes a little, few parts move. Thread-safe.
-/// Precondition: speeds are positive and finite.
+/// daemons that know the same targets and speeds, and when a speed changes, few parts move. With equal speeds the first two are those
+/// of `homesOf`. Thread-safe. Precondition: speeds are positive and finite.
 std::vector<std::size_t> weightedHomesOf(std::uint64_t part, std::span<HomeTarget const> targets, std::size_t count);
 
 }
