LibRequest, LibDaemon: Count a target that refused a relayed request as an attempt

Cause: review of the attempts over daemons. A peer whose target had refused the request answers 'not run'; the daemon that had passed the request on took the attempt back as if nothing had been sent, so that a route of one attempt was sent to a second target, unpaid. Change: a peer says 0 attempts where it sent nothing to any target, and only then is the attempt free. A daemon of an earlier release that answers 'not run' without a report has used all it was granted. Tests: both daemons' machines in a row. In the test of the headers, 0 has moved from 'cannot be read' to a case of its own that asks for 0: it is what a peer says that sent nothing.

--- a/Libraries/LibDaemon/RelayHeaders.cpp
+++ b/Libraries/LibDaemon/RelayHeaders.cpp
@@ -24,7 +24,7 @@
 {
     std::uint32_t number = 0;
     std::from_chars_result read = std::from_chars(text.data(), text.data() + text.size(), number);
-    bool isNumber = read.ec == std::errc() && read.ptr == text.data() + text.size() && number > 0;
+    bool isNumber = read.ec == std::errc() && read.ptr == text.data() + text.size();
     return isNumber ? number : 1;
 }
 
--- a/Libraries/LibDaemon/RelayHeaders.h
+++ b/Libraries/LibDaemon/RelayHeaders.h
@@ -19,7 +19,7 @@
 /// The attempts at targets of a request that one daemon has passed on to another: on the request, what the peer may do; on its
 /// answer, what it did.
 struct RelayAttempts {
-    std::uint32_t attempts { 0 }; ///< Targets that may be sent, or may have run, the request.
+    std::uint32_t attempts { 0 }; ///< Targets that may be sent the request, or were sent it; 0: none was.
     std::vector<std::string> triedTargets; ///< Have failed the request, and are not asked again while others are left.
 
     bool operator==(RelayAttempts const&) const = default;
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -120,6 +120,9 @@
         std::ignore = co_await Http::readWhole(*leg->exchange, bufferedBodyLimit);
         Core::Error refusal = Core::makeError(Core::ErrorCode::Unavailable, "The targets cannot be reached from here, and the peers that reach them refused the request.");
         logRelayFailure(refusal);
+        // A daemon of an earlier release does not say whether it sent the request to a target.
+        if (ownVerdict && !made)
+            post(Request::PeerReported { leg->leg.attempt, m_machine.grantedToPeer(), {} });
         if (++m_peerRefusals < maxPeerRefusals)
             post(Request::ConnectFailed { leg->leg, true });
         else
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -98,6 +98,7 @@
     if (event.attempt != m_attempt || !m_isAtPeer)
         return;
     m_allowance.settle(event.attempts);
+    m_hasPeerSent = event.attempts > 0;
     m_excluded.insert(m_excluded.end(), std::make_move_iterator(event.triedTargets.begin()), std::make_move_iterator(event.triedTargets.end()));
 }
 
@@ -109,8 +110,11 @@
 
 void RequestMachine::on(NoTarget&& event, TimePoint)
 {
-    if (m_phase == Phase::Connecting && event.attempt == m_attempt)
-        finishWith(event.error.code, event.error.message, event.retryAfter);
+    if (m_phase != Phase::Connecting || event.attempt != m_attempt)
+        return;
+    if (!m_hasComputedPrompt)
+        m_allowance.takeBack();
+    finishWith(event.error.code, event.error.message, event.retryAfter);
 }
 
 void RequestMachine::on(Connected&& event, TimePoint now)
@@ -144,7 +148,7 @@
     m_wasWritten = false;
     m_keepsPrompt = event.keepsPrompt;
     m_allowance.settle(1);
-    bool isFree = event.isUnsent && m_unsent < m_profile.unsentTries;
+    bool isFree = event.isUnsent && !m_hasPeerSent && m_unsent < m_profile.unsentTries;
     if (isFree && (repeatedPrompts() == 0 || m_budget->take(now, repeatedPrompts()))) {
         ++m_unsent;
         m_allowance.takeBack();
@@ -342,6 +346,7 @@
     ++m_attempt;
     m_allowance.begin();
     m_isAtPeer = false;
+    m_hasPeerSent = false;
     m_granted = 0;
     m_connection = 1;
     m_resumes = 0;
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -129,6 +129,7 @@
     std::uint32_t m_unsent { 0 }; ///< Attempts that do not count.
     SendAllowance m_allowance;
     bool m_isAtPeer { false }; ///< A peer makes the current attempt.
+    bool m_hasPeerSent { false }; ///< That peer has sent the request to a target, which counts also where the target refused it.
     std::uint32_t m_granted { 0 };
     std::uint32_t m_connection { 0 };
     std::uint32_t m_resumes { 0 };
--- a/Tests/LibDaemon/TestRelayHeaders.cpp
+++ b/Tests/LibDaemon/TestRelayHeaders.cpp
@@ -11,13 +11,20 @@
 
 TEST(RelayHeaders, ANumberThatCannotBeReadAllowsOneAttempt)
 {
-    for (char const* text : { "", "0", "-1", "two", "4294967296", "3 " }) {
+    for (char const* text : { "", "-1", "two", "4294967296", "3 " }) {
         Http::Fields fields;
         fields.set("Currantvale-Relay-Attempts", text);
         EXPECT_EQ(Daemon::takeRelayAttempts(fields)->attempts, 1U) << text;
     }
 }
 
+TEST(RelayHeaders, APeerThatSentNothingSaysSo)
+{
+    Http::Fields fields;
+    Daemon::writeRelayAttempts(fields, {});
+    EXPECT_EQ(Daemon::takeRelayAttempts(fields), Daemon::RelayAttempts {});
+}
+
 TEST(RelayHeaders, ANameThatWouldBreakTheHeaderIsLeftOut)
 {
     Http::Fields fields;
--- a/Tests/LibRequest/TestSendAllowance.cpp
+++ b/Tests/LibRequest/TestSendAllowance.cpp
@@ -181,3 +181,33 @@
     allowance.takeBack();
     EXPECT_EQ(allowance.left(), 2U);
 }
+
+TEST(SendAllowance, ATargetThatRefusedTheRequestAtAPeerCountsAndAPeerThatSentNothingDoesNot)
+{
+    for (std::uint32_t sent : { 0U, 1U }) {
+        RetryBudget budget { { .ratio = 0.1, .burst = 100 } };
+        RequestProfile profile;
+        profile.maxAttempts = 1;
+        profile.unsentTries = 3;
+        profile.deadline = start + std::chrono::seconds(10);
+        RequestMachine peer(profile, budget);
+        peer.handle(Admitted(), start);
+        if (sent > 0) {
+            peer.handle(TargetPicked { 1, "target-a", false }, start);
+            peer.handle(Connected { { 1, 1 }, {} }, start);
+            peer.handle(TargetRefused { { 1, 1 } }, start);
+        } else {
+            peer.handle(NoTarget { 1, Core::makeError(Core::ErrorCode::Unavailable, "none") }, start);
+        }
+        ASSERT_TRUE(peer.isFinished());
+        EXPECT_EQ(peer.attemptsUsed(), sent);
+        RequestMachine machine(profile, budget);
+        machine.handle(Admitted(), start);
+        machine.handle(TargetPicked { 1, "peer", true }, start);
+        machine.handle(Connected { { 1, 1 }, {} }, start);
+        machine.handle(PeerReported { 1, peer.attemptsUsed(), {} }, start);
+        machine.handle(ConnectFailed { { 1, 1 } }, start);
+        EXPECT_EQ(machine.isFinished(), sent > 0) << "its route allows one target";
+        EXPECT_EQ(machine.verdict(), Core::Verdict::NotRun);
+    }
+}
