Tests: Let the soak play uneven targets with fewer places than callers

Cause: the soak knew only targets of one speed with room for all, so nothing of the new parts was at work in it.

--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -64,7 +64,7 @@
 
 std::string RunnerApi::entry(std::string const& address) const
 {
-    boost::json::object entry { { "service", m_settings.service }, { "addr", address }, { "zone", m_settings.availabilityZone }, { "version", "v1" }, { "slots", 6 }, { "state", "ready" }, { "seq", m_heartbeats }, { "born", m_settings.bornAtMs } };
+    boost::json::object entry { { "service", m_settings.service }, { "addr", address }, { "zone", m_settings.availabilityZone }, { "version", "v1" }, { "slots", m_settings.places }, { "state", "ready" }, { "seq", m_heartbeats }, { "born", m_settings.bornAtMs } };
     if (!m_settings.role.empty())
         entry["stage"] = m_settings.role;
     return boost::json::serialize(entry);
@@ -243,6 +243,11 @@
         co_await stream(request, writer);
         co_return;
     }
+    if (m_settings.workTime.count() > 0) {
+        boost::asio::steady_timer timer(m_context, m_settings.workTime);
+        boost::system::error_code ec;
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+    }
     if (m_faults.loseReplies > 0) {
         --m_faults.loseReplies;
         writer.abort();
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -24,6 +24,8 @@
     std::chrono::milliseconds changeTime { 500 }; ///< Out of service for a change of role.
     std::chrono::milliseconds pieceTime { 10 }; ///< Between two events of a stream.
     std::uint32_t pieces { 10 }; ///< Events of a stream.
+    std::uint32_t places { 6 }; ///< Requests that it says it runs at once.
+    std::chrono::milliseconds workTime { 0 }; ///< Of a request to a plain service.
     std::string crashesOnPart; ///< It ends as it begins to write an answer on a prompt that has this id among its parts; empty: never.
     std::string crashesOn; ///< It ends as soon as it begins to run a request whose path holds this; empty: never.
 };
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -135,6 +135,12 @@
         target.arguments.insert(target.arguments.end(), { "--id", targetId(name) });
     if (!role.empty())
         target.arguments.insert(target.arguments.end(), { "--role", role });
+    // The first target of each service is four times as fast as the others.
+    bool isFirst = name.back() == '0';
+    if (m_settings.isUneven && role.empty())
+        target.arguments.insert(target.arguments.end(), { "--places", "1", "--work-ms", isFirst ? "5" : "20" });
+    else if (m_settings.isUneven)
+        target.arguments.insert(target.arguments.end(), { "--piece-ms", isFirst ? "5" : "20" });
     if (!m_settings.crashPart.empty() && !role.empty())
         target.arguments.insert(target.arguments.end(), { "--crash-on-part", m_settings.crashPart });
     if (!m_settings.crashPath.empty())
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -23,6 +23,7 @@
     std::string crashPath {}; ///< Targets end when they begin to run a request whose path holds this; empty: none does.
     bool hasDuties { false }; ///< The platform has a service for singleton duties.
     bool isStrict { false }; ///< Daemons accept keys only by a configuration that was confirmed within two seconds.
+    bool isUneven { false }; ///< Targets of a service differ in speed, and plain ones have few places.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
 
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -296,6 +296,7 @@
     siteSettings.hasForwarders = true;
     siteSettings.stopWithinSeconds = static_cast<int>(FaultInjector::stopWithin.count());
     siteSettings.leaveHoldMs = 1'000;
+    siteSettings.isUneven = settings.isUneven;
     KeyedSite site(siteSettings);
     SoakReport report;
     if (!site.waitUntilServing()) {
@@ -307,6 +308,8 @@
     injector.run(settings.duration);
     callers.stop();
     report.faults = injector.done();
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+        report.divisions += site.logLines(KeyedSite::daemonName(n), "places-divided").size();
     checkRecovery(site, injector.version(), report);
     std::this_thread::sleep_for(settleTime);
     Judge judge(site, injector.impairments(), report);
--- a/Tests/Processes/Soak.h
+++ b/Tests/Processes/Soak.h
@@ -12,6 +12,7 @@
     std::uint64_t seed { 1 }; ///< Of the faults' kinds, moments and victims, and of what callers ask.
     std::chrono::milliseconds duration { 8'000 }; ///< Of the faults; recovery and checks come behind.
     std::size_t callers { 6 };
+    bool isUneven { false }; ///< Targets differ in speed, and plain ones have fewer places than there are callers.
 };
 
 /// What came of it.
@@ -20,6 +21,7 @@
     std::vector<std::string> faults; ///< What was done, with its moment.
     std::size_t requests { 0 };
     std::size_t served { 0 };
+    std::size_t divisions { 0 }; ///< How often daemons began or ended to divide scarce places, as far as their last processes logged.
 };
 
 /// Runs real daemons, targets and a store as processes of their own, lets callers use them over kept connections, and
--- a/Tests/Processes/SoakMain.cpp
+++ b/Tests/Processes/SoakMain.cpp
@@ -6,13 +6,14 @@
 namespace {
 
 // Prints one line a run, and all that was done and seen where a promise was broken.
-bool runSeed(std::uint64_t seed, std::chrono::milliseconds duration)
+bool runSeed(std::uint64_t seed, std::chrono::milliseconds duration, bool isUneven)
 {
     Processes::SoakSettings settings;
     settings.seed = seed;
     settings.duration = duration;
+    settings.isUneven = isUneven;
     Processes::SoakReport report = Processes::runSoak(settings);
-    std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.violations.size() << " violations" << std::endl;
+    std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.divisions << " times divided, " << report.violations.size() << " violations" << std::endl;
     if (report.violations.empty())
         return true;
     for (std::string const& fault : report.faults)
@@ -31,6 +32,7 @@
     options.add_options()("first", "The first seed", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
     options.add_options()("seeds", "How many seeds, from 1 to 10000", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
     options.add_options()("seconds", "How long faults go on in each run, from 1 to 3600", cxxopts::value<std::uint64_t>()->default_value("8"), "S");
+    options.add_options()("uneven", "Targets differ in speed, and plain ones have fewer places than there are callers");
     options.add_options()("h,help", "Print this help");
     try {
         cxxopts::ParseResult arguments = options.parse(argc, argv);
@@ -46,7 +48,7 @@
         }
         bool isGood = true;
         for (std::uint64_t n = 0; n < seeds; ++n)
-            isGood = runSeed(arguments["first"].as<std::uint64_t>() + n, std::chrono::seconds(seconds)) && isGood;
+            isGood = runSeed(arguments["first"].as<std::uint64_t>() + n, std::chrono::seconds(seconds), arguments.count("uneven") != 0) && isGood;
         return isGood ? 0 : 1;
     } catch (std::exception const& exception) {
         std::cerr << "currantvale-soak: " << exception.what() << "\n";
--- a/Tests/Processes/TestSoak.cpp
+++ b/Tests/Processes/TestSoak.cpp
@@ -8,10 +8,11 @@
 
 using namespace Processes;
 
-void expectPromisesKept(std::uint64_t seed)
+void expectPromisesKept(std::uint64_t seed, bool isUneven = false)
 {
     SoakSettings settings;
     settings.seed = seed;
+    settings.isUneven = isUneven;
     SoakReport report = runSoak(settings);
     EXPECT_GT(report.served, 0U);
     for (std::string const& violation : report.violations)
@@ -24,6 +25,11 @@
 
 }
 
+TEST(Soak, PromisesAreKeptAtUnevenTargetsWithFewerPlacesThanCallers)
+{
+    expectPromisesKept(1, true);
+}
+
 TEST(Soak, PromisesAreKeptUnderFaults)
 {
     expectPromisesKept(1);
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -209,6 +209,8 @@
     options.add_options()("role", "prefill or decode for an engine; none for a plain service", cxxopts::value<std::string>()->default_value(""), "ROLE");
     options.add_options()("pieces", "Events of a stream", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("piece-ms", "Time between two events", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
+    options.add_options()("places", "Requests that it says it runs at once", cxxopts::value<std::uint32_t>()->default_value("6"), "N");
+    options.add_options()("work-ms", "Time of a request to a plain service", cxxopts::value<std::uint32_t>()->default_value("0"), "N");
     options.add_options()("id", "What it lists itself under; a new one unless given", cxxopts::value<std::string>(), "ID");
     options.add_options()("crash-on-part", "Ends as it begins to answer a prompt that has a shared part with this id", cxxopts::value<std::string>()->default_value(""), "ID");
     options.add_options()("crash-on", "Ends when it begins to run a request whose path holds this", cxxopts::value<std::string>()->default_value(""), "TEXT");
@@ -224,6 +226,8 @@
     settings.role = arguments["role"].as<std::string>();
     settings.pieces = arguments["pieces"].as<std::uint32_t>();
     settings.pieceTime = milliseconds(arguments["piece-ms"].as<std::uint32_t>());
+    settings.places = arguments["places"].as<std::uint32_t>();
+    settings.workTime = milliseconds(arguments["work-ms"].as<std::uint32_t>());
     settings.incarnation = arguments.count("id") != 0 ? arguments["id"].as<std::string>() : "i-" + newIncarnation();
     settings.crashesOnPart = arguments["crash-on-part"].as<std::string>();
     settings.crashesOn = arguments["crash-on"].as<std::string>();
