LibAdmission, LibDaemon: Divide places only where a division helps, and end it when they suffice

Cause: the demand of a daemon rose with its first request and fell over a second, at each daemon, so that the sum of 70 exceeded the places at a quarter of the load; once divided, the places stayed so, and requests waited for turns beside free places. A target that was closed when a division ended kept its allotment, and bound requests when it opened again. Change: the demand is an even mean. Places are divided only at three times their number in demand, while the daemons that ask have a place each on average, and while the division gives organisations that ask for little a tenth of the places more than the targets' own order does. One request for each place may wait at a target. Targets that close and services without targets lose their allotments. Tests: those of the arithmetic name the settings under which they were written (any demand, any number); two new ones for the cases above and for a clock that jumps.

--- a/Libraries/LibAdmission/PlaceShares.h
+++ b/Libraries/LibAdmission/PlaceShares.h
@@ -39,24 +39,45 @@
     std::map<std::string, double> organisations; ///< Of `places` in total, for each organisation with demand here.
 };
 
+/// The demand of all daemons on the places of one service.
+struct FleetDemand {
+    std::map<std::string, double> byOrganisation; ///< Those that daemons have summed up are under an empty name.
+    double sum { 0 };
+    std::uint32_t places { 0 };
+    std::size_t daemons { 0 }; ///< With demand.
+};
+
+/// Divides places among organisations: each gets what it asks for, or the same as the others that ask for more (max-min fairness).
+/// Small organisations that are summed up under an empty name get what they ask for. Thread-safe.
+std::map<std::string, double> divideFairly(std::map<std::string, double> const& demands, double places);
+
 /// Settings of `PlaceShares`.
 struct PlaceShareSettings {
-    /// Requests that may wait at a target for each of its places, so that it has work during the way there and back.
-    double queuePerPlace { 0.5 };
-    /// Shares apply once the demand of all daemons exceeds this part of the places.
-    double scarceAt { 1.0 };
+    /// Requests that may wait at a target for each of its places, so that it has work during the way there and back, and while a
+    /// place belongs to a daemon that needs it no more.
+    double queuePerPlace { 1.0 };
+    /// Shares apply once the demand of all daemons exceeds this part of the places. Below, a request that goes to a target at once
+    /// waits there for less time than one whose daemon has no place just then.
+    double scarceAt { 3.0 };
+    /// Shares apply only while the daemons with demand have so many places on average, queues included: with smaller parts, places
+    /// stay empty that others wait for.
+    double leastMeanPart { 1.0 };
+    /// Shares apply only if they give organisations that ask for little at least this part of the places more than the targets'
+    /// own order would, which serves each by how much it sends.
+    double leastMoved { 0.1 };
     /// How long a place belongs to the same daemon, if the demands stay the same.
     std::chrono::milliseconds turn { 200 };
 };
 
 /// Divides the places of scarce targets among daemons by the demand that they tell each other, and among organisations. All daemons
 /// compute the same division from the same demands, so that no place is given twice while their views agree; no message but the
-/// demand is needed. While a service's places suffice for all demand there is no division at all. Performs no I/O. Not thread-safe.
+/// demand is needed. While a service's places suffice for all demand, or a division would help nobody, there is none. Performs no I/O.
+/// Not thread-safe.
 class PlaceShares {
 public:
     using Time = std::chrono::steady_clock::time_point;
 
-    /// Errors: BadInput for a `queuePerPlace` or `scarceAt` that is negative or not finite, or a `turn` of 0.
+    /// Errors: BadInput for a setting that is negative or not finite, or a `turn` of 0.
     /// Precondition: `self` is this daemon's name as its peers know it.
     static Core::Result<PlaceShares> create(PlaceShareSettings const&, std::string self);
 
@@ -70,12 +91,16 @@
     void setPeer(std::string const& peer, std::vector<PlaceDemand>, Time now, std::chrono::milliseconds lifetime);
 
     /// Returns what this daemon may have open at the targets of a service during the turn of `wallClock`; nothing while the places
-    /// are not scarce. Precondition: `wallClock` is the fleet's agreed time since 1970, so that daemons change turns together.
+    /// are not divided. `wallClock` is the time since 1970; a daemon whose clock differs from the others' has no more places than its
+    /// part, but they may be others' too.
     std::optional<PlaceAllotment> allotment(std::string const& service, Time now, std::chrono::milliseconds wallClock) const;
 
     /// Returns the demand of all daemons over the places of a service's targets; 0 while it has no targets.
     double scarcity(std::string const& service, Time now) const;
 
+    /// Returns the demand of all daemons on the places of a service's targets by organisation; empty while it has no targets.
+    FleetDemand demand(std::string const& service, Time now) const;
+
 private:
     struct Report {
         std::vector<PlaceDemand> demands;
--- a/Libraries/LibDaemon/DispatcherShares.cpp
+++ b/Libraries/LibDaemon/DispatcherShares.cpp
@@ -11,8 +11,9 @@
 
 using Clock = std::chrono::steady_clock;
 
-// Demand is measured ten times a second; that of a request now and then is remembered for about a second.
-constexpr double demandSmoothing = 0.1;
+// Demand is measured ten times a second and averaged over about a third of one. A mean that rises faster than it falls would count
+// requests that have ended, at each daemon, and places would seem scarce that are free.
+constexpr double demandSmoothing = 0.3;
 constexpr double negligibleDemand = 0.01;
 // Peers are told of the demand before the places are all taken, so that the first division knows it.
 constexpr double tellAt = 0.7;
@@ -40,7 +41,6 @@
 {
     if (!m_sharesPlaces)
         return;
-    std::erase_if(m_allotted, [this](std::pair<std::uint32_t const, std::uint32_t> const& it) { return !m_roles.contains(it.first); });
     std::map<std::string, std::vector<Admission::TargetPlaces>> before = std::exchange(m_places, {});
     for (FleetTarget const& target : fleet.targets) {
         bool isDivisible = target.kind == Platform::VmKind::Service && target.slots != 0 && !target.isClosed();
@@ -48,9 +48,18 @@
             m_places[target.work()].push_back({ target.key, target.slots });
     }
     for (std::pair<std::string const, std::vector<Admission::TargetPlaces>> const& it : before) {
-        if (!m_places.contains(it.first))
-            m_shares.setTargets(it.first, {});
+        if (m_places.contains(it.first))
+            continue;
+        m_shares.setTargets(it.first, {});
+        m_divided.erase(it.first);
+    }
+    // A target that closes loses its allotment, which would bind it when it opens after the division has ended.
+    std::set<std::uint32_t> divisible;
+    for (std::pair<std::string const, std::vector<Admission::TargetPlaces>> const& service : m_places) {
+        for (Admission::TargetPlaces const& it : service.second)
+            divisible.insert(m_targetIdsByKey.at(it.target));
     }
+    std::erase_if(m_allotted, [&divisible](std::pair<std::uint32_t const, std::uint32_t> const& it) { return !divisible.contains(it.first); });
     for (std::pair<std::string const, std::vector<Admission::TargetPlaces>> const& it : m_places)
         m_shares.setTargets(it.first, it.second);
 }
@@ -67,14 +76,14 @@
     for (std::pair<std::string const, std::map<std::string, double>>& service : m_placeDemands) {
         for (std::pair<std::string const, double>& it : service.second) {
             double current = now[service.first][it.first];
-            it.second = std::max(current, it.second + demandSmoothing * (current - it.second));
+            it.second += demandSmoothing * (current - it.second);
         }
         std::erase_if(service.second, [](std::pair<std::string const, double> const& it) { return it.second < negligibleDemand; });
     }
     for (std::pair<std::string const, std::map<std::string, double>> const& service : now) {
         for (std::pair<std::string const, double> const& it : service.second) {
             if (it.second > 0)
-                m_placeDemands[service.first].try_emplace(it.first, it.second);
+                m_placeDemands[service.first].try_emplace(it.first, demandSmoothing * it.second);
         }
     }
 }
--- a/Tests/LibAdmission/TestPlaceShares.cpp
+++ b/Tests/LibAdmission/TestPlaceShares.cpp
@@ -17,10 +17,16 @@
     return "daemon-" + std::to_string(daemon);
 }
 
+/// Divides whatever the daemons' number and demand, as soon as one place is missing.
+PlaceShareSettings dividedAlways(double queuePerPlace = 0.5)
+{
+    return { .queuePerPlace = queuePerPlace, .scarceAt = 1, .leastMeanPart = 0, .leastMoved = 0 };
+}
+
 /// Daemons that tell each other their demand on one service.
 class Site {
 public:
-    Site(std::size_t daemons, std::vector<TargetPlaces> targets, PlaceShareSettings const& settings = {})
+    Site(std::size_t daemons, std::vector<TargetPlaces> targets, PlaceShareSettings const& settings = dividedAlways())
         : m_demands(daemons)
     {
         for (std::size_t n = 0; n < daemons; ++n) {
@@ -88,7 +94,7 @@
     std::uint64_t count = *rc::gen::inRange<std::uint64_t>(1, 6);
     for (std::uint64_t n = 0; n < count; ++n)
         targets.push_back({ n, *rc::gen::inRange<std::uint32_t>(1, 12) });
-    Site site(daemons, targets, { .queuePerPlace = 0.5 });
+    Site site(daemons, targets, dividedAlways());
     for (std::size_t n = 0; n < daemons; ++n)
         site.setDemand(n, { { "org-" + std::to_string(*rc::gen::inRange(0, 5)), *rc::gen::inRange(0, 200) / 10.0 } });
     site.exchange();
@@ -114,7 +120,7 @@
 
 TEST(PlaceShares, AFloodOfOneOrganisationThroughAllDaemonsGetsItsPartAndAllWhenNobodyElseAsks)
 {
-    Site site(70, threeTargets, { .queuePerPlace = 0 });
+    Site site(70, threeTargets, dividedAlways(0));
     for (std::size_t n = 0; n < 70; ++n)
         site.setDemand(n, { { "flood", 3 } });
     site.exchange();
@@ -129,7 +135,7 @@
 
 TEST(PlaceShares, ADaemonWithASmallPartGetsAPlaceInTurn)
 {
-    Site site(70, { { 1, 6 } }, { .queuePerPlace = 0 });
+    Site site(70, { { 1, 6 } }, dividedAlways(0));
     for (std::size_t n = 0; n < 70; ++n)
         site.setDemand(n, { { "org", 1 } });
     site.exchange();
@@ -158,7 +164,7 @@
 
 TEST(PlaceShares, ThePartOfADaemonThatDiesOrFreezesGoesToTheOthers)
 {
-    Site site(6, threeTargets, { .queuePerPlace = 0 });
+    Site site(6, threeTargets, dividedAlways(0));
     for (std::size_t n = 0; n < 6; ++n)
         site.setDemand(n, { { "org", 12 } });
     site.exchange();
@@ -185,3 +191,41 @@
     site.exchange();
     EXPECT_TRUE(site.allotment(2));
 }
+
+TEST(PlaceShares, NobodyWaitsForATurnWhileADivisionWouldHelpNobody)
+{
+    Site few(18, threeTargets, {});
+    for (std::size_t n = 0; n < 18; ++n)
+        few.setDemand(n, { { "org-" + std::to_string(n % 3), 4 } });
+    few.exchange();
+    EXPECT_FALSE(few.allotment(0)) << "all organisations ask for the same";
+    few.setDemand(0, { { "flood", 60 } });
+    few.exchange();
+    EXPECT_TRUE(few.allotment(0));
+    few.setDemand(0, { { "flood", 8 } });
+    for (std::size_t n = 1; n < 18; ++n)
+        few.setDemand(n, { { "org", 2 } });
+    few.exchange();
+    EXPECT_FALSE(few.allotment(0)) << "targets serve what is sent soon enough";
+    Site many(70, threeTargets, {});
+    for (std::size_t n = 0; n < 70; ++n)
+        many.setDemand(n, { { n == 0 ? "small" : "flood", 4 } });
+    many.exchange();
+    EXPECT_FALSE(many.allotment(0)) << "most daemons would have no place at a time";
+}
+
+TEST(PlaceShares, ADaemonWhoseClockHasJumpedTakesNoMoreThanItsPart)
+{
+    Site site(18, threeTargets, dividedAlways(0));
+    for (std::size_t n = 0; n < 18; ++n)
+        site.setDemand(n, { { "org", n == 4 ? 6.0 : 3.0 } });
+    site.exchange();
+    for (int turn = 0; turn < 100; ++turn, site.wallClock += 37s) {
+        std::uint32_t own = 0;
+        std::optional<PlaceAllotment> allotment = site.allotment(4);
+        ASSERT_TRUE(allotment);
+        for (std::pair<std::uint64_t const, std::uint32_t> const& it : allotment->places)
+            own += it.second;
+        EXPECT_LE(own, 2U) << "its part is 1.9 places";
+    }
+}
