LibRequest, LibDaemon: Go on after a prompt's stage that a target failed

Cause: a target that answered a prompt's stage with a failure, or lost it, ended the request on a route of one attempt, with time left and nothing run: 503 to the caller. Change: PromptFailed says how a target ended a prompt's stage. When none is left but for that first prompt, the target that generates the output computes the prompt too (a target's protocol says whether such targets take it). A prompt that was refused on a route of one attempt still ends the request, which was not run.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -73,19 +73,21 @@
     co_return outcome;
 }
 
-boost::asio::awaitable<void> RequestRunner::runAttempt(LegPointer leg, std::vector<std::string> excluded, std::chrono::milliseconds delay)
+boost::asio::awaitable<void> RequestRunner::runAttempt(LegPointer leg, Request::Dispatch dispatch)
 {
-    if (delay.count() > 0)
-        co_await wait(delay);
+    if (dispatch.delay.count() > 0)
+        co_await wait(dispatch.delay);
     if (leg->isAbandoned)
         co_return;
     m_isAtPeer = false;
     m_hasEvent = false;
-    if (std::optional<RelayPeer> peer = beginRelay(leg->leg.attempt, excluded)) {
+    // A peer would have the prompt computed by itself, which is another send.
+    std::optional<RelayPeer> peer = dispatch.isWhole ? std::nullopt : beginRelay(leg->leg.attempt, dispatch.excluded);
+    if (peer) {
         co_await runAtPeer(leg, std::move(*peer));
         co_return;
     }
-    if (!co_await placeAttempt(leg, std::move(excluded)))
+    if (!co_await placeAttempt(leg, std::move(dispatch)))
         co_return;
     FleetTarget const* target = targetOf(m_target);
     post(Request::TargetPicked { leg->leg.attempt, m_target });
@@ -93,7 +95,7 @@
         co_return;
     // The target may meanwhile have announced that it leaves or accepts no requests for now.
     if (!m_context.dispatcher.mayWrite(*target, m_placement)) {
-        post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
+        post(Request::ConnectFailed { leg->leg, keepPrompt() });
         co_return;
     }
     post(Request::Connected { leg->leg, target->incarnation });
@@ -125,15 +127,17 @@
 
 // Chooses the attempt's target. If that is a prefill target, has the prompt computed there and then chooses the decode
 // target. Returns false if the attempt has ended.
-boost::asio::awaitable<bool> RequestRunner::placeAttempt(LegPointer leg, std::vector<std::string> excluded)
+boost::asio::awaitable<bool> RequestRunner::placeAttempt(LegPointer leg, Request::Dispatch dispatch)
 {
     Routing::Phase phase = m_work.kind == Work::Kind::Model ? Routing::Phase::WholeOrPrefill : Routing::Phase::Whole;
     if (std::exchange(m_keepsPrompt, false) && !m_kvSource.empty())
         phase = Routing::Phase::Decode;
     else
         dropKv();
+    if (dispatch.isWhole)
+        phase = Routing::Phase::Decode;
     while (!finishIfQuarantined(leg)) {
-        PlacementOutcome outcome = co_await place(excluded, phase);
+        PlacementOutcome outcome = co_await place(dispatch.excluded, phase);
         if (leg->isAbandoned)
             co_return false;
         logDecision(leg->leg.attempt, outcome);
@@ -150,19 +154,16 @@
         if (outcome.decision.role != Routing::TargetRole::Prefill)
             co_return true;
         post(Request::TargetPicked { leg->leg.attempt, m_target });
-        bool wasSent = false;
-        Core::Result<std::string> kvSource = co_await prefill(leg, wasSent);
+        std::optional<Request::PromptEnd> end;
+        Core::Result<std::string> kvSource = co_await prefill(leg, end);
         if (leg->isAbandoned)
             co_return false;
         releasePlacement();
-        if (kvSource.has_value() || (wasSent && kvSource.error().verdict != Core::Verdict::NotRun))
-            post(Request::PromptComputed { leg->leg.attempt });
         if (kvSource.has_error()) {
-            logPrefillFailure(kvSource.error());
-            // Computing a prompt has no side effects, so that a retry is safe; the machine decides whether to make one.
-            post(Request::ConnectFailed { leg->leg, !wasSent });
+            postPrefillFailure(leg, end, kvSource.error());
             co_return false;
         }
+        post(Request::PromptComputed { leg->leg.attempt });
         m_kvSource = kvSource.value();
         m_kvHolder = targetOf(m_target)->endpoint;
         m_kvZone = targetOf(m_target)->availabilityZone;
@@ -214,7 +215,7 @@
     if (connected.has_error()) {
         Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", target.name }, { "step", "connect" }, { "error", connected.error().message } });
         noteOutcome(Routing::TargetOutcome::Unreachable);
-        post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
+        post(Request::ConnectFailed { leg->leg, keepPrompt() });
         co_return false;
     }
     leg->exchange = std::move(connected.value());
@@ -233,7 +234,7 @@
     if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
         breakOffRun();
     if (error.verdict == Core::Verdict::NotRun)
-        post(Request::ConnectFailed { leg->leg, true, keepPrompt() });
+        post(Request::ConnectFailed { leg->leg, keepPrompt() });
     else if (error.code == Core::ErrorCode::Timeout)
         post(Request::SilentConnection { leg->leg });
     else
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -14,7 +14,7 @@
 
 }
 
-boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, bool& wasSent)
+boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, std::optional<Request::PromptEnd>& end)
 {
     FleetTarget const* target = targetOf(m_target);
     Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
@@ -43,7 +43,8 @@
     Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
     watchAcknowledgement(leg, *target);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
-    wasSent = started.has_value() || started.error().verdict != Core::Verdict::NotRun;
+    if (started.has_value() || started.error().verdict != Core::Verdict::NotRun)
+        end = Request::PromptEnd::Lost;
     if (started.has_error() && !leg->isAbandoned) {
         noteOutcome(Routing::TargetOutcome::Broken);
         notePrefillBroken(started.error());
@@ -64,6 +65,8 @@
     finishRun();
     Core::Result<std::string> kvSource = m_context.targets.readPrefill(*target, m_work, response.value());
     noteOutcome(outcomeOf(kvSource));
+    if (kvSource.has_error())
+        end = kvSource.error().verdict == Core::Verdict::NotRun ? Request::PromptEnd::Refused : Request::PromptEnd::Failed;
     if (kvSource.has_error() && kvSource.error().code == Core::ErrorCode::NotFound)
         noteEnded(*target, "replaced");
     if (kvSource.has_value())
@@ -79,9 +82,15 @@
         finishRun();
 }
 
-void RequestRunner::logPrefillFailure(Core::Error const& error) const
+// Computing a prompt has no side effects, so that a repeat is safe; the machine decides whether to make one. Without an `end`, no target
+// was sent the prompt.
+void RequestRunner::postPrefillFailure(LegPointer const& leg, std::optional<Request::PromptEnd> end, Core::Error const& error)
 {
     Core::logEvent(Core::Severity::Warning, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "target", m_target }, { "step", "prefill" }, { "verdict", std::string(Core::toString(error.verdict)) }, { "error", error.message } });
+    if (end)
+        post(Request::PromptFailed { leg->leg, *end });
+    else
+        post(Request::ConnectFailed { leg->leg });
 }
 
 // An unused KV cache occupies memory at its target until it expires there.
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -73,7 +73,7 @@
         co_return;
     if (connected.has_error()) {
         logRelayFailure(connected.error());
-        post(Request::ConnectFailed { leg->leg, true });
+        post(Request::ConnectFailed { leg->leg });
         co_return;
     }
     leg->exchange = std::move(connected.value());
@@ -92,7 +92,7 @@
     if (started.has_error()) {
         logRelayFailure(started.error());
         if (started.error().verdict == Core::Verdict::NotRun)
-            post(Request::ConnectFailed { leg->leg, true });
+            post(Request::ConnectFailed { leg->leg });
         else
             post(Request::StreamBroken { leg->leg });
         co_return;
@@ -124,7 +124,7 @@
         if (ownVerdict && !made)
             post(Request::PeerReported { leg->leg.attempt, m_machine.grantedToPeer(), {} });
         if (++m_peerRefusals < maxPeerRefusals)
-            post(Request::ConnectFailed { leg->leg, true });
+            post(Request::ConnectFailed { leg->leg });
         else
             post(Request::NoTarget { leg->leg.attempt, std::move(refusal), retryAfter });
         co_return;
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -70,6 +70,7 @@
     profile.earnsRetries = !work.grant;
     if (work.grant)
         profile.triedTargets = work.grant->triedTargets;
+    profile.mayRunWhole = targets.outputsTakePrompts;
     profile.unsentTries = targets.countsUnsent ? 0 : maxUnsentTries;
     profile.outlivesCaller = work.ticket.has_value();
     profile.deadline = deadline;
@@ -172,9 +173,9 @@
 boost::asio::awaitable<void> RequestRunner::perform(Request::RequestAction action)
 {
     if (Request::Dispatch* dispatch = std::get_if<Request::Dispatch>(&action)) {
-        startAttempt(dispatch->attempt, std::move(dispatch->excluded), dispatch->delay);
+        startAttempt(std::move(*dispatch));
     } else if (Request::Continue* again = std::get_if<Request::Continue>(&action)) {
-        startAttempt(again->attempt, std::move(again->excluded), std::chrono::milliseconds(0));
+        startAttempt({ again->attempt, std::move(again->excluded) });
     } else if (std::holds_alternative<Request::WriteRequest>(action)) {
         if (m_leg)
             m_leg->goAhead.notify();
@@ -253,18 +254,18 @@
         m_context.dispatcher.release(std::exchange(m_placement, 0));
 }
 
-void RequestRunner::startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay)
+void RequestRunner::startAttempt(Request::Dispatch dispatch)
 {
     abandonLeg();
     releasePlacement();
     if (m_hasCallerLeft)
         return;
-    m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), Request::Leg { attempt, 1 });
-    if (attempt > 1) {
+    m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), Request::Leg { dispatch.attempt, 1 });
+    if (dispatch.attempt > 1) {
         m_context.metrics.countRetry();
-        Core::logEvent(Core::Severity::Info, Core::Event::RequestRetried, { { "request", m_work.requestId }, { "attempt", std::to_string(attempt) }, { "after", m_target } });
+        Core::logEvent(Core::Severity::Info, Core::Event::RequestRetried, { { "request", m_work.requestId }, { "attempt", std::to_string(dispatch.attempt) }, { "after", m_target } });
     }
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, excluded = std::move(excluded), delay]() { return self->runAttempt(leg, excluded, delay); }, boost::asio::detached);
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, dispatch = std::move(dispatch)]() { return self->runAttempt(leg, dispatch); }, boost::asio::detached);
 }
 
 void RequestRunner::startResume(Request::Resume const& resume)
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -57,7 +57,7 @@
     void post(Request::RequestEvent);
     bool maySend();
     boost::asio::awaitable<void> perform(Request::RequestAction);
-    void startAttempt(std::uint32_t attempt, std::vector<std::string> excluded, std::chrono::milliseconds delay);
+    void startAttempt(Request::Dispatch);
     void startResume(Request::Resume const&);
     void startCancel(Request::CancelAtTarget const&);
     void abandonLeg();
@@ -65,17 +65,17 @@
     void cleanUp();
     void chooseMixPool();
 
-    boost::asio::awaitable<void> runAttempt(LegPointer, std::vector<std::string> excluded, std::chrono::milliseconds delay);
+    boost::asio::awaitable<void> runAttempt(LegPointer, Request::Dispatch);
     boost::asio::awaitable<void> runResume(LegPointer, Request::Resume);
     boost::asio::awaitable<void> runCancel(Request::CancelAtTarget, boost::asio::ip::tcp::endpoint);
     boost::asio::awaitable<PlacementOutcome> place(std::vector<std::string> excluded, Routing::Phase);
-    boost::asio::awaitable<bool> placeAttempt(LegPointer, std::vector<std::string> excluded);
-    boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer, bool& wasSent);
+    boost::asio::awaitable<bool> placeAttempt(LegPointer, Request::Dispatch);
+    boost::asio::awaitable<Core::Result<std::string>> prefill(LegPointer, std::optional<Request::PromptEnd>&);
     boost::asio::awaitable<void> releaseKv(boost::asio::ip::tcp::endpoint, std::string kvSource);
     void dropKv();
     bool keepPrompt();
     void notePrefillBroken(Core::Error const&);
-    void logPrefillFailure(Core::Error const&) const;
+    void postPrefillFailure(LegPointer const&, std::optional<Request::PromptEnd>, Core::Error const&);
     std::vector<std::string> triedTargets() const;
     std::optional<RelayPeer> beginRelay(std::uint32_t attempt, std::vector<std::string> const& excluded);
     boost::asio::awaitable<void> runAtPeer(LegPointer, RelayPeer);
--- a/Libraries/LibDaemon/TargetProtocol.h
+++ b/Libraries/LibDaemon/TargetProtocol.h
@@ -57,6 +57,7 @@
     bool takesCancels { true }; ///< Targets take cancels by request id; else the end of the connection cancels.
     bool keepsConnectionsForAll { false }; ///< Requests that may not be repeated use kept connections too.
     bool countsUnsent { true }; ///< A try of which nothing reached a target counts as an attempt.
+    bool outputsTakePrompts { false }; ///< Targets that generate outputs take requests whose prompt nobody has computed.
     bool hidesSilence { false }; ///< A silent target is waited for until the deadline: its connection is probed instead.
 };
 
--- a/Libraries/LibRequest/RequestAction.h
+++ b/Libraries/LibRequest/RequestAction.h
@@ -18,6 +18,7 @@
     std::uint32_t attempt { 0 };
     std::vector<std::string> excluded;
     std::chrono::milliseconds delay { 0 }; ///< Wait this long first.
+    bool isWhole { false }; ///< The target that generates the output also computes the prompt.
 };
 /// As `Dispatch`, with a request whose prompt is the caller's and the `delivered` pieces' text after it.
 struct Continue {
--- a/Libraries/LibRequest/RequestEvent.h
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -33,6 +33,19 @@
     { CancelOutcome::Unknown, "unknown" },
 } };
 
+/// How a target ended the computation of a prompt apart from its output. None of them runs the request.
+enum class PromptEnd : std::uint8_t {
+    Refused, ///< The target did not begin it.
+    Failed, ///< The target began it and answered with an error.
+    Lost, ///< No answer came; the target may have computed it.
+};
+
+inline constexpr Core::EnumNames<PromptEnd, 3> promptEndNames { {
+    { PromptEnd::Refused, "refused" },
+    { PromptEnd::Failed, "failed" },
+    { PromptEnd::Lost, "lost" },
+} };
+
 /// Admission control accepted the request.
 struct Admitted { };
 /// Admission control refused it or it timed out in the queue. The verdict of `error` must be 'not run'.
@@ -66,13 +79,17 @@
 /// Connecting failed, or the first write is known to have written nothing.
 struct ConnectFailed {
     Leg leg;
-    bool isUnsent { true }; ///< Nothing at all reached a target; false: a target was asked to prepare the run, and did not.
     bool keepsPrompt { false }; ///< The computed part of the prompt is kept for the next attempt.
 };
-/// The attempt's prompt was sent to a target for prefill separate from decoding, and was or may have been computed.
+/// The attempt's prompt was sent to a target for prefill separate from decoding, and was computed.
 struct PromptComputed {
     std::uint32_t attempt { 0 };
 };
+/// The attempt's prompt was sent to a target for prefill separate from decoding, which has not returned it.
+struct PromptFailed {
+    Leg leg;
+    PromptEnd end { PromptEnd::Lost };
+};
 /// The target stated explicitly that it did not run the request.
 struct TargetRefused {
     Leg leg;
@@ -132,7 +149,7 @@
 struct ShutdownForced { };
 
 /// All events that the request machine handles.
-using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PeerReported, PromptComputed, NoTarget, Connected, ConnectFailed, TargetRefused,
+using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PeerReported, PromptComputed, PromptFailed, NoTarget, Connected, ConnectFailed, TargetRefused,
     ResponseHead, Piece, StreamEnded, StreamBroken, SilentConnection, ResumeAccepted, ResumeUnknown,
     CancelAcknowledged, HomeAnswered, CallerGone, DeadlineReached, ShutdownForced>;
 
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -102,12 +102,6 @@
     m_excluded.insert(m_excluded.end(), std::make_move_iterator(event.triedTargets.begin()), std::make_move_iterator(event.triedTargets.end()));
 }
 
-void RequestMachine::on(PromptComputed&& event, TimePoint)
-{
-    if (event.attempt == m_attempt)
-        m_hasComputedPrompt = true;
-}
-
 void RequestMachine::on(NoTarget&& event, TimePoint)
 {
     if (m_phase != Phase::Connecting || event.attempt != m_attempt)
@@ -148,7 +142,7 @@
     m_wasWritten = false;
     m_keepsPrompt = event.keepsPrompt;
     m_allowance.settle(1);
-    bool isFree = event.isUnsent && !m_hasPeerSent && m_unsent < m_profile.unsentTries;
+    bool isFree = !m_hasPeerSent && m_unsent < m_profile.unsentTries;
     if (isFree && (repeatedPrompts() == 0 || m_budget->take(now, repeatedPrompts()))) {
         ++m_unsent;
         m_allowance.takeBack();
@@ -333,7 +327,7 @@
 }
 
 /// Starts the next attempt. Returns false when the deadline forbids it; the request is finished then.
-bool RequestMachine::startAttempt(TimePoint now)
+bool RequestMachine::startAttempt(TimePoint now, bool isWhole)
 {
     if (now >= m_profile.deadline) {
         finishWith(Core::ErrorCode::Timeout, "The deadline passed.");
@@ -358,7 +352,7 @@
     if (m_delivered > 0)
         act(Continue { m_attempt, m_excluded, m_delivered });
     else
-        act(Dispatch { m_attempt, m_excluded, delay });
+        act(Dispatch { m_attempt, m_excluded, delay, isWhole });
     return true;
 }
 
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -22,6 +22,7 @@
     std::uint32_t maxAttempts { 4 }; ///< Over all daemons, or what the daemon that passed the request on has granted.
     bool earnsRetries { true }; ///< False: the daemon that passed the request on has earned for it.
     std::vector<std::string> triedTargets {}; ///< Have failed the request at another daemon.
+    bool mayRunWhole { false }; ///< Targets that generate outputs compute prompts too.
     std::uint32_t unsentTries { 0 }; ///< Up to this many attempts that sent nothing count neither as attempts nor as retries.
     std::uint32_t maxResumes { 4 }; ///< Consecutive new connections without a new piece.
     TimePoint deadline;
@@ -82,6 +83,7 @@
     void on(TargetPicked&&, TimePoint);
     void on(PeerReported&&, TimePoint);
     void on(PromptComputed&&, TimePoint);
+    void on(PromptFailed&&, TimePoint);
     void on(NoTarget&&, TimePoint);
     void on(Connected&&, TimePoint);
     void on(ConnectFailed&&, TimePoint);
@@ -106,7 +108,7 @@
     void connectionLost(TimePoint);
     void resume();
     void attemptLost(TimePoint);
-    bool startAttempt(TimePoint);
+    bool startAttempt(TimePoint, bool isWhole = false);
     void retryOrFinish(TimePoint, Core::ErrorCode, std::string_view message);
     bool mayRetry(TimePoint);
     std::uint32_t repeatedPrompts() const { return m_hasComputedPrompt && !m_keepsPrompt ? 1 : 0; }
@@ -123,6 +125,7 @@
     bool m_mayHaveRunBefore { false }; ///< An earlier attempt, or an earlier send of the ticket, may have run.
     bool m_headDelivered { false };
     bool m_hasComputedPrompt { false }; ///< Recomputing it counts as an extra send.
+    bool m_hasSparePrompt { false }; ///< The first prompt that a target took failed, which is no attempt, and was counted as one.
     bool m_keepsPrompt { false }; ///< The next attempt resumes from the computed part.
     bool m_endsEvent { true }; ///< The delivered pieces end at an event boundary.
     std::uint32_t m_attempt { 0 };
--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -278,7 +278,7 @@
     profile.unsentTries = 2;
     Case test(profile);
     test.expect<Dispatch>(Admitted());
-    EXPECT_EQ(test.finish(ConnectFailed { { 1, 1 }, false }).verdict, Core::Verdict::NotRun);
+    EXPECT_EQ(test.finish(PromptFailed { { 1, 1 }, PromptEnd::Refused }).verdict, Core::Verdict::NotRun);
 }
 
 // Targets that share an allowance count every send beyond the first; recomputing a prompt counts as a separate send.
@@ -318,7 +318,7 @@
         it.feed(Admitted {});
         it.feed(TargetPicked { 1, "prefill-1" });
         it.feed(PromptComputed { 1 });
-        it.feed(ConnectFailed { { 1, 1 }, true, keepsPrompt });
+        it.feed(ConnectFailed { { 1, 1 }, keepsPrompt });
         EXPECT_EQ(it.machine.isFinished(), !keepsPrompt);
     }
 }
--- a/Tests/LibRequest/TestSendAllowance.cpp
+++ b/Tests/LibRequest/TestSendAllowance.cpp
@@ -84,7 +84,7 @@
         machine.handle(TargetPicked { attempt, name, false }, start);
         TargetEnd end = *rc::gen::element(TargetEnd::Unreachable, TargetEnd::Refused, TargetEnd::Failed, TargetEnd::Broken);
         if (end == TargetEnd::Unreachable) {
-            handle(machine, ConnectFailed { leg, true }, mayRelay);
+            handle(machine, ConnectFailed { leg }, mayRelay);
             return;
         }
         machine.handle(Connected { leg, {} }, start);
@@ -107,7 +107,7 @@
         machine.handle(TargetPicked { attempt, "peer-" + std::to_string(attempt), true }, start);
         PeerEnd end = *rc::gen::element(PeerEnd::Unreachable, PeerEnd::AnswerLost, PeerEnd::Dies, PeerEnd::Answers, PeerEnd::AnswersWithoutReport);
         if (end == PeerEnd::Unreachable) {
-            handle(machine, ConnectFailed { leg, true }, true);
+            handle(machine, ConnectFailed { leg }, true);
             return;
         }
         machine.handle(Connected { leg, {} }, start);
@@ -124,7 +124,7 @@
         if (isReported)
             machine.handle(PeerReported { attempt, peer.attemptsUsed(), { m_ran.begin(), m_ran.end() } }, start);
         if (peer.verdict() == Core::Verdict::NotRun) {
-            handle(machine, ConnectFailed { leg, true }, true);
+            handle(machine, ConnectFailed { leg }, true);
             return;
         }
         handle(machine, ResponseHead { leg, serverError }, true);
