LibRouting, LibDaemon: Repeat prompts whose answer is overdue

Cause: nobody notices that the answer to a prompt's stage was lost; the request waits to its deadline. Change: PromptTimes learns from all prompts of a service how much longer than estimated they take, the work open at the target included. With [limits] repeat_overdue_prompts, a prompt that is twice as late as all but three in a hundred is given up: its connection is closed and it is computed elsewhere, as after a lost answer, if attempts and the retry budget allow it. Else it is waited for as before. What was given up counts by its time, so that repeats cease where all targets have turned slow. Off by default; nothing measured yet.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -34,6 +34,8 @@
     ConnectionEndedUnanswered = 2015,
     RequestRelayed = 2016,
     RunBroken = 2017,
+    PromptOverdue = 2018,
+    RequestRunsWhole = 2019,
     PlacesDivided = 2020,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
@@ -80,7 +82,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 69> eventNames { {
+inline constexpr EnumNames<Event, 71> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -106,6 +108,8 @@
     { Event::ConnectionEndedUnanswered, "connection-ended-unanswered" },
     { Event::RequestRelayed, "request-relayed" },
     { Event::RunBroken, "run-broken" },
+    { Event::PromptOverdue, "prompt-overdue" },
+    { Event::RequestRunsWhole, "request-runs-whole" },
     { Event::PlacesDivided, "places-divided" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -12,6 +12,7 @@
 #include <LibRouting/PaceBook.h>
 #include <LibRouting/PartHomes.h>
 #include <LibRouting/PrefixIndex.h>
+#include <LibRouting/PromptTimes.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/Router.h>
 #include <LibRouting/ServiceReport.h>
@@ -89,6 +90,13 @@
     /// Records how long the placement's target took to compute the prompt, without its output.
     void notePromptTime(std::uint64_t id, std::chrono::steady_clock::duration);
 
+    /// Returns how long after its send the placement's prompt is overdue, with what is open at its target now; nothing while too few
+    /// prompts are known.
+    std::optional<std::chrono::milliseconds> overdueAfter(std::uint64_t id) const;
+
+    /// Records that the placement's prompt was given up so long after its send.
+    void notePromptGivenUp(std::uint64_t id, std::chrono::steady_clock::duration);
+
     /// Records the time between two events of the stream that the placement's target generates.
     void noteEventGap(std::uint64_t id, std::chrono::steady_clock::duration);
 
@@ -226,6 +234,7 @@
     double outputSeconds(FleetSnapshot const&, std::string const& service, Routing::RequestShape const&, std::chrono::steady_clock::time_point now) const;
     void updateOutliers(std::chrono::steady_clock::time_point now);
     void updatePaces(std::chrono::steady_clock::time_point now);
+    void noteUsualPrompt(Waiter const&, std::chrono::steady_clock::duration);
     void notePromptPace(Waiter const&, std::chrono::steady_clock::duration);
     void noteWholePace(Waiter const&);
     double promptFactor(std::uint64_t targetKey) const;
@@ -257,6 +266,7 @@
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
     Routing::SpeedBook m_speeds;
+    Routing::PromptTimes m_promptTimes;
     bool m_learnsPace { false };
     Routing::PaceBook m_paces;
     bool m_spreadsParts { false };
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -22,6 +22,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(id);
     if (it == m_waiters.end() || !it->second->outcome.position)
         return;
+    noteUsualPrompt(*it->second, duration);
     notePromptPace(*it->second, duration);
     if (!it->second->isOnlyPrompt)
         return;
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -7,6 +7,8 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_retries(&prometheus::BuildCounter().Name("currantvale_retries_total").Help("Attempts after a request's first.").Register(*m_registry).Add({}))
     , m_relays(&prometheus::BuildCounter().Name("currantvale_relays_total").Help("Requests passed on to a peer because this daemon could not reach their targets.").Register(*m_registry).Add({}))
+    , m_overduePrompts(&prometheus::BuildCounter().Name("currantvale_overdue_prompts_total").Help("Prompts whose answer was overdue at their target.").Register(*m_registry).Add({}))
+    , m_wholeRuns(&prometheus::BuildCounter().Name("currantvale_whole_runs_total").Help("Requests whose prompt was left to the target that generates the output, after another had failed to compute it.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
     , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
     , m_paces(prometheus::BuildGauge().Name("currantvale_target_time_factor").Help("Time that a target takes for a kind of work, relative to the answers of its service on average.").Register(*m_registry))
@@ -100,6 +102,16 @@
     m_decisions[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::countOverduePrompt()
+{
+    m_overduePrompts->Increment();
+}
+
+void Metrics::countWholeRun()
+{
+    m_wholeRuns->Increment();
+}
+
 void Metrics::countRelay()
 {
     m_relays->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -98,6 +98,12 @@
     /// Counts a request that was passed on to a peer.
     void countRelay();
 
+    /// Counts a prompt whose answer is overdue.
+    void countOverduePrompt();
+
+    /// Counts a request whose prompt is left to the target that generates its output.
+    void countWholeRun();
+
     /// Notes a time that a request spent.
     void observe(TimeOf, std::chrono::nanoseconds);
 
@@ -141,6 +147,8 @@
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     prometheus::Counter* m_retries;
     prometheus::Counter* m_relays;
+    prometheus::Counter* m_overduePrompts;
+    prometheus::Counter* m_wholeRuns;
     prometheus::Family<prometheus::Gauge>& m_values;
     prometheus::Family<prometheus::Gauge>& m_rateLimits;
     prometheus::Family<prometheus::Gauge>& m_paces;
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -42,9 +42,12 @@
     Clock::time_point sentAt = Clock::now();
     Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
     watchAcknowledgement(leg, *target);
+    watchPrompt(leg, sentAt);
     Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
     if (started.has_value() || started.error().verdict != Core::Verdict::NotRun)
         end = Request::PromptEnd::Lost;
+    if (started.has_error())
+        leg->overdueTimer.cancel();
     if (started.has_error() && !leg->isAbandoned) {
         noteOutcome(Routing::TargetOutcome::Broken);
         notePrefillBroken(started.error());
@@ -54,6 +57,7 @@
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was abandoned"));
     noteNotice(*target, leg->exchange->head(), sentAtBoot);
     Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, bufferedBodyLimit);
+    leg->overdueTimer.cancel();
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was abandoned"));
     if (response.has_error()) {
@@ -74,6 +78,40 @@
     co_return kvSource;
 }
 
+// A target that is merely busy has work open, which moves the limit further.
+void RequestRunner::watchPrompt(LegPointer const& leg, Clock::time_point sentAt)
+{
+    std::optional<std::chrono::milliseconds> limit;
+    if (m_context.settings.limits.repeatsOverduePrompts)
+        limit = m_context.dispatcher.overdueAfter(m_placement);
+    if (!limit)
+        return;
+    leg->overdueTimer.expires_at(sentAt + *limit);
+    leg->overdueTimer.async_wait([weak = weak_from_this(), weakLeg = std::weak_ptr<UpstreamLeg>(leg), sentAt](boost::system::error_code ec) {
+        std::shared_ptr<RequestRunner> self = weak.lock();
+        LegPointer leg = weakLeg.lock();
+        if (ec || !self || !leg || leg->isAbandoned || self->m_machine.isFinished())
+            return;
+        std::optional<std::chrono::milliseconds> limit = self->m_context.dispatcher.overdueAfter(self->m_placement);
+        Clock::duration waited = Clock::now() - sentAt;
+        bool isOverdue = limit && waited >= *limit;
+        // A repeat takes about half of the limit.
+        if (isOverdue && self->timeLeft() > *limit / 2)
+            self->giveUpPrompt(leg, waited, *limit);
+        else if (!isOverdue)
+            self->watchPrompt(leg, sentAt);
+    });
+}
+
+// The machine decides whether the prompt is repeated; the attempt that it then starts closes this one's connection at once.
+void RequestRunner::giveUpPrompt(LegPointer const& leg, Clock::duration waited, std::chrono::milliseconds limit)
+{
+    m_context.dispatcher.notePromptGivenUp(m_placement, waited);
+    m_context.metrics.countOverduePrompt();
+    Core::logEvent(Core::Severity::Info, Core::Event::PromptOverdue, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "work", m_work.name }, { "target", m_target }, { "waited_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(waited).count()) }, { "limit_ms", std::to_string(limit.count()) }, { "left_ms", std::to_string(timeLeft().count()) } });
+    post(Request::PromptOverdue { leg->leg });
+}
+
 void RequestRunner::notePrefillBroken(Core::Error const& error)
 {
     if (error.verdict != Core::Verdict::NotRun && error.code == Core::ErrorCode::Unavailable)
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -265,6 +265,10 @@
         m_context.metrics.countRetry();
         Core::logEvent(Core::Severity::Info, Core::Event::RequestRetried, { { "request", m_work.requestId }, { "attempt", std::to_string(dispatch.attempt) }, { "after", m_target } });
     }
+    if (dispatch.isWhole) {
+        m_context.metrics.countWholeRun();
+        Core::logEvent(Core::Severity::Info, Core::Event::RequestRunsWhole, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "attempt", std::to_string(dispatch.attempt) }, { "after", m_target } });
+    }
     boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, dispatch = std::move(dispatch)]() { return self->runAttempt(leg, dispatch); }, boost::asio::detached);
 }
 
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<void> releaseKv(boost::asio::ip::tcp::endpoint, std::string kvSource);
     void dropKv();
     bool keepPrompt();
+    void watchPrompt(LegPointer const&, std::chrono::steady_clock::time_point sentAt);
+    void giveUpPrompt(LegPointer const&, std::chrono::steady_clock::duration waited, std::chrono::milliseconds limit);
     void notePrefillBroken(Core::Error const&);
     void postPrefillFailure(LegPointer const&, std::optional<Request::PromptEnd>, Core::Error const&);
     std::vector<std::string> triedTargets() const;
--- a/Libraries/LibDaemon/UpstreamLeg.h
+++ b/Libraries/LibDaemon/UpstreamLeg.h
@@ -19,6 +19,7 @@
         , goAhead(executor)
         , connecting(std::make_shared<Http::CancelSlot>())
         , acknowledgementTimer(executor)
+        , overdueTimer(executor)
     {
         head.status = 0;
     }
@@ -28,6 +29,7 @@
     {
         isAbandoned = true;
         acknowledgementTimer.cancel();
+        overdueTimer.cancel();
         connecting->trigger();
         goAhead.notify();
         if (exchange)
@@ -39,6 +41,7 @@
     std::shared_ptr<Http::CancelSlot> connecting;
     std::unique_ptr<Http::Exchange> exchange;
     boost::asio::steady_timer acknowledgementTimer; ///< Fires if the request may not have arrived at the target's host.
+    boost::asio::steady_timer overdueTimer; ///< Fires when the answer to a prompt may be overdue.
     Http::ResponseHead head; ///< Its status is 0 before the response begins.
     bool isAbandoned { false };
 };
--- a/Libraries/LibRequest/RequestEvent.h
+++ b/Libraries/LibRequest/RequestEvent.h
@@ -65,6 +65,10 @@
     std::uint32_t attempts { 0 };
     std::vector<std::string> triedTargets;
 };
+/// The attempt's prompt, sent to a target for prefill separate from decoding, is overdue. Nothing follows if it may not be repeated.
+struct PromptOverdue {
+    Leg leg;
+};
 /// Routing found no target for the attempt.
 struct NoTarget {
     std::uint32_t attempt { 0 };
@@ -149,7 +153,7 @@
 struct ShutdownForced { };
 
 /// All events that the request machine handles.
-using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PeerReported, PromptComputed, PromptFailed, NoTarget, Connected, ConnectFailed, TargetRefused,
+using RequestEvent = std::variant<Admitted, Refused, TargetPicked, PeerReported, PromptComputed, PromptFailed, PromptOverdue, NoTarget, Connected, ConnectFailed, TargetRefused,
     ResponseHead, Piece, StreamEnded, StreamBroken, SilentConnection, ResumeAccepted, ResumeUnknown,
     CancelAcknowledged, HomeAnswered, CallerGone, DeadlineReached, ShutdownForced>;
 
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -84,6 +84,7 @@
     void on(PeerReported&&, TimePoint);
     void on(PromptComputed&&, TimePoint);
     void on(PromptFailed&&, TimePoint);
+    void on(PromptOverdue&&, TimePoint);
     void on(NoTarget&&, TimePoint);
     void on(Connected&&, TimePoint);
     void on(ConnectFailed&&, TimePoint);
@@ -109,6 +110,7 @@
     void resume();
     void attemptLost(TimePoint);
     bool startAttempt(TimePoint, bool isWhole = false);
+    bool repeatPrompt(PromptEnd, TimePoint);
     void retryOrFinish(TimePoint, Core::ErrorCode, std::string_view message);
     bool mayRetry(TimePoint);
     std::uint32_t repeatedPrompts() const { return m_hasComputedPrompt && !m_keepsPrompt ? 1 : 0; }
--- a/Libraries/LibRequest/RequestMachinePrompt.cpp
+++ b/Libraries/LibRequest/RequestMachinePrompt.cpp
@@ -11,32 +11,42 @@
         m_hasComputedPrompt = true;
 }
 
-// The first prompt that a target takes is neither an attempt nor a repeat; further ones and refused ones are both. When no attempt is left
-// but for that, the output's target computes the prompt, which is one send: the request's first run.
 void RequestMachine::on(PromptFailed&& event, TimePoint now)
 {
     if (m_phase != Phase::Connecting || !isCurrent(event.leg))
         return;
-    constexpr std::uint32_t repeats = 1;
-    if (event.end != PromptEnd::Refused)
-        m_hasSparePrompt = !std::exchange(m_hasComputedPrompt, true) || m_hasSparePrompt;
-    if (now >= m_profile.deadline) {
+    if (now >= m_profile.deadline)
         finishWith(Core::ErrorCode::Timeout, "The deadline passed.");
-        return;
-    }
-    if (m_allowance.left() > 0 && m_budget->take(now, repeats)) {
-        startAttempt(now);
-        return;
-    }
-    // A refusal may be what was lost.
-    bool isPaid = event.end == PromptEnd::Failed || m_budget->take(now, repeats);
-    if (m_profile.mayRunWhole && m_hasSparePrompt && isPaid) {
-        m_hasSparePrompt = false;
+    else if (!repeatPrompt(event.end, now))
+        finishWith(Core::ErrorCode::Unavailable, "The targets did not compute the prompt.");
+}
+
+void RequestMachine::on(PromptOverdue&& event, TimePoint now)
+{
+    if (m_phase == Phase::Connecting && isCurrent(event.leg) && now < m_profile.deadline)
+        repeatPrompt(PromptEnd::Lost, now);
+}
+
+/// Starts another attempt after one whose prompt was not computed, and returns whether it may be made.
+///
+/// The first prompt that a target takes is neither an attempt nor a repeat; further ones and refused ones are both. When no attempt is left
+/// but for that, the output's target computes the prompt, which is one send: the request's first run.
+bool RequestMachine::repeatPrompt(PromptEnd end, TimePoint now)
+{
+    constexpr std::uint32_t repeats = 1;
+    bool isFirst = end != PromptEnd::Refused && !m_hasComputedPrompt;
+    bool isElsewhere = m_allowance.left() > 0 && m_budget->take(now, repeats);
+    bool mayRunWhole = !isElsewhere && m_profile.mayRunWhole && (isFirst || m_hasSparePrompt);
+    // What was lost may have been a refusal.
+    bool isWhole = mayRunWhole && (end == PromptEnd::Failed || m_budget->take(now, repeats));
+    if (!isElsewhere && !isWhole)
+        return false;
+    m_hasSparePrompt = !isWhole && (isFirst || m_hasSparePrompt);
+    m_hasComputedPrompt = m_hasComputedPrompt || end != PromptEnd::Refused;
+    if (isWhole)
         m_allowance.takeBack();
-        startAttempt(now, true);
-        return;
-    }
-    finishWith(Core::ErrorCode::Unavailable, "The targets did not compute the prompt.");
+    startAttempt(now, isWhole);
+    return true;
 }
 
 }
