LibRouting: Tell uses of shared parts later when they don't fit into a beacon

Cause: a daemon forgot the uses beyond the sixteen most asked parts of each beacon. Where few daemons see many parts, one that needs a second home comes up once between two beacons, like sixty others, and was counted short. Each decision also took a logarithm and a power for each target. Change: what does not fit is kept for the next beacons, at most 4,096 parts. The rounded speed of a target is kept until its factor changes.

--- a/Libraries/LibRouting/PartHomes.cpp
+++ b/Libraries/LibRouting/PartHomes.cpp
@@ -16,6 +16,7 @@
 constexpr double homeUtilisation = 0.5;
 constexpr std::size_t maxHomes = 16;
 constexpr std::size_t maxParts = 16 * 1024;
+constexpr std::size_t maxUnreported = 4 * 1024;
 constexpr double negligibleUses = 0.1;
 constexpr double stepsPerDoubling = 2;
 // In steps: a speed has left its step when it is nearer to another one by some margin.
@@ -59,8 +60,11 @@
     std::size_t taken = std::min(limit, uses.size());
     std::partial_sort(uses.begin(), uses.begin() + static_cast<std::ptrdiff_t>(taken), uses.end(), [](PartUse const& left, PartUse const& right) { return left.uses > right.uses; });
     uses.resize(taken);
-    // The rest is asked for seldom: it needs no second home.
-    m_unreported.clear();
+    for (PartUse const& it : uses)
+        m_unreported.erase(it.part);
+    // What is left over and over is asked for seldom: it needs no second home.
+    if (m_unreported.size() > maxUnreported)
+        m_unreported.clear();
     return uses;
 }
 
@@ -82,12 +86,16 @@
 
 double HomeSpeeds::speed(std::uint64_t target, double factor)
 {
+    Step& entry = m_steps[target];
+    // Factors change twice a second; decisions are made far more often.
+    if (entry.factor == factor)
+        return entry.speed;
+    entry.factor = factor;
     double exact = -std::log2(factor) * stepsPerDoubling;
-    std::pair<std::unordered_map<std::uint64_t, int>::iterator, bool> entry = m_steps.try_emplace(target, 0);
-    int& step = entry.first->second;
-    if (std::abs(exact - step) > stepMargin)
-        step = static_cast<int>(std::lround(exact));
-    return std::exp2(step / stepsPerDoubling);
+    if (std::abs(exact - entry.step) > stepMargin)
+        entry.step = static_cast<int>(std::lround(exact));
+    entry.speed = std::exp2(entry.step / stepsPerDoubling);
+    return entry.speed;
 }
 
 std::vector<std::size_t> weightedHomesOf(std::uint64_t part, std::span<HomeTarget const> targets, std::size_t count)
--- a/Libraries/LibRouting/PartHomes.h
+++ b/Libraries/LibRouting/PartHomes.h
@@ -32,7 +32,8 @@
     /// Counts a request of this daemon.
     void note(std::uint64_t part, Time now);
 
-    /// Returns the uses counted since the last call, to be sent to the peers: at most `limit` parts, those with most uses first.
+    /// Returns uses that were counted and not yet returned, to be sent to the peers: at most `limit` parts, those with most uses first.
+    /// The rest is kept, so that a part of which a daemon sees little at a time is not counted short.
     std::vector<PartUse> takeUnreported(std::size_t limit);
 
     /// Adds the uses that a peer has counted.
@@ -70,11 +71,17 @@
     template <typename Keys>
     void keepTargets(Keys const& keys)
     {
-        std::erase_if(m_steps, [&keys](std::pair<std::uint64_t const, int> const& it) { return !keys.contains(it.first); });
+        std::erase_if(m_steps, [&keys](std::pair<std::uint64_t const, Step> const& it) { return !keys.contains(it.first); });
     }
 
 private:
-    std::unordered_map<std::uint64_t, int> m_steps;
+    struct Step {
+        int step { 0 };
+        double factor { 1 }; ///< That it was last decided by.
+        double speed { 1 };
+    };
+
+    std::unordered_map<std::uint64_t, Step> m_steps;
 };
 
 /// Returns the indices of a part's homes among the targets, the preferred one first, by weighted rendezvous hashing: the same at all
