LibRouting, LibDaemon: Let only what tells of a target count for its pace

Change: prompts count behind little other work only, and half of that; knees are learned from whole answers, at loads seen in half of the slots, and charge targets instead of limiting admission; the samples that have waited longest go first; one pass over a window, load curves every two seconds from 64 targets at most, states found by hash.

--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -160,7 +160,7 @@
         candidate.slots = placesOf(target, now);
         candidate.preference = Routing::homeWeight(m_preferenceSeed, target.key);
         candidate.promptFactor = promptFactor(target.key);
-        candidate.eventFactor = eventFactor(target.key, role->second, now);
+        candidate.eventFactor = eventFactor(target.key, role->second);
         if (!isClosed && Routing::takes(role->second, request.shape.phase)) {
             stale += m_openWork.ageWeighted(target.key, now);
             ++fitTargets;
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -229,7 +229,7 @@
     void notePromptPace(Waiter const&, std::chrono::steady_clock::duration);
     void noteWholePace(Waiter const&);
     double promptFactor(std::uint64_t targetKey) const;
-    double eventFactor(std::uint64_t targetKey, Routing::TargetRole, std::chrono::steady_clock::time_point now) const;
+    double eventFactor(std::uint64_t targetKey, Routing::TargetRole) const;
     std::uint32_t placesOf(FleetTarget const&, std::chrono::steady_clock::time_point now) const;
     double wholeSeconds(PlacementRequest const&) const;
     void markHomes(PlacementRequest const&);
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -91,7 +91,7 @@
         return 0;
     // A plain service reports its slots; an engine queues requests by urgency itself.
     bool isPlain = target.kind == Platform::VmKind::Service;
-    return isPlain && target.slots != 0 ? std::min(placesOf(target, Clock::now()), m_inFlightPerTarget) : m_inFlightPerTarget;
+    return isPlain && target.slots != 0 ? std::min(target.slots, m_inFlightPerTarget) : m_inFlightPerTarget;
 }
 
 void Dispatcher::noteOutcome(std::uint64_t targetKey, Routing::TargetOutcome outcome)
--- a/Libraries/LibDaemon/DispatcherPace.cpp
+++ b/Libraries/LibDaemon/DispatcherPace.cpp
@@ -10,8 +10,10 @@
 
 using Clock = std::chrono::steady_clock;
 
-// Samples in one beacon: those of a daemon's busiest targets. The others follow in the next ones.
+// Samples in one beacon. The others follow in the next ones.
 constexpr std::size_t maxSamples = 24;
+// Part of a prompt's own time that others may take before it when it tells of its target.
+constexpr double littleAhead = 0.25;
 
 double secondsOf(Clock::duration duration)
 {
@@ -34,16 +36,17 @@
         Core::logEvent(Core::Severity::Info, Core::Event::TargetKneeMoved, { { "target", m_targetNames[it.target] }, { "kind", std::string(Core::nameOf(Routing::paceKindNames, it.kind)) }, { "from", kneeText(it.before) }, { "to", kneeText(it.after) } });
 }
 
-// Called with the mutex held. Behind more work than its own, a prompt's time says more of the others than of its target.
+// Called with the mutex held. Of the work ahead, nobody knows how much is done: a prompt behind much of it would make busy targets look
+// faster, and draw more work to them. Behind little, half of it is taken for done.
 void Dispatcher::notePromptPace(Waiter const& waiter, Clock::duration duration)
 {
-    if (!m_learnsPace || waiter.aheadSeconds > waiter.work.prefillSeconds)
+    if (!m_learnsPace || waiter.aheadSeconds > waiter.work.prefillSeconds * littleAhead)
         return;
     Routing::ServiceSpeed speed = m_speeds.speed(waiter.request.work, Clock::now());
     if (speed.prompts < Routing::SpeedBook::minOwnPrompts)
         return;
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
-    double expected = speed.promptCost.seconds(waiter.promptTokens, waiter.request.shape.promptTokens) + waiter.aheadSeconds / promptFactor(key);
+    double expected = speed.promptCost.seconds(waiter.promptTokens, waiter.request.shape.promptTokens) + waiter.aheadSeconds / 2 / promptFactor(key);
     m_paces.note(key, Routing::PaceKind::Prompt, 1, expected, secondsOf(duration), Clock::now());
 }
 
@@ -68,17 +71,16 @@
 
 double Dispatcher::promptFactor(std::uint64_t targetKey) const
 {
-    return m_learnsPace ? m_paces.pace(targetKey, Routing::PaceKind::Prompt, Clock::now()).factor : m_speeds.promptFactor(targetKey);
+    return m_learnsPace ? m_paces.factor(targetKey, Routing::PaceKind::Prompt) : m_speeds.promptFactor(targetKey);
 }
 
-// Of a plain service, the factor of its whole answers.
-double Dispatcher::eventFactor(std::uint64_t targetKey, Routing::TargetRole role, Clock::time_point now) const
+// Of a plain service, the factor of its whole answers: it has no others, and an engine has no whole ones.
+double Dispatcher::eventFactor(std::uint64_t targetKey, Routing::TargetRole role) const
 {
     if (!m_learnsPace)
         return m_speeds.eventFactor(targetKey);
-    Routing::TargetPace events = m_paces.pace(targetKey, Routing::PaceKind::Event, now);
-    bool mayBePlain = role == Routing::TargetRole::Mixed && events.evidence <= 0;
-    return mayBePlain ? m_paces.pace(targetKey, Routing::PaceKind::Whole, now).factor : events.factor;
+    double events = m_paces.factor(targetKey, Routing::PaceKind::Event);
+    return role == Routing::TargetRole::Mixed ? events * m_paces.factor(targetKey, Routing::PaceKind::Whole) : events;
 }
 
 // Returns how many requests the target is to have open: its places, or fewer if it slows down before they are taken; 0 if unknown.
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -95,7 +95,7 @@
 double Dispatcher::slowness(std::uint64_t targetKey, Routing::TargetRole role) const
 {
     std::lock_guard lock(m_mutex);
-    return role == Routing::TargetRole::Prefill ? promptFactor(targetKey) : eventFactor(targetKey, role, Clock::now());
+    return role == Routing::TargetRole::Prefill ? promptFactor(targetKey) : eventFactor(targetKey, role);
 }
 
 void Dispatcher::takePeerReports(std::string const& peer, std::vector<Routing::ServiceReport> const& reports)
--- a/Libraries/LibRouting/PaceBook.cpp
+++ b/Libraries/LibRouting/PaceBook.cpp
@@ -11,6 +11,8 @@
 constexpr double assumedAnswers = 4;
 constexpr double fewestAnswers = 5;
 constexpr double half = 0.5;
+constexpr std::int64_t curveSlots = 4;
+constexpr std::size_t curveTargets = 64;
 // A group's curve is that of single targets; of fewer, one that has a knee would pass for the group.
 constexpr std::size_t fewestTargets = 3;
 constexpr double slowest = 5;
@@ -44,11 +46,13 @@
 
 void PaceBook::setGroups(std::vector<std::vector<std::uint64_t>> groups)
 {
-    m_groups = std::move(groups);
+    m_groups.clear();
     m_listed.clear();
-    for (std::vector<std::uint64_t> const& group : m_groups)
-        m_listed.insert(group.begin(), group.end());
-    std::erase_if(m_states, [this](std::pair<Subject const, State> const& it) { return !m_listed.contains(it.first.target); });
+    for (std::vector<std::uint64_t>& targets : groups) {
+        m_listed.insert(targets.begin(), targets.end());
+        m_groups.push_back({ std::move(targets), {} });
+    }
+    std::erase_if(m_states, [this](std::pair<std::uint64_t const, States> const& it) { return !m_listed.contains(it.first); });
     std::erase_if(m_unreported, [this](std::pair<std::pair<Subject, std::size_t> const, Unreported> const& it) { return !m_listed.contains(it.first.first.target); });
 }
 
@@ -57,7 +61,10 @@
     if (!m_listed.contains(target) || !isTime(expectedSeconds) || !isTime(seconds))
         return;
     add({ target, kind, open, 1, expectedSeconds, seconds }, now);
-    Unreported& unreported = m_unreported[{ { target, kind }, openRangeOf(open) }];
+    std::pair<Subject, std::size_t> key { { target, kind }, openRangeOf(open) };
+    Unreported& unreported = m_unreported[key];
+    if (unreported.answers == 0)
+        m_unreportedOrder.push_back(key);
     ++unreported.answers;
     unreported.expectedSeconds += expectedSeconds;
     unreported.seconds += seconds;
@@ -65,15 +72,13 @@
 
 std::vector<PaceSample> PaceBook::takeUnreported(std::size_t limit)
 {
-    using Entry = std::pair<std::pair<Subject, std::size_t>, Unreported>;
-    std::vector<Entry> entries(m_unreported.begin(), m_unreported.end());
-    std::size_t taken = std::min(limit, entries.size());
-    std::partial_sort(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(taken), entries.end(), [](Entry const& left, Entry const& right) { return left.second.answers > right.second.answers; });
-    entries.resize(taken);
     std::vector<PaceSample> samples;
-    for (Entry const& it : entries) {
-        samples.push_back({ it.first.first.target, it.first.first.kind, openRanges[it.first.second], it.second.answers, it.second.expectedSeconds, it.second.seconds });
-        m_unreported.erase(it.first);
+    for (; samples.size() < limit && !m_unreportedOrder.empty(); m_unreportedOrder.pop_front()) {
+        std::map<std::pair<Subject, std::size_t>, Unreported>::iterator it = m_unreported.find(m_unreportedOrder.front());
+        if (it == m_unreported.end())
+            continue;
+        samples.push_back({ it->first.first.target, it->first.first.kind, openRanges[it->first.second], it->second.answers, it->second.expectedSeconds, it->second.seconds });
+        m_unreported.erase(it);
     }
     return samples;
 }
@@ -88,17 +93,29 @@
 
 void PaceBook::add(PaceSample const& sample, Time now)
 {
-    State& state = m_states[{ sample.target, sample.kind }];
+    State& state = m_states[sample.target][static_cast<std::size_t>(sample.kind)];
     state.window.add(slotOf(now), openRangeOf(sample.open), sample.answers, sample.expectedSeconds, sample.seconds);
     state.newest = now;
 }
 
+PaceBook::State const* PaceBook::find(std::uint64_t target, PaceKind kind) const
+{
+    std::unordered_map<std::uint64_t, States>::const_iterator it = m_states.find(target);
+    return it == m_states.end() ? nullptr : &it->second[static_cast<std::size_t>(kind)];
+}
+
 TargetPace PaceBook::pace(std::uint64_t target, PaceKind kind, Time now) const
 {
-    std::map<Subject, State>::const_iterator it = m_states.find({ target, kind });
-    if (it == m_states.end())
+    State const* state = find(target, kind);
+    if (!state || state->window.isEmpty())
         return {};
-    return { it->second.factor, it->second.knee, it->second.evidence, std::chrono::duration_cast<std::chrono::milliseconds>(now - it->second.newest) };
+    return { state->factor, state->knee, state->evidence, std::chrono::duration_cast<std::chrono::milliseconds>(now - state->newest) };
+}
+
+double PaceBook::factor(std::uint64_t target, PaceKind kind) const
+{
+    State const* state = find(target, kind);
+    return state ? state->factor : 1;
 }
 
 std::vector<KneeChange> PaceBook::update(Time now)
@@ -108,30 +125,39 @@
     if (slot == m_updatedSlot)
         return changes;
     m_updatedSlot = slot;
-    for (std::pair<Subject const, State>& it : m_states)
-        it.second.window.setCurrentSlot(slot);
-    std::erase_if(m_states, [](std::pair<Subject const, State> const& it) { return it.second.window.isEmpty(); });
-    for (std::vector<std::uint64_t> const& group : m_groups) {
+    for (std::pair<std::uint64_t const, States>& it : m_states) {
+        for (State& state : it.second) {
+            state.window.setCurrentSlot(slot);
+            if (state.window.isEmpty())
+                state = State();
+        }
+    }
+    for (Group& group : m_groups) {
         for (std::pair<PaceKind, std::string_view> const& kind : paceKindNames)
             updateGroup(group, kind.first, slot, changes);
     }
     return changes;
 }
 
-void PaceBook::updateGroup(std::vector<std::uint64_t> const& group, PaceKind kind, std::int64_t slot, std::vector<KneeChange>& changes)
+void PaceBook::updateGroup(Group& group, PaceKind kind, std::int64_t slot, std::vector<KneeChange>& changes)
 {
     std::vector<State*> states;
     std::vector<std::uint64_t> targets;
-    for (std::uint64_t target : group) {
-        std::map<Subject, State>::iterator it = m_states.find({ target, kind });
-        if (it == m_states.end())
+    for (std::uint64_t target : group.targets) {
+        std::unordered_map<std::uint64_t, States>::iterator it = m_states.find(target);
+        if (it == m_states.end() || it->second[static_cast<std::size_t>(kind)].window.isEmpty())
             continue;
-        states.push_back(&it->second);
+        states.push_back(&it->second[static_cast<std::size_t>(kind)]);
         targets.push_back(target);
     }
     if (states.empty())
         return;
-    LoadCurve curve = loadCurve(states);
+    // How times grow with load changes with the kind of work, not with the moment. Prompts are computed one after another.
+    LoadCurve& curve = group.curves[static_cast<std::size_t>(kind)];
+    if (kind != PaceKind::Prompt && (slot % curveSlots == 0 || curve.front() == 0))
+        curve = loadCurve(states);
+    else if (curve.front() == 0)
+        curve.fill(1);
     std::vector<PaceWindow::Estimate> estimates;
     double answers = 0;
     double sum = 0;
@@ -147,6 +173,8 @@
         double weight = state.evidence / (state.evidence + assumedAnswers);
         bool isKnown = state.evidence >= fewestAnswers;
         state.factor = isKnown ? std::clamp(std::pow(estimates[n].ratio / usual, weight), fastest, slowest) : 1;
+        if (kind != PaceKind::Whole)
+            continue;
         std::optional<std::uint32_t> before = state.knee;
         updateKnee(state, slot);
         if (isClearChange(before, state.knee))
@@ -160,10 +188,13 @@
     LoadCurve curve;
     curve.fill(1);
     std::array<std::vector<std::pair<double, double>>, openRanges.size()> steps;
-    for (State const* state : states) {
+    std::size_t stride = (states.size() + curveTargets - 1) / curveTargets;
+    for (std::size_t n = 0; n < states.size(); n += stride) {
+        State const* state = states[n];
         std::optional<double> former;
+        std::array<std::optional<double>, openRanges.size()> ratios = state->window.ratios();
         for (std::size_t range = 0; range < openRanges.size(); ++range) {
-            std::optional<double> ratio = state->window.ratio(range);
+            std::optional<double> const& ratio = ratios[range];
             if (ratio && former)
                 steps[range].emplace_back(*ratio / *former, 1);
             if (ratio)
--- a/Libraries/LibRouting/PaceBook.h
+++ b/Libraries/LibRouting/PaceBook.h
@@ -2,12 +2,15 @@
 
 #include <LibCore/EnumNames.h>
 #include <LibRouting/PaceWindow.h>
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <set>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -69,16 +72,20 @@
     /// answers for which that is not known are not recorded. Precondition: both times are positive and finite; others are ignored.
     void note(std::uint64_t target, PaceKind, std::uint32_t open, double expectedSeconds, double seconds, Time now);
 
-    /// Returns the answers recorded since the last call, to be sent to the peers: at most `limit` samples, those with most answers
-    /// first; the rest is kept for the next call.
+    /// Returns answers that were recorded and not yet returned, to be sent to the peers: at most `limit` samples, those that have
+    /// waited longest first, so that targets with few answers have their turn; the rest is kept for the next call.
     std::vector<PaceSample> takeUnreported(std::size_t limit);
 
     /// Adds the answers that a peer got. Samples with values that are no times are ignored.
     void merge(std::vector<PaceSample> const&, Time now);
 
-    /// Returns what is known of a target; a factor of 1 and no knee while there is too little evidence.
+    /// Returns what is known of a target; a factor of 1 and no knee while there is too little evidence. Only whole answers have a knee:
+    /// prompts are computed one after another, and events come slower with each output by design.
     TargetPace pace(std::uint64_t target, PaceKind, Time now) const;
 
+    /// Returns the same factor as `pace`, for the candidates of a decision.
+    double factor(std::uint64_t target, PaceKind) const;
+
     /// Updates factors and knees, twice a second however often it is called. Returns the knees that have moved by a quarter or more.
     std::vector<KneeChange> update(Time now);
 
@@ -99,21 +106,31 @@
         Time newest;
     };
 
+    /// Targets that do the same kind of work.
+    struct Group {
+        std::vector<std::uint64_t> targets;
+        std::array<LoadCurve, paceKindNames.size()> curves {}; ///< By kind; zeros: not known yet.
+    };
+
     struct Unreported {
         std::uint32_t answers { 0 };
         double expectedSeconds { 0 };
         double seconds { 0 };
     };
 
+    using States = std::array<State, paceKindNames.size()>; ///< By kind.
+
     void add(PaceSample const&, Time now);
-    void updateGroup(std::vector<std::uint64_t> const& group, PaceKind, std::int64_t slot, std::vector<KneeChange>&);
+    State const* find(std::uint64_t target, PaceKind) const;
+    void updateGroup(Group&, PaceKind, std::int64_t slot, std::vector<KneeChange>&);
     static LoadCurve loadCurve(std::vector<State*> const&);
     static void updateKnee(State&, std::int64_t slot);
 
-    std::vector<std::vector<std::uint64_t>> m_groups;
-    std::set<std::uint64_t> m_listed;
-    std::map<Subject, State> m_states;
+    std::vector<Group> m_groups;
+    std::unordered_set<std::uint64_t> m_listed;
+    std::unordered_map<std::uint64_t, States> m_states; ///< By target.
     std::map<std::pair<Subject, std::size_t>, Unreported> m_unreported; ///< By the range of open requests, too.
+    std::deque<std::pair<Subject, std::size_t>> m_unreportedOrder; ///< The keys of `m_unreported` as they came, and some that have gone.
     std::int64_t m_updatedSlot { 0 };
 };
 
--- a/Libraries/LibRouting/PaceWindow.cpp
+++ b/Libraries/LibRouting/PaceWindow.cpp
@@ -19,6 +19,8 @@
 // A range of open requests is compared with others from this much evidence on.
 constexpr double rangeAnswers = 10;
 constexpr std::size_t rangeSlots = 3;
+// Where slowness comes and goes, requests pile up while it lasts: what is open in fewer than half of the slots may be its effect.
+constexpr std::size_t rangeSlotDivisor = 2;
 // A knee is one only if the power beyond it falls clearly: medians of a few answers differ by chance.
 constexpr double clearlyLess = 0.7;
 // Of powers that differ less, the one at more open requests is taken.
@@ -80,8 +82,9 @@
 
 void PaceWindow::add(std::int64_t slot, std::size_t range, std::uint32_t answers, double expectedSeconds, double seconds)
 {
-    auto isLater = [slot](Cell const& it) { return it.slot > slot; };
-    auto position = std::find_if(m_cells.begin(), m_cells.end(), isLater);
+    auto position = m_cells.end();
+    while (position != m_cells.begin() && std::prev(position)->slot > slot)
+        --position;
     for (auto it = position; it != m_cells.begin() && std::prev(it)->slot == slot; --it) {
         Cell& cell = *std::prev(it);
         if (cell.range != range)
@@ -97,28 +100,40 @@
 void PaceWindow::setCurrentSlot(std::int64_t currentSlot)
 {
     m_currentSlot = currentSlot;
-    std::erase_if(m_cells, [currentSlot](Cell const& it) { return it.slot <= currentSlot - windowSlots; });
+    auto isRecent = [currentSlot](Cell const& it) { return it.slot > currentSlot - windowSlots; };
+    m_cells.erase(m_cells.begin(), std::find_if(m_cells.begin(), m_cells.end(), isRecent));
 }
 
-std::optional<double> PaceWindow::ratio(std::size_t range) const
+std::array<std::optional<double>, openRanges.size()> PaceWindow::ratios() const
 {
+    std::array<double, openRanges.size()> answers {};
+    std::array<std::size_t, openRanges.size()> counts {};
+    std::size_t slots = 0;
+    for (std::size_t n = 0; n < m_cells.size(); ++n) {
+        answers[m_cells[n].range] += m_cells[n].answers;
+        ++counts[m_cells[n].range];
+        slots += n == 0 || m_cells[n].slot != m_cells[n - 1].slot ? 1 : 0;
+    }
+    std::array<std::optional<double>, openRanges.size()> usual;
     std::vector<std::pair<double, double>> ratios;
-    double answers = 0;
-    for (Cell const& it : m_cells) {
-        if (it.range != range)
+    ratios.reserve(slots);
+    for (std::size_t range = 0; range < openRanges.size(); ++range) {
+        if (answers[range] < rangeAnswers || counts[range] < std::max(rangeSlots, slots / rangeSlotDivisor))
             continue;
-        ratios.emplace_back(it.ratio(), it.answers);
-        answers += it.answers;
+        ratios.clear();
+        for (Cell const& it : m_cells) {
+            if (it.range == range)
+                ratios.emplace_back(it.ratio(), it.answers);
+        }
+        usual[range] = weightedQuantile(ratios, usualPart);
     }
-    if (answers < rangeAnswers || ratios.size() < rangeSlots)
-        return std::nullopt;
-    return weightedQuantile(ratios, usualPart);
+    return usual;
 }
 
 PaceWindow::Estimate PaceWindow::estimate(LoadCurve const& curve, std::optional<std::uint32_t> knee) const
 {
-    std::vector<std::pair<double, double>> ratios;
     std::vector<SlotTimes> slots; // The newest first.
+    slots.reserve(windowSlots);
     double answers = 0;
     for (auto it = m_cells.rbegin(); it != m_cells.rend(); ++it) {
         if (knee && openRanges[it->range] > *knee)
@@ -132,8 +147,11 @@
         slots.back().expectedSeconds += it->expectedSeconds * curve[it->range];
         slots.back().seconds += it->seconds;
         answers += it->answers;
-        ratios.emplace_back(it->ratio() / curve[it->range], it->answers);
     }
+    std::vector<std::pair<double, double>> ratios;
+    ratios.reserve(slots.size());
+    for (SlotTimes const& it : slots)
+        ratios.emplace_back(it.ratio(), it.answers);
     double usual = weightedQuantile(ratios, usualPart).value_or(1);
     // The slot that is not over may hold single answers.
     std::span<SlotTimes const> ended = slots;
@@ -146,8 +164,9 @@
 {
     std::array<double, openRanges.size()> powers {};
     double lastPower = 0;
+    std::array<std::optional<double>, openRanges.size()> times = ratios();
     for (std::size_t range = 1; range < openRanges.size(); ++range) {
-        std::optional<double> time = ratio(range);
+        std::optional<double> const& time = times[range];
         if (!time)
             continue;
         powers[range] = openRanges[range] / (*time * *time);
--- a/Libraries/LibRouting/PaceWindow.h
+++ b/Libraries/LibRouting/PaceWindow.h
@@ -34,8 +34,8 @@
 
     bool isEmpty() const { return m_cells.empty(); }
 
-    /// Returns the usual ratio of measured to expected time in a range; empty with too little evidence.
-    std::optional<double> ratio(std::size_t range) const;
+    /// Returns the usual ratios of measured to expected time by range; empty in ranges with too little evidence.
+    std::array<std::optional<double>, openRanges.size()> ratios() const;
 
     struct Estimate {
         double ratio { 1 };
--- a/Tests/LibRouting/TestPaceBook.cpp
+++ b/Tests/LibRouting/TestPaceBook.cpp
@@ -170,6 +170,51 @@
     EXPECT_GE(site.pace(1).knee.value_or(places), 2 * places / 3);
 }
 
+TEST(PaceBook, RequestsThatPileUpWhileATargetIsSlowAreNoKnee)
+{
+    Site::TimeAt timeAt = [](std::size_t, std::uint32_t, Time now) {
+        std::mt19937_64 random(now.time_since_epoch() / 600ms);
+        return random() % 100 < 15 ? 2.5 * workSeconds : workSeconds;
+    };
+    Site site(4, 3, timeAt);
+    std::function<std::uint32_t()> piledUp = [&] { return static_cast<std::uint32_t>((1 + site.random()() % 3) * timeAt(0, 1, site.now()) / workSeconds); };
+    int knees = 0;
+    for (int n = 0; n < 120; ++n) {
+        site.play(500ms, 8, piledUp);
+        for (std::size_t target = 0; target < 4; ++target)
+            knees += site.pace(target).knee ? 1 : 0;
+    }
+    EXPECT_LT(knees, 4 * 120 / 20);
+}
+
+TEST(PaceBook, EventsThatComeSlowerWithEachOutputAreNoKnee)
+{
+    PaceBook book;
+    book.setGroups({ { 1, 2 } });
+    Time now { 100s };
+    for (std::uint32_t n = 0; n < 2'000; ++n, now += 5ms) {
+        std::uint32_t open = 1 + n % 64;
+        book.note(1 + n % 2, PaceKind::Event, open, workSeconds, workSeconds * std::max(1.0, open / 8.0), now);
+        EXPECT_TRUE(book.update(now).empty());
+    }
+}
+
+TEST(PaceBook, ATargetWithFewAnswersIsToldOfBesideBusyOnes)
+{
+    PaceBook book;
+    book.setGroups({ { 1, 2, 3, 4 } });
+    Time now { 100s };
+    book.note(4, PaceKind::Prompt, 1, 1, 1, now);
+    std::uint32_t told = 0;
+    for (int beacon = 0; beacon < 4; ++beacon, now += 100ms) {
+        for (std::uint64_t n = 0; n < 60; ++n)
+            book.note(1 + n % 3, PaceKind::Event, 1, 1, 1, now);
+        for (PaceSample const& it : book.takeUnreported(2))
+            told += it.target == 4 ? it.answers : 0;
+    }
+    EXPECT_EQ(told, 1U);
+}
+
 TEST(PaceBook, ATargetThatStartsAgainBeginsAsUnknown)
 {
     Site site(4, 1, [](std::size_t target, std::uint32_t, Time) { return target == 0 ? 3 * workSeconds : workSeconds; });
