LibOperator: Print the paces of targets

Cause: GET /paces exists, and operators had to ask for it by hand. Change: `currantctl paces`, beside `limits`. Numbers with a fraction are printed as 1.5 instead of 1.5E0, also those of `limits` and `duties`.

--- a/Libraries/LibOperator/Client.cpp
+++ b/Libraries/LibOperator/Client.cpp
@@ -163,6 +163,11 @@
     return decodeOk(call("GET", "/limits", {}), Json::parseObject);
 }
 
+Core::Result<boost::json::object> Client::paces()
+{
+    return decodeOk(call("GET", "/paces", {}), Json::parseObject);
+}
+
 Core::Result<boost::json::object> Client::suspects()
 {
     return decodeOk(call("GET", "/suspects", {}), Json::parseObject);
--- a/Libraries/LibOperator/Client.h
+++ b/Libraries/LibOperator/Client.h
@@ -35,10 +35,11 @@
     Core::Result<Progress> progress(std::uint64_t revision);
     Core::Result<boost::json::object> status();
 
-    /// Reads the singleton duties, the suspected requests, or the rate limits of targets, of a daemon on a platform with a keyed store.
+    /// Reads the singleton duties, the suspected requests, the rate limits or the paces of targets, of a daemon on a platform with a keyed store.
     Core::Result<boost::json::object> duties();
     Core::Result<boost::json::object> suspects();
     Core::Result<boost::json::object> limits();
+    Core::Result<boost::json::object> paces();
     Core::Result<boost::json::object> explain(boost::json::object const& question);
 
     /// Sends a change to one server after another until one knows its outcome. Returns `Unknown` when none does
--- a/Libraries/LibOperator/CommandLine.cpp
+++ b/Libraries/LibOperator/CommandLine.cpp
@@ -27,7 +27,7 @@
     std::string_view example;
 };
 
-constexpr std::array<Usage, 13> usages { {
+constexpr std::array<Usage, 14> usages { {
     { Command::Apply, "FILE", 1, 1, "Brings the configuration to what FILE says. All of its changes are accepted, or none.",
         "currantctl apply fleet.ini --wait\n  currantctl apply fleet.ini --dry-run --prune" },
     { Command::Get, "[KIND [NAME]]", 0, 2, "Prints the configuration in force, as a file that apply reads.",
@@ -52,6 +52,8 @@
         "currantctl suspects" },
     { Command::Limits, "", 0, 0, "Prints the rate limits that targets state, and the asked daemon's share of each; on a keyed store.",
         "currantctl limits" },
+    { Command::Paces, "", 0, 0, "Prints how fast each target is next to the others of its service, and how many requests at once it takes well; on a keyed store.",
+        "currantctl paces" },
     { Command::Story, "ID FILE...", 2, 10'000, "Prints what the daemons' log files say of one request, in order, and how it ended. Asks no server.",
         "currantctl story 811ff66a8cd5a520 front-*.log" },
 } };
--- a/Libraries/LibOperator/CommandLine.h
+++ b/Libraries/LibOperator/CommandLine.h
@@ -26,9 +26,10 @@
     Duties,
     Suspects,
     Limits,
+    Paces,
     Story };
 
-inline constexpr Core::EnumNames<Command, 13> commandNames { {
+inline constexpr Core::EnumNames<Command, 14> commandNames { {
     { Command::Apply, "apply" },
     { Command::Get, "get" },
     { Command::Diff, "diff" },
@@ -41,6 +42,7 @@
     { Command::Duties, "duties" },
     { Command::Suspects, "suspects" },
     { Command::Limits, "limits" },
+    { Command::Paces, "paces" },
     { Command::Story, "story" },
 } };
 
--- a/Libraries/LibOperator/Commands.cpp
+++ b/Libraries/LibOperator/Commands.cpp
@@ -104,6 +104,8 @@
         return print(m_client.suspects());
     case Command::Limits:
         return print(m_client.limits());
+    case Command::Paces:
+        return print(m_client.paces());
     case Command::Drain:
         return drain(true);
     case Command::Undrain:
--- a/Libraries/LibOperator/Printing.cpp
+++ b/Libraries/LibOperator/Printing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <sstream>
 
 namespace Operator {
 
@@ -40,6 +41,11 @@
         return "-";
     if (value->is_string())
         return value->get_string().empty() ? "-" : std::string(value->get_string());
+    if (value->is_double()) {
+        std::ostringstream text;
+        text << value->get_double();
+        return text.str();
+    }
     return boost::json::serialize(*value);
 }
 
--- a/Tests/LibOperator/FakeDaemon.h
+++ b/Tests/LibOperator/FakeDaemon.h
@@ -76,6 +76,8 @@
             return Http::jsonResponse(Http::Status::Ok, status);
         if (request.target == "/duties")
             return Http::jsonResponse(Http::Status::Ok, R"({"holder":"d1","next_holders":["d1","d2"],"usage":{"missed":0},"engines":[{"service":"llm","wanted":3}]})");
+        if (request.target == "/paces")
+            return Http::jsonResponse(Http::Status::Ok, R"({"paces":[{"target":"t1","kind":"prompt","time_factor":1.5,"knee":null}]})");
         if (request.target == "/v1/explain")
             return Http::jsonResponse(Http::Status::Ok, R"({"text":"to t1"})");
         if (request.target.starts_with("/v1/config/progress?revision="))
--- a/Tests/LibOperator/TestCommands.cpp
+++ b/Tests/LibOperator/TestCommands.cpp
@@ -218,6 +218,8 @@
     EXPECT_EQ(output(), "holder: d1\nnext_holders: [\"d1\",\"d2\"]\nusage: {\"missed\":0}\nengines:\n  service  wanted\n  llm      3\n");
     EXPECT_EQ(run({ "suspects" }), ExitCode::NotFound) << "not on this platform";
     EXPECT_EQ(run({ "limits" }), ExitCode::NotFound) << "not on this platform";
+    EXPECT_EQ(run({ "paces" }), ExitCode::Ok);
+    EXPECT_EQ(output(), "paces:\n  target  kind    time_factor  knee\n  t1      prompt  1.5          -\n");
     EXPECT_EQ(run({ "explain", "--labels", "a=b" }), ExitCode::Ok);
     EXPECT_EQ(output(), "to t1\n");
     EXPECT_EQ(run({ "history", "--limit", "7" }), ExitCode::Ok);
