LibFleet, LibDaemon: Let those that read for the others begin at once when all daemons were off

Cause: 67 daemons back at one moment refused callers for 0.6 s. Each wrote its entry in the store's list, which takes entries one after the other; then it read the list, and waited 250 ms for a peer's beacon that nobody could send, as nobody knew anything. The news of the two that read first then waited for a third of a beacon's interval, the suspected requests for the list of targets, and readiness for the next tick.

Change: a daemon reads beside its own entry where the others were before and tells them that it is there. A full beacon that goes to nobody is no longer taken for told. A daemon is ready at the moment at which it knows enough. It plans no roles within its first second, by when whoever plans has been heard. What a daemon must know before it takes requests is unchanged; a daemon new to the list waits as before. One more read of the store for each start.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -82,7 +82,8 @@
     Core::BootClock::time_point now = Core::BootClock::now();
     beacon.state.saidAt = now;
     beacon.isBrief = kind == BeaconKind::ToAll && now < m_nextFull;
-    if (kind == BeaconKind::ToAll && !beacon.isBrief)
+    // One that goes to nobody tells nobody.
+    if (kind == BeaconKind::ToAll && !beacon.isBrief && !m_book.daemons().empty())
         m_nextFull = now + fullInterval;
     return beacon;
 }
@@ -93,6 +94,12 @@
     m_sendTimer.cancel();
 }
 
+void BeaconExchange::announce()
+{
+    m_nextFull = {};
+    sendNow();
+}
+
 void BeaconExchange::sendNow()
 {
     m_isSoon = false;
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -48,6 +48,9 @@
     /// the last one is not too young.
     void sendSoon();
 
+    /// As `sendNow`, with all that others need to know of a daemon that has just started.
+    void announce();
+
     Fleet::DaemonBook& book() { return m_book; }
     Platform::ListedDaemon const& self() const { return m_self; }
 
--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -154,6 +154,7 @@
     RecordsAnswer const* answer = reply.has_value() ? std::get_if<RecordsAnswer>(&reply.value()) : nullptr;
     bool isNews = answer && takeRecords(answer->extract.records, peer);
     m_catchUp.noteReply(answer != nullptr, isNews, Clock::now());
+    m_hooks.onLearnt();
     std::string problem = answer ? "-" : "the peer is busy";
     if (reply.has_error())
         problem = reply.error().message;
@@ -179,6 +180,7 @@
             m_catchUp.noteLoaded();
             // Daemons that start at the same time wait for this one to be caught up.
             m_hooks.requestBeacon();
+            m_hooks.onLearnt();
             break;
         }
         after = page.value().records.back().key;
--- a/Libraries/LibDaemon/QuarantineExchange.h
+++ b/Libraries/LibDaemon/QuarantineExchange.h
@@ -23,6 +23,7 @@
 public:
     struct Hooks {
         std::function<void()> requestBeacon; ///< Requests a beacon before the next regular one.
+        std::function<void()> onLearnt; ///< Called when records were read or told, whether they were news or not.
         std::function<void(Fleet::StoreCallReason)> countStoreCall;
         std::function<Core::BootClock::time_point()> listedAsOf; ///< As of when the list of targets is known.
     };
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -106,7 +106,7 @@
     m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, m_settings.split, std::move(roles));
     if (m_settings.duties.service.port() != 0)
         createDuties(usage);
-    QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, m_hooks.countStoreCall, [this] { return m_targetList.follower->asOf().value_or(m_startedAt); } };
+    QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, [this] { becomeReady(); }, m_hooks.countStoreCall, [this] { return m_targetList.follower->asOf().value_or(m_startedAt); } };
     m_quarantine = std::make_unique<QuarantineExchange>(m_context, m_guard, *m_store, *m_records, m_beacons->book(), self.name, std::move(quarantine));
     createTopics();
     // While another daemon's reads are answered, it is this one that is cut off, not the store that is away.
@@ -124,12 +124,14 @@
     m_configuration.topic = Platform::StoreTopic::Configuration;
     m_configuration.onRecord = [this](Platform::KeyedRecord const& record) { takeConfiguration(record); };
     m_targetList.topic = Platform::StoreTopic::Targets;
+    m_targetList.firstStep = StartStep::Targets;
     m_targetList.onRecord = [this](Platform::KeyedRecord const& record) {
         if (takeTarget(record))
             m_targetList.newsOffset = std::max(m_targetList.newsOffset, record.offset + 1);
     };
     m_targetList.onRead = [this] { m_targets.noteRead(Clock::now()); };
     m_daemonList.topic = Platform::StoreTopic::Daemons;
+    m_daemonList.firstStep = StartStep::Met;
     m_daemonList.onRecord = [this](Platform::KeyedRecord const& record) { takeDaemon(record); };
     setFollower(m_configuration, Fleet::TopicFollowerSettings::create({ configurationInterval }, m_settings.platform.newsWithin), isConfigurationNews, [](Fleet::DaemonState const& said) { return said.configAge; });
     setFollower(m_targetList, Fleet::TopicFollowerSettings::create({ targetInterval }, m_settings.platform.leavingWithin), isTargetNews, [](Fleet::DaemonState const& said) { return said.targetsAge; });
@@ -153,6 +155,7 @@
 void StoreControl::start()
 {
     m_startedAt = Clock::now();
+    m_meeting.emplace(m_settings.daemon.name, m_startedAt);
     m_beacons->start();
     for (Followed* topic : { &m_configuration, &m_targetList }) {
         boost::asio::co_spawn(
@@ -206,26 +209,6 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
-// Of two daemons that start at one moment the later one to write its entry reads the other's, and then sends it beacons: so
-// one write and one read make all known to each other.
-boost::asio::awaitable<void> StoreControl::meetOthers()
-{
-    co_await listSelf();
-    if (!m_isStopped)
-        co_await follow(m_daemonList);
-}
-
-boost::asio::awaitable<void> StoreControl::listSelf()
-{
-    while (!m_isStopped && !m_isLeaving) {
-        m_hooks.countStoreCall(Fleet::StoreCallReason::Listing);
-        Core::Result<Platform::ConditionalAppend> appended = co_await m_store->append(Platform::StoreTopic::Daemons, m_settings.daemon.name, encode(m_beacons->self()), std::nullopt);
-        if (appended.has_value())
-            co_return;
-        co_await wait(retryDelay);
-    }
-}
-
 // A daemon that is gone costs the others a few datagrams until they forget it, so one try is enough.
 boost::asio::awaitable<void> StoreControl::unlistSelf(std::function<void()> onDone)
 {
@@ -314,9 +297,9 @@
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
         m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
-        bool hasCaughtUp = !m_fleet->isReady && knowsEnough(now);
-        if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened || hasCaughtUp)
+        if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
             rebuild();
+        becomeReady();
         // Beacons tell of all that are heard within a second, also while the store is away.
         if (m_daemonList.follower->replica().isComplete() || now - m_startedAt > unlistedDaemonsTime)
             shareAmongDaemons(now);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -8,8 +8,10 @@
 #include <LibDaemon/QuarantineExchange.h>
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
+#include <LibDaemon/StartStep.h>
 #include <LibDaemon/UsageKeeper.h>
 #include <LibFleet/ChangingTargets.h>
+#include <LibFleet/FirstMeeting.h>
 #include <LibFleet/LeavingTargets.h>
 #include <LibFleet/TargetBook.h>
 #include <LibFleet/TopicFollower.h>
@@ -117,6 +119,7 @@
     struct Followed {
         Platform::StoreTopic topic { Platform::StoreTopic::Configuration };
         bool isToldByPeers { true };
+        StartStep firstStep { StartStep::Configuration }; ///< Done once the topic is known whole.
         RecordHook onRecord;
         std::function<void()> onRead { [] { } }; ///< Called after each read that succeeded, ahead of its records.
         std::function<void()> onFailure { [] { } }; ///< Called after each read that failed.
@@ -148,8 +151,12 @@
     Followed const* find(Platform::StoreTopic) const;
     std::string const* findVersion(Platform::StoreTopic, std::uint64_t offset) const;
     Core::BootClock::duration timeToNextQuery(Followed const&);
-    boost::asio::awaitable<void> waitToMeet(Followed const&);
+    boost::asio::awaitable<void> waitToMeet(Followed const&, boost::asio::steady_timer&);
     boost::asio::awaitable<void> meetOthers();
+    boost::asio::awaitable<void> findOthers();
+    bool hasMetPlanner() const;
+    void becomeReady();
+    void noteStartStep(StartStep);
     std::array<Followed*, 3> topics() { return { &m_configuration, &m_targetList, &m_daemonList }; }
     void wakeTopics();
     void publishAge();
@@ -232,6 +239,9 @@
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_listConfirmedAt; ///< As snapshots of the fleet have it,
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_configConfirmedAt; ///< and the same of the configuration.
     Core::BootClock::time_point m_startedAt;
+    std::optional<Fleet::FirstMeeting> m_meeting; ///< Set by `start`.
+    std::set<StartStep> m_startSteps; ///< Those that are done.
+    bool m_hasToldStart { false }; ///< The others were told that this daemon has all that they wait for.
     std::optional<Core::BootClock::time_point> m_listedAt; ///< When the list of targets was first known whole.
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -51,7 +51,7 @@
 // Where one daemon orders engines it gives them their roles, too: two plans would fight.
 bool StoreControl::plansRoles() const
 {
-    bool isChosen = m_dutyCalls ? hasDuties() : m_view.plansWith(m_engineLeases->claimed());
+    bool isChosen = m_dutyCalls ? hasDuties() : hasMetPlanner() && m_view.plansWith(m_engineLeases->claimed());
     return isChosen && !m_isLeaving && !m_isOutOfTouch && !m_engineLeases->isBarred();
 }
 
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -144,6 +144,7 @@
     m_view.newest.targetsChanged = std::max(m_view.newest.targetsChanged, said.targetsChanged);
     if (isNews)
         wakeTopics();
+    becomeReady();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
     bool isAnyLeaving = m_leaving.hear(beacon.leaving);
     if (isAnyLeaving)
@@ -399,6 +400,8 @@
         Core::logEvent(Core::Severity::Warning, Core::Event::SuspectsUnknown, { { "waited_ms", std::to_string(longestCatchUp.count()) } });
     m_fleet = std::move(fleet);
     m_hooks.publish(m_fleet);
+    if (m_fleet->isReady)
+        noteStartStep(StartStep::Ready);
 }
 
 }
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -16,7 +16,6 @@
 // one stream from a peer in its availability zone costs less than several calls, and is answered while the store is away.
 constexpr std::chrono::milliseconds greetingTime { 250 };
 constexpr std::chrono::milliseconds longestMeeting { 1'000 };
-constexpr std::chrono::milliseconds meetingCheckInterval { 20 };
 // News that is not asked for at once, as this daemon's own read should bring it, is looked for so often.
 constexpr std::chrono::milliseconds newsCheckInterval { 100 };
 
@@ -25,7 +24,7 @@
 // A read that hangs does not keep this daemon from learning what a peer knows: each has a loop of its own.
 boost::asio::awaitable<void> StoreControl::learn(Followed& topic)
 {
-    co_await waitToMeet(topic);
+    co_await waitToMeet(topic, *topic.news);
     while (!m_isStopped) {
         std::optional<Fleet::PeerQuery> question = topic.follower->beginPeerQuery(m_beacons->book(), m_view, Clock::now());
         if (question)
@@ -45,7 +44,10 @@
 boost::asio::awaitable<void> StoreControl::follow(Followed& topic)
 {
     if (topic.isToldByPeers)
-        co_await waitToMeet(topic);
+        co_await waitToMeet(topic, *topic.turn);
+    // The suspects are read beside what this topic brings, not behind it.
+    if (&topic == &m_targetList && !m_isStopped && !topic.follower->replica().isComplete())
+        m_quarantine->tick(m_beacons->book().view(m_settings.daemon.name, Clock::now()).isReader, Clock::now());
     while (!m_isStopped) {
         std::optional<Fleet::StoreRead> read = topic.follower->beginRead(m_view, Clock::now());
         if (read) {
@@ -108,6 +110,8 @@
     publishAge();
     if (std::exchange(m_isTargetListChanged, false) || wasComplete != topic.follower->replica().isComplete())
         rebuild();
+    if (topic.follower->replica().isComplete())
+        noteStartStep(topic.firstStep);
 }
 
 boost::asio::awaitable<void> StoreControl::ask(Followed& topic, Fleet::PeerQuery question)
@@ -165,18 +169,6 @@
     return RecordsAnswer { followed->follower->replica().extract(request.from, request.wantsAll), followed->follower->age(Clock::now()) };
 }
 
-// Waits until a peer is heard that knows the topic, if there may be one.
-boost::asio::awaitable<void> StoreControl::waitToMeet(Followed const& topic)
-{
-    Clock::time_point until = m_startedAt + longestMeeting;
-    while (!m_isStopped && Clock::now() < until && !topic.follower->hasNews(m_view)) {
-        bool isListRead = m_daemonList.follower->replica().isComplete();
-        if (isListRead && (m_beacons->book().daemons().empty() || Clock::now() - m_daemonList.follower->readAt() > greetingTime))
-            co_return;
-        co_await wait(meetingCheckInterval);
-    }
-}
-
 std::string StoreControl::ageOf(Followed const& topic)
 {
     std::optional<std::chrono::milliseconds> age = topic.follower->age(Clock::now());
