LibDuties, LibDaemon, LibFleet: Let no daemon take a part of the usage counts for all

Nobody took over meanwhile: each next daemon found the former holder's lease not yet open, gave up after a second and a half and stepped back, too; the window before was decided 8.2 s after its end. Change: a beacon to a daemon that does not collect closes no window. Whoever has begun to collect waits for four intervals of beacons before it decides a window that not all have closed, at most for seven tenths of the time until the report is due. A daemon that finds the duties' lease held waits for it instead of stepping back. The daemon with the newest claim keeps the duties when an older one is back; claims of the duties' lease are told in the field that has those on engines, so that others know their age, too.

--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -100,7 +100,7 @@
     m_sentAt = Core::BootClock::now();
     BeaconMessage beacon = nextBeacon(BeaconKind::ToAll);
     m_round.bytesWithUsage = encode(beacon);
-    beacon.usage.windows.clear();
+    beacon.usage = Duties::withoutCounts(beacon.usage);
     m_round.bytes = encode(beacon);
     m_round.usageFor = { beacon.usageFor.begin(), beacon.usageFor.end() };
     m_round.remaining = m_book.daemons().size();
@@ -147,7 +147,7 @@
 void BeaconExchange::greet(boost::asio::ip::udp::endpoint const& address)
 {
     BeaconMessage beacon = nextBeacon(BeaconKind::Greeting);
-    beacon.usage.windows.clear();
+    beacon.usage = Duties::withoutCounts(beacon.usage);
     std::string bytes = encode(beacon);
     boost::system::error_code ec;
     m_socket.send_to(boost::asio::buffer(bytes), address, 0, ec);
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -41,7 +41,7 @@
     std::optional<std::uint64_t> suspectDigest; ///< Of all that it holds; null: it may not know all yet.
     bool isBrief { false }; ///< The sender's addresses and `services` are left out: they are as it said before.
     std::chrono::milliseconds wallClock { 0 }; ///< The sender's when the beacon was made, since 1970.
-    Duties::UsageStatement usage {}; ///< Its windows only in beacons to `usageFor`.
+    Duties::UsageStatement usage {}; ///< In beacons to others than `usageFor`: `withoutCounts`.
     std::map<std::string, double> sizedDemands {}; ///< In engines, by service: what the sender sizes these for.
     std::map<std::uint64_t, Routing::TargetRole> changingTo {}; ///< The new roles of those in `changing`.
     std::vector<Routing::RateLimitReport> rateLimits {}; ///< That targets have recently stated to it.
--- a/Libraries/LibDaemon/DutyCalls.cpp
+++ b/Libraries/LibDaemon/DutyCalls.cpp
@@ -26,7 +26,7 @@
 
 boost::asio::awaitable<bool> DutyCalls::gain()
 {
-    return m_leases.gain(leaseName);
+    return m_leases.gain(leaseName, StoreLeases::IfHeld::Wait);
 }
 
 std::optional<std::uint64_t> DutyCalls::fencing() const
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -265,7 +265,7 @@
     beacon.state.targetsChanged = m_targetList.newsOffset;
     beacon.state.isReading = isReading();
     beacon.state.cannotPlan = m_engineLeases->isBarred() || m_isOutOfTouch;
-    beacon.state.leaseClaimed = m_engineLeases->claimed();
+    beacon.state.leaseClaimed = newestClaim();
     beacon.state.cannotHoldDuties = m_dutyLeases && (m_dutyLeases->isBarred() || m_isOutOfTouch);
     beacon.state.storeFailingFor = storeFailingFor();
     beacon.state.configAge = m_configuration.follower->ownReadAge(now);
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -134,6 +134,7 @@
     bool isFitForDuties(Core::BootClock::time_point now) const;
     std::chrono::milliseconds startInFleetTime() const;
     bool plansRoles() const;
+    std::uint64_t newestClaim() const;
     void createDuties(Duties::UsageCounter&);
     void createTopics();
     void setFollower(Followed&, Fleet::TopicFollowerSettings, Fleet::TopicFollower::NewsTest, Fleet::TopicFollower::AgeOf);
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -1,6 +1,7 @@
 // The part of StoreControl that has the duties of one daemon at a time: who should have them, and what they are.
 
 #include <LibDaemon/StoreControl.h>
+#include <algorithm>
 
 namespace Daemon {
 
@@ -65,6 +66,12 @@
     return hasMet && isStartKnown && !m_isLeaving && !m_isOutOfTouch && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
 }
 
+// Whoever has the duties gives engines their roles, too, and all leases share one topic.
+std::uint64_t StoreControl::newestClaim() const
+{
+    return std::max(m_engineLeases->claimed(), m_dutyLeases ? m_dutyLeases->claimed() : 0);
+}
+
 std::chrono::milliseconds StoreControl::startInFleetTime() const
 {
     if (m_usage)
@@ -82,7 +89,7 @@
         m_startReportedAt = now;
         m_beacons->sendSoon();
     }
-    m_elders = m_beacons->book().elders(m_settings.daemon.name, isFitForDuties(now) ? m_ownStart : std::nullopt, now);
+    m_elders = m_beacons->book().elders(m_settings.daemon.name, isFitForDuties(now) ? m_ownStart : std::nullopt, newestClaim(), now);
     if (m_usage)
         m_usage->tick(m_elders, now);
     m_engineNumbers->tick(*m_fleet, now);
--- a/Libraries/LibDaemon/UsageKeeper.cpp
+++ b/Libraries/LibDaemon/UsageKeeper.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds closeMargin { 20 };
 // A daemon that was heard within this time may be cut off and still serve; then it is taken to be gone.
 constexpr std::chrono::seconds missedTime { 20 };
+// Of any other daemon, one of them may be lost.
+constexpr int beaconsToCollect = 4;
 // A store or a service that refuses or does not answer is asked again after this.
 constexpr std::chrono::milliseconds retryDelay { 300 };
 // Reports are kept in the store under so many keys in turn: far more windows than may be unsettled at one time.
@@ -97,9 +99,20 @@
     m_duty.noteSettledBefore(window);
 }
 
-void UsageKeeper::tick(std::vector<std::string> const& elders, Time now)
+// The others learn of a new elder from a beacon, and send it their counts with their next ones.
+void UsageKeeper::noteElders(std::vector<std::string> const& elders, Time now)
 {
     m_elders = elders;
+    if (std::find(elders.begin(), elders.end(), m_self.name) == elders.end())
+        m_collectsSince.reset();
+    else if (!m_collectsSince)
+        m_collectsSince = now;
+    m_duty.setCollectedAt(m_clock.at(m_collectsSince.value_or(now) + beaconsToCollect * m_daemons.beaconInterval()));
+}
+
+void UsageKeeper::tick(std::vector<std::string> const& elders, Time now)
+{
+    noteElders(elders, now);
     m_clock.observeOwn(wallNow(), now);
     m_counter.setOffset(m_clock.offset());
     if (now - m_startedAt < meetingTime)
--- a/Libraries/LibDaemon/UsageKeeper.h
+++ b/Libraries/LibDaemon/UsageKeeper.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
     bool isClosed(Duties::WindowNumber, Time now) const;
     Duties::UsageStatement ownStatement(Time now);
     std::optional<Duties::UsageStep> nextStep() const;
+    void noteElders(std::vector<std::string> const&, Time now);
     void settleBefore(Duties::WindowNumber);
     void giveUp(Duties::WindowNumber);
     boost::asio::awaitable<void> work();
@@ -84,6 +86,7 @@
     Duties::UsageBook m_book;
     Duties::UsageDuty m_duty;
     std::vector<std::string> m_elders;
+    std::optional<Time> m_collectsSince; ///< When this daemon became one of them.
     Time m_startedAt;
     std::uint64_t m_reportsEnd { 0 }; ///< Of the topic of reports, as it was read or appended to last.
     bool m_hasReadReports { false }; ///< Nobody else has appended to it since, as far as is known.
--- a/Libraries/LibDuties/Usage.h
+++ b/Libraries/LibDuties/Usage.h
@@ -23,6 +23,13 @@
     bool operator==(UsageStatement const&) const = default;
 };
 
+/// Returns the part of a statement that daemons get which do not collect counts. It closes no window: one of them that collects
+/// later must not take a window without its counts to be complete. Thread-safe.
+inline UsageStatement withoutCounts(UsageStatement const& statement)
+{
+    return { {}, 0, statement.settledBefore };
+}
+
 /// The usage report of one window.
 struct UsageReport {
     WindowNumber window { 0 };
--- a/Libraries/LibDuties/UsageDuty.cpp
+++ b/Libraries/LibDuties/UsageDuty.cpp
@@ -52,7 +52,9 @@
     if (std::optional<UsageReport> report = decided(*m_next))
         return SendReport { std::move(*report) };
     std::chrono::milliseconds closeWait = std::chrono::round<std::chrono::milliseconds>(m_settings.dueWithin * m_settings.closeWaitFraction);
-    bool isDue = now >= end + closeWait || (now >= end + m_settings.settleTime && isClosed(*m_next));
+    std::chrono::milliseconds longestWait = std::chrono::round<std::chrono::milliseconds>(m_settings.dueWithin * m_settings.lastDecisionFraction);
+    WallTime waitEnd = std::min(std::max(end + closeWait, m_collectedAt), end + std::max(closeWait, longestWait));
+    bool isDue = now >= waitEnd || (now >= end + m_settings.settleTime && isClosed(*m_next));
     return isDue ? std::optional<UsageStep>(DecideReport { *m_next }) : std::nullopt;
 }
 
--- a/Libraries/LibDuties/UsageDuty.h
+++ b/Libraries/LibDuties/UsageDuty.h
@@ -17,6 +17,8 @@
     std::chrono::milliseconds settleTime { 300 };
     /// Fraction of `dueWithin` to wait for daemons that have not closed the window.
     double closeWaitFraction { 0.25 };
+    /// Fraction of `dueWithin` by which a window is decided whatever is missing; the rest is for the calls.
+    double lastDecisionFraction { 0.7 };
 
     bool operator==(UsageDutySettings const&) const = default;
 };
@@ -58,6 +60,9 @@
     /// Records that others have settled all windows before this one. Settled windows are not reported again.
     void noteSettledBefore(WindowNumber);
 
+    /// Sets when the statements of all daemons that can be heard will have arrived, for a daemon that has begun to collect them.
+    void setCollectedAt(WallTime time) { m_collectedAt = time; }
+
     /// Records a report that was read from or appended to the store.
     void noteDecided(UsageReport const&);
 
@@ -79,6 +84,7 @@
     std::optional<WindowNumber> m_next; ///< First window that is not settled.
     bool m_isBegun { false };
     WindowNumber m_settledBefore { 0 };
+    WallTime m_collectedAt;
     std::map<WindowNumber, UsageReport> m_decided;
 };
 
--- a/Libraries/LibFleet/DaemonBook.cpp
+++ b/Libraries/LibFleet/DaemonBook.cpp
@@ -104,16 +104,26 @@
     return view;
 }
 
-std::vector<std::string> DaemonBook::elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, Time now) const
+std::vector<std::string> DaemonBook::elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, std::uint64_t ownClaim, Time now) const
 {
     std::vector<std::pair<std::chrono::milliseconds, std::string_view>> byStart;
     if (ownStart)
         byStart.emplace_back(*ownStart, self);
+    std::uint64_t newestClaim = ownStart ? ownClaim : 0;
+    std::string_view holder = self;
     for (std::pair<std::string const, BookedDaemon> const& it : m_daemons) {
-        bool isFit = isLive(it.second, now) && it.second.said.startedAt.count() > 0 && !it.second.said.isLeaving && !it.second.said.cannotHoldDuties;
-        if (isFit)
-            byStart.emplace_back(it.second.said.startedAt, it.first);
+        DaemonState const& said = it.second.said;
+        bool isFit = isLive(it.second, now) && said.startedAt.count() > 0 && !said.isLeaving && !said.cannotHoldDuties;
+        if (!isFit)
+            continue;
+        byStart.emplace_back(said.startedAt, it.first);
+        if (said.leaseClaimed > newestClaim) {
+            newestClaim = said.leaseClaimed;
+            holder = it.first;
+        }
     }
+    if (newestClaim > 0)
+        std::find_if(byStart.begin(), byStart.end(), [holder](std::pair<std::chrono::milliseconds, std::string_view> const& it) { return it.second == holder; })->first = std::chrono::milliseconds::min();
     std::size_t count = std::min(byStart.size(), m_settings.elders);
     std::partial_sort(byStart.begin(), byStart.begin() + static_cast<std::ptrdiff_t>(count), byStart.end());
     std::vector<std::string> names;
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -52,7 +52,7 @@
     std::chrono::milliseconds runningFor { 0 }; ///< Process uptime, measured with its VM's boot clock.
     /// Process start in milliseconds since 1970 on the fleet's agreed true time; the process determines it once. 0 until then.
     std::chrono::milliseconds startedAt { 0 };
-    std::uint64_t leaseClaimed { 0 }; ///< Offset after its newest claim of a lease on engines; 0 if it has none.
+    std::uint64_t leaseClaimed { 0 }; ///< Offset after its newest claim of a lease on engines or duties; 0 if it has none.
 
     bool operator==(DaemonState const&) const = default;
 };
@@ -125,10 +125,11 @@
     /// Iterates over all daemons: call it about ten times per second, not per request.
     SiteView view(std::string const& name, Time now) const;
 
-    /// Returns the names of the longest-running live daemons, longest first; the first that can get the lease holds the singleton
-    /// duties. A restarted daemon sorts last, so the first ones know the recent history. `ownStart` is as in
-    /// `DaemonState::startedAt`; if empty, this daemon is left out.
-    std::vector<std::string> elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, Time now) const;
+    /// Returns the names of the daemons that have the singleton duties (the first) or stand by: the one with the newest claim of a
+    /// lease, so that a holder keeps it while it can, then the longest-running live ones. A restarted daemon sorts last, so the
+    /// first ones know the recent history. `ownStart` and `ownClaim` are as `startedAt` and `leaseClaimed` in `DaemonState`; if
+    /// `ownStart` is empty, this daemon is left out.
+    std::vector<std::string> elders(std::string const& self, std::optional<std::chrono::milliseconds> ownStart, std::uint64_t ownClaim, Time now) const;
 
     /// Returns how long a silent daemon still counts as live, which is also how long its last reported state is valid.
     std::chrono::milliseconds livenessTimeout() const;
--- a/Tests/LibFleet/TestDaemonBook.cpp
+++ b/Tests/LibFleet/TestDaemonBook.cpp
@@ -58,10 +58,24 @@
     book.hear(daemon("a", 9'000), 1, { .startedAt = 50s }, start);
     book.hear(daemon("b", 1'000), 1, { .startedAt = 80s }, start);
     book.hear(daemon("c", 500), 1, {}, start);
-    EXPECT_EQ(book.elders("self", 70s, start), (std::vector<std::string> { "a", "self", "b" }));
-    EXPECT_EQ(book.elders("self", std::nullopt, start), (std::vector<std::string> { "a", "b" })) << "c has no start time yet";
+    EXPECT_EQ(book.elders("self", 70s, 0, start), (std::vector<std::string> { "a", "self", "b" }));
+    EXPECT_EQ(book.elders("self", std::nullopt, 0, start), (std::vector<std::string> { "a", "b" })) << "c has no start time yet";
     book.hear(daemon("a", 9'000), 2, { .cannotHoldDuties = true, .startedAt = 50s }, start);
-    EXPECT_EQ(book.elders("self", 70s, start).front(), "self");
+    EXPECT_EQ(book.elders("self", 70s, 0, start).front(), "self");
+}
+
+// The holder was cut off from the store, another one took over, and the former one is back: no turns, each of which costs a lease.
+TEST(DaemonBook, TheNewestHolderKeepsTheDutiesWhileItCan)
+{
+    DaemonBook book;
+    book.hear(daemon("a"), 1, { .startedAt = 50s, .leaseClaimed = 7 }, start);
+    book.hear(daemon("b"), 1, { .startedAt = 80s, .leaseClaimed = 9 }, start);
+    book.hear(daemon("c"), 1, { .startedAt = 60s }, start);
+    EXPECT_EQ(book.elders("self", 70s, 0, start), (std::vector<std::string> { "b", "a", "c" }));
+    EXPECT_EQ(book.elders("self", 90s, 11, start), (std::vector<std::string> { "self", "a", "c" }));
+    EXPECT_EQ(book.elders("self", std::nullopt, 11, start).front(), "b") << "not fit for the duties";
+    book.hear(daemon("b"), 2, { .cannotHoldDuties = true, .startedAt = 80s, .leaseClaimed = 9 }, start);
+    EXPECT_EQ(book.elders("self", 70s, 0, start), (std::vector<std::string> { "a", "c", "self" }));
 }
 
 TEST(DaemonBook, ALateOrDuplicateBeaconChangesNothing)
