LibDaemon: Count one event of each stream for its target's pace

Cause: each pause between two events counted as an answer of its own. Those of one stream say the same thing, and they would be most of what daemons tell each other: of a stream of ten events, up to ten samples for one request. Change: the first pause of each stream counts. TestDaemon passes (63 tests).

--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -2,6 +2,7 @@
 
 #include <LibDaemon/DispatcherWaiter.h>
 #include <algorithm>
+#include <utility>
 
 namespace Daemon {
 
@@ -40,9 +41,10 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it = m_waiters.find(id);
     if (it == m_waiters.end() || !it->second->outcome.position)
         return;
-    Waiter const& waiter = *it->second;
+    Waiter& waiter = *it->second;
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
-    if (m_learnsPace)
+    // One event of each stream tells its pace: the others are no new evidence, and would be most of what daemons tell each other.
+    if (m_learnsPace && !std::exchange(waiter.hasTakenEventPace, true))
         m_paces.note(key, Routing::PaceKind::Event, m_openWork.total(key, Clock::now()).requests, m_speeds.speed(waiter.request.work, Clock::now()).eventSeconds, secondsOf(duration), Clock::now());
     m_speeds.noteEventGap(waiter.request.work, key, secondsOf(duration));
 }
--- a/Libraries/LibDaemon/DispatcherWaiter.h
+++ b/Libraries/LibDaemon/DispatcherWaiter.h
@@ -18,6 +18,7 @@
     std::uint32_t promptTokens { 0 }; ///< Prompt tokens left to compute at the chosen target, after its cached prefix.
     double aheadSeconds { 0 }; ///< Prompts open at the chosen target when this request was sent there.
     std::uint32_t openAtSend { 1 }; ///< Whole requests and outputs open at the chosen target then, with this one.
+    bool hasTakenEventPace { false }; ///< Whether one of its events counts for the target's pace.
     bool isAnswered { false }; ///< A plain service has answered it.
     bool isOnlyPrompt { false }; ///< No other prompt was known to be running at the chosen target when this one was sent.
     bool computesSharedPrefix { false }; ///< The shared prefix is not known to be cached there yet.
