--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -92,7 +92,7 @@
 
     /// Returns how long after its send the placement's prompt is overdue, with what is open at its target now; nothing while too few
     /// prompts are known.
-    std::optional<std::chrono::milliseconds> overdueAfter(std::uint64_t id) const;
+    std::optional<std::chrono::milliseconds> overdueAfter(std::uint64_t id);
 
     /// Records that the placement's prompt was given up so long after its send.
     void notePromptGivenUp(std::uint64_t id, std::chrono::steady_clock::duration);
--- a/Libraries/LibDaemon/DispatcherPrompts.cpp
+++ b/Libraries/LibDaemon/DispatcherPrompts.cpp
@@ -18,7 +18,7 @@
     m_promptTimes.note(waiter.request.work, estimate, std::chrono::duration<double>(duration).count(), Clock::now());
 }
 
-std::optional<std::chrono::milliseconds> Dispatcher::overdueAfter(std::uint64_t id) const
+std::optional<std::chrono::milliseconds> Dispatcher::overdueAfter(std::uint64_t id)
 {
     std::lock_guard lock(m_mutex);
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::const_iterator it = m_waiters.find(id);
