LibRouting: Compare prompts' times in a module of its own

Cause: what a prompt's time is compared with stood in the dispatcher, where no test without a network reaches it. Change: comparedPromptSeconds, by the same rule.

--- a/Libraries/LibDaemon/DispatcherPace.cpp
+++ b/Libraries/LibDaemon/DispatcherPace.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/EventLog.h>
 #include <LibDaemon/DispatcherWaiter.h>
+#include <LibRouting/PromptEvidence.h>
 #include <algorithm>
 
 namespace Daemon {
@@ -12,8 +13,6 @@
 
 // Samples in one beacon. The others follow in the next ones.
 constexpr std::size_t maxSamples = 24;
-// Part of a prompt's own time that others may take before it when it tells of its target.
-constexpr double littleAhead = 0.25;
 
 double secondsOf(Clock::duration duration)
 {
@@ -36,18 +35,18 @@
         Core::logEvent(Core::Severity::Info, Core::Event::TargetKneeMoved, { { "target", m_targetNames[it.target] }, { "kind", std::string(Core::nameOf(Routing::paceKindNames, it.kind)) }, { "from", kneeText(it.before) }, { "to", kneeText(it.after) } });
 }
 
-// Called with the mutex held. Of the work ahead, nobody knows how much is done: a prompt behind much of it would make busy targets look
-// faster, and draw more work to them. Behind little, half of it is taken for done.
+// Called with the mutex held.
 void Dispatcher::notePromptPace(Waiter const& waiter, Clock::duration duration)
 {
-    if (!m_learnsPace || waiter.aheadSeconds > waiter.work.prefillSeconds * littleAhead)
+    if (!m_learnsPace)
         return;
     Routing::ServiceSpeed speed = m_speeds.speed(waiter.request.work, Clock::now());
     if (speed.prompts < Routing::SpeedBook::minOwnPrompts)
         return;
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
-    double expected = speed.promptCost.seconds(waiter.promptTokens, waiter.request.shape.promptTokens) + waiter.aheadSeconds / 2 / promptFactor(key);
-    m_paces.note(key, Routing::PaceKind::Prompt, 1, expected, secondsOf(duration), Clock::now());
+    double average = speed.promptCost.seconds(waiter.promptTokens, waiter.request.shape.promptTokens);
+    if (std::optional<double> expected = Routing::comparedPromptSeconds(average, waiter.aheadSeconds, promptFactor(key)))
+        m_paces.note(key, Routing::PaceKind::Prompt, 1, *expected, secondsOf(duration), Clock::now());
 }
 
 void Dispatcher::noteAnswered(std::uint64_t id)
--- a/Tests/LibRouting/TestPaceBook.cpp
+++ b/Tests/LibRouting/TestPaceBook.cpp
@@ -1,6 +1,8 @@
 // Uneven targets: what all daemons' answers together show of how fast each target is and how many requests it takes well.
 
 #include <LibRouting/PaceBook.h>
+#include <LibRouting/PromptEvidence.h>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <gtest/gtest.h>
@@ -215,6 +217,24 @@
     EXPECT_EQ(told, 1U);
 }
 
+TEST(PaceBook, ABusyTargetDoesNotLookFasterForTheWorkAheadOfItsPrompts)
+{
+    // The prompts ahead are done to any part when the next one comes; both targets take as long for the same.
+    std::mt19937_64 random(7);
+    std::uniform_real_distribution<double> part(0, 1);
+    std::array<double, 2> compared {};
+    std::array<double, 2> measured {};
+    for (int n = 0; n < 20'000; ++n) {
+        bool isBusy = n % 2 == 0;
+        double ahead = isBusy ? workSeconds * 2 * part(random) : 0;
+        if (std::optional<double> expected = comparedPromptSeconds(workSeconds, ahead, 1)) {
+            compared[isBusy] += *expected;
+            measured[isBusy] += workSeconds + ahead * part(random);
+        }
+    }
+    EXPECT_NEAR(measured[true] / compared[true], measured[false] / compared[false], 0.02);
+}
+
 TEST(PaceBook, ATargetThatStartsAgainBeginsAsUnknown)
 {
     Site site(4, 1, [](std::size_t target, std::uint32_t, Time) { return target == 0 ? 3 * workSeconds : workSeconds; });
