--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -45,6 +45,7 @@
     StoreRead = 3008,
     PeerRecords = 3009,
     RecordsServed = 3010,
+    StartStep = 3011,
     LeaseClaimed = 4001,
     LeaseGained = 4002,
     LeaseLost = 4003,
@@ -80,7 +81,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 69> eventNames { {
+inline constexpr EnumNames<Event, 70> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -117,6 +118,7 @@
     { Event::StoreRead, "store-read" },
     { Event::PeerRecords, "peer-records" },
     { Event::RecordsServed, "records-served" },
+    { Event::StartStep, "start-step" },
     { Event::LeaseClaimed, "lease-claimed" },
     { Event::LeaseGained, "lease-gained" },
     { Event::LeaseLost, "lease-lost" },
--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -1,6 +1,7 @@
 // The part of StoreControl that brings a daemon from its start to its first request: docs/design/daemon.md, "What a daemon needs in its
 // first second".
 
+#include <LibCore/EventLog.h>
 #include <LibDaemon/StoreControl.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -83,6 +84,7 @@
         return;
     if (step == StartStep::Met)
         m_meeting->noteList(true, Clock::now());
+    Core::logEvent(Core::Severity::Info, Core::Event::StartStep, { { "step", std::string(Core::nameOf(startStepNames, step)) }, { "after_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count()) }, { "daemons", std::to_string(m_beacons->book().knownCount()) } });
     bool isLast = m_startSteps.contains(StartStep::Configuration) && m_startSteps.contains(StartStep::Targets) && m_startSteps.contains(StartStep::Suspects);
     if (isLast && !std::exchange(m_hasToldStart, true) && m_beacons->book().view(m_settings.daemon.name, Clock::now()).isReader)
         m_beacons->announce();
