--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -12,10 +12,6 @@
 
 using Clock = Core::BootClock;
 
-// A daemon that starts among others waits for a beacon of theirs for this long once it knows where they are, and so long at all:
-// one stream from a peer in its availability zone costs less than several calls, and is answered while the store is away.
-constexpr std::chrono::milliseconds greetingTime { 250 };
-constexpr std::chrono::milliseconds longestMeeting { 1'000 };
 // News that is not asked for at once, as this daemon's own read should bring it, is looked for so often.
 constexpr std::chrono::milliseconds newsCheckInterval { 100 };
 
