LibDaemon, LibHttp: Bound the answers that a daemon holds for slow readers

Cause: nothing bounded what a daemon holds for callers that read slowly. A body that is not a stream of events could wait in 256 pieces of 256 KiB each for one caller; each caller had its own bound only; and a connection closed in the middle of a body looks like the body's end in HTTP/1.0. Change: a target's answer is read no further while 256 events or 256 KiB of it wait for the caller (holds for all). With [limits] held_answer_bytes (0 as before, not set in deploy/entry.ini) the bytes that wait, are held back or are being written are counted over all threads; beyond the limit the caller whose present write has waited for longest is cut off, until the rest fits. Its connection is reset, its work ends as when a caller leaves. An aborted answer in HTTP/1.0 is reset, too. Not bounded: what the kernel holds for connections. Conclusion: the mechanism works at the server's level; the limit is to be set only after a measured run.

--- a/Libraries/LibDaemon/AnswerSink.h
+++ b/Libraries/LibDaemon/AnswerSink.h
@@ -23,6 +23,9 @@
     /// Takes the end; without an error the answer is whole.
     virtual boost::asio::awaitable<void> finish(Request::Finish) = 0;
 
+    /// Notes how many bytes of the answer have come in and wait for the sink.
+    virtual void noteQueued(std::size_t) { }
+
     /// Returns whether nobody is left to take the answer, so that work for it should end.
     virtual bool isAbandoned() const { return false; }
 };
--- a/Libraries/LibDaemon/AnswerSinks.cpp
+++ b/Libraries/LibDaemon/AnswerSinks.cpp
@@ -1,5 +1,7 @@
+#include <LibCore/EventLog.h>
 #include <LibDaemon/AnswerSinks.h>
 #include <LibDaemon/HttpErrors.h>
+#include <boost/asio/post.hpp>
 #include <tuple>
 
 namespace Daemon {
@@ -19,6 +21,64 @@
 {
 }
 
+void CallerSink::limitBy(AnswerRoom& room, boost::asio::any_io_executor executor, std::function<void()> onCut)
+{
+    m_onCut = std::move(onCut);
+    m_self = std::make_shared<CallerSink*>(this);
+    m_share = room.add([executor, weak = std::weak_ptr<CallerSink*>(m_self)](std::uint64_t heldBytes) {
+        boost::asio::post(executor, [weak, heldBytes] {
+            if (std::shared_ptr<CallerSink*> self = weak.lock())
+                (*self)->cutOff(heldBytes);
+        });
+    });
+}
+
+void CallerSink::limitNoMore()
+{
+    m_self.reset();
+    m_share.reset();
+}
+
+void CallerSink::cutOff(std::uint64_t heldBytes)
+{
+    std::chrono::milliseconds waited = std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_waitingSince);
+    Core::logEvent(Core::Severity::Warning, Core::Event::SlowReaderCut, { { "request", m_requestId }, { "held_bytes", std::to_string(heldBytes) }, { "waited_ms", std::to_string(waited.count()) } });
+    m_writer.abort();
+    m_onCut();
+}
+
+void CallerSink::noteHeld()
+{
+    if (m_share)
+        m_share->hold(m_held.size() + m_queuedBytes + m_writingBytes, m_writingBytes > 0 ? m_waitingSince : Core::BootClock::time_point());
+}
+
+void CallerSink::noteQueued(std::size_t bytes)
+{
+    m_queuedBytes = bytes;
+    noteHeld();
+}
+
+void CallerSink::beginWait(std::size_t bytes)
+{
+    m_writingBytes = bytes;
+    m_waitingSince = Core::BootClock::now();
+    noteHeld();
+}
+
+void CallerSink::endWait()
+{
+    m_writingBytes = 0;
+    noteHeld();
+}
+
+boost::asio::awaitable<void> CallerSink::write(std::string_view bytes)
+{
+    beginWait(bytes.size());
+    std::ignore = co_await m_writer.write(bytes);
+    endWait();
+}
+
 Http::Response CallerSink::errorResponse(CallerProtocol const& protocol, Core::Error const& error, Request::HttpErrorContext const& context, std::optional<RelayAttempts> const& relayed)
 {
     Http::Response response = protocol.error(error, context);
@@ -60,14 +120,15 @@
 {
     if (!m_isBegun && m_held.size() + bytes.size() <= heldLimit) {
         m_held += bytes;
+        noteHeld();
         co_return;
     }
     if (!m_isBegun) {
         co_await beginStream(Core::Verdict::MayHaveRun);
         std::string held = std::exchange(m_held, std::string());
-        std::ignore = co_await m_writer.write(held);
+        co_await write(held);
     }
-    std::ignore = co_await m_writer.write(bytes);
+    co_await write(bytes);
 }
 
 boost::asio::awaitable<void> CallerSink::finish(Request::Finish finish)
@@ -104,8 +165,10 @@
         response.fields = std::move(m_head->fields);
     }
     addVerdict(response.fields, verdict);
-    response.body = std::move(m_held);
+    response.body = std::exchange(m_held, std::string());
+    beginWait(response.body.size());
     std::ignore = co_await m_writer.send(std::move(response));
+    endWait();
 }
 
 // A stream that can't be made whole ends with an explicit error event; any other body by a broken connection.
--- a/Libraries/LibDaemon/CallerShared.h
+++ b/Libraries/LibDaemon/CallerShared.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDaemon/AnswerKeeper.h>
+#include <LibDaemon/AnswerRoom.h>
 #include <LibDaemon/LeaveTimes.h>
 #include <LibDaemon/Metrics.h>
 #include <atomic>
@@ -18,6 +19,7 @@
     std::atomic<bool> isLeaving { false };
     std::atomic<std::uint64_t> nextRequest { 1 };
     LeaveTimes leaveTimes {}; ///< Set before `isLeaving`, and not changed behind it.
+    AnswerRoom answerRoom { 0 };
 
     std::string newRequestId() { return requestIdPrefix + std::to_string(nextRequest.fetch_add(1)); }
 };
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -83,7 +83,7 @@
     limits.maxAnswerBytes = std::min(limits.maxAnswerBytes, limits.maxBytes);
     BOOST_OUTCOME_TRY(m_keeper, AnswerKeeper::create(std::move(issuer), limits, Request::OnceTable::Settings()));
     std::string prefix = m_settings.daemon.name + "-" + Request::formatIncarnation(m_incarnation).substr(0, 8) + "-";
-    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, m_metrics, false, 1 });
+    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, m_metrics, false, 1, {}, AnswerRoom(m_settings.limits.heldAnswerBytes) });
     Peer::Settings peers;
     peers.senderName = m_settings.daemon.name;
     peers.senderIncarnation = m_incarnation;
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -116,6 +116,8 @@
         sample.targetPaces.emplace(std::pair(it.target, std::string(Core::nameOf(Routing::paceKindNames, it.kind))), it.pace.factor);
     sample.storeReadAge = m_storeControl->storeReadAge();
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
+    sample.heldAnswerBytes = m_shared->answerRoom.heldBytes();
+    sample.slowReadersCut = m_shared->answerRoom.cutCount();
     sample.unsentRecordBytes = m_storeControl->unsentRecordBytes();
     sample.liveDaemons = m_storeControl->liveDaemons();
     for (FleetTarget const& target : m_storeControl->fleet()->targets)
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -175,6 +175,8 @@
     m_values.Add({ { "of", "config_version" } }).Set(static_cast<double>(sample.configVersion));
     m_values.Add({ { "of", "store_read_age_seconds" } }).Set(std::chrono::duration<double>(sample.storeReadAge).count());
     m_values.Add({ { "of", "target_list_age_seconds" } }).Set(std::chrono::duration<double>(sample.targetListAge).count());
+    m_values.Add({ { "of", "held_answer_bytes" } }).Set(static_cast<double>(sample.heldAnswerBytes));
+    m_values.Add({ { "of", "slow_readers_cut" } }).Set(static_cast<double>(sample.slowReadersCut));
     m_values.Add({ { "of", "unsent_record_bytes" } }).Set(static_cast<double>(sample.unsentRecordBytes));
     m_values.Add({ { "of", "live_daemons" } }).Set(static_cast<double>(sample.liveDaemons));
     m_values.Add({ { "of", "open_targets" } }).Set(static_cast<double>(sample.openTargets));
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -27,6 +27,8 @@
     std::uint64_t configOffset { 0 };
     std::size_t openRequests { 0 };
     std::uint64_t keptAnswerBytes { 0 };
+    std::uint64_t heldAnswerBytes { 0 }; ///< For callers that have not read them yet; counted with `[limits] held_answer_bytes`.
+    std::uint64_t slowReadersCut { 0 };
     std::size_t rememberedTickets { 0 };
     std::size_t blockedChanges { 0 };
     std::uint64_t roleChanges { 0 };
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -23,6 +23,7 @@
 // The body of a refusal is small and follows its head at once.
 constexpr std::chrono::milliseconds refusalTimeout { 500 };
 constexpr std::size_t maxQueuedEvents = 256;
+constexpr std::size_t maxQueuedBytes = 256U * 1024; ///< Then the next piece is the last one.
 // An attempt skips at most this many consecutive responses to other requests, then it fails.
 constexpr int maxForeignAnswers = 2;
 
@@ -40,9 +41,10 @@
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
+// A target's answer is read no faster than its caller reads.
 boost::asio::awaitable<void> RequestRunner::postWithBackpressure(Request::RequestEvent event)
 {
-    while (m_events.size() >= maxQueuedEvents && !m_machine.isFinished())
+    while ((m_events.size() >= maxQueuedEvents || m_queuedBytes >= maxQueuedBytes) && !m_machine.isFinished())
         co_await m_queueSpaceSignal.wait();
     post(std::move(event));
 }
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -23,6 +23,12 @@
 constexpr std::chrono::milliseconds retryAfterRoleChange { 3'500 };
 constexpr int timeLeftDivisor = 3; ///< Retry-After is at most the caller's remaining time divided by this.
 
+std::size_t answerBytesOf(Request::RequestEvent const& event)
+{
+    Request::Piece const* piece = std::get_if<Request::Piece>(&event);
+    return piece ? piece->bytes.size() : 0;
+}
+
 std::string millisecondsSince(Clock::time_point start, Clock::time_point end)
 {
     return std::to_string(std::chrono::duration<double, std::milli>(end - start).count());
@@ -87,9 +93,18 @@
     return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(m_machine.deadline() - now()));
 }
 
+void RequestRunner::noteQueued(std::size_t bytes)
+{
+    m_queuedBytes = bytes;
+    m_sink->noteQueued(bytes);
+}
+
 void RequestRunner::post(Request::RequestEvent event)
 {
+    std::size_t bytes = answerBytesOf(event);
     m_events.push_back(std::move(event));
+    if (bytes > 0)
+        noteQueued(m_queuedBytes + bytes);
     m_eventSignal.notify();
 }
 
@@ -139,6 +154,8 @@
         }
         Request::RequestEvent event = std::move(m_events.front());
         m_events.pop_front();
+        if (std::size_t bytes = answerBytesOf(event))
+            noteQueued(m_queuedBytes - bytes);
         m_queueSpaceSignal.notify();
         Request::RequestActions actions = m_machine.handle(std::move(event), now());
         for (Request::RequestAction& action : actions)
@@ -166,6 +183,7 @@
     releasePlacement();
     dropKv();
     m_events.clear();
+    noteQueued(0);
     m_queueSpaceSignal.notify();
 }
 
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -90,6 +90,7 @@
     void logRefusal() const;
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     boost::asio::awaitable<void> postWithBackpressure(Request::RequestEvent);
+    void noteQueued(std::size_t bytes);
 
     void postFailure(LegPointer const&, Core::Error const&);
     static bool isEventStream(Http::ResponseHead const&);
@@ -139,6 +140,7 @@
     Core::BootClock::time_point m_startedAtBoot;
     Request::RequestMachine m_machine;
     std::deque<Request::RequestEvent> m_events;
+    std::size_t m_queuedBytes { 0 }; ///< Of the answer, in the events.
     Signal m_eventSignal;
     Signal m_queueSpaceSignal;
     boost::asio::steady_timer m_deadlineTimer;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -121,7 +121,9 @@
         Beast::http::response_serializer<Beast::http::empty_body> serializer(message);
         m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
+        m_isWriting = true;
         co_await Beast::http::async_write_header(m_stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
+        m_isWriting = false;
         co_return outcomeOf(ec);
     }
 
@@ -131,10 +133,12 @@
             co_return Core::ok();
         m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
+        m_isWriting = true;
         if (m_version < httpVersion11)
             co_await Asio::async_write(m_stream, Asio::buffer(piece), Asio::redirect_error(Asio::use_awaitable, ec));
         else
             co_await Asio::async_write(m_stream, Beast::http::make_chunk(Asio::buffer(piece)), Asio::redirect_error(Asio::use_awaitable, ec));
+        m_isWriting = false;
         co_return outcomeOf(ec);
     }
 
@@ -145,7 +149,9 @@
             co_return Core::ok();
         m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
+        m_isWriting = true;
         co_await Asio::async_write(m_stream, Beast::http::make_chunk_last(), Asio::redirect_error(Asio::use_awaitable, ec));
+        m_isWriting = false;
         co_return outcomeOf(ec);
     }
 
@@ -153,6 +159,10 @@
     {
         m_isLastRequest = true;
         boost::system::error_code ec;
+        // The end of the connection may not look like that of the body, nor wait for a caller that does not read.
+        bool isReset = m_state == ConnectionState::Serving && (m_isWriting || (m_hasBegun && m_version < httpVersion11));
+        if (isReset)
+            m_stream.socket().set_option(Asio::socket_base::linger(true, 0), ec);
         m_stream.socket().close(ec);
     }
 
@@ -197,7 +207,9 @@
     {
         m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
+        m_isWriting = true;
         co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
+        m_isWriting = false;
         co_return outcomeOf(ec);
     }
 
@@ -358,6 +370,7 @@
     bool m_isLastRequest { false };
     bool m_hasBegun { false };
     bool m_isEnded { false };
+    bool m_isWriting { false };
     bool m_hasEnd { false };
     ConnectionEnd m_end;
 };
