--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -37,6 +37,7 @@
     PromptOverdue = 2018,
     RequestRunsWhole = 2019,
     PlacesDivided = 2020,
+    SlowReaderCut = 2023,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -83,7 +84,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 72> eventNames { {
+inline constexpr EnumNames<Event, 73> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -112,6 +113,7 @@
     { Event::PromptOverdue, "prompt-overdue" },
     { Event::RequestRunsWhole, "request-runs-whole" },
     { Event::PlacesDivided, "places-divided" },
+    { Event::SlowReaderCut, "slow-reader-cut" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
