LibAdmission, LibDaemon: Refuse at once what the fleet's queue cannot start, and spread the returns

Cause: a request was refused by its own daemon's queue only, which knows nothing of what others have waiting, and those refused together were told about the same time. Change: with [limits] share_places, FleetQueue compares the demand of all daemons with what the places work off until a request's latest start, fairly among organisations. Those refused come back one after the other and go before new ones; who repeats early is told the same time again. The refusal comes before anything of the attempt is sent. Missing: a metric of the estimate against the outcome, and a trial with real processes.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -35,6 +35,7 @@
     RequestRelayed = 2016,
     RunBroken = 2017,
     PlacesDivided = 2020,
+    RefusedForFleet = 2021,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -80,7 +81,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 69> eventNames { {
+inline constexpr EnumNames<Event, 70> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -107,6 +108,7 @@
     { Event::RequestRelayed, "request-relayed" },
     { Event::RunBroken, "run-broken" },
     { Event::PlacesDivided, "places-divided" },
+    { Event::RefusedForFleet, "refused-for-fleet" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -39,7 +39,8 @@
     BOOST_OUTCOME_TRY(Routing::LoadTable loads, Routing::LoadTable::create(Routing::LoadTable::Settings()));
     BOOST_OUTCOME_TRY(Routing::PrefixIndex prefixes, Routing::PrefixIndex::create(prefixIndexCapacity));
     BOOST_OUTCOME_TRY(Admission::PlaceShares shares, Admission::PlaceShares::create({}, settings.daemon.name));
-    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, router, std::move(loads), std::move(prefixes), std::move(shares), seed));
+    BOOST_OUTCOME_TRY(Admission::FleetQueue fleetQueue, Admission::FleetQueue::create({}));
+    std::unique_ptr<Dispatcher> dispatcher(new Dispatcher(settings, router, std::move(loads), std::move(prefixes), std::move(shares), std::move(fleetQueue), seed));
     Admission::Controller::Limits limits;
     limits.inFlightPerOrganisation = settings.limits.inFlightPerOrganisation;
     limits.queuedPerOrganisation = settings.limits.queuedPerOrganisation;
@@ -49,7 +50,7 @@
     return dispatcher;
 }
 
-Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, Admission::PlaceShares shares, std::uint64_t seed)
+Dispatcher::Dispatcher(Settings::DaemonSettings const& settings, Routing::Router router, Routing::LoadTable loads, Routing::PrefixIndex prefixes, Admission::PlaceShares shares, Admission::FleetQueue fleetQueue, std::uint64_t seed)
     : m_inFlightPerTarget(settings.limits.inFlightPerTarget)
     , m_router(router)
     , m_loads(std::move(loads))
@@ -61,6 +62,7 @@
     , m_paths(m_random())
     , m_sharesPlaces(settings.limits.sharesPlaces)
     , m_shares(std::move(shares))
+    , m_fleetQueue(std::move(fleetQueue))
 {
 }
 
@@ -285,6 +287,8 @@
     waiter->outcome.id = id;
     {
         std::lock_guard lock(m_mutex);
+        if (isRefusedForFleet(*waiter))
+            co_return waiter->outcome;
         m_waiters.emplace(id, waiter);
         noteDemand(waiter->request);
         clearExhaustedExclusions(waiter->request);
@@ -355,6 +359,7 @@
         std::uint32_t targetId = waiter->request.fleet->targets[*waiter->outcome.position].id;
         m_speeds.noteOpenTime(waiter->request.work, waiter->outcome.decision.role, std::chrono::duration<double>(Clock::now() - waiter->sentAt).count());
         noteWholePace(*waiter);
+        noteServiceTime(*waiter);
         m_openWork.end(waiter->request.fleet->targets[*waiter->outcome.position].key, waiter->work);
         if (!waiter->isPrefilled)
             m_loads.prefilled(targetId, waiter->promptTokens, Clock::now());
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmission/Controller.h>
+#include <LibAdmission/FleetQueue.h>
 #include <LibAdmission/PlaceShares.h>
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/PathBook.h>
@@ -37,6 +38,7 @@
     std::string requestId;
     std::string organisation;
     std::string work; ///< The model's or service's name.
+    std::uint64_t workKey { 0 }; ///< The same whenever the same is asked for; 0: not known.
     int priority { 5 };
     Routing::RequestShape shape;
     std::vector<Routing::PrefixBlock> prefix;
@@ -204,7 +206,7 @@
         bool isWorthWaiting { true };
     };
 
-    Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, Admission::PlaceShares, std::uint64_t seed);
+    Dispatcher(Settings::DaemonSettings const&, Routing::Router, Routing::LoadTable, Routing::PrefixIndex, Admission::PlaceShares, Admission::FleetQueue, std::uint64_t seed);
 
     std::optional<Admission::TargetId> chooseTarget(Admission::RequestId);
     void resolve(std::vector<Admission::Grant> const&);
@@ -243,6 +245,9 @@
     bool mayBecomeScarce(std::string const& service, std::vector<Admission::TargetPlaces> const&);
     void setAllotment(std::string const& service, std::optional<Admission::PlaceAllotment> const&);
     void logDivision(std::string const& service, bool isDivided) const;
+    void updateFleetQueue(std::string const& service, std::chrono::steady_clock::time_point now);
+    bool isRefusedForFleet(Waiter&);
+    void noteServiceTime(Waiter const&);
     Admission::Demand demandOf(PlacementRequest const&, std::uint64_t id);
 
     mutable std::mutex m_mutex;
@@ -279,6 +284,8 @@
     Admission::GroupId m_nextGroup { 1 };
     bool m_sharesPlaces { false };
     Admission::PlaceShares m_shares;
+    Admission::FleetQueue m_fleetQueue;
+    std::map<std::string, double> m_serviceSeconds; ///< Mean time that a request occupies a place, by service.
     std::map<std::string, std::vector<Admission::TargetPlaces>> m_places; ///< Of plain services' open targets, by service.
     std::map<std::string, std::map<std::string, double>> m_placeDemands; ///< This daemon's, smoothed, by service and organisation.
     std::set<std::string> m_scarceServices; ///< Those whose places may become scarce, so that peers are told of the demand.
--- a/Libraries/LibDaemon/DispatcherShares.cpp
+++ b/Libraries/LibDaemon/DispatcherShares.cpp
@@ -15,6 +15,8 @@
 // requests that have ended, at each daemon, and places would seem scarce that are free.
 constexpr double demandSmoothing = 0.3;
 constexpr double negligibleDemand = 0.01;
+// The time of a request at its target is averaged over about so many answers.
+constexpr double serviceTimeAnswers = 32;
 // Peers are told of the demand before the places are all taken, so that the first division knows it.
 constexpr double tellAt = 0.7;
 // Organisations that are named in a beacon; the others' demand is summed up.
@@ -51,6 +53,7 @@
         if (m_places.contains(it.first))
             continue;
         m_shares.setTargets(it.first, {});
+        m_fleetQueue.remove(it.first);
         m_divided.erase(it.first);
     }
     // A target that closes loses its allotment, which would bind it when it opens after the division has ended.
@@ -116,11 +119,56 @@
     }
     m_shares.setOwn(std::move(own), now);
     std::chrono::milliseconds wallClock = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-    for (std::pair<std::string const, std::vector<Admission::TargetPlaces>> const& it : m_places)
+    for (std::pair<std::string const, std::vector<Admission::TargetPlaces>> const& it : m_places) {
+        updateFleetQueue(it.first, now);
         setAllotment(it.first, m_shares.allotment(it.first, now, wallClock));
+    }
     applyAdmissionResults();
 }
 
+// Called with the mutex held. What the targets work off follows from their places at once, also when some have gone.
+void Dispatcher::updateFleetQueue(std::string const& service, Clock::time_point now)
+{
+    Admission::FleetQueueState state;
+    state.demand = m_shares.demand(service, now);
+    for (std::pair<std::string const, double> const& it : m_placeDemands[service])
+        state.ownDemand += it.second;
+    std::map<std::string, double>::const_iterator seconds = m_serviceSeconds.find(service);
+    state.perSecond = seconds == m_serviceSeconds.end() ? 0 : state.demand.places / seconds->second;
+    m_fleetQueue.update(service, state, now);
+}
+
+// Called with the mutex held, when the placement of an answered request ends. A request that found the places taken has waited at the
+// target for those before it.
+void Dispatcher::noteServiceTime(Waiter const& waiter)
+{
+    FleetTarget const& target = waiter.request.fleet->targets[*waiter.outcome.position];
+    bool isDivisible = target.kind == Platform::VmKind::Service && target.slots != 0;
+    if (!m_sharesPlaces || !waiter.isAnswered || !isDivisible)
+        return;
+    double seconds = std::chrono::duration<double>(Clock::now() - waiter.sentAt).count() * target.slots / std::max(target.slots, waiter.openAtSend);
+    std::pair<std::map<std::string, double>::iterator, bool> mean = m_serviceSeconds.try_emplace(waiter.request.work, seconds);
+    mean.first->second += (seconds - mean.first->second) / serviceTimeAnswers;
+}
+
+// Called with the mutex held. Nothing of this attempt has been sent.
+bool Dispatcher::isRefusedForFleet(Waiter& waiter)
+{
+    PlacementRequest const& request = waiter.request;
+    if (!m_sharesPlaces || !m_places.contains(request.work))
+        return false;
+    double spread = std::uniform_real_distribution<double>(0, 1)(m_random);
+    std::optional<Admission::FleetRefusal> refusal = m_fleetQueue.enter({ request.work, request.organisation, request.workKey, request.latestStart }, spread, Clock::now());
+    if (!refusal)
+        return false;
+    waiter.outcome.error = Core::makeError(Core::ErrorCode::Overloaded, "The targets cannot start the request in time, with what all daemons have waiting.");
+    waiter.outcome.retryAfter = refusal->retryAfter;
+    waiter.isResolved = true;
+    std::chrono::milliseconds left = std::chrono::duration_cast<std::chrono::milliseconds>(request.latestStart - Clock::now());
+    Core::logEvent(Core::Severity::Warning, Core::Event::RefusedForFleet, { { "request", request.requestId }, { "service", request.work }, { "organisation", request.organisation }, { "ahead", std::to_string(refusal->ahead) }, { "per_s", std::to_string(refusal->perSecond) }, { "left_ms", std::to_string(left.count()) }, { "retry_after_ms", std::to_string(refusal->retryAfter.count()) } });
+    return true;
+}
+
 // Called with the mutex held. Requests that are open beyond the allotment end as they would.
 void Dispatcher::setAllotment(std::string const& service, std::optional<Admission::PlaceAllotment> const& allotment)
 {
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -53,6 +53,7 @@
     request.requestId = m_work.requestId;
     request.organisation = m_work.organisation;
     request.work = m_work.name;
+    request.workKey = m_work.key.low;
     request.priority = m_work.priority;
     request.shape = m_work.shape;
     request.shape.phase = phase;
