--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -37,6 +37,7 @@
     PromptOverdue = 2018,
     RequestRunsWhole = 2019,
     PlacesDivided = 2020,
+    RefusedForFleet = 2021,
     SlowReaderCut = 2023,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
@@ -84,7 +85,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 73> eventNames { {
+inline constexpr EnumNames<Event, 74> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -113,6 +114,7 @@
     { Event::PromptOverdue, "prompt-overdue" },
     { Event::RequestRunsWhole, "request-runs-whole" },
     { Event::PlacesDivided, "places-divided" },
+    { Event::RefusedForFleet, "refused-for-fleet" },
     { Event::SlowReaderCut, "slow-reader-cut" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
