--- a/Tests/Processes/TestPageCommands.cpp
+++ b/Tests/Processes/TestPageCommands.cpp
@@ -52,6 +52,7 @@
     { "currantctl duties", Trial::OnKeyedStore },
     { "currantctl suspects", Trial::OnKeyedStore },
     { "currantctl limits", Trial::OnKeyedStore },
+    { "currantctl paces", Trial::OnKeyedStore },
     { "currantctl story 811ff66a8cd5a520 front-*.log", Trial::Here },
 } };
 
