--- a/Libraries/LibAdmission/FleetQueue.cpp
+++ b/Libraries/LibAdmission/FleetQueue.cpp
@@ -79,7 +79,7 @@
         return std::nullopt;
     }
     FleetRefusal refusal { {}, sum - 1 - state.demand.places, state.perSecond };
-    // Who repeats before its time is told the same time again.
+    // A caller that repeats before its time is told the same time again.
     if (booking != m_bookings.end() && !comesInTurn)
         refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(booking->second.due - now);
     else
@@ -87,7 +87,7 @@
     return refusal;
 }
 
-// Those refused here come back one after the other, as this daemon's part of the places becomes free.
+// Requests that are refused here come back one after the other, as this daemon's part of the places becomes free.
 std::chrono::milliseconds FleetQueue::book(Service& service, Newcomer const& newcomer, double secondsToRoom, double spread, TimePoint now)
 {
     FleetQueueState const& state = service.state;
--- a/Libraries/LibAdmission/PlaceShares.h
+++ b/Libraries/LibAdmission/PlaceShares.h
@@ -41,7 +41,7 @@
 
 /// The demand of all daemons on the places of one service.
 struct FleetDemand {
-    std::map<std::string, double> byOrganisation; ///< Those that daemons have summed up are under an empty name.
+    std::map<std::string, double> byOrganisation; ///< Organisations that daemons have summed up are under an empty name.
     double sum { 0 };
     std::uint32_t places { 0 };
     std::size_t daemons { 0 }; ///< With demand.
--- a/Libraries/LibDaemon/AnswerRoom.h
+++ b/Libraries/LibDaemon/AnswerRoom.h
@@ -75,7 +75,7 @@
     std::uint64_t m_held { 0 }; ///< By those that are not cut.
     std::uint64_t m_cutCount { 0 };
     std::map<std::uint64_t, Entry> m_entries;
-    std::set<std::pair<Time, std::uint64_t>> m_waiting; ///< Those that are not cut, the slowest first.
+    std::set<std::pair<Time, std::uint64_t>> m_waiting; ///< Answers that are not cut off, the slowest first.
 };
 
 }
--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -82,7 +82,7 @@
     Core::BootClock::time_point now = Core::BootClock::now();
     beacon.state.saidAt = now;
     beacon.isBrief = kind == BeaconKind::ToAll && now < m_nextFull;
-    // One that goes to nobody tells nobody.
+    // A beacon that goes to nobody tells nothing.
     if (kind == BeaconKind::ToAll && !beacon.isBrief && !m_book.daemons().empty())
         m_nextFull = now + fullInterval;
     return beacon;
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -241,7 +241,7 @@
     std::shared_ptr<std::atomic<Core::BootClock::time_point>> m_configConfirmedAt; ///< and the same of the configuration.
     Core::BootClock::time_point m_startedAt;
     std::optional<Fleet::FirstMeeting> m_meeting; ///< Set by `start`.
-    std::set<StartStep> m_startSteps; ///< Those that are done.
+    std::set<StartStep> m_startSteps; ///< The steps that are done.
     bool m_hasToldStart { false }; ///< The others were told that this daemon has all that they wait for.
     std::optional<Core::BootClock::time_point> m_listedAt; ///< When the list of targets was first known whole.
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -66,7 +66,7 @@
     return hasMet && isStartKnown && !m_isLeaving && !m_isOutOfTouch && !m_dutyCalls->isBarred() && book.liveCount(now) * partOfDaemonsHeard >= book.knownCount();
 }
 
-// Whoever has the duties gives engines their roles, too, and all leases share one topic.
+// The daemon with the duties plans roles, too, since all leases share one topic.
 std::uint64_t StoreControl::newestClaim() const
 {
     return std::max(m_engineLeases->claimed(), m_dutyLeases ? m_dutyLeases->claimed() : 0);
--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -13,7 +13,7 @@
 using Clock = Core::BootClock;
 
 constexpr std::chrono::milliseconds meetingCheckInterval { 20 };
-// Whoever plans the roles of engines has been heard by then; until then a daemon would take itself for the one to do it.
+// The daemon that plans the roles of engines has been heard by then; until then a daemon would take itself for the one to do it.
 constexpr std::chrono::milliseconds firstPlanTime { 1'000 };
 
 }
