Tests: Let callers of the uneven soak ask for work of their own

By the kept logs all were refused with 'This request has ended several targets that ran it': all streams of the soak ask for the same work, and at slow targets one is under way whenever an engine is killed, so that it is quarantined as designed. Change: in this site no two streams are the same work.

--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -87,10 +87,12 @@
 /// One thread that asks all the time, over connections that it keeps.
 class Caller {
 public:
-    Caller(KeyedSite const& site, std::uint64_t seed, std::string name)
+    /// `hasOwnWork`: no two streams ask for the same work. One that many targets were killed with would be quarantined.
+    Caller(KeyedSite const& site, std::uint64_t seed, std::string name, bool hasOwnWork)
         : m_site(site)
         , m_rng(seed)
         , m_name(std::move(name))
+        , m_hasOwnWork(hasOwnWork)
     {
     }
 
@@ -119,7 +121,8 @@
         asked.id = m_name + "-" + std::to_string(m_asked.size());
         asked.kind = kindNames[m_rng() % kindNames.size()].first;
         asked.daemon = m_rng() % KeyedSite::daemonCount();
-        Http::Request request = KeyedSite::request(methodOf(asked.kind), pathOf(asked.kind), asked.id);
+        std::string query = m_hasOwnWork && asked.kind == Kind::Stream ? "?work=" + asked.id : "";
+        Http::Request request = KeyedSite::request(methodOf(asked.kind), pathOf(asked.kind) + query, asked.id);
         asked.answer = co_await askTimed(client, m_site.front(asked.daemon), std::move(request));
         m_asked.push_back(std::move(asked));
         boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, betweenRequests);
@@ -130,16 +133,17 @@
     KeyedSite const& m_site;
     std::mt19937_64 m_rng;
     std::string m_name;
+    bool m_hasOwnWork { false };
     std::vector<Asked> m_asked;
 };
 
 /// Callers that ask on threads of their own until `stop`, or until this object ends.
 class Callers {
 public:
-    Callers(KeyedSite const& site, std::uint64_t seed, std::size_t count)
+    Callers(KeyedSite const& site, std::uint64_t seed, std::size_t count, bool hasOwnWork)
     {
         for (std::size_t n = 0; n < count; ++n) {
-            m_callers.push_back(std::make_unique<Caller>(site, seed * 1'000 + n, "soak-" + std::to_string(n)));
+            m_callers.push_back(std::make_unique<Caller>(site, seed * 1'000 + n, "soak-" + std::to_string(n), hasOwnWork));
             m_threads.emplace_back([this, caller = m_callers.back().get()] { caller->run(m_isStopped); });
         }
     }
@@ -303,7 +307,7 @@
         report.violations.emplace_back("the site does not come to serve");
         return report;
     }
-    Callers callers(site, settings.seed, settings.callers);
+    Callers callers(site, settings.seed, settings.callers, settings.isUneven);
     FaultInjector injector(site, settings.seed);
     injector.run(settings.duration);
     callers.stop();
