LibDaemon: Hear a round of beacons before taking requests while the store is away

Cause, by the logs kept: it was ready with the first peer's beacon, 81 ms before it heard the peer that had just ordered an engine to change role, sent the output there, and has no retries yet (an empty budget is right for a daemon that may have spent its share before). Change: where the store has not answered, a daemon takes requests once it has heard its peers for one beacon interval, after a second at most.

--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -186,6 +186,7 @@
     void leaveTargetsToPeers(bool isOutOfTouch);
     std::vector<RelayPeer> relayPeers(Core::BootClock::time_point now) const;
     bool knowsEnough(Core::BootClock::time_point now) const;
+    bool hasHeardPeers(Core::BootClock::time_point now) const;
     void rebuild();
     void shareAmongDaemons(Core::BootClock::time_point now);
     void noteTargetsGone(FleetSnapshot const&);
@@ -243,6 +244,7 @@
     std::optional<Fleet::FirstMeeting> m_meeting; ///< Set by `start`.
     std::set<StartStep> m_startSteps; ///< The steps that are done.
     bool m_hasToldStart { false }; ///< The others were told that this daemon has all that they wait for.
+    std::optional<Core::BootClock::time_point> m_firstHeardAt; ///< When the first beacon of a peer arrived.
     std::optional<Core::BootClock::time_point> m_listedAt; ///< When the list of targets was first known whole.
     Fleet::SiteView m_view; ///< As of the last tick, but for news, which count at once.
     bool m_wasReading { false }; ///< When the others were last told.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -102,6 +102,7 @@
 
 void StoreControl::takeBeacon(BeaconMessage const& beacon)
 {
+    m_firstHeardAt = m_firstHeardAt.value_or(Clock::now());
     m_quarantine->take(beacon, Clock::now());
     if (m_usage)
         m_usage->hear(beacon, m_beacons->book().daemons().at(beacon.sender.name).heldUp, Clock::now());
@@ -358,7 +359,7 @@
 // Whether this daemon may take requests: not before it knows which of them end the targets that run them, but for a bounded time.
 bool StoreControl::knowsEnough(Clock::time_point now) const
 {
-    return m_fleet->isReady || (m_listedAt && (m_quarantine->isCaughtUp() || now - *m_listedAt >= longestCatchUp));
+    return m_fleet->isReady || (m_listedAt && hasHeardPeers(now) && (m_quarantine->isCaughtUp() || now - *m_listedAt >= longestCatchUp));
 }
 
 void StoreControl::rebuild()
--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -72,6 +72,15 @@
         co_await waitFor(timer, meetingCheckInterval);
 }
 
+// While the store is away, a daemon that has just started hears its peers one after the other, and only the one that has ordered an engine
+// to change its role tells of that.
+bool StoreControl::hasHeardPeers(Clock::time_point now) const
+{
+    bool isStoreAway = !m_startSteps.contains(StartStep::Found) && !m_startSteps.contains(StartStep::Met);
+    bool isRoundOver = m_firstHeardAt && now - *m_firstHeardAt >= m_beacons->book().beaconInterval();
+    return !isStoreAway || isRoundOver || hasMetPlanner();
+}
+
 bool StoreControl::hasMetPlanner() const
 {
     return Clock::now() - m_startedAt >= firstPlanTime;
