LibRouting: Remember slow targets that get no more work

Cause: a target that lost its work was forgotten with the last answer of its ten seconds, passed for an average one and got its work back; and factors were relative to the mean of all answers, so that fast targets seemed average once most work went to them. Change: what is known of a target halves every twenty seconds and is dropped when less than five answers' worth is left; each target counts once in the average.

--- a/Libraries/LibRouting/PaceBook.cpp
+++ b/Libraries/LibRouting/PaceBook.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/PaceBook.h>
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Routing {
 
@@ -11,6 +12,10 @@
 constexpr double assumedAnswers = 4;
 constexpr double fewestAnswers = 5;
 constexpr double half = 0.5;
+// In half seconds. Answers that were enough are remembered for longer than the window: a target that gets hardly any work, since it is
+// slow, would be tried every few seconds if it were forgotten with its last answers.
+constexpr double memoryHalfLife = 40;
+constexpr double mostRemembered = 20;
 constexpr std::int64_t curveSlots = 4;
 constexpr std::size_t curveTargets = 64;
 // A group's curve is that of single targets; of fewer, one that has a knee would pass for the group.
@@ -98,6 +103,19 @@
     state.newest = now;
 }
 
+double PaceBook::State::weight() const
+{
+    return evidence / (evidence + assumedAnswers);
+}
+
+void PaceBook::State::take(PaceWindow::Estimate const& estimate)
+{
+    if (estimate.answers < fewestAnswers && evidence >= fewestAnswers)
+        return;
+    ratio = estimate.ratio;
+    evidence = std::max(std::min(evidence, mostRemembered), estimate.answers);
+}
+
 PaceBook::State const* PaceBook::find(std::uint64_t target, PaceKind kind) const
 {
     std::unordered_map<std::uint64_t, States>::const_iterator it = m_states.find(target);
@@ -107,7 +125,7 @@
 TargetPace PaceBook::pace(std::uint64_t target, PaceKind kind, Time now) const
 {
     State const* state = find(target, kind);
-    if (!state || state->window.isEmpty())
+    if (!state || state->isUnknown())
         return {};
     return { state->factor, state->knee, state->evidence, std::chrono::duration_cast<std::chrono::milliseconds>(now - state->newest) };
 }
@@ -124,12 +142,15 @@
     std::int64_t slot = slotOf(now);
     if (slot == m_updatedSlot)
         return changes;
-    m_updatedSlot = slot;
+    double kept = std::exp2(-static_cast<double>(slot - std::exchange(m_updatedSlot, slot)) / memoryHalfLife);
     for (std::pair<std::uint64_t const, States>& it : m_states) {
         for (State& state : it.second) {
             state.window.setCurrentSlot(slot);
-            if (state.window.isEmpty())
+            state.evidence *= kept;
+            if (state.window.isEmpty() && state.evidence < fewestAnswers)
                 state = State();
+            else if (state.window.isEmpty())
+                state.knee.reset();
         }
     }
     for (Group& group : m_groups) {
@@ -145,7 +166,7 @@
     std::vector<std::uint64_t> targets;
     for (std::uint64_t target : group.targets) {
         std::unordered_map<std::uint64_t, States>::iterator it = m_states.find(target);
-        if (it == m_states.end() || it->second[static_cast<std::size_t>(kind)].window.isEmpty())
+        if (it == m_states.end() || it->second[static_cast<std::size_t>(kind)].isUnknown())
             continue;
         states.push_back(&it->second[static_cast<std::size_t>(kind)]);
         targets.push_back(target);
@@ -158,22 +179,21 @@
         curve = loadCurve(states);
     else if (curve.front() == 0)
         curve.fill(1);
-    std::vector<PaceWindow::Estimate> estimates;
-    double answers = 0;
+    // Each target counts once: where most work goes to the fast ones, the others must not seem to become slower.
+    double weights = 0;
     double sum = 0;
-    for (State const* state : states) {
-        estimates.push_back(state->window.estimate(curve, state->knee));
-        answers += estimates.back().answers;
-        sum += estimates.back().answers * std::min(estimates.back().ratio, slowest);
+    for (State* state : states) {
+        if (!state->window.isEmpty())
+            state->take(state->window.estimate(curve, state->knee));
+        weights += state->weight();
+        sum += state->weight() * std::min(state->ratio, slowest);
     }
-    double usual = answers > 0 ? sum / answers : 1;
+    double usual = weights > 0 ? sum / weights : 1;
     for (std::size_t n = 0; n < states.size(); ++n) {
         State& state = *states[n];
-        state.evidence = estimates[n].answers;
-        double weight = state.evidence / (state.evidence + assumedAnswers);
         bool isKnown = state.evidence >= fewestAnswers;
-        state.factor = isKnown ? std::clamp(std::pow(estimates[n].ratio / usual, weight), fastest, slowest) : 1;
-        if (kind != PaceKind::Whole)
+        state.factor = isKnown ? std::clamp(std::pow(state.ratio / usual, state.weight()), fastest, slowest) : 1;
+        if (kind != PaceKind::Whole || state.window.isEmpty())
             continue;
         std::optional<std::uint32_t> before = state.knee;
         updateKnee(state, slot);
--- a/Libraries/LibRouting/PaceBook.h
+++ b/Libraries/LibRouting/PaceBook.h
@@ -44,7 +44,7 @@
 
 /// What is known of one target, relative to the others of its group.
 struct TargetPace {
-    double factor { 1 }; ///< Time for the same work with few other requests; 1: as the group's answers on average.
+    double factor { 1 }; ///< Time for the same work with few other requests; 1: as the group's targets on average.
     std::optional<std::uint32_t> knee; ///< Open requests beyond which another one slows all more than it is worth; empty: none seen.
     double evidence { 0 }; ///< Weight of the answers that this rests on; older answers weigh less.
     std::chrono::milliseconds age { 0 }; ///< Of the newest answer.
@@ -59,7 +59,8 @@
 };
 
 /// Finds out how fast each target is and how many requests at once it takes well, from the answers that all daemons get. Nothing is
-/// configured; old answers lose their weight within seconds, so that changes are followed. Performs no I/O. Not thread-safe.
+/// configured; old answers lose their weight within seconds, so that changes are followed. A target that gets no more work, since it
+/// is slow, is remembered for some forty seconds and then tried again. Performs no I/O. Not thread-safe.
 class PaceBook {
 public:
     using Time = std::chrono::steady_clock::time_point;
@@ -100,10 +101,15 @@
     struct State {
         PaceWindow window;
         double factor { 1 };
-        double evidence { 0 };
+        double ratio { 1 }; ///< Of measured to expected time.
+        double evidence { 0 }; ///< That the ratio rests on; remembered for longer than the window.
         std::optional<std::uint32_t> knee;
         std::int64_t kneeMovedAt { 0 }; ///< Number of the half second.
         Time newest;
+
+        bool isUnknown() const { return window.isEmpty() && evidence <= 0; }
+        double weight() const;
+        void take(PaceWindow::Estimate const&);
     };
 
     /// Targets that do the same kind of work.
--- a/Tests/LibRouting/TestPaceBook.cpp
+++ b/Tests/LibRouting/TestPaceBook.cpp
@@ -248,6 +248,29 @@
     EXPECT_EQ(site.book(0).pace(100, PaceKind::Whole, site.now()).evidence, 0);
 }
 
+TEST(PaceBook, SlowTargetsThatGetNoMoreWorkStaySlowAndAreTriedAgainWithinAMinute)
+{
+    PaceBook book;
+    book.setGroups({ { 1, 2, 3 } });
+    Time now { 100s };
+    std::function<void(std::chrono::seconds, std::uint64_t)> play = [&](std::chrono::seconds duration, std::uint64_t lastTarget) {
+        for (Time end = now + duration; now < end; now += 100ms) {
+            for (std::uint64_t target = 1; target <= lastTarget; ++target)
+                book.note(target, PaceKind::Prompt, 1, workSeconds, workSeconds * (target == 1 ? 0.6 : 1.4), now);
+            std::ignore = book.update(now);
+        }
+    };
+    play(5s, 3);
+    double fast = book.factor(1, PaceKind::Prompt);
+    double slow = book.factor(3, PaceKind::Prompt);
+    EXPECT_GT(slow, 2 * fast);
+    // Of the difference, most is remembered.
+    play(20s, 1);
+    EXPECT_GT(book.factor(3, PaceKind::Prompt), 1.5 * book.factor(1, PaceKind::Prompt));
+    play(40s, 1);
+    EXPECT_EQ(book.factor(3, PaceKind::Prompt), 1);
+}
+
 TEST(PaceBook, TimesThatAreNoneAndUnknownTargetsAreIgnored)
 {
     PaceBook book;
