LibRouting, LibDaemon: Put most prompts at the fast targets where these are twice as fast

Change: homes follow the division of work that makes the mean time least (leastTimeWork), by the learned speeds and the load of all daemons' prompts (PromptLoad, told in beacons); what a part computed away from home costs others follows the load, and a part that no target holds waits for no home. In effect only where the fast targets are twice as fast as the slow ones.

--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -119,12 +119,13 @@
     message.set_million_pairs_s(static_cast<float>(report.speed.promptCost.secondsPerMillionPairs));
     message.set_prompts(report.speed.prompts);
     message.set_event_s(static_cast<float>(report.speed.eventSeconds));
+    message.set_prompt_load(static_cast<float>(report.promptLoad));
 }
 
 // A datagram may hold anything: what is no amount would spoil every sum that it is added to.
 bool isUsable(Proto::ServiceReport const& message)
 {
-    std::array<float, 7> amounts { message.prompt_engines(), message.outputs(), message.kv_tokens(), message.setup_s(), message.token_s(), message.million_pairs_s(), message.event_s() };
+    std::array<float, 8> amounts { message.prompt_engines(), message.outputs(), message.kv_tokens(), message.setup_s(), message.token_s(), message.million_pairs_s(), message.event_s(), message.prompt_load() };
     return std::all_of(amounts.begin(), amounts.end(), [](float it) { return std::isfinite(it) && it >= 0; });
 }
 
@@ -136,6 +137,7 @@
     report.speed.promptCost = { message.token_s(), message.million_pairs_s(), message.setup_s() };
     report.speed.prompts = message.prompts();
     report.speed.eventSeconds = message.event_s();
+    report.promptLoad = message.prompt_load();
     return report;
 }
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -183,6 +183,7 @@
     Routing::RequestShape shape = request.shape;
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
     shape.wholeSeconds = wholeSeconds(request);
+    shape.promptUtilisation = m_promptUtilisation;
     shape.outputSeconds = outputSeconds(*request.fleet, request.work, shape, now);
     shape.unseenRequests = unseenRequests(request.work, shape.phase, stale, fitTargets);
     // In the decode phase, the output being placed is no longer pending itself.
@@ -206,6 +207,7 @@
     waiter.promptTokens = shape.phase == Routing::Phase::Decode ? 0 : shape.promptTokens - std::min(cached, shape.promptTokens);
     waiter.outcome.position = m_candidatePositions[*waiter.outcome.decision.chosen];
     waiter.work = workOf(shape, waiter.outcome.decision.role, waiter.promptTokens, m_candidates[*waiter.outcome.decision.chosen].promptFactor);
+    waiter.averageSeconds = shape.promptCost.seconds(waiter.promptTokens, shape.promptTokens);
     waiter.outcome.prefillSeconds = waiter.work.prefillSeconds;
     waiter.outcome.meanPrefillSeconds = m_demand.meanPrompt(request.work);
     return waiter.outcome.decision.target;
@@ -238,6 +240,8 @@
     m_loads.count(id, { 1, 0, waiter.promptTokens, hasPrompt ? 1U : 0U, 0 }, Clock::now());
     if (!hasPrompt)
         return;
+    if (m_spreadsParts && waiter.work.prefillSeconds > 0)
+        m_promptLoad.note(waiter.request.work, waiter.averageSeconds, waiter.sentAt);
     m_prefixes.routed(waiter.request.prefix, id);
     if (waiter.computesSharedPrefix)
         m_unreportedParts.push_back({ waiter.request.shape.prefixHash, waiter.request.fleet->targets[*waiter.outcome.position].key });
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -13,6 +13,7 @@
 #include <LibRouting/PaceBook.h>
 #include <LibRouting/PartHomes.h>
 #include <LibRouting/PrefixIndex.h>
+#include <LibRouting/PromptLoad.h>
 #include <LibRouting/PromptTimes.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/Router.h>
@@ -244,7 +245,7 @@
     std::uint32_t placesOf(FleetTarget const&, std::chrono::steady_clock::time_point now) const;
     double wholeSeconds(PlacementRequest const&) const;
     void markHomes(PlacementRequest const&);
-    void markSpreadHomes(PlacementRequest const&);
+    bool markSpreadHomes(PlacementRequest const&);
     void notePartUse(PlacementRequest const&);
     double unseenRequests(std::string const& service, Routing::Phase, Routing::AgeWeightedWork const&, std::size_t targets) const;
     std::uint32_t limitOf(FleetTarget const&) const;
@@ -277,6 +278,8 @@
     bool m_spreadsParts { false };
     Routing::PartHomes m_partHomes;
     Routing::HomeSpeeds m_homeSpeeds;
+    Routing::PromptLoad m_promptLoad;
+    std::map<std::string, Routing::SteppedAmount> m_homeLoads; ///< Rounded loads of prompts, by service.
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
@@ -308,8 +311,9 @@
     std::vector<std::uint32_t> m_candidatePositions;
     std::vector<std::size_t> m_failingCandidates; ///< Reused: indices of candidates closed only as outliers.
     std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates.
-    std::vector<Routing::HomeTarget> m_homeTargets; ///< Reused: the same targets with their speeds.
+    std::vector<Routing::HomeTarget> m_homeTargets; ///< Reused: the same targets with their parts of the homes.
     std::vector<std::size_t> m_homeCandidates; ///< Reused: their indices among the candidates.
+    std::optional<double> m_promptUtilisation; ///< Of those that are home to parts, in the last decision.
 };
 
 }
--- a/Libraries/LibDaemon/DispatcherParts.cpp
+++ b/Libraries/LibDaemon/DispatcherParts.cpp
@@ -1,6 +1,7 @@
 // The part of Dispatcher that decides where shared parts of prompts are at home: docs/design/uneven-demand.md.
 
 #include <LibDaemon/DispatcherWaiter.h>
+#include <LibRouting/LeastTime.h>
 #include <LibRouting/PromptHomes.h>
 
 namespace Daemon {
@@ -21,16 +22,15 @@
         return;
     m_homeKeys.clear();
     m_homeCandidates.clear();
+    m_promptUtilisation.reset();
     for (std::size_t n = 0; n < m_candidates.size(); ++n) {
         if (m_candidates[n].role != Routing::TargetRole::Prefill || m_candidates[n].closed)
             continue;
         m_homeKeys.push_back(request.fleet->targets[m_candidatePositions[n]].key);
         m_homeCandidates.push_back(n);
     }
-    if (m_spreadsParts) {
-        markSpreadHomes(request);
+    if (m_spreadsParts && markSpreadHomes(request))
         return;
-    }
     Routing::Homes homes = Routing::homesOf(request.shape.prefixHash, m_homeKeys);
     if (homes.first < m_homeKeys.size())
         m_candidates[m_homeCandidates[homes.first]].isHome = true;
@@ -38,18 +38,34 @@
         m_candidates[m_homeCandidates[homes.second]].isSecondHome = true;
 }
 
-// As many homes as the part's demand keeps busy, and one more for what overflows.
-void Dispatcher::markSpreadHomes(PlacementRequest const& request)
+// As many homes as the part's demand keeps busy, and one more for what overflows, most of them at fast targets. Returns false where targets
+// are about equally fast: two homes do for each part there.
+bool Dispatcher::markSpreadHomes(PlacementRequest const& request)
 {
-    m_homeTargets.clear();
+    std::vector<double> speeds;
+    speeds.reserve(m_homeKeys.size());
     for (std::size_t n = 0; n < m_homeKeys.size(); ++n)
-        m_homeTargets.push_back({ m_homeKeys[n], m_homeSpeeds.speed(m_homeKeys[n], m_candidates[m_homeCandidates[n]].promptFactor) });
-    std::size_t needed = m_partHomes.homesNeeded(request.shape.prefixHash, m_demand.meanPrompt(request.work), Clock::now());
+        speeds.push_back(m_homeSpeeds.speed(m_homeKeys[n], m_candidates[m_homeCandidates[n]].promptFactor));
+    if (!Routing::areUneven(speeds))
+        return false;
+    Clock::time_point now = Clock::now();
+    double load = m_promptLoad.total(request.work, now);
+    std::vector<double> weights = Routing::leastTimeWork(speeds, load > 0 ? m_homeLoads[request.work].update(load) : 0);
+    m_homeTargets.clear();
+    double capacity = 0;
+    for (std::size_t n = 0; n < m_homeKeys.size(); ++n) {
+        m_homeTargets.push_back({ m_homeKeys[n], weights[n] });
+        capacity += weights[n] > 0 ? speeds[n] : 0;
+    }
+    if (load > 0)
+        m_promptUtilisation = load / capacity;
+    std::size_t needed = m_partHomes.homesNeeded(request.shape.prefixHash, m_demand.meanPrompt(request.work), now);
     std::vector<std::size_t> homes = Routing::weightedHomesOf(request.shape.prefixHash, m_homeTargets, needed + 1);
     for (std::size_t n = 0; n < homes.size(); ++n) {
         Routing::Candidate& candidate = m_candidates[m_homeCandidates[homes[n]]];
         (n < needed ? candidate.isHome : candidate.isSecondHome) = true;
     }
+    return true;
 }
 
 // Called with the mutex held. Counts each request once, at its first attempt.
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -33,7 +33,9 @@
     constexpr double negligibleSeconds = 1e-6;
     if (m_openWork.total(key, Clock::now()).prefillSeconds > waiter.work.prefillSeconds + negligibleSeconds)
         return;
-    m_speeds.notePrompt(waiter.request.work, key, { waiter.promptTokens, waiter.request.shape.promptTokens, secondsOf(duration) });
+    // The cost of an average target, whichever targets get most prompts.
+    double factor = m_learnsPace ? promptFactor(key) : 1;
+    m_speeds.notePrompt(waiter.request.work, key, { waiter.promptTokens, waiter.request.shape.promptTokens, secondsOf(duration) / factor });
 }
 
 void Dispatcher::noteEventGap(std::uint64_t id, Clock::duration duration)
@@ -91,7 +93,7 @@
     Clock::time_point now = Clock::now();
     std::vector<Routing::ServiceReport> reports;
     for (std::string const& service : m_services)
-        reports.push_back({ service, m_demand.demand(service, now), m_speeds.own(service) });
+        reports.push_back({ service, m_demand.demand(service, now), m_speeds.own(service), m_promptLoad.own(service, now) });
     return reports;
 }
 
@@ -104,8 +106,12 @@
 void Dispatcher::takePeerReports(std::string const& peer, std::vector<Routing::ServiceReport> const& reports)
 {
     std::lock_guard lock(m_mutex);
-    for (Routing::ServiceReport const& it : reports)
-        m_speeds.setPeer(it.service, peer, it.speed, Clock::now());
+    Clock::time_point now = Clock::now();
+    for (Routing::ServiceReport const& it : reports) {
+        m_speeds.setPeer(it.service, peer, it.speed, now);
+        if (m_spreadsParts)
+            m_promptLoad.setPeer(it.service, peer, it.promptLoad, now);
+    }
 }
 
 }
--- a/Libraries/LibDaemon/DispatcherWaiter.h
+++ b/Libraries/LibDaemon/DispatcherWaiter.h
@@ -16,6 +16,7 @@
     boost::asio::steady_timer timer;
     PlacementOutcome outcome;
     std::uint32_t promptTokens { 0 }; ///< Prompt tokens left to compute at the chosen target, after its cached prefix.
+    double averageSeconds { 0 }; ///< Time that these take at an average target.
     double aheadSeconds { 0 }; ///< Prompts open at the chosen target when this request was sent there.
     std::uint32_t openAtSend { 1 }; ///< Whole requests and outputs open at the chosen target then, with this one.
     bool hasTakenEventPace { false }; ///< Whether one of its events counts for the target's pace.
--- a/Libraries/LibRouting/PartHomes.cpp
+++ b/Libraries/LibRouting/PartHomes.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t maxUnreported = 4 * 1024;
 constexpr double negligibleUses = 0.1;
 constexpr double stepsPerDoubling = 2;
-// In steps: a speed has left its step when it is nearer to another one by some margin.
+// In steps: an amount has left its step when it is nearer to another one by some margin.
 constexpr double stepMargin = 0.7;
 
 double decayed(double recent, std::chrono::duration<double> age)
@@ -84,18 +84,17 @@
     return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(maxHomes)));
 }
 
-double HomeSpeeds::speed(std::uint64_t target, double factor)
+double SteppedAmount::update(double exact)
 {
-    Step& entry = m_steps[target];
-    // Factors change twice a second; decisions are made far more often.
-    if (entry.factor == factor)
-        return entry.speed;
-    entry.factor = factor;
-    double exact = -std::log2(factor) * stepsPerDoubling;
-    if (std::abs(exact - entry.step) > stepMargin)
-        entry.step = static_cast<int>(std::lround(exact));
-    entry.speed = std::exp2(entry.step / stepsPerDoubling);
-    return entry.speed;
+    // Amounts change twice a second; decisions are made far more often.
+    if (exact == m_exact)
+        return m_rounded;
+    m_exact = exact;
+    double steps = std::log2(exact) * stepsPerDoubling;
+    if (std::abs(steps - m_step) > stepMargin)
+        m_step = static_cast<int>(std::lround(steps));
+    m_rounded = std::exp2(m_step / stepsPerDoubling);
+    return m_rounded;
 }
 
 std::vector<std::size_t> weightedHomesOf(std::uint64_t part, std::span<HomeTarget const> targets, std::size_t count)
@@ -103,8 +102,10 @@
     std::vector<std::pair<double, std::size_t>> distances;
     distances.reserve(targets.size());
     for (std::size_t n = 0; n < targets.size(); ++n) {
-        double weight = static_cast<double>(homeWeight(part, targets[n].key)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-        distances.emplace_back(-std::log(std::max(weight, std::numeric_limits<double>::min())) / targets[n].speed, n);
+        if (targets[n].weight <= 0)
+            continue;
+        double hash = static_cast<double>(homeWeight(part, targets[n].key)) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+        distances.emplace_back(-std::log(std::max(hash, std::numeric_limits<double>::min())) / targets[n].weight, n);
     }
     std::size_t found = std::min(count, distances.size());
     std::partial_sort(distances.begin(), distances.begin() + static_cast<std::ptrdiff_t>(found), distances.end());
--- a/Libraries/LibRouting/PartHomes.h
+++ b/Libraries/LibRouting/PartHomes.h
@@ -20,7 +20,7 @@
 /// A target that may be the home of shared parts.
 struct HomeTarget {
     std::uint64_t key { 0 };
-    double speed { 1 }; ///< Prompts per second relative to the others; a faster target is home to more parts.
+    double weight { 1 }; ///< Its part of the homes, relative to the others; 0: it is home to none.
 };
 
 /// Counts over all daemons how often shared parts of prompts are asked for, and decides how many homes each one needs: as many as keep
@@ -59,34 +59,40 @@
     std::unordered_map<std::uint64_t, std::uint32_t> m_unreported;
 };
 
-/// Rounds the speeds of targets to a few steps, and keeps a step until the speed has clearly left it, so that daemons which have
-/// measured a little differently agree on homes and these hardly move. Not thread-safe.
+/// A positive amount rounded to a few steps, of which each is kept until the amount has clearly left it: daemons which have measured a little
+/// differently agree on what follows from it, and this hardly moves. Not thread-safe.
+class SteppedAmount {
+public:
+    /// Returns the rounded amount. Precondition: it is positive and finite.
+    double update(double exact);
+
+private:
+    int m_step { 0 };
+    double m_exact { 1 }; ///< That the step was last decided by.
+    double m_rounded { 1 };
+};
+
+/// The rounded speeds of targets. Not thread-safe.
 class HomeSpeeds {
 public:
     /// Returns the rounded speed of a target that needs `factor` times as long for its prompts as others.
     /// Precondition: the factor is positive and finite.
-    double speed(std::uint64_t target, double factor);
+    double speed(std::uint64_t target, double factor) { return m_speeds[target].update(1 / factor); }
 
     /// Removes targets that are not in `keys`.
     template <typename Keys>
     void keepTargets(Keys const& keys)
     {
-        std::erase_if(m_steps, [&keys](std::pair<std::uint64_t const, Step> const& it) { return !keys.contains(it.first); });
+        std::erase_if(m_speeds, [&keys](std::pair<std::uint64_t const, SteppedAmount> const& it) { return !keys.contains(it.first); });
     }
 
 private:
-    struct Step {
-        int step { 0 };
-        double factor { 1 }; ///< That it was last decided by.
-        double speed { 1 };
-    };
-
-    std::unordered_map<std::uint64_t, Step> m_steps;
+    std::unordered_map<std::uint64_t, SteppedAmount> m_speeds;
 };
 
 /// Returns the indices of a part's homes among the targets, the preferred one first, by weighted rendezvous hashing: the same at all
-/// daemons that know the same targets and speeds, and when a speed changes, few parts move. With equal speeds the first two are those
-/// of `homesOf`. Thread-safe. Precondition: speeds are positive and finite.
+/// daemons that know the same targets and weights, and when a weight changes, few parts move. With equal weights the first two are those
+/// of `homesOf`. Thread-safe. Precondition: weights are finite and not negative.
 std::vector<std::size_t> weightedHomesOf(std::uint64_t part, std::span<HomeTarget const> targets, std::size_t count);
 
 }
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -46,7 +46,8 @@
     Decision decidePair(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
     Decision decideAffinity(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
     Decision decideHome(std::span<Candidate const>, RequestShape const&, std::mt19937_64&) const;
-    double homeScore(Candidate const&, RequestShape const&) const;
+    double homeScore(Candidate const&, RequestShape const&, double strayShare) const;
+    double strayShare(std::span<Candidate const>, RequestShape const&) const;
     std::size_t comparedTargets(std::size_t candidates, RequestShape const&) const;
     template <typename PositionOf>
     Decision decideAffinityAmong(std::span<Candidate const>, RequestShape const&, std::mt19937_64&, std::size_t size, PositionOf const&) const;
--- a/Libraries/LibRouting/RouterHome.cpp
+++ b/Libraries/LibRouting/RouterHome.cpp
@@ -1,12 +1,13 @@
 // Implements Policy::PromptHome for Router.
 
+#include <LibRouting/LeastTime.h>
 #include <LibRouting/RouterInternals.h>
 #include <algorithm>
 
 namespace Routing {
 
 // Returns the estimated seconds to the request's first token, plus the cost of this choice for later requests.
-double Router::homeScore(Candidate const& candidate, RequestShape const& shape) const
+double Router::homeScore(Candidate const& candidate, RequestShape const& shape, double strayShare) const
 {
     double outputs = candidate.open.requests * m_settings.decodeSeconds * candidate.eventFactor;
     std::uint64_t kv = candidate.open.kvTokens + shape.promptTokens + shape.expectedOutputTokens;
@@ -24,7 +25,19 @@
         return wait + seconds * m_settings.interferenceFactor;
     // The extra cost of computing the shared part; the rest has to be computed at any target.
     double sharedCost = candidate.isHome || cached >= shared ? 0 : seconds - shape.promptCost.seconds(shape.promptTokens - shared, shape.promptTokens) * candidate.promptFactor;
-    return wait + seconds + sharedCost * (candidate.isSecondHome ? m_settings.secondHomeWeight : m_settings.nonHomeWeight);
+    return wait + seconds + sharedCost * (candidate.isSecondHome ? m_settings.secondHomeWeight : m_settings.nonHomeWeight) * strayShare;
+}
+
+// Returns how much of the weights of shared parts away from home counts. While targets are idle, a part that is computed at one more
+// delays hardly anyone, and one that no target holds is computed somewhere anyway, where the next requests find it.
+double Router::strayShare(std::span<Candidate const> candidates, RequestShape const& shape) const
+{
+    if (!shape.promptUtilisation || m_settings.nonHomeWeight <= 0)
+        return 1;
+    std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
+    bool isHeld = std::any_of(candidates.begin(), candidates.end(), [shared](Candidate const& it) { return !it.closed && it.prefixMatchTokens >= shared; });
+    double weight = isHeld ? std::max(1.0, delayOfOthers(*shape.promptUtilisation)) : 1;
+    return std::min(1.0, weight / m_settings.nonHomeWeight);
 }
 
 // All daemons choose by the same stale reports: if each compares d random targets of n, the one that looks best to all
@@ -40,6 +53,7 @@
 Decision Router::decideHome(std::span<Candidate const> candidates, RequestShape const& shape, std::mt19937_64& rng) const
 {
     Best best;
+    double stray = strayShare(candidates, shape);
     std::size_t compared = comparedTargets(candidates.size(), shape);
     bool isSampled = compared < candidates.size();
     Sample sample;
@@ -49,16 +63,16 @@
         // The targets that hold a shared part, or are its home, differ between prompts, so comparing them causes no herding.
         bool isCompared = !isSampled || candidates[i].isHome || candidates[i].isSecondHome || candidates[i].prefixMatchTokens > 0 || sample.contains(i);
         if (isCompared && isOpen(candidates[i], shape.phase))
-            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+            best.offer(i, homeScore(candidates[i], shape, stray) + zonePenalty(candidates[i]), rng);
     }
     // Without an open prefill target, a decode target computes the prompt as well, concurrently with its outputs.
     for (std::size_t i = 0; best.first == noPosition && shape.phase == Phase::WholeOrPrefill && i < candidates.size(); ++i) {
         if (isOpen(candidates[i], Phase::Decode))
-            best.offer(i, homeScore(candidates[i], shape) + zonePenalty(candidates[i]), rng);
+            best.offer(i, homeScore(candidates[i], shape, stray) + zonePenalty(candidates[i]), rng);
     }
     Decision decision = finish(candidates, shape, best, Reason::EarliestToken);
     if (decision.chosen)
-        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape);
+        decision.waitSeconds = homeScore(candidates[*decision.chosen], shape, stray);
     return decision;
 }
 
--- a/Libraries/LibRouting/ServiceReport.h
+++ b/Libraries/LibRouting/ServiceReport.h
@@ -11,6 +11,7 @@
     std::string service;
     EngineDemand demand;
     ServiceSpeed speed;
+    double promptLoad { 0 }; ///< Average targets that its prompts keep busy, as sent.
 
     bool operator==(ServiceReport const&) const = default;
 };
--- a/Libraries/LibRouting/Settings.h
+++ b/Libraries/LibRouting/Settings.h
@@ -36,7 +36,7 @@
     bool learnsPace { false };
 
     // Policy::PromptHome.
-    /// Shared parts that many prompts ask for get more homes, and faster targets are home to more parts.
+    /// Where targets clearly differ in speed, fast ones are home to most shared parts, and parts that many prompts ask for get more homes.
     bool spreadsParts { false };
     /// A shared part that is computed away from its home takes memory there, and the next request does not find it: its cost
     /// is multiplied by this weight. At its second home, the next request that overflows finds it. Both are ratios, independent
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -253,7 +253,7 @@
     keys.push_back(fractionKey("routing", "stray_weight", "How much more the cost of a shared part counts where it is not at home (policy prompt-home).", 0, 100, routingOf, &Routing::Settings::nonHomeWeight));
     keys.push_back(fractionKey("routing", "second_home_weight", "The same at its second home.", 0, 100, routingOf, &Routing::Settings::secondHomeWeight));
     keys.push_back(flagKey("routing", "learn_pace", "Whether daemons learn from their answers how fast each target is and how many requests at once it takes well.", routingOf, &Routing::Settings::learnsPace));
-    keys.push_back(flagKey("routing", "spread_parts", "Whether shared parts that many prompts ask for get more homes, and faster targets more parts (policy prompt-home).", routingOf, &Routing::Settings::spreadsParts));
+    keys.push_back(flagKey("routing", "spread_parts", "Whether, where targets clearly differ in speed, fast ones are home to most shared parts, and parts that many prompts ask for get more homes (policy prompt-home).", routingOf, &Routing::Settings::spreadsParts));
     keys.push_back(fractionKey("routing", "far_kv_s", "Extra wait accepted to fetch a prompt's KV cache within the availability zone.", 0, 60, routingOf, &Routing::Settings::crossZoneKvSeconds));
     keys.push_back(fractionKey("roles", "decode_share", "The part of the engines that decodes until the demand is known (kind keyed-store).", 0.01, 0.99, splitOf, &Roles::SplitSettings::decodeShare));
     keys.push_back(numberKey<Owned>("roles", "least_decode", "Engines that decode at least.", 1, 1'000, splitOf, &Roles::SplitSettings::leastDecode));
--- a/Tests/LibRouting/TestPartHomes.cpp
+++ b/Tests/LibRouting/TestPartHomes.cpp
@@ -86,14 +86,14 @@
     for (std::uint64_t part = 0; part < count; ++part)
         ++parts[weightedHomesOf(part * 0x9e3779b97f4a7c15ULL, targets, 1).front()];
     for (std::size_t n = 0; n < targets.size(); ++n)
-        EXPECT_NEAR(parts[n], count * targets[n].speed / 6.2, count * 0.015) << n;
+        EXPECT_NEAR(parts[n], count * targets[n].weight / 6.2, count * 0.015) << n;
 }
 
 TEST(PartHomes, AChangeOfSpeedOrTheLossOfAZonesTargetsMovesOnlyTheirParts)
 {
     std::vector<HomeTarget> targets = targetsOf(std::vector<double>(30, 1.0));
     std::vector<HomeTarget> slower = targets;
-    slower[4].speed = 0.7;
+    slower[4].weight = 0.7;
     std::vector<HomeTarget> rest(targets.begin() + 10, targets.end());
     int moved = 0;
     constexpr int count = 3'000;
--- a/Tests/LibRouting/TestPromptHomes.cpp
+++ b/Tests/LibRouting/TestPromptHomes.cpp
@@ -117,6 +117,34 @@
     EXPECT_EQ(decide(candidates, history()).target, 1U);
 }
 
+TEST(PromptHomeRouting, BehindABusyHomeIdleTargetsTakeAPartTheEarlierTheLessTheyAreUsed)
+{
+    // The home holds the part, and has half a second of prompts open. Computing the part elsewhere takes 0.3 s more.
+    std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill, 0.5), candidate(1, TargetRole::Prefill), candidate(2, TargetRole::Prefill) };
+    candidates[0].isHome = true;
+    candidates[0].prefixMatchTokens = 13'300;
+    RequestShape shape = history();
+    EXPECT_EQ(decide(candidates, shape).target, 0U) << "the load is not known";
+    shape.promptUtilisation = 0.9;
+    EXPECT_EQ(decide(candidates, shape).target, 0U);
+    candidates[0].open.prefillSeconds = 0.8;
+    shape.promptUtilisation = 0.2;
+    EXPECT_NE(decide(candidates, shape).target, 0U);
+}
+
+TEST(PromptHomeRouting, WhenAllTargetsAreColdAPartIsComputedWhereNobodyWaits)
+{
+    // The second after a start, with more prompts than the targets can take: waiting at home would save nobody a computation.
+    std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill, 0.8), candidate(1, TargetRole::Prefill) };
+    candidates[0].isHome = true;
+    RequestShape shape = history();
+    EXPECT_EQ(decide(candidates, shape).target, 0U);
+    shape.promptUtilisation = 0.9;
+    EXPECT_EQ(decide(candidates, shape).target, 1U);
+    candidates[0].prefixMatchTokens = 13'300;
+    EXPECT_EQ(decide(candidates, shape).target, 0U);
+}
+
 TEST(PromptHomeRouting, AShortPromptGoesToTheEarliestTarget)
 {
     std::vector<Candidate> candidates { candidate(0, TargetRole::Prefill, 0.2), candidate(1, TargetRole::Prefill, 0.4), candidate(2, TargetRole::Prefill, 0.3) };
