LibRoles, LibDaemon: Let fast engines compute prompts where these take longer than outputs

Cause: fast engines always decoded, also where outputs are a few tokens and prompts thousands. Change: with [routing] learn_pace, engines that change role are chosen by which stage takes the requests longer, by the known demand.

--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -103,7 +103,9 @@
     leases.quietTime = m_settings.platform.leaseQuiet;
     leases.isFenced = m_settings.platform.areOrdersFenced;
     m_engineLeases = std::make_unique<StoreLeases>(m_context, *m_store, Authority::StoreLeaseHolder { self.name, incarnation }, leases, m_hooks.countStoreCall);
-    m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, m_settings.split, std::move(roles));
+    Roles::SplitSettings split = m_settings.split;
+    split.putsFastWhereLongest = m_settings.routing.learnsPace;
+    m_roles = std::make_unique<RoleKeeper>(m_context, *m_engineLeases, *m_engines, split, std::move(roles));
     if (m_settings.duties.service.port() != 0)
         createDuties(usage);
     QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, [this] { becomeReady(); }, m_hooks.countStoreCall, [this] { return m_targetList.follower->asOf().value_or(m_startedAt); } };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -198,7 +198,7 @@
         return {};
     double places = sum.outputs / std::max<std::uint32_t>(1, terms->engine->slots);
     double memory = sum.kvTokens / static_cast<double>(std::max<std::uint64_t>(1, terms->engine->kvCapacityTokens));
-    return { sum.promptEngines, std::max(places, terms->engine->kvCapacityTokens != 0 ? memory : 0), true };
+    return { sum.promptEngines, std::max(places, terms->engine->kvCapacityTokens != 0 ? memory : 0), true, sum.outputs };
 }
 
 // This daemon's and those of live peers that have anything to say against a target or a path.
--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -116,12 +116,19 @@
     }
     TargetRole from = to == TargetRole::Decode ? TargetRole::Prefill : TargetRole::Decode;
     missing = std::min(missing, movableEngines(engines, from, from == TargetRole::Decode ? wanted : static_cast<std::uint32_t>(total) - wanted));
-    return selectEngines(engines, newEngines, to, missing);
+    return selectEngines(engines, newEngines, to, missing, fastRole(demand));
 }
 
-// Selects eligible engines so that the role is spread evenly over failure domains; among equals, fast engines decode. An output
-// stays on one engine for seconds, so a slow one delays the longest outputs, while a prompt waits only for those before it.
-std::vector<RoleChange> SplitRule::selectEngines(std::vector<EngineView> const& engines, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count)
+// Without a demand, fast engines decode: an output stays on one engine for seconds, so a slow one delays the longest outputs, while a
+// prompt waits only for those before it.
+TargetRole SplitRule::fastRole(SplitDemand const& demand) const
+{
+    bool arePromptsLonger = demand.isKnown && demand.prompts > demand.openOutputs;
+    return m_settings.putsFastWhereLongest && arePromptsLonger ? TargetRole::Prefill : TargetRole::Decode;
+}
+
+// Selects eligible engines so that the role is spread evenly over failure domains; among equals, the fast ones for their role.
+std::vector<RoleChange> SplitRule::selectEngines(std::vector<EngineView> const& engines, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole)
 {
     std::map<std::uint32_t, double> sizes;
     std::map<std::uint32_t, double> withRole;
@@ -131,7 +138,7 @@
         sizes[engine.failureDomain] += 1;
         withRole[engine.failureDomain] += engine.role == to ? 1 : 0;
     }
-    std::function<std::tuple<double, double, std::uint32_t>(EngineView const&)> rank = [&](EngineView const& it) { return std::tuple((withRole[it.failureDomain] + 1) / std::max(1.0, sizes[it.failureDomain]), to == TargetRole::Decode ? it.slowness : -it.slowness, it.engine); };
+    std::function<std::tuple<double, double, std::uint32_t>(EngineView const&)> rank = [&](EngineView const& it) { return std::tuple((withRole[it.failureDomain] + 1) / std::max(1.0, sizes[it.failureDomain]), to == fastRole ? it.slowness : -it.slowness, it.engine); };
     std::vector<RoleChange> changes;
     while (changes.size() < count && !eligible.empty()) {
         std::vector<EngineView>::iterator best = std::min_element(eligible.begin(), eligible.end(), [&rank](EngineView const& one, EngineView const& other) { return rank(one) < rank(other); });
@@ -202,7 +209,7 @@
         if (engine.state == EngineState::Serving && engine.role == from && engine.allowed.has(to))
             eligible.push_back(engine);
     }
-    return selectEngines(engines, std::move(eligible), to, missing);
+    return selectEngines(engines, std::move(eligible), to, missing, fastRole(demand));
 }
 
 void SplitRule::commit()
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -14,6 +14,7 @@
     double prompts { 0 };
     double outputs { 0 }; ///< By batch slots or by memory, whichever needs more engines.
     bool isKnown { false }; ///< Whether requests and their processing times have been observed.
+    double openOutputs { 0 }; ///< Outputs that are generated at once.
 };
 
 /// Limits and delays for splitting engines into prefill and decode.
@@ -33,6 +34,8 @@
     /// Once the split has followed the demand, it changes only when the utilisation of a side reaches this value. An engine with
     /// long outputs needs about ten seconds to drain and change, and a fluctuating mix may have reverted by then.
     double pressureThreshold { 0.9 };
+    /// Whether fast engines take the role in which requests spend more of their time, by the known demand. Otherwise they decode.
+    bool putsFastWhereLongest { false };
     std::uint32_t leastDecode { 2 }; ///< One remains if one fails. Also met after the loss of a failure domain.
     std::uint32_t leastPrefill { 1 };
     /// The number of listed engines must be stable this long before the first plan, since engines register one by one.
@@ -94,7 +97,8 @@
     bool isUrgent(Counts const&) const;
     std::vector<RoleChange> assignNewEngines(std::vector<EngineView> const&, std::uint32_t decode, SplitDemand const&, std::size_t total);
     static std::uint32_t movableEngines(std::vector<EngineView> const&, TargetRole from, std::uint32_t wantedLeft);
-    static std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count);
+    TargetRole fastRole(SplitDemand const&) const;
+    static std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole);
     bool isUnderPressure(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
     bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, Time now);
 
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -200,3 +200,24 @@
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes[0].engine, 1U);
 }
+
+TEST(SplitRule, WhereLongPromptsAndShortOutputsArePlayedTheFastEnginesComputePrompts)
+{
+    for (bool putsFastWhereLongest : { false, true }) {
+        SplitSettings settings;
+        settings.putsFastWhereLongest = putsFastWhereLongest;
+        SplitRule rule(settings);
+        std::vector<EngineView> engines = makeFleet(6, 14);
+        for (std::uint32_t n = 0; n < engines.size(); ++n)
+            engines[n].slowness = n % 3 == 2 ? 0.6 : 1.35;
+        SplitDemand const dockets { 8, 0.5, true, 2 };
+        std::vector<RoleChange> changes;
+        for (int n = 0; n < 100 && changes.empty(); ++n)
+            changes = rule.plan(engines, dockets, start + n * 100ms);
+        ASSERT_FALSE(changes.empty());
+        for (RoleChange const& it : changes) {
+            EXPECT_EQ(it.role, TargetRole::Prefill);
+            EXPECT_EQ(engines[it.engine].slowness < 1, putsFastWhereLongest);
+        }
+    }
+}
