LibRouting, LibDaemon: Plan homes twice a second, and only by a load that is known

Found in review: a daemon that had just started, or the first of its version, took the sum of some loads for an idle fleet; whether a fleet is uneven was decided for each request by rounded speeds of the open targets, so that daemons with another history could disagree for long and a full fast half looked even; slow targets that lost their work together were forgotten together; next to no load left no home at all. Change: HomePlan decides for each service by the learned speeds of all its prompt targets, uneven from 1.7 times, even below 1.4; the load is known once all daemons that report a service have told theirs; targets are forgotten one after the other. Tests for each; the one of the stray weight now keeps the open work apart from the load, and the one of the average gives the fast target ten times the answers.

--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -119,7 +119,8 @@
     message.set_million_pairs_s(static_cast<float>(report.speed.promptCost.secondsPerMillionPairs));
     message.set_prompts(report.speed.prompts);
     message.set_event_s(static_cast<float>(report.speed.eventSeconds));
-    message.set_prompt_load(static_cast<float>(report.promptLoad));
+    if (report.promptLoad)
+        message.set_prompt_load(static_cast<float>(*report.promptLoad));
 }
 
 // A datagram may hold anything: what is no amount would spoil every sum that it is added to.
@@ -137,7 +138,8 @@
     report.speed.promptCost = { message.token_s(), message.million_pairs_s(), message.setup_s() };
     report.speed.prompts = message.prompts();
     report.speed.eventSeconds = message.event_s();
-    report.promptLoad = message.prompt_load();
+    if (message.has_prompt_load())
+        report.promptLoad = message.prompt_load();
     return report;
 }
 
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -179,11 +179,10 @@
         m_candidates.push_back(candidate);
         m_candidatePositions.push_back(position);
     }
-    markHomes(request);
     Routing::RequestShape shape = request.shape;
+    markHomes(request, shape);
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
     shape.wholeSeconds = wholeSeconds(request);
-    shape.promptUtilisation = m_promptUtilisation;
     shape.outputSeconds = outputSeconds(*request.fleet, request.work, shape, now);
     shape.unseenRequests = unseenRequests(request.work, shape.phase, stale, fitTargets);
     // In the decode phase, the output being placed is no longer pending itself.
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -7,6 +7,7 @@
 #include <LibDaemon/PathBook.h>
 #include <LibDaemon/Work.h>
 #include <LibRouting/DemandMeter.h>
+#include <LibRouting/HomePlan.h>
 #include <LibRouting/LoadTable.h>
 #include <LibRouting/OpenWork.h>
 #include <LibRouting/OutlierFinder.h>
@@ -244,8 +245,9 @@
     double eventFactor(std::uint64_t targetKey, Routing::TargetRole) const;
     std::uint32_t placesOf(FleetTarget const&, std::chrono::steady_clock::time_point now) const;
     double wholeSeconds(PlacementRequest const&) const;
-    void markHomes(PlacementRequest const&);
-    bool markSpreadHomes(PlacementRequest const&);
+    void markHomes(PlacementRequest const&, Routing::RequestShape&);
+    Routing::HomePlan const& homePlan(PlacementRequest const&);
+    bool markPlannedHomes(PlacementRequest const&, Routing::HomePlan const&);
     void notePartUse(PlacementRequest const&);
     double unseenRequests(std::string const& service, Routing::Phase, Routing::AgeWeightedWork const&, std::size_t targets) const;
     std::uint32_t limitOf(FleetTarget const&) const;
@@ -277,9 +279,8 @@
     Routing::PaceBook m_paces;
     bool m_spreadsParts { false };
     Routing::PartHomes m_partHomes;
-    Routing::HomeSpeeds m_homeSpeeds;
     Routing::PromptLoad m_promptLoad;
-    std::map<std::string, Routing::SteppedAmount> m_homeLoads; ///< Rounded loads of prompts, by service.
+    std::map<std::string, Routing::HomePlan> m_homePlans; ///< By service.
     Routing::DemandMeter m_demand;
     std::set<std::string> m_services; ///< Services with engines that requests have named.
     std::set<std::uint64_t> m_avoided; ///< Keys of targets that peers cannot reach.
@@ -313,7 +314,6 @@
     std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates.
     std::vector<Routing::HomeTarget> m_homeTargets; ///< Reused: the same targets with their parts of the homes.
     std::vector<std::size_t> m_homeCandidates; ///< Reused: their indices among the candidates.
-    std::optional<double> m_promptUtilisation; ///< Of those that are home to parts, in the last decision.
 };
 
 }
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -64,7 +64,7 @@
     m_paces.setGroups(paceGroups(*fleet));
     m_outliers.setGroups(std::move(outlierGroups));
     m_speeds.keepTargets(m_targetNames);
-    m_homeSpeeds.keepTargets(m_targetNames);
+    std::erase_if(m_homePlans, [&groups](std::pair<std::string const, Routing::HomePlan> const& it) { return !groups.contains({ it.first, Routing::TargetRole::Prefill }); });
     std::set<std::uint64_t> listed;
     for (FleetTarget const& target : fleet->targets)
         listed.insert(target.key);
--- a/Libraries/LibDaemon/DispatcherParts.cpp
+++ b/Libraries/LibDaemon/DispatcherParts.cpp
@@ -1,7 +1,6 @@
 // The part of Dispatcher that decides where shared parts of prompts are at home: docs/design/uneven-demand.md.
 
 #include <LibDaemon/DispatcherWaiter.h>
-#include <LibRouting/LeastTime.h>
 #include <LibRouting/PromptHomes.h>
 
 namespace Daemon {
@@ -16,56 +15,59 @@
 }
 
 // The home targets of a shared prefix are the same at all daemons, whatever each has seen of it. Called with the mutex held.
-void Dispatcher::markHomes(PlacementRequest const& request)
+void Dispatcher::markHomes(PlacementRequest const& request, Routing::RequestShape& shape)
 {
-    if (request.shape.phase != Routing::Phase::WholeOrPrefill || request.shape.prefixHash == 0)
+    if (shape.phase != Routing::Phase::WholeOrPrefill || shape.prefixHash == 0)
         return;
     m_homeKeys.clear();
     m_homeCandidates.clear();
-    m_promptUtilisation.reset();
     for (std::size_t n = 0; n < m_candidates.size(); ++n) {
         if (m_candidates[n].role != Routing::TargetRole::Prefill || m_candidates[n].closed)
             continue;
         m_homeKeys.push_back(request.fleet->targets[m_candidatePositions[n]].key);
         m_homeCandidates.push_back(n);
     }
-    if (m_spreadsParts && markSpreadHomes(request))
+    Routing::HomePlan const* plan = m_spreadsParts ? &homePlan(request) : nullptr;
+    if (plan && plan->isUneven() && markPlannedHomes(request, *plan)) {
+        shape.placesByLoad = true;
+        shape.promptUtilisation = plan->utilisation();
         return;
-    Routing::Homes homes = Routing::homesOf(request.shape.prefixHash, m_homeKeys);
+    }
+    Routing::Homes homes = Routing::homesOf(shape.prefixHash, m_homeKeys);
     if (homes.first < m_homeKeys.size())
         m_candidates[m_homeCandidates[homes.first]].isHome = true;
     if (homes.second < m_homeKeys.size())
         m_candidates[m_homeCandidates[homes.second]].isSecondHome = true;
 }
 
-// As many homes as the part's demand keeps busy, and one more for what overflows, most of them at fast targets. Returns false where targets
-// are about equally fast: two homes do for each part there.
-bool Dispatcher::markSpreadHomes(PlacementRequest const& request)
+Routing::HomePlan const& Dispatcher::homePlan(PlacementRequest const& request)
 {
-    std::vector<double> speeds;
-    speeds.reserve(m_homeKeys.size());
-    for (std::size_t n = 0; n < m_homeKeys.size(); ++n)
-        speeds.push_back(m_homeSpeeds.speed(m_homeKeys[n], m_candidates[m_homeCandidates[n]].promptFactor));
-    if (!Routing::areUneven(speeds))
-        return false;
     Clock::time_point now = Clock::now();
-    double load = m_promptLoad.total(request.work, now);
-    std::vector<double> weights = Routing::leastTimeWork(speeds, load > 0 ? m_homeLoads[request.work].update(load) : 0);
-    m_homeTargets.clear();
-    double capacity = 0;
-    for (std::size_t n = 0; n < m_homeKeys.size(); ++n) {
-        m_homeTargets.push_back({ m_homeKeys[n], weights[n] });
-        capacity += weights[n] > 0 ? speeds[n] : 0;
+    Routing::HomePlan& plan = m_homePlans[request.work];
+    if (!plan.isDue(now))
+        return plan;
+    std::vector<Routing::HomePlan::Target> targets;
+    for (FleetTarget const& target : request.fleet->targets) {
+        if (target.role == Routing::TargetRole::Prefill && target.work() == request.work)
+            targets.push_back({ target.key, promptFactor(target.key) });
     }
-    if (load > 0)
-        m_promptUtilisation = load / capacity;
-    std::size_t needed = m_partHomes.homesNeeded(request.shape.prefixHash, m_demand.meanPrompt(request.work), now);
+    plan.update(targets, m_promptLoad.total(request.work, now), now);
+    return plan;
+}
+
+// As many homes as the part's demand keeps busy, and one more for what overflows. Returns false where no open target is home to parts.
+bool Dispatcher::markPlannedHomes(PlacementRequest const& request, Routing::HomePlan const& plan)
+{
+    m_homeTargets.clear();
+    for (std::uint64_t key : m_homeKeys)
+        m_homeTargets.push_back({ key, plan.weight(key) });
+    std::size_t needed = m_partHomes.homesNeeded(request.shape.prefixHash, m_demand.meanPrompt(request.work), Clock::now());
     std::vector<std::size_t> homes = Routing::weightedHomesOf(request.shape.prefixHash, m_homeTargets, needed + 1);
     for (std::size_t n = 0; n < homes.size(); ++n) {
         Routing::Candidate& candidate = m_candidates[m_homeCandidates[homes[n]]];
         (n < needed ? candidate.isHome : candidate.isSecondHome) = true;
     }
-    return true;
+    return !homes.empty();
 }
 
 // Called with the mutex held. Counts each request once, at its first attempt.
--- a/Libraries/LibDaemon/DispatcherSpeeds.cpp
+++ b/Libraries/LibDaemon/DispatcherSpeeds.cpp
@@ -93,7 +93,7 @@
     Clock::time_point now = Clock::now();
     std::vector<Routing::ServiceReport> reports;
     for (std::string const& service : m_services)
-        reports.push_back({ service, m_demand.demand(service, now), m_speeds.own(service), m_promptLoad.own(service, now) });
+        reports.push_back({ service, m_demand.demand(service, now), m_speeds.own(service), m_spreadsParts ? std::optional(m_promptLoad.own(service, now)) : std::nullopt });
     return reports;
 }
 
--- a/Libraries/LibRouting/LeastTime.cpp
+++ b/Libraries/LibRouting/LeastTime.cpp
@@ -10,9 +10,8 @@
 
 // Close to saturation the queues of the model grow without bound, and its small differences between targets mean nothing.
 constexpr double saturation = 0.95;
-// A tenth of the targets at either end may be outliers.
-constexpr std::size_t outlierDivisor = 10;
-constexpr double clearlyFaster = 2;
+// Of the targets' speeds together. Less is no load to divide, and would be lost in rounding.
+constexpr double leastLoad = 1e-6;
 
 }
 
@@ -22,7 +21,7 @@
     double total = 0;
     for (double speed : speeds)
         total += speed;
-    bool isKnown = std::isfinite(load) && load > 0;
+    bool isKnown = std::isfinite(load) && load > total * leastLoad;
     if (!isKnown || load >= total * saturation)
         return work;
     // Each target that gets work is left with the same multiple of its speed's square root.
@@ -42,20 +41,6 @@
     return work;
 }
 
-bool areUneven(std::span<double const> speeds)
-{
-    if (speeds.empty())
-        return false;
-    std::vector<double> sorted(speeds.begin(), speeds.end());
-    std::size_t outliers = sorted.size() / outlierDivisor;
-    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(outliers), sorted.end());
-    double slow = sorted[outliers];
-    std::nth_element(sorted.begin(), sorted.end() - 1 - static_cast<std::ptrdiff_t>(outliers), sorted.end());
-    double fast = sorted[sorted.size() - 1 - outliers];
-    constexpr double tolerance = 1e-9;
-    return fast >= slow * clearlyFaster * (1 - tolerance);
-}
-
 double delayOfOthers(double utilisation)
 {
     if (!(utilisation < 1))
--- a/Libraries/LibRouting/PaceBook.cpp
+++ b/Libraries/LibRouting/PaceBook.cpp
@@ -32,6 +32,13 @@
     return now.time_since_epoch() / slotTime;
 }
 
+// Slow targets that lost their work at one moment are tried again one after the other.
+double memoryPace(std::uint64_t target)
+{
+    constexpr std::uint64_t paces = 64;
+    return 0.5 + static_cast<double>(target % paces) / paces;
+}
+
 bool isTime(double seconds)
 {
     return std::isfinite(seconds) && seconds > 0;
@@ -142,11 +149,11 @@
     std::int64_t slot = slotOf(now);
     if (slot == m_updatedSlot)
         return changes;
-    double kept = std::exp2(-static_cast<double>(slot - std::exchange(m_updatedSlot, slot)) / memoryHalfLife);
+    double halfLives = static_cast<double>(slot - std::exchange(m_updatedSlot, slot)) / memoryHalfLife;
     for (std::pair<std::uint64_t const, States>& it : m_states) {
         for (State& state : it.second) {
             state.window.setCurrentSlot(slot);
-            state.evidence *= kept;
+            state.evidence *= std::exp2(-halfLives * memoryPace(it.first));
             if (state.window.isEmpty() && state.evidence < fewestAnswers)
                 state = State();
             else if (state.window.isEmpty())
--- a/Libraries/LibRouting/PaceBook.h
+++ b/Libraries/LibRouting/PaceBook.h
@@ -60,7 +60,7 @@
 
 /// Finds out how fast each target is and how many requests at once it takes well, from the answers that all daemons get. Nothing is
 /// configured; old answers lose their weight within seconds, so that changes are followed. A target that gets no more work, since it
-/// is slow, is remembered for some forty seconds and then tried again. Performs no I/O. Not thread-safe.
+/// is slow, is remembered for half a minute to a minute and a half and then tried again. Performs no I/O. Not thread-safe.
 class PaceBook {
 public:
     using Time = std::chrono::steady_clock::time_point;
--- a/Libraries/LibRouting/PromptLoad.h
+++ b/Libraries/LibRouting/PromptLoad.h
@@ -3,6 +3,7 @@
 #include <LibRouting/DemandMeter.h>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Routing {
@@ -19,22 +20,23 @@
     /// Returns the load of this daemon's prompts, for its peers. Precondition: `now` does not go back.
     double own(std::string const& service, Time now) const;
 
-    /// Replaces a peer's load. It lapses when the peer has not said it again for some seconds. Values that are no loads are ignored.
-    void setPeer(std::string const& service, std::string const& peer, double load, Time now);
+    /// Replaces a peer's load; empty: the peer does not measure it. It lapses when the peer has not said it again for some seconds. Values
+    /// that are no loads, and services that this daemon has sent no prompt to, are ignored.
+    void setPeer(std::string const& service, std::string const& peer, std::optional<double> load, Time now);
 
-    /// Returns the load of all daemons, at most half a second old; 0: not known. Precondition: `now` does not go back.
-    double total(std::string const& service, Time now);
+    /// Returns the load of all daemons; empty while not all can have told theirs, or one does not measure it. Precondition: `now` does not
+    /// go back.
+    std::optional<double> total(std::string const& service, Time now);
 
 private:
     struct PeerLoad {
-        double load { 0 };
+        std::optional<double> load;
         Time at;
     };
 
     struct Service {
         std::map<std::string, PeerLoad> peers;
-        double total { 0 };
-        Time summedAt;
+        Time since; ///< Of this daemon's first prompt.
     };
 
     DemandMeter m_own;
--- a/Libraries/LibRouting/RequestShape.h
+++ b/Libraries/LibRouting/RequestShape.h
@@ -19,6 +19,7 @@
     double outputSeconds { 0 }; ///< Learned duration of its output on an average engine; 0: unknown.
     double wholeSeconds { 0 }; ///< Learned time of such a request at an average target of a plain service; 0: not used.
     PromptCost promptCost {}; ///< Learned cost model of the engines that serve it.
+    bool placesByLoad { false }; ///< What a shared part costs others away from its home follows the load.
     std::optional<double> promptUtilisation {}; ///< Part of the time that prompts keep the targets busy that are to get them; empty: unknown.
     std::uint32_t sharedTokens { 0 }; ///< Length of the prompt's beginning that other requests share.
 };
--- a/Libraries/LibRouting/RouterHome.cpp
+++ b/Libraries/LibRouting/RouterHome.cpp
@@ -29,14 +29,18 @@
 }
 
 // Returns how much of the weights of shared parts away from home counts. While targets are idle, a part that is computed at one more
-// delays hardly anyone, and one that no target holds is computed somewhere anyway, where the next requests find it.
+// delays hardly anyone, but the next request may not find it there and compute it once more. A part that no target holds is computed
+// somewhere anyway, and peers hear where.
 double Router::strayShare(std::span<Candidate const> candidates, RequestShape const& shape) const
 {
-    if (!shape.promptUtilisation || m_settings.nonHomeWeight <= 0)
+    if (!shape.placesByLoad || m_settings.nonHomeWeight <= 0)
         return 1;
     std::uint32_t shared = std::min(shape.sharedTokens, shape.promptTokens);
-    bool isHeld = std::any_of(candidates.begin(), candidates.end(), [shared](Candidate const& it) { return !it.closed && it.prefixMatchTokens >= shared; });
-    double weight = isHeld ? std::max(1.0, delayOfOthers(*shape.promptUtilisation)) : 1;
+    bool isHeld = std::any_of(candidates.begin(), candidates.end(), [shared](Candidate const& it) { return !it.closed && it.role == TargetRole::Prefill && it.prefixMatchTokens >= shared; });
+    constexpr double once = 1;
+    double weight = isHeld ? m_settings.nonHomeWeight : once;
+    if (isHeld && shape.promptUtilisation)
+        weight = std::max(once, delayOfOthers(*shape.promptUtilisation));
     return std::min(1.0, weight / m_settings.nonHomeWeight);
 }
 
--- a/Libraries/LibRouting/ServiceReport.h
+++ b/Libraries/LibRouting/ServiceReport.h
@@ -2,6 +2,7 @@
 
 #include <LibRouting/DemandMeter.h>
 #include <LibRouting/SpeedBook.h>
+#include <optional>
 #include <string>
 
 namespace Routing {
@@ -11,7 +12,7 @@
     std::string service;
     EngineDemand demand;
     ServiceSpeed speed;
-    double promptLoad { 0 }; ///< Average targets that its prompts keep busy, as sent.
+    std::optional<double> promptLoad {}; ///< Average targets that its prompts keep busy, as sent; empty: not measured.
 
     bool operator==(ServiceReport const&) const = default;
 };
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -201,7 +201,7 @@
     EXPECT_EQ(changes[0].engine, 1U);
 }
 
-TEST(SplitRule, WhereLongPromptsAndShortOutputsArePlayedTheFastEnginesComputePrompts)
+TEST(SplitRule, WithLongPromptsAndShortOutputsFastEnginesPrefill)
 {
     for (bool putsFastWhereLongest : { false, true }) {
         SplitSettings settings;
@@ -210,10 +210,10 @@
         std::vector<EngineView> engines = makeFleet(6, 14);
         for (std::uint32_t n = 0; n < engines.size(); ++n)
             engines[n].slowness = n % 3 == 2 ? 0.6 : 1.35;
-        SplitDemand const dockets { 8, 0.5, true, 2 };
+        SplitDemand const longPrompts { 8, 0.5, true, 2 };
         std::vector<RoleChange> changes;
         for (int n = 0; n < 100 && changes.empty(); ++n)
-            changes = rule.plan(engines, dockets, start + n * 100ms);
+            changes = rule.plan(engines, longPrompts, start + n * 100ms);
         ASSERT_FALSE(changes.empty());
         for (RoleChange const& it : changes) {
             EXPECT_EQ(it.role, TargetRole::Prefill);
--- a/Tests/LibRouting/TestPaceBook.cpp
+++ b/Tests/LibRouting/TestPaceBook.cpp
@@ -2,11 +2,13 @@
 
 #include <LibRouting/PaceBook.h>
 #include <LibRouting/PromptEvidence.h>
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <functional>
 #include <gtest/gtest.h>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -248,7 +250,7 @@
     EXPECT_EQ(site.book(0).pace(100, PaceKind::Whole, site.now()).evidence, 0);
 }
 
-TEST(PaceBook, SlowTargetsThatGetNoMoreWorkStaySlowAndAreTriedAgainWithinAMinute)
+TEST(PaceBook, SlowTargetsThatGetNoMoreWorkStaySlowAndAreTriedAgainWithinTwoMinutes)
 {
     PaceBook book;
     book.setGroups({ { 1, 2, 3 } });
@@ -267,10 +269,57 @@
     // Of the difference, most is remembered.
     play(20s, 1);
     EXPECT_GT(book.factor(3, PaceKind::Prompt), 1.5 * book.factor(1, PaceKind::Prompt));
-    play(40s, 1);
+    play(80s, 1);
     EXPECT_EQ(book.factor(3, PaceKind::Prompt), 1);
 }
 
+TEST(PaceBook, SlowTargetsThatLoseTheirWorkTogetherAreTriedAgainOneAfterTheOther)
+{
+    PaceBook book;
+    std::vector<std::uint64_t> targets;
+    for (std::uint64_t n = 0; n < 32; ++n)
+        targets.push_back(n * 0x9e3779b97f4a7c15ULL);
+    book.setGroups({ targets });
+    Time now { 100s };
+    std::vector<std::size_t> forgotten; // In each ten seconds.
+    std::size_t known = targets.size();
+    for (int tenth = 0; tenth < 1'200; ++tenth, now += 100ms) {
+        for (std::size_t n = 0; n < targets.size(); ++n) {
+            if (tenth < 50 || n % 4 == 0)
+                book.note(targets[n], PaceKind::Prompt, 1, workSeconds, workSeconds * (n % 4 == 0 ? 0.6 : 1.4), now);
+        }
+        std::ignore = book.update(now);
+        if (tenth % 100 != 99)
+            continue;
+        std::size_t left = 0;
+        for (std::uint64_t target : targets)
+            left += book.pace(target, PaceKind::Prompt, now).evidence > 0 ? 1 : 0;
+        forgotten.push_back(known - std::exchange(known, left));
+    }
+    EXPECT_EQ(known, 8U);
+    EXPECT_LE(*std::max_element(forgotten.begin(), forgotten.end()), 12U);
+}
+
+TEST(PaceBook, FactorsDoNotFollowTheWorkWhereTheFastTargetsGetMostOfIt)
+{
+    Site::TimeAt timeAt = [](std::size_t target, std::uint32_t, Time) { return workSeconds * (target == 0 ? 0.5 : 1.25); };
+    std::array<double, 2> fast {};
+    for (std::size_t n = 0; n < fast.size(); ++n) {
+        PaceBook book;
+        book.setGroups({ { 1, 2, 3 } });
+        Time now { 100s };
+        for (int tenth = 0; tenth < 100; ++tenth, now += 100ms) {
+            for (std::uint64_t answer = 0; answer < (n == 0 ? 1U : 10U); ++answer)
+                book.note(1, PaceKind::Prompt, 1, workSeconds, timeAt(0, 1, now), now);
+            for (std::uint64_t target : { 2U, 3U })
+                book.note(target, PaceKind::Prompt, 1, workSeconds, timeAt(1, 1, now), now);
+            std::ignore = book.update(now);
+        }
+        fast[n] = book.factor(1, PaceKind::Prompt);
+    }
+    EXPECT_NEAR(fast[1], fast[0], 0.1 * fast[0]);
+}
+
 TEST(PaceBook, TimesThatAreNoneAndUnknownTargetsAreIgnored)
 {
     PaceBook book;
