LibQuarantine: Count no end that is found late against a request that has completed since

What callers saw: a stream that completed at several targets was suspected, and could be refused, since the list of targets told of an earlier end only afterwards (logs of soak runs: the last run breaks, 22 complete, one second later the end counts). Cause: a completion cleared broken runs only at the target that completed it, and a request without a record none. Change: broken runs of a request that completes later are no evidence. Guard.ALateEndDoesNotCountAgainstARequestThatHasCompletedSince failed before.

--- a/Libraries/LibQuarantine/RunTable.cpp
+++ b/Libraries/LibQuarantine/RunTable.cpp
@@ -50,6 +50,9 @@
 {
     Run const& run = m_open.at(id);
     noteAlive(run.target.incarnation, now, run.begunAt);
+    // What broke before was the target's trouble or the network's, also where the target is found to have ended only later.
+    for (std::pair<std::uint64_t const, std::vector<BrokenRun>>& it : m_broken)
+        std::erase_if(it.second, [&](BrokenRun const& one) { return one.run.key == run.key && one.at <= now; });
     m_open.erase(id);
 }
 
--- a/Libraries/LibQuarantine/RunTable.h
+++ b/Libraries/LibQuarantine/RunTable.h
@@ -70,7 +70,8 @@
     std::vector<std::pair<WorkKey, TargetEnd>> noteEnded(std::uint64_t incarnation, Time now);
 
     /// Ends a run that the target completed. Its connection was open from its begin until now, so that other connections that broke
-    /// meanwhile failed in the network. Precondition: the run is in progress.
+    /// meanwhile failed in the network. Runs of the same request that broke before, at any target, are no evidence any more.
+    /// Precondition: the run is in progress.
     void finishSuccessfully(Id, Time now);
 
     /// Records that the target's process of `since` was alive at `asOf`: connections that broke between failed in the network.
--- a/Tests/LibQuarantine/TestGuard.cpp
+++ b/Tests/LibQuarantine/TestGuard.cpp
@@ -201,3 +201,30 @@
     EXPECT_EQ(guard.suspect(other)->ends.size(), 1U);
     EXPECT_EQ(guard.suspectedCount(), 1U);
 }
+
+// Guards against ends that become known only after the request was completed elsewhere, as where the list of targets lags.
+TEST(Guard, ALateEndDoesNotCountAgainstARequestThatHasCompletedSince)
+{
+    Guard guard;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        RunTable::Id broken = guard.begin(other, targetOf(target), origin);
+        guard.noteConnectionLost(broken, origin + 1s);
+        guard.noteUnknown(target);
+    }
+    RunTable::Id completed = guard.begin(other, targetOf(9), origin + 1'500ms);
+    guard.finishSuccessfully(completed, origin + 2s);
+    for (std::uint64_t target = 1; target <= 3; ++target)
+        EXPECT_TRUE(guard.noteEnded(target, origin + 3s).empty());
+    EXPECT_EQ(guard.disposition(other), Guard::Disposition::Open);
+}
+
+TEST(Guard, ALateEndCountsIfTheRequestCompletedBefore)
+{
+    Guard guard;
+    RunTable::Id completed = guard.begin(other, targetOf(9), origin);
+    RunTable::Id broken = guard.begin(other, targetOf(1), origin);
+    guard.finishSuccessfully(completed, origin + 500ms);
+    guard.noteConnectionLost(broken, origin + 1s);
+    guard.noteUnknown(1);
+    EXPECT_EQ(guard.noteEnded(1, origin + 3s).size(), 1U);
+}
--- a/Tests/Processes/Fleet.cpp
+++ b/Tests/Processes/Fleet.cpp
@@ -10,6 +10,7 @@
 #include <boost/json/serialize.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -180,6 +181,8 @@
 Fleet::~Fleet()
 {
     m_processes.clear();
+    if (std::getenv("CURRANTVALE_KEEP_LOGS") != nullptr)
+        return;
     std::error_code ec;
     std::filesystem::remove_all(m_folder, ec);
 }
