LibDaemon: Become ready with what the last beacon tells of changing engines

By the kept logs the daemon became ready in the very beacon of the peer that changes an engine: readiness was taken first, the change only after it, and the next tick would have applied it. Change: the beacon is taken whole before.

--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -145,13 +145,13 @@
     m_view.newest.targetsChanged = std::max(m_view.newest.targetsChanged, said.targetsChanged);
     if (isNews)
         wakeTopics();
-    becomeReady();
     m_targets.noteReturnElsewhere(now, beacon.lapseGrace);
     bool isAnyLeaving = m_leaving.hear(beacon.leaving);
     if (isAnyLeaving)
         rebuild();
     bool isOther = m_changing.hear(beacon.sender.name, beacon.changing, beacon.changingTo, now, m_beacons->book().livenessTimeout());
     m_isTargetListChanged = m_isTargetListChanged || isOther;
+    becomeReady();
 }
 
 void StoreControl::shareAmongDaemons(Clock::time_point now)
