LibDaemon: Wait the whole round of beacons, also where the first comes late

Peers that take a restarted daemon for gone are heard only after 0.6 to 0.9 s, so that the bound of one second ended the round before its end: KeyedPlatform.ADaemonThatStartsWhileTheStoreIsAwayLearnsFromItsPeers failed once more of ten. The bound now holds only while nobody is heard.

--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -77,8 +77,9 @@
 bool StoreControl::hasHeardPeers(Clock::time_point now) const
 {
     bool isStoreAway = !m_startSteps.contains(StartStep::Found) && !m_startSteps.contains(StartStep::Met);
-    bool isRoundOver = m_firstHeardAt && now - *m_firstHeardAt >= m_beacons->book().beaconInterval();
-    return !isStoreAway || isRoundOver || hasMetPlanner();
+    if (!isStoreAway)
+        return true;
+    return m_firstHeardAt ? now - *m_firstHeardAt >= m_beacons->book().beaconInterval() : hasMetPlanner();
 }
 
 bool StoreControl::hasMetPlanner() const
