LibDaemon: Hear two rounds of beacons, since the last of one may be late

By the logs of three failures of KeyedPlatform.ADaemonThatStartsWhileTheStoreIsAwayLearnsFromItsPeers in fourteen runs, the peer that changed an engine was heard 98 to 103 ms after the first, where one round was 100 ms.

--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -79,7 +79,9 @@
     bool isStoreAway = !m_startSteps.contains(StartStep::Found) && !m_startSteps.contains(StartStep::Met);
     if (!isStoreAway)
         return true;
-    return m_firstHeardAt ? now - *m_firstHeardAt >= m_beacons->book().beaconInterval() : hasMetPlanner();
+    // Beacons of a round may be late by some milliseconds, and one may be lost.
+    constexpr int rounds = 2;
+    return m_firstHeardAt ? now - *m_firstHeardAt >= rounds * m_beacons->book().beaconInterval() : hasMetPlanner();
 }
 
 bool StoreControl::hasMetPlanner() const
