--- a/Libraries/LibRouting/HomePlan.cpp
+++ b/Libraries/LibRouting/HomePlan.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds planInterval { 500 };
-// Between both, daemons that have measured a little differently agree for long.
+// In between, the former verdict stays: small differences of what is measured do not change it.
 constexpr double unevenFrom = 1.7;
 constexpr double evenBelow = 1.4;
 // One target at either end, or a tenth of them, may be an outlier.
