--- a/Libraries/LibDaemon/StoreDuties.cpp
+++ b/Libraries/LibDaemon/StoreDuties.cpp
@@ -11,7 +11,7 @@
 
 // By then whoever is there has been heard.
 constexpr std::chrono::milliseconds meetingTime { 2'000 };
-// Whoever has the duties of one daemon at a time hears this part of the daemons that it knows at least, the reciprocal: half of a site
+// The daemon that has the duties hears this part of the daemons that it knows at least, the reciprocal: half of a site
 // may be down at once.
 constexpr std::size_t partOfDaemonsHeard = 3;
 
--- a/Tests/LibDaemon/TestBeaconMessage.cpp
+++ b/Tests/LibDaemon/TestBeaconMessage.cpp
@@ -1,4 +1,5 @@
 #include <LibDaemon/BeaconMessage.h>
+#include <cmath>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -89,3 +90,16 @@
     bool isRefused = beacon.has_error() && !beacon.error().message.empty();
     RC_ASSERT(isRefused || beacon.has_value());
 }
+
+// A load that a daemon does not measure must not pass for an idle one, nor one that is no number for a load.
+TEST(BeaconMessage, ALoadOfPromptsThatIsNotMeasuredStaysUnknown)
+{
+    Daemon::BeaconMessage beacon;
+    beacon.sender = makeDaemon();
+    beacon.services = { { "known", {}, {}, 2.5 }, { "unknown", {}, {}, std::nullopt }, { "bad", {}, {}, std::nan("") }, { "negative", {}, {}, -1 } };
+    Core::Result<Daemon::BeaconMessage> decoded = Daemon::decodeBeacon(Daemon::encode(beacon));
+    ASSERT_TRUE(decoded.has_value());
+    ASSERT_EQ(decoded.value().services.size(), 2U);
+    EXPECT_EQ(decoded.value().services[0].promptLoad, 2.5);
+    EXPECT_FALSE(decoded.value().services[1].promptLoad);
+}
