LibHttp, LibDaemon: Tell how connections stood when they ended, and how long they waited to be accepted

2015 connection-ended-unanswered now has the caller's receive window, the time since its host's last acknowledgement and the error of the operation that failed; currantvale_seconds{of="accept"} and 2024 connections-accepted-late tell how long connections waited in the listener's queue. No logic has changed.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -39,6 +39,7 @@
     PlacesDivided = 2020,
     RefusedForFleet = 2021,
     SlowReaderCut = 2023,
+    ConnectionsAcceptedLate = 2024,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -85,7 +86,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 74> eventNames { {
+inline constexpr EnumNames<Event, 75> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -116,6 +117,7 @@
     { Event::PlacesDivided, "places-divided" },
     { Event::RefusedForFleet, "refused-for-fleet" },
     { Event::SlowReaderCut, "slow-reader-cut" },
+    { Event::ConnectionsAcceptedLate, "connections-accepted-late" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -61,13 +61,15 @@
     FirstPiece, ///< From the request until the first piece of its answer went to the caller.
     Request, ///< From the request until its final answer.
     Pause, ///< The longest one between two pieces of a stream.
+    Accept, ///< From a connection's last segment until it was accepted, of the oldest one accepted in a turn of the event loop.
 };
 
-inline constexpr Core::EnumNames<TimeOf, 4> timeNames { {
+inline constexpr Core::EnumNames<TimeOf, 5> timeNames { {
     { TimeOf::Placement, "placement" },
     { TimeOf::FirstPiece, "first_piece" },
     { TimeOf::Request, "request" },
     { TimeOf::Pause, "pause" },
+    { TimeOf::Accept, "accept" },
 } };
 
 /// How far a request had come when its caller closed the connection.
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+constexpr std::chrono::milliseconds lateAccept { 200 }; ///< For an event beside the metric.
 
 // Peers are reached over the VM's own network, whatever leads to the targets.
 Http::ClientSettings peerClientSettings(Http::ClientSettings settings)
@@ -19,9 +20,15 @@
     return settings;
 }
 
+std::string windowText(Http::ConnectionEnd const& end)
+{
+    return !end.transmit ? "-" : end.transmit->isWindowClosed ? "closed"
+                                                              : "open";
+}
+
 void logUnanswered(Http::ConnectionEnd const& end)
 {
-    Core::logEvent(Core::Severity::Warning, Core::Event::ConnectionEndedUnanswered, { { "reason", std::string(Core::nameOf(Http::connectionEndReasonNames, end.reason)) }, { "requests", std::to_string(end.requests) }, { "answers", std::to_string(end.answers) }, { "unread_bytes", std::to_string(end.unreadBytes) }, { "unsent_bytes", std::to_string(end.unsentBytes) } });
+    Core::logEvent(Core::Severity::Warning, Core::Event::ConnectionEndedUnanswered, { { "reason", std::string(Core::nameOf(Http::connectionEndReasonNames, end.reason)) }, { "requests", std::to_string(end.requests) }, { "answers", std::to_string(end.answers) }, { "unread_bytes", std::to_string(end.unreadBytes) }, { "unsent_bytes", std::to_string(end.unsentBytes) }, { "window", windowText(end) }, { "since_ack_ms", end.transmit ? std::to_string(end.transmit->sinceAcknowledgement.count()) : "-" }, { "error", end.error ? end.error.message() : "-" } });
 }
 
 }
@@ -55,6 +62,11 @@
         if (end.isUnanswered())
             logUnanswered(end);
     });
+    thread->m_server->onAccepted([&metrics = parts.shared.metrics](Http::AcceptedConnections const& accepted) {
+        metrics.observe(TimeOf::Accept, accepted.longestWait.value_or(std::chrono::milliseconds(0)));
+        if (accepted.longestWait > lateAccept)
+            Core::logEvent(Core::Severity::Info, Core::Event::ConnectionsAcceptedLate, { { "connections", std::to_string(accepted.count) }, { "waited_ms", std::to_string(accepted.longestWait->count()) } });
+    });
     return thread;
 }
 
--- a/Libraries/LibHttp/ConnectionEnd.h
+++ b/Libraries/LibHttp/ConnectionEnd.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibCore/EnumNames.h>
+#include <LibHttp/TransmitState.h>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,6 +43,8 @@
     std::uint64_t answers { 0 }; ///< Complete answers that were written.
     std::size_t unreadBytes { 0 }; ///< Received, and of no request that was handled.
     std::size_t unsentBytes { 0 }; ///< Written, and not acknowledged by the caller's host.
+    boost::system::error_code error {}; ///< Of the operation that failed, if one did.
+    std::optional<TransmitState> transmit {}; ///< Empty if the kernel did not tell.
 
     /// Returns whether the caller sent something that got no answer.
     bool isUnanswered() const { return answers < requests || unreadBytes > 0; }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -68,6 +68,8 @@
 
     void onConnectionEnd(ConnectionEndHook hook) override { m_shared->onConnectionEnd = std::move(hook); }
 
+    void onAccepted(AcceptHook hook) override { m_shared->onAccepted = std::move(hook); }
+
     void start() override
     {
         Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_connections), Asio::detached);
@@ -127,6 +129,18 @@
         connections.add(serveConnection(shared, std::move(socket), admission));
     }
 
+    static void noteAccepted(ServerShared& shared, AcceptedConnections const& accepted)
+    {
+        if (shared.onAccepted)
+            shared.onAccepted(accepted);
+    }
+
+    static std::optional<std::chrono::milliseconds> waitOf(Tcp::socket& socket)
+    {
+        std::optional<TransmitState> state = transmitStateOf(socket);
+        return state ? std::optional(state->sinceReceived) : std::nullopt;
+    }
+
     static Asio::awaitable<void> accept(std::shared_ptr<Tcp::acceptor> acceptor, std::shared_ptr<ServerShared> shared, std::shared_ptr<Connections> connections)
     {
         while (!shared->isStopped) {
@@ -134,6 +148,7 @@
             Tcp::socket socket = co_await acceptor->async_accept(Asio::redirect_error(Asio::use_awaitable, ec));
             // A connection that was accepted before the server stopped is served, although this comes later.
             if (!ec) {
+                noteAccepted(*shared, { 1, waitOf(socket) });
                 serve(std::move(socket), shared, *connections);
                 continue;
             }
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace Http {
@@ -20,6 +21,15 @@
 /// Builds the response to input that cannot be served: the status and one sentence for the caller.
 using RejectionHandler = std::function<Response(Status, std::string_view message)>;
 
+/// Connections that a listener has accepted in one turn of the event loop.
+struct AcceptedConnections {
+    std::size_t count { 0 };
+    std::optional<std::chrono::milliseconds> longestWait; ///< Since the last segment of the oldest one; empty if the kernel did not tell.
+};
+
+/// Takes what was accepted. Called on the server's thread.
+using AcceptHook = std::function<void(AcceptedConnections const&)>;
+
 /// Limits and timeouts of a listener.
 struct ServerSettings {
     std::size_t headLimit { 16 * 1024 }; ///< Bytes of request line and fields.
@@ -46,6 +56,9 @@
     /// Calls `hook` at the end of each connection. Precondition: no connection was accepted yet.
     virtual void onConnectionEnd(ConnectionEndHook hook) = 0;
 
+    /// Calls `hook` for connections that were accepted. Precondition: as for `onConnectionEnd`.
+    virtual void onAccepted(AcceptHook hook) = 0;
+
     /// Begins to accept connections. Precondition: called once.
     virtual void start() = 0;
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -182,15 +182,17 @@
     std::size_t& openCount() { return m_admission == Admission::Refused ? m_shared->refusedConnections : m_shared->connections; }
 
     // The first reason counts: what follows comes of it.
-    void noteEnd(ConnectionEndReason reason)
+    void noteEnd(ConnectionEndReason reason, boost::system::error_code error = {})
     {
         if (std::exchange(m_hasEnd, true))
             return;
         m_end.reason = reason;
+        m_end.error = error;
         if (!m_stream.socket().is_open())
             return;
         m_end.unreadBytes = m_buffer.size() + unreadBytes(m_stream.socket());
         m_end.unsentBytes = unacknowledgedBytes(m_stream.socket());
+        m_end.transmit = transmitStateOf(m_stream.socket());
     }
 
     // While draining, each connection ends with the answer to all that its caller has sent on it.
@@ -218,7 +220,7 @@
         if (!ec)
             return Core::ok();
         m_isLastRequest = true;
-        noteEnd(ConnectionEndReason::WriteFailed);
+        noteEnd(ConnectionEndReason::WriteFailed, ec);
         return Core::fail(Core::ErrorCode::Canceled, "the caller's connection failed: " + ec.message());
     }
 
@@ -304,7 +306,7 @@
             if (hasNothing && !m_isIdleTimeOver)
                 continue;
             ConnectionEndReason timeOver = m_shared->isStopped ? ConnectionEndReason::ServerStopped : ConnectionEndReason::IdleTimeout;
-            noteEnd(hasNothing ? timeOver : ConnectionEndReason::CallerClosed);
+            noteEnd(hasNothing ? timeOver : ConnectionEndReason::CallerClosed, hasNothing ? boost::system::error_code() : ec);
             break;
         }
         m_idleTimer.cancel();
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -14,6 +14,7 @@
     Handler handler;
     RejectionHandler rejection;
     ConnectionEndHook onConnectionEnd;
+    AcceptHook onAccepted;
     std::size_t activeRequests { 0 };
     std::size_t connections { 0 };
     std::size_t refusedConnections { 0 }; ///< Open ones beyond the limit; not of `connections`.
