--- /dev/null
+++ b/Tests/LibHttp/TestServerOverload.cpp
@@ -0,0 +1,98 @@
+// Which connections a server serves first when it has more to do than time.
+
+#include "ServerClosingFixture.h"
+
+namespace {
+
+using namespace ServerClosingTest;
+
+/// A server whose every request takes a while of its thread.
+class ServerOverload : public ServerClosing {
+protected:
+    static constexpr std::chrono::microseconds workTime { 200 };
+
+    Http::Handler working()
+    {
+        return [this](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+            std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + workTime;
+            while (std::chrono::steady_clock::now() < end) { }
+            if (request.target.starts_with("/new"))
+                m_keptBeforeLastNew = m_kept.load();
+            else
+                ++m_kept;
+            std::ignore = co_await writer.send(Http::Response());
+        };
+    }
+
+    std::vector<std::unique_ptr<Caller>> newCallers(std::size_t count)
+    {
+        std::vector<std::unique_ptr<Caller>> callers;
+        for (std::size_t n = 0; n < count; ++n) {
+            callers.push_back(std::make_unique<Caller>(m_endpoint));
+            callers.back()->write(headOf("new-" + std::to_string(n)));
+        }
+        return callers;
+    }
+
+    std::atomic<std::size_t> m_kept { 0 }; ///< Requests of kept connections that were handled.
+    std::atomic<std::size_t> m_keptBeforeLastNew { 0 };
+};
+
+}
+
+// Guards against connections that wait to be accepted, with a whole request, while those that are open are served again and again.
+TEST_F(ServerOverload, NewConnectionsAreServedBesideBusyKeptOnes)
+{
+    constexpr std::size_t kept = 40;
+    constexpr std::size_t requestsOfEach = 200;
+    constexpr std::size_t waiting = 100;
+    constexpr std::size_t turns = 10; // Of each kept connection, before the last of the new ones has had its first.
+    start(working());
+    std::vector<std::unique_ptr<Caller>> callers = keptConnections(kept);
+    std::string requests;
+    for (std::size_t n = 0; n < requestsOfEach; ++n)
+        requests += headOf("kept");
+    std::vector<std::unique_ptr<Caller>> late;
+    std::promise<void> isBusy;
+    std::promise<void> mayGoOn;
+    post([&] {
+        isBusy.set_value();
+        mayGoOn.get_future().wait();
+        m_kept = 0;
+    });
+    isBusy.get_future().wait();
+    for (std::unique_ptr<Caller> const& caller : callers)
+        caller->write(requests);
+    late = newCallers(waiting);
+    mayGoOn.set_value();
+    for (std::unique_ptr<Caller> const& caller : late)
+        EXPECT_TRUE(caller->readAnswer());
+    EXPECT_LE(m_keptBeforeLastNew, kept * turns);
+}
+
+// Guards against kept connections that are not served while many new ones come.
+TEST_F(ServerOverload, KeptConnectionsAreServedBesideManyNewOnes)
+{
+    constexpr std::size_t waiting = 1'000;
+    start(working());
+    std::vector<std::unique_ptr<Caller>> callers = keptConnections(1);
+    std::atomic<std::size_t> newBeforeKept { 0 };
+    std::promise<void> isBusy;
+    std::promise<void> mayGoOn;
+    post([&] {
+        isBusy.set_value();
+        mayGoOn.get_future().wait();
+        m_kept = 0;
+    });
+    isBusy.get_future().wait();
+    std::vector<std::unique_ptr<Caller>> late = newCallers(waiting);
+    callers.front()->write(headOf("kept"));
+    mayGoOn.set_value();
+    EXPECT_TRUE(callers.front()->readAnswer());
+    std::promise<std::size_t> open;
+    post([&] { open.set_value(m_server->openConnections()); });
+    newBeforeKept = open.get_future().get();
+    EXPECT_LT(newBeforeKept, waiting / 2);
+    for (std::unique_ptr<Caller> const& caller : late)
+        EXPECT_TRUE(caller->readAnswer());
+}
--- a/Tests/Processes/RawCaller.cpp
+++ b/Tests/Processes/RawCaller.cpp
@@ -1,12 +1,17 @@
 #include "RawCaller.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
+#include <poll.h>
 
 namespace Processes {
 
-RawCaller::RawCaller(Endpoint const& endpoint)
+RawCaller::RawCaller(Endpoint const& endpoint, int receiveBuffer)
     : m_socket(m_context)
 {
+    m_socket.open(endpoint.protocol());
+    if (receiveBuffer > 0)
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
     m_socket.connect(endpoint);
 }
 
@@ -16,6 +21,22 @@
     boost::asio::write(m_socket, boost::asio::buffer(bytes), ec);
 }
 
+std::string RawCaller::read(std::size_t size, std::chrono::milliseconds patience)
+{
+    std::string bytes;
+    std::array<char, 64 * 1024> buf {};
+    while (bytes.size() < size) {
+        pollfd descriptor { m_socket.native_handle(), POLLIN, 0 };
+        if (::poll(&descriptor, 1, static_cast<int>(patience.count())) <= 0)
+            break;
+        boost::system::error_code ec;
+        bytes.append(buf.data(), m_socket.read_some(boost::asio::buffer(buf), ec));
+        if (ec)
+            break;
+    }
+    return bytes;
+}
+
 void RawCaller::close(Closing closing)
 {
     boost::system::error_code ec;
--- a/Tests/Processes/RawCaller.h
+++ b/Tests/Processes/RawCaller.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <string>
 
 namespace Processes {
@@ -17,12 +18,16 @@
         Reset, ///< RST.
     };
 
-    /// Connects. Throws boost::system::system_error when that fails.
-    explicit RawCaller(Endpoint const&);
+    /// Connects. Throws boost::system::system_error when that fails. `receiveBuffer`: bytes that its host takes while it
+    /// does not read, about; 0 leaves the kernel's default.
+    explicit RawCaller(Endpoint const&, int receiveBuffer = 0);
 
     /// Writes bytes; a connection that the other side has closed takes none.
     void write(std::string const& bytes);
 
+    /// Reads until `size` bytes have come, nothing more comes for `patience`, or the connection ends. Returns all that was read.
+    std::string read(std::size_t size, std::chrono::milliseconds patience);
+
     void close(Closing);
 
     /// Returns a request as it goes over the connection.
