LibHttp: Tell peers that do not read from peers whose host has gone silent

Callers who paused for longer than [callers] unacknowledged_ms before they read, well within their deadline, got a part of their answer and a reset (12 kB of 200 kB and of 3.5 MB); requests to targets that stood still for longer than [targets] unacknowledged_ms while they were sent a body ended 502 as ones that may have run, and ran nowhere.

Cause: TCP_USER_TIMEOUT. Linux counts it also while the peer's receive window is closed, although the peer's host acknowledges each window probe (two sockets on loopback: ETIMEDOUT 3.5 s after the window closed and 1.9 s after the last acknowledgement; without the option the connection stays).

Now a SilenceWatch samples the connection while bytes wait, and its SilenceDetector calls the host silent only if nothing was acknowledged for the time set although something was sent again: a segment in flight, or two window probes, since hosts limit how often they answer these. The option is still set where the kernel does not tell a connection's state. Keepalive probes keep the number after which the option used to end an idle connection.

The detector's properties hold in virtual time.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -167,7 +167,10 @@
             co_return std::move(connection);
         boost::system::error_code ignored; // It only costs delays.
         connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
-        setLiveness(connection->stream.socket(), m_settings.liveness);
+        connection->silenceWatch = watchLiveness(connection->stream.socket(), m_settings.liveness, [raw = connection.get()] {
+            raw->isSilent = true;
+            breakOff(raw->stream.socket());
+        });
         co_return std::move(connection);
     }
 
--- a/Libraries/LibHttp/ConnectionEnd.h
+++ b/Libraries/LibHttp/ConnectionEnd.h
@@ -20,10 +20,11 @@
     WriteFailed, ///< The caller no longer took an answer.
     NoAnswer, ///< The handler ended without a complete answer.
     ConnectionLimit, ///< The server had no room for it.
+    CallerSilent, ///< The caller's host acknowledged nothing any more.
     ThreadEnded, ///< The server's thread ended first.
 };
 
-inline constexpr Core::EnumNames<ConnectionEndReason, 10> connectionEndReasonNames { {
+inline constexpr Core::EnumNames<ConnectionEndReason, 11> connectionEndReasonNames { {
     { ConnectionEndReason::CallerClosed, "caller_closed" },
     { ConnectionEndReason::IdleTimeout, "idle_timeout" },
     { ConnectionEndReason::ServerStopped, "server_stopped" },
@@ -33,6 +34,7 @@
     { ConnectionEndReason::WriteFailed, "write_failed" },
     { ConnectionEndReason::NoAnswer, "no_answer" },
     { ConnectionEndReason::ConnectionLimit, "connection_limit" },
+    { ConnectionEndReason::CallerSilent, "caller_silent" },
     { ConnectionEndReason::ThreadEnded, "thread_ended" },
 } };
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -99,6 +99,8 @@
 {
     Beast::http::request_serializer<Beast::http::string_body> serializer(writing->message);
     while (!writing->ec && !serializer.is_done()) {
+        if (connection->silenceWatch)
+            connection->silenceWatch->noteWrite();
         std::size_t n = co_await Beast::http::async_write_some(connection->stream, serializer, Asio::redirect_error(Asio::use_awaitable, writing->ec));
         writing->hasWritten = writing->hasWritten || n > 0;
     }
@@ -199,7 +201,8 @@
         code = Core::ErrorCode::Canceled;
     else if (ec == Beast::error::timeout)
         code = Core::ErrorCode::Timeout;
-    std::string message = "failed while " + std::string(step) + ": " + ec.message();
+    bool isSilent = m_connection && m_connection->isSilent;
+    std::string message = "failed while " + std::string(step) + ": " + (isSilent ? "its host acknowledges nothing" : ec.message());
     return Core::Error { code, std::move(message), m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
 }
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -125,7 +125,6 @@
         }
         boost::system::error_code ec; // It only costs delays.
         socket.set_option(Tcp::no_delay(true), ec);
-        setLiveness(socket, shared->settings.liveness);
         connections.add(serveConnection(shared, std::move(socket), admission));
     }
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -68,6 +68,15 @@
             m_shared->onConnectionEnd(m_end);
     }
 
+    void watchSilence()
+    {
+        m_silenceWatch = watchLiveness(m_stream.socket(), m_shared->settings.liveness, [this] {
+            m_isLastRequest = true;
+            noteEnd(ConnectionEndReason::CallerSilent);
+            breakOff(m_stream.socket());
+        });
+    }
+
     Asio::awaitable<void> run()
     {
         // A co_await as the condition of a loop makes g++ 12 lose the frame's `this`.
@@ -119,9 +128,8 @@
             message.chunked(true);
         message.keep_alive(keepsAlive());
         Beast::http::response_serializer<Beast::http::empty_body> serializer(message);
-        m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
-        m_isWriting = true;
+        beginWrite();
         co_await Beast::http::async_write_header(m_stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
         m_isWriting = false;
         co_return outcomeOf(ec);
@@ -131,9 +139,8 @@
     {
         if (piece.empty() || m_isHeadMethod)
             co_return Core::ok();
-        m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
-        m_isWriting = true;
+        beginWrite();
         if (m_version < httpVersion11)
             co_await Asio::async_write(m_stream, Asio::buffer(piece), Asio::redirect_error(Asio::use_awaitable, ec));
         else
@@ -147,9 +154,8 @@
         m_isEnded = true;
         if (m_version < httpVersion11 || m_isHeadMethod)
             co_return Core::ok();
-        m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
-        m_isWriting = true;
+        beginWrite();
         co_await Asio::async_write(m_stream, Beast::http::make_chunk_last(), Asio::redirect_error(Asio::use_awaitable, ec));
         m_isWriting = false;
         co_return outcomeOf(ec);
@@ -204,12 +210,19 @@
 
     bool hasNextRequest() const { return m_buffer.size() > 0 || unreadBytes(m_stream.socket()) > 0; }
 
+    void beginWrite()
+    {
+        m_stream.expires_after(m_shared->settings.writeTimeout);
+        m_isWriting = true;
+        if (m_silenceWatch)
+            m_silenceWatch->noteWrite();
+    }
+
     template <typename Message>
     Asio::awaitable<Core::Result<void>> sendMessage(Message& message)
     {
-        m_stream.expires_after(m_shared->settings.writeTimeout);
         boost::system::error_code ec;
-        m_isWriting = true;
+        beginWrite();
         co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
         m_isWriting = false;
         co_return outcomeOf(ec);
@@ -363,6 +376,7 @@
     CancelableTimer m_idleTimer;
     RequestReader m_reader;
     std::shared_ptr<CloseWatch> m_closeWatch;
+    std::shared_ptr<SilenceWatch> m_silenceWatch; ///< Empty if the kernel does what it does.
     Admission m_admission;
     ConnectionState m_state { ConnectionState::Idle };
     unsigned m_version { httpVersion11 };
@@ -383,6 +397,7 @@
 {
     Asio::any_io_executor executor = socket.get_executor();
     std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket), admission);
+    connection->watchSilence();
     Asio::co_spawn(
         executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
     return connection;
--- a/Libraries/LibHttp/SocketLiveness.h
+++ b/Libraries/LibHttp/SocketLiveness.h
@@ -1,19 +1,28 @@
 #pragma once
 
+#include <LibHttp/SilenceWatch.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
+#include <memory>
 
 namespace Http {
 
 /// After how long a connection whose other end went silent fails, without a message of ours: something between the
 /// two ends may lose track of a connection while new ones work. Zero leaves the kernel's default.
 struct SocketLiveness {
-    std::chrono::milliseconds unacknowledged { 0 }; ///< TCP_USER_TIMEOUT: for sent bytes without an acknowledgement.
+    std::chrono::milliseconds unacknowledged { 0 }; ///< While sent bytes wait for an acknowledgement and the peer's host sends none.
     std::chrono::seconds probeAfter { 0 }; ///< TCP_KEEPIDLE and TCP_KEEPINTVL: of a connection without traffic.
-    int probes { 3 }; ///< TCP_KEEPCNT: how many of them may go unanswered.
+    int probes { 3 }; ///< TCP_KEEPCNT: how many of them may go unanswered; fewer if `unacknowledged` is over before.
 };
 
-/// Sets the options on an open socket; the kernel's refusal leaves its default. Thread-safe.
-void setLiveness(boost::asio::ip::tcp::socket&, SocketLiveness const&);
+/// Sets the options on a connected socket; the kernel's refusal leaves its default. Returns what watches the time of
+/// `unacknowledged`, or nothing if the kernel does (TCP_USER_TIMEOUT) or no time is set. `onSilent` as for SilenceWatch.
+/// Precondition: the socket outlives the watch. Use from the socket's thread only.
+std::shared_ptr<SilenceWatch> watchLiveness(boost::asio::ip::tcp::socket&, SocketLiveness const&, std::function<void()> onSilent);
+
+/// Lets what waits on a socket fail, and its close discard what the peer's host has not acknowledged. Use from the socket's
+/// thread only.
+void breakOff(boost::asio::ip::tcp::socket&);
 
 }
