LibHttp: Accept all connections that wait in a turn of the event loop, up to a bound

Callers whose connection waited to be accepted got no answer before their patience ended (8 s), while others were served again and again: one connection was accepted in each turn of the event loop, in which every open connection with work is served. 100 new connections beside 40 busy kept ones were served behind 2,040 requests of these; now within ten turns (ServerOverload.NewConnectionsAreServedBesideBusyKeptOnes, red before).

The bound keeps open connections from waiting for many new ones (ServerOverload.KeptConnectionsAreServedBesideManyNewOnes). Operators', ready and directory listeners are the same class.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -18,7 +18,9 @@
 using PortSharing = Asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 constexpr std::chrono::milliseconds acceptPause { 50 };
-constexpr int mostWaiting = 2 * SOMAXCONN; ///< Connections that are taken over when the server stops.
+// In each turn of the event loop open connections are served too, and neither kind may keep the other one waiting.
+constexpr std::size_t mostAcceptedAtOnce = 64;
+constexpr std::size_t mostWaiting = 2 * SOMAXCONN; ///< Connections that are taken over when the server stops.
 constexpr std::size_t mostRefused = 256; ///< Connections beyond the limit that are open to be told so.
 
 /// Handles of the connections that are open, and of some that have closed.
@@ -96,23 +98,26 @@
             return;
         m_shared->isDraining = true;
         m_shared->isStopped = true;
-        acceptWaiting();
+        // To their callers, connections that wait to be accepted are open, and may hold requests.
+        acceptWaiting(*m_acceptor, m_shared, *m_connections, mostWaiting);
         boost::system::error_code ec;
         m_acceptor->close(ec);
         m_connections->forEach([](ServedConnection& it) { it.endWhenIdle(); });
     }
 
 private:
-    // To their callers, connections that wait to be accepted are open, and may hold requests.
-    void acceptWaiting()
+    // Accepts what waits, `most` connections at the most. Returns how many these were.
+    static std::size_t acceptWaiting(Tcp::acceptor& acceptor, std::shared_ptr<ServerShared> const& shared, Connections& connections, std::size_t most)
     {
-        boost::system::error_code ec;
-        m_acceptor->non_blocking(true, ec);
-        for (int n = 0; !ec && n < mostWaiting; ++n) {
-            Tcp::socket socket = m_acceptor->accept(ec);
-            if (!ec)
-                serve(std::move(socket), m_shared, *m_connections);
+        std::size_t n = 0;
+        for (; n < most; ++n) {
+            boost::system::error_code ec;
+            Tcp::socket socket = acceptor.accept(ec);
+            if (ec)
+                break;
+            serve(std::move(socket), shared, connections);
         }
+        return n;
     }
 
     static void serve(Tcp::socket socket, std::shared_ptr<ServerShared> const& shared, Connections& connections)
@@ -147,8 +152,10 @@
             Tcp::socket socket = co_await acceptor->async_accept(Asio::redirect_error(Asio::use_awaitable, ec));
             // A connection that was accepted before the server stopped is served, although this comes later.
             if (!ec) {
-                noteAccepted(*shared, { 1, waitOf(socket) });
+                std::optional<std::chrono::milliseconds> wait = waitOf(socket);
                 serve(std::move(socket), shared, *connections);
+                std::size_t others = shared->isStopped ? 0 : acceptWaiting(*acceptor, shared, *connections, mostAcceptedAtOnce - 1);
+                noteAccepted(*shared, { 1 + others, wait });
                 continue;
             }
             if (shared->isStopped)
@@ -180,6 +187,8 @@
         acceptor.bind(endpoint, ec);
     if (!ec)
         acceptor.listen(Asio::socket_base::max_listen_connections, ec);
+    if (!ec)
+        acceptor.non_blocking(true, ec);
     if (ec)
         return Core::fail(Core::ErrorCode::Unavailable, "cannot listen on " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + ec.message());
 
