LibDaemon: Count a request's time from its arrival, not from when it is read

A request that waited in the kernel while its daemon was behind got its whole route's time again from the moment at which it was read: 504 after 4.5 s on a route of 3 s, when the daemon had stood still for 1.5 s. Callers gave up first; and a stopping daemon took requests that it had no time left for.

The listener now notes how long ago a request's last byte arrived (TCP_INFO), and the request runs from then on.

--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -121,13 +121,14 @@
         co_return;
     }
     Work work = std::move(parsed.value());
+    work.waited = request.waited;
     work.isRelayed = isRelayed;
     if (isRelayed)
         work.grant = std::move(grant);
     work.key = workKeyOf(request, work);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
-        if (!m_shared.leaveTimes.accepts(work.timeout, expected, Clock::now())) {
+        if (!m_shared.leaveTimes.accepts(work.timeout - work.waited, expected, Clock::now())) {
             co_await sendError(Core::makeError(Core::ErrorCode::Unavailable, "this daemon is stopping, and would end before the answer does"), work.requestId, work.isRepeatable, writer, isRelayed);
             co_return;
         }
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -138,7 +138,7 @@
     FleetPointer m_fleet;
     std::vector<std::uint32_t> m_allowed;
     std::shared_ptr<AnswerSink> m_sink;
-    std::chrono::steady_clock::time_point m_startedAt;
+    std::chrono::steady_clock::time_point m_startedAt; ///< When the request had arrived.
     Core::BootClock::time_point m_startedAtBoot;
     Request::RequestMachine m_machine;
     std::deque<Request::RequestEvent> m_events;
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -35,6 +35,7 @@
     int priority { 5 };
     bool isRepeatable { false };
     bool isStreamed { false }; ///< The answer is a stream of server-sent events.
+    std::chrono::milliseconds waited { 0 }; ///< Since the request arrived whole; part of `timeout`.
     std::chrono::milliseconds timeout { 0 };
     std::chrono::milliseconds firstPieceLimit { 0 }; ///< Callers abandon a stream not started by then; 0 if they never do.
     std::uint32_t maxAttempts { 4 }; ///< Maximum number of targets to send it to.
--- a/Libraries/LibHttp/Message.h
+++ b/Libraries/LibHttp/Message.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Fields.h>
 #include <LibHttp/Status.h>
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -13,6 +14,7 @@
     std::string target { "/" }; ///< Path and query, as sent.
     Fields fields;
     std::string body;
+    std::chrono::milliseconds waited { 0 }; ///< Of one that a server has read: since its last byte arrived; 0 if the kernel does not tell.
 };
 
 /// The part of a response before its body.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -284,6 +284,8 @@
             noteEnd(ConnectionEndReason::ReadFailed);
             co_return std::nullopt;
         }
+        if (std::optional<TransmitState> state = transmitStateOf(m_stream.socket()))
+            read.request->waited = state->sinceReceived;
         m_version = read.version;
         m_callerKeepsAlive = read.keepsAlive;
         m_isHeadMethod = read.request->method == "HEAD";
--- a/Tests/LibHttp/TestServerOverload.cpp
+++ b/Tests/LibHttp/TestServerOverload.cpp
@@ -96,3 +96,27 @@
     for (std::unique_ptr<Caller> const& caller : late)
         EXPECT_TRUE(caller->readAnswer());
 }
+
+// Guards against requests whose age is not known, because they waited in the kernel while the server's thread was behind.
+TEST_F(ServerOverload, ARequestKnowsHowLongItHasWaitedInTheKernel)
+{
+    constexpr std::chrono::milliseconds busyTime { 400 };
+    constexpr std::chrono::milliseconds tolerance { 50 }; // The kernel's ticks.
+    std::atomic<std::int64_t> waited { 0 };
+    start([&](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        waited = request.waited.count();
+        std::ignore = co_await writer.send(Http::Response());
+    });
+    Caller kept(m_endpoint);
+    kept.write(headOf("at-once"));
+    EXPECT_TRUE(kept.readAnswer());
+    EXPECT_LT(waited, busyTime.count());
+    for (bool isKept : { false, true }) {
+        keepBusy(busyTime);
+        std::optional<Caller> opened;
+        Caller& caller = isKept ? kept : opened.emplace(m_endpoint);
+        caller.write(headOf("late"));
+        EXPECT_TRUE(caller.readAnswer());
+        EXPECT_GE(waited, (busyTime - tolerance).count()) << (isKept ? "kept" : "new");
+    }
+}
