--- a/Tests/LibDaemon/TestRecordExchange.cpp
+++ b/Tests/LibDaemon/TestRecordExchange.cpp
@@ -189,7 +189,7 @@
     std::vector<std::string> referrals;
     exchanges.context.restart();
     // One of them is served; which one depends on whose request arrives first.
-    for (std::string const& name : { "late-1", "late-2", "late-3" })
+    for (char const* name : { "late-1", "late-2", "late-3" })
         exchanges.ask(name, request, {}, [&](Core::Result<RecordExchange::Reply> reply) {
             if (Fleet::Deferral const* deferral = std::get_if<Fleet::Deferral>(&reply.value()))
                 referrals = deferral->referrals;
