LibHttp: Leave silence to the kernel where it tells no times, and judge by two samples elsewhere

- A network that stands in for the kernel may fill TCP_INFO without times: no silence would ever be noticed there.
A process now learns from settled connections whether times are told (KernelTimes); until it knows, and where they are missing, TCP_USER_TIMEOUT serves as before.
- A target that answered without a length and then went silent seemed to have ended its answer: the break-off read as the end of the stream.
The connection is now closed, so that its reads fail (SlowTargets.AnAnswerWithoutALength..., failed on the code before).
- Between a window probe and its answer a living peer could count as silent; two samples, two round trips apart, decide.
The property's peers now answer after a round trip.
- The watch goes on while a write is under way.
Bytes that a caller does not read do not stay in the kernel behind the close for longer than a write.
- A request's body may be written for as long as its answer is awaited: targets may read it late.

--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Client.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/SocketQueue.h>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -169,7 +170,7 @@
         connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
         connection->silenceWatch = watchLiveness(connection->stream.socket(), m_settings.liveness, [raw = connection.get()] {
             raw->isSilent = true;
-            breakOff(raw->stream.socket());
+            closeOrAbort(raw->stream.socket());
         });
         co_return std::move(connection);
     }
--- a/Libraries/LibHttp/ConnectionEnd.h
+++ b/Libraries/LibHttp/ConnectionEnd.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace Http {
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -91,7 +91,8 @@
     m_isHeadMethod = message.method() == Beast::http::verb::head;
     message.body() = request.body;
     message.prepare_payload();
-    m_connection->stream.expires_after(m_settings.writeTimeout);
+    // A server may read the rest of the request late, or answer first.
+    m_connection->stream.expires_after(std::max(m_settings.writeTimeout, m_settings.headTimeout));
     Asio::co_spawn(m_connection->stream.get_executor(), writeAll(m_connection, m_writing), Asio::detached);
 }
 
@@ -100,8 +101,10 @@
     Beast::http::request_serializer<Beast::http::string_body> serializer(writing->message);
     while (!writing->ec && !serializer.is_done()) {
         if (connection->silenceWatch)
-            connection->silenceWatch->noteWrite();
+            connection->silenceWatch->beginWrite();
         std::size_t n = co_await Beast::http::async_write_some(connection->stream, serializer, Asio::redirect_error(Asio::use_awaitable, writing->ec));
+        if (connection->silenceWatch)
+            connection->silenceWatch->endWrite();
         writing->hasWritten = writing->hasWritten || n > 0;
     }
     writing->isDone = !writing->ec;
@@ -197,11 +200,11 @@
 Core::Error ConnectionExchange::errorOf(boost::system::error_code ec, std::string_view step) const
 {
     Core::ErrorCode code = Core::ErrorCode::Unavailable;
-    if (m_isCanceled || ec == Asio::error::operation_aborted)
+    bool isSilent = m_connection && m_connection->isSilent;
+    if (m_isCanceled || (ec == Asio::error::operation_aborted && !isSilent))
         code = Core::ErrorCode::Canceled;
     else if (ec == Beast::error::timeout)
         code = Core::ErrorCode::Timeout;
-    bool isSilent = m_connection && m_connection->isSilent;
     std::string message = "failed while " + std::string(step) + ": " + (isSilent ? "its host acknowledges nothing" : ec.message());
     return Core::Error { code, std::move(message), m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
 }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -20,7 +20,7 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
-    std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if the kernel does what it does.
+    std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if no limit is set.
     bool isSilent { false }; ///< The server's host acknowledged nothing any more.
     Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
 };
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -141,7 +141,7 @@
 
     static std::optional<std::chrono::milliseconds> waitOf(Tcp::socket& socket)
     {
-        std::optional<TransmitState> state = transmitStateOf(socket);
+        std::optional<TransmitState> state = kernelTimes() != KernelTimes::Missing ? transmitStateOf(socket) : std::nullopt;
         return state ? std::optional(state->sinceReceived) : std::nullopt;
     }
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -88,6 +88,9 @@
         bool isAnswered = m_end.reason == ConnectionEndReason::LastAnswer || m_end.reason == ConnectionEndReason::Rejected;
         if (isAnswered)
             co_await linger();
+        // A caller that does not read must not occupy the kernel's memory for long.
+        if (kernelTimes() == KernelTimes::Told && m_stream.socket().is_open())
+            limitUnacknowledged(m_stream.socket(), m_shared->settings.writeTimeout);
     }
 
     void endWhenIdle() override
@@ -131,7 +134,7 @@
         boost::system::error_code ec;
         beginWrite();
         co_await Beast::http::async_write_header(m_stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
-        m_isWriting = false;
+        endWrite();
         co_return outcomeOf(ec);
     }
 
@@ -145,7 +148,7 @@
             co_await Asio::async_write(m_stream, Asio::buffer(piece), Asio::redirect_error(Asio::use_awaitable, ec));
         else
             co_await Asio::async_write(m_stream, Beast::http::make_chunk(Asio::buffer(piece)), Asio::redirect_error(Asio::use_awaitable, ec));
-        m_isWriting = false;
+        endWrite();
         co_return outcomeOf(ec);
     }
 
@@ -157,7 +160,7 @@
         boost::system::error_code ec;
         beginWrite();
         co_await Asio::async_write(m_stream, Beast::http::make_chunk_last(), Asio::redirect_error(Asio::use_awaitable, ec));
-        m_isWriting = false;
+        endWrite();
         co_return outcomeOf(ec);
     }
 
@@ -215,7 +218,14 @@
         m_stream.expires_after(m_shared->settings.writeTimeout);
         m_isWriting = true;
         if (m_silenceWatch)
-            m_silenceWatch->noteWrite();
+            m_silenceWatch->beginWrite();
+    }
+
+    void endWrite()
+    {
+        m_isWriting = false;
+        if (m_silenceWatch)
+            m_silenceWatch->endWrite();
     }
 
     template <typename Message>
@@ -224,7 +234,7 @@
         boost::system::error_code ec;
         beginWrite();
         co_await Beast::http::async_write(m_stream, message, Asio::redirect_error(Asio::use_awaitable, ec));
-        m_isWriting = false;
+        endWrite();
         co_return outcomeOf(ec);
     }
 
@@ -284,7 +294,8 @@
             noteEnd(ConnectionEndReason::ReadFailed);
             co_return std::nullopt;
         }
-        if (std::optional<TransmitState> state = transmitStateOf(m_stream.socket()))
+        std::optional<TransmitState> state = kernelTimes() != KernelTimes::Missing ? transmitStateOf(m_stream.socket()) : std::nullopt;
+        if (state)
             read.request->waited = state->sinceReceived;
         m_version = read.version;
         m_callerKeepsAlive = read.keepsAlive;
@@ -378,7 +389,7 @@
     CancelableTimer m_idleTimer;
     RequestReader m_reader;
     std::shared_ptr<CloseWatch> m_closeWatch;
-    std::shared_ptr<SilenceWatch> m_silenceWatch; ///< Empty if the kernel does what it does.
+    std::shared_ptr<SilenceWatch> m_silenceWatch; ///< Empty if no limit is set.
     Admission m_admission;
     ConnectionState m_state { ConnectionState::Idle };
     unsigned m_version { httpVersion11 };
--- a/Libraries/LibHttp/SilenceDetector.h
+++ b/Libraries/LibHttp/SilenceDetector.h
@@ -7,7 +7,7 @@
 
 namespace Http {
 
-/// Decides from samples of a connection's state whether its peer's host has gone silent: for `limit` it has acknowledged nothing
+/// Decides from samples of a connection's state whether its peer's host has gone silent: for a time it has acknowledged nothing
 /// although bytes waited for it and were sent again. A host whose process does not read acknowledges the window probes that it is
 /// sent, and is not silent. Not thread-safe.
 class SilenceDetector {
@@ -32,7 +32,8 @@
 private:
     std::chrono::milliseconds m_limit;
     std::optional<Time> m_waitingSince; ///< Empty while all bytes are acknowledged.
-    Time m_acknowledgedAt;
+    std::optional<Time> m_suspectedSince; ///< The first sample that looks silent, behind the last acknowledgement.
+    Time m_acknowledgedAt; ///< When the last acknowledgement came.
     std::uint32_t m_retransmissions { 0 }; ///< By the time of the last acknowledgement.
 };
 
--- a/Libraries/LibHttp/SocketLiveness.cpp
+++ b/Libraries/LibHttp/SocketLiveness.cpp
@@ -13,14 +13,14 @@
     static_cast<void>(::setsockopt(handle, level, option, &value, sizeof(value)));
 }
 
-// With TCP_USER_TIMEOUT the kernel ends a connection at the first probe behind that time, whatever TCP_KEEPCNT says.
+// TCP_USER_TIMEOUT ends an idle connection with the first probe behind its time that was not answered; so does this number of probes.
 int probesWithin(SocketLiveness const& liveness)
 {
-    if (liveness.unacknowledged.count() <= 0)
-        return liveness.probes;
-    std::chrono::seconds time = std::chrono::ceil<std::chrono::seconds>(liveness.unacknowledged);
-    int intervals = static_cast<int>((time + liveness.probeAfter - std::chrono::seconds(1)) / liveness.probeAfter);
-    return std::clamp(intervals - 1, 1, std::max(liveness.probes, 1));
+    if (liveness.probeAfter.count() <= 0)
+        return 0;
+    std::chrono::milliseconds interval = liveness.probeAfter;
+    std::chrono::milliseconds rest = std::max(liveness.unacknowledged - interval, std::chrono::milliseconds(1));
+    return static_cast<int>((rest + interval - std::chrono::milliseconds(1)) / interval);
 }
 
 }
@@ -32,14 +32,11 @@
         setNumber(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
         setNumber(handle, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(liveness.probeAfter.count()));
         setNumber(handle, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(liveness.probeAfter.count()));
-        setNumber(handle, IPPROTO_TCP, TCP_KEEPCNT, probesWithin(liveness));
+        setNumber(handle, IPPROTO_TCP, TCP_KEEPCNT, liveness.probes);
     }
     if (liveness.unacknowledged.count() <= 0)
         return nullptr;
-    std::shared_ptr<SilenceWatch> watch = SilenceWatch::create(socket, liveness.unacknowledged, std::move(onSilent));
-    if (!watch)
-        setNumber(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(liveness.unacknowledged.count()));
-    return watch;
+    return SilenceWatch::create(socket, { liveness.unacknowledged, probesWithin(liveness) }, std::move(onSilent));
 }
 
 void breakOff(boost::asio::ip::tcp::socket& socket)
--- a/Libraries/LibHttp/SocketLiveness.h
+++ b/Libraries/LibHttp/SocketLiveness.h
@@ -13,11 +13,11 @@
 struct SocketLiveness {
     std::chrono::milliseconds unacknowledged { 0 }; ///< While sent bytes wait for an acknowledgement and the peer's host sends none.
     std::chrono::seconds probeAfter { 0 }; ///< TCP_KEEPIDLE and TCP_KEEPINTVL: of a connection without traffic.
-    int probes { 3 }; ///< TCP_KEEPCNT: how many of them may go unanswered; fewer if `unacknowledged` is over before.
+    int probes { 3 }; ///< TCP_KEEPCNT: how many of them may go unanswered, unless `unacknowledged` says so.
 };
 
 /// Sets the options on a connected socket; the kernel's refusal leaves its default. Returns what watches the time of
-/// `unacknowledged`, or nothing if the kernel does (TCP_USER_TIMEOUT) or no time is set. `onSilent` as for SilenceWatch.
+/// `unacknowledged`, or nothing if no time is set. `onSilent` as for SilenceWatch.
 /// Precondition: the socket outlives the watch. Use from the socket's thread only.
 std::shared_ptr<SilenceWatch> watchLiveness(boost::asio::ip::tcp::socket&, SocketLiveness const&, std::function<void()> onSilent);
 
--- a/Libraries/LibHttp/SocketQueue.cpp
+++ b/Libraries/LibHttp/SocketQueue.cpp
@@ -27,6 +27,13 @@
     return ::getsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
 }
 
+void limitUnacknowledged(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds time)
+{
+    int value = static_cast<int>(time.count());
+    // Best effort: without the option the kernel's own, longer times hold.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value)));
+}
+
 void closeOrAbort(boost::asio::ip::tcp::socket& socket)
 {
     boost::system::error_code ec; // Without the option the connection closes in the ordinary way.
--- a/Libraries/LibHttp/SocketQueue.h
+++ b/Libraries/LibHttp/SocketQueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
 
 namespace Http {
@@ -16,6 +17,10 @@
 /// Use from the acceptor's thread only.
 std::size_t acceptQueueLength(boost::asio::ip::tcp::acceptor&);
 
+/// Lets the kernel give up bytes that it has held for this long, also behind the socket's close (TCP_USER_TIMEOUT); the time in which
+/// the peer does not read counts. Thread-safe.
+void limitUnacknowledged(boost::asio::ip::tcp::socket&, std::chrono::milliseconds);
+
 /// Closes a connection. If the peer's host has not acknowledged all that was written, discards what the kernel still holds, which
 /// an ordinary close would deliver (RFC 9293, section 3.10.5), and resets the connection. Does nothing if the socket is closed.
 /// Use from the socket's thread only.
--- a/Libraries/LibHttp/TransmitState.cpp
+++ b/Libraries/LibHttp/TransmitState.cpp
@@ -1,11 +1,38 @@
 #include <LibHttp/SocketQueue.h>
 #include <LibHttp/TransmitState.h>
+#include <atomic>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Http {
 
+namespace {
+
+constexpr int mostStatesWithoutTimes = 8;
+
+std::atomic<KernelTimes> s_kernelTimes { KernelTimes::Unknown };
+std::atomic<int> s_statesWithoutTimes { 0 };
+
+bool hasTimes(TransmitState const& state)
+{
+    return state.sinceAcknowledgement.count() > 0 || state.sinceSent.count() > 0 || state.sinceReceived.count() > 0;
+}
+
+}
+
+KernelTimes kernelTimes()
+{
+    return s_kernelTimes;
+}
+
+void noteSettledState(TransmitState const& state)
+{
+    bool isDecided = kernelTimes() != KernelTimes::Unknown || hasTimes(state) || ++s_statesWithoutTimes < mostStatesWithoutTimes;
+    if (!isDecided)
+        s_kernelTimes = KernelTimes::Missing;
+}
+
 std::optional<TransmitState> transmitStateOf(boost::asio::ip::tcp::socket& socket)
 {
     tcp_info info {};
@@ -19,8 +46,12 @@
     state.isWindowClosed = !state.isInFlight && unacknowledgedBytes(socket) > 0;
     state.unansweredProbes = info.tcpi_probes;
     state.retransmissions = info.tcpi_total_retrans;
+    state.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(std::chrono::microseconds(info.tcpi_rtt));
     state.sinceAcknowledgement = std::chrono::milliseconds(info.tcpi_last_ack_recv);
+    state.sinceSent = std::chrono::milliseconds(info.tcpi_last_data_sent);
     state.sinceReceived = std::chrono::milliseconds(info.tcpi_last_data_recv);
+    if (kernelTimes() != KernelTimes::Told && hasTimes(state))
+        s_kernelTimes = KernelTimes::Told;
     return state;
 }
 
--- a/Tests/LibHttp/TestSilenceDetector.cpp
+++ b/Tests/LibHttp/TestSilenceDetector.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <utility>
 
 namespace {
 
@@ -18,30 +19,39 @@
 /// the time before. Its peer's host answers until it goes silent.
 class Sender {
 public:
-    Sender(bool isInFlight, Milliseconds silentFrom)
+    Sender(bool isInFlight, Milliseconds roundTrip, Milliseconds silentFrom)
         : m_silentFrom(silentFrom)
     {
+        m_state.roundTrip = roundTrip;
         m_state.isInFlight = isInFlight;
         m_state.isWindowClosed = !isInFlight;
     }
 
     Http::TransmitState at(Milliseconds now)
     {
-        for (; m_nextSend <= now; m_timeout *= 2, m_nextSend += m_timeout)
-            send(m_nextSend);
+        while (std::min(m_nextSend, m_nextAnswer) <= now)
+            m_nextAnswer <= m_nextSend ? takeAnswer() : send();
         m_state.sinceAcknowledgement = now - m_acknowledgedAt;
         return m_state;
     }
 
 private:
-    void send(Milliseconds now)
+    void send()
     {
         m_state.isInFlight ? ++m_state.retransmissions : ++m_state.unansweredProbes;
-        bool isLimited = !m_state.isInFlight && now - m_acknowledgedAt < answerInterval;
-        if (now >= m_silentFrom || isLimited)
-            return;
+        bool isLimited = !m_state.isInFlight && m_nextSend - m_answeredAt < answerInterval;
+        if (m_nextSend < m_silentFrom && !isLimited) {
+            m_answeredAt = m_nextSend;
+            m_nextAnswer = m_nextSend + m_state.roundTrip;
+        }
+        m_timeout *= 2;
+        m_nextSend += m_timeout;
+    }
+
+    void takeAnswer()
+    {
         m_state.unansweredProbes = 0;
-        m_acknowledgedAt = now;
+        m_acknowledgedAt = std::exchange(m_nextAnswer, Milliseconds::max());
     }
 
     Http::TransmitState m_state;
@@ -49,6 +59,8 @@
     Milliseconds m_acknowledgedAt { 0 };
     Milliseconds m_timeout { firstTimeout };
     Milliseconds m_nextSend { firstTimeout };
+    Milliseconds m_nextAnswer { Milliseconds::max() };
+    Milliseconds m_answeredAt { 0 }; ///< By the peer's host.
 };
 
 /// Returns when the detector finds the peer silent, at most `end`.
@@ -70,19 +82,21 @@
 {
     Milliseconds limit { *rc::gen::inRange(100, 5'000) };
     Milliseconds interval { *rc::gen::inRange(10, 2'000) };
+    Milliseconds roundTrip { *rc::gen::inRange(0, 190) }; // Below the first timeout.
     constexpr Milliseconds end = 10min;
-    RC_ASSERT(silentAt(Sender(isInFlight, end), limit, interval, end) == end);
+    RC_ASSERT(silentAt(Sender(isInFlight, roundTrip, end), limit, interval, end) == end);
 }
 
 RC_GTEST_PROP(SilenceDetector, APeerThatGoesSilentIsNoticed, (bool isInFlight))
 {
     Milliseconds limit { *rc::gen::inRange(100, 5'000) };
-    Milliseconds interval = limit / 4;
+    Milliseconds interval = std::max(limit / 8, 10ms);
+    Milliseconds roundTrip { *rc::gen::inRange(0, 190) };
     Milliseconds silentFrom { *rc::gen::inRange(0, 2'000) };
-    Milliseconds at = silentAt(Sender(isInFlight, silentFrom), limit, interval, 10min);
+    Milliseconds at = silentAt(Sender(isInFlight, roundTrip, silentFrom), limit, interval, 10min);
     RC_ASSERT(at >= limit);
     // The kernel sends again after times that double: two of them at the most lie between its last answer and the evidence.
-    RC_ASSERT(at <= std::max(limit, 8 * (silentFrom + firstTimeout)) + limit);
+    RC_ASSERT(at <= std::max(limit, 8 * (silentFrom + firstTimeout)) + limit + 2 * roundTrip);
 }
 
 TEST(SilenceDetector, AnIdleConnectionThatIsWrittenToIsNotSilentAtOnce)
--- a/Tests/LibHttp/TestSlowPeers.cpp
+++ b/Tests/LibHttp/TestSlowPeers.cpp
@@ -26,9 +26,8 @@
 
 class SlowCallers : public ServerClosing {
 protected:
-    void startWith(Http::Handler handler)
+    void startWith(Http::Handler handler, Http::ServerSettings settings = {})
     {
-        Http::ServerSettings settings;
         settings.liveness.unacknowledged = silenceLimit;
         start(std::move(handler), settings);
     }
@@ -42,6 +41,7 @@
         m_acceptor.set_option(Asio::socket_base::receive_buffer_size(smallBuffer));
         Http::ClientSettings settings;
         settings.liveness.unacknowledged = silenceLimit;
+        settings.writeTimeout = silenceLimit;
         m_client = Http::Client::create(m_context, settings);
     }
 
@@ -146,6 +146,22 @@
     EXPECT_EQ(countOpen(), 0U);
 }
 
+// Guards against an answer that ends with its connection and looks complete although its target's host has gone silent.
+TEST_F(SlowTargets, AnAnswerWithoutALengthIsNotWholeWhenItsHostGoesSilent)
+{
+    std::optional<Tcp::socket> socket;
+    Asio::co_spawn(
+        m_context, [&]() -> Asio::awaitable<void> {
+            socket.emplace(co_await m_acceptor.async_accept(Asio::use_awaitable));
+            co_await Asio::async_write(*socket, Asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nthe first part")), Asio::use_awaitable);
+            SocketPeers::goSilent(*socket); },
+        [](std::exception_ptr const&) {});
+    // The rest of the body waits for the target.
+    Core::Result<Http::Response> answer = fetch(400'000);
+    ASSERT_TRUE(answer.has_error());
+    EXPECT_EQ(answer.error().verdict, Core::Verdict::MayHaveRun);
+}
+
 // Guards against requests that fail because their target reads the body late, although its host acknowledges each window probe.
 TEST_F(SlowTargets, ATargetThatReadsTheBodyLateAnswers)
 {
