LibHttp: Reset answers without a length that a caller takes too long to read

A caller of HTTP/1.0 that read nothing until the time to write was over got bytes and the end of the connection, which ends such an answer: it looked complete. The timeout of a write closes the socket before the reset that abort() asks for. Until such an answer's end, whatever closes the connection now resets it. SlowCallers.AnAnswerWithoutALengthThatIsGivenUpIsReset failed before.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -125,13 +125,16 @@
     {
         m_hasBegun = true;
         Beast::http::response<Beast::http::empty_body> message(makeHead(head.status, head.fields, m_version));
-        if (m_version < httpVersion11)
-            m_isLastRequest = true; // HTTP/1.0 knows no chunks: the end of the connection ends the body.
-        else
+        boost::system::error_code ec;
+        if (m_version >= httpVersion11) {
             message.chunked(true);
+        } else {
+            // HTTP/1.0 knows no chunks: the end of the connection ends the body, and until then whatever closes it must reset it.
+            m_isLastRequest = true;
+            m_stream.socket().set_option(Asio::socket_base::linger(true, 0), ec);
+        }
         message.keep_alive(keepsAlive());
         Beast::http::response_serializer<Beast::http::empty_body> serializer(message);
-        boost::system::error_code ec;
         beginWrite();
         co_await Beast::http::async_write_header(m_stream, serializer, Asio::redirect_error(Asio::use_awaitable, ec));
         endWrite();
@@ -155,6 +158,10 @@
     Asio::awaitable<Core::Result<void>> finish() override
     {
         m_isEnded = true;
+        if (m_version < httpVersion11) {
+            boost::system::error_code ec;
+            m_stream.socket().set_option(Asio::socket_base::linger(false, 0), ec);
+        }
         if (m_version < httpVersion11 || m_isHeadMethod)
             co_return Core::ok();
         boost::system::error_code ec;
@@ -169,7 +176,7 @@
         m_isLastRequest = true;
         boost::system::error_code ec;
         // The end of the connection may not look like that of the body, nor wait for a caller that does not read.
-        bool isReset = m_state == ConnectionState::Serving && (m_isWriting || (m_hasBegun && m_version < httpVersion11));
+        bool isReset = m_state == ConnectionState::Serving && m_isWriting;
         if (isReset)
             m_stream.socket().set_option(Asio::socket_base::linger(true, 0), ec);
         m_stream.socket().close(ec);
--- a/Tests/LibHttp/TestSlowPeers.cpp
+++ b/Tests/LibHttp/TestSlowPeers.cpp
@@ -146,6 +146,31 @@
     EXPECT_EQ(countOpen(), 0U);
 }
 
+// Guards against an answer that ends with its connection and looks complete although its caller took too long to read it.
+TEST_F(SlowCallers, AnAnswerWithoutALengthThatIsGivenUpIsReset)
+{
+    Http::ServerSettings settings;
+    settings.writeTimeout = 500ms;
+    startWith([](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        std::ignore = co_await writer.begin(Http::ResponseHead());
+        Core::Result<void> written = co_await writer.write(std::string(8'000'000, 'a'));
+        if (written.has_value())
+            std::ignore = co_await writer.finish();
+    },
+        settings);
+    Tcp::socket socket(m_context);
+    socket.open(m_endpoint.protocol());
+    socket.set_option(Asio::socket_base::receive_buffer_size(smallBuffer));
+    socket.connect(m_endpoint);
+    Asio::write(socket, Asio::buffer(std::string_view("GET /old HTTP/1.0\r\n\r\n")));
+    std::this_thread::sleep_for(1'500ms);
+    std::string bytes;
+    boost::system::error_code ec;
+    Asio::read(socket, Asio::dynamic_buffer(bytes), ec);
+    EXPECT_LT(bytes.size(), 8'000'000U);
+    EXPECT_EQ(ec, Asio::error::connection_reset);
+}
+
 // Guards against an answer that ends with its connection and looks complete although its target's host has gone silent.
 TEST_F(SlowTargets, AnAnswerWithoutALengthIsNotWholeWhenItsHostGoesSilent)
 {
