LibHttp, LibPeer: Go on accepting behind a connection that was given up

Asio's accept that does not block waits all the same when the kernel reports a connection as aborted, unless the caller asks to be told. The test of many new connections counts them in the handler, where no scheduling of its own thread changes the number. A wait that the kernel does not tell is no longer observed as 0.

--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -63,7 +63,8 @@
             logUnanswered(end);
     });
     thread->m_server->onAccepted([&metrics = parts.shared.metrics](Http::AcceptedConnections const& accepted) {
-        metrics.observe(TimeOf::Accept, accepted.longestWait.value_or(std::chrono::milliseconds(0)));
+        if (accepted.longestWait)
+            metrics.observe(TimeOf::Accept, *accepted.longestWait);
         if (accepted.longestWait > lateAccept)
             Core::logEvent(Core::Severity::Info, Core::Event::ConnectionsAcceptedLate, { { "connections", std::to_string(accepted.count) }, { "waited_ms", std::to_string(accepted.longestWait->count()) } });
     });
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -113,6 +113,8 @@
         for (; n < most; ++n) {
             boost::system::error_code ec;
             Tcp::socket socket = acceptor.accept(ec);
+            if (ec == Asio::error::connection_aborted)
+                continue;
             if (ec)
                 break;
             serve(std::move(socket), shared, connections);
@@ -160,6 +162,8 @@
             }
             if (shared->isStopped)
                 co_return;
+            if (ec == Asio::error::connection_aborted)
+                continue;
             // Out of descriptors, most likely: accepting at once again would only spin.
             Asio::steady_timer timer(acceptor->get_executor(), acceptPause);
             co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
@@ -189,6 +193,9 @@
         acceptor.listen(Asio::socket_base::max_listen_connections, ec);
     if (!ec)
         acceptor.non_blocking(true, ec);
+    // Otherwise an accept that does not block waits all the same, behind a connection that was given up.
+    if (!ec)
+        acceptor.set_option(Asio::socket_base::enable_connection_aborted(true), ec);
     if (ec)
         return Core::fail(Core::ErrorCode::Unavailable, "cannot listen on " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + ec.message());
 
--- a/Libraries/LibPeer/ServerState.cpp
+++ b/Libraries/LibPeer/ServerState.cpp
@@ -33,6 +33,9 @@
         m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
     if (!ec)
         m_acceptor.non_blocking(true, ec);
+    // Otherwise an accept that does not block waits all the same, behind a connection that was given up.
+    if (!ec)
+        m_acceptor.set_option(boost::asio::socket_base::enable_connection_aborted(true), ec);
     if (ec)
         return Core::fail(Core::ErrorCode::Unavailable, "Listening for other daemons failed: " + ec.message());
     m_endpoint = m_acceptor.local_endpoint(ec);
@@ -52,6 +55,10 @@
             self->accept();
             return;
         }
+        if (ec == boost::asio::error::connection_aborted) {
+            self->accept();
+            return;
+        }
         self->m_acceptTimer.expires_after(acceptPause);
         self->m_acceptTimer.async_wait([weak](boost::system::error_code timerError) {
             std::shared_ptr<ServerState> const later = weak.lock();
@@ -71,6 +78,8 @@
     for (std::size_t n = 1; n < mostAcceptedAtOnce; ++n) {
         boost::system::error_code ec;
         boost::asio::ip::tcp::socket socket = m_acceptor.accept(ec);
+        if (ec == boost::asio::error::connection_aborted)
+            continue;
         if (ec)
             return;
         serve(std::move(socket));
--- a/Tests/LibHttp/TestServerOverload.cpp
+++ b/Tests/LibHttp/TestServerOverload.cpp
@@ -18,8 +18,10 @@
             while (std::chrono::steady_clock::now() < end) { }
             if (request.target.starts_with("/new"))
                 m_keptBeforeLastNew = m_kept.load();
-            else
+            else {
                 ++m_kept;
+                m_openAtLastKept = m_server->openConnections();
+            }
             std::ignore = co_await writer.send(Http::Response());
         };
     }
@@ -36,6 +38,7 @@
 
     std::atomic<std::size_t> m_kept { 0 }; ///< Requests of kept connections that were handled.
     std::atomic<std::size_t> m_keptBeforeLastNew { 0 };
+    std::atomic<std::size_t> m_openAtLastKept { 0 }; ///< Connections.
 };
 
 }
@@ -76,7 +79,6 @@
     constexpr std::size_t waiting = 1'000;
     start(working());
     std::vector<std::unique_ptr<Caller>> callers = keptConnections(1);
-    std::atomic<std::size_t> newBeforeKept { 0 };
     std::promise<void> isBusy;
     std::promise<void> mayGoOn;
     post([&] {
@@ -89,10 +91,7 @@
     callers.front()->write(headOf("kept"));
     mayGoOn.set_value();
     EXPECT_TRUE(callers.front()->readAnswer());
-    std::promise<std::size_t> open;
-    post([&] { open.set_value(m_server->openConnections()); });
-    newBeforeKept = open.get_future().get();
-    EXPECT_LT(newBeforeKept, waiting / 2);
+    EXPECT_LT(m_openAtLastKept, waiting / 2);
     for (std::unique_ptr<Caller> const& caller : late)
         EXPECT_TRUE(caller->readAnswer());
 }
