--- a/Libraries/LibPeer/ServerState.h
+++ b/Libraries/LibPeer/ServerState.h
@@ -14,8 +14,6 @@
 
     Core::Result<void> listen(boost::asio::ip::tcp::endpoint const&);
     void accept();
-    void acceptWaiting();
-    void serve(boost::asio::ip::tcp::socket);
     boost::asio::ip::tcp::endpoint localEndpoint() const { return m_endpoint; }
     void shutDown(std::function<void()> onDone);
     /// Closes everything without calling a hook.
@@ -30,6 +28,8 @@
     void handleClosed(std::shared_ptr<ServerConnection> const&);
 
 private:
+    void acceptWaiting();
+    void serve(boost::asio::ip::tcp::socket);
     void finishIfDone();
 
     boost::asio::io_context& m_context;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -245,8 +245,8 @@
     keys.push_back(numberKey<Owned>("targets", "connect_timeout_ms", "Time for a connection to a target to be made.", 1, maximumMilliseconds, targetsOf, &Http::ClientSettings::connectTimeout));
     keys.push_back(addressKey("targets", "local_address", "The local address of connections to targets, on a VM with several; left out: the kernel chooses.", targetsOf, &Http::ClientSettings::localAddress));
     keys.push_back(numberKey<Owned>("targets", "keep_ms", "How long an unused connection to a target is kept.", 0, maximumMilliseconds, targetsOf, &Http::ClientSettings::keepTime));
-    keys.push_back(numberKey<Owned>("targets", "unacknowledged_ms", "A connection fails whose bytes are not acknowledged for this long; 0: the kernel's time.", 0, maximumMilliseconds, targetLivenessOf, &Http::SocketLiveness::unacknowledged));
-    keys.push_back(numberKey<Owned>("targets", "probe_s", "A silent connection is probed after this long, three times; 0: not at all.", 0, 3600, targetLivenessOf, &Http::SocketLiveness::probeAfter));
+    keys.push_back(numberKey<Owned>("targets", "unacknowledged_ms", "A connection fails when bytes wait for this long and the peer's host acknowledges nothing; one that does not read but acknowledges is kept. 0: the kernel's time.", 0, maximumMilliseconds, targetLivenessOf, &Http::SocketLiveness::unacknowledged));
+    keys.push_back(numberKey<Owned>("targets", "probe_s", "An idle connection is probed after this long, three times, or as often as unacknowledged_ms allows; 0: not at all.", 0, 3600, targetLivenessOf, &Http::SocketLiveness::probeAfter));
     keys.push_back(numberKey<Owned>("callers", "unacknowledged_ms", "As for [targets].", 0, maximumMilliseconds, callerLivenessOf, &Http::SocketLiveness::unacknowledged));
     keys.push_back(numberKey<Owned>("callers", "probe_s", "As for [targets].", 0, 3600, callerLivenessOf, &Http::SocketLiveness::probeAfter));
     keys.push_back(choiceKey("routing", "policy", "How a target is chosen among the allowed ones.", Routing::policyNames, routingOf, &Routing::Settings::policy));
