--- a/Libraries/LibHttp/TransmitState.cpp
+++ b/Libraries/LibHttp/TransmitState.cpp
@@ -11,8 +11,8 @@
 
 constexpr int mostStatesWithoutTimes = 8;
 
-std::atomic<KernelTimes> s_kernelTimes { KernelTimes::Unknown };
-std::atomic<int> s_statesWithoutTimes { 0 };
+std::atomic<KernelTimes> seenKernelTimes { KernelTimes::Unknown };
+std::atomic<int> statesWithoutTimes { 0 };
 
 bool hasTimes(TransmitState const& state)
 {
@@ -23,14 +23,14 @@
 
 KernelTimes kernelTimes()
 {
-    return s_kernelTimes;
+    return seenKernelTimes;
 }
 
 void noteSettledState(TransmitState const& state)
 {
-    bool isDecided = kernelTimes() != KernelTimes::Unknown || hasTimes(state) || ++s_statesWithoutTimes < mostStatesWithoutTimes;
+    bool isDecided = kernelTimes() != KernelTimes::Unknown || hasTimes(state) || ++statesWithoutTimes < mostStatesWithoutTimes;
     if (!isDecided)
-        s_kernelTimes = KernelTimes::Missing;
+        seenKernelTimes = KernelTimes::Missing;
 }
 
 std::optional<TransmitState> transmitStateOf(boost::asio::ip::tcp::socket& socket)
@@ -51,7 +51,7 @@
     state.sinceSent = std::chrono::milliseconds(info.tcpi_last_data_sent);
     state.sinceReceived = std::chrono::milliseconds(info.tcpi_last_data_recv);
     if (kernelTimes() != KernelTimes::Told && hasTimes(state))
-        s_kernelTimes = KernelTimes::Told;
+        seenKernelTimes = KernelTimes::Told;
     return state;
 }
 
