Tests: Report each request without a whole answer in the soak and at planned stops

Cause: both said only that a request had got no answer, and its error. Twice a report of lost requests could not be traced from that.

Change: UnansweredReport says of each such request when it was written relative to the last signal that its daemon had got when it ended, how long it waited, how much of an answer had come, how often it ran, the error, and the daemon's own lines 2015, 2024 and 1005 within half a second of the end. The injector keeps the signals that it sends to daemons. No verdict changes.

--- a/Tests/Processes/ConnectionLoad.h
+++ b/Tests/Processes/ConnectionLoad.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "KeyedSite.h"
-#include "TimedAnswer.h"
+#include "UnansweredReport.h"
 
 #include <atomic>
 #include <memory>
@@ -18,13 +18,6 @@
     std::uint64_t seed { 1 };
 };
 
-/// A request of a load that got no whole answer although a connection had taken it.
-struct Unanswered {
-    std::string id;
-    std::size_t daemon { 0 };
-    TimedAnswer answer;
-};
-
 /// Callers on threads of their own who ask all daemons of a site, safe and unsafe requests in turn, over connections that
 /// they keep, and who go on using a daemon until its process is gone.
 class ConnectionLoad {
--- a/Tests/Processes/FaultInjector.cpp
+++ b/Tests/Processes/FaultInjector.cpp
@@ -47,6 +47,12 @@
     m_done.push_back(std::to_string(at.count()) + " ms " + std::move(text));
 }
 
+void FaultInjector::send(std::string const& name, int signal)
+{
+    m_signals.push_back({ name, signal, Clock::now() });
+    m_site.process(name).send(signal);
+}
+
 void FaultInjector::undoUntil(Clock::time_point until)
 {
     while (!m_undo.empty() && m_undo.begin()->first <= until) {
@@ -107,9 +113,9 @@
     Milliseconds time = between(200, 2'500);
     note("pause " + name + " for " + std::to_string(time.count()) + " ms");
     Clock::time_point from = Clock::now();
-    m_site.process(name).send(SIGSTOP);
+    send(name, SIGSTOP);
     undoLater(time, [this, name, from] {
-        m_site.process(name).send(SIGCONT);
+        send(name, SIGCONT);
         m_impairments.push_back({ name, from, Clock::now() });
         m_busy.erase(name);
     });
@@ -124,9 +130,12 @@
     Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
     note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
     Clock::time_point from = Clock::now();
-    m_site.process(name).send(signal);
+    send(name, signal);
     undoLater(time, [this, n, name, signal, from] {
-        m_site.process(name).kill();
+        if (!m_site.process(name).status()) {
+            send(name, SIGKILL);
+            m_site.process(name).kill();
+        }
         m_site.startDaemon(n);
         if (signal != SIGTERM)
             m_impairments.push_back({ name, from, Clock::now() });
--- a/Tests/Processes/FaultInjector.h
+++ b/Tests/Processes/FaultInjector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "KeyedSite.h"
+#include "SentSignal.h"
 
 #include <chrono>
 #include <cstdint>
@@ -38,6 +39,9 @@
     /// Returns the spans in which processes were impaired. Precondition: `run` has returned.
     std::vector<Impairment> const& impairments() const { return m_impairments; }
 
+    /// Returns what the daemons were sent, in the order of time.
+    std::vector<SentSignal> const& signals() const { return m_signals; }
+
     /// Returns the version of the last configuration that was written.
     std::uint64_t version() const { return m_version; }
 
@@ -51,6 +55,7 @@
     std::string anyTarget();
     std::string anyLink();
     void note(std::string text);
+    void send(std::string const& name, int signal);
     void undoLater(Milliseconds after, Action undo);
     void undoUntil(Clock::time_point until);
 
@@ -75,6 +80,7 @@
     std::set<std::string> m_busy;
     std::vector<std::string> m_done;
     std::vector<Impairment> m_impairments;
+    std::vector<SentSignal> m_signals;
     std::uint64_t m_version { 1 };
 };
 
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -3,6 +3,7 @@
 #include "FaultInjector.h"
 #include "KeyedSite.h"
 #include "TimedAnswer.h"
+#include "UnansweredReport.h"
 
 #include <LibCore/EnumNames.h>
 #include <algorithm>
@@ -188,9 +189,7 @@
         ++m_report.requests;
         std::uint16_t status = asked.status();
         m_report.served += status == 200 ? 1 : 0;
-        std::map<std::string, std::uint64_t> const& counts = asked.kind == Kind::Stream ? m_engineRuns : m_appRuns;
-        std::map<std::string, std::uint64_t>::const_iterator it = counts.find(asked.id);
-        std::uint64_t runs = it != counts.end() ? it->second : 0;
+        std::uint64_t runs = runsOf(asked);
         if (asked.kind == Kind::Unsafe && runs > 1)
             blame(asked, "ran " + std::to_string(runs) + " times");
         if (isPromise(status) && runs > 0)
@@ -213,6 +212,14 @@
             m_report.violations.push_back(std::to_string(m_late) + " of " + std::to_string(m_long) + " requests that took longer than their time had no answer half a second behind it");
     }
 
+    /// Returns how often a request ran, as far as targets remember.
+    std::uint64_t runsOf(Asked const& asked) const
+    {
+        std::map<std::string, std::uint64_t> const& counts = asked.kind == Kind::Stream ? m_engineRuns : m_appRuns;
+        std::map<std::string, std::uint64_t>::const_iterator it = counts.find(asked.id);
+        return it != counts.end() ? it->second : 0;
+    }
+
 private:
     static void collect(Endpoint const& target, std::map<std::string, std::uint64_t>& counts)
     {
@@ -317,9 +324,13 @@
     checkRecovery(site, injector.version(), report);
     std::this_thread::sleep_for(settleTime);
     Judge judge(site, injector.impairments(), report);
+    UnansweredReport unanswered(site, injector.signals());
     for (std::unique_ptr<Caller> const& caller : callers.all()) {
-        for (Asked const& asked : caller->asked())
+        for (Asked const& asked : caller->asked()) {
             judge.judge(asked);
+            if (asked.answer.wasSent && !asked.answer.response)
+                report.unanswered.push_back(std::string(Core::nameOf(kindNames, asked.kind)) + " " + unanswered.text({ asked.id, asked.daemon, asked.answer }, judge.runsOf(asked)));
+        }
     }
     judge.judgeAll();
     return report;
--- a/Tests/Processes/Soak.h
+++ b/Tests/Processes/Soak.h
@@ -19,6 +19,7 @@
 struct SoakReport {
     std::vector<std::string> violations; ///< One line each, with the request's id; empty when all promises were kept.
     std::vector<std::string> faults; ///< What was done, with its moment.
+    std::vector<std::string> unanswered; ///< What is known of each request without a whole answer, excused or not.
     std::size_t requests { 0 };
     std::size_t served { 0 };
     std::size_t divisions { 0 }; ///< How often daemons began or ended to divide scarce places, as far as their last processes logged.
--- a/Tests/Processes/SoakMain.cpp
+++ b/Tests/Processes/SoakMain.cpp
@@ -6,22 +6,25 @@
 namespace {
 
 // Prints one line a run, and all that was done and seen where a promise was broken.
-bool runSeed(std::uint64_t seed, std::chrono::milliseconds duration, bool isUneven)
+bool runSeed(std::uint64_t seed, std::chrono::milliseconds duration, bool isUneven, bool reportsAll)
 {
     Processes::SoakSettings settings;
     settings.seed = seed;
     settings.duration = duration;
     settings.isUneven = isUneven;
     Processes::SoakReport report = Processes::runSoak(settings);
-    std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.divisions << " times divided, " << report.violations.size() << " violations" << std::endl;
-    if (report.violations.empty())
+    std::cout << "seed " << seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.divisions << " times divided, " << report.violations.size() << " violations, " << report.unanswered.size() << " without a whole answer" << std::endl;
+    bool isGood = report.violations.empty();
+    if (isGood && !reportsAll)
         return true;
     for (std::string const& fault : report.faults)
         std::cout << "  did " << fault << "\n";
     for (std::string const& violation : report.violations)
         std::cout << "  saw " << violation << "\n";
+    for (std::string const& it : report.unanswered)
+        std::cout << "  without a whole answer: " << it << "\n";
     std::cout << std::flush;
-    return false;
+    return isGood;
 }
 
 }
@@ -33,6 +36,7 @@
     options.add_options()("seeds", "How many seeds, from 1 to 10000", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
     options.add_options()("seconds", "How long faults go on in each run, from 1 to 3600", cxxopts::value<std::uint64_t>()->default_value("8"), "S");
     options.add_options()("uneven", "Targets differ in speed, and plain ones have fewer places than there are callers");
+    options.add_options()("report", "Print faults and requests without a whole answer, also where all promises were kept");
     options.add_options()("h,help", "Print this help");
     try {
         cxxopts::ParseResult arguments = options.parse(argc, argv);
@@ -48,7 +52,7 @@
         }
         bool isGood = true;
         for (std::uint64_t n = 0; n < seeds; ++n)
-            isGood = runSeed(arguments["first"].as<std::uint64_t>() + n, std::chrono::seconds(seconds), arguments.count("uneven") != 0) && isGood;
+            isGood = runSeed(arguments["first"].as<std::uint64_t>() + n, std::chrono::seconds(seconds), arguments.count("uneven") != 0, arguments.count("report") != 0) && isGood;
         return isGood ? 0 : 1;
     } catch (std::exception const& exception) {
         std::cerr << "currantvale-soak: " << exception.what() << "\n";
--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -3,7 +3,9 @@
 #include "ConnectionLoad.h"
 #include "KeyedSite.h"
 #include "RawCaller.h"
+#include "UnansweredReport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <fcntl.h>
@@ -72,13 +74,16 @@
         start(5s);
         BusyThreads busy(busyThreads);
         ConnectionLoad load(*m_site, settings);
+        std::vector<SentSignal> signals;
         for (int n = 0; n < stops; ++n) {
             std::size_t daemon = static_cast<std::size_t>(n) % KeyedSite::daemonCount();
             Process& process = m_site->process(KeyedSite::daemonName(daemon));
             std::this_thread::sleep_for(500ms);
             m_site->configure(static_cast<std::uint64_t>(n) + 2, "app");
-            process.send(SIGHUP);
-            process.send(SIGTERM);
+            for (int signal : { SIGHUP, SIGTERM }) {
+                signals.push_back({ KeyedSite::daemonName(daemon), signal, std::chrono::steady_clock::now() });
+                process.send(signal);
+            }
             ASSERT_TRUE(waitFor([&] { return process.status().has_value(); }));
             EXPECT_EQ(process.status(), 0);
             m_site->startDaemon(daemon);
@@ -88,6 +93,7 @@
         busy.stop();
         std::vector<Unanswered> unanswered = load.unanswered();
         std::cout << load.sent() << " requests, " << unanswered.size() << " without an answer" << std::endl;
+        printReport(unanswered, std::move(signals));
         for (Unanswered const& it : unanswered) {
             std::uint64_t runs = m_site->runs(m_site->apps(), it.id);
             EXPECT_EQ(runs, 0U) << it.id << " ran, and got no answer: " << it.answer.error;
@@ -97,6 +103,14 @@
         }
     }
 
+    void printReport(std::vector<Unanswered> const& unanswered, std::vector<SentSignal> signals) const
+    {
+        constexpr std::size_t mostPrinted = 50;
+        UnansweredReport report(*m_site, std::move(signals));
+        for (std::size_t n = 0; n < std::min(unanswered.size(), mostPrinted); ++n)
+            std::cout << "without an answer: " << report.text(unanswered[n], m_site->runs(m_site->apps(), unanswered[n].id)) << std::endl;
+    }
+
     std::optional<KeyedSite> m_site;
 };
 
--- a/Tests/Processes/TestSoak.cpp
+++ b/Tests/Processes/TestSoak.cpp
@@ -3,6 +3,7 @@
 #include "Soak.h"
 
 #include <gtest/gtest.h>
+#include <iostream>
 
 namespace {
 
@@ -21,6 +22,8 @@
         for (std::string const& fault : report.faults)
             ADD_FAILURE() << fault;
     }
+    for (std::string const& it : report.unanswered)
+        std::cout << "without a whole answer: " << it << "\n";
 }
 
 }
--- a/Tests/Processes/TimedAnswer.cpp
+++ b/Tests/Processes/TimedAnswer.cpp
@@ -23,12 +23,22 @@
         co_return answer;
     }
     answer.wasSent = answer.hasBegun = true;
-    Core::Result<Http::Response> response = co_await Http::readWhole(exchange, bodyLimit);
-    answer.endedAt = Clock::now();
-    if (response.has_value())
-        answer.response = std::move(response.value());
-    else
-        answer.error = response.error().message;
+    Http::Response response { exchange.head().status, exchange.head().fields, {} };
+    while (answer.receivedBytes <= bodyLimit) {
+        Core::Result<std::optional<std::string>> piece = co_await exchange.read();
+        answer.endedAt = Clock::now();
+        if (piece.has_error()) {
+            answer.error = piece.error().message;
+            co_return answer;
+        }
+        if (!piece.value()) {
+            answer.response = std::move(response);
+            co_return answer;
+        }
+        response.body += *piece.value();
+        answer.receivedBytes = response.body.size();
+    }
+    answer.error = "the response is larger than " + std::to_string(bodyLimit) + " bytes";
     co_return answer;
 }
 
