LibDaemon, LibHttp: Leave a quarter of the descriptors to what serves callers' requests

Callers' connections now take three quarters at the most, of what the process is allowed; those beyond are told so at once, as many as there is room for.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/Server.h>
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SocketQueue.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -22,6 +23,8 @@
 constexpr std::size_t mostAcceptedAtOnce = 64;
 constexpr std::size_t mostWaiting = 2 * SOMAXCONN; ///< Connections that are taken over when the server stops.
 constexpr std::size_t mostRefused = 256; ///< Connections beyond the limit that are open to be told so.
+constexpr std::size_t leastRefused = 2;
+constexpr std::size_t refusedDivisor = 8; ///< Of the limit: descriptors are scarce where that is low.
 
 /// Handles of the connections that are open, and of some that have closed.
 class Connections {
@@ -125,7 +128,7 @@
     static void serve(Tcp::socket socket, std::shared_ptr<ServerShared> const& shared, Connections& connections)
     {
         Admission admission = shared->connections < shared->settings.connectionLimit ? Admission::Served : Admission::Refused;
-        if (admission == Admission::Refused && shared->refusedConnections >= mostRefused) {
+        if (admission == Admission::Refused && shared->refusedConnections >= std::clamp(shared->settings.connectionLimit / refusedDivisor, leastRefused, mostRefused)) {
             if (shared->onConnectionEnd)
                 shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
             return;
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -186,7 +186,7 @@
     keys.push_back(numberKey<Owned>("callers", "head_timeout_ms", "Time for a request's head to arrive.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::headTimeout));
     keys.push_back(numberKey<Owned>("callers", "body_timeout_ms", "Time for a request's body to arrive.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::bodyTimeout));
     keys.push_back(numberKey<Owned>("callers", "idle_timeout_ms", "How long an unused connection is kept.", 1, maximumMilliseconds, serverOf, &Http::ServerSettings::idleTimeout));
-    keys.push_back(numberKey<Owned>("callers", "connection_limit", "Most open connections per traffic thread.", 1, 1'000'000, serverOf, &Http::ServerSettings::connectionLimit));
+    keys.push_back(numberKey<Owned>("callers", "connection_limit", "Most open connections per traffic thread; all threads together use three quarters of the process's descriptors at the most.", 1, 1'000'000, serverOf, &Http::ServerSettings::connectionLimit));
     keys.push_back(numberKey<Owned>("callers", "list_hold_ms", "How long callers may keep the list of addresses; a leaving daemon serves at least that long.", 100, maximumMilliseconds, callersOf, &Owned::Callers::listHold));
     keys.push_back(numberKey<Owned>("callers", "leave_hold_ms", "How long a leaving daemon goes on accepting, where callers keep the list for longer than they are told; 0: for list_hold_ms.", 0, maximumMilliseconds, callersOf, &Owned::Callers::leaveHold));
     keys.push_back(numberKey<Owned>("callers", "default_deadline_ms", "Deadline of a request that names none.", 1, maximumMilliseconds, callersOf, &Owned::Callers::defaultDeadline));
