LibDaemon: Log and count streams that go on at another target, and name releases in placements

Why: on the record of the incident joined releases it cannot be told which continued streams had delivered events, nor which releases were involved, and a caller's resumption looks like a new request. Hypotheses 1 (choice within an answer), 2 (callers' resumptions) and 3 (a release that is known wrongly) cannot be told apart.

Change: 2025 stream-continued when a stream that has begun is sent to a target, with both targets and releases; currantvale_streams_continued_total{in}; 2001 route-decided names the target's release. `Work::resumption` says what a caller resumes; nothing depends on it yet.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -40,6 +40,7 @@
     RefusedForFleet = 2021,
     SlowReaderCut = 2023,
     ConnectionsAcceptedLate = 2024,
+    StreamContinued = 2025,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -86,7 +87,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 75> eventNames { {
+inline constexpr EnumNames<Event, 76> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -118,6 +119,7 @@
     { Event::RefusedForFleet, "refused-for-fleet" },
     { Event::SlowReaderCut, "slow-reader-cut" },
     { Event::ConnectionsAcceptedLate, "connections-accepted-late" },
+    { Event::StreamContinued, "stream-continued" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -54,6 +54,9 @@
         std::string reason(it.second);
         m_connectionEnds[static_cast<std::size_t>(it.first)] = { &ends.Add({ { "reason", reason }, { "unanswered", "no" } }), &ends.Add({ { "reason", reason }, { "unanswered", "yes" } }) };
     }
+    prometheus::Family<prometheus::Counter>& continued = prometheus::BuildCounter().Name("currantvale_streams_continued_total").Help("Streams that were sent to a further target to go on there, by the answer that they go on in.").Register(*m_registry);
+    for (std::pair<ContinuedIn, std::string_view> const& it : continuedInNames)
+        m_continued[static_cast<std::size_t>(it.first)] = &continued.Add({ { "in", std::string(it.second) } });
     m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
 }
 
@@ -102,6 +105,11 @@
     m_decisions[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::countContinued(ContinuedIn where)
+{
+    m_continued[static_cast<std::size_t>(where)]->Increment();
+}
+
 void Metrics::countOverduePrompt()
 {
     m_overduePrompts->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -85,6 +85,17 @@
     { CallerLeftAt::Sent, "sent" },
 } };
 
+/// Where a stream goes on at another target than the one that its last delivered event is from.
+enum class ContinuedIn : std::uint8_t {
+    SameAnswer, ///< In the answer that it began in.
+    FurtherAnswer, ///< In the answer to a request with which its caller resumes it.
+};
+
+inline constexpr Core::EnumNames<ContinuedIn, 2> continuedInNames { {
+    { ContinuedIn::SameAnswer, "same_answer" },
+    { ContinuedIn::FurtherAnswer, "further_answer" },
+} };
+
 /// The daemon's metrics (prometheus-cpp), given out as text by the operators' listener. Thread-safe.
 class Metrics {
 public:
@@ -108,6 +119,9 @@
     /// Counts a request whose prompt is left to the target that generates its output.
     void countWholeRun();
 
+    /// Counts a stream that was sent to a target to go on there.
+    void countContinued(ContinuedIn);
+
     /// Notes a time that a request spent.
     void observe(TimeOf, std::chrono::nanoseconds);
 
@@ -149,6 +163,7 @@
     std::array<prometheus::Counter*, callerLeftNames.size()> m_callersLeft {};
     std::array<std::array<prometheus::Counter*, 2>, Http::connectionEndReasonNames.size()> m_connectionEnds {};
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
+    std::array<prometheus::Counter*, continuedInNames.size()> m_continued {};
     prometheus::Counter* m_retries;
     prometheus::Counter* m_relays;
     prometheus::Counter* m_overduePrompts;
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -105,6 +105,7 @@
     co_await leg->goAhead.wait();
     if (leg->isAbandoned || !maySend())
         co_return;
+    noteContinued();
     beginRun(*target, RunStep::Answer);
     bool isEventHead = m_work.kind == Work::Kind::Model && m_work.isStreamed && !m_context.targets.hidesSilence;
     leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -82,6 +82,7 @@
     if (leg->isAbandoned || !maySend())
         co_return;
     leg->exchange->setHeadTimeout(timeLeft() + deadlineSlack);
+    noteContinued();
     std::string lastEventId = m_machine.deliveredPieces() > 0 ? m_lastEventId : std::string();
     Http::Request request = m_context.callers.relayed(m_work, timeLeft(), lastEventId);
     request.fields.set(std::string(relayHeader), m_context.settings.daemon.name);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -29,6 +29,11 @@
     return piece ? piece->bytes.size() : 0;
 }
 
+std::string toLogText(std::string const& release)
+{
+    return release.empty() ? "-" : release;
+}
+
 std::string millisecondsSince(Clock::time_point start, Clock::time_point end)
 {
     return std::to_string(std::chrono::duration<double, std::milli>(end - start).count());
@@ -213,6 +218,7 @@
         co_await m_sink->head(std::move(delivered));
     } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
         Clock::time_point now = Clock::now();
+        m_streamTarget = m_target;
         if (piece->position == 0) {
             m_firstPieceAt = now;
             m_context.metrics.observe(TimeOf::FirstPiece, now - m_startedAt);
@@ -365,7 +371,7 @@
     if (!Core::isLogged(Core::Severity::Info))
         return;
     Routing::Decision const& decision = outcome.decision;
-    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+    Core::logEvent(Core::Severity::Info, Core::Event::RouteDecided, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "attempt", std::to_string(attempt) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "target", m_fleet->targets[*outcome.position].name }, { "release", toLogText(m_fleet->targets[*outcome.position].release) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, decision.reason)) }, { "score", std::to_string(decision.score) }, { "runner_up_score", std::to_string(decision.runnerUpScore) }, { "considered", std::to_string(decision.considered) }, { "allowed", std::to_string(m_allowed.size()) }, { "prefill_ms", std::to_string(std::lround(outcome.prefillSeconds * millisecondsPerSecond)) }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
 }
 
 std::string RequestRunner::fleetAge() const
@@ -381,6 +387,20 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_fleet->listConfirmedAt->load()).count());
 }
 
+void RequestRunner::noteContinued() const
+{
+    bool isWithinAnswer = m_machine.deliveredPieces() > 0;
+    if (!isWithinAnswer && !m_work.resumption)
+        return;
+    ContinuedIn where = isWithinAnswer ? ContinuedIn::SameAnswer : ContinuedIn::FurtherAnswer;
+    m_context.metrics.countContinued(where);
+    FleetTarget const* from = targetOf(m_streamTarget);
+    FleetTarget const* to = targetOf(m_target);
+    std::string stream = m_work.resumption ? m_work.resumption->streamId : m_work.requestId;
+    std::string const& lastEventId = isWithinAnswer ? m_lastEventId : m_work.resumption->lastEventId;
+    Core::logEvent(Core::Severity::Info, Core::Event::StreamContinued, { { "request", m_work.requestId }, { "stream", stream }, { "in", std::string(Core::nameOf(continuedInNames, where)) }, { "last_event", lastEventId }, { "from", m_streamTarget.empty() ? "-" : m_streamTarget }, { "from_release", toLogText(from ? from->release : std::string()) }, { "to", m_target }, { "to_release", toLogText(to ? to->release : std::string()) } });
+}
+
 void RequestRunner::noteCallerLeft() const
 {
     CallerLeftAt step = CallerLeftAt::Unplaced;
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -127,6 +127,7 @@
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
     std::string fleetAge() const;
     std::string listAge() const;
+    void noteContinued() const;
     void noteCallerLeft() const;
     void logFinish(Request::Finish const&) const;
 
@@ -166,6 +167,7 @@
     bool m_keepsPrompt { false }; ///< The next attempt reuses the KV cache that this one did not fetch.
     bool m_hasReusedPrompt { false }; ///< A target has already refused a decode that had a KV cache to fetch.
     int m_urgency { 5 }; ///< Of the current send.
+    std::string m_streamTarget; ///< Name of the target or peer that the last delivered piece is from; empty: none was delivered.
     std::string m_lastEventId; ///< Of the last event that was delivered; empty if none had an id.
     std::chrono::steady_clock::time_point m_firstPieceAt;
     std::chrono::steady_clock::time_point m_lastPieceAt;
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -17,6 +17,12 @@
 
 namespace Daemon {
 
+/// A stream that its caller resumes with a new request because the answer to an earlier one broke off.
+struct Resumption {
+    std::string streamId; ///< Id of the request that brought the stream's first event; empty if the caller does not name it.
+    std::string lastEventId; ///< The stream is to go on behind this event.
+};
+
 /// A parsed request: the model or service that it names, and how to run it.
 struct Work {
     enum class Kind : std::uint8_t { Model,
@@ -40,6 +46,7 @@
     std::chrono::milliseconds firstPieceLimit { 0 }; ///< Callers abandon a stream not started by then; 0 if they never do.
     std::uint32_t maxAttempts { 4 }; ///< Maximum number of targets to send it to.
     bool mayContinue { false }; ///< Another target may continue a stream after its last event.
+    std::optional<Resumption> resumption {}; ///< Only with `mayContinue`; empty: the stream is to begin.
     std::optional<std::string> ticket;
     std::string idempotencyKey;
     Routing::RequestShape shape;
