Tests: Reproduce streams that hold events of two releases

Eight tests on real daemons, with six engines of two releases whose events name the release that wrote them: a target that is lost in one answer; a caller who resumes a stream at the same daemon, at another one, with the first one paused or killed, over two resumptions, after all daemons were killed at once; a release that is the only one listed when the daemons are back; a stream that nobody knows.

--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -64,7 +64,7 @@
 
 std::string RunnerApi::entry(std::string const& address) const
 {
-    boost::json::object entry { { "service", m_settings.service }, { "addr", address }, { "zone", m_settings.availabilityZone }, { "version", "v1" }, { "slots", m_settings.places }, { "state", "ready" }, { "seq", m_heartbeats }, { "born", m_settings.bornAtMs } };
+    boost::json::object entry { { "service", m_settings.service }, { "addr", address }, { "zone", m_settings.availabilityZone }, { "version", m_settings.release.empty() ? "v1" : m_settings.release }, { "slots", m_settings.places }, { "state", "ready" }, { "seq", m_heartbeats }, { "born", m_settings.bornAtMs } };
     if (!m_settings.role.empty())
         entry["stage"] = m_settings.role;
     return boost::json::serialize(entry);
@@ -140,7 +140,7 @@
     Http::Response response;
     if (fencing < m_fencing)
         response.status = olderFencing;
-    else if (isChanging() || numberUnder(body, "precondition", m_orders) != m_orders)
+    else if (m_settings.refusesOrders || isChanging() || numberUnder(body, "precondition", m_orders) != m_orders)
         response.status = conflict;
     else
         response.status = accepted;
@@ -272,7 +272,7 @@
             writer.abort();
             co_return;
         }
-        std::string event = "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + "\n\n";
+        std::string event = "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + (m_settings.release.empty() ? "" : " by " + m_settings.release) + "\n\n";
         if (!(co_await writer.write(event)))
             co_return;
         timer.expires_after(m_settings.pieceTime);
--- a/Libraries/LibStandIn/RunnerApi.h
+++ b/Libraries/LibStandIn/RunnerApi.h
@@ -19,8 +19,10 @@
     std::string availabilityZone;
     std::string incarnation; ///< What it lists itself under, and requests name; it may start again under the same.
     std::uint64_t bornAtMs { 0 }; ///< When it started, Unix milliseconds.
+    std::string release; ///< Of its software. If set, it lists it and its events name it; empty: it lists v1, and they do not.
     std::string role; ///< "prefill" or "decode" for an engine; empty: a plain service.
     boost::asio::ip::tcp::endpoint store;
+    bool refusesOrders { false }; ///< It keeps its role.
     std::chrono::milliseconds changeTime { 500 }; ///< Out of service for a change of role.
     std::chrono::milliseconds pieceTime { 10 }; ///< Between two events of a stream.
     std::uint32_t pieces { 10 }; ///< Events of a stream.
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Client.h>
 #include <LibPlatform/Json.h>
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <fstream>
@@ -62,10 +63,10 @@
     m_store = Http::parseEndpoint(spawnStandIn("store", { "keyed-store", "--listen", "127.0.0.1:0" })).value();
     if (m_settings.hasDuties)
         m_dutyService = Http::parseEndpoint(spawnStandIn("duty-service", { "duty-service", "--listen", "127.0.0.1:0" })).value();
-    for (std::string_view role : { "prefill", "decode", "decode", "decode" })
-        addTarget("engine-" + std::to_string(m_targets.size()), "llm", std::string(role));
+    for (SiteEngine const& engine : m_settings.engines)
+        addTarget("engine-" + std::to_string(m_targets.size()), "llm", engine);
     for (std::string_view name : { "app-0", "app-1" })
-        addTarget(std::string(name), "app", "");
+        addTarget(std::string(name), "app", {});
     configure(1, "app");
     for (std::size_t n = 0; n < daemonCount(); ++n) {
         Endpoint store = m_settings.hasForwarders ? startForwarder(storeForwarder(n), m_store) : m_store;
@@ -91,7 +92,7 @@
             return false;
     }
     // The split of roles comes before the first request, and the list shows it.
-    return waitFor([&] { return countEngines("prefill") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
+    return waitFor([&] { return m_settings.hasFixedRoles || countEngines("prefill") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
 }
 
 void KeyedSite::spawn(std::string const& name, std::vector<std::string> const& arguments)
@@ -124,8 +125,10 @@
     return Http::parseEndpoint(line.substr(0, at)).value();
 }
 
-void KeyedSite::addTarget(std::string const& name, std::string const& service, std::string const& role)
+// A plain service has no role.
+void KeyedSite::addTarget(std::string const& name, std::string const& service, SiteEngine const& engine)
 {
+    std::string const& role = engine.role;
     Target target;
     target.listen = freeEndpoint();
     target.arguments = { "runner", "--listen", Http::toString(target.listen), "--service", service, "--store", Http::toString(m_store) };
@@ -135,6 +138,10 @@
         target.arguments.insert(target.arguments.end(), { "--id", targetId(name) });
     if (!role.empty())
         target.arguments.insert(target.arguments.end(), { "--role", role });
+    if (!engine.release.empty())
+        target.arguments.insert(target.arguments.end(), { "--release", engine.release });
+    if (m_settings.hasFixedRoles && !role.empty())
+        target.arguments.emplace_back("--refuse-orders");
     // The first target of each service is four times as fast as the others.
     bool isFirst = name.back() == '0';
     if (m_settings.isUneven && role.empty())
@@ -170,6 +177,27 @@
     spawnStandIn(name, m_targets.at(name).arguments);
 }
 
+void KeyedSite::setRelease(std::string const& name, std::string const& release)
+{
+    std::vector<std::string>& arguments = m_targets.at(name).arguments;
+    for (std::string const& option : { std::string("--release"), std::string("--id") }) {
+        std::vector<std::string>::iterator it = std::find(arguments.begin(), arguments.end(), option);
+        if (it != arguments.end())
+            arguments.erase(it, it + 2);
+    }
+    arguments.insert(arguments.end(), { "--release", release });
+}
+
+void KeyedSite::removeEntries(std::string const& service)
+{
+    Http::Response response = fetch(m_store, { "GET", "/currantvale/log-newest?topic=keyed.servers&part=0", {}, {} });
+    Platform::KeyedPage page = UsersPlatform::decodePage(response.body).value();
+    for (Platform::KeyedRecord const& record : page.records) {
+        if (record.value->find("\"service\":\"" + service + "\"") != std::string::npos)
+            writeEntry(record.key, "");
+    }
+}
+
 void KeyedSite::setCutOff(std::size_t daemon, bool isCutOff)
 {
     if (isCutOff)
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -14,8 +14,16 @@
 
 namespace Processes {
 
+/// One engine of a site.
+struct SiteEngine {
+    std::string role;
+    std::string release {}; ///< Of its software, which its events name; empty: v1, and they do not.
+};
+
 /// What a test varies of a site.
 struct KeyedSiteSettings {
+    std::vector<SiteEngine> engines { { "prefill" }, { "decode" }, { "decode" }, { "decode" } };
+    bool hasFixedRoles { false }; ///< Engines refuse orders. Else the daemons bring them to two of each role.
     /// Daemons reach the store, and all reach the targets, through forwarders that can be held up and cut.
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
@@ -55,6 +63,10 @@
     void startDaemon(std::size_t n);
     /// Starts a target again, at its former address: under its former id where it has an odd number, else under a new one.
     void startTarget(std::string const& name);
+    /// From its next start on, under a new id.
+    void setRelease(std::string const& name, std::string const& release);
+    /// Removes the entries of a service's targets from the store; those of live ones come back with their next heartbeat.
+    void removeEntries(std::string const& service);
     static std::string targetId(std::string const& name) { return "i-" + name; }
     /// Writes a target's entry into the store, as any writer may.
     void writeEntry(std::string const& id, std::string const& entry);
@@ -113,7 +125,7 @@
     void spawn(std::string const& name, std::vector<std::string> const& arguments);
     std::string spawnStandIn(std::string const& name, std::vector<std::string> arguments);
     Endpoint startForwarder(std::string const& name, Endpoint const& to);
-    void addTarget(std::string const& name, std::string const& service, std::string const& role);
+    void addTarget(std::string const& name, std::string const& service, SiteEngine const&);
     std::vector<Endpoint> endpointsOf(std::string const& prefix) const;
 
     KeyedSiteSettings m_settings;
--- /dev/null
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -0,0 +1,287 @@
+// Streams at targets of two software releases, whose events name the release that wrote them.
+
+#include "KeyedSite.h"
+#include "RawCaller.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <regex>
+#include <set>
+
+namespace {
+
+using namespace Processes;
+using namespace std::chrono_literals;
+
+constexpr std::size_t streamCount = 12;
+
+/// What the caller of a stream holds.
+struct HeldStream {
+    std::string id; ///< Of the request that brought its first event.
+    std::string events;
+    bool isWhole { false };
+};
+
+std::vector<std::string> matchesOf(std::string const& text, char const* pattern)
+{
+    std::regex regex(pattern);
+    std::vector<std::string> matches;
+    for (std::sregex_iterator it(text.begin(), text.end(), regex); it != std::sregex_iterator(); ++it)
+        matches.push_back((*it)[1]);
+    return matches;
+}
+
+/// Returns the whole events of what came over a connection.
+std::string eventsOf(std::string const& answer)
+{
+    std::string events;
+    std::regex regex("id: \\d+\ndata: [^\n]*\n\n");
+    for (std::sregex_iterator it(answer.begin(), answer.end(), regex); it != std::sregex_iterator(); ++it)
+        events += it->str();
+    return events;
+}
+
+std::set<std::string> releasesIn(std::string const& events)
+{
+    std::vector<std::string> all = matchesOf(events, " by (\\S+)");
+    return { all.begin(), all.end() };
+}
+
+KeyedSiteSettings twoReleases()
+{
+    KeyedSiteSettings settings;
+    settings.engines = { { "prefill", "v1" }, { "prefill", "v2" }, { "decode", "v1" }, { "decode", "v1" }, { "decode", "v2" }, { "decode", "v2" } };
+    settings.hasFixedRoles = true;
+    return settings;
+}
+
+class StreamReleases : public testing::Test, protected KeyedSite {
+protected:
+    explicit StreamReleases(KeyedSiteSettings const& settings = twoReleases())
+        : KeyedSite(settings)
+    {
+    }
+
+    void SetUp() override { ASSERT_TRUE(waitUntilServing()); }
+
+    /// One engine, which makes outputs, breaks its next stream off after so many events; 0: none.
+    void cutStreamAfter(int events) { post(target("engine-2"), "/admin/faults", R"({"cut_after_events":)" + std::to_string(events) + "}"); }
+
+    /// Begins a stream, and closes the connection once some of its events have come.
+    HeldStream begin(std::size_t daemon, std::string const& id)
+    {
+        constexpr std::size_t someBytes = 400; // The head and some events.
+        RawCaller caller(front(daemon));
+        caller.write(RawCaller::bytesOf(request("POST", "/h/1", id)));
+        HeldStream stream { id, eventsOf(caller.read(someBytes, 5s)) };
+        caller.close(RawCaller::Closing::Reset);
+        EXPECT_FALSE(stream.events.empty()) << id << " does not begin";
+        return stream;
+    }
+
+    static Http::Request resumption(HeldStream const& stream, std::string const& id)
+    {
+        Http::Request resumed = request("POST", "/h/1", id);
+        resumed.fields.set("Resumes", stream.id);
+        resumed.fields.set("Last-Event-Id", matchesOf(stream.events, "id: (\\d+)").back());
+        return resumed;
+    }
+
+    /// Resumes a stream as its caller, and adds what comes to what the caller holds. Returns the status.
+    std::uint16_t resume(std::size_t daemon, HeldStream& stream, std::string const& id)
+    {
+        Http::Response response = fetch(front(daemon), resumption(stream, id));
+        if (response.status != 200)
+            return response.status;
+        stream.events += eventsOf(response.body);
+        std::vector<std::string> ids = matchesOf(stream.events, "id: (\\d+)");
+        stream.isWhole = ids.size() == pieces();
+        return response.status;
+    }
+
+    /// Expects that each stream holds events of one release, and that so many of them have come to their end.
+    static void expectUnjoined(std::vector<HeldStream> const& streams, std::size_t leastWhole)
+    {
+        std::size_t whole = 0;
+        for (HeldStream const& stream : streams) {
+            EXPECT_LE(releasesIn(stream.events).size(), 1U) << stream.id << " holds\n"
+                                                            << stream.events;
+            whole += stream.isWhole ? 1 : 0;
+        }
+        EXPECT_GE(whole, leastWhole) << "of " << streams.size();
+    }
+
+    std::vector<HeldStream> beginAll(std::string const& prefix)
+    {
+        std::vector<HeldStream> streams;
+        for (std::size_t n = 0; n < streamCount; ++n)
+            streams.push_back(begin(n % daemonCount(), prefix + "-" + std::to_string(n)));
+        return streams;
+    }
+
+    /// Resumes each stream at the daemon that is so many further than the one where it began.
+    void resumeAll(std::vector<HeldStream>& streams, std::size_t further)
+    {
+        for (std::size_t n = 0; n < streams.size(); ++n)
+            std::ignore = resume((n + further) % daemonCount(), streams[n], streams[n].id + "-again");
+    }
+
+    void kill(std::size_t daemon)
+    {
+        process(daemonName(daemon)).send(SIGKILL);
+        ASSERT_TRUE(waitFor([&] { return process(daemonName(daemon)).status().has_value(); }));
+    }
+
+    void killAllDaemons()
+    {
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            process(daemonName(n)).send(SIGKILL);
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            kill(n);
+    }
+
+    void startAllDaemons()
+    {
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            startDaemon(n);
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            ASSERT_TRUE(waitFor([&] { return isReady(n); }));
+    }
+};
+
+/// Starts with engines of one release; another one replaces it while no daemon lives.
+class ReplacedRelease : public StreamReleases {
+protected:
+    ReplacedRelease()
+        : StreamReleases(settings())
+    {
+    }
+
+    void replaceEngines(std::string const& release)
+    {
+        std::vector<std::string> names = targetNames();
+        std::erase_if(names, [](std::string const& name) { return !name.starts_with("engine-"); });
+        for (std::string const& name : names) {
+            process(name).send(SIGKILL);
+            ASSERT_TRUE(waitFor([&] { return process(name).status().has_value(); }));
+        }
+        removeEntries("llm");
+        for (std::string const& name : names) {
+            setRelease(name, release);
+            startTarget(name);
+        }
+    }
+
+    static KeyedSiteSettings settings()
+    {
+        KeyedSiteSettings settings = twoReleases();
+        settings.engines = { { "prefill", "v1" }, { "decode", "v1" }, { "decode", "v1" } };
+        return settings;
+    }
+};
+
+}
+
+// Guards against a stream whose target is lost and that goes on, in the same answer, at a target of another release.
+TEST_F(StreamReleases, AnAnswerWhoseTargetIsLostHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams;
+    double continued = 0;
+    for (std::size_t n = 0; n < 2 * streamCount; ++n) {
+        cutStreamAfter(3);
+        std::string id = "one-answer-" + std::to_string(n);
+        Http::Response response = ask(n % daemonCount(), "POST", "/h/1", id);
+        std::string events = eventsOf(response.body);
+        streams.push_back({ id, events, matchesOf(events, "id: (\\d+)").size() == pieces() });
+    }
+    for (std::size_t n = 0; n < daemonCount(); ++n)
+        continued += metric(n, R"(currantvale_streams_continued_total{in="same_answer"})").value_or(0);
+    EXPECT_GT(continued, 0);
+    expectUnjoined(streams, streamCount);
+}
+
+// Guards against a stream that its caller resumes at the daemon where it began, and that goes on at a target of another release.
+TEST_F(StreamReleases, AStreamResumedAtItsDaemonHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams = beginAll("same-daemon");
+    resumeAll(streams, 0);
+    expectUnjoined(streams, streamCount);
+}
+
+// Guards against a stream that its caller resumes at another daemon, and that goes on at a target of another release.
+TEST_F(StreamReleases, AStreamResumedAtAnotherDaemonHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams = beginAll("another-daemon");
+    resumeAll(streams, 1);
+    expectUnjoined(streams, streamCount);
+}
+
+// Guards against a stream that its caller resumes while the daemon where it began is paused or gone, and that goes on at another release.
+TEST_F(StreamReleases, AStreamWhoseDaemonIsPausedOrGoneHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams;
+    for (std::size_t n = 0; n < streamCount; ++n)
+        streams.push_back(begin(n % 2, "gone-daemon-" + std::to_string(n)));
+    std::this_thread::sleep_for(500ms);
+    process(daemonName(0)).send(SIGSTOP);
+    kill(1);
+    for (HeldStream& stream : streams)
+        std::ignore = resume(2, stream, stream.id + "-again");
+    process(daemonName(0)).send(SIGCONT);
+    expectUnjoined(streams, streamCount / 2);
+}
+
+// Guards against joined releases in a chain: the answer to a resumption loses its target, too, and is resumed under the first request's id.
+TEST_F(StreamReleases, AChainOfResumptionsHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams = beginAll("chain");
+    for (std::size_t n = 0; n < streams.size(); ++n) {
+        cutStreamAfter(1);
+        RawCaller caller(front((n + 1) % daemonCount()));
+        caller.write(RawCaller::bytesOf(resumption(streams[n], streams[n].id + "-second")));
+        streams[n].events += eventsOf(caller.read(300, 300ms));
+        caller.close(RawCaller::Closing::Reset);
+        cutStreamAfter(0);
+        std::ignore = resume((n + 2) % daemonCount(), streams[n], streams[n].id + "-third");
+    }
+    expectUnjoined(streams, streamCount / 2);
+}
+
+// Guards against resumptions that are a guess because all daemons that knew of the streams were killed at once.
+TEST_F(StreamReleases, StreamsResumedAfterAllDaemonsWereKilledHoldEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams = beginAll("all-killed");
+    std::this_thread::sleep_for(500ms);
+    killAllDaemons();
+    startAllDaemons();
+    resumeAll(streams, 1);
+    expectUnjoined(streams, streamCount / 2);
+}
+
+// Guards against a release that goes on with streams of the former one because it is the only one that is listed.
+TEST_F(ReplacedRelease, DoesNotGoOnWithStreamsOfTheFormerOne)
+{
+    std::vector<HeldStream> streams = beginAll("replaced");
+    std::this_thread::sleep_for(500ms);
+    killAllDaemons();
+    replaceEngines("v2");
+    startAllDaemons();
+    resumeAll(streams, 1);
+    expectUnjoined(streams, 0);
+    for (HeldStream const& stream : streams) {
+        EXPECT_FALSE(stream.isWhole) << stream.id;
+        EXPECT_EQ(runs(engines(), stream.id + "-again"), 0U) << stream.id;
+    }
+    EXPECT_EQ(ask(0, "POST", "/h/1", "new").status, 200);
+}
+
+// Guards against a guess where nothing says which release began a stream.
+TEST_F(StreamReleases, AStreamThatNobodyKnowsIsRefusedAsNotRun)
+{
+    for (std::string const& streamId : { std::string("nobody-knows"), std::string() }) {
+        HeldStream stream { streamId, "id: 4\ndata: piece 4 by v1\n\n" };
+        std::string id = "resumes-" + streamId;
+        EXPECT_EQ(resume(0, stream, id), 503);
+        EXPECT_EQ(runs(engines(), id), 0U);
+    }
+}
--- a/Utilities/currantvale-standin/Kinds.cpp
+++ b/Utilities/currantvale-standin/Kinds.cpp
@@ -207,6 +207,8 @@
     options.add_options()("service", "The service that it belongs to", cxxopts::value<std::string>()->default_value("service"), "NAME");
     options.add_options()("zone", "Its availability zone", cxxopts::value<std::string>()->default_value("zone-a"), "NAME");
     options.add_options()("role", "prefill or decode for an engine; none for a plain service", cxxopts::value<std::string>()->default_value(""), "ROLE");
+    options.add_options()("release", "The release of its software, which its events name then", cxxopts::value<std::string>()->default_value(""), "NAME");
+    options.add_options()("refuse-orders", "Keeps its role");
     options.add_options()("pieces", "Events of a stream", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("piece-ms", "Time between two events", cxxopts::value<std::uint32_t>()->default_value("10"), "N");
     options.add_options()("places", "Requests that it says it runs at once", cxxopts::value<std::uint32_t>()->default_value("6"), "N");
@@ -224,6 +226,8 @@
     settings.service = arguments["service"].as<std::string>();
     settings.availabilityZone = arguments["zone"].as<std::string>();
     settings.role = arguments["role"].as<std::string>();
+    settings.release = arguments["release"].as<std::string>();
+    settings.refusesOrders = arguments.count("refuse-orders") != 0;
     settings.pieces = arguments["pieces"].as<std::uint32_t>();
     settings.pieceTime = milliseconds(arguments["piece-ms"].as<std::uint32_t>());
     settings.places = arguments["places"].as<std::uint32_t>();
