LibStreams, LibDaemon: Keep in the store at which release of a service streams began

Cause: which release of a target's software began a stream is known nowhere, so that nothing can keep the stream there.

Change: LibStreams holds what began lately at a daemon, and the rule by which a release may begin streams: once a record in the store names it, until ten minutes after its last target. While a record names one release alone, nothing is written for a stream; else one daemon of 32 records them in batches, under its own name. StreamExchange does the calls, beacons tell of releases, and a daemon that starts reads them.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -41,6 +41,7 @@
     SlowReaderCut = 2023,
     ConnectionsAcceptedLate = 2024,
     StreamContinued = 2025,
+    StreamRefused = 2026,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -52,6 +53,7 @@
     PeerRecords = 3009,
     RecordsServed = 3010,
     StartStep = 3011,
+    StreamReleasesChanged = 3012,
     LeaseClaimed = 4001,
     LeaseGained = 4002,
     LeaseLost = 4003,
@@ -87,7 +89,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 76> eventNames { {
+inline constexpr EnumNames<Event, 78> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -120,6 +122,7 @@
     { Event::SlowReaderCut, "slow-reader-cut" },
     { Event::ConnectionsAcceptedLate, "connections-accepted-late" },
     { Event::StreamContinued, "stream-continued" },
+    { Event::StreamRefused, "stream-refused" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
@@ -131,6 +134,7 @@
     { Event::PeerRecords, "peer-records" },
     { Event::RecordsServed, "records-served" },
     { Event::StartStep, "start-step" },
+    { Event::StreamReleasesChanged, "stream-releases-changed" },
     { Event::LeaseClaimed, "lease-claimed" },
     { Event::LeaseGained, "lease-gained" },
     { Event::LeaseLost, "lease-lost" },
--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -10,6 +10,13 @@
 
 namespace Daemon {
 
+namespace {
+
+// No beacon begins with it, since no field of a protobuf message has the number 0.
+constexpr char notesMark = '\0';
+
+}
+
 Core::Result<std::unique_ptr<BeaconExchange>> BeaconExchange::create(boost::asio::io_context& context, Platform::ListedDaemon self, std::uint64_t bytesPerSecond, Hooks hooks)
 {
     boost::asio::ip::udp::socket socket(context);
@@ -171,8 +178,18 @@
     }
 }
 
+void BeaconExchange::sendNotes(boost::asio::ip::udp::endpoint const& address, std::string const& bytes)
+{
+    boost::system::error_code ec;
+    m_socket.send_to(boost::asio::buffer(notesMark + bytes), address, 0, ec);
+}
+
 void BeaconExchange::take(std::string_view datagram)
 {
+    if (datagram.starts_with(notesMark)) {
+        m_hooks.onNotes(datagram.substr(1));
+        return;
+    }
     Core::Result<BeaconMessage> beacon = decodeBeacon(datagram);
     if (beacon.has_error() || beacon.value().sender.name == m_self.name)
         return;
--- a/Libraries/LibDaemon/BeaconExchange.h
+++ b/Libraries/LibDaemon/BeaconExchange.h
@@ -30,6 +30,7 @@
         std::function<BeaconMessage(BeaconKind)> describe; ///< What to tell now; sender and sequence are filled in here.
         std::function<void(BeaconMessage const&)> onBeacon; ///< Called for each beacon that is news.
         std::function<bool()> greets; ///< Whether to answer a daemon that has just started at once.
+        std::function<void(std::string_view)> onNotes { [](std::string_view) { } }; ///< Takes what another daemon sent with `sendNotes`.
     };
 
     /// Binds the socket; nothing is sent yet. Errors: Unavailable when the address cannot be bound.
@@ -51,6 +52,9 @@
     /// As `sendNow`, with all that others need to know of a daemon that has just started.
     void announce();
 
+    /// Sends one daemon a datagram that is no beacon. It may be lost.
+    void sendNotes(boost::asio::ip::udp::endpoint const&, std::string const& bytes);
+
     Fleet::DaemonBook& book() { return m_book; }
     Platform::ListedDaemon const& self() const { return m_self; }
 
--- a/Libraries/LibDaemon/BeaconMessage.cpp
+++ b/Libraries/LibDaemon/BeaconMessage.cpp
@@ -74,6 +74,7 @@
     message.set_is_reading(state.isReading);
     message.set_cannot_plan(state.cannotPlan);
     message.set_lease_claimed(state.leaseClaimed);
+    message.set_records_streams(state.recordsStreams);
     message.set_cannot_hold_duties(state.cannotHoldDuties);
     message.set_store_failing_ms(toMilliseconds(state.storeFailingFor));
     message.set_said_at_ms(toWire(state.saidAt));
@@ -94,6 +95,7 @@
     state.isReading = message.is_reading();
     state.cannotPlan = message.cannot_plan();
     state.leaseClaimed = message.lease_claimed();
+    state.recordsStreams = message.records_streams();
     state.cannotHoldDuties = message.cannot_hold_duties();
     state.storeFailingFor = std::chrono::milliseconds(message.store_failing_ms());
     state.saidAt = fromWire(message.said_at_ms());
@@ -106,6 +108,14 @@
     return state;
 }
 
+void fillReleases(Proto::StreamReleases& message, std::string const& service, Streams::ReleaseRecord const& record)
+{
+    message.set_service(service);
+    message.set_offset(record.offset);
+    for (std::string const& release : record.releases)
+        message.add_releases(release);
+}
+
 void fillWindow(Proto::UsageWindow& message, Duties::WindowNumber window, Duties::OrganisationCounts const& counts)
 {
     message.set_window(window);
@@ -231,6 +241,10 @@
         added->set_part(it.part);
         added->set_uses(it.uses);
     }
+    for (std::pair<std::string const, Streams::ReleaseRecord> const& it : beacon.streamReleases) {
+        if (!beacon.isBrief || beacon.hasReleaseNews)
+            fillReleases(*message.add_stream_releases(), it.first, it.second);
+    }
     return message.SerializeAsString();
 }
 
@@ -293,6 +307,8 @@
     }
     for (Proto::PartUse const& it : message.part_uses())
         beacon.partUses.push_back({ it.part(), it.uses() });
+    for (Proto::StreamReleases const& it : message.stream_releases())
+        beacon.streamReleases.emplace(it.service(), Streams::ReleaseRecord { it.offset(), { it.releases().begin(), it.releases().end() } });
     return beacon;
 }
 
--- a/Libraries/LibDaemon/BeaconMessage.h
+++ b/Libraries/LibDaemon/BeaconMessage.h
@@ -15,6 +15,7 @@
 #include <LibRouting/PrefixIndex.h>
 #include <LibRouting/RateLimits.h>
 #include <LibRouting/ServiceReport.h>
+#include <LibStreams/ReleaseBook.h>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -49,6 +50,8 @@
     std::vector<Admission::PlaceDemand> placeDemands {}; ///< On services whose places are scarce.
     std::vector<Routing::PaceSample> paceSamples {}; ///< Of its answers, since its last beacon.
     std::vector<Routing::PartUse> partUses {}; ///< Of its requests, since its last beacon.
+    std::map<std::string, Streams::ReleaseRecord> streamReleases {}; ///< By service. Left out of a brief beacon without news of them.
+    bool hasReleaseNews { false }; ///< `streamReleases` has changed lately; not sent.
     std::vector<std::string> usageFor {}; ///< Names of daemons; not sent.
 };
 
--- a/Libraries/LibDaemon/ControlFleet.cpp
+++ b/Libraries/LibDaemon/ControlFleet.cpp
@@ -72,6 +72,10 @@
     target.model = std::string(labels.get("model").value_or(status.state ? status.state->model : ""));
     target.role = status.state ? roleOf(status.state->role) : Routing::TargetRole::Mixed;
     target.distance = distanceTo(status.vm);
+    // Nothing but the operators' label tells its software. What its weights write does not fit together either.
+    std::optional<std::string_view> release = labels.get("release");
+    if (release && status.state)
+        target.streamRelease = std::string(*release) + "/" + status.state->model + "@" + status.state->version + "/" + status.state->adapter;
     target.closeReason = whyClosed(status, labels);
     return target;
 }
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -100,7 +100,7 @@
     BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
         return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
     };
-    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, m_usage, nullptr, nullptr };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, m_usage, nullptr, nullptr, m_origins, nullptr };
     parts.onFindings = [this](std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared) {
         boost::asio::post(m_control, [this, findings, cleared] { noteFindings(findings, cleared); });
     };
@@ -110,6 +110,11 @@
                 m_storeControl->noteLeaving(target);
         });
     };
+    if (usesStore()) {
+        parts.findOrigin = [this](OriginQuestion const& question, std::function<void(OriginAnswer const&)> onAnswer) {
+            boost::asio::post(m_control, [this, question, onAnswer = std::move(onAnswer)] { m_storeControl->streams().find(question, onAnswer); });
+        };
+    }
     for (std::uint32_t n = 0; n < m_settings.daemon.trafficThreads; ++n) {
         BOOST_OUTCOME_TRY(std::unique_ptr<TrafficThread> thread, TrafficThread::create(parts, peers));
         m_traffic.push_back(std::move(thread));
@@ -179,7 +184,7 @@
     hooks.rateLimitReports = [this] { return m_dispatcher->rateLimitReports(); };
     hooks.takePeerRateLimits = [this](std::string const& peer, std::vector<Routing::RateLimitReport> const& reports) { m_dispatcher->takePeerRateLimits(peer, reports); };
     hooks.setDaemons = [this](std::size_t daemons) { m_sharedBudgets.setDaemons(daemons, std::chrono::steady_clock::now()); };
-    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_usage, m_incarnation, std::move(hooks)));
+    BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_usage, m_origins, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
     m_plane = std::move(control);
     BOOST_OUTCOME_TRY(m_operatorServer, createServer(m_settings.operators.listen, [this](Http::Request const& request) { return respondToOperators(request); }));
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -80,6 +80,7 @@
     MixCounter m_mix;
     Metrics m_metrics;
     Quarantine::Guard m_guard;
+    Streams::OriginBook m_origins;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
--- a/Libraries/LibDaemon/FleetSnapshot.h
+++ b/Libraries/LibDaemon/FleetSnapshot.h
@@ -35,6 +35,8 @@
     std::uint32_t slots { 0 }; ///< Maximum requests that it runs concurrently; 0 if unknown.
     std::uint64_t kvCapacityTokens { 0 }; ///< 0 if unknown.
     std::string release; ///< Its software version; empty if not reported.
+    std::string streamRelease; ///< A stream goes on only at targets with the same as those that began it; empty: unknown, and equal to no other.
+    bool mayBeginStreams { true }; ///< Its `streamRelease` is recorded, so that its streams can go on at other daemons.
     bool isLeaving { false }; ///< It has announced that it shuts down.
     bool isReclaimable { false }; ///< The platform may reclaim it at short notice (a spot VM).
     std::optional<Routing::TargetRole> nextRole; ///< The role that it is changing to.
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -76,18 +76,18 @@
 {
 }
 
-Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard, Duties::UsageCounter& usage, std::uint64_t incarnation, Hooks hooks)
+Core::Result<std::unique_ptr<StoreControl>> StoreControl::create(boost::asio::io_context& context, Settings::DaemonSettings const& settings, Adapters const& adapters, Quarantine::Guard& guard, Duties::UsageCounter& usage, Streams::OriginBook& origins, std::uint64_t incarnation, Hooks hooks)
 {
     std::unique_ptr<StoreControl> control(new StoreControl(context, settings, adapters, guard));
-    BOOST_OUTCOME_TRY(control->setUp(usage, incarnation, std::move(hooks)));
+    BOOST_OUTCOME_TRY(control->setUp(usage, origins, incarnation, std::move(hooks)));
     return control;
 }
 
-Core::Result<void> StoreControl::setUp(Duties::UsageCounter& usage, std::uint64_t incarnation, Hooks hooks)
+Core::Result<void> StoreControl::setUp(Duties::UsageCounter& usage, Streams::OriginBook& origins, std::uint64_t incarnation, Hooks hooks)
 {
     m_hooks = std::move(hooks);
     Platform::ListedDaemon self { m_settings.daemon.name, incarnation, m_settings.daemon.availabilityZone, m_settings.daemon.region, m_settings.callers.listen, { m_settings.peers.beacon.address(), m_settings.peers.beacon.port() }, m_settings.peers.listen };
-    BeaconExchange::Hooks beacons { [this](BeaconKind kind) { return describe(kind); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); }, [this] { return m_wasReading; } };
+    BeaconExchange::Hooks beacons { [this](BeaconKind kind) { return describe(kind); }, [this](BeaconMessage const& beacon) { takeBeacon(beacon); }, [this] { return m_wasReading; }, [this](std::string_view notes) { m_streams->takeNotes(notes, Clock::now()); } };
     BOOST_OUTCOME_TRY(m_beacons, BeaconExchange::create(m_context, self, m_settings.peers.bytesPerSecond() / beaconShareDivisor, std::move(beacons)));
     Peer::Settings peers;
     peers.senderName = self.name;
@@ -110,6 +110,7 @@
         createDuties(usage);
     QuarantineExchange::Hooks quarantine { [this] { m_beacons->sendSoon(); }, [this] { becomeReady(); }, m_hooks.countStoreCall, [this] { return m_targetList.follower->asOf().value_or(m_startedAt); } };
     m_quarantine = std::make_unique<QuarantineExchange>(m_context, m_guard, *m_store, *m_records, m_beacons->book(), self.name, std::move(quarantine));
+    createStreams(origins);
     createTopics();
     // While another daemon's reads are answered, it is this one that is cut off, not the store that is away.
     m_targetList.onFailure = [this] {
@@ -119,6 +120,19 @@
     return Core::ok();
 }
 
+void StoreControl::createStreams(Streams::OriginBook& origins)
+{
+    StreamExchange::Hooks hooks;
+    hooks.requestBeacon = [this] { m_beacons->sendSoon(); };
+    hooks.onReleases = [this] {
+        rebuild();
+        becomeReady();
+    };
+    hooks.countStoreCall = m_hooks.countStoreCall;
+    hooks.send = [this](boost::asio::ip::udp::endpoint const& address, std::string const& bytes) { m_beacons->sendNotes(address, bytes); };
+    m_streams = std::make_unique<StreamExchange>(m_context, origins, *m_store, m_beacons->book(), m_settings.daemon.name, std::move(hooks));
+}
+
 void StoreControl::createTopics()
 {
     std::function<bool(Fleet::DaemonState const&)> isConfigurationNews = [this](Fleet::DaemonState const& said) { return said.configVersion > configVersion(); };
@@ -179,6 +193,7 @@
     m_engineLeases->stop();
     stopDuties();
     m_quarantine->stop();
+    m_streams->stop();
     m_beacons->stop();
 }
 
@@ -273,6 +288,7 @@
     beacon.services = m_hooks.serviceReports();
     beacon.lapseGrace = m_targets.graceLeft(now);
     m_quarantine->describe(beacon, now);
+    m_streams->describe(beacon);
     if (m_usage) {
         m_usage->noteOutcomes(beacon.outcomes, now);
         m_usage->describe(beacon, now);
@@ -299,6 +315,7 @@
         m_roles->poll(*m_fleet, m_unreachable);
         // Before the first beacons each daemon takes itself for the only one.
         m_quarantine->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), now);
+        m_streams->tick(m_view.isReader && m_targetList.follower->replica().isComplete(), m_isLeaving, now);
         if (std::exchange(m_isTargetListChanged, false) || isLapsed || isOpened)
             rebuild();
         becomeReady();
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -9,6 +9,7 @@
 #include <LibDaemon/RecordExchange.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <LibDaemon/StartStep.h>
+#include <LibDaemon/StreamExchange.h>
 #include <LibDaemon/UsageKeeper.h>
 #include <LibFleet/ChangingTargets.h>
 #include <LibFleet/FirstMeeting.h>
@@ -69,9 +70,9 @@
         std::function<void(std::vector<std::uint64_t> const&)> onTargetsGone; ///< Takes the keys of targets that went without a word.
     };
 
-    /// Preconditions: context, settings and adapters outlive the object. Errors: Unavailable when the beacons' address
+    /// Preconditions: context, settings, adapters and books outlive the object. Errors: Unavailable when the beacons' address
     /// cannot be bound.
-    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&, Duties::UsageCounter&, std::uint64_t incarnation, Hooks);
+    static Core::Result<std::unique_ptr<StoreControl>> create(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&, Duties::UsageCounter&, Streams::OriginBook&, std::uint64_t incarnation, Hooks);
 
     void start() override;
     void stop() override;
@@ -98,6 +99,7 @@
     std::optional<std::chrono::milliseconds> targetListAge() const; ///< How old this daemon's list may be, whoever told it.
     RoleKeeper const& roles() const { return *m_roles; }
     QuarantineExchange& quarantine() { return *m_quarantine; }
+    StreamExchange& streams() { return *m_streams; }
     StoreLeases const& engineLeases() const { return *m_engineLeases; }
     UsageKeeper const* usage() const { return m_usage.get(); } ///< Null: usage is not reported.
     EngineKeeper const* engineNumbers() const { return m_engineNumbers.get(); } ///< Null: no engines are ordered.
@@ -132,7 +134,9 @@
     };
 
     StoreControl(boost::asio::io_context&, Settings::DaemonSettings const&, Adapters const&, Quarantine::Guard&);
-    Core::Result<void> setUp(Duties::UsageCounter&, std::uint64_t incarnation, Hooks);
+    Core::Result<void> setUp(Duties::UsageCounter&, Streams::OriginBook&, std::uint64_t incarnation, Hooks);
+    void createStreams(Streams::OriginBook&);
+    void setStreamRoutes();
     void stopDuties();
     bool isFitForDuties(Core::BootClock::time_point now) const;
     std::chrono::milliseconds startInFleetTime() const;
@@ -222,6 +226,7 @@
     std::optional<Core::BootClock::time_point> m_startReportedAt; ///< When `m_ownStart` was first reported to peers.
     Quarantine::Guard& m_guard;
     std::unique_ptr<QuarantineExchange> m_quarantine;
+    std::unique_ptr<StreamExchange> m_streams;
     Followed m_configuration;
     Followed m_targetList;
     Followed m_daemonList;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -49,9 +49,26 @@
     m_labels = labels.value();
     Core::logEvent(Core::Severity::Info, Core::Event::ConfigurationAccepted, { { "revision", std::to_string(m_services->version) }, { "offset", std::to_string(record.offset) }, { "routes", std::to_string(m_services->routes.all().size()) }, { "services", std::to_string(m_services->services.size()) } });
     m_hooks.setLimits(m_services->limits);
+    setStreamRoutes();
     rebuild();
 }
 
+void StoreControl::setStreamRoutes()
+{
+    std::set<std::string> drawnServices;
+    std::chrono::milliseconds longestStream { 0 };
+    for (State::EntryRoute const& route : m_services->routes.all()) {
+        if (!route.isResumable)
+            continue;
+        longestStream = std::max(longestStream, route.timeout);
+        for (State::RouteShare const& share : route.shares) {
+            if (route.shares.size() > 1)
+                drawnServices.insert(share.service);
+        }
+    }
+    m_streams->setRoutes(std::move(drawnServices), longestStream);
+}
+
 // Returns whether the record changes anything but a heartbeat.
 bool StoreControl::takeTarget(Platform::KeyedRecord const& record)
 {
@@ -104,6 +121,7 @@
 {
     m_firstHeardAt = m_firstHeardAt.value_or(Clock::now());
     m_quarantine->take(beacon, Clock::now());
+    m_streams->take(beacon, Clock::now());
     if (m_usage)
         m_usage->hear(beacon, m_beacons->book().daemons().at(beacon.sender.name).heldUp, Clock::now());
     for (std::pair<std::string const, double> const& it : beacon.sizedDemands) {
@@ -326,6 +344,8 @@
     target.slots = isEngine ? terms->engine->slots : listed.slots;
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
     target.release = listed.release;
+    target.streamRelease = listed.release;
+    target.mayBeginStreams = m_streams->mayBegin({ listed.service, listed.release });
     target.isReclaimable = listed.isReclaimable;
     target.isLeaving = isLeaving(booked, key);
     target.nextRole = nextRole(booked, key);
@@ -359,7 +379,7 @@
 // Whether this daemon may take requests: not before it knows which of them end the targets that run them, but for a bounded time.
 bool StoreControl::knowsEnough(Clock::time_point now) const
 {
-    return m_fleet->isReady || (m_listedAt && hasHeardPeers(now) && (m_quarantine->isCaughtUp() || now - *m_listedAt >= longestCatchUp));
+    return m_fleet->isReady || (m_listedAt && hasHeardPeers(now) && ((m_quarantine->isCaughtUp() && m_streams->isLoaded()) || now - *m_listedAt >= longestCatchUp));
 }
 
 void StoreControl::rebuild()
@@ -369,12 +389,15 @@
     std::vector<State::PlatformTarget> platformTargets;
     std::shared_ptr<FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
     std::set<std::uint64_t> keys;
+    std::map<std::string, std::set<std::string>> releases;
     for (std::pair<std::string const, Fleet::BookedTarget> const& it : m_targets.targets()) {
         State::ServiceTerms const* terms = m_services->find(it.second.listed.service);
         // An engine that does not say which part of a request it does is none to send work to.
         if (terms && terms->engine && !it.second.listed.role)
             continue;
         FleetTarget target = describeTarget(it.second);
+        if (target.kind == Platform::VmKind::Engine)
+            releases[target.model].insert(target.streamRelease);
         keys.insert(target.key);
         Label::LabelSet labels;
         // A value outside the label syntax is left out: no selector could name it.
@@ -385,6 +408,7 @@
         platformTargets.push_back({ target.name, std::move(labels) });
         fleet->targets.push_back(std::move(target));
     }
+    m_streams->setListed(std::move(releases), Clock::now());
     m_leaving.keepListed(keys, Clock::now());
     noteTargetsGone(*fleet);
     std::erase_if(m_targetIds, [&keys](std::pair<std::uint64_t const, std::uint32_t> const& it) { return !keys.contains(it.first); });
--- a/Libraries/LibDaemon/StoreReading.cpp
+++ b/Libraries/LibDaemon/StoreReading.cpp
@@ -41,9 +41,12 @@
 {
     if (topic.isToldByPeers)
         co_await waitToMeet(topic, *topic.turn);
-    // The suspects are read beside what this topic brings, not behind it.
-    if (&topic == &m_targetList && !m_isStopped && !topic.follower->replica().isComplete())
-        m_quarantine->tick(m_beacons->book().view(m_settings.daemon.name, Clock::now()).isReader, Clock::now());
+    // The suspects and the releases of streams are read beside what this topic brings, not behind it.
+    if (&topic == &m_targetList && !m_isStopped && !topic.follower->replica().isComplete()) {
+        bool isReader = m_beacons->book().view(m_settings.daemon.name, Clock::now()).isReader;
+        m_quarantine->tick(isReader, Clock::now());
+        m_streams->tick(isReader, m_isLeaving, Clock::now());
+    }
     while (!m_isStopped) {
         std::optional<Fleet::StoreRead> read = topic.follower->beginRead(m_view, Clock::now());
         if (read) {
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -5,6 +5,7 @@
 #include <LibDaemon/FleetSnapshot.h>
 #include <LibDaemon/Metrics.h>
 #include <LibDaemon/MixCounter.h>
+#include <LibDaemon/OriginQuestion.h>
 #include <LibDaemon/TargetProtocol.h>
 #include <LibDuties/UsageCounter.h>
 #include <LibHttp/Client.h>
@@ -13,6 +14,7 @@
 #include <LibQuarantine/Guard.h>
 #include <LibRequest/RetryBudget.h>
 #include <LibSettings/DaemonSettings.h>
+#include <LibStreams/OriginBook.h>
 #include <boost/asio/io_context.hpp>
 #include <set>
 
@@ -45,6 +47,8 @@
     Duties::UsageCounter& usage;
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving; ///< Takes targets that say that they leave. Thread-safe.
+    Streams::OriginBook& origins;
+    OriginHook findOrigin; ///< Empty: nothing but `origins` tells.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::set<RequestRunner*>& runners; ///< All that exist, also those whose caller is gone. Outlives the event loop.
 };
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -25,6 +25,8 @@
     Duties::UsageCounter& usage;
     FindingsHook onFindings;
     std::function<void(std::uint64_t target)> onLeaving;
+    Streams::OriginBook& origins;
+    OriginHook findOrigin;
 };
 
 /// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
--- a/Libraries/LibFleet/DaemonBook.h
+++ b/Libraries/LibFleet/DaemonBook.h
@@ -53,6 +53,7 @@
     /// Process start in milliseconds since 1970 on the fleet's agreed true time; the process determines it once. 0 until then.
     std::chrono::milliseconds startedAt { 0 };
     std::uint64_t leaseClaimed { 0 }; ///< Offset after its newest claim of a lease on engines or duties; 0 if it has none.
+    bool recordsStreams { false }; ///< It goes on with a stream at its own release only, and records streams for others.
 
     bool operator==(DaemonState const&) const = default;
 };
--- a/Libraries/LibFleet/ReadTurn.h
+++ b/Libraries/LibFleet/ReadTurn.h
@@ -21,9 +21,10 @@
     Suspect, ///< This daemon records that a request has crashed targets.
     Lease, ///< This daemon claims a lease.
     Report, ///< Usage reports are read or decided on.
+    Streams, ///< This daemon records at which release streams began, or looks it up.
 };
 
-inline constexpr Core::EnumNames<StoreCallReason, 10> storeCallReasonNames { {
+inline constexpr Core::EnumNames<StoreCallReason, 11> storeCallReasonNames { {
     { StoreCallReason::Start, "start" },
     { StoreCallReason::Reader, "reader" },
     { StoreCallReason::News, "news" },
@@ -34,6 +35,7 @@
     { StoreCallReason::Suspect, "suspect" },
     { StoreCallReason::Lease, "lease" },
     { StoreCallReason::Report, "report" },
+    { StoreCallReason::Streams, "streams" },
 } };
 
 /// Controls how often a topic is read.
--- a/Libraries/LibPlatform/KeyedStore.h
+++ b/Libraries/LibPlatform/KeyedStore.h
@@ -19,15 +19,19 @@
     Leases, ///< Written by whoever claims a lease.
     Reports, ///< What is reported of usage, decided once for each window.
     Suspects, ///< Requests that ended targets, written by daemons that saw it, each under its work's key.
+    Streams, ///< Streams that began lately, written by daemons that record them, each under its name.
+    StreamReleases, ///< The releases under which streams may have begun, each service under its name.
 };
 
-inline constexpr Core::EnumNames<StoreTopic, 6> storeTopicNames { {
+inline constexpr Core::EnumNames<StoreTopic, 8> storeTopicNames { {
     { StoreTopic::Configuration, "configuration" },
     { StoreTopic::Targets, "targets" },
     { StoreTopic::Daemons, "daemons" },
     { StoreTopic::Leases, "leases" },
     { StoreTopic::Reports, "reports" },
     { StoreTopic::Suspects, "suspects" },
+    { StoreTopic::Streams, "streams" },
+    { StoreTopic::StreamReleases, "stream-releases" },
 } };
 
 /// One record of a topic.
