LibDaemon: Keep a stream within one answer at the release that began it

Cause: after a lost target, whatever chooses the next one (prefill and choice of the output's target, queue, refused send, peer) went by the service alone. A stream's release was not part of what is known of it.

Change: the release of the target that wrote the first delivered event stays with the request. Dispatcher lets such a stream go only to targets of that release, by the newest list, in a queue of its own, and looks again before the write; new streams go to targets whose release is recorded. A peer is told the release, and tells the one that it began with; one that does not know of releases goes on with no stream. Where no target of the release is left, or it is unknown, the answer is broken off at once.

--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -114,6 +114,7 @@
     bool isRelayed = request.fields.find(relayHeader).has_value();
     request.fields.remove(relayHeader);
     std::optional<RelayAttempts> grant = takeRelayAttempts(request.fields);
+    std::optional<std::string> streamRelease = takeStreamRelease(request.fields);
     WorkLimits limits { m_context.settings.callers.defaultDeadline, m_context.settings.callers.longestDeadline, m_context.settings.callers.keys };
     Core::Result<Work> parsed = m_context.callers.parse(request, *m_context.fleet, limits, requestId);
     if (parsed.has_error()) {
@@ -123,8 +124,10 @@
     Work work = std::move(parsed.value());
     work.waited = request.waited;
     work.isRelayed = isRelayed;
-    if (isRelayed)
+    if (isRelayed) {
         work.grant = std::move(grant);
+        work.streamRelease = std::move(streamRelease);
+    }
     work.key = workKeyOf(request, work);
     if (m_shared.isLeaving) {
         std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_context.fleet, work.name, work.shape) };
--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -74,8 +74,7 @@
     return ++m_lastId;
 }
 
-// Requests with the same set of allowed targets share a queue, so that a waiting request never blocks one that may go
-// to other targets.
+// Requests that may go to the same targets share a queue, so that a waiting request never blocks one that may go to other targets.
 Admission::GroupId Dispatcher::groupOf(PlacementRequest const& request)
 {
     std::vector<std::uint32_t> ids;
@@ -83,10 +82,10 @@
     for (std::uint32_t position : request.allowed)
         ids.push_back(request.fleet->targets[position].id);
     std::sort(ids.begin(), ids.end());
-    std::pair<std::map<std::vector<std::uint32_t>, Admission::GroupId>::iterator, bool> added = m_groups.try_emplace(std::move(ids), m_nextGroup);
+    std::pair<std::map<std::pair<std::vector<std::uint32_t>, StreamPlacement>, Admission::GroupId>::iterator, bool> added = m_groups.try_emplace({ std::move(ids), request.stream }, m_nextGroup);
     if (added.second) {
         ++m_nextGroup;
-        addGroup(added.first->second, added.first->first);
+        addGroup(added.first->second, added.first->first.first);
     }
     return added.first->second;
 }
@@ -109,7 +108,7 @@
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
-        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase);
+        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase) && mayWriteEvents(request, target.key, role->second);
         return isFit && !isExcluded && limit != m_limits.end() && limit->second > 0;
     });
     if (!isAnyLeft)
@@ -152,7 +151,7 @@
             continue;
         bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), target.name) != request.excluded.end();
         // Targets that cannot be chosen now are candidates, too, because the outputs pending from them count.
-        bool isUnusable = !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_paths.isClosed(target.key) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow) || isRateExhausted(waiter, target.key, bootNow);
+        bool isUnusable = !mayWriteEvents(request, target.key, role->second) || !m_admission->hasRoom(target.id) || m_health.isClosed(target.key, now) || m_paths.isClosed(target.key) || m_avoided.contains(target.key) || m_notices.isClosed(target.key, bootNow) || isRateExhausted(waiter, target.key, bootNow);
         bool isClosed = isExcluded || isUnusable;
         // An excluded target counts, because it may still generate the output if no other is left.
         hasOutputTarget = hasOutputTarget || (role->second != Routing::TargetRole::Prefill && !isUnusable);
@@ -223,6 +222,19 @@
     return targets > 0 && openSeconds > 0 ? requests / static_cast<double>(targets) / openSeconds : 0;
 }
 
+// Goes by the newest list of targets: a request keeps the one that it began with. A target that only computes prompts writes no events.
+bool Dispatcher::mayWriteEvents(PlacementRequest const& request, std::uint64_t targetKey, Routing::TargetRole role) const
+{
+    if (request.stream.kind == StreamPlacement::Kind::Any || role == Routing::TargetRole::Prefill)
+        return true;
+    std::unordered_map<std::uint64_t, StreamTerms>::const_iterator terms = m_streamTerms.find(targetKey);
+    if (terms == m_streamTerms.end())
+        return false;
+    if (request.stream.kind == StreamPlacement::Kind::Begins)
+        return terms->second.mayBegin;
+    return !request.stream.release.empty() && terms->second.release == request.stream.release;
+}
+
 void Dispatcher::noteSent(Waiter& waiter)
 {
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -36,6 +36,20 @@
 
 namespace Daemon {
 
+/// What a request asks of the targets that write events of its stream.
+struct StreamPlacement {
+    enum class Kind : std::uint8_t {
+        Any, ///< Its stream cannot go on elsewhere, or it has none.
+        Begins, ///< One that may begin streams.
+        GoesOn, ///< One of the release that began the stream.
+    };
+
+    Kind kind { Kind::Any };
+    std::string release {}; ///< With `GoesOn`; empty: unknown.
+
+    auto operator<=>(StreamPlacement const&) const = default;
+};
+
 /// Input of `Dispatcher::place`.
 struct PlacementRequest {
     std::string requestId;
@@ -50,6 +64,7 @@
     std::string kvZone; ///< Availability zone that holds the prompt's KV cache; empty if none is fetched.
     std::vector<std::string> excluded; ///< Names of targets already tried.
     std::chrono::steady_clock::time_point latestStart;
+    StreamPlacement stream {};
 };
 
 /// The chosen target, or the reason why there is none.
@@ -210,6 +225,12 @@
 private:
     struct Waiter;
 
+    /// What streams depend on at a target.
+    struct StreamTerms {
+        std::string release;
+        bool mayBegin { true };
+    };
+
     /// When a request's first target that is paused or at its rate limit accepts it.
     struct Reopening {
         Core::BootClock::time_point at;
@@ -233,6 +254,7 @@
     Admission::GroupId groupOf(PlacementRequest const&);
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
     void clearExhaustedExclusions(PlacementRequest&) const;
+    bool mayWriteEvents(PlacementRequest const&, std::uint64_t targetKey, Routing::TargetRole) const;
     void noteSent(Waiter&);
     void noteDemand(PlacementRequest const&);
     double outputSeconds(FleetSnapshot const&, std::string const& service, Routing::RequestShape const&, std::chrono::steady_clock::time_point now) const;
@@ -273,6 +295,7 @@
     Routing::OutlierFinder m_outliers;
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
+    std::unordered_map<std::uint64_t, StreamTerms> m_streamTerms; ///< By target key.
     Routing::SpeedBook m_speeds;
     Routing::PromptTimes m_promptTimes;
     bool m_learnsPace { false };
@@ -293,7 +316,7 @@
     PathBook m_paths;
     std::uint64_t m_lastId { 0 };
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters; ///< Waiting and granted placements.
-    std::map<std::vector<std::uint32_t>, Admission::GroupId> m_groups; ///< By the sorted ids of the allowed targets.
+    std::map<std::pair<std::vector<std::uint32_t>, StreamPlacement>, Admission::GroupId> m_groups; ///< By the sorted ids of the allowed targets, and what a stream asks of them.
     std::unordered_map<std::uint32_t, std::vector<Admission::GroupId>> m_groupsOfTarget;
     Admission::GroupId m_nextGroup { 1 };
     bool m_sharesPlaces { false };
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -44,11 +44,13 @@
     std::vector<std::uint32_t> known;
     std::unordered_map<std::uint32_t, Routing::TargetRole> formerRoles = std::exchange(m_roles, {});
     m_targetNames.clear();
+    m_streamTerms.clear();
     m_targetIdsByKey.clear();
     std::map<std::tuple<std::string, Routing::TargetRole>, std::vector<std::uint64_t>> groups;
     for (FleetTarget const& target : fleet->targets) {
         groups[{ target.work(), target.role }].push_back(target.key);
         m_targetNames.emplace(target.key, target.name);
+        m_streamTerms.emplace(target.key, StreamTerms { target.streamRelease, target.mayBeginStreams });
         m_targetIdsByKey.emplace(target.key, target.id);
         highest = std::max(highest, target.id);
         known.push_back(target.id);
--- a/Libraries/LibDaemon/DispatcherNotices.cpp
+++ b/Libraries/LibDaemon/DispatcherNotices.cpp
@@ -35,6 +35,10 @@
     std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
     if (limit == m_limits.end() || limit->second == 0 || m_notices.isClosed(target.key, now))
         return false;
+    // The request was placed by what its own list says of the target's release.
+    std::unordered_map<std::uint64_t, StreamTerms>::const_iterator terms = m_streamTerms.find(target.key);
+    if (terms != m_streamTerms.end() && terms->second.release != target.streamRelease)
+        return false;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::const_iterator it = m_waiters.find(id);
     if (it != m_waiters.end() && std::exchange(it->second->holdsRate, false))
         return true;
@@ -54,7 +58,7 @@
         FleetTarget const& target = request.fleet->targets[position];
         std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator limit = m_limits.find(target.id);
         std::unordered_map<std::uint32_t, Routing::TargetRole>::const_iterator role = m_roles.find(target.id);
-        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase);
+        bool isFit = role != m_roles.end() && Routing::takes(role->second, request.shape.phase) && mayWriteEvents(request, target.key, role->second);
         if (!isFit || limit == m_limits.end() || limit->second == 0)
             continue;
         std::optional<Core::BootClock::time_point> pausedUntil = m_notices.opensAt(target.key, now);
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -57,6 +57,9 @@
     prometheus::Family<prometheus::Counter>& continued = prometheus::BuildCounter().Name("currantvale_streams_continued_total").Help("Streams that were sent to a further target to go on there, by the answer that they go on in.").Register(*m_registry);
     for (std::pair<ContinuedIn, std::string_view> const& it : continuedInNames)
         m_continued[static_cast<std::size_t>(it.first)] = &continued.Add({ { "in", std::string(it.second) } });
+    prometheus::Family<prometheus::Counter>& refused = prometheus::BuildCounter().Name("currantvale_streams_refused_total").Help("Streams that had begun and did not go on, by the reason.").Register(*m_registry);
+    for (std::pair<StreamRefusal, std::string_view> const& it : streamRefusalNames)
+        m_refusedStreams[static_cast<std::size_t>(it.first)] = &refused.Add({ { "reason", std::string(it.second) } });
     m_connections = { &connections.Add({ { "kept", "no" } }), &connections.Add({ { "kept", "yes" } }) };
 }
 
@@ -110,6 +113,11 @@
     m_continued[static_cast<std::size_t>(where)]->Increment();
 }
 
+void Metrics::countRefusedStream(StreamRefusal reason)
+{
+    m_refusedStreams[static_cast<std::size_t>(reason)]->Increment();
+}
+
 void Metrics::countOverduePrompt()
 {
     m_overduePrompts->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -96,6 +96,19 @@
     { ContinuedIn::FurtherAnswer, "further_answer" },
 } };
 
+/// Why a stream that has begun does not go on.
+enum class StreamRefusal : std::uint8_t {
+    Unknown, ///< Nothing says which release began it.
+    Unread, ///< The store, which may say so, does not answer.
+    NoTarget, ///< No target of that release is left.
+};
+
+inline constexpr Core::EnumNames<StreamRefusal, 3> streamRefusalNames { {
+    { StreamRefusal::Unknown, "unknown" },
+    { StreamRefusal::Unread, "unread" },
+    { StreamRefusal::NoTarget, "no_target" },
+} };
+
 /// The daemon's metrics (prometheus-cpp), given out as text by the operators' listener. Thread-safe.
 class Metrics {
 public:
@@ -122,6 +135,9 @@
     /// Counts a stream that was sent to a target to go on there.
     void countContinued(ContinuedIn);
 
+    /// Counts a stream that could not go on.
+    void countRefusedStream(StreamRefusal);
+
     /// Notes a time that a request spent.
     void observe(TimeOf, std::chrono::nanoseconds);
 
@@ -164,6 +180,7 @@
     std::array<std::array<prometheus::Counter*, 2>, Http::connectionEndReasonNames.size()> m_connectionEnds {};
     std::array<prometheus::Counter*, Fleet::storeCallReasonNames.size()> m_storeCalls {};
     std::array<prometheus::Counter*, continuedInNames.size()> m_continued {};
+    std::array<prometheus::Counter*, streamRefusalNames.size()> m_refusedStreams {};
     prometheus::Counter* m_retries;
     prometheus::Counter* m_relays;
     prometheus::Counter* m_overduePrompts;
--- a/Libraries/LibDaemon/PathBook.cpp
+++ b/Libraries/LibDaemon/PathBook.cpp
@@ -89,19 +89,19 @@
     m_peers = std::move(peers);
 }
 
-std::optional<RelayPeer> PathBook::beginRelay(std::string const& service, std::vector<std::string> const& excluded, bool isRetry)
+std::optional<RelayPeer> PathBook::beginRelay(std::string const& service, RelayNeed const& need)
 {
     std::lock_guard lock(m_mutex);
     Routing::PathCounts own = m_table.counts(service, Clock::now());
-    bool isNeeded = isRetry ? own.failed > own.reached : m_table.isCutOff(own);
+    bool isNeeded = need.isRetry ? own.failed > own.reached : m_table.isCutOff(own);
     if (!isNeeded)
         return std::nullopt;
     std::uniform_real_distribution<double> draw(0, 1);
-    if (!isRetry && draw(m_random) < Routing::PathTable::shareOf(own))
+    if (!need.isRetry && draw(m_random) < Routing::PathTable::shareOf(own))
         return std::nullopt;
     std::vector<RelayPeer const*> candidates;
     for (RelayPeer const& peer : m_peers) {
-        if (mayServe(peer, service, excluded))
+        if (mayServe(peer, service, need))
             candidates.push_back(&peer);
     }
     RelayPeer const* peer = lessBusy(candidates);
@@ -134,13 +134,15 @@
         m_open.erase(it);
 }
 
-bool PathBook::mayServe(RelayPeer const& peer, std::string const& service, std::vector<std::string> const& excluded) const
+bool PathBook::mayServe(RelayPeer const& peer, std::string const& service, RelayNeed const& need) const
 {
     std::map<std::string, std::size_t>::const_iterator open = m_open.find(peer.name);
     if (open != m_open.end() && open->second >= maxOpenPerPeer)
         return false;
+    if (need.goesOn && !peer.keepsReleases)
+        return false;
     bool isCutOff = std::any_of(peer.paths.begin(), peer.paths.end(), [&](Routing::PathCounts const& it) { return it.service == service && m_table.isCutOff(it); });
-    return !isCutOff && std::find(excluded.begin(), excluded.end(), peer.name) == excluded.end();
+    return !isCutOff && std::find(need.excluded.begin(), need.excluded.end(), peer.name) == need.excluded.end();
 }
 
 // Of two peers at random the one with fewer relayed requests of this daemon, so that daemons without a common view spread theirs.
--- a/Libraries/LibDaemon/PathBook.h
+++ b/Libraries/LibDaemon/PathBook.h
@@ -21,6 +21,14 @@
     boost::asio::ip::tcp::endpoint address; ///< Where it serves callers.
     bool isInSameZone { false };
     std::vector<Routing::PathCounts> paths; ///< As it reported; a service without an entry is one that it has not tried lately.
+    bool keepsReleases { false }; ///< It goes on with a stream at the release that began it only.
+};
+
+/// What a request asks of the peer that serves it in place of this daemon.
+struct RelayNeed {
+    std::vector<std::string> excluded; ///< Names of peers already tried.
+    bool isRetry { false }; ///< A connection for this request has failed, so that one failed target is enough to ask a peer.
+    bool goesOn { false }; ///< It goes on with a stream that has begun.
 };
 
 /// Which targets this daemon can connect to, as its traffic threads find out, and which peers serve the requests of services that it
@@ -65,9 +73,7 @@
 
     /// Returns the peer to serve a request of a service, and counts the request as open there until `endRelay`; nothing if this
     /// daemon is to serve it. The part of the targets that this daemon reaches goes on serving the same part of the requests.
-    /// `excluded` holds the names of peers already tried; `isRetry`: a connection for this request has failed, so that one failed
-    /// target is enough to ask a peer.
-    std::optional<RelayPeer> beginRelay(std::string const& service, std::vector<std::string> const& excluded, bool isRetry);
+    std::optional<RelayPeer> beginRelay(std::string const& service, RelayNeed const&);
 
     /// Returns the targets that enough of the live daemons cannot reach: `Routing::PathVote`. `settle` is as there.
     std::set<std::uint64_t> decideUnreachable(std::vector<Routing::PathReport> const&, std::size_t live, std::chrono::milliseconds settle);
@@ -82,7 +88,7 @@
     /// Requests open at one peer; a peer that has this many is not given more, which bounds the memory that a slow peer takes here.
     static constexpr std::size_t maxOpenPerPeer = 256;
 
-    bool mayServe(RelayPeer const&, std::string const& service, std::vector<std::string> const& excluded) const;
+    bool mayServe(RelayPeer const&, std::string const& service, RelayNeed const&) const;
     RelayPeer const* lessBusy(std::vector<RelayPeer const*> const&);
     void logIfChanged(std::string const& service, Routing::PathTable::Time now);
 
--- a/Libraries/LibDaemon/RelayHeaders.cpp
+++ b/Libraries/LibDaemon/RelayHeaders.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::string_view attemptsHeader = "Currantvale-Relay-Attempts";
 constexpr std::string_view triedHeader = "Currantvale-Relay-Tried";
+constexpr std::string_view streamReleaseHeader = "Currantvale-Stream-Release";
 
 // A request is tried at a few targets; a header holds no more than this.
 constexpr std::size_t maxNames = 16;
@@ -44,6 +45,20 @@
         fields.set(std::string(triedHeader), names);
 }
 
+void writeStreamRelease(Http::Fields& fields, std::string const& release)
+{
+    if (isPlainName(release))
+        fields.set(std::string(streamReleaseHeader), release);
+}
+
+std::optional<std::string> takeStreamRelease(Http::Fields& fields)
+{
+    std::optional<std::string_view> found = fields.find(streamReleaseHeader);
+    std::optional<std::string> release = found ? std::optional<std::string>(*found) : std::nullopt;
+    fields.remove(streamReleaseHeader);
+    return release;
+}
+
 std::optional<RelayAttempts> takeRelayAttempts(Http::Fields& fields)
 {
     std::optional<std::string_view> attempts = fields.find(attemptsHeader);
--- a/Libraries/LibDaemon/RelayHeaders.h
+++ b/Libraries/LibDaemon/RelayHeaders.h
@@ -28,6 +28,13 @@
 /// Sets the headers for it. Names of targets that a header cannot carry are left out. Thread-safe.
 void writeRelayAttempts(Http::Fields&, RelayAttempts const&);
 
+/// Sets the header with the release that began a stream, for the peer that goes on with it, or from the one that has begun it. One that a
+/// header cannot carry is left out. Thread-safe.
+void writeStreamRelease(Http::Fields&, std::string const& release);
+
+/// Reads and removes that header. Thread-safe.
+std::optional<std::string> takeStreamRelease(Http::Fields&);
+
 /// Reads and removes the headers. Empty if there are none, as from a daemon of an earlier release; a number that cannot be read
 /// counts as one attempt. Thread-safe.
 std::optional<RelayAttempts> takeRelayAttempts(Http::Fields&);
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -64,6 +64,7 @@
     request.allowed = m_allowed;
     excludeOtherSuspects(excluded);
     request.excluded = std::move(excluded);
+    request.stream = streamPlacement();
     request.kvZone = m_kvSource.empty() ? std::string() : m_kvZone;
     request.latestStart = m_machine.deadline();
     // A longer wait is pointless, because callers abandon a stream that begins late; they should retry instead.
@@ -84,6 +85,8 @@
         co_return;
     m_isAtPeer = false;
     m_hasEvent = false;
+    if (finishIfStreamCannotGoOn(leg))
+        co_return;
     // A peer would have the prompt computed by itself, which is another send.
     std::optional<RelayPeer> peer = dispatch.isWhole ? std::nullopt : beginRelay(leg->leg.attempt, dispatch.excluded);
     if (peer) {
--- /dev/null
+++ b/Libraries/LibDaemon/RequestOrigin.cpp
@@ -0,0 +1,93 @@
+// The part of RequestRunner that keeps a stream at the release that began it: docs/design/stream-releases.md.
+
+#include <LibCore/EventLog.h>
+#include <LibDaemon/RequestRunner.h>
+#include <algorithm>
+
+namespace Daemon {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+}
+
+bool RequestRunner::goesOn() const
+{
+    return m_machine.deliveredPieces() > 0;
+}
+
+std::string const& RequestRunner::streamId() const
+{
+    return m_work.resumption && !(m_work.isRelayed && m_work.resumption->streamId.empty()) ? m_work.resumption->streamId : m_work.requestId;
+}
+
+// Only streams that may go on elsewhere depend on who writes their events.
+StreamPlacement RequestRunner::streamPlacement() const
+{
+    if (!m_work.mayContinue)
+        return {};
+    if (!goesOn())
+        return { StreamPlacement::Kind::Begins, {} };
+    return { StreamPlacement::Kind::GoesOn, m_origin ? m_origin->release : std::string() };
+}
+
+// Returns why the stream cannot go on now, if it cannot.
+std::optional<StreamRefusal> RequestRunner::whyStreamCannotGoOn() const
+{
+    if (!m_work.mayContinue || !goesOn())
+        return std::nullopt;
+    if (!m_origin)
+        return StreamRefusal::Unknown;
+    if (!m_origin->isKnown() || m_origin->service != m_work.name)
+        return StreamRefusal::Unknown;
+    bool isAnyLeft = std::any_of(m_allowed.begin(), m_allowed.end(), [this](std::uint32_t position) {
+        FleetTarget const& target = m_fleet->targets[position];
+        return target.streamRelease == m_origin->release && !target.isLeaving;
+    });
+    return isAnyLeft ? std::nullopt : std::optional<StreamRefusal>(StreamRefusal::NoTarget);
+}
+
+// Returns whether the attempt has ended.
+bool RequestRunner::finishIfStreamCannotGoOn(LegPointer const& leg)
+{
+    std::optional<StreamRefusal> refusal = whyStreamCannotGoOn();
+    if (!refusal)
+        return false;
+    std::string message = *refusal == StreamRefusal::NoTarget ? "No target is left of the release that began the stream." : "It is not known which release began the stream.";
+    m_context.metrics.countRefusedStream(*refusal);
+    Core::logEvent(Core::Severity::Warning, Core::Event::StreamRefused, { { "request", m_work.requestId }, { "stream", streamId() }, { "reason", std::string(Core::nameOf(streamRefusalNames, *refusal)) }, { "release", m_origin && m_origin->isKnown() ? m_origin->release : "-" }, { "waited_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count()) } });
+    post(Request::NoTarget { leg->leg.attempt, Core::makeError(Core::ErrorCode::Unavailable, std::move(message)), {} });
+    return true;
+}
+
+// Call before the first piece of an answer is delivered. A stream that a caller resumes keeps the origin that it was placed by.
+void RequestRunner::noteStreamBegun()
+{
+    if (!m_work.mayContinue)
+        return;
+    if (!m_origin) {
+        FleetTarget const* target = targetOf(m_target);
+        m_origin = Streams::StreamOrigin { m_work.name, m_isAtPeer ? m_peerRelease : target ? target->streamRelease : std::string() };
+    }
+    m_originSource = OriginSource::Answer;
+    m_originNotedAt = Core::BootClock::now();
+    if (!streamId().empty())
+        m_context.origins.note({ Streams::streamKeyOf(streamId()), *m_origin }, m_originNotedAt);
+}
+
+void RequestRunner::noteContinued() const
+{
+    if (!goesOn())
+        return;
+    bool isWithinAnswer = m_machine.deliveredPieces() > 0;
+    ContinuedIn where = isWithinAnswer ? ContinuedIn::SameAnswer : ContinuedIn::FurtherAnswer;
+    m_context.metrics.countContinued(where);
+    FleetTarget const* to = targetOf(m_target);
+    std::string const& lastEventId = isWithinAnswer ? m_lastEventId : m_work.resumption->lastEventId;
+    bool hasAge = m_originNotedAt != Core::BootClock::time_point();
+    std::string age = hasAge ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_originNotedAt).count()) : "-";
+    Core::logEvent(Core::Severity::Info, Core::Event::StreamContinued, { { "request", m_work.requestId }, { "stream", streamId() }, { "in", std::string(Core::nameOf(continuedInNames, where)) }, { "last_event", lastEventId }, { "from", m_streamTarget.empty() ? "-" : m_streamTarget }, { "from_release", m_origin && m_origin->isKnown() ? m_origin->release : "-" }, { "to", m_target }, { "to_release", to && !to->streamRelease.empty() ? to->streamRelease : "-" }, { "known_by", m_origin ? std::string(Core::nameOf(originSourceNames, m_originSource)) : "-" }, { "age_ms", age } });
+}
+
+}
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -54,7 +54,7 @@
     bool isPossible = m_context.callers.relayed && !m_work.isRelayed && !m_work.ticket;
     if (!isPossible)
         return std::nullopt;
-    return m_context.dispatcher.paths().beginRelay(m_work.name, excluded, attempt > 1);
+    return m_context.dispatcher.paths().beginRelay(m_work.name, { excluded, attempt > 1, m_work.mayContinue && goesOn() });
 }
 
 boost::asio::awaitable<void> RequestRunner::runAtPeer(LegPointer leg, RelayPeer peer)
@@ -86,6 +86,8 @@
     std::string lastEventId = m_machine.deliveredPieces() > 0 ? m_lastEventId : std::string();
     Http::Request request = m_context.callers.relayed(m_work, timeLeft(), lastEventId);
     request.fields.set(std::string(relayHeader), m_context.settings.daemon.name);
+    if (m_origin)
+        writeStreamRelease(request.fields, m_origin->release);
     writeRelayAttempts(request.fields, { m_machine.grantedToPeer(), m_machine.triedTargets() });
     Core::Result<void> started = co_await leg->exchange->start(request);
     if (leg->isAbandoned)
@@ -106,6 +108,7 @@
     leg->head = leg->exchange->head();
     std::uint16_t status = leg->head.status;
     std::optional<RelayAttempts> made = takeRelayAttempts(leg->head.fields);
+    m_peerRelease = takeStreamRelease(leg->head.fields).value_or("");
     // A stream that has begun may still be continued at other targets there.
     bool isFinal = status >= firstServerError || leg->head.fields.find(relayVerdictHeader);
     if (made && isFinal)
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -213,13 +213,18 @@
         delivered.status = static_cast<std::uint16_t>(head->status);
         // Only a daemon may say how many attempts were made.
         std::ignore = takeRelayAttempts(delivered.fields);
-        if (m_work.isRelayed)
+        std::ignore = takeStreamRelease(delivered.fields);
+        if (m_work.isRelayed) {
             writeRelayAttempts(delivered.fields, { m_machine.attemptsUsed(), triedTargets() });
+            if (FleetTarget const* target = targetOf(m_target))
+                writeStreamRelease(delivered.fields, target->streamRelease);
+        }
         co_await m_sink->head(std::move(delivered));
     } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
         Clock::time_point now = Clock::now();
         m_streamTarget = m_target;
         if (piece->position == 0) {
+            noteStreamBegun();
             m_firstPieceAt = now;
             m_context.metrics.observe(TimeOf::FirstPiece, now - m_startedAt);
             m_context.dispatcher.notePrefillDone(m_placement);
@@ -387,20 +392,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(Core::BootClock::now() - m_fleet->listConfirmedAt->load()).count());
 }
 
-void RequestRunner::noteContinued() const
-{
-    bool isWithinAnswer = m_machine.deliveredPieces() > 0;
-    if (!isWithinAnswer && !m_work.resumption)
-        return;
-    ContinuedIn where = isWithinAnswer ? ContinuedIn::SameAnswer : ContinuedIn::FurtherAnswer;
-    m_context.metrics.countContinued(where);
-    FleetTarget const* from = targetOf(m_streamTarget);
-    FleetTarget const* to = targetOf(m_target);
-    std::string stream = m_work.resumption ? m_work.resumption->streamId : m_work.requestId;
-    std::string const& lastEventId = isWithinAnswer ? m_lastEventId : m_work.resumption->lastEventId;
-    Core::logEvent(Core::Severity::Info, Core::Event::StreamContinued, { { "request", m_work.requestId }, { "stream", stream }, { "in", std::string(Core::nameOf(continuedInNames, where)) }, { "last_event", lastEventId }, { "from", m_streamTarget.empty() ? "-" : m_streamTarget }, { "from_release", toLogText(from ? from->release : std::string()) }, { "to", m_target }, { "to_release", toLogText(to ? to->release : std::string()) } });
-}
-
 void RequestRunner::noteCallerLeft() const
 {
     CallerLeftAt step = CallerLeftAt::Unplaced;
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -127,6 +127,12 @@
     void logDecision(std::uint32_t attempt, PlacementOutcome const&) const;
     std::string fleetAge() const;
     std::string listAge() const;
+    bool goesOn() const;
+    std::string const& streamId() const;
+    StreamPlacement streamPlacement() const;
+    std::optional<StreamRefusal> whyStreamCannotGoOn() const;
+    bool finishIfStreamCannotGoOn(LegPointer const&);
+    void noteStreamBegun();
     void noteContinued() const;
     void noteCallerLeft() const;
     void logFinish(Request::Finish const&) const;
@@ -167,6 +173,10 @@
     bool m_keepsPrompt { false }; ///< The next attempt reuses the KV cache that this one did not fetch.
     bool m_hasReusedPrompt { false }; ///< A target has already refused a decode that had a KV cache to fetch.
     int m_urgency { 5 }; ///< Of the current send.
+    std::optional<Streams::StreamOrigin> m_origin; ///< Of the events that the caller holds; empty: there are none, or it is not found.
+    OriginSource m_originSource { OriginSource::Answer };
+    Core::BootClock::time_point m_originNotedAt; ///< When the stream was last noted here.
+    std::string m_peerRelease; ///< Of the stream that a peer has begun, as it says; empty: it does not.
     std::string m_streamTarget; ///< Name of the target or peer that the last delivered piece is from; empty: none was delivered.
     std::string m_lastEventId; ///< Of the last event that was delivered; empty if none had an id.
     std::chrono::steady_clock::time_point m_firstPieceAt;
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -255,7 +255,7 @@
         if (!m_beacons->book().isLive(it.second, now) || it.second.said.isLeaving)
             continue;
         std::map<std::string, std::vector<Routing::PathCounts>>::const_iterator paths = m_peerPaths.find(it.first);
-        peers.push_back({ it.first, it.second.listed.callerAddress, it.second.listed.availabilityZone == m_settings.daemon.availabilityZone, paths == m_peerPaths.end() ? std::vector<Routing::PathCounts>() : paths->second });
+        peers.push_back({ it.first, it.second.listed.callerAddress, it.second.listed.availabilityZone == m_settings.daemon.availabilityZone, paths == m_peerPaths.end() ? std::vector<Routing::PathCounts>() : paths->second, it.second.said.recordsStreams });
     }
     return peers;
 }
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -46,6 +46,7 @@
     std::chrono::milliseconds firstPieceLimit { 0 }; ///< Callers abandon a stream not started by then; 0 if they never do.
     std::uint32_t maxAttempts { 4 }; ///< Maximum number of targets to send it to.
     bool mayContinue { false }; ///< Another target may continue a stream after its last event.
+    std::optional<std::string> streamRelease {}; ///< That began the stream, as the daemon says that has passed the request on.
     std::optional<Resumption> resumption {}; ///< Only with `mayContinue`; empty: the stream is to begin.
     std::optional<std::string> ticket;
     std::string idempotencyKey;
--- a/Tests/LibDaemon/TestPathBook.cpp
+++ b/Tests/LibDaemon/TestPathBook.cpp
@@ -46,8 +46,8 @@
     m_book.setPeers({ peer("a", 9, 0) });
     note(1, 9, Routing::PathEvidence::Connected);
     EXPECT_FALSE(m_book.isImpaired());
-    EXPECT_FALSE(m_book.beginRelay("llm", {}, false));
-    EXPECT_FALSE(m_book.beginRelay("llm", {}, true));
+    EXPECT_FALSE(m_book.beginRelay("llm", { {}, false }));
+    EXPECT_FALSE(m_book.beginRelay("llm", { {}, true }));
 }
 
 // Guards against requests that wait at a daemon which reaches no target while its peers do.
@@ -62,7 +62,7 @@
     EXPECT_TRUE(m_book.isCutOff());
     std::map<std::string, int> relayed;
     for (int n = 0; n < requests; ++n) {
-        std::optional<RelayPeer> chosen = m_book.beginRelay("llm", {}, false);
+        std::optional<RelayPeer> chosen = m_book.beginRelay("llm", { {}, false });
         ASSERT_TRUE(chosen);
         ++relayed[chosen->name];
     }
@@ -81,7 +81,7 @@
     note(9, 9, Routing::PathEvidence::Connected);
     int relayed = 0;
     for (int n = 0; n < requests; ++n) {
-        std::optional<RelayPeer> chosen = m_book.beginRelay("llm", {}, false);
+        std::optional<RelayPeer> chosen = m_book.beginRelay("llm", { {}, false });
         relayed += chosen ? 1 : 0;
         if (chosen)
             m_book.endRelay(chosen->name);
@@ -95,16 +95,16 @@
 {
     m_book.setPeers({ peer("a", 9, 0) });
     note(1, 1, Routing::PathEvidence::Unreachable);
-    EXPECT_FALSE(m_book.beginRelay("llm", {}, false));
-    EXPECT_TRUE(m_book.beginRelay("llm", {}, true));
+    EXPECT_FALSE(m_book.beginRelay("llm", { {}, false }));
+    EXPECT_TRUE(m_book.beginRelay("llm", { {}, true }));
 }
 
 TEST_F(PathBookTest, PeersThatWereTriedAreNotAskedAgain)
 {
     m_book.setPeers({ peer("a", 9, 0), peer("b", 9, 0) });
     note(1, 9, Routing::PathEvidence::Unreachable);
-    EXPECT_EQ(m_book.beginRelay("llm", { "a" }, true)->name, "b");
-    EXPECT_FALSE(m_book.beginRelay("llm", { "a", "b" }, true));
+    EXPECT_EQ(m_book.beginRelay("llm", { { "a" }, true })->name, "b");
+    EXPECT_FALSE(m_book.beginRelay("llm", { { "a", "b" }, true }));
 }
 
 // Guards against memory without bound where a peer takes requests and answers none.
@@ -115,15 +115,15 @@
     note(1, 9, Routing::PathEvidence::Unreachable);
     int open = 0;
     for (int n = 0; n < asked; ++n)
-        open += m_book.beginRelay("llm", {}, false) ? 1 : 0;
+        open += m_book.beginRelay("llm", { {}, false }) ? 1 : 0;
     EXPECT_LT(open, asked);
     m_book.endRelay("a");
-    EXPECT_TRUE(m_book.beginRelay("llm", {}, false));
+    EXPECT_TRUE(m_book.beginRelay("llm", { {}, false }));
 }
 
 TEST_F(PathBookTest, WhereAllDaemonsAreCutOffNothingIsRelayed)
 {
     m_book.setPeers({ peer("a", 0, 9), peer("b", 1, 8) });
     note(1, 9, Routing::PathEvidence::Unreachable);
-    EXPECT_FALSE(m_book.beginRelay("llm", {}, false));
+    EXPECT_FALSE(m_book.beginRelay("llm", { {}, false }));
 }
