LibDaemon, platform: Keep a stream that its caller resumes at the release that began it

What callers saw: streams that they resumed after a broken answer went on at any release, also with no daemon harmed; after all daemons were killed at once, most of them (the users' last report).

Cause: `Resumes` was passed on as any header, and a resumption was placed as a new request.

Change: `platform/` reads what a request resumes. Its origin is, in this order, what a peer says, what this daemon remembers, the one release of the service's record, or the stream's own record; the last two are read from the store for the resumption. What nothing tells is refused as not run.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -85,7 +85,9 @@
         co_return;
     m_isAtPeer = false;
     m_hasEvent = false;
-    if (finishIfStreamCannotGoOn(leg))
+    if (m_work.resumption && !m_origin)
+        co_await findOrigin(leg);
+    if (leg->isAbandoned || finishIfStreamCannotGoOn(leg))
         co_return;
     // A peer would have the prompt computed by itself, which is another send.
     std::optional<RelayPeer> peer = dispatch.isWhole ? std::nullopt : beginRelay(leg->leg.attempt, dispatch.excluded);
--- a/Libraries/LibDaemon/RequestOrigin.cpp
+++ b/Libraries/LibDaemon/RequestOrigin.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/EventLog.h>
 #include <LibDaemon/RequestRunner.h>
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace Daemon {
 
@@ -10,11 +11,17 @@
 
 using Clock = std::chrono::steady_clock;
 
+// A record of a stream is in the store some tenths of a second after the stream began, so that one that is not found is looked for again.
+constexpr std::chrono::milliseconds longestOriginWait { 400 };
+constexpr std::chrono::milliseconds originRetryPause { 150 };
+constexpr int originWaitDivisor = 4; ///< Of the time that the request has left.
+
 }
 
+// A request that resumes a stream goes on behind what another one has brought.
 bool RequestRunner::goesOn() const
 {
-    return m_machine.deliveredPieces() > 0;
+    return m_machine.deliveredPieces() > 0 || m_work.resumption;
 }
 
 std::string const& RequestRunner::streamId() const
@@ -32,13 +39,69 @@
     return { StreamPlacement::Kind::GoesOn, m_origin ? m_origin->release : std::string() };
 }
 
+boost::asio::awaitable<void> RequestRunner::findOrigin(LegPointer leg)
+{
+    if (m_work.streamRelease) {
+        m_origin = Streams::StreamOrigin { m_work.name, *m_work.streamRelease };
+        m_originSource = OriginSource::Peer;
+        co_return;
+    }
+    OriginQuestion question { std::nullopt, m_work.name, m_work.isServiceDrawn };
+    if (!streamId().empty())
+        question.stream = Streams::streamKeyOf(streamId());
+    Clock::time_point askedAt = Clock::now();
+    std::chrono::milliseconds longestWait = std::min(longestOriginWait, timeLeft() / originWaitDivisor);
+    while (!leg->isAbandoned) {
+        std::optional<Streams::OriginWindow::Entry> known = question.stream ? m_context.origins.find(*question.stream) : std::nullopt;
+        if (known) {
+            m_origin = known->origin;
+            m_originSource = OriginSource::Memory;
+            m_originNotedAt = known->notedAt;
+            co_return;
+        }
+        OriginAnswer answer = co_await askForOrigin(question);
+        if (leg->isAbandoned)
+            co_return;
+        m_isOriginRead = answer.isRead;
+        if (answer.origin) {
+            m_origin = std::move(answer.origin);
+            m_originSource = answer.source;
+            co_return;
+        }
+        if (Clock::now() - askedAt + originRetryPause > longestWait)
+            co_return;
+        co_await wait(originRetryPause);
+    }
+}
+
+boost::asio::awaitable<OriginAnswer> RequestRunner::askForOrigin(OriginQuestion const& question)
+{
+    // What the answer is put into outlives this request.
+    struct Slot {
+        Signal signal;
+        OriginAnswer answer;
+    };
+    if (!m_context.findOrigin)
+        co_return OriginAnswer();
+    boost::asio::any_io_executor executor = m_context.context.get_executor();
+    std::shared_ptr<Slot> slot = std::make_shared<Slot>(Slot { Signal(executor), {} });
+    m_context.findOrigin(question, [executor, slot](OriginAnswer const& answer) {
+        boost::asio::post(executor, [slot, answer] {
+            slot->answer = answer;
+            slot->signal.notify();
+        });
+    });
+    co_await slot->signal.wait();
+    co_return slot->answer;
+}
+
 // Returns why the stream cannot go on now, if it cannot.
 std::optional<StreamRefusal> RequestRunner::whyStreamCannotGoOn() const
 {
     if (!m_work.mayContinue || !goesOn())
         return std::nullopt;
     if (!m_origin)
-        return StreamRefusal::Unknown;
+        return m_work.resumption && !m_isOriginRead ? StreamRefusal::Unread : StreamRefusal::Unknown;
     if (!m_origin->isKnown() || m_origin->service != m_work.name)
         return StreamRefusal::Unknown;
     bool isAnyLeft = std::any_of(m_allowed.begin(), m_allowed.end(), [this](std::uint32_t position) {
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -130,6 +130,8 @@
     bool goesOn() const;
     std::string const& streamId() const;
     StreamPlacement streamPlacement() const;
+    boost::asio::awaitable<void> findOrigin(LegPointer);
+    boost::asio::awaitable<OriginAnswer> askForOrigin(OriginQuestion const&);
     std::optional<StreamRefusal> whyStreamCannotGoOn() const;
     bool finishIfStreamCannotGoOn(LegPointer const&);
     void noteStreamBegun();
@@ -176,6 +178,7 @@
     std::optional<Streams::StreamOrigin> m_origin; ///< Of the events that the caller holds; empty: there are none, or it is not found.
     OriginSource m_originSource { OriginSource::Answer };
     Core::BootClock::time_point m_originNotedAt; ///< When the stream was last noted here.
+    bool m_isOriginRead { false }; ///< The store has answered the last question for the origin.
     std::string m_peerRelease; ///< Of the stream that a peer has begun, as it says; empty: it does not.
     std::string m_streamTarget; ///< Name of the target or peer that the last delivered piece is from; empty: none was delivered.
     std::string m_lastEventId; ///< Of the last event that was delivered; empty if none had an id.
--- a/Libraries/LibDaemon/Work.h
+++ b/Libraries/LibDaemon/Work.h
@@ -47,6 +47,7 @@
     std::uint32_t maxAttempts { 4 }; ///< Maximum number of targets to send it to.
     bool mayContinue { false }; ///< Another target may continue a stream after its last event.
     std::optional<std::string> streamRelease {}; ///< That began the stream, as the daemon says that has passed the request on.
+    bool isServiceDrawn { false }; ///< The route draws among services, so that another request for the same may go to another one.
     std::optional<Resumption> resumption {}; ///< Only with `mayContinue`; empty: the stream is to begin.
     std::optional<std::string> ticket;
     std::string idempotencyKey;
