LibStreams: Do not forget a stream that is noted again and again

A stream that was noted more often than twice the capacity, at one moment, was forgotten with the oldest of these notes, since notes were told apart by their time. They are numbered now. OriginWindow.ForgetsTheOldestBeyondItsCapacity failed before.

--- a/Libraries/LibStreams/OriginWindow.h
+++ b/Libraries/LibStreams/OriginWindow.h
@@ -40,20 +40,26 @@
     /// Returns all streams.
     std::vector<BegunStream> streams() const;
 
-    std::size_t size() const { return m_entries.size(); }
+    std::size_t size() const { return m_streams.size(); }
 
 private:
     struct Noted {
         StreamKey key { 0 };
         Time at;
+        std::uint64_t number { 0 };
+    };
+    struct Stream {
+        Entry entry;
+        std::uint64_t lastNumber { 0 }; ///< Of the last time that it was noted.
     };
 
     void forget(Noted const&);
 
     std::chrono::milliseconds m_lifetime;
     std::size_t m_capacity;
-    std::unordered_map<StreamKey, Entry> m_entries;
+    std::unordered_map<StreamKey, Stream> m_streams;
     std::deque<Noted> m_order; ///< Each time that a stream was noted, the oldest first.
+    std::uint64_t m_lastNumber { 0 };
 };
 
 }
