LibRoles, LibDaemon: Let releases have two engines that decode or none

Cause: who decodes was chosen without regard to releases, and new streams began at any of them.

Change: SplitRule completes a release that has one engine that decodes before it gives another release its first, takes the role from lone ones first, and adds one where no release has two. New streams begin at a lone target only while those of other releases have no room. Fleets of one release are planned as before.

Tests: AReleaseHasTwoEnginesThatDecodeOrNone failed before by construction (no release in EngineView); those of Dispatcher are new.

--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -178,6 +178,7 @@
         m_candidates.push_back(candidate);
         m_candidatePositions.push_back(position);
     }
+    closeLoneReleases(request);
     Routing::RequestShape shape = request.shape;
     markHomes(request, shape);
     shape.promptCost = m_speeds.speed(request.work, now).promptCost;
@@ -187,6 +188,11 @@
     // In the decode phase, the output being placed is no longer pending itself.
     shape.pendingOutputs = shape.phase == Routing::Phase::Decode ? 0 : Routing::pendingOutputs(m_candidates);
     waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
+    if (!waiter.outcome.decision.chosen && !m_loneCandidates.empty()) {
+        for (std::size_t n : m_loneCandidates)
+            m_candidates[n].closed = false;
+        waiter.outcome.decision = m_router.decide(m_candidates, shape, m_random);
+    }
     if (!waiter.outcome.decision.chosen && !m_failingCandidates.empty()) {
         // A target that fails often is better than none.
         for (std::size_t n : m_failingCandidates)
@@ -235,6 +241,27 @@
     return !request.stream.release.empty() && terms->second.release == request.stream.release;
 }
 
+// A stream at the only target of its release could go on nowhere if that were lost. Such a target begins streams only while those of other
+// releases have no room.
+void Dispatcher::closeLoneReleases(PlacementRequest const& request)
+{
+    m_loneCandidates.clear();
+    if (!m_hasSeveralReleases || request.stream.kind != StreamPlacement::Kind::Begins)
+        return;
+    std::map<std::string_view, std::vector<std::size_t>> open; // Indices of candidates that may write events, by release.
+    for (std::size_t n = 0; n < m_candidates.size(); ++n) {
+        if (!m_candidates[n].closed && m_candidates[n].role != Routing::TargetRole::Prefill)
+            open[m_streamTerms.at(request.fleet->targets[m_candidatePositions[n]].key).release].push_back(n);
+    }
+    bool isAnyRedundant = std::any_of(open.begin(), open.end(), [](std::pair<std::string_view const, std::vector<std::size_t>> const& it) { return it.second.size() > 1; });
+    for (std::pair<std::string_view const, std::vector<std::size_t>> const& it : open) {
+        if (isAnyRedundant && it.second.size() == 1)
+            m_loneCandidates.push_back(it.second.front());
+    }
+    for (std::size_t n : m_loneCandidates)
+        m_candidates[n].closed = true;
+}
+
 void Dispatcher::noteSent(Waiter& waiter)
 {
     std::uint64_t key = waiter.request.fleet->targets[*waiter.outcome.position].key;
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -255,6 +255,7 @@
     void addGroup(Admission::GroupId, std::vector<std::uint32_t> const& targetIds);
     void clearExhaustedExclusions(PlacementRequest&) const;
     bool mayWriteEvents(PlacementRequest const&, std::uint64_t targetKey, Routing::TargetRole) const;
+    void closeLoneReleases(PlacementRequest const&);
     void noteSent(Waiter&);
     void noteDemand(PlacementRequest const&);
     double outputSeconds(FleetSnapshot const&, std::string const& service, Routing::RequestShape const&, std::chrono::steady_clock::time_point now) const;
@@ -296,6 +297,7 @@
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
     std::unordered_map<std::uint64_t, StreamTerms> m_streamTerms; ///< By target key.
+    bool m_hasSeveralReleases { false }; ///< Engines of some service are of several releases.
     Routing::SpeedBook m_speeds;
     Routing::PromptTimes m_promptTimes;
     bool m_learnsPace { false };
@@ -333,6 +335,7 @@
     std::unordered_map<std::uint32_t, Routing::TargetRole> m_roles; ///< Current roles of the known targets.
     std::vector<Routing::Candidate> m_candidates; ///< Reused between decisions.
     std::vector<std::uint32_t> m_candidatePositions;
+    std::vector<std::size_t> m_loneCandidates; ///< Reused: indices of candidates closed only as the last ones of their release.
     std::vector<std::size_t> m_failingCandidates; ///< Reused: indices of candidates closed only as outliers.
     std::vector<std::uint64_t> m_homeKeys; ///< Reused: keys of the open prefill candidates.
     std::vector<Routing::HomeTarget> m_homeTargets; ///< Reused: the same targets with their parts of the homes.
--- a/Libraries/LibDaemon/RequestOrigin.cpp
+++ b/Libraries/LibDaemon/RequestOrigin.cpp
@@ -131,7 +131,8 @@
         return;
     if (!m_origin) {
         FleetTarget const* target = targetOf(m_target);
-        m_origin = Streams::StreamOrigin { m_work.name, m_isAtPeer ? m_peerRelease : target ? target->streamRelease : std::string() };
+        m_origin = Streams::StreamOrigin { m_work.name, m_isAtPeer ? m_peerRelease : target ? target->streamRelease
+                                                                                            : std::string() };
     }
     m_originSource = OriginSource::Answer;
     m_originNotedAt = Core::BootClock::now();
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -87,6 +87,7 @@
 {
     std::vector<Roles::EngineView> views;
     std::map<std::string, std::uint32_t> failureDomains; // By availability zone.
+    std::map<std::string, std::uint32_t> releases;
     for (std::uint32_t position : positions) {
         FleetTarget const& target = fleet.targets[position];
         Roles::EngineView view;
@@ -95,6 +96,7 @@
         view.role = target.role;
         if (target.isReclaimable)
             view.failureDomain = failureDomains.try_emplace(target.availabilityZone, static_cast<std::uint32_t>(failureDomains.size() + 1)).first->second;
+        view.release = releases.try_emplace(target.streamRelease, static_cast<std::uint32_t>(releases.size() + 1)).first->second;
         view.isFresh = isFresh(target.key, now);
         view.isLeaving = target.isLeaving;
         // Differences within what the estimates err are none.
--- a/Libraries/LibRoles/FleetView.h
+++ b/Libraries/LibRoles/FleetView.h
@@ -38,6 +38,7 @@
     std::uint32_t failureDomain { 0 };
     bool isLeaving { false }; ///< Permanently down, so it can be replaced without waiting for its return.
     bool isFresh { false }; ///< Started recently, so no requests depend on its current role yet.
+    std::uint32_t release { 0 }; ///< Equal for engines whose streams may go on at each other.
     double slowness { 1 }; ///< Processing time relative to other engines for its current work.
     std::uint64_t key { 0 }; ///< Identifies the engine's process, also in later views.
 };
--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -22,6 +22,30 @@
 
 }
 
+std::map<std::uint32_t, SplitRule::ReleaseCounts> SplitRule::countReleases(std::vector<EngineView> const& engines)
+{
+    std::map<std::uint32_t, ReleaseCounts> releases;
+    for (EngineView const& engine : engines) {
+        if (engine.state == EngineState::Down)
+            continue;
+        ReleaseCounts& counts = releases[engine.release];
+        ++counts.total;
+        counts.decode += engine.role == TargetRole::Decode ? 1 : 0;
+    }
+    return releases;
+}
+
+// Ranks an engine for a change by how many engines of its release decode; the lowest rank changes first.
+std::uint32_t SplitRule::releaseRank(std::uint32_t decoding, TargetRole to) const
+{
+    bool isShort = decoding > 0 && decoding < m_settings.leastDecode;
+    if (to == TargetRole::Decode)
+        return isShort ? 0 : decoding > 0 ? 1
+                                          : 2;
+    return isShort ? 0 : decoding > m_settings.leastDecode ? 1
+                                                           : 2;
+}
+
 double SplitRule::peakUtilisation(std::size_t engines, std::size_t decoding, SplitDemand const& demand) const
 {
     double prompts = demand.prompts * m_settings.promptHeadroom / capacityAfterLoss(engines - decoding, m_failureDomains);
@@ -127,9 +151,20 @@
     return m_settings.putsFastWhereLongest && arePromptsLonger ? TargetRole::Prefill : TargetRole::Decode;
 }
 
-// Selects eligible engines so that the role is spread evenly over failure domains; among equals, the fast ones for their role.
-std::vector<RoleChange> SplitRule::selectEngines(std::vector<EngineView> const& engines, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole)
+// Whether engines of several releases serve and none of these has enough that decode, so that the loss of one engine ends its streams.
+bool SplitRule::lacksRedundantRelease(std::vector<EngineView> const& engines) const
+{
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
+    bool isAnyRedundant = std::any_of(releases.begin(), releases.end(), [this](std::pair<std::uint32_t const, ReleaseCounts> const& it) { return it.second.decode >= m_settings.leastDecode; });
+    bool isPossible = std::any_of(releases.begin(), releases.end(), [this](std::pair<std::uint32_t const, ReleaseCounts> const& it) { return it.second.total >= m_settings.leastDecode; });
+    return releases.size() > 1 && !isAnyRedundant && isPossible;
+}
+
+// Selects eligible engines so that each release has enough that decode or none, and the role is spread evenly over failure domains; among
+// equals, the fast ones for their role.
+std::vector<RoleChange> SplitRule::selectEngines(std::vector<EngineView> const& engines, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole) const
 {
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
     std::map<std::uint32_t, double> sizes;
     std::map<std::uint32_t, double> withRole;
     for (EngineView const& engine : engines) {
@@ -138,12 +173,14 @@
         sizes[engine.failureDomain] += 1;
         withRole[engine.failureDomain] += engine.role == to ? 1 : 0;
     }
-    std::function<std::tuple<double, double, std::uint32_t>(EngineView const&)> rank = [&](EngineView const& it) { return std::tuple((withRole[it.failureDomain] + 1) / std::max(1.0, sizes[it.failureDomain]), to == fastRole ? it.slowness : -it.slowness, it.engine); };
+    std::function<std::tuple<std::uint32_t, std::int64_t, double, double, std::uint32_t>(EngineView const&)> rank = [&](EngineView const& it) { return std::tuple(releaseRank(releases[it.release].decode, to), to == TargetRole::Decode ? -static_cast<std::int64_t>(releases[it.release].total) : 0, (withRole[it.failureDomain] + 1) / std::max(1.0, sizes[it.failureDomain]), to == fastRole ? it.slowness : -it.slowness, it.engine); };
     std::vector<RoleChange> changes;
     while (changes.size() < count && !eligible.empty()) {
         std::vector<EngineView>::iterator best = std::min_element(eligible.begin(), eligible.end(), [&rank](EngineView const& one, EngineView const& other) { return rank(one) < rank(other); });
         changes.push_back({ best->engine, to, 0 });
         withRole[best->failureDomain] += 1;
+        std::uint32_t& decoding = releases[best->release].decode;
+        decoding = to == TargetRole::Decode ? decoding + 1 : decoding - std::min(decoding, 1U);
         eligible.erase(best);
     }
     return changes;
@@ -191,6 +228,9 @@
 {
     Counts counts = countEngines(engines);
     std::uint32_t wanted = wantedDecode(counts.total(), counts.decode, demand);
+    bool hasRoom = wanted <= counts.decode && counts.decode < maxDecoding(counts.total());
+    if (hasRoom && counts.total() > 1 && lacksRedundantRelease(engines))
+        wanted = counts.decode + 1;
     m_isSplitDue = false;
     m_isDemandKnown = demand.isKnown;
     std::vector<RoleChange> changes = assignNewEngines(engines, counts.decode, demand, counts.total());
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -4,6 +4,7 @@
 #include <LibRoles/FleetView.h>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -91,6 +92,14 @@
         std::uint32_t total() const { return prefill + decode; }
     };
 
+    /// Number of engines of one release, without `Down` ones.
+    struct ReleaseCounts {
+        std::uint32_t total { 0 };
+        std::uint32_t decode { 0 };
+    };
+
+    static std::map<std::uint32_t, ReleaseCounts> countReleases(std::vector<EngineView> const&);
+    std::uint32_t releaseRank(std::uint32_t decoding, TargetRole to) const;
     Counts countEngines(std::vector<EngineView> const&);
     std::size_t minDecoding(std::size_t engines) const;
     std::size_t maxDecoding(std::size_t engines) const;
@@ -98,7 +107,8 @@
     std::vector<RoleChange> assignNewEngines(std::vector<EngineView> const&, std::uint32_t decode, SplitDemand const&, std::size_t total);
     static std::uint32_t movableEngines(std::vector<EngineView> const&, TargetRole from, std::uint32_t wantedLeft);
     TargetRole fastRole(SplitDemand const&) const;
-    static std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole);
+    std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole) const;
+    bool lacksRedundantRelease(std::vector<EngineView> const&) const;
     bool isUnderPressure(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
     bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, Time now);
 
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -1,9 +1,11 @@
 #include <LibDaemon/Dispatcher.h>
 #include <LibState/Fold.h>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace {
 
@@ -398,3 +400,100 @@
     ASSERT_TRUE(outcome);
     EXPECT_EQ(outcome->position, 0U);
 }
+
+namespace {
+
+Daemon::FleetPointer fleetOfReleases(std::vector<std::string> const& releases)
+{
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = fleetOf(releases.size());
+    for (std::size_t n = 0; n < releases.size(); ++n)
+        fleet->targets[n].streamRelease = releases[n];
+    return fleet;
+}
+
+}
+
+TEST_F(DispatcherTest, AStreamGoesOnOnlyAtItsRelease)
+{
+    Daemon::FleetPointer fleet = fleetOfReleases({ "v1", "v2", "v2" });
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> first;
+    std::optional<Daemon::PlacementOutcome> waiting;
+    std::optional<Daemon::PlacementOutcome> other;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1, 2 });
+    request.stream = { Daemon::StreamPlacement::Kind::GoesOn, "v1" };
+    std::uint64_t id = place(request, first);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->position, 0U);
+    place(request, waiting);
+    EXPECT_FALSE(waiting) << "its only target is full";
+    // One that may go elsewhere does not wait behind it.
+    place(requestFor(fleet, { 0, 1, 2 }), other);
+    ASSERT_TRUE(other);
+    EXPECT_NE(other->position, 0U);
+    m_dispatcher->release(id);
+    runReady();
+    ASSERT_TRUE(waiting);
+    EXPECT_EQ(waiting->position, 0U);
+}
+
+// Guards against a stream that goes on at targets which do not state their release either.
+TEST_F(DispatcherTest, AnUnknownReleaseEqualsNoOther)
+{
+    Daemon::FleetPointer fleet = fleetOfReleases({ "", "" });
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+    request.stream = { Daemon::StreamPlacement::Kind::GoesOn, "" };
+    place(std::move(request), outcome);
+    EXPECT_FALSE(outcome);
+}
+
+// Guards against a write to a target that was listed anew with another release after the request was placed.
+TEST_F(DispatcherTest, ATargetThatHasChangedItsReleaseIsNotWrittenTo)
+{
+    Daemon::FleetPointer fleet = fleetOfReleases({ "v1" });
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> outcome;
+    std::uint64_t id = place(requestFor(fleet, { 0 }), outcome);
+    ASSERT_TRUE(outcome);
+    EXPECT_TRUE(m_dispatcher->mayWrite(fleet->targets[0], id));
+    m_dispatcher->setFleet(fleetOfReleases({ "v2" }));
+    EXPECT_FALSE(m_dispatcher->mayWrite(fleet->targets[0], id));
+}
+
+TEST_F(DispatcherTest, StreamsBeginOnlyAtReleasesThatAreRecorded)
+{
+    std::shared_ptr<Daemon::FleetSnapshot> fleet = std::make_shared<Daemon::FleetSnapshot>(*fleetOfReleases({ "v1", "v2" }));
+    fleet->targets[1].mayBeginStreams = false;
+    m_dispatcher->setFleet(fleet);
+    for (int n = 0; n < 8; ++n) {
+        std::optional<Daemon::PlacementOutcome> outcome;
+        Daemon::PlacementRequest request = requestFor(fleet, { 0, 1 });
+        request.stream = { Daemon::StreamPlacement::Kind::Begins, {} };
+        std::uint64_t id = place(std::move(request), outcome);
+        ASSERT_TRUE(outcome);
+        EXPECT_EQ(outcome->position, 0U);
+        m_dispatcher->release(id);
+    }
+}
+
+// Guards against streams that begin at the only target of a release: if it were lost, they could go on nowhere.
+TEST_F(DispatcherTest, ALoneReleaseBeginsStreamsOnlyWhileTheOthersAreFull)
+{
+    Daemon::FleetPointer fleet = fleetOfReleases({ "v1", "v2", "v2" });
+    m_dispatcher->setFleet(fleet);
+    std::array<std::optional<Daemon::PlacementOutcome>, 3> outcomes;
+    std::set<std::uint32_t> first;
+    for (std::size_t n = 0; n < outcomes.size(); ++n) {
+        Daemon::PlacementRequest request = requestFor(fleet, { 0, 1, 2 });
+        request.stream = { Daemon::StreamPlacement::Kind::Begins, {} };
+        place(std::move(request), outcomes[n]);
+        ASSERT_TRUE(outcomes[n]);
+        if (n < 2)
+            first.insert(*outcomes[n]->position);
+    }
+    // With one of the two full, each release has a target left.
+    EXPECT_TRUE(first.contains(1) || first.contains(2));
+    EXPECT_NE(outcomes.front()->position, 0U);
+}
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -221,3 +221,38 @@
         }
     }
 }
+
+// Guards against streams that can go on nowhere, since the only engine of their release that decodes was lost.
+TEST(SplitRule, AReleaseHasTwoEnginesThatDecodeOrNone)
+{
+    std::vector<EngineView> engines = makeFleet(7, 2);
+    for (EngineView& engine : engines)
+        engine.release = engine.engine % 2;
+    SplitRule rule = makeSettledRule(engines);
+    // One of each release decodes: another one joins the first, and the other then computes prompts.
+    EXPECT_TRUE(rule.plan(engines, unknown, start + 2s).empty());
+    std::vector<RoleChange> changes = rule.plan(engines, unknown, start + 5s);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().role, TargetRole::Decode);
+    engines[changes.front().engine].role = TargetRole::Decode;
+    std::uint32_t release = engines[changes.front().engine].release;
+    EXPECT_TRUE(rule.plan(engines, unknown, start + 6s).empty());
+    changes = rule.plan(engines, unknown, start + 9s);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().role, TargetRole::Prefill);
+    EXPECT_NE(engines[changes.front().engine].release, release);
+}
+
+TEST(SplitRule, AnEngineThatIsMissingIsReplacedByOneOfItsRelease)
+{
+    std::vector<EngineView> engines = makeFleet(7, 2);
+    for (EngineView& engine : engines)
+        engine.release = engine.engine < 5 ? 1 : 2;
+    SplitRule rule = makeSettledRule(engines);
+    engines.back().state = EngineState::Down;
+    engines.back().isLeaving = true;
+    rule.plan(engines, unknown, start + 2s);
+    std::vector<RoleChange> changes = rule.plan(engines, unknown, start + 5s);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(engines[changes.front().engine].release, 2U);
+}
