Tests, docs: Let the soak's targets be of two releases, and its callers resume streams

Judged: what a caller holds of a stream is its first events, each once, from one release, whatever state daemons are in. Earlier runs keep their targets, and with them their seeds. Whole streams are compared text by text as before.

--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -92,7 +92,7 @@
             return false;
     }
     // The split of roles comes before the first request, and the list shows it.
-    return waitFor([&] { return m_settings.hasFixedRoles || countEngines("prefill") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
+    return waitFor([&] { return m_settings.hasFixedRoles || countEngines("decode") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
 }
 
 void KeyedSite::spawn(std::string const& name, std::vector<std::string> const& arguments)
@@ -315,11 +315,11 @@
     return std::nullopt;
 }
 
-std::string KeyedSite::wholeStream(std::uint32_t pieces)
+std::string KeyedSite::wholeStream(std::uint32_t pieces, std::string const& release)
 {
     std::string text;
     for (std::uint32_t n = 1; n <= pieces; ++n)
-        text += "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + "\n\n";
+        text += "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + (release.empty() ? "" : " by " + release) + "\n\n";
     return text;
 }
 
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -23,7 +23,7 @@
 /// What a test varies of a site.
 struct KeyedSiteSettings {
     std::vector<SiteEngine> engines { { "prefill" }, { "decode" }, { "decode" }, { "decode" } };
-    bool hasFixedRoles { false }; ///< Engines refuse orders. Else the daemons bring them to two of each role.
+    bool hasFixedRoles { false }; ///< Engines refuse orders. Else the daemons bring them to two that decode.
     /// Daemons reach the store, and all reach the targets, through forwarders that can be held up and cut.
     bool hasForwarders { false };
     int stopWithinSeconds { 30 };
@@ -94,7 +94,7 @@
     std::optional<double> metric(std::size_t daemon, std::string const& name) const;
     /// How many pieces an engine's stream has.
     std::uint32_t pieces() const { return m_settings.hasLongStreams ? 40 : 10; }
-    static std::string wholeStream(std::uint32_t pieces);
+    static std::string wholeStream(std::uint32_t pieces, std::string const& release = {});
 
     Endpoint const& dutyService() const { return m_dutyService; }
     Endpoint const& store() const { return m_store; }
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -2,6 +2,7 @@
 
 #include "FaultInjector.h"
 #include "KeyedSite.h"
+#include "StreamEvents.h"
 #include "TimedAnswer.h"
 #include "UnansweredReport.h"
 
@@ -62,6 +63,8 @@
     Kind kind { Kind::Safe };
     std::size_t daemon { 0 };
     TimedAnswer answer;
+    std::string streamId {}; ///< Id of the request that brought the stream's first event.
+    std::string heldEvents {}; ///< That earlier requests for the same stream brought.
 
     /// Returns 0 if there was no whole answer.
     std::uint16_t status() const { return answer.response ? answer.response->status : 0; }
@@ -94,11 +97,13 @@
 class Caller {
 public:
     /// `hasOwnWork`: no two streams ask for the same work. One that many targets were killed with would be quarantined.
-    Caller(KeyedSite const& site, std::uint64_t seed, std::string name, bool hasOwnWork)
+    /// `resumesStreams`: its next request resumes a stream that broke off.
+    Caller(KeyedSite const& site, std::uint64_t seed, std::string name, bool hasOwnWork, bool resumesStreams)
         : m_site(site)
         , m_rng(seed)
         , m_name(std::move(name))
         , m_hasOwnWork(hasOwnWork)
+        , m_resumesStreams(resumesStreams)
     {
     }
 
@@ -127,29 +132,54 @@
         asked.id = m_name + "-" + std::to_string(m_asked.size());
         asked.kind = kindNames[m_rng() % kindNames.size()].first;
         asked.daemon = m_rng() % KeyedSite::daemonCount();
-        std::string query = m_hasOwnWork && asked.kind == Kind::Stream ? "?work=" + asked.id : "";
+        asked.streamId = asked.id;
+        if (m_broken) {
+            asked.kind = Kind::Stream;
+            asked.streamId = m_broken->streamId;
+            asked.heldEvents = std::move(m_broken->heldEvents);
+            m_broken.reset();
+        }
+        std::string query = m_hasOwnWork && asked.kind == Kind::Stream ? "?work=" + asked.streamId : "";
         Http::Request request = KeyedSite::request(methodOf(asked.kind), pathOf(asked.kind) + query, asked.id);
+        if (!asked.heldEvents.empty()) {
+            request.fields.set("Resumes", asked.streamId);
+            request.fields.set("Last-Event-Id", std::to_string(eventIds(asked.heldEvents).back()));
+        }
         asked.answer = co_await askTimed(client, m_site.front(asked.daemon), std::move(request));
+        noteBroken(asked);
         m_asked.push_back(std::move(asked));
         boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, betweenRequests);
         boost::system::error_code ec;
         co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     }
 
+    void noteBroken(Asked const& asked)
+    {
+        std::string events = eventsIn(asked.answer.partialBody);
+        bool isBroken = m_resumesStreams && asked.kind == Kind::Stream && !asked.answer.response && !(asked.heldEvents + events).empty();
+        if (!isBroken || asked.answer.receivedBytes == 0)
+            return;
+        m_broken = Asked();
+        m_broken->streamId = asked.streamId;
+        m_broken->heldEvents = asked.heldEvents + events;
+    }
+
     KeyedSite const& m_site;
     std::mt19937_64 m_rng;
+    std::optional<Asked> m_broken; ///< The stream that the next request resumes.
     std::string m_name;
     bool m_hasOwnWork { false };
+    bool m_resumesStreams { false };
     std::vector<Asked> m_asked;
 };
 
 /// Callers that ask on threads of their own until `stop`, or until this object ends.
 class Callers {
 public:
-    Callers(KeyedSite const& site, std::uint64_t seed, std::size_t count, bool hasOwnWork)
+    Callers(KeyedSite const& site, SoakSettings const& settings)
     {
-        for (std::size_t n = 0; n < count; ++n) {
-            m_callers.push_back(std::make_unique<Caller>(site, seed * 1'000 + n, "soak-" + std::to_string(n), hasOwnWork));
+        for (std::size_t n = 0; n < settings.callers; ++n) {
+            m_callers.push_back(std::make_unique<Caller>(site, settings.seed * 1'000 + n, "soak-" + std::to_string(n), settings.isUneven, settings.hasTwoReleases));
             m_threads.emplace_back([this, caller = m_callers.back().get()] { caller->run(m_isStopped); });
         }
     }
@@ -205,6 +235,8 @@
             blame(asked, "was said not to have run and ran");
         if (status == 200)
             judgeAnswer(asked);
+        if (asked.kind == Kind::Stream)
+            judgeEvents(asked);
         bool isDenied = status >= 400 && status < 500 && !isPromise(status);
         if (isDenied)
             blame(asked, "was denied");
@@ -298,11 +330,23 @@
         std::string const& body = asked.answer.response->body;
         if (answerId != asked.id)
             blame(asked, "got the answer of \"" + answerId + "\"");
-        std::string expected = asked.kind == Kind::Stream ? KeyedSite::wholeStream(m_pieces) : methodOf(asked.kind) + " " + pathOf(asked.kind) + " " + (asked.kind == Kind::Safe ? "" : "body");
-        if (body != expected)
+        std::set<std::string> releases = releasesIn(asked.heldEvents + body);
+        std::string stream = KeyedSite::wholeStream(m_pieces, releases.empty() ? std::string() : *releases.begin());
+        std::string expected = asked.kind == Kind::Stream ? stream : methodOf(asked.kind) + " " + pathOf(asked.kind) + " " + (asked.kind == Kind::Safe ? "" : "body");
+        if (asked.heldEvents + body != expected)
             blame(asked, "got \"" + body + "\" as a whole answer");
     }
 
+    // RULES.md, ORDER: also over a caller's requests, and of daemons in any state.
+    void judgeEvents(Asked const& asked)
+    {
+        std::string events = asked.heldEvents + eventsIn(asked.answer.response ? asked.answer.response->body : asked.answer.partialBody);
+        m_report.resumptions += asked.heldEvents.empty() ? 0 : 1;
+        m_report.resumed += !asked.heldEvents.empty() && asked.answer.receivedBytes > 0 && asked.answer.hasBegun && events.size() > asked.heldEvents.size() ? 1 : 0;
+        if (!isOneStream(events))
+            blame(asked, "holds events that are no one stream: " + events);
+    }
+
     void blame(Asked const& asked, std::string const& what)
     {
         m_report.violations.push_back(asked.id + " (" + std::string(Core::nameOf(kindNames, asked.kind)) + " at " + KeyedSite::daemonName(asked.daemon) + ", status " + std::to_string(asked.status()) + ") " + what);
@@ -360,13 +404,16 @@
     siteSettings.leaveHoldMs = 1'000;
     siteSettings.hasLongStreams = settings.hasLongStreams;
     siteSettings.isUneven = settings.isUneven;
+    // Whoever goes on with a stream at the other release shows in its events.
+    if (settings.hasTwoReleases)
+        siteSettings.engines = { { "prefill", "v1" }, { "decode", "v1" }, { "decode", "v1" }, { "prefill", "v2" }, { "decode", "v2" }, { "decode", "v2" } };
     KeyedSite site(siteSettings);
     SoakReport report;
     if (!site.waitUntilServing()) {
         report.violations.emplace_back("the site does not come to serve");
         return report;
     }
-    Callers callers(site, settings.seed, settings.callers, settings.isUneven);
+    Callers callers(site, settings);
     FaultInjector injector(site, settings.seed, settings.hasOnlyPlannedFaults ? FaultInjector::Faults::Planned : FaultInjector::Faults::All);
     injector.run(settings.duration);
     callers.stop();
--- a/Tests/Processes/SoakMain.cpp
+++ b/Tests/Processes/SoakMain.cpp
@@ -9,7 +9,7 @@
 bool runSeed(Processes::SoakSettings const& settings, bool reportsAll)
 {
     Processes::SoakReport report = Processes::runSoak(settings);
-    std::cout << "seed " << settings.seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.divisions << " times divided, " << report.streamsAtStops << " streams judged at stops, " << report.violations.size() << " violations, " << report.unanswered.size() << " without a whole answer" << std::endl;
+    std::cout << "seed " << settings.seed << ": " << report.requests << " requests, " << report.served << " served, " << report.faults.size() << " faults, " << report.divisions << " times divided, " << report.streamsAtStops << " streams judged at stops, " << report.resumed << " of " << report.resumptions << " resumptions went on, " << report.violations.size() << " violations, " << report.unanswered.size() << " without a whole answer" << std::endl;
     bool isGood = report.violations.empty();
     if (isGood && !reportsAll)
         return true;
@@ -33,6 +33,7 @@
     options.add_options()("seconds", "How long faults go on in each run, from 1 to 3600", cxxopts::value<std::uint64_t>()->default_value("8"), "S");
     options.add_options()("uneven", "Targets differ in speed, and plain ones have fewer places than there are callers");
     options.add_options()("long-streams", "Streams last one to four seconds");
+    options.add_options()("two-releases", "Engines are of two software releases, and callers resume streams that broke off");
     options.add_options()("planned", "Nothing but planned stops and configurations");
     options.add_options()("callers", "How many callers, from 1 to 1000", cxxopts::value<std::uint64_t>()->default_value("6"), "N");
     options.add_options()("report", "Print faults and requests without a whole answer, also where all promises were kept");
@@ -54,6 +55,7 @@
         settings.seed = arguments["first"].as<std::uint64_t>();
         settings.duration = std::chrono::seconds(seconds);
         settings.isUneven = arguments.count("uneven") != 0;
+        settings.hasTwoReleases = arguments.count("two-releases") != 0;
         settings.hasOnlyPlannedFaults = arguments.count("planned") != 0;
         settings.callers = callers;
         settings.hasLongStreams = arguments.count("long-streams") != 0;
--- a/Tests/Processes/TestSoak.cpp
+++ b/Tests/Processes/TestSoak.cpp
@@ -49,3 +49,12 @@
     settings.duration = std::chrono::seconds(6);
     expectPromisesKept(settings);
 }
+
+// Guards against streams whose events are from two releases, within one answer or over what their callers resume.
+TEST(Soak, StreamsStayAtTheirReleaseUnderFaults)
+{
+    SoakSettings settings;
+    settings.hasTwoReleases = true;
+    settings.callers = 12;
+    expectPromisesKept(settings);
+}
--- a/Tests/Processes/TestStreamReleases.cpp
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -2,11 +2,10 @@
 
 #include "KeyedSite.h"
 #include "RawCaller.h"
+#include "StreamEvents.h"
 
 #include <csignal>
 #include <gtest/gtest.h>
-#include <regex>
-#include <set>
 
 namespace {
 
@@ -22,31 +21,6 @@
     bool isWhole { false };
 };
 
-std::vector<std::string> matchesOf(std::string const& text, char const* pattern)
-{
-    std::regex regex(pattern);
-    std::vector<std::string> matches;
-    for (std::sregex_iterator it(text.begin(), text.end(), regex); it != std::sregex_iterator(); ++it)
-        matches.push_back((*it)[1]);
-    return matches;
-}
-
-/// Returns the whole events of what came over a connection.
-std::string eventsOf(std::string const& answer)
-{
-    std::string events;
-    std::regex regex("id: \\d+\ndata: [^\n]*\n\n");
-    for (std::sregex_iterator it(answer.begin(), answer.end(), regex); it != std::sregex_iterator(); ++it)
-        events += it->str();
-    return events;
-}
-
-std::set<std::string> releasesIn(std::string const& events)
-{
-    std::vector<std::string> all = matchesOf(events, " by (\\S+)");
-    return { all.begin(), all.end() };
-}
-
 KeyedSiteSettings twoReleases()
 {
     KeyedSiteSettings settings;
@@ -73,7 +47,7 @@
         constexpr std::size_t someBytes = 400; // The head and some events.
         RawCaller caller(front(daemon));
         caller.write(RawCaller::bytesOf(request("POST", "/h/1", id)));
-        HeldStream stream { id, eventsOf(caller.read(someBytes, 5s)) };
+        HeldStream stream { id, eventsIn(caller.read(someBytes, 5s)) };
         caller.close(RawCaller::Closing::Reset);
         EXPECT_FALSE(stream.events.empty()) << id << " does not begin";
         return stream;
@@ -83,7 +57,7 @@
     {
         Http::Request resumed = request("POST", "/h/1", id);
         resumed.fields.set("Resumes", stream.id);
-        resumed.fields.set("Last-Event-Id", matchesOf(stream.events, "id: (\\d+)").back());
+        resumed.fields.set("Last-Event-Id", std::to_string(eventIds(stream.events).back()));
         return resumed;
     }
 
@@ -93,9 +67,8 @@
         Http::Response response = fetch(front(daemon), resumption(stream, id));
         if (response.status != 200)
             return response.status;
-        stream.events += eventsOf(response.body);
-        std::vector<std::string> ids = matchesOf(stream.events, "id: (\\d+)");
-        stream.isWhole = ids.size() == pieces();
+        stream.events += eventsIn(response.body);
+        stream.isWhole = eventIds(stream.events).size() == pieces();
         return response.status;
     }
 
@@ -104,8 +77,8 @@
     {
         std::size_t whole = 0;
         for (HeldStream const& stream : streams) {
-            EXPECT_LE(releasesIn(stream.events).size(), 1U) << stream.id << " holds\n"
-                                                            << stream.events;
+            EXPECT_TRUE(isOneStream(stream.events)) << stream.id << " holds\n"
+                                                    << stream.events;
             whole += stream.isWhole ? 1 : 0;
         }
         EXPECT_GE(whole, leastWhole) << "of " << streams.size();
@@ -191,8 +164,8 @@
         cutStreamAfter(3);
         std::string id = "one-answer-" + std::to_string(n);
         Http::Response response = ask(n % daemonCount(), "POST", "/h/1", id);
-        std::string events = eventsOf(response.body);
-        streams.push_back({ id, events, matchesOf(events, "id: (\\d+)").size() == pieces() });
+        std::string events = eventsIn(response.body);
+        streams.push_back({ id, events, eventIds(events).size() == pieces() });
     }
     for (std::size_t n = 0; n < daemonCount(); ++n)
         continued += metric(n, R"(currantvale_streams_continued_total{in="same_answer"})").value_or(0);
@@ -239,7 +212,7 @@
         cutStreamAfter(1);
         RawCaller caller(front((n + 1) % daemonCount()));
         caller.write(RawCaller::bytesOf(resumption(streams[n], streams[n].id + "-second")));
-        streams[n].events += eventsOf(caller.read(300, 300ms));
+        streams[n].events += eventsIn(caller.read(300, 300ms));
         caller.close(RawCaller::Closing::Reset);
         cutStreamAfter(0);
         std::ignore = resume((n + 2) % daemonCount(), streams[n], streams[n].id + "-third");
--- a/Tests/Processes/TimedAnswer.cpp
+++ b/Tests/Processes/TimedAnswer.cpp
@@ -28,6 +28,7 @@
         Core::Result<std::optional<std::string>> piece = co_await exchange.read();
         answer.endedAt = Clock::now();
         if (piece.has_error()) {
+            answer.partialBody = std::move(response.body);
             answer.error = piece.error().message;
             co_return answer;
         }
--- a/Tests/Processes/TimedAnswer.h
+++ b/Tests/Processes/TimedAnswer.h
@@ -14,6 +14,7 @@
     bool wasSent { false }; ///< A connection took at least a part of the request.
     bool hasBegun { false }; ///< The response's head arrived.
     std::size_t receivedBytes { 0 }; ///< Of the response's body.
+    std::string partialBody; ///< What came of the body, if there is no whole response.
     std::chrono::steady_clock::time_point sentAt; ///< Just before it was written.
     std::chrono::steady_clock::time_point endedAt;
     std::string error; ///< Why there is no whole response.
