--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -370,7 +370,7 @@
 {
     m_context.metrics.countDecision(outcome.decision.reason);
     if (!outcome.position) {
-        Core::logEvent(Core::Severity::Warning, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
+        Core::logEvent(Core::Severity::Warning, Core::Event::RouteRefused, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "work", m_work.name }, { "organisation", m_work.organisation }, { "allowed", std::to_string(m_allowed.size()) }, { "release", goesOn() && m_origin ? toLogText(m_origin->release) : "-" }, { "reason", std::string(Core::nameOf(Routing::reasonNames, outcome.decision.reason)) }, { "error", outcome.error.message }, { "config", std::to_string(m_fleet->configVersion) }, { "fleet_age_ms", fleetAge() }, { "list_age_ms", listAge() }, { "left_ms", std::to_string(timeLeft().count()) } });
         return;
     }
     if (!Core::isLogged(Core::Severity::Info))
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -91,7 +91,7 @@
     // The change of role has ended, and whoever ordered it says so soon.
     if (hasNewRole)
         m_changing.settle(keyOf(listed.value()));
-    Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
+    Core::logEvent(Core::Severity::Info, Core::Event::TargetAdded, { { "target", record.key }, { "address", Http::toString(listed.value().address) }, { "availability_zone", listed.value().availabilityZone }, { "leaving", listed.value().isLeaving ? "yes" : "no" }, { "release", listed.value().release.empty() ? "-" : listed.value().release }, { "role", listed.value().role ? std::string(Core::nameOf(Routing::targetRoleNames, *listed.value().role)) : "-" } });
     return true;
 }
 
