LibDaemon: Keep streams that may begin anywhere in line with other requests

Streams that begin waited in a queue of their own, so that priorities did not hold between them and requests that go to the same targets. They do so only while some target may not begin streams.

StreamsThatMayBeginAnywhereWaitInLineWithAllElse is the test.

--- a/Libraries/LibDaemon/Dispatcher.cpp
+++ b/Libraries/LibDaemon/Dispatcher.cpp
@@ -82,7 +82,10 @@
     for (std::uint32_t position : request.allowed)
         ids.push_back(request.fleet->targets[position].id);
     std::sort(ids.begin(), ids.end());
-    std::pair<std::map<std::pair<std::vector<std::uint32_t>, StreamPlacement>, Admission::GroupId>::iterator, bool> added = m_groups.try_emplace({ std::move(ids), request.stream }, m_nextGroup);
+    // Where every target may begin streams, these share a queue with all else, in the order of their priorities.
+    bool mayGoAnywhere = request.stream.kind == StreamPlacement::Kind::Begins && !m_isAnyBarred;
+    StreamPlacement stream = mayGoAnywhere ? StreamPlacement() : request.stream;
+    std::pair<std::map<std::pair<std::vector<std::uint32_t>, StreamPlacement>, Admission::GroupId>::iterator, bool> added = m_groups.try_emplace({ std::move(ids), std::move(stream) }, m_nextGroup);
     if (added.second) {
         ++m_nextGroup;
         addGroup(added.first->second, added.first->first.first);
--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -297,7 +297,8 @@
     std::chrono::steady_clock::time_point m_outliersUpdated;
     std::unordered_map<std::uint64_t, std::string> m_targetNames; ///< By target key, for logs.
     std::unordered_map<std::uint64_t, StreamTerms> m_streamTerms; ///< By target key.
-    bool m_hasSeveralReleases { false }; ///< Engines of some service are of several releases.
+    bool m_isAnyBarred { false }; ///< Some target may not begin streams.
+    bool m_hasSeveralReleases { false }; ///< Targets of some service are of several releases.
     Routing::SpeedBook m_speeds;
     Routing::PromptTimes m_promptTimes;
     bool m_learnsPace { false };
--- a/Libraries/LibDaemon/DispatcherFleet.cpp
+++ b/Libraries/LibDaemon/DispatcherFleet.cpp
@@ -47,12 +47,11 @@
     m_streamTerms.clear();
     m_targetIdsByKey.clear();
     std::map<std::tuple<std::string, Routing::TargetRole>, std::vector<std::uint64_t>> groups;
-    std::map<std::string, std::set<std::string>> releases; // Of engines, by service.
+    std::map<std::string, std::set<std::string>> releases; // By service.
     for (FleetTarget const& target : fleet->targets) {
         groups[{ target.work(), target.role }].push_back(target.key);
         m_targetNames.emplace(target.key, target.name);
-        if (target.kind == Platform::VmKind::Engine)
-            releases[target.work()].insert(target.streamRelease);
+        releases[target.work()].insert(target.streamRelease);
         m_streamTerms.emplace(target.key, StreamTerms { target.streamRelease, target.mayBeginStreams });
         m_targetIdsByKey.emplace(target.key, target.id);
         highest = std::max(highest, target.id);
@@ -63,6 +62,7 @@
         if (former != formerRoles.end() && former->second != target.role)
             m_health.forget(target.key);
     }
+    m_isAnyBarred = std::any_of(fleet->targets.begin(), fleet->targets.end(), [](FleetTarget const& it) { return !it.mayBeginStreams; });
     m_hasSeveralReleases = std::any_of(releases.begin(), releases.end(), [](std::pair<std::string const, std::set<std::string>> const& it) { return it.second.size() > 1; });
     std::vector<std::vector<std::uint64_t>> outlierGroups;
     for (std::pair<std::tuple<std::string, Routing::TargetRole> const, std::vector<std::uint64_t>>& it : groups)
--- a/Libraries/LibDaemon/StreamExchange.h
+++ b/Libraries/LibDaemon/StreamExchange.h
@@ -40,7 +40,7 @@
     /// Handles the streams that another daemon has begun and this one is to record. Anything may be in a datagram.
     void takeNotes(std::string_view bytes, Core::BootClock::time_point now);
 
-    /// Takes the releases of all listed targets with engines, by service.
+    /// Takes the releases of all listed targets of services whose streams may go on elsewhere, by service.
     void setListed(std::map<std::string, std::set<std::string>>, Core::BootClock::time_point now);
 
     /// Takes the services whose streams are all recorded because routes draw among several services, and how long callers may go on
--- a/Libraries/LibStreams/ReleaseBook.h
+++ b/Libraries/LibStreams/ReleaseBook.h
@@ -46,7 +46,7 @@
 
     std::map<std::string, ReleaseRecord> const& records() const { return m_records; } ///< By service.
 
-    /// Takes the releases of all listed targets of services with engines, by service.
+    /// Takes the releases of all listed targets of services whose streams may go on elsewhere, by service.
     void setListed(std::map<std::string, std::set<std::string>>, Time now);
 
     /// Whether a target of this release may begin streams.
--- a/Tests/LibDaemon/TestDispatcher.cpp
+++ b/Tests/LibDaemon/TestDispatcher.cpp
@@ -497,3 +497,25 @@
     EXPECT_TRUE(first.contains(1) || first.contains(2));
     EXPECT_NE(outcomes.front()->position, 0U);
 }
+
+// Guards against a stream of low priority that passes requests which have waited before it, since it waits in a queue of its own.
+TEST_F(DispatcherTest, StreamsThatMayBeginAnywhereWaitInLineWithAllElse)
+{
+    Daemon::FleetPointer fleet = fleetOfReleases({ "v1" });
+    m_dispatcher->setFleet(fleet);
+    std::optional<Daemon::PlacementOutcome> running;
+    std::uint64_t id = place(requestFor(fleet, { 0 }), running);
+    std::optional<Daemon::PlacementOutcome> stream;
+    std::optional<Daemon::PlacementOutcome> urgent;
+    Daemon::PlacementRequest request = requestFor(fleet, { 0 });
+    request.stream = { Daemon::StreamPlacement::Kind::Begins, {} };
+    request.priority = 9;
+    place(std::move(request), stream);
+    request = requestFor(fleet, { 0 });
+    request.priority = 0;
+    place(std::move(request), urgent);
+    m_dispatcher->release(id);
+    runReady();
+    EXPECT_TRUE(urgent);
+    EXPECT_FALSE(stream);
+}
