LibRoles: Do not let a new engine of another release split those that decode

It is passed over where an engine of the short release can change, and a fleet without a release that has two is short at once.

ANewEngineOfAnotherReleaseDoesNotSplitThoseThatDecode is the test.

--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <tuple>
@@ -100,7 +101,7 @@
     return counts.total() > 1 && (counts.decode + counts.returningDecode < minDecoding(counts.total()) || counts.prefill + counts.returningPrefill < m_settings.leastPrefill);
 }
 
-bool SplitRule::isDue(std::size_t listed, Counts const& counts, std::uint32_t wanted, bool isDemandKnown, Time now)
+bool SplitRule::isDue(std::size_t listed, Counts const& counts, std::uint32_t wanted, bool isDemandKnown, bool isUrgent, Time now)
 {
     if (!m_listChangedAt || listed != m_listedCount) {
         m_listedCount = listed;
@@ -117,8 +118,8 @@
     if (!m_mismatchSince)
         m_mismatchSince = now;
     bool isFirst = isDemandKnown && !m_hasFollowedDemand;
-    std::chrono::milliseconds patience = isUrgent(counts) ? m_settings.urgentPatience : isFirst ? m_settings.firstPatience
-                                                                                                : m_settings.patience;
+    std::chrono::milliseconds patience = isUrgent ? m_settings.urgentPatience : isFirst ? m_settings.firstPatience
+                                                                                        : m_settings.patience;
     if (!m_hasPlanned)
         return now - *m_listChangedAt >= m_settings.stabilisationTime;
     return now - *m_mismatchSince >= patience;
@@ -133,11 +134,18 @@
     std::uint32_t wanted = wantedDecode(total, decode, demand);
     TargetRole to = decode < wanted ? TargetRole::Decode : TargetRole::Prefill;
     std::uint32_t missing = decode < wanted ? wanted - decode : decode - wanted;
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
     std::vector<EngineView> newEngines;
+    std::uint32_t bestRank = std::numeric_limits<std::uint32_t>::max();
     for (EngineView const& engine : engines) {
-        if (engine.isFresh && engine.state == EngineState::Serving && engine.role != to && engine.allowed.has(to))
+        if (engine.state != EngineState::Serving || engine.role == to || !engine.allowed.has(to))
+            continue;
+        bestRank = std::min(bestRank, releaseRank(releases[engine.release].decode, to));
+        if (engine.isFresh)
             newEngines.push_back(engine);
     }
+    // An engine of another release is worth the wait for its change.
+    std::erase_if(newEngines, [&](EngineView const& it) { return releaseRank(releases[it.release].decode, to) > bestRank; });
     TargetRole from = to == TargetRole::Decode ? TargetRole::Prefill : TargetRole::Decode;
     missing = std::min(missing, movableEngines(engines, from, from == TargetRole::Decode ? wanted : static_cast<std::uint32_t>(total) - wanted));
     return selectEngines(engines, newEngines, to, missing, fastRole(demand));
@@ -228,13 +236,14 @@
 {
     Counts counts = countEngines(engines);
     std::uint32_t wanted = wantedDecode(counts.total(), counts.decode, demand);
-    bool hasRoom = wanted <= counts.decode && counts.decode < maxDecoding(counts.total());
-    if (hasRoom && counts.total() > 1 && lacksRedundantRelease(engines))
-        wanted = counts.decode + 1;
+    bool hasRoom = counts.total() > 1 && counts.decode < maxDecoding(counts.total());
+    bool lacksRedundancy = hasRoom && lacksRedundantRelease(engines);
+    if (lacksRedundancy)
+        wanted = std::max(wanted, counts.decode + 1);
     m_isSplitDue = false;
     m_isDemandKnown = demand.isKnown;
     std::vector<RoleChange> changes = assignNewEngines(engines, counts.decode, demand, counts.total());
-    if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, now))
+    if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, lacksRedundancy || isUrgent(counts), now))
         return changes;
     m_isSplitDue = true;
     TargetRole from = counts.decode < wanted ? TargetRole::Prefill : TargetRole::Decode;
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -110,7 +110,7 @@
     std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole) const;
     bool lacksRedundantRelease(std::vector<EngineView> const&) const;
     bool isUnderPressure(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
-    bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, Time now);
+    bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, bool isUrgent, Time now);
 
     SplitSettings m_settings;
     std::size_t m_listedCount { 0 };
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -256,3 +256,27 @@
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(engines[changes.front().engine].release, 2U);
 }
+
+// Guards against a new engine of another release that takes the place of a lost one, and leaves each release with one that decodes.
+TEST(SplitRule, ANewEngineOfAnotherReleaseDoesNotSplitThoseThatDecode)
+{
+    std::vector<EngineView> engines = makeFleet(7, 2);
+    for (EngineView& engine : engines)
+        engine.release = 1;
+    SplitDemand demand { 6, 0.5, true };
+    SplitRule rule;
+    for (SplitRule::Time now = start; now < start + 10s; now += 100ms)
+        EXPECT_TRUE(rule.plan(engines, demand, now).empty());
+    engines.back().state = EngineState::Down;
+    engines.back().isLeaving = true;
+    EngineView fresh = engines.front();
+    fresh.engine = 9;
+    fresh.release = 2;
+    fresh.isFresh = true;
+    engines.push_back(fresh);
+    std::vector<RoleChange> changes;
+    for (SplitRule::Time now = start + 10s; now < start + 13s && changes.empty(); now += 100ms)
+        changes = rule.plan(engines, demand, now);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(engines[changes.front().engine].release, 1U);
+}
