LibDaemon: Let streams of plain services begin, and take a target whose address another has taken for gone

Two faults in the list of targets: - Releases were recorded of engines only, so that a resumable stream of a service without engines could begin nowhere. StreamReleases.AStreamOfAPlainServiceBegins failed before. Releases are recorded of the services of resumable routes. - The entry of a target that crashed stays for seconds. Though another process had listed itself at its address, it got requests, and counted as an engine that decodes, so that its successor was ordered to compute prompts. KeyedPlatform.ATargetWhoseAddressAnotherHasTakenGetsNoRequests failed before. The entry that was written last at an address counts.

--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -195,7 +195,8 @@
     void shareAmongDaemons(Core::BootClock::time_point now);
     void noteTargetsGone(FleetSnapshot const&);
     FleetTarget describeTarget(Fleet::BookedTarget const&);
-    bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key); }
+    bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key) || m_replacedTargets.contains(target.listed.id); }
+    std::set<std::string> findReplacedTargets() const;
     std::optional<Routing::TargetRole> nextRole(Fleet::BookedTarget const&, std::uint64_t key) const;
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
 
@@ -233,6 +234,8 @@
     std::shared_ptr<State::ServiceConfig const> m_services;
     std::shared_ptr<State::Config const> m_labels;
     Fleet::TargetBook m_targets;
+    std::set<std::string> m_streamServices; ///< Services of routes whose streams may go on at another target.
+    std::set<std::string> m_replacedTargets; ///< Ids of targets whose address another one has taken.
     std::set<std::string> m_unusableEntries; ///< Ids of targets whose newest entry cannot be used.
     std::map<std::uint64_t, std::uint32_t> m_targetIds; ///< By key.
     std::uint32_t m_nextTargetId { 0 };
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -55,6 +55,7 @@
 
 void StoreControl::setStreamRoutes()
 {
+    m_streamServices.clear();
     std::set<std::string> drawnServices;
     std::chrono::milliseconds longestStream { 0 };
     for (State::EntryRoute const& route : m_services->routes.all()) {
@@ -62,6 +63,7 @@
             continue;
         longestStream = std::max(longestStream, route.timeout);
         for (State::RouteShare const& share : route.shares) {
+            m_streamServices.insert(share.service);
             if (route.shares.size() > 1)
                 drawnServices.insert(share.service);
         }
@@ -312,6 +314,8 @@
 
 std::string StoreControl::whyClosed(Fleet::BookedTarget const& target, std::uint64_t key) const
 {
+    if (m_replacedTargets.contains(target.listed.id))
+        return "replaced at its address";
     if (isLeaving(target, key))
         return "leaving";
     bool isRoleUnknown = m_changing.contains(key) && !m_changing.roleOf(key);
@@ -345,7 +349,7 @@
     target.kvCapacityTokens = isEngine ? terms->engine->kvCapacityTokens : 0;
     target.release = listed.release;
     target.streamRelease = listed.release;
-    target.mayBeginStreams = m_streams->mayBegin({ listed.service, listed.release });
+    target.mayBeginStreams = !m_streamServices.contains(listed.service) || m_streams->mayBegin({ listed.service, listed.release });
     target.isReclaimable = listed.isReclaimable;
     target.isLeaving = isLeaving(booked, key);
     target.nextRole = nextRole(booked, key);
@@ -382,10 +386,29 @@
     return m_fleet->isReady || (m_listedAt && hasHeardPeers(now) && ((m_quarantine->isCaughtUp() && m_streams->isLoaded()) || now - *m_listedAt >= longestCatchUp));
 }
 
+// An address belongs to the process that has listed itself there last. The entry of one that has crashed stays for seconds.
+std::set<std::string> StoreControl::findReplacedTargets() const
+{
+    std::map<boost::asio::ip::tcp::endpoint, std::pair<std::uint64_t, std::string>> newest; // Offset and id, by address.
+    std::set<std::string> replaced;
+    for (std::pair<std::string const, Fleet::BookedTarget> const& it : m_targets.targets()) {
+        Platform::KeyedRecord const* record = m_targetList.follower->replica().find(it.first);
+        std::pair<std::uint64_t, std::string> entry { record && !it.second.isLapsed ? record->offset : 0, it.first };
+        std::pair<std::uint64_t, std::string>& last = newest.try_emplace(it.second.listed.address, entry).first->second;
+        if (last.second == it.first)
+            continue;
+        if (last.first < entry.first)
+            std::swap(last, entry);
+        replaced.insert(entry.second);
+    }
+    return replaced;
+}
+
 void StoreControl::rebuild()
 {
     if (!m_labels)
         return;
+    m_replacedTargets = findReplacedTargets();
     std::vector<State::PlatformTarget> platformTargets;
     std::shared_ptr<FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
     std::set<std::uint64_t> keys;
@@ -396,8 +419,8 @@
         if (terms && terms->engine && !it.second.listed.role)
             continue;
         FleetTarget target = describeTarget(it.second);
-        if (target.kind == Platform::VmKind::Engine)
-            releases[target.model].insert(target.streamRelease);
+        if (m_streamServices.contains(target.work()))
+            releases[target.work()].insert(target.streamRelease);
         keys.insert(target.key);
         Label::LabelSet labels;
         // A value outside the label syntax is left out: no selector could name it.
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -247,6 +247,7 @@
                          R"({"name":"confirm","host":"a.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":")"
         + service + R"(","max_attempts":3},)"
                     R"({"name":"look-up","host":"a.example","path_prefix":"/s/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2},)"
+                    R"({"name":"texts","host":"a.example","path_prefix":"/t/","kind":"stream","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2,"resumable":true,"gap_target_ms":150},)"
                     R"({"name":"open","host":"a.example","path_prefix":"/o/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2,"public":true})";
     std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}])" + (m_organisations.empty() ? "" : R"(,"tenants":)" + m_organisations) + "}";
     Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", config) };
--- a/Tests/Processes/TestKeyedPlatform.cpp
+++ b/Tests/Processes/TestKeyedPlatform.cpp
@@ -3,8 +3,11 @@
 
 #include "KeyedSite.h"
 
+#include <LibHttp/Client.h>
 #include <csignal>
+#include <functional>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace {
 
@@ -147,3 +150,29 @@
     EXPECT_EQ(logLines("front-0", "target-entry-unusable target=x-7").size(), 1U) << "one line an entry, however often it is written";
     EXPECT_TRUE(logLines("front-0", "name=target-added target=x-").size() <= 1U) << "the engine without a role is listed and not used";
 }
+
+// Guards against requests, and a plan of roles, that count on a target whose entry remains after another process took its address.
+TEST_F(KeyedPlatform, ATargetWhoseAddressAnotherHasTakenGetsNoRequests)
+{
+    std::string address = "address=" + Http::toString(target("app-0"));
+    std::function<std::vector<std::string>()> added = [&] { return logLines(daemonName(0), "name=target-added"); };
+    std::function<std::set<std::string>()> ids = [&] {
+        std::set<std::string> found;
+        for (std::string const& line : added()) {
+            std::size_t at = line.find(" target=") + std::string_view(" target=").size();
+            if (line.find(address) != std::string::npos)
+                found.insert(line.substr(at, line.find(' ', at) - at));
+        }
+        return found;
+    };
+    ASSERT_EQ(ids().size(), 1U);
+    std::string former = *ids().begin();
+    process("app-0").send(SIGKILL);
+    ASSERT_TRUE(waitFor([&] { return process("app-0").status().has_value(); }));
+    startTarget("app-0");
+    ASSERT_TRUE(waitFor([&] { return ids().size() == 2; }));
+    std::size_t before = logLines(daemonName(0), "target=" + former + " ").size();
+    for (int n = 0; n < 30; ++n)
+        EXPECT_EQ(ask(0, "GET", "/s/1", "taken-" + std::to_string(n)).status, 200);
+    EXPECT_EQ(logLines(daemonName(0), "target=" + former + " ").size(), before);
+}
--- a/Tests/Processes/TestStreamReleases.cpp
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -258,3 +258,9 @@
         EXPECT_EQ(runs(engines(), id), 0U);
     }
 }
+
+// Guards against streams of services without engines that nobody may begin, since only releases of engines are recorded.
+TEST_F(StreamReleases, AStreamOfAPlainServiceBegins)
+{
+    EXPECT_EQ(ask(0, "POST", "/t/1", "plain").status, 200);
+}
