LibStreams, LibDaemon: Call a store that fails no more often at a large site

Cause: a release that was not recorded yet was due for writing at each daemon one to two seconds after it was listed, and from then on at each tick, so that while the store fails 295 daemons call it several times a second each. Daemons that start without an answer did so, too.

Change: daemons that do not read for others write, and read at their start, at a random moment within 0.2 s for each daemon of the site, drawn anew after each try, as the reads of topics are.

Found by reading.

--- a/Libraries/LibDaemon/StreamExchange.cpp
+++ b/Libraries/LibDaemon/StreamExchange.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <utility>
 
 namespace Daemon {
@@ -38,8 +37,9 @@
     , m_daemons(daemons)
     , m_self(std::move(self))
     , m_hooks(std::move(hooks))
-    , m_releases({}, std::random_device()())
-    , m_startedAt(Clock::now())
+    , m_random(std::random_device()())
+    , m_releases({}, m_random())
+    , m_loadsAloneAt(Clock::now() + othersLoad)
     , m_recorder(m_self)
     , m_window(shortestLifetime, windowCapacity)
 {
@@ -120,12 +120,14 @@
 
 void StreamExchange::tick(bool readsStore, bool isLeaving, Clock::time_point now)
 {
-    if (!m_releases.isLoaded() && !m_isLoading && now >= m_nextLoad && (readsStore || now - m_startedAt >= othersLoad)) {
+    if (!m_releases.isLoaded() && !m_isLoading && now >= m_nextLoad && (readsStore || now >= m_loadsAloneAt)) {
+        std::uniform_int_distribution<std::chrono::milliseconds::rep> draw(0, loadWindowPerDaemon.count() * static_cast<std::chrono::milliseconds::rep>(m_daemons.daemons().size() + 1));
+        m_loadsAloneAt = now + othersLoad + std::chrono::milliseconds(draw(m_random));
         m_isLoading = true;
         spawn(load());
     }
     if (!m_isWriting && now >= m_nextWrite) {
-        if (std::optional<Streams::ReleaseBook::Change> change = m_releases.dueChange(now, readsStore)) {
+        if (std::optional<Streams::ReleaseBook::Change> change = m_releases.dueChange(now, readsStore, m_daemons.daemons().size() + 1)) {
             m_isWriting = true;
             spawn(write(std::move(*change)));
         }
--- a/Libraries/LibDaemon/StreamExchange.h
+++ b/Libraries/LibDaemon/StreamExchange.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -71,8 +72,10 @@
     static constexpr std::chrono::milliseconds shortestAppendInterval { 100 };
     static constexpr std::chrono::milliseconds longestAppendInterval { 250 };
     static constexpr std::chrono::milliseconds retryDelay { 200 }; ///< After a failed store call.
-    /// A daemon that starts leaves the first read to one that reads for others for this long.
+    /// A daemon that starts leaves the first read to one that reads for others for this long; after it, those that go on without an
+    /// answer read at random moments within a window proportional to their number.
     static constexpr std::chrono::milliseconds othersLoad { 500 };
+    static constexpr std::chrono::milliseconds loadWindowPerDaemon { 200 };
     static constexpr std::chrono::milliseconds readInterval { 50 }; ///< Between the beginnings of two reads for questions.
     static constexpr std::chrono::milliseconds shortestLifetime { 10'000 };
     static constexpr std::chrono::milliseconds longestLifetime { 60'000 };
@@ -106,12 +109,13 @@
     Fleet::DaemonBook const& m_daemons;
     std::string m_self;
     Hooks m_hooks;
+    std::mt19937_64 m_random;
     Streams::ReleaseBook m_releases;
     std::set<std::string> m_drawnServices;
     std::map<std::string, Streams::ReleaseRecord> m_storedReleases; ///< As of the last read of the store.
     std::optional<Core::BootClock::time_point> m_releasesChangedAt;
-    Core::BootClock::time_point m_startedAt;
     Core::BootClock::time_point m_nextLoad;
+    Core::BootClock::time_point m_loadsAloneAt; ///< When this daemon reads the releases although it does not read for others.
     bool m_isLoading { false };
     bool m_isWriting { false };
     Core::BootClock::time_point m_nextWrite;
--- a/Libraries/LibStreams/ReleaseBook.cpp
+++ b/Libraries/LibStreams/ReleaseBook.cpp
@@ -63,7 +63,13 @@
     return isAnyLeft && !change.releases.empty() ? std::optional<Change>(std::move(change)) : std::nullopt;
 }
 
-std::optional<ReleaseBook::Change> ReleaseBook::dueChange(Time now, bool isReader)
+Time ReleaseBook::drawWriteTime(Time now, std::size_t daemons)
+{
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> draw(0, m_settings.windowPerDaemon.count() * static_cast<std::chrono::milliseconds::rep>(std::max<std::size_t>(1, daemons)));
+    return now + m_settings.othersFirst + std::chrono::milliseconds(draw(m_random));
+}
+
+std::optional<ReleaseBook::Change> ReleaseBook::dueChange(Time now, bool isReader, std::size_t daemons)
 {
     if (!m_isLoaded)
         return std::nullopt;
@@ -83,10 +89,14 @@
             m_dueAt.erase(service);
             continue;
         }
-        std::uniform_int_distribution<std::chrono::milliseconds::rep> draw(m_settings.othersFirst.count(), 2 * m_settings.othersFirst.count());
-        Time dueAt = m_dueAt.try_emplace(service, now + std::chrono::milliseconds(draw(m_random))).first->second;
-        if (isReader || now >= dueAt)
+        if (!m_dueAt.contains(service))
+            m_dueAt[service] = drawWriteTime(now, daemons);
+        if (isReader)
             return change;
+        if (now >= m_dueAt[service]) {
+            m_dueAt[service] = drawWriteTime(now, daemons);
+            return change;
+        }
     }
     return std::nullopt;
 }
--- a/Libraries/LibStreams/ReleaseBook.h
+++ b/Libraries/LibStreams/ReleaseBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibStreams/StreamOrigin.h>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <random>
@@ -26,8 +27,11 @@
         /// A release stays in the record so long after its last target was listed. Longer than a daemon may be cut off from the store
         /// and all peers while it goes on serving, since it does not learn of the change.
         std::chrono::milliseconds retention { std::chrono::minutes(10) };
-        /// Daemons that do not read the store for others leave a change to those that do for this long, and up to twice as long.
+        /// Daemons that do not read the store for others leave a change to those that do for this long.
         std::chrono::milliseconds othersFirst { 1'000 };
+        /// After it they write at a random moment within a window proportional to the number of daemons, so that a store that fails is
+        /// not called more often by a larger site.
+        std::chrono::milliseconds windowPerDaemon { 200 };
     };
 
     /// `seed` must differ between daemons so that they do not write at the same time.
@@ -66,11 +70,13 @@
         bool operator==(Change const&) const = default;
     };
 
-    /// Returns a change that is due now. `isReader`: this daemon reads the store for the others.
-    std::optional<Change> dueChange(Time now, bool isReader);
+    /// Returns a change that is due now, and leaves the next try to a later call. `isReader`: this daemon reads the store for the others;
+    /// `daemons`: how many live.
+    std::optional<Change> dueChange(Time now, bool isReader, std::size_t daemons);
 
 private:
     std::optional<Change> changeOf(std::string const& service, Time now) const;
+    Time drawWriteTime(Time now, std::size_t daemons);
 
     Settings m_settings;
     std::mt19937_64 m_random;
