LibRoles: Do not replace an engine that may return by one of another release

Cause: with one of a release's two gone, the release counted as short at once, although the lost one comes back within the patience that the rule has with outages.

Change: it is urgent only if the release lacks a second engine even with those that may return, as for the number of engines in a role.

SplitRule.AnEngineOfAnotherReleaseDoesNotReplaceOneThatMayReturn failed before.

--- a/Libraries/LibRoles/SplitRule.cpp
+++ b/Libraries/LibRoles/SplitRule.cpp
@@ -23,11 +23,12 @@
 
 }
 
-std::map<std::uint32_t, SplitRule::ReleaseCounts> SplitRule::countReleases(std::vector<EngineView> const& engines)
+std::map<std::uint32_t, SplitRule::ReleaseCounts> SplitRule::countReleases(std::vector<EngineView> const& engines, Returning returning)
 {
     std::map<std::uint32_t, ReleaseCounts> releases;
     for (EngineView const& engine : engines) {
-        if (engine.state == EngineState::Down)
+        bool isReturning = returning == Returning::Count && !engine.isLeaving;
+        if (engine.state == EngineState::Down && !isReturning)
             continue;
         ReleaseCounts& counts = releases[engine.release];
         ++counts.total;
@@ -134,7 +135,7 @@
     std::uint32_t wanted = wantedDecode(total, decode, demand);
     TargetRole to = decode < wanted ? TargetRole::Decode : TargetRole::Prefill;
     std::uint32_t missing = decode < wanted ? wanted - decode : decode - wanted;
-    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines, Returning::AreLeftOut);
     std::vector<EngineView> newEngines;
     std::uint32_t bestRank = std::numeric_limits<std::uint32_t>::max();
     for (EngineView const& engine : engines) {
@@ -160,9 +161,9 @@
 }
 
 // Whether engines of several releases serve and none of these has enough that decode, so that the loss of one engine ends its streams.
-bool SplitRule::lacksRedundantRelease(std::vector<EngineView> const& engines) const
+bool SplitRule::lacksRedundantRelease(std::vector<EngineView> const& engines, Returning returning) const
 {
-    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines, returning);
     bool isAnyRedundant = std::any_of(releases.begin(), releases.end(), [this](std::pair<std::uint32_t const, ReleaseCounts> const& it) { return it.second.decode >= m_settings.leastDecode; });
     bool isPossible = std::any_of(releases.begin(), releases.end(), [this](std::pair<std::uint32_t const, ReleaseCounts> const& it) { return it.second.total >= m_settings.leastDecode; });
     return releases.size() > 1 && !isAnyRedundant && isPossible;
@@ -172,7 +173,7 @@
 // equals, the fast ones for their role.
 std::vector<RoleChange> SplitRule::selectEngines(std::vector<EngineView> const& engines, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole) const
 {
-    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines);
+    std::map<std::uint32_t, ReleaseCounts> releases = countReleases(engines, Returning::AreLeftOut);
     std::map<std::uint32_t, double> sizes;
     std::map<std::uint32_t, double> withRole;
     for (EngineView const& engine : engines) {
@@ -237,13 +238,14 @@
     Counts counts = countEngines(engines);
     std::uint32_t wanted = wantedDecode(counts.total(), counts.decode, demand);
     bool hasRoom = counts.total() > 1 && counts.decode < maxDecoding(counts.total());
-    bool lacksRedundancy = hasRoom && lacksRedundantRelease(engines);
+    bool lacksRedundancy = hasRoom && lacksRedundantRelease(engines, Returning::AreLeftOut);
+    bool staysWithoutRedundancy = lacksRedundancy && lacksRedundantRelease(engines, Returning::Count);
     if (lacksRedundancy)
         wanted = std::max(wanted, counts.decode + 1);
     m_isSplitDue = false;
     m_isDemandKnown = demand.isKnown;
     std::vector<RoleChange> changes = assignNewEngines(engines, counts.decode, demand, counts.total());
-    if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, lacksRedundancy || isUrgent(counts), now))
+    if (!changes.empty() || !isDue(engines.size(), counts, wanted, demand.isKnown, staysWithoutRedundancy || isUrgent(counts), now))
         return changes;
     m_isSplitDue = true;
     TargetRole from = counts.decode < wanted ? TargetRole::Prefill : TargetRole::Decode;
--- a/Libraries/LibRoles/SplitRule.h
+++ b/Libraries/LibRoles/SplitRule.h
@@ -92,13 +92,19 @@
         std::uint32_t total() const { return prefill + decode; }
     };
 
-    /// Number of engines of one release, without `Down` ones.
+    /// Number of engines of one release.
     struct ReleaseCounts {
         std::uint32_t total { 0 };
         std::uint32_t decode { 0 };
     };
 
-    static std::map<std::uint32_t, ReleaseCounts> countReleases(std::vector<EngineView> const&);
+    /// Whether engines count that are down and may return.
+    enum class Returning : bool {
+        AreLeftOut,
+        Count,
+    };
+
+    static std::map<std::uint32_t, ReleaseCounts> countReleases(std::vector<EngineView> const&, Returning);
     std::uint32_t releaseRank(std::uint32_t decoding, TargetRole to) const;
     Counts countEngines(std::vector<EngineView> const&);
     std::size_t minDecoding(std::size_t engines) const;
@@ -108,7 +114,7 @@
     static std::uint32_t movableEngines(std::vector<EngineView> const&, TargetRole from, std::uint32_t wantedLeft);
     TargetRole fastRole(SplitDemand const&) const;
     std::vector<RoleChange> selectEngines(std::vector<EngineView> const&, std::vector<EngineView> eligible, TargetRole to, std::uint32_t count, TargetRole fastRole) const;
-    bool lacksRedundantRelease(std::vector<EngineView> const&) const;
+    bool lacksRedundantRelease(std::vector<EngineView> const&, Returning) const;
     bool isUnderPressure(std::size_t engines, std::size_t decoding, SplitDemand const&) const;
     bool isDue(std::size_t listed, Counts const&, std::uint32_t wanted, bool isDemandKnown, bool isUrgent, Time now);
 
--- a/Tests/LibRoles/TestSplitRule.cpp
+++ b/Tests/LibRoles/TestSplitRule.cpp
@@ -280,3 +280,16 @@
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(engines[changes.front().engine].release, 1U);
 }
+
+// Guards against engines of two releases that change their roles at each brief outage of one that decodes, and serve nobody meanwhile.
+TEST(SplitRule, AnEngineOfAnotherReleaseDoesNotReplaceOneThatMayReturn)
+{
+    std::vector<EngineView> engines = makeFleet(7, 2);
+    for (EngineView& engine : engines)
+        engine.release = engine.engine < 5 ? 1 : 2;
+    SplitRule rule = makeSettledRule(engines);
+    engines.back().state = EngineState::Down;
+    EXPECT_TRUE(rule.plan(engines, unknown, start + 2s).empty());
+    EXPECT_TRUE(rule.plan(engines, unknown, start + 4s).empty());
+    EXPECT_EQ(rule.plan(engines, unknown, start + 4600ms).size(), 1U);
+}
