LibStreams, LibDaemon: Record streams without waiting for ticks

Cause: a stream waited for the next tick (100 ms) of its daemon, then of the one that records it, then for an append, up to 250 ms behind the last.

Change: what begins is told 10 ms later, and appended at once if the last append is long enough ago, else as soon as it is: 100 ms at 6 and 90 daemons, 150 ms at 295.

--- a/Libraries/LibDaemon/StreamExchange.cpp
+++ b/Libraries/LibDaemon/StreamExchange.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,6 +44,7 @@
     , m_recorder(m_self)
     , m_window(shortestLifetime, windowCapacity)
 {
+    m_book.setUnreportedHook([this] { boost::asio::post(m_context, [this] { reportSoon(); }); });
 }
 
 void StreamExchange::spawn(boost::asio::awaitable<void> operation)
@@ -98,6 +100,7 @@
 {
     for (Streams::BegunStream const& stream : streams)
         m_isWindowChanged = m_window.note(stream, now) || m_isWindowChanged;
+    appendIfChanged();
 }
 
 void StreamExchange::setListed(std::map<std::string, std::set<std::string>> releases, Clock::time_point now)
@@ -132,13 +135,11 @@
             spawn(write(std::move(*change)));
         }
     }
-    report(isLeaving, now);
+    m_isLeaving = isLeaving;
+    report(now);
     bool isEmptied = m_window.expire(now) && m_window.size() == 0;
     m_isWindowChanged = m_isWindowChanged || isEmptied;
-    if (m_isWindowChanged && !m_isAppending && now >= m_nextAppend) {
-        m_isAppending = true;
-        spawn(append());
-    }
+    appendIfChanged();
 }
 
 // Returns the daemon that records this one's streams, or null if this one does. Daemons that hear the same peers agree, and where they do
@@ -167,13 +168,27 @@
     return daemons[place / daemonsPerRecorder * daemonsPerRecorder];
 }
 
-void StreamExchange::report(bool isLeaving, Clock::time_point now)
+void StreamExchange::reportSoon()
+{
+    if (!std::exchange(m_isReportDue, true))
+        spawn(reportLater());
+}
+
+boost::asio::awaitable<void> StreamExchange::reportLater()
+{
+    co_await wait(reportDelay);
+    m_isReportDue = false;
+    if (!m_isStopped)
+        report(Clock::now());
+}
+
+void StreamExchange::report(Clock::time_point now)
 {
     std::vector<Streams::BegunStream> streams = m_book.takeUnreported(now);
     std::erase_if(streams, [this](Streams::BegunStream const& it) { return !needsRecord(it.origin.service); });
     if (streams.empty() && m_sentBefore.empty() && m_recorder == m_self)
         return;
-    Fleet::BookedDaemon const* recorder = this->recorder(isLeaving, now);
+    Fleet::BookedDaemon const* recorder = this->recorder(m_isLeaving, now);
     if (std::exchange(m_recorder, recorder ? recorder->listed.name : m_self) != m_recorder) {
         m_book.reportAllAgain();
         m_sentBefore.clear();
@@ -304,23 +319,44 @@
     }
 }
 
-boost::asio::awaitable<void> StreamExchange::append()
+void StreamExchange::appendIfChanged()
 {
+    if (m_isWindowChanged && !m_isStopped && !std::exchange(m_isAppending, true))
+        spawn(appendChanges());
+}
+
+boost::asio::awaitable<void> StreamExchange::appendChanges()
+{
+    while (m_isWindowChanged && !m_isStopped) {
+        std::chrono::milliseconds pause = co_await append();
+        co_await wait(pause);
+    }
+    m_isAppending = false;
+}
+
+// Returns how long to wait before the next append.
+boost::asio::awaitable<std::chrono::milliseconds> StreamExchange::append()
+{
+    Clock::time_point begunAt = Clock::now();
     if (!m_hasOwnRecord)
         co_await loadOwnRecord();
+    if (!m_hasOwnRecord || m_isStopped)
+        co_return retryDelay;
     std::chrono::milliseconds interval = std::clamp<std::chrono::milliseconds>(appendIntervalPerRecorder * m_recorders, shortestAppendInterval, longestAppendInterval);
-    m_nextAppend = Clock::now() + (m_hasOwnRecord ? interval : retryDelay);
-    bool isPossible = m_hasOwnRecord && !m_isStopped;
-    if (isPossible) {
-        m_isWindowChanged = false;
-        m_hooks.countStoreCall(Fleet::StoreCallReason::Streams);
-        // An empty value removes the record.
-        Core::Result<Platform::ConditionalAppend> appended = co_await m_store.append(Platform::StoreTopic::Streams, m_self, encode(m_window.streams()), std::nullopt);
-        m_isWindowChanged = m_isWindowChanged || appended.has_error();
-        if (appended.has_error())
-            m_nextAppend = Clock::now() + retryDelay;
-    }
-    m_isAppending = false;
+    m_isWindowChanged = false;
+    m_hooks.countStoreCall(Fleet::StoreCallReason::Streams);
+    // An empty value removes the record.
+    Core::Result<Platform::ConditionalAppend> appended = co_await m_store.append(Platform::StoreTopic::Streams, m_self, encode(m_window.streams()), std::nullopt);
+    m_isWindowChanged = m_isWindowChanged || appended.has_error();
+    std::chrono::milliseconds taken = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begunAt);
+    co_return appended.has_error() ? retryDelay : std::max(std::chrono::milliseconds(0), interval - taken);
+}
+
+boost::asio::awaitable<void> StreamExchange::wait(std::chrono::milliseconds time)
+{
+    boost::asio::steady_timer timer(m_context, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
 void StreamExchange::find(OriginQuestion const& question, std::function<void(OriginAnswer const&)> onAnswer)
--- a/Libraries/LibDaemon/StreamExchange.h
+++ b/Libraries/LibDaemon/StreamExchange.h
@@ -67,8 +67,9 @@
 private:
     /// One daemon records the streams of so many, itself included.
     static constexpr std::size_t daemonsPerRecorder = 32;
+    static constexpr std::chrono::milliseconds reportDelay { 10 }; ///< Streams that begin within it share a datagram.
     /// All recorders together append so often, but each at least at `longestAppendInterval`.
-    static constexpr std::chrono::milliseconds appendIntervalPerRecorder { 50 };
+    static constexpr std::chrono::milliseconds appendIntervalPerRecorder { 15 };
     static constexpr std::chrono::milliseconds shortestAppendInterval { 100 };
     static constexpr std::chrono::milliseconds longestAppendInterval { 250 };
     static constexpr std::chrono::milliseconds retryDelay { 200 }; ///< After a failed store call.
@@ -89,7 +90,9 @@
 
     bool needsRecord(std::string const& service) const;
     Fleet::BookedDaemon const* recorder(bool isLeaving, Core::BootClock::time_point now);
-    void report(bool isLeaving, Core::BootClock::time_point now);
+    void reportSoon();
+    boost::asio::awaitable<void> reportLater();
+    void report(Core::BootClock::time_point now);
     void sendNotes(Fleet::BookedDaemon const& recorder, std::vector<Streams::BegunStream> const&) const;
     void noteRecorded(std::vector<Streams::BegunStream> const&, Core::BootClock::time_point now);
     bool takeReleases(std::string const& service, Streams::ReleaseRecord);
@@ -99,7 +102,10 @@
     boost::asio::awaitable<void> answerQuestions();
     boost::asio::awaitable<void> answer(std::vector<Pending>);
     boost::asio::awaitable<void> loadOwnRecord();
-    boost::asio::awaitable<void> append();
+    void appendIfChanged();
+    boost::asio::awaitable<void> appendChanges();
+    boost::asio::awaitable<std::chrono::milliseconds> append();
+    boost::asio::awaitable<void> wait(std::chrono::milliseconds);
     boost::asio::awaitable<void> write(Streams::ReleaseBook::Change);
     void spawn(boost::asio::awaitable<void>);
 
@@ -119,14 +125,15 @@
     bool m_isLoading { false };
     bool m_isWriting { false };
     Core::BootClock::time_point m_nextWrite;
+    bool m_isLeaving { false };
+    bool m_isReportDue { false };
     std::string m_recorder; ///< Name of the daemon that this one last sent its streams to; its own if it records them itself.
     std::size_t m_recorders { 1 }; ///< Of the site, as this daemon sees it.
     std::vector<Streams::BegunStream> m_sentBefore; ///< Are sent once more, as datagrams may be lost.
     Streams::OriginWindow m_window; ///< What this daemon records for itself and others.
     bool m_hasOwnRecord { false }; ///< What an earlier process of this daemon recorded is in the window.
     bool m_isWindowChanged { false };
-    bool m_isAppending { false };
-    Core::BootClock::time_point m_nextAppend;
+    bool m_isAppending { false }; ///< Or waiting for the next append.
     std::vector<Pending> m_questions;
     bool m_isAnswering { false };
     bool m_isStopped { false };
--- a/Libraries/LibStreams/OriginBook.cpp
+++ b/Libraries/LibStreams/OriginBook.cpp
@@ -11,12 +11,18 @@
 
 void OriginBook::note(BegunStream const& stream, Time now)
 {
-    std::lock_guard lock(m_mutex);
-    m_window.expire(now);
-    m_window.note(stream, now);
-    // Where nobody takes them, they are in the window all the same.
-    if (m_unreported.size() < capacity)
-        m_unreported.push_back(stream);
+    bool isFirst = false;
+    {
+        std::lock_guard lock(m_mutex);
+        m_window.expire(now);
+        m_window.note(stream, now);
+        isFirst = m_unreported.empty();
+        // Where nobody takes them, they are in the window all the same.
+        if (m_unreported.size() < capacity)
+            m_unreported.push_back(stream);
+    }
+    if (isFirst)
+        m_onUnreported();
 }
 
 std::optional<OriginWindow::Entry> OriginBook::find(StreamKey key) const
--- a/Libraries/LibStreams/OriginBook.h
+++ b/Libraries/LibStreams/OriginBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibStreams/OriginWindow.h>
+#include <functional>
 #include <mutex>
 
 namespace Streams {
@@ -11,6 +12,10 @@
     /// Sets how long a stream is remembered after an event of it was first delivered: longer than callers go on with one.
     void setLifetime(std::chrono::milliseconds);
 
+    /// Sets what is called, by whichever thread notes a stream, when there are unreported streams and there were none. Precondition: no
+    /// other thread uses the book yet.
+    void setUnreportedHook(std::function<void()> onUnreported) { m_onUnreported = std::move(onUnreported); }
+
     /// Notes a stream, before its first event is delivered.
     void note(BegunStream const&, Time now);
 
@@ -30,6 +35,7 @@
     mutable std::mutex m_mutex;
     OriginWindow m_window { std::chrono::seconds(30), capacity };
     std::vector<BegunStream> m_unreported;
+    std::function<void()> m_onUnreported { [] { } };
 };
 
 }
