--- a/Libraries/LibStreams/ReleaseBook.h
+++ b/Libraries/LibStreams/ReleaseBook.h
@@ -71,7 +71,7 @@
     };
 
     /// Returns a change that is due now, and leaves the next try to a later call. `isReader`: this daemon reads the store for the others;
-    /// `daemons`: how many live.
+    /// `daemons`: how many there are, this one included.
     std::optional<Change> dueChange(Time now, bool isReader, std::size_t daemons);
 
 private:
