--- a/Libraries/LibDaemon/Dispatcher.h
+++ b/Libraries/LibDaemon/Dispatcher.h
@@ -39,9 +39,9 @@
 /// What a request asks of the targets that write events of its stream.
 struct StreamPlacement {
     enum class Kind : std::uint8_t {
-        Any, ///< Its stream cannot go on elsewhere, or it has none.
-        Begins, ///< One that may begin streams.
-        GoesOn, ///< One of the release that began the stream.
+        Any, ///< Nothing: its stream cannot go on elsewhere, or it has none.
+        Begins, ///< A target whose release may begin streams.
+        GoesOn, ///< A target of the release that began the stream.
     };
 
     Kind kind { Kind::Any };
