Tests: Do not let events that name no release pass as events of one

Cause: a stream of which only some events name the release that wrote them was judged by those alone.

Change: all of a stream's events name a release or none does, and StreamReleases demands that they do.

--- a/Tests/Processes/StreamEvents.cpp
+++ b/Tests/Processes/StreamEvents.cpp
@@ -46,7 +46,8 @@
         if (id != ++expected)
             return false;
     }
-    return releasesIn(events).size() <= 1;
+    std::size_t naming = matchesOf(events, "data: [^\n]* by \\S+\n", 0).size();
+    return (naming == 0 || naming == expected) && releasesIn(events).size() <= 1;
 }
 
 }
--- a/Tests/Processes/StreamEvents.h
+++ b/Tests/Processes/StreamEvents.h
@@ -16,7 +16,8 @@
 /// Returns the releases that wrote events.
 std::set<std::string> releasesIn(std::string const& events);
 
-/// Returns whether a caller may hold these events: the first ones of a stream, each once, and all from one release.
+/// Returns whether a caller may hold these events: the first ones of a stream, each once, and all from one release, which
+/// all or none of them name.
 bool isOneStream(std::string const& events);
 
 }
--- a/Tests/Processes/TestStreamReleases.cpp
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -79,6 +79,7 @@
         for (HeldStream const& stream : streams) {
             EXPECT_TRUE(isOneStream(stream.events)) << stream.id << " holds\n"
                                                     << stream.events;
+            EXPECT_TRUE(stream.events.empty() || !releasesIn(stream.events).empty()) << stream.id;
             whole += stream.isWhole ? 1 : 0;
         }
         EXPECT_GE(whole, leastWhole) << "of " << streams.size();
