Review: Show a request that is answered 503 and runs

Cause: a request may be sent to a target again on the channel on which that target refused it. Both sends have one id, so that a late second copy of the refusal passes for the answer to the second send.

--- a/review/standin/Http.h
+++ b/review/standin/Http.h
@@ -152,6 +152,8 @@
                 continue;
             char bytes[16384];
             ssize_t n = recv(m_handle, bytes, sizeof(bytes), MSG_DONTWAIT);
+            if (n > 0 && m_bytesPerSecond > 0)
+                std::this_thread::sleep_for(std::chrono::microseconds(1'000'000 * static_cast<std::uint64_t>(n) / m_bytesPerSecond));
             if (n < 0 && (errno == EAGAIN || errno == EINTR))
                 continue;
             if (n < 0)
@@ -208,6 +210,15 @@
         return !m_wasReset && !m_isTimedOut;
     }
 
+    /// As `read` of a request, but takes no more than so many bytes a second from the channel.
+    bool readAtPace(Message& message, std::size_t bytesPerSecond, Clock::time_point until)
+    {
+        m_bytesPerSecond = bytesPerSecond;
+        bool isRead = read(message, false, until);
+        m_bytesPerSecond = 0;
+        return isRead;
+    }
+
     bool isTimedOut() const { return m_isTimedOut; }
     bool hasBufferedBytes() const { return !m_buffer.empty(); }
 
@@ -247,6 +258,7 @@
 
     int m_handle;
     std::string m_buffer;
+    std::size_t m_bytesPerSecond { 0 }; ///< 0: as fast as it comes.
     bool m_wasReset { false };
     bool m_isTimedOut { false };
 };
