LibHttp: Keep the connection while a response to another request is skipped

Cause: a target may send a late second response to an earlier request in front of the present one. skipResponse() read it by read(), and the last chunk of a body holds no bytes: read() found the response ended within its own loop and returned the connection to the pool; readHead() then dereferenced what was left.

Change: only read(), which is called for the exchange's own response, returns the connection; skipResponse() reads by readPiece(), which leaves it. So no end that is found on the way can take it. An exchange behind its end answers each call without its connection. A skipped response may have 16 MiB, and none is skipped where the method of its request, and so its length, is unknown.

--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -21,6 +21,7 @@
     std::chrono::milliseconds pieceTimeout { 10'000 }; ///< Between two pieces of the body.
     std::chrono::milliseconds keepTime { 20'000 }; ///< For an unused connection; less where the server announces less.
     std::size_t keptPerEndpoint { 64 };
+    std::size_t skippedLimit { 16 * 1024 * 1024 }; ///< Bytes of the body of a response to another request, which is read and dropped.
     SocketLiveness liveness; ///< When a connection that went silent counts as lost.
     std::optional<boost::asio::ip::address> localAddress; ///< Connections are made from it; empty: the kernel chooses.
 };
@@ -43,7 +44,7 @@
 
     /// Reads the present response to its end, drops it, and reads the head of the next one: for a response that
     /// belongs to an earlier request on this connection. Precondition: `start` succeeded and `read` was not called.
-    /// Errors: as `start`.
+    /// Errors: as `start`; Unavailable if the end of the present response cannot be known or is too far away.
     virtual boost::asio::awaitable<Core::Result<void>> skipResponse() = 0;
 
     /// Sets the time that `start` waits for the response's head.
@@ -52,7 +53,7 @@
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
-    /// Whether its connection was kept from an earlier exchange. Precondition: the response was not read to its end.
+    /// Whether its connection was kept from an earlier exchange.
     virtual bool isOnKeptConnection() const = 0;
 
     /// Returns how many bytes of the request the server's host has not acknowledged; 0 when that is not known.
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -51,6 +51,7 @@
     : m_connection(std::move(connection))
     , m_settings(settings)
     , m_return(std::move(giveBack))
+    , m_isOnKeptConnection(m_connection->keepUntil != Core::BootClock::time_point())
 {
     renewParser();
 }
@@ -89,6 +90,7 @@
         message.set(Beast::http::field::host, Http::toString(m_connection->stream.socket().remote_endpoint(ec)));
     }
     m_isHeadMethod = message.method() == Beast::http::verb::head;
+    (m_isHeadMethod ? m_connection->hasCarriedHead : m_connection->hasCarriedOther) = true;
     message.body() = request.body;
     message.prepare_payload();
     // A server may read the rest of the request late, or answer first.
@@ -133,12 +135,21 @@
 Asio::awaitable<Core::Result<void>> ConnectionExchange::skipResponse()
 {
     m_hasSkipped = true;
+    if (!m_connection)
+        co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "the connection is no longer in use"));
     if (m_parser->need_eof())
         co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "a response to another request ends with its connection"));
+    // RFC 9112, section 6.3: a response's framing depends on the method of its request, which is unknown here.
+    if (m_connection->hasCarriedHead && m_connection->hasCarriedOther)
+        co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "a response to another request has an unknown length"));
+    std::size_t skipped = 0;
     while (!m_parser->is_done()) {
-        Core::Result<std::optional<std::string>> piece = co_await read();
+        Core::Result<std::string> piece = co_await readPiece();
         if (piece.has_error())
             co_return boost::outcome_v2::failure(piece.error());
+        skipped += piece.value().size();
+        if (skipped > m_settings.skippedLimit)
+            co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "a response to another request is larger than " + std::to_string(m_settings.skippedLimit) + " bytes"));
     }
     renewParser();
     co_return co_await readHead();
@@ -147,26 +158,37 @@
 Asio::awaitable<Core::Result<std::optional<std::string>>> ConnectionExchange::read()
 {
     if (m_isCanceled)
-        co_return Core::Result<std::optional<std::string>>(Core::makeUncertainError(Core::ErrorCode::Canceled, "the exchange was canceled"));
-    std::string piece;
-    while (piece.empty()) {
-        if (!m_connection || m_parser->is_done()) {
-            giveBack();
-            co_return std::optional<std::string>();
-        }
-        piece.resize(pieceSize);
-        m_parser->get().body().data = piece.data();
-        m_parser->get().body().size = piece.size();
-        m_connection->stream.expires_after(m_settings.pieceTimeout);
-        boost::system::error_code ec;
-        co_await Beast::http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
-        if (ec == Beast::http::error::need_buffer)
-            ec = {};
-        if (ec)
-            co_return Core::Result<std::optional<std::string>>(errorOf(ec, "reading the response"));
-        piece.resize(piece.size() - m_parser->get().body().size);
+        co_return Core::Result<std::optional<std::string>>(canceledError());
+    if (!m_connection)
+        co_return std::optional<std::string>();
+    while (!m_parser->is_done()) {
+        Core::Result<std::string> piece = co_await readPiece();
+        if (piece.has_error())
+            co_return Core::Result<std::optional<std::string>>(piece.error());
+        if (!piece.value().empty())
+            co_return std::optional<std::string>(std::move(piece.value()));
     }
-    co_return std::optional<std::string>(std::move(piece));
+    giveBack();
+    co_return std::optional<std::string>();
+}
+
+// The last piece of a response may be empty: a chunked body ends with a chunk that holds no bytes. The connection stays with the exchange.
+Asio::awaitable<Core::Result<std::string>> ConnectionExchange::readPiece()
+{
+    if (m_isCanceled)
+        co_return Core::Result<std::string>(canceledError());
+    std::string piece(pieceSize, '\0');
+    m_parser->get().body().data = piece.data();
+    m_parser->get().body().size = piece.size();
+    m_connection->stream.expires_after(m_settings.pieceTimeout);
+    boost::system::error_code ec;
+    co_await Beast::http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    if (ec == Beast::http::error::need_buffer)
+        ec = {};
+    if (ec)
+        co_return Core::Result<std::string>(errorOf(ec, "reading the response"));
+    piece.resize(piece.size() - m_parser->get().body().size);
+    co_return piece;
 }
 
 // RFC 9112, section 9.3: a connection is reused only if both messages ended on it as their framing says.
@@ -197,6 +219,11 @@
         closeOrAbort(m_connection->stream.socket());
 }
 
+Core::Error ConnectionExchange::canceledError()
+{
+    return Core::makeUncertainError(Core::ErrorCode::Canceled, "the exchange was canceled");
+}
+
 Core::Error ConnectionExchange::errorOf(boost::system::error_code ec, std::string_view step) const
 {
     Core::ErrorCode code = Core::ErrorCode::Unavailable;
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -23,6 +23,8 @@
     std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if no limit is set.
     bool isSilent { false }; ///< The server's host acknowledged nothing any more.
     Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
+    bool hasCarriedHead { false }; ///< A HEAD request was sent on it.
+    bool hasCarriedOther { false }; ///< A request with another method was sent on it.
 };
 
 /// Takes back a connection whose response was read to the end.
@@ -39,7 +41,7 @@
     boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() override;
     void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
-    bool isOnKeptConnection() const override { return m_connection->keepUntil != Core::BootClock::time_point(); }
+    bool isOnKeptConnection() const override { return m_isOnKeptConnection; }
     std::size_t unacknowledgedBytes() const override;
     void cancel() override;
     boost::asio::awaitable<Core::Result<void>> skipResponse() override;
@@ -51,16 +53,19 @@
     void beginWriting(Request const&);
     static boost::asio::awaitable<void> writeAll(std::shared_ptr<ClientConnection>, std::shared_ptr<Writing>);
     boost::asio::awaitable<Core::Result<void>> readHead();
+    boost::asio::awaitable<Core::Result<std::string>> readPiece();
     void renewParser();
     void giveBack();
+    static Core::Error canceledError();
     Core::Error errorOf(boost::system::error_code, std::string_view step) const;
 
-    std::shared_ptr<ClientConnection> m_connection;
+    std::shared_ptr<ClientConnection> m_connection; ///< Empty once the response was read to its end.
     ClientSettings m_settings;
     ConnectionReturn m_return;
     std::optional<Parser> m_parser;
     ResponseHead m_head;
     std::shared_ptr<Writing> m_writing; ///< Set by `start`.
+    bool m_isOnKeptConnection;
     bool m_isCanceled { false };
     bool m_isHeadMethod { false };
     bool m_hasSkipped { false }; ///< A response that belonged to another request came in: never reused.
--- /dev/null
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -0,0 +1,85 @@
+// Targets that answer with bytes that no sound target sends: no daemon ends, and other callers are served.
+
+#include "KeyedSite.h"
+#include "RawTarget.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace Processes;
+
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+class FaultyTargets : public testing::Test {
+protected:
+    FaultyTargets()
+        : m_site(settings())
+    {
+        EXPECT_TRUE(m_site.waitUntilServing());
+    }
+
+    static KeyedSiteSettings settings()
+    {
+        KeyedSiteSettings settings;
+        settings.engines = { { "prefill" }, { "decode" }, { "decode" } };
+        settings.hasFixedRoles = true;
+        return settings;
+    }
+
+    /// Calls below /c/ go to this target alone from now on. Returns whether daemon 0 has it.
+    bool serveCallsBy(RawTarget const& target)
+    {
+        m_site.configure(2, "none");
+        return waitFor([&] {
+            m_site.writeEntry("i-raw", target.entry("none"));
+            return m_site.ask(0, "POST", "/c/1", newId()).status == 200;
+        });
+    }
+
+    /// Leaves the work of these to the faulty target.
+    void end(std::vector<std::string> const& targets)
+    {
+        for (std::string const& name : targets)
+            m_site.process(name).kill();
+    }
+
+    std::string newId() { return "faulty-" + std::to_string(m_ids++); }
+
+    /// Asks daemon 0 until the target has got `count` requests. Returns whether it has.
+    bool askUntilReached(RawTarget const& target, std::string const& entry, std::string const& path, std::size_t count)
+    {
+        return waitFor([&] {
+            m_site.writeEntry("i-raw", entry);
+            std::ignore = m_site.ask(0, "POST", path, newId());
+            return target.requests() >= count;
+        });
+    }
+
+    void expectAllAlive()
+    {
+        for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+            EXPECT_FALSE(m_site.process(KeyedSite::daemonName(n)).status()) << "daemon " << n << " has ended by itself";
+    }
+
+    KeyedSite m_site;
+    int m_ids { 0 };
+};
+
+}
+
+// Guards against a daemon that ends, with all its requests, because a late second answer to an earlier request comes in chunks.
+TEST_F(FaultyTargets, ALateSecondAnswerInChunksEndsNoDaemon)
+{
+    RawTarget target([](Http::Request const& request, std::size_t number) {
+        std::string foreign = RawTarget::chunkedHead("an-earlier-one") + RawTarget::chunkOf("earlier") + std::string(lastChunk);
+        return RawTarget::Answer { (number > 0 ? foreign : "") + RawTarget::soundAnswer(request, "sound") };
+    });
+    ASSERT_TRUE(serveCallsBy(target));
+    for (int n = 0; n < 20; ++n) {
+        Http::Response response = m_site.ask(0, "POST", "/c/1", newId());
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, "sound");
+    }
+    expectAllAlive();
+}
