LibHttp, platform: Do not send values that no message can hold

Callers see requests that wait until their time is over, with no other target tried, where a target names a computed prompt by a very long handle; and a connection that closes without an answer where the configuration allows long heads and a caller's field is as long.

Cause: Boost.Beast throws for a field value of more than 65,533 bytes, and asio::detached drops an exception with its coroutine.

--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -33,6 +33,7 @@
     virtual ~Exchange() = default;
 
     /// Writes the request and reads the response's head. Precondition: called once, before all below.
+    /// Errors: BadInput, NotRun (a field or the target that no message can hold); those of `Client::open`.
     virtual boost::asio::awaitable<Core::Result<void>> start(Request const&) = 0;
 
     /// Returns the response's head. Precondition: `start` succeeded.
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -37,6 +37,18 @@
     return std::chrono::seconds(seconds);
 }
 
+// What an HTTP message cannot hold would end the message early, or throw.
+std::string problemOf(Request const& request)
+{
+    if (!isFieldValue(request.target) || request.target.find(' ') != std::string::npos)
+        return "the request's target cannot be sent";
+    for (Fields::Entry const& entry : request.fields.entries()) {
+        if (!isFieldValue(entry.second))
+            return "the request's field " + entry.first + " cannot be sent";
+    }
+    return {};
+}
+
 }
 
 /// A request on its way to the server. Shared with the coroutine that writes it, which may outlive the exchange.
@@ -71,6 +83,8 @@
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::start(Request const& request)
 {
+    if (std::string problem = problemOf(request); !problem.empty())
+        co_return Core::fail(Core::ErrorCode::BadInput, problem);
     beginWriting(request);
     co_return co_await readHead();
 }
--- a/Libraries/LibHttp/Fields.cpp
+++ b/Libraries/LibHttp/Fields.cpp
@@ -77,6 +77,12 @@
     std::erase_if(m_entries, [&](Entry const& entry) { return isSameFieldName(entry.first, name); });
 }
 
+bool isFieldValue(std::string_view value)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    return value.size() <= maxFieldValueSize && std::all_of(value.begin(), value.end(), [](unsigned char c) { return c >= firstPrintable || c == '\t'; });
+}
+
 Fields withoutHopByHop(Fields const& fields)
 {
     Fields kept;
--- a/Libraries/LibHttp/Fields.h
+++ b/Libraries/LibHttp/Fields.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,13 @@
 /// Returns whether two field names are the same (RFC 9110, section 5.1). Thread-safe.
 bool isSameFieldName(std::string_view, std::string_view);
 
+/// Most bytes of a field's value that a message can hold.
+inline constexpr std::size_t maxFieldValueSize = 60 * 1024;
+
+/// Returns whether a field can have this value: no longer than `maxFieldValueSize`, and without control characters other
+/// than tabs (RFC 9110, section 5.5). Thread-safe.
+bool isFieldValue(std::string_view);
+
 /// Returns `fields` without those that concern one connection only (RFC 9110, section 7.6.1: the
 /// hop-by-hop fields and those that Connection names). Thread-safe.
 Fields withoutHopByHop(Fields const& fields);
--- a/Libraries/LibHttp/HeadLines.cpp
+++ b/Libraries/LibHttp/HeadLines.cpp
@@ -13,6 +13,17 @@
     return true;
 }
 
+bool hasShortLines(std::string_view head)
+{
+    std::size_t start = 0;
+    for (std::size_t end = head.find('\n'); end != std::string_view::npos; end = head.find('\n', start)) {
+        if (end - start > maxFieldValueSize)
+            return false;
+        start = end + 1;
+    }
+    return head.size() - start <= maxFieldValueSize;
+}
+
 std::string_view problemOf(Request const& request, bool needsHost)
 {
     std::size_t hosts = 0;
--- a/Libraries/LibHttp/HeadLines.h
+++ b/Libraries/LibHttp/HeadLines.h
@@ -10,6 +10,9 @@
 /// it (CRLF), and no line but the first begins with white space (obsolete folding, section 5.2). Thread-safe.
 bool hasStrictLines(std::string_view head, std::size_t from);
 
+/// Returns whether no line of a message's head is longer than the value of a field may be. Thread-safe.
+bool hasShortLines(std::string_view head);
+
 /// Returns what makes a well-formed request unacceptable (RFC 9112, sections 3.2 and 6.1); empty: nothing does. Thread-safe.
 std::string_view problemOf(Request const&, bool needsHost);
 
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -72,7 +72,7 @@
     limitTime(m_settings.headTimeout);
     Status problem = co_await receiveHead(ec);
     if (problem == Status::HeaderFieldsTooLarge)
-        co_return rejected(problem, "the head is larger than " + std::to_string(m_settings.headLimit) + " bytes, which is the limit");
+        co_return rejected(problem, "the head is larger than " + std::to_string(m_settings.headLimit) + " bytes, or one of its lines larger than " + std::to_string(maxFieldValueSize) + ", which are the limits");
     if (problem != Status::Ok)
         co_return rejected(problem, "malformed HTTP: a line that does not end with CRLF, or a folded field");
     if (ec)
@@ -108,7 +108,7 @@
         if (!hasStrictLines(head, checked))
             co_return Status::BadRequest;
         if (at != std::string_view::npos)
-            co_return Status::Ok;
+            co_return hasShortLines(head) ? Status::Ok : Status::HeaderFieldsTooLarge;
         if (bytes.size() > m_settings.headLimit)
             co_return Status::HeaderFieldsTooLarge;
         // The last byte may be the CR whose LF is still to come.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -40,8 +40,11 @@
     Beast::http::response_header<> head;
     head.version(version);
     head.result(status);
-    for (Fields::Entry const& entry : fields.entries())
-        head.insert(entry.first, entry.second);
+    for (Fields::Entry const& entry : fields.entries()) {
+        // A field that no message can hold must not keep the caller from the answer.
+        if (isFieldValue(entry.second))
+            head.insert(entry.first, entry.second);
+    }
     return head;
 }
 
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -1,6 +1,7 @@
 // What a client does on connections whose other end breaks the usual course: a peer made of raw bytes.
 
 #include "ClientConnectionsFixture.h"
+#include <array>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -174,3 +175,26 @@
     EXPECT_LT(received, bodySize);
     EXPECT_EQ(end, Asio::error::connection_reset);
 }
+
+// Guards against an exchange that never ends because a value that a server chose, such as an event's id, fits no header field.
+TEST_F(ClientConnections, ARequestThatNoMessageCanHoldIsNotSent)
+{
+    serve([](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        co_await readHead(*socket);
+        co_await answer(*socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    run([this]() -> Asio::awaitable<void> {
+        std::array<Http::Request, 4> requests;
+        requests[0].fields.add("Last-Event-ID", std::string(70'000, 'x'));
+        requests[1].fields.add("Last-Event-ID", "1\r\nX-Other: 2");
+        requests[2].target = "/handle\r\nX-Other: 2";
+        requests[3].target = "/handle HTTP/1.1";
+        for (Http::Request const& request : requests) {
+            Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, request);
+            EXPECT_TRUE(response.has_error());
+            EXPECT_EQ(response.error().code, Core::ErrorCode::BadInput);
+            EXPECT_EQ(response.error().verdict, Core::Verdict::NotRun);
+        }
+        EXPECT_TRUE((co_await m_client->fetch(m_endpoint, Http::Request())).has_value());
+    });
+}
--- a/Tests/LibHttp/TestFields.cpp
+++ b/Tests/LibHttp/TestFields.cpp
@@ -9,6 +9,15 @@
     EXPECT_EQ(kept.find("x-kept"), "2");
 }
 
+// Guards against values that throw when a message is made of them, or that begin another field.
+TEST(Fields, AValueIsLimitedInSizeAndHasNoControlCharacters)
+{
+    for (std::string value : { "", "a b\tc", "\xc3\xa4" })
+        EXPECT_TRUE(Http::isFieldValue(value)) << value;
+    for (std::string value : { std::string("a\r\nX-Other: 1"), std::string("a\nb"), std::string("a\0b", 3), std::string(Http::maxFieldValueSize + 1, 'x') })
+        EXPECT_FALSE(Http::isFieldValue(value));
+}
+
 TEST(Endpoint, ReadsWhatItPrints)
 {
     for (std::string text : { "127.0.0.1:80", "[::1]:8080" })
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -276,6 +276,36 @@
     }
 }
 
+// Guards against a connection that closes without an answer where the head's limit leaves room for more than a field can hold.
+TEST_F(HttpServer, AFieldThatNoMessageCanHoldIsRejected)
+{
+    Http::ServerSettings settings;
+    settings.headLimit = 1'000'000;
+    start(echo, settings);
+    std::string answer = exchangeRaw("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(70'000, 'x') + "\r\n\r\n");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 431");
+}
+
+// Guards against an answer that is lost for one field that no message can hold.
+TEST_F(HttpServer, AFieldOfAnAnswerThatNoMessageCanHoldIsLeftOut)
+{
+    start([](Http::Request const&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        Http::Response response = rejection(Http::Status::Ok, "body");
+        response.fields.add("X-Long", std::string(70'000, 'x'));
+        response.fields.add("X-Split", "a\r\nX-Other: b");
+        response.fields.add("X-Kept", "c");
+        EXPECT_TRUE((co_await writer.send(response)).has_value());
+    });
+    run([this]() -> Asio::awaitable<void> {
+        Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_EQ(response.value().body, "body");
+        EXPECT_FALSE(response.value().fields.find("X-Long"));
+        EXPECT_FALSE(response.value().fields.find("X-Split"));
+        EXPECT_FALSE(response.value().fields.find("X-Other"));
+        EXPECT_EQ(response.value().fields.find("X-Kept"), "c");
+    });
+}
+
 TEST_F(HttpServer, SlowSenderIsCutOff)
 {
     Http::ServerSettings settings;
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -10,6 +10,8 @@
 using namespace Processes;
 
 constexpr std::string_view lastChunk = "0\r\n\r\n";
+constexpr std::string_view idleReport = R"({"stage":"prefill","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":2,"queued":0,"running":0,"kv_used":0,"kv_total":90000,"kv_handles":0})";
+constexpr std::size_t oversized = 70'000; ///< More than a field of a message holds.
 
 class FaultyTargets : public testing::Test {
 protected:
@@ -83,3 +85,22 @@
     }
     expectAllAlive();
 }
+
+// Guards against requests that wait until their time is over because the handle of a prompt fits no header field.
+TEST_F(FaultyTargets, AHandleThatNoFieldHoldsIsNoAnswerToAPrompt)
+{
+    RawTarget target([](Http::Request const& request, std::size_t) {
+        if (request.target == "/currantvale/report")
+            return RawTarget::Answer { RawTarget::soundAnswer(request, std::string(idleReport)) };
+        return RawTarget::Answer { RawTarget::soundAnswer(request, R"({"handle":")" + std::string(oversized, 'x') + R"(","tokens":100,"version":1})") };
+    });
+    end({ "engine-0" });
+    EXPECT_TRUE(waitFor([&] {
+        m_site.writeEntry("i-raw", target.entry("llm", "prefill"));
+        std::ignore = m_site.ask(0, "POST", "/h/1", newId());
+        return !m_site.logLines(KeyedSite::daemonName(0), "target=i-raw step=prefill").empty() || m_site.process(KeyedSite::daemonName(0)).status();
+    }));
+    expectAllAlive();
+    m_site.startTarget("engine-0");
+    EXPECT_TRUE(waitFor([&] { return m_site.ask(0, "POST", "/h/1", newId()).status == 200; }));
+}
--- a/Tests/platform/TestTargets.cpp
+++ b/Tests/platform/TestTargets.cpp
@@ -142,3 +142,15 @@
     }
     EXPECT_FALSE(read(200, {}).hasUnreadableLimit);
 }
+
+// Guards against a target whose handle cannot be sent, or adds fields or requests to what is sent with it.
+TEST(PlatformTargets, AHandleThatCannotBeSentIsNoAnswerToAPrefill)
+{
+    Daemon::TargetProtocol protocol = UsersPlatform::targetProtocol();
+    Daemon::FleetTarget target;
+    for (std::string handle : { std::string("a b"), std::string("a\\r\\nX-Other: 1"), std::string("../x"), std::string(70'000, 'x') }) {
+        Core::Result<std::string> source = protocol.readPrefill(target, makeWork(), { 200, {}, "{\"handle\":\"" + handle + "\"}" });
+        ASSERT_TRUE(source.has_error());
+        EXPECT_EQ(source.error().verdict, Core::Verdict::MayHaveRun);
+    }
+}
