LibDaemon: Bound the event of a stream that is not whole yet

Cause: EventSplitter kept all bytes behind the last whole event, and readEvents() read on while no event was whole; what slows a target down counts whole events only. One stream whose bytes end no event brought 260 MB in three seconds.

Change: an event has [limits] event_bytes at most, 1 MiB unless set: thousands of times what an engine sends in one, and small enough for all places of a target at once. Beyond it the answer ends as broken off: what was delivered stays whole, the connection to the target is closed, its outcome counts as broken, the caller may resume, and a counter tells. Memory no longer depends on when an event ends.

--- a/Libraries/LibDaemon/EventSplitter.cpp
+++ b/Libraries/LibDaemon/EventSplitter.cpp
@@ -24,16 +24,24 @@
 
 std::vector<std::string> EventSplitter::add(std::string_view bytes)
 {
+    if (m_isBeyondLimit)
+        return {};
     std::size_t from = m_rest.size() < 2 ? 0 : m_rest.size() - 2;
     m_rest += bytes;
     std::vector<std::string> events;
     std::string_view rest = m_rest;
     for (std::size_t size = sizeOfFirst(rest, from); size != 0; size = sizeOfFirst(rest, 0)) {
+        if (size > m_eventLimit)
+            break;
         events.emplace_back(rest.substr(0, size));
         m_hasSeenDone = m_hasSeenDone || events.back().find(doneEvent) != std::string::npos;
         rest.remove_prefix(size);
     }
-    m_rest.erase(0, m_rest.size() - rest.size());
+    m_isBeyondLimit = rest.size() > m_eventLimit;
+    if (m_isBeyondLimit)
+        m_rest = std::string();
+    else
+        m_rest.erase(0, m_rest.size() - rest.size());
     return events;
 }
 
--- a/Libraries/LibDaemon/EventSplitter.h
+++ b/Libraries/LibDaemon/EventSplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -10,9 +11,19 @@
 /// HTML, section 9.2). Not thread-safe.
 class EventSplitter {
 public:
-    /// Takes bytes in and returns the events that are whole now, in their order.
+    /// `eventLimit` is the size of the longest event, in bytes.
+    explicit EventSplitter(std::size_t eventLimit)
+        : m_eventLimit(eventLimit)
+    {
+    }
+
+    /// Takes bytes in and returns the events that are whole now, in their order. Beyond the limit the bytes are dropped and
+    /// no further event is returned.
     std::vector<std::string> add(std::string_view bytes);
 
+    /// Returns whether an event, whole or not, has gone beyond the limit.
+    bool isBeyondLimit() const { return m_isBeyondLimit; }
+
     /// Returns whether the event that ends an engine's stream, `data: [DONE]`, has passed.
     bool hasSeenDone() const { return m_hasSeenDone; }
 
@@ -20,7 +31,9 @@
     bool hasPartialEvent() const { return !m_rest.empty(); }
 
 private:
+    std::size_t m_eventLimit;
     std::string m_rest;
+    bool m_isBeyondLimit { false };
     bool m_hasSeenDone { false };
 };
 
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -8,6 +8,7 @@
     , m_retries(&prometheus::BuildCounter().Name("currantvale_retries_total").Help("Attempts after a request's first.").Register(*m_registry).Add({}))
     , m_relays(&prometheus::BuildCounter().Name("currantvale_relays_total").Help("Requests passed on to a peer because this daemon could not reach their targets.").Register(*m_registry).Add({}))
     , m_overduePrompts(&prometheus::BuildCounter().Name("currantvale_overdue_prompts_total").Help("Prompts whose answer was overdue at their target.").Register(*m_registry).Add({}))
+    , m_malformedEvents(&prometheus::BuildCounter().Name("currantvale_malformed_events_total").Help("Streams that were broken off because of an event that cannot be passed on.").Register(*m_registry).Add({}))
     , m_wholeRuns(&prometheus::BuildCounter().Name("currantvale_whole_runs_total").Help("Requests whose prompt was left to the target that generates the output, after another had failed to compute it.").Register(*m_registry).Add({}))
     , m_values(prometheus::BuildGauge().Name("currantvale_state").Help("The daemon's state now.").Register(*m_registry))
     , m_rateLimits(prometheus::BuildGauge().Name("currantvale_target_rate_limit").Help("Requests per second that a target accepts from all daemons together, as it states.").Register(*m_registry))
@@ -123,6 +124,11 @@
     m_overduePrompts->Increment();
 }
 
+void Metrics::countMalformedEvent()
+{
+    m_malformedEvents->Increment();
+}
+
 void Metrics::countWholeRun()
 {
     m_wholeRuns->Increment();
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -129,6 +129,9 @@
     /// Counts a prompt whose answer is overdue.
     void countOverduePrompt();
 
+    /// Counts a stream that was broken off because of an event that cannot be passed on.
+    void countMalformedEvent();
+
     /// Counts a request whose prompt is left to the target that generates its output.
     void countWholeRun();
 
@@ -184,6 +187,7 @@
     prometheus::Counter* m_retries;
     prometheus::Counter* m_relays;
     prometheus::Counter* m_overduePrompts;
+    prometheus::Counter* m_malformedEvents;
     prometheus::Counter* m_wholeRuns;
     prometheus::Family<prometheus::Gauge>& m_values;
     prometheus::Family<prometheus::Gauge>& m_rateLimits;
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -323,7 +323,7 @@
 {
     leg->exchange->setPieceTimeout(m_context.targets.hidesSilence ? timeLeft() + deadlineSlack : eventTimeout);
     std::string continuedFrom = isContinued ? m_lastEventId : std::string();
-    EventSplitter splitter;
+    EventSplitter splitter(m_context.settings.limits.eventBytes);
     std::uint64_t index = firstIndex;
     std::optional<Clock::time_point> readAt;
     while (true) {
@@ -358,6 +358,10 @@
             co_await postWithBackpressure(std::move(next));
             ++index;
         }
+        if (splitter.isBeyondLimit()) {
+            breakOffEvents(leg);
+            co_return;
+        }
     }
     bool isEnded = splitter.hasSeenDone() || !m_context.targets.marksStreamEnd;
     noteAnswerEnd(leg->head, isEnded && !splitter.hasPartialEvent());
@@ -367,6 +371,15 @@
         post(Request::StreamBroken { leg->leg });
 }
 
+// What was delivered stays whole: the caller may go on behind it.
+void RequestRunner::breakOffEvents(LegPointer const& leg)
+{
+    m_context.metrics.countMalformedEvent();
+    finishRun();
+    leg->exchange->cancel();
+    postFailure(leg, Core::makeUncertainError(Core::ErrorCode::BadInput, "an event is longer than " + std::to_string(m_context.settings.limits.eventBytes) + " bytes"));
+}
+
 // Buffers a small body whole before delivering any of it, so that a broken attempt can be retried without the caller
 // having received a part.
 boost::asio::awaitable<void> RequestRunner::readBody(LegPointer leg, TargetSend send)
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -241,6 +241,7 @@
     keys.push_back(secondsKey("limits", "retry_window_s", "The window that the extra retries are for.", limitsOf, &Owned::Limits::retryWindow));
     keys.push_back(flagKey("limits", "share_places", "Whether daemons divide the places of targets among themselves while these are scarce (kind keyed-store).", limitsOf, &Owned::Limits::sharesPlaces));
     keys.push_back(flagKey("limits", "repeat_overdue_prompts", "Whether a prompt that takes much longer than such prompts do is computed at another target, within the route's attempts and the retry budget.", limitsOf, &Owned::Limits::repeatsOverduePrompts));
+    keys.push_back(numberKey<Owned>("limits", "event_bytes", "Longest event of a stream, which is held until it is whole; a stream with a longer one is broken off.", 1024, maximumBytes, limitsOf, &Owned::Limits::eventBytes));
     keys.push_back(numberKey<Owned>("limits", "held_answer_bytes", "Memory for answers that callers have not read yet; beyond it the slowest reader's connection is closed; 0: no limit.", 0, maximumBytes, limitsOf, &Owned::Limits::heldAnswerBytes));
     keys.push_back(numberKey<Owned>("targets", "connect_timeout_ms", "Time for a connection to a target to be made.", 1, maximumMilliseconds, targetsOf, &Http::ClientSettings::connectTimeout));
     keys.push_back(addressKey("targets", "local_address", "The local address of connections to targets, on a VM with several; left out: the kernel chooses.", targetsOf, &Http::ClientSettings::localAddress));
--- a/Tests/LibDaemon/TestEventSplitter.cpp
+++ b/Tests/LibDaemon/TestEventSplitter.cpp
@@ -2,9 +2,15 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+namespace {
+
+constexpr std::size_t eventLimit = 1'000;
+
+}
+
 TEST(EventSplitter, CutsAtBlankLines)
 {
-    Daemon::EventSplitter splitter;
+    Daemon::EventSplitter splitter(eventLimit);
     EXPECT_TRUE(splitter.add("id: 0\ndata: a\n").empty());
     std::vector<std::string> events = splitter.add("\ndata: b\r\n\r\ndata: c");
     ASSERT_EQ(events.size(), 2U);
@@ -14,15 +20,38 @@
     EXPECT_FALSE(splitter.hasSeenDone());
 }
 
+// Guards against a stream whose bytes end no event and fill the memory of the daemon that waits for one.
+TEST(EventSplitter, HoldsNoMoreThanOneEventOfTheLongestSize)
+{
+    Daemon::EventSplitter splitter(eventLimit);
+    std::string longest = "data: " + std::string(eventLimit - 8, 'x') + "\n\n";
+    EXPECT_EQ(splitter.add(longest).size(), 1U);
+    EXPECT_FALSE(splitter.isBeyondLimit());
+    EXPECT_EQ(splitter.add("data: a\n\ndata: " + std::string(eventLimit - 6, 'x')).size(), 1U);
+    EXPECT_FALSE(splitter.isBeyondLimit());
+    EXPECT_TRUE(splitter.add("x").empty());
+    EXPECT_TRUE(splitter.isBeyondLimit());
+    EXPECT_TRUE(splitter.add("\n\ndata: b\n\n").empty());
+    EXPECT_FALSE(splitter.hasPartialEvent());
+}
+
+// Guards against an event beyond the limit that is delivered because it came whole in one piece.
+TEST(EventSplitter, ALongerEventIsNotReturnedHoweverItArrives)
+{
+    Daemon::EventSplitter splitter(eventLimit);
+    EXPECT_EQ(splitter.add("data: a\n\ndata: " + std::string(eventLimit, 'x') + "\n\ndata: b\n\n").size(), 1U);
+    EXPECT_TRUE(splitter.isBeyondLimit());
+}
+
 RC_GTEST_PROP(EventSplitter, GivesTheSameEventsHoweverTheBytesArrive, (std::vector<std::uint8_t> const& sizes))
 {
     std::string stream;
     for (int n = 0; n < 20; ++n)
         stream += "id: " + std::to_string(n) + "\ndata: {\"n\":" + std::to_string(n) + "}\n\n";
     stream += "data: [DONE]\n\n";
-    Daemon::EventSplitter whole;
+    Daemon::EventSplitter whole(eventLimit);
     std::vector<std::string> expected = whole.add(stream);
-    Daemon::EventSplitter splitter;
+    Daemon::EventSplitter splitter(eventLimit);
     std::vector<std::string> events;
     std::string_view rest = stream;
     std::size_t next = 0;
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -104,3 +104,28 @@
     m_site.startTarget("engine-0");
     EXPECT_TRUE(waitFor([&] { return m_site.ask(0, "POST", "/h/1", newId()).status == 200; }));
 }
+
+// Guards against a daemon that is ended by its memory because the bytes of one stream end no event.
+TEST_F(FaultyTargets, AStreamWhoseBytesEndNoEventIsBrokenOff)
+{
+    constexpr std::size_t mostMemory = 64 * 1024 * 1024;
+    RawTarget target([](Http::Request const& request, std::size_t) {
+        RawTarget::Answer answer { RawTarget::chunkedHead(std::string(*request.fields.find("X-Request-Id")), "text/event-stream") + RawTarget::chunkOf("id: 0\ndata: a\n\nid: 1\ndata: b\n\ndata: ") };
+        answer.endless = RawTarget::chunkOf(std::string(64 * 1024, 'x'));
+        return answer;
+    });
+    end({ "app-0", "app-1" });
+    EXPECT_TRUE(askUntilReached(target, target.entry("app"), "/t/1", 3));
+    // Peers serve some of the requests, since the sound targets cannot be connected to.
+    EXPECT_TRUE(waitFor([&] {
+        double brokenOff = 0;
+        for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+            brokenOff += m_site.metric(n, "currantvale_malformed_events_total").value_or(0);
+        return brokenOff >= 3;
+    }));
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+        EXPECT_LT(m_site.process(KeyedSite::daemonName(n)).peakMemory(), mostMemory);
+    expectAllAlive();
+    for (int n = 0; n < 5; ++n)
+        EXPECT_EQ(m_site.ask(0, "POST", "/h/1", newId()).body, KeyedSite::wholeStream(m_site.pieces()));
+}
