LibDaemon: Break a stream off in front of an event whose id cannot be sent

Callers see a stream that hangs until its time is over, where its target breaks it off behind an event with a very long id.

Cause: the stream goes on at another target behind the last event, whose id is sent in Last-Event-Id; a value that no message can hold threw, and the attempt was gone with its coroutine.

Change: EventSplitter says why an event cannot be passed on, its length or now its id, and the stream ends as broken off in front of it. So each id that a daemon remembers can be sent.

--- a/Libraries/LibDaemon/EventSplitter.cpp
+++ b/Libraries/LibDaemon/EventSplitter.cpp
@@ -1,4 +1,5 @@
 #include <LibDaemon/EventSplitter.h>
+#include <LibHttp/Fields.h>
 #include <charconv>
 #include <cstdint>
 
@@ -24,7 +25,7 @@
 
 std::vector<std::string> EventSplitter::add(std::string_view bytes)
 {
-    if (m_isBeyondLimit)
+    if (!m_problem.empty())
         return {};
     std::size_t from = m_rest.size() < 2 ? 0 : m_rest.size() - 2;
     m_rest += bytes;
@@ -33,15 +34,20 @@
     for (std::size_t size = sizeOfFirst(rest, from); size != 0; size = sizeOfFirst(rest, 0)) {
         if (size > m_eventLimit)
             break;
+        if (!Http::isFieldValue(eventId(rest.substr(0, size)))) {
+            m_problem = "the id of an event cannot be sent";
+            break;
+        }
         events.emplace_back(rest.substr(0, size));
         m_hasSeenDone = m_hasSeenDone || events.back().find(doneEvent) != std::string::npos;
         rest.remove_prefix(size);
     }
-    m_isBeyondLimit = rest.size() > m_eventLimit;
-    if (m_isBeyondLimit)
-        m_rest = std::string();
-    else
+    if (m_problem.empty() && rest.size() > m_eventLimit)
+        m_problem = "an event is too long";
+    if (m_problem.empty())
         m_rest.erase(0, m_rest.size() - rest.size());
+    else
+        m_rest = std::string();
     return events;
 }
 
--- a/Libraries/LibDaemon/EventSplitter.h
+++ b/Libraries/LibDaemon/EventSplitter.h
@@ -17,12 +17,13 @@
     {
     }
 
-    /// Takes bytes in and returns the events that are whole now, in their order. Beyond the limit the bytes are dropped and
+    /// Takes bytes in and returns the events that are whole now, in their order. Behind a problem the bytes are dropped and
     /// no further event is returned.
     std::vector<std::string> add(std::string_view bytes);
 
-    /// Returns whether an event, whole or not, has gone beyond the limit.
-    bool isBeyondLimit() const { return m_isBeyondLimit; }
+    /// Returns why an event cannot be passed on: it is too long, or a request that resumes the stream could not hold its id.
+    /// Empty: all could.
+    std::string_view problem() const { return m_problem; }
 
     /// Returns whether the event that ends an engine's stream, `data: [DONE]`, has passed.
     bool hasSeenDone() const { return m_hasSeenDone; }
@@ -33,7 +34,7 @@
 private:
     std::size_t m_eventLimit;
     std::string m_rest;
-    bool m_isBeyondLimit { false };
+    std::string_view m_problem;
     bool m_hasSeenDone { false };
 };
 
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -358,8 +358,8 @@
             co_await postWithBackpressure(std::move(next));
             ++index;
         }
-        if (splitter.isBeyondLimit()) {
-            breakOffEvents(leg);
+        if (!splitter.problem().empty()) {
+            breakOffEvents(leg, splitter.problem());
             co_return;
         }
     }
@@ -372,12 +372,12 @@
 }
 
 // What was delivered stays whole: the caller may go on behind it.
-void RequestRunner::breakOffEvents(LegPointer const& leg)
+void RequestRunner::breakOffEvents(LegPointer const& leg, std::string_view problem)
 {
     m_context.metrics.countMalformedEvent();
     finishRun();
     leg->exchange->cancel();
-    postFailure(leg, Core::makeUncertainError(Core::ErrorCode::BadInput, "an event is longer than " + std::to_string(m_context.settings.limits.eventBytes) + " bytes"));
+    postFailure(leg, Core::makeUncertainError(Core::ErrorCode::BadInput, std::string(problem)));
 }
 
 // Buffers a small body whole before delivering any of it, so that a broken attempt can be retried without the caller
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -88,7 +88,7 @@
     boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
     boost::asio::awaitable<void> readAnswer(LegPointer, TargetSend);
     boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex, bool isContinued);
-    void breakOffEvents(LegPointer const&);
+    void breakOffEvents(LegPointer const&, std::string_view problem);
     boost::asio::awaitable<void> readBody(LegPointer, TargetSend);
     void logRefusal() const;
     boost::asio::awaitable<void> wait(std::chrono::milliseconds);
--- a/Tests/LibDaemon/TestEventSplitter.cpp
+++ b/Tests/LibDaemon/TestEventSplitter.cpp
@@ -1,4 +1,5 @@
 #include <LibDaemon/EventSplitter.h>
+#include <LibHttp/Fields.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -26,11 +27,11 @@
     Daemon::EventSplitter splitter(eventLimit);
     std::string longest = "data: " + std::string(eventLimit - 8, 'x') + "\n\n";
     EXPECT_EQ(splitter.add(longest).size(), 1U);
-    EXPECT_FALSE(splitter.isBeyondLimit());
+    EXPECT_EQ(splitter.problem(), "");
     EXPECT_EQ(splitter.add("data: a\n\ndata: " + std::string(eventLimit - 6, 'x')).size(), 1U);
-    EXPECT_FALSE(splitter.isBeyondLimit());
+    EXPECT_EQ(splitter.problem(), "");
     EXPECT_TRUE(splitter.add("x").empty());
-    EXPECT_TRUE(splitter.isBeyondLimit());
+    EXPECT_NE(splitter.problem(), "");
     EXPECT_TRUE(splitter.add("\n\ndata: b\n\n").empty());
     EXPECT_FALSE(splitter.hasPartialEvent());
 }
@@ -40,7 +41,18 @@
 {
     Daemon::EventSplitter splitter(eventLimit);
     EXPECT_EQ(splitter.add("data: a\n\ndata: " + std::string(eventLimit, 'x') + "\n\ndata: b\n\n").size(), 1U);
-    EXPECT_TRUE(splitter.isBeyondLimit());
+    EXPECT_NE(splitter.problem(), "");
+}
+
+// Guards against a stream that hangs because it goes on behind an event whose id fits no header field.
+TEST(EventSplitter, AnEventWhoseIdCannotBeSentIsNotReturned)
+{
+    std::string longId(Http::maxFieldValueSize + 1, 'x');
+    for (std::string id : { std::string("a\rX-Other: b"), std::string("a\0b", 3), longId }) {
+        Daemon::EventSplitter splitter(2 * Http::maxFieldValueSize);
+        EXPECT_EQ(splitter.add("id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\nid: 2\ndata: c\n\n").size(), 1U);
+        EXPECT_NE(splitter.problem(), "");
+    }
 }
 
 RC_GTEST_PROP(EventSplitter, GivesTheSameEventsHoweverTheBytesArrive, (std::vector<std::uint8_t> const& sizes))
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -105,6 +105,21 @@
     EXPECT_TRUE(waitFor([&] { return m_site.ask(0, "POST", "/h/1", newId()).status == 200; }));
 }
 
+// Guards against a stream that hangs until its time is over because the id of its last event fits no header field.
+TEST_F(FaultyTargets, AStreamEndsInFrontOfAnEventIdThatNoFieldHolds)
+{
+    RawTarget target([](Http::Request const& request, std::size_t) {
+        std::string events = "id: 0\ndata: a\n\nid: " + std::string(oversized, 'x') + "\ndata: b\n\n";
+        return RawTarget::Answer { RawTarget::chunkedHead(std::string(*request.fields.find("X-Request-Id")), "text/event-stream") + RawTarget::chunkOf(events), RawTarget::Then::Reset };
+    });
+    end({ "app-0", "app-1" });
+    // The stream goes on at the other entry of the same release.
+    m_site.writeEntry("i-other", target.entry("app", {}, "v1"));
+    EXPECT_TRUE(askUntilReached(target, target.entry("app", {}, "v1"), "/t/1", 5));
+    EXPECT_TRUE(m_site.logLines(KeyedSite::daemonName(0), "The deadline passed").empty());
+    expectAllAlive();
+}
+
 // Guards against a daemon that is ended by its memory because the bytes of one stream end no event.
 TEST_F(FaultyTargets, AStreamWhoseBytesEndNoEventIsBrokenOff)
 {
