LibHttp: Bound what is held of a message beside its body

Evidence, before the change: by reading; Beast bounds a head (8 KiB) but neither a chunk's line nor, by default, its buffer. The tests that come with it: ClientConnections.ALineWithoutAnEndFailsTheExchange, HttpServer.AChunkExtensionWithoutAnEndIsRejected.

Change: 128 KiB for the buffer of a connection to a server, and of a caller's while its body is read; reports of engines 64 KiB, releases of KV caches 256 KiB, other whole responses 16 MiB unless said otherwise.

--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -142,7 +142,7 @@
 
 boost::asio::awaitable<void> RequestRunner::releaseKv(boost::asio::ip::tcp::endpoint holder, std::string kvSource)
 {
-    Core::Result<Http::Response> response = co_await m_context.client.fetch(holder, m_context.targets.releaseKv(kvSource));
+    Core::Result<Http::Response> response = co_await m_context.client.fetch(holder, m_context.targets.releaseKv(kvSource), bufferedBodyLimit);
     if (response.has_error())
         Core::logEvent(Core::Severity::Debug, Core::Event::AttemptFailed, { { "request", m_work.requestId }, { "step", "release-kv" }, { "error", response.error().message } });
 }
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -119,7 +119,7 @@
     virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(boost::asio::ip::tcp::endpoint, Request, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
 
     /// Sends a request and reads the whole response, of `bodyLimit` bytes at most.
-    virtual boost::asio::awaitable<Core::Result<Response>> fetch(boost::asio::ip::tcp::endpoint, Request, std::size_t bodyLimit = 64 * 1024 * 1024) = 0;
+    virtual boost::asio::awaitable<Core::Result<Response>> fetch(boost::asio::ip::tcp::endpoint, Request, std::size_t bodyLimit = 16 * 1024 * 1024) = 0;
 };
 
 /// Reads the rest of a response, of `bodyLimit` bytes at most. Precondition: the exchange was started.
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -19,7 +19,10 @@
     }
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    /// A head, a chunk's extension or trailers that do not fit fail the exchange.
+    static constexpr std::size_t bufferLimit = 128 * 1024;
+
+    boost::beast::flat_buffer buffer { bufferLimit };
     std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if no limit is set.
     bool isSilent { false }; ///< The server's host acknowledged nothing any more.
     Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -13,6 +13,8 @@
 
 constexpr unsigned httpVersion11 = 11;
 constexpr std::size_t readSize = 4 * 1024;
+// For the lines between the chunks of a body, which count as no part of it.
+constexpr std::size_t framingLimit = 128 * 1024;
 // A cancel misses an operation whose completion is queued already.
 constexpr std::chrono::milliseconds cancelInterval { 50 };
 
@@ -128,6 +130,8 @@
     if (parser.is_done())
         co_return ec;
     limitTime(m_settings.bodyTimeout);
+    std::size_t formerLimit = m_buffer.max_size();
+    m_buffer.max_size(m_buffer.size() + framingLimit);
     // RFC 9110, section 10.1.1: answer the expectation before waiting for the body.
     if (Beast::iequals(parser.get()[Beast::http::field::expect], "100-continue")) {
         Beast::http::response<Beast::http::empty_body> message(Beast::http::status::continue_, httpVersion11);
@@ -135,6 +139,7 @@
     }
     if (!ec)
         co_await Beast::http::async_read(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    m_buffer.max_size(formerLimit);
     co_return ec;
 }
 
--- a/Libraries/LibPlatform/EngineControl.cpp
+++ b/Libraries/LibPlatform/EngineControl.cpp
@@ -88,7 +88,7 @@
     {
         Http::Request request;
         request.target = "/control/state";
-        Core::Result<Http::Response> response = co_await m_client.fetch(endpoint, request);
+        Core::Result<Http::Response> response = co_await m_client.fetch(endpoint, request, replyLimit);
         if (response.has_error())
             co_return Core::Result<EngineState>(response.error());
         if (response.value().status != static_cast<std::uint16_t>(Http::Status::Ok))
@@ -122,7 +122,7 @@
         Http::Request request;
         request.method = "DELETE";
         request.target = "/v1/streams/" + requestId;
-        Core::Result<Http::Response> response = co_await m_client.fetch(endpoint, request);
+        Core::Result<Http::Response> response = co_await m_client.fetch(endpoint, request, replyLimit);
         if (response.has_error())
             co_return Core::Result<CancelState>(response.error());
         co_return parseCancel(response.value());
--- a/Tests/LibHttp/TestClientConnections.cpp
+++ b/Tests/LibHttp/TestClientConnections.cpp
@@ -198,3 +198,32 @@
         EXPECT_TRUE((co_await m_client->fetch(m_endpoint, Http::Request())).has_value());
     });
 }
+
+// Guards against a server whose response has a line that does not end and fills the memory of its reader.
+TEST_F(ClientConnections, ALineWithoutAnEndFailsTheExchange)
+{
+    constexpr std::size_t most = 64'000'000; // More than the kernel holds for both sides.
+    std::array<std::string, 4> beginnings {
+        "HTTP/1.1 200 OK\r\nX-Long: ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0;a=",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Long: ",
+    };
+    std::size_t next = 0;
+    std::size_t sent = 0;
+    serve([&](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        co_await readHead(*socket);
+        co_await answer(*socket, beginnings.at(next++));
+        std::string line(65'536, 'x');
+        for (sent = 0; sent < most; sent += line.size())
+            co_await answer(*socket, line);
+        co_await answer(*socket, "\r\n\r\n");
+    });
+    run([&]() -> Asio::awaitable<void> {
+        while (next < beginnings.size()) {
+            Core::Result<Http::Response> response = co_await m_client->fetch(m_endpoint, Http::Request());
+            EXPECT_TRUE(response.has_error()) << beginnings.at(next - 1);
+            EXPECT_LT(sent, most) << beginnings.at(next - 1);
+        }
+    });
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -306,6 +306,14 @@
     });
 }
 
+// Guards against a caller whose chunk has an extension that does not end and fills the server's memory.
+TEST_F(HttpServer, AChunkExtensionWithoutAnEndIsRejected)
+{
+    start(echo);
+    std::string answer = exchangeRaw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;a=" + std::string(4'000'000, 'x'));
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400");
+}
+
 TEST_F(HttpServer, SlowSenderIsCutOff)
 {
     Http::ServerSettings settings;
