LibHttp, LibDaemon: Let a connection carry the id of a request once

Cause: both sends of a request bear its X-Request-Id, and an answer is known by that alone. A request that all its targets have refused may return to the first one, and took the connection that had carried the refusal; a late second copy of it stood where the answer to the second send was due.

ForeignResponses.ACopyOfAResponse... asks for the same id twice and needs the new parameter: it does not compile before.

Change: connect() takes the request's id, and a kept connection that has carried it is not taken for it. By construction no answer to an earlier send can stand on the connection of a later one, whatever came back: outputs, prompts, streams that go on, relays. A connection remembers 512 ids and is then closed: 4 KB, one new connection in 512 requests.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -218,7 +218,7 @@
     Http::ConnectionChoice choice = m_work.isRepeatable || m_context.targets.keepsConnectionsForAll ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
     if (leg->leg.connection > 1)
         choice = Http::ConnectionChoice::Fresh;
-    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target.endpoint, choice, leg->connecting);
+    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target.endpoint, choice, leg->connecting, m_work.requestId);
     if (leg->isAbandoned)
         co_return false;
     if (connected.has_error()) {
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -17,7 +17,7 @@
 boost::asio::awaitable<Core::Result<std::string>> RequestRunner::prefill(LegPointer leg, std::optional<Request::PromptEnd>& end)
 {
     FleetTarget const* target = targetOf(m_target);
-    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting);
+    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.client.connect(target->endpoint, Http::ConnectionChoice::Kept, leg->connecting, m_work.requestId);
     if (connected.has_error() && connected.error().code != Core::ErrorCode::Canceled)
         noteOutcome(Routing::TargetOutcome::Unreachable);
     if (connected.has_error())
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -68,7 +68,7 @@
     post(Request::TargetPicked { leg->leg.attempt, m_target, true });
     // A kept connection may have been closed meanwhile, which leaves a doubt whether the request ran.
     Http::ConnectionChoice choice = m_work.isRepeatable ? Http::ConnectionChoice::Kept : Http::ConnectionChoice::Fresh;
-    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.peerClient.connect(peer.address, choice, leg->connecting);
+    Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_context.peerClient.connect(peer.address, choice, leg->connecting, m_work.requestId);
     if (leg->isAbandoned)
         co_return;
     if (connected.has_error()) {
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/Client.h>
 #include <LibHttp/Exchange.h>
 #include <LibHttp/SocketQueue.h>
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,6 +38,11 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool hasCarried(ClientConnection const& connection, std::size_t id)
+{
+    return std::find(connection.carriedIds.begin(), connection.carriedIds.end(), id) != connection.carriedIds.end();
+}
+
 class PoolingClient final : public Client {
 public:
     PoolingClient(Asio::io_context& context, ClientSettings const& settings)
@@ -46,16 +52,19 @@
     {
     }
 
-    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(Tcp::endpoint endpoint, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
+    Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(Tcp::endpoint endpoint, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot, std::string requestId) override
     {
         using Opened = Core::Result<std::unique_ptr<Exchange>>;
-        std::shared_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint) : nullptr;
+        std::optional<std::size_t> id = requestId.empty() ? std::nullopt : std::optional<std::size_t>(std::hash<std::string>()(requestId));
+        std::shared_ptr<ClientConnection> connection = choice == ConnectionChoice::Kept ? takeKept(endpoint, id) : nullptr;
         if (!connection) {
             Core::Result<std::shared_ptr<ClientConnection>> opened = co_await connectAnew(endpoint, slot);
             if (opened.has_error())
                 co_return Opened(opened.error());
             connection = std::move(opened.value());
         }
+        if (id)
+            connection->carriedIds.push_back(*id);
         if (slot && slot->isCanceled)
             co_return Opened(Core::makeError(Core::ErrorCode::Canceled, "canceled before the request was sent"));
         co_return Opened(std::make_unique<ConnectionExchange>(std::move(connection), m_settings, returnTo(endpoint)));
@@ -82,7 +91,7 @@
 
     Asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(Tcp::endpoint endpoint, Request request, ConnectionChoice choice, std::shared_ptr<CancelSlot> slot) override
     {
-        Core::Result<std::unique_ptr<Exchange>> connected = co_await connect(endpoint, choice, slot);
+        Core::Result<std::unique_ptr<Exchange>> connected = co_await connect(endpoint, choice, slot, std::string());
         if (connected.has_error())
             co_return connected;
         Exchange* exchange = connected.value().get();
@@ -105,13 +114,16 @@
     }
 
 private:
-    std::shared_ptr<ClientConnection> takeKept(Tcp::endpoint const& endpoint)
+    // Takes the one that was used last of those that have not carried the id.
+    std::shared_ptr<ClientConnection> takeKept(Tcp::endpoint const& endpoint, std::optional<std::size_t> id)
     {
         Connections& kept = m_pool->idle[endpoint];
         Core::BootClock::time_point now = Core::BootClock::now();
-        while (!kept.empty()) {
-            std::shared_ptr<ClientConnection> connection = std::move(kept.back());
-            kept.pop_back();
+        for (std::size_t n = kept.size(); n > 0; --n) {
+            if (id && hasCarried(*kept[n - 1], *id))
+                continue;
+            std::shared_ptr<ClientConnection> connection = std::move(kept[n - 1]);
+            kept.erase(kept.begin() + static_cast<Connections::difference_type>(n - 1));
             if (now < connection->keepUntil && isQuiet(*connection))
                 return connection;
         }
@@ -120,9 +132,9 @@
 
     ConnectionReturn returnTo(Tcp::endpoint const& endpoint)
     {
-        return [pool = std::weak_ptr<Pool>(m_pool), endpoint, limit = m_settings.keptPerEndpoint](std::shared_ptr<ClientConnection> connection) {
+        return [pool = std::weak_ptr<Pool>(m_pool), endpoint, limit = m_settings.keptPerEndpoint, idLimit = m_settings.idsPerConnection](std::shared_ptr<ClientConnection> connection) {
             std::shared_ptr<Pool> alive = pool.lock();
-            if (!alive)
+            if (!alive || connection->carriedIds.size() >= idLimit)
                 return;
             Connections& kept = alive->idle[endpoint];
             if (kept.size() >= limit)
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -21,6 +21,7 @@
     std::chrono::milliseconds pieceTimeout { 10'000 }; ///< Between two pieces of the body.
     std::chrono::milliseconds keepTime { 20'000 }; ///< For an unused connection; less where the server announces less.
     std::size_t keptPerEndpoint { 64 };
+    std::size_t idsPerConnection { 512 }; ///< Then a connection, which remembers the ids of all its requests, is closed.
     std::size_t skippedLimit { 16 * 1024 * 1024 }; ///< Bytes of the body of a response to another request, which is read and dropped.
     SocketLiveness liveness; ///< When a connection that went silent counts as lost.
     std::optional<boost::asio::ip::address> localAddress; ///< Connections are made from it; empty: the kernel chooses.
@@ -107,9 +108,11 @@
 
     virtual ~Client() = default;
 
-    /// Connects, or takes a kept connection, and writes nothing yet.
+    /// Connects, or takes a kept connection, and writes nothing yet. `requestId` is the id that the server repeats in its
+    /// response: one connection carries it once, so that a late copy of the response to an earlier send is never taken for
+    /// that to this one. Empty: the response is known by its position alone.
     /// Errors, all NotRun: Unavailable, Timeout, Canceled.
-    virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(boost::asio::ip::tcp::endpoint, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
+    virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> connect(boost::asio::ip::tcp::endpoint, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr, std::string requestId = {}) = 0;
 
     /// Finds out whether anything listens at an endpoint, with a new connection that the next exchange uses.
     virtual boost::asio::awaitable<Reach> reach(boost::asio::ip::tcp::endpoint) = 0;
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace Http {
 
@@ -26,6 +27,7 @@
     std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if no limit is set.
     bool isSilent { false }; ///< The server's host acknowledged nothing any more.
     Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
+    std::vector<std::size_t> carriedIds; ///< Hashes of the ids of the requests that were sent on it.
     bool hasCarriedHead { false }; ///< A HEAD request was sent on it.
     bool hasCarriedOther { false }; ///< A request with another method was sent on it.
 };
--- a/Tests/LibHttp/TestForeignResponses.cpp
+++ b/Tests/LibHttp/TestForeignResponses.cpp
@@ -185,6 +185,51 @@
     });
 }
 
+// Guards against a late copy of a refusal that is taken for the response to the same request's next send, which then runs.
+TEST_F(ForeignResponses, ACopyOfAResponseIsNotTakenForThatToTheNextSendOfTheSameRequest)
+{
+    constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+    serve([refusal](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        co_await readHead(*socket);
+        co_await answer(*socket, std::string(refusal));
+        co_await readHead(*socket);
+        co_await answer(*socket, std::string(refusal));
+        co_await socket->async_wait(Tcp::socket::wait_read, Asio::use_awaitable);
+    });
+    run([this]() -> Asio::awaitable<void> {
+        for (std::string id : { "a", "a", "b", "a" }) {
+            Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_client->connect(m_endpoint, Http::ConnectionChoice::Kept, nullptr, id);
+            bool isFirst = !connected.value()->isOnKeptConnection();
+            EXPECT_EQ(isFirst, id == "a") << "a connection carries an id once, and others beside it";
+            EXPECT_TRUE((co_await connected.value()->start(Http::Request())).has_value());
+            EXPECT_TRUE((co_await Http::readWhole(*connected.value(), 100)).has_value());
+        }
+    });
+    EXPECT_EQ(m_accepted, 3);
+}
+
+// Guards against memory that grows with each request on a connection that lives for long.
+TEST_F(ForeignResponses, AConnectionIsClosedOnceItHasCarriedManyIds)
+{
+    Http::ClientSettings settings;
+    settings.idsPerConnection = 3;
+    m_client = Http::Client::create(m_context, settings);
+    serve([](std::shared_ptr<Tcp::socket> socket) -> Asio::awaitable<void> {
+        while (true) {
+            co_await readHead(*socket);
+            co_await answer(*socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    run([this]() -> Asio::awaitable<void> {
+        for (std::string id : { "a", "b", "c", "d" }) {
+            Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_client->connect(m_endpoint, Http::ConnectionChoice::Kept, nullptr, id);
+            EXPECT_TRUE((co_await connected.value()->start(Http::Request())).has_value());
+            EXPECT_TRUE((co_await Http::readWhole(*connected.value(), 100)).has_value());
+        }
+    });
+    EXPECT_EQ(m_accepted, 2);
+}
+
 namespace {
 
 // A sound response that was cut, repeated or changed at random places.
