LibDaemon: Skip responses to other requests in front of a prompt's

Callers see a stream that begins late: its prompt counted as failed and was computed again at another target, within the route's attempts and the retry budget.

Cause: an output's answer was looked for behind responses to earlier requests on its connection, a prompt's was not.

Change: both sends read the head by one function, which skips.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -116,22 +116,29 @@
     leg->exchange->setHeadTimeout(isEventHead ? eventHeadTimeout : timeLeft() + deadlineSlack);
     TargetSend send = sendOf(leg->leg.attempt);
     Http::Request request = m_context.targets.request(m_work, send);
+    Core::Result<void> started = co_await sendAndReadHead(leg, std::move(request), send);
+    if (leg->isAbandoned)
+        co_return;
+    if (started.has_error()) {
+        postFailure(leg, started.error());
+        co_return;
+    }
+    co_await readAnswer(leg, send);
+}
+
+// Skips responses to earlier requests on the connection.
+boost::asio::awaitable<Core::Result<void>> RequestRunner::sendAndReadHead(LegPointer leg, Http::Request request, TargetSend send)
+{
+    FleetTarget const* target = targetOf(m_target);
     Core::BootClock::time_point sentAt = Core::BootClock::now();
     watchAcknowledgement(leg, *target);
     Core::Result<void> started = co_await leg->exchange->start(request);
     bool isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
-    // Skips responses to earlier requests on this connection.
     for (int n = 0; n < maxForeignAnswers && !leg->isAbandoned && isForeign; ++n) {
         started = co_await leg->exchange->skipResponse();
         isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
     }
-    if (leg->isAbandoned)
-        co_return;
-    if (started.has_error()) {
-        postFailure(leg, started.error());
-        co_return;
-    }
-    co_await readAnswer(leg, send);
+    co_return started;
 }
 
 // Chooses the attempt's target. If that is a prefill target, has the prompt computed there and then chooses the decode
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -40,10 +40,9 @@
     beginRun(*target, RunStep::Prompt);
     TargetSend send = sendOf(leg->leg.attempt);
     Clock::time_point sentAt = Clock::now();
-    Core::BootClock::time_point sentAtBoot = Core::BootClock::now();
-    watchAcknowledgement(leg, *target);
     watchPrompt(leg, sentAt);
-    Core::Result<void> started = co_await leg->exchange->start(m_context.targets.prefillRequest(m_work, send));
+    Http::Request request = m_context.targets.prefillRequest(m_work, send);
+    Core::Result<void> started = co_await sendAndReadHead(leg, std::move(request), send);
     if (started.has_value() || started.error().verdict != Core::Verdict::NotRun)
         end = Request::PromptEnd::Lost;
     if (started.has_error())
@@ -55,7 +54,6 @@
     }
     if (leg->isAbandoned)
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the attempt was abandoned"));
-    noteNotice(*target, leg->exchange->head(), sentAtBoot);
     Core::Result<Http::Response> response = co_await Http::readWhole(*leg->exchange, bufferedBodyLimit);
     leg->overdueTimer.cancel();
     if (leg->isAbandoned)
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -86,6 +86,24 @@
     expectAllAlive();
 }
 
+// Guards against a prompt that is computed again because a late second answer to an earlier request came in front of its own.
+TEST_F(FaultyTargets, ALateSecondAnswerInFrontOfAPromptsIsSkipped)
+{
+    RawTarget target([](Http::Request const& request, std::size_t number) {
+        if (request.target == "/currantvale/report")
+            return RawTarget::Answer { RawTarget::soundAnswer(request, std::string(idleReport)) };
+        std::string foreign = RawTarget::chunkedHead("an-earlier-one") + RawTarget::chunkOf("earlier") + std::string(lastChunk);
+        return RawTarget::Answer { (number > 0 ? foreign : "") + RawTarget::soundAnswer(request, R"({"handle":"h","tokens":100,"version":1})") };
+    });
+    end({ "engine-0" });
+    EXPECT_TRUE(waitFor([&] {
+        m_site.writeEntry("i-raw", target.entry("llm", "prefill"));
+        std::ignore = m_site.ask(0, "POST", "/h/1", newId());
+        return target.requests() > 20;
+    }));
+    EXPECT_TRUE(m_site.logLines(KeyedSite::daemonName(0), "target=i-raw step=prefill").empty());
+}
+
 // Guards against requests that wait until their time is over because the handle of a prompt fits no header field.
 TEST_F(FaultyTargets, AHandleThatNoFieldHoldsIsNoAnswerToAPrompt)
 {
