platform: Refuse entries of targets whose texts are no names

Operators elsewhere report odd entries in the list of targets. Here callers would see requests that hang, sent to a target whose key no header field can hold, and operators log lines with control characters.

Cause: the texts of an entry were taken as they are: keys, services, zones and versions of any length with any character, port 0, and addresses that no host has.

Evidence, before the change: by reading, and the tests that come with it (PlatformRecords, EventLog); not shown with real daemons.

Values in log lines are cut at 4 KiB and have no control characters. Of unusable entries hashes are kept, not keys.

--- a/Libraries/LibCore/EventLog.cpp
+++ b/Libraries/LibCore/EventLog.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/EventLog.h>
 #include <LibCore/EventQuota.h>
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <log4cxx/asyncappender.h>
@@ -49,13 +50,23 @@
     return log4cxx::Level::getError();
 }
 
+bool isControl(unsigned char c)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return c < firstPrintable || c == deleteCharacter;
+}
+
 bool needsQuotes(std::string_view text)
 {
-    return text.empty() || text.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+    return text.empty() || text.find_first_of(" \"=") != std::string_view::npos || std::any_of(text.begin(), text.end(), isControl);
 }
 
+// Some values come from outside: they may be long, and must not end the line or change a terminal's state.
 void appendValue(std::string& line, std::string_view value)
 {
+    constexpr std::size_t mostBytes = 4'096;
+    value = value.substr(0, mostBytes);
     if (!needsQuotes(value)) {
         line += value;
         return;
@@ -64,7 +75,7 @@
     for (char c : value) {
         if (c == '"' || c == '\\')
             line += '\\';
-        line += (c == '\n' || c == '\r') ? ' ' : c;
+        line += isControl(static_cast<unsigned char>(c)) ? ' ' : c;
     }
     line += '"';
 }
--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -236,7 +236,7 @@
     Fleet::TargetBook m_targets;
     std::set<std::string> m_streamServices; ///< Services of routes whose streams may go on at another target.
     std::set<std::string> m_replacedTargets; ///< Ids of targets whose address another one has taken.
-    std::set<std::string> m_unusableEntries; ///< Ids of targets whose newest entry cannot be used.
+    std::set<std::size_t> m_unusableEntries; ///< Hashes of the ids of targets whose newest entry cannot be used: an id may be long.
     std::map<std::uint64_t, std::uint32_t> m_targetIds; ///< By key.
     std::uint32_t m_nextTargetId { 0 };
     std::map<std::string, std::vector<std::uint64_t>> m_suspects; ///< By peer, as last said.
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -84,7 +84,7 @@
     Core::Result<Platform::ListedTarget> listed = m_adapters.codec.decodeTarget(record.key, *record.value);
     if (listed.has_error())
         return takeUnusableEntry(record, listed.error());
-    m_unusableEntries.erase(record.key);
+    m_unusableEntries.erase(std::hash<std::string>()(record.key));
     std::map<std::string, Fleet::BookedTarget>::const_iterator before = m_targets.targets().find(record.key);
     bool hasNewRole = before != m_targets.targets().end() && before->second.listed.role != listed.value().role;
     if (!m_targets.list(listed.value()))
@@ -102,7 +102,7 @@
 {
     bool isChanged = m_targets.drop(record.key);
     m_isTargetListChanged = m_isTargetListChanged || isChanged;
-    bool isNew = m_unusableEntries.size() < mostUnusableEntries && m_unusableEntries.insert(record.key).second;
+    bool isNew = m_unusableEntries.size() < mostUnusableEntries && m_unusableEntries.insert(std::hash<std::string>()(record.key)).second;
     if (isNew)
         Core::logEvent(Core::Severity::Error, Core::Event::TargetEntryUnusable, { { "target", record.key }, { "error", error.message }, { "read", record.value->substr(0, loggedEntryBytes) } });
     return isChanged;
--- a/Tests/LibCore/TestEventLog.cpp
+++ b/Tests/LibCore/TestEventLog.cpp
@@ -9,6 +9,14 @@
     EXPECT_EQ(line, "event=2001 name=route-decided target=a-1 why=\"least \\\"load\\\" here\"");
 }
 
+// Guards against values from outside that end a line, steer a terminal, or fill the log.
+TEST(EventLog, AValueIsShortAndHasNoControlCharacters)
+{
+    std::string line = Core::formatEvent(Core::Event::RouteDecided, { { "target", "a\x1b[2J\nb" } });
+    EXPECT_EQ(line, "event=2001 name=route-decided target=\"a [2J b\"");
+    EXPECT_LT(Core::formatEvent(Core::Event::RouteDecided, { { "target", std::string(200'000, 'x') } }).size(), 5'000U);
+}
+
 TEST(EventLog, EachEventHasOneName)
 {
     for (std::pair<Core::Event, std::string_view> const& it : Core::eventNames)
--- a/Tests/platform/TestRecords.cpp
+++ b/Tests/platform/TestRecords.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <platform/Records.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 namespace {
 
@@ -60,6 +61,28 @@
     EXPECT_EQ(plain.bornAtMs, 0U);
 }
 
+// Guards against a target whose id cannot be sent in the field that names the target.
+TEST(PlatformRecords, AnEntryUnderAKeyThatIsNoNameNamesNoTarget)
+{
+    Daemon::StoreCodec codec = UsersPlatform::storeCodec();
+    for (std::string const& key : { std::string(), std::string("a b"), std::string("a\r\nX-Other: 1"), std::string(200'000, 'x') })
+        EXPECT_TRUE(codec.decodeTarget(key, R"({"service":"app","addr":"10.1.2.3:80","zone":"z","slots":6,"state":"ready"})").has_error());
+}
+
+// Guards against a version that fits no header field or datagram, and against two of them that are taken for one.
+TEST(PlatformRecords, AVersionThatIsNoNameIsReplacedByItsDigest)
+{
+    Daemon::StoreCodec codec = UsersPlatform::storeCodec();
+    std::set<std::string> releases;
+    for (std::string const& version : { std::string("\"v 1\""), std::string(R"("v\u000d\u000a1")"), "\"" + std::string(200'000, 'x') + "\"", "\"" + std::string(200'001, 'x') + "\"", std::string(R"([[["v"]]])") }) {
+        Core::Result<Platform::ListedTarget> target = codec.decodeTarget("i", R"({"service":"app","addr":"10.1.2.3:80","zone":"z","slots":6,"state":"ready","version":)" + version + "}");
+        ASSERT_TRUE(target.has_value()) << version.substr(0, 20);
+        EXPECT_LT(target.value().release.size(), 100U);
+        releases.insert(target.value().release);
+    }
+    EXPECT_EQ(releases.size(), 5U);
+}
+
 // Any writer may put an entry there: fields that are missing or of another type, states that are not known, no JSON at all.
 TEST(PlatformRecords, AnEntryWithAnythingMissingOrUnknownNamesNoTarget)
 {
@@ -72,6 +95,18 @@
         { R"("llm")", R"("")" },
         { R"("addr":"10.1.2.3:80",)", "" },
         { "10.1.2.3:80", "nowhere" },
+        { "10.1.2.3:80", "10.1.2.3:0" },
+        { "10.1.2.3:80", "10.1.2.3:65536" },
+        { "10.1.2.3:80", "10.1.2.3:99999999999999999999" },
+        { "10.1.2.3:80", "0.0.0.0:80" },
+        { "10.1.2.3:80", "255.255.255.255:80" },
+        { "10.1.2.3:80", "224.0.0.1:80" },
+        { R"("llm")", R"("l\u000d\u000am")" },
+        { R"("llm")", "\"" + std::string(200'000, 'x') + "\"" },
+        { R"("z")", "\"" + std::string(200'000, 'x') + "\"" },
+        { "64", "18446744073709551616" },
+        { "64", "1e400" },
+        { "5}", R"(5,"version":)" + std::string(100, '[') + std::string(100, ']') + "}" },
         { R"("zone":"z",)", "" },
         { R"("z")", "null" },
         { R"("slots":64,)", "" },
