LibDaemon: Do not note a stream that was begun for a peer

Callers see a stream that holds events of two software releases (ORDER), after they resumed it at a daemon that had served the same request for a peer.

Cause: a daemon that serves a request for a peer noted the release with the first event that it sent back. If that answer is lost on its way, the peer begins the stream anew, perhaps at another release; the note stood, and a resumption is answered from memory first.

--- a/Libraries/LibDaemon/RequestOrigin.cpp
+++ b/Libraries/LibDaemon/RequestOrigin.cpp
@@ -136,7 +136,8 @@
     }
     m_originSource = OriginSource::Answer;
     m_originNotedAt = Core::BootClock::now();
-    if (!streamId().empty())
+    // A peer that passed the request on may lose this answer and begin the stream elsewhere; it notes what its caller gets.
+    if (!streamId().empty() && !m_work.isRelayed)
         m_context.origins.note({ Streams::streamKeyOf(streamId()), *m_origin }, m_originNotedAt);
 }
 
--- a/Tests/Processes/TestStreamReleases.cpp
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -4,6 +4,7 @@
 #include "RawCaller.h"
 #include "StreamEvents.h"
 
+#include <LibDaemon/RelayHeaders.h>
 #include <csignal>
 #include <gtest/gtest.h>
 
@@ -41,12 +42,15 @@
     /// One engine, which makes outputs, breaks its next stream off after so many events; 0: none.
     void cutStreamAfter(int events) { post(target("engine-2"), "/admin/faults", R"({"cut_after_events":)" + std::to_string(events) + "}"); }
 
-    /// Begins a stream, and closes the connection once some of its events have come.
-    HeldStream begin(std::size_t daemon, std::string const& id)
+    /// Begins a stream, and closes the connection once some of its events have come. `relayedBy`: as this daemon would.
+    HeldStream begin(std::size_t daemon, std::string const& id, std::string const& relayedBy = {})
     {
         constexpr std::size_t someBytes = 400; // The head and some events.
         RawCaller caller(front(daemon));
-        caller.write(RawCaller::bytesOf(request("POST", "/h/1", id)));
+        Http::Request first = request("POST", "/h/1", id);
+        if (!relayedBy.empty())
+            first.fields.set(std::string(Daemon::relayHeader), relayedBy);
+        caller.write(RawCaller::bytesOf(first));
         HeldStream stream { id, eventsIn(caller.read(someBytes, 5s)) };
         caller.close(RawCaller::Closing::Reset);
         EXPECT_FALSE(stream.events.empty()) << id << " does not begin";
@@ -249,6 +253,19 @@
     EXPECT_EQ(ask(0, "POST", "/h/1", "new").status, 200);
 }
 
+// Guards against a stream that a daemon began for a peer, whose caller got it from another release, and that goes on at that daemon.
+TEST_F(StreamReleases, AStreamThatAPeerHasBegunAgainHoldsEventsOfOneRelease)
+{
+    std::vector<HeldStream> streams;
+    for (std::size_t n = 0; n < 2 * streamCount; ++n) {
+        std::string id = "begun-twice-" + std::to_string(n);
+        std::ignore = begin(1, id, daemonName(0));
+        streams.push_back(begin(0, id));
+        std::ignore = resume(1, streams.back(), id + "-again");
+    }
+    expectUnjoined(streams, 0);
+}
+
 // Guards against a guess where nothing says which release began a stream.
 TEST_F(StreamReleases, AStreamThatNobodyKnowsIsRefusedAsNotRun)
 {
