--- a/Tests/LibDaemon/TestEventSplitter.cpp
+++ b/Tests/LibDaemon/TestEventSplitter.cpp
@@ -48,7 +48,7 @@
 TEST(EventSplitter, AnEventWhoseIdCannotBeSentIsNotReturned)
 {
     std::string longId(Http::maxFieldValueSize + 1, 'x');
-    for (std::string id : { std::string("a\rX-Other: b"), std::string("a\0b", 3), longId }) {
+    for (std::string const& id : { std::string("a\rX-Other: b"), std::string("a\0b", 3), longId }) {
         Daemon::EventSplitter splitter(2 * Http::maxFieldValueSize);
         EXPECT_EQ(splitter.add("id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\nid: 2\ndata: c\n\n").size(), 1U);
         EXPECT_NE(splitter.problem(), "");
--- a/Tests/LibHttp/TestFields.cpp
+++ b/Tests/LibHttp/TestFields.cpp
@@ -14,7 +14,7 @@
 {
     for (std::string value : { "", "a b\tc", "\xc3\xa4" })
         EXPECT_TRUE(Http::isFieldValue(value)) << value;
-    for (std::string value : { std::string("a\r\nX-Other: 1"), std::string("a\nb"), std::string("a\0b", 3), std::string(Http::maxFieldValueSize + 1, 'x') })
+    for (std::string const& value : { std::string("a\r\nX-Other: 1"), std::string("a\nb"), std::string("a\0b", 3), std::string(Http::maxFieldValueSize + 1, 'x') })
         EXPECT_FALSE(Http::isFieldValue(value));
 }
 
--- a/Tests/platform/TestTargets.cpp
+++ b/Tests/platform/TestTargets.cpp
@@ -148,7 +148,7 @@
 {
     Daemon::TargetProtocol protocol = UsersPlatform::targetProtocol();
     Daemon::FleetTarget target;
-    for (std::string handle : { std::string("a b"), std::string("a\\r\\nX-Other: 1"), std::string("../x"), std::string(70'000, 'x') }) {
+    for (std::string const& handle : { std::string("a b"), std::string("a\\r\\nX-Other: 1"), std::string("../x"), std::string(70'000, 'x') }) {
         Core::Result<std::string> source = protocol.readPrefill(target, makeWork(), { 200, {}, "{\"handle\":\"" + handle + "\"}" });
         ASSERT_TRUE(source.has_error());
         EXPECT_EQ(source.error().verdict, Core::Verdict::MayHaveRun);
