Tests: Wait for the faulty target itself before its answers are judged

The test took any 200 for a sign that calls went to the faulty target. Until the new configuration is in force, the former targets answer with 200 too; the test then asked 20 times within milliseconds, between the configuration and the daemon's next look at the list. Only an answer of the faulty target's own counts now. What is checked afterwards is the same.

--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 constexpr std::string_view idleReport = R"({"stage":"prefill","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":2,"queued":0,"running":0,"kv_used":0,"kv_total":90000,"kv_handles":0})";
+constexpr std::string_view soundBody = "sound";
 constexpr std::size_t oversized = 70'000; ///< More than a field of a message holds.
 
 class FaultyTargets : public testing::Test {
@@ -29,13 +30,14 @@
         return settings;
     }
 
-    /// Calls below /c/ go to this target alone from now on. Returns whether daemon 0 has it.
+    /// Calls below /c/ go to this target alone from now on, which answers them with `soundBody`. Returns whether they do at daemon 0.
     bool serveCallsBy(RawTarget const& target)
     {
         m_site.configure(2, "none");
         return waitFor([&] {
             m_site.writeEntry("i-raw", target.entry("none"));
-            return m_site.ask(0, "POST", "/c/1", newId()).status == 200;
+            // Until the configuration is in force, other targets answer.
+            return m_site.ask(0, "POST", "/c/1", newId()).body == soundBody;
         });
     }
 
@@ -75,13 +77,13 @@
 {
     RawTarget target([](Http::Request const& request, std::size_t number) {
         std::string foreign = RawTarget::chunkedHead("an-earlier-one") + RawTarget::chunkOf("earlier") + std::string(lastChunk);
-        return RawTarget::Answer { (number > 0 ? foreign : "") + RawTarget::soundAnswer(request, "sound") };
+        return RawTarget::Answer { (number > 0 ? foreign : "") + RawTarget::soundAnswer(request, std::string(soundBody)) };
     });
     ASSERT_TRUE(serveCallsBy(target));
     for (int n = 0; n < 20; ++n) {
         Http::Response response = m_site.ask(0, "POST", "/c/1", newId());
         EXPECT_EQ(response.status, 200);
-        EXPECT_EQ(response.body, "sound");
+        EXPECT_EQ(response.body, soundBody);
     }
     expectAllAlive();
 }
