LibCore+LibHttp+LibDaemon: Log exceptions that end coroutines nobody awaits

A coroutine that is spawned as detached and ends with an exception vanishes without a word: a loop that follows the store or the list of VMs stops, and a request waits until its time is over. No log could tell this from a target that does not answer, which matters for 'a request ended without an answer'.

All coroutines of the daemon now end in Core::logUncaughtException, which logs 1010 uncaught-exception. A handler of the HTTP server that throws no longer leaves its request among the active ones, for which a stop would wait: HttpServer.AHandlerThatThrowsEndsItsRequest, in which one request stayed active before.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -17,6 +17,7 @@
     SettingsReloaded = 1007,
     SettingsRefused = 1008,
     LinesLeftOut = 1009,
+    UncaughtException = 1010,
     RouteDecided = 2001,
     RouteRefused = 2002,
     RequestFinished = 2003,
@@ -89,7 +90,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 78> eventNames { {
+inline constexpr EnumNames<Event, 79> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -98,6 +99,7 @@
     { Event::SettingsReloaded, "settings-reloaded" },
     { Event::SettingsRefused, "settings-refused" },
     { Event::LinesLeftOut, "lines-left-out" },
+    { Event::UncaughtException, "uncaught-exception" },
     { Event::RouteDecided, "route-decided" },
     { Event::RouteRefused, "route-refused" },
     { Event::RequestFinished, "request-finished" },
--- a/Libraries/LibDaemon/AuthorityOrders.cpp
+++ b/Libraries/LibDaemon/AuthorityOrders.cpp
@@ -1,11 +1,11 @@
 // The part of AuthorityAgent that plans roles and carries out what the engines' order machines ask for.
 
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/AuthorityPool.h>
 #include <LibPeer/Call.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Daemon {
 
@@ -126,19 +126,19 @@
     case Authority::EngineActionKind::Order:
         Core::logEvent(Core::Severity::Info, Core::Event::OrderSent, { { "pool", pool.name }, { "engine", name }, { "kind", std::string(Core::nameOf(Authority::engineActionKindNames, action.kind)) }, { "order", action.orderId }, { "fencing", std::to_string(action.fencing) }, { "role", action.desired.role ? std::string(Core::nameOf(State::roleNames, *action.desired.role)) : "-" }, { "model", action.desired.model.value_or("-") }, { "version", action.desired.version.value_or("-") } });
         boost::asio::co_spawn(
-            m_context, [this, pool = pool.name, name, action, endpoint = engine.managed.endpoint] { return writeOrder(pool, name, action, endpoint); }, boost::asio::detached);
+            m_context, [this, pool = pool.name, name, action, endpoint = engine.managed.endpoint] { return writeOrder(pool, name, action, endpoint); }, Core::logUncaughtException);
         return;
     case Authority::EngineActionKind::Read:
         if (!std::exchange(engine.isReading, true))
             boost::asio::co_spawn(
-                m_context, [this, pool = pool.name, name, endpoint = engine.managed.endpoint] { return readState(pool, name, endpoint); }, boost::asio::detached);
+                m_context, [this, pool = pool.name, name, endpoint = engine.managed.endpoint] { return readState(pool, name, endpoint); }, Core::logUncaughtException);
         return;
     case Authority::EngineActionKind::Close:
     case Authority::EngineActionKind::Open:
         for (KnownDaemon const& daemon : m_daemons) {
             CloseRequest request { name, action.fencing, action.round, std::chrono::duration_cast<std::chrono::milliseconds>(action.timeToLive), action.kind == Authority::EngineActionKind::Open };
             boost::asio::co_spawn(
-                m_context, [this, pool = pool.name, name, daemon, request] { return askToClose(pool, name, daemon, request); }, boost::asio::detached);
+                m_context, [this, pool = pool.name, name, daemon, request] { return askToClose(pool, name, daemon, request); }, Core::logUncaughtException);
         }
         return;
     }
@@ -226,7 +226,7 @@
             settle(pool, former, isGone ? Authority::Evidence::Gone : Authority::Evidence::Replaced);
         else
             boost::asio::co_spawn(
-                m_context, [this, name = pool.name, former] { return askIdentity(name, former); }, boost::asio::detached);
+                m_context, [this, name = pool.name, former] { return askIdentity(name, former); }, Core::logUncaughtException);
     }
 }
 
--- a/Libraries/LibDaemon/BeaconExchange.cpp
+++ b/Libraries/LibDaemon/BeaconExchange.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/BeaconExchange.h>
 #include <LibHttp/Client.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <iterator>
@@ -44,9 +44,9 @@
 void BeaconExchange::start()
 {
     boost::asio::co_spawn(
-        m_context, [this] { return sendLoop(); }, boost::asio::detached);
+        m_context, [this] { return sendLoop(); }, Core::logUncaughtException);
     boost::asio::co_spawn(
-        m_context, [this] { return receiveLoop(); }, boost::asio::detached);
+        m_context, [this] { return receiveLoop(); }, Core::logUncaughtException);
 }
 
 void BeaconExchange::stop()
--- a/Libraries/LibDaemon/ControlPlane.cpp
+++ b/Libraries/LibDaemon/ControlPlane.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/ControlPlane.h>
 #include <LibPeer/Call.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -103,9 +103,9 @@
     for (std::unique_ptr<SnapshotWriter> const& writer : m_snapshotWriters)
         writer->start();
     boost::asio::co_spawn(
-        m_context, [this] { return followVms(); }, boost::asio::detached);
+        m_context, [this] { return followVms(); }, Core::logUncaughtException);
     boost::asio::co_spawn(
-        m_context, [this] { return tick(); }, boost::asio::detached);
+        m_context, [this] { return tick(); }, Core::logUncaughtException);
 }
 
 void ControlPlane::stop()
@@ -170,7 +170,7 @@
             m_authority->takeMix(report);
         else
             boost::asio::co_spawn(
-                m_context, [this, endpoint = *holder, report] { return sendMix(endpoint, report); }, boost::asio::detached);
+                m_context, [this, endpoint = *holder, report] { return sendMix(endpoint, report); }, Core::logUncaughtException);
     }
 }
 
@@ -268,7 +268,7 @@
         status.vm = vm;
         if (vm.kind == Platform::VmKind::Engine && !std::exchange(status.isWatched, true))
             boost::asio::co_spawn(
-                m_context, [this, name = vm.name] { return watch(name); }, boost::asio::detached);
+                m_context, [this, name = vm.name] { return watch(name); }, Core::logUncaughtException);
     }
     std::size_t removed = std::erase_if(m_targets, [&](std::pair<std::string const, TargetStatus> const& it) {
         bool isGone = std::find(listed.begin(), listed.end(), it.first) == listed.end();
--- a/Libraries/LibDaemon/EngineKeeper.cpp
+++ b/Libraries/LibDaemon/EngineKeeper.cpp
@@ -1,7 +1,7 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/EngineKeeper.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -86,7 +86,7 @@
         return;
     m_isWorking = true;
     boost::asio::co_spawn(
-        m_context, [this, orders = std::move(orders)] { return carryOut(orders); }, boost::asio::detached);
+        m_context, [this, orders = std::move(orders)] { return carryOut(orders); }, Core::logUncaughtException);
 }
 
 void EngineKeeper::logSize(std::string const& name, Service& service, State::EngineOffer const& offer)
--- a/Libraries/LibDaemon/LeaseFollower.cpp
+++ b/Libraries/LibDaemon/LeaseFollower.cpp
@@ -1,6 +1,6 @@
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/LeaseFollower.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <tuple>
 
 namespace Daemon {
@@ -40,7 +40,7 @@
 void LeaseFollower::append(Authority::LeaseRecord const& record)
 {
     boost::asio::co_spawn(
-        m_context, [this, bytes = Authority::encode(record)] { return send(bytes); }, boost::asio::detached);
+        m_context, [this, bytes = Authority::encode(record)] { return send(bytes); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> LeaseFollower::send(std::string bytes)
--- a/Libraries/LibDaemon/LogTail.cpp
+++ b/Libraries/LibDaemon/LogTail.cpp
@@ -1,10 +1,10 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/LogTail.h>
 #include <LibState/LogRecord.h>
 #include <LibState/SnapshotAssembler.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -30,7 +30,7 @@
 void LogTail::start()
 {
     boost::asio::co_spawn(
-        m_context, [this] { return follow(); }, boost::asio::detached);
+        m_context, [this] { return follow(); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> LogTail::pause()
--- a/Libraries/LibDaemon/MembershipAgent.cpp
+++ b/Libraries/LibDaemon/MembershipAgent.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/MembershipAgent.h>
 #include <LibPeer/Call.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Daemon {
 
@@ -68,7 +68,7 @@
 {
     for (Membership::Outgoing& message : output.messages)
         boost::asio::co_spawn(
-            m_context, [this, message = std::move(message)]() { return send(message); }, boost::asio::detached);
+            m_context, [this, message = std::move(message)]() { return send(message); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> MembershipAgent::send(Membership::Outgoing message)
--- a/Libraries/LibDaemon/PeerApi.cpp
+++ b/Libraries/LibDaemon/PeerApi.cpp
@@ -1,9 +1,9 @@
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/PeerApi.h>
 #include <LibDaemon/PeerMessages.h>
 #include <LibDaemon/PeerSink.h>
 #include <LibRequest/HttpMapping.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace Daemon {
@@ -29,7 +29,7 @@
         return;
     }
     boost::asio::co_spawn(
-        m_context.context, [this, request = std::move(request), stream = std::move(stream)]() mutable { return serveForwarded(std::move(request), std::move(stream)); }, boost::asio::detached);
+        m_context.context, [this, request = std::move(request), stream = std::move(stream)]() mutable { return serveForwarded(std::move(request), std::move(stream)); }, Core::logUncaughtException);
 }
 
 void PeerApi::serveControl(Peer::Request request, std::shared_ptr<Peer::ServerStream> stream)
--- a/Libraries/LibDaemon/QuarantineExchange.cpp
+++ b/Libraries/LibDaemon/QuarantineExchange.cpp
@@ -1,10 +1,10 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/QuarantineExchange.h>
 #include <LibDaemon/SuspectMessages.h>
 #include <LibDaemon/Work.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <random>
 
 namespace Daemon {
@@ -125,18 +125,18 @@
     std::optional<std::string> peer = m_catchUp.peerToQuery(m_guard.digest(), m_book.beaconInterval(), m_book.livenessTimeout(), now);
     if (peer) {
         boost::asio::co_spawn(
-            m_context, [this, peer = std::move(*peer)] { return ask(peer); }, boost::asio::detached);
+            m_context, [this, peer = std::move(*peer)] { return ask(peer); }, Core::logUncaughtException);
     }
     if (m_isCalling || now < m_nextCall)
         return;
     if (!m_pendingWrites.empty()) {
         m_isCalling = true;
         boost::asio::co_spawn(
-            m_context, [this] { return store(); }, boost::asio::detached);
+            m_context, [this] { return store(); }, Core::logUncaughtException);
     } else if (readsStore && !m_isLoaded) {
         m_isCalling = true;
         boost::asio::co_spawn(
-            m_context, [this] { return load(); }, boost::asio::detached);
+            m_context, [this] { return load(); }, Core::logUncaughtException);
     }
 }
 
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -1,10 +1,10 @@
 // The part of RequestRunner that runs a prefill on a separate target and keeps or releases its KV cache.
 
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/RequestRunner.h>
 #include <LibDaemon/TargetOutcomes.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Daemon {
 
@@ -135,7 +135,7 @@
     std::string source = std::exchange(m_kvSource, std::string());
     if (source.empty() || !m_context.targets.releaseKv)
         return;
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), holder = m_kvHolder, source]() { return self->releaseKv(holder, source); }, boost::asio::detached);
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), holder = m_kvHolder, source]() { return self->releaseKv(holder, source); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> RequestRunner::releaseKv(boost::asio::ip::tcp::endpoint holder, std::string kvSource)
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -1,10 +1,10 @@
 // The part of RequestRunner that has a peer serve a request whose targets this daemon cannot reach.
 
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/RequestRunner.h>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cmath>
 #include <cstdlib>
 
@@ -168,7 +168,7 @@
             self->watchAcknowledgement(leg, target);
             return;
         }
-        boost::asio::co_spawn(self->m_context.context, [self, leg, target] { return self->probePath(leg, target); }, boost::asio::detached);
+        boost::asio::co_spawn(self->m_context.context, [self, leg, target] { return self->probePath(leg, target); }, Core::logUncaughtException);
     });
 }
 
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -1,7 +1,7 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/RequestRunner.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
@@ -298,7 +298,7 @@
         m_context.metrics.countWholeRun();
         Core::logEvent(Core::Severity::Info, Core::Event::RequestRunsWhole, { { "request", m_work.requestId }, { "work_key", toLogText(m_work.key) }, { "attempt", std::to_string(dispatch.attempt) }, { "after", m_target } });
     }
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, dispatch = std::move(dispatch)]() { return self->runAttempt(leg, dispatch); }, boost::asio::detached);
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, dispatch = std::move(dispatch)]() { return self->runAttempt(leg, dispatch); }, Core::logUncaughtException);
 }
 
 void RequestRunner::startResume(Request::Resume const& resume)
@@ -308,7 +308,7 @@
         return;
     m_leg = std::make_shared<UpstreamLeg>(m_context.context.get_executor(), resume.leg);
     Core::logEvent(Core::Severity::Info, Core::Event::AnswerResumed, { { "request", m_work.requestId }, { "target", resume.target }, { "from", std::to_string(resume.from) }, { "connection", std::to_string(resume.leg.connection) } });
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, resume]() { return self->runResume(leg, resume); }, boost::asio::detached);
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), leg = m_leg, resume]() { return self->runResume(leg, resume); }, Core::logUncaughtException);
 }
 
 void RequestRunner::startCancel(Request::CancelAtTarget const& cancel)
@@ -320,7 +320,7 @@
             post(Request::CancelAcknowledged { cancel.attempt, Request::CancelOutcome::Unknown, {} });
         return;
     }
-    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), cancel, endpoint = target->endpoint]() { return self->runCancel(cancel, endpoint); }, boost::asio::detached);
+    boost::asio::co_spawn(m_context.context, [self = shared_from_this(), cancel, endpoint = target->endpoint]() { return self->runCancel(cancel, endpoint); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> RequestRunner::runCancel(Request::CancelAtTarget cancel, boost::asio::ip::tcp::endpoint endpoint)
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -1,11 +1,11 @@
 // The part of RequestRunner that detects requests which crash their targets, and refuses quarantined ones.
 
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/RequestRunner.h>
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 
 namespace Daemon {
@@ -149,7 +149,7 @@
     if (!needsProbe)
         return;
     boost::asio::co_spawn(
-        m_context.context, [self = shared_from_this(), copy = *target] { return self->probeTarget(copy); }, boost::asio::detached);
+        m_context.context, [self = shared_from_this(), copy = *target] { return self->probeTarget(copy); }, Core::logUncaughtException);
 }
 
 // An address that refuses connections shows that the target has crashed. One that takes them shows nothing: the target's next process
--- a/Libraries/LibDaemon/RoleKeeper.cpp
+++ b/Libraries/LibDaemon/RoleKeeper.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/RoleKeeper.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cmath>
 #include <utility>
 
@@ -134,20 +134,20 @@
         if (step.action == Roles::SplitAction::GainLease) {
             if (!m_leases.isHeld(name) && !std::exchange(service.isGaining, true))
                 boost::asio::co_spawn(
-                    m_context, [this, name] { return gainLease(name); }, boost::asio::detached);
+                    m_context, [this, name] { return gainLease(name); }, Core::logUncaughtException);
             continue;
         }
         FleetTarget const& target = fleet.targets[step.change.engine];
         Engine engine { name, target.name, target.key, target.bornAtMs, target.endpoint };
         if (step.action == Roles::SplitAction::ReadState) {
             boost::asio::co_spawn(
-                m_context, [this, engine] { return readState(engine); }, boost::asio::detached);
+                m_context, [this, engine] { return readState(engine); }, Core::logUncaughtException);
             continue;
         }
         isOrdering = true;
         Core::logEvent(Core::Severity::Info, Core::Event::RoleDecided, { { "pool", name }, { "engine", target.name }, { "from", std::string(Core::nameOf(Routing::targetRoleNames, target.role)) }, { "to", std::string(Core::nameOf(Routing::targetRoleNames, step.change.role)) }, { "engines", std::to_string(views.size()) }, { "prompts_keep_busy", std::to_string(demand.prompts) }, { "outputs_keep_busy", std::to_string(demand.outputs) } });
         boost::asio::co_spawn(
-            m_context, [this, engine, step] { return sendOrder(engine, step); }, boost::asio::detached);
+            m_context, [this, engine, step] { return sendOrder(engine, step); }, Core::logUncaughtException);
     }
     if (!isOrdering)
         return;
--- a/Libraries/LibDaemon/SnapshotWriter.cpp
+++ b/Libraries/LibDaemon/SnapshotWriter.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/SnapshotWriter.h>
 #include <LibState/LogRecord.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,7 +29,7 @@
 void SnapshotWriter::start()
 {
     boost::asio::co_spawn(
-        m_context, [this] { return run(); }, boost::asio::detached);
+        m_context, [this] { return run(); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> SnapshotWriter::run()
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/StoreControl.h>
 #include <LibRouting/PromptHomes.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -175,14 +175,14 @@
     m_beacons->start();
     for (Followed* topic : { &m_configuration, &m_targetList }) {
         boost::asio::co_spawn(
-            m_context, [this, topic] { return learn(*topic); }, boost::asio::detached);
+            m_context, [this, topic] { return learn(*topic); }, Core::logUncaughtException);
         boost::asio::co_spawn(
-            m_context, [this, topic] { return follow(*topic); }, boost::asio::detached);
+            m_context, [this, topic] { return follow(*topic); }, Core::logUncaughtException);
     }
     boost::asio::co_spawn(
-        m_context, [this] { return meetOthers(); }, boost::asio::detached);
+        m_context, [this] { return meetOthers(); }, Core::logUncaughtException);
     boost::asio::co_spawn(
-        m_context, [this] { return tick(); }, boost::asio::detached);
+        m_context, [this] { return tick(); }, Core::logUncaughtException);
 }
 
 void StoreControl::stop()
@@ -216,7 +216,7 @@
 {
     m_beacons->sendNow();
     boost::asio::co_spawn(
-        m_context, [this, onDone = std::move(onDone)]() { return unlistSelf(onDone); }, boost::asio::detached);
+        m_context, [this, onDone = std::move(onDone)]() { return unlistSelf(onDone); }, Core::logUncaughtException);
 }
 
 boost::asio::awaitable<void> StoreControl::wait(std::chrono::milliseconds duration)
--- a/Libraries/LibDaemon/StoreStart.cpp
+++ b/Libraries/LibDaemon/StoreStart.cpp
@@ -2,9 +2,9 @@
 // first second".
 
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/StoreControl.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Daemon {
 
@@ -24,7 +24,7 @@
 boost::asio::awaitable<void> StoreControl::meetOthers()
 {
     boost::asio::co_spawn(
-        m_context, [this] { return findOthers(); }, boost::asio::detached);
+        m_context, [this] { return findOthers(); }, Core::logUncaughtException);
     co_await listSelf();
     if (!m_isStopped)
         co_await follow(m_daemonList);
--- a/Libraries/LibDaemon/StreamExchange.cpp
+++ b/Libraries/LibDaemon/StreamExchange.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/StreamExchange.h>
 #include <LibDaemon/StreamMessages.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -49,7 +49,7 @@
 
 void StreamExchange::spawn(boost::asio::awaitable<void> operation)
 {
-    boost::asio::co_spawn(m_context, std::move(operation), boost::asio::detached);
+    boost::asio::co_spawn(m_context, std::move(operation), Core::logUncaughtException);
 }
 
 void StreamExchange::describe(BeaconMessage& beacon) const
--- a/Libraries/LibDaemon/TicketHome.cpp
+++ b/Libraries/LibDaemon/TicketHome.cpp
@@ -1,10 +1,10 @@
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/AnswerSinks.h>
 #include <LibDaemon/Eligibility.h>
 #include <LibDaemon/RequestRunner.h>
 #include <LibDaemon/TicketHome.h>
 #include <LibRequest/Fingerprint.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace Daemon {
@@ -40,7 +40,7 @@
     std::shared_ptr<KeeperSink> sink = std::make_shared<KeeperSink>(m_shared.keeper, ticket.nonce);
     std::shared_ptr<RequestRunner> runner = std::make_shared<RequestRunner>(m_context, std::move(work), m_context.fleet, std::move(eligible), sink);
     boost::asio::co_spawn(
-        m_context.context, [runner] { return runner->run(); }, boost::asio::detached);
+        m_context.context, [runner] { return runner->run(); }, Core::logUncaughtException);
     return Core::ok();
 }
 
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/HttpErrors.h>
 #include <LibDaemon/TrafficThread.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <limits>
 #include <sys/resource.h>
@@ -140,7 +140,7 @@
     post([this, keys = std::move(targetKeys)] {
         for (FleetTarget const& target : m_traffic.fleet->targets) {
             if (std::find(keys.begin(), keys.end(), target.key) != keys.end())
-                boost::asio::co_spawn(m_context, [this, key = target.key, endpoint = target.endpoint] { return probe(key, endpoint); }, boost::asio::detached);
+                boost::asio::co_spawn(m_context, [this, key = target.key, endpoint = target.endpoint] { return probe(key, endpoint); }, Core::logUncaughtException);
         }
     });
 }
--- a/Libraries/LibDaemon/UsageKeeper.cpp
+++ b/Libraries/LibDaemon/UsageKeeper.cpp
@@ -1,8 +1,8 @@
 #include <LibCore/EventLog.h>
+#include <LibCore/UncaughtException.h>
 #include <LibDaemon/UsageKeeper.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -130,7 +130,7 @@
         return;
     m_isWorking = true;
     boost::asio::co_spawn(
-        m_context, [this] { return work(); }, boost::asio::detached);
+        m_context, [this] { return work(); }, Core::logUncaughtException);
 }
 
 std::optional<Duties::UsageStep> UsageKeeper::nextStep() const
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,8 +1,8 @@
+#include <LibCore/UncaughtException.h>
 #include <LibHttp/Exchange.h>
 #include <LibHttp/SocketQueue.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -109,7 +109,7 @@
     message.prepare_payload();
     // A server may read the rest of the request late, or answer first.
     m_connection->stream.expires_after(std::max(m_settings.writeTimeout, m_settings.headTimeout));
-    Asio::co_spawn(m_connection->stream.get_executor(), writeAll(m_connection, m_writing), Asio::detached);
+    Asio::co_spawn(m_connection->stream.get_executor(), writeAll(m_connection, m_writing), Core::logUncaughtException);
 }
 
 Asio::awaitable<void> ConnectionExchange::writeAll(std::shared_ptr<ClientConnection> connection, std::shared_ptr<Writing> writing)
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,9 +1,9 @@
+#include <LibCore/UncaughtException.h>
 #include <LibHttp/Server.h>
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SocketQueue.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -77,7 +77,7 @@
 
     void start() override
     {
-        Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_connections), Asio::detached);
+        Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_connections), Core::logUncaughtException);
     }
 
     void setLimits(ServerSettings const& settings) override
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,9 +1,9 @@
+#include <LibCore/UncaughtException.h>
 #include <LibHttp/CloseWatch.h>
 #include <LibHttp/RequestReader.h>
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SocketQueue.h>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -276,7 +276,12 @@
         m_state = ConnectionState::Serving;
         ++m_end.requests;
         ++m_shared->activeRequests;
-        co_await m_shared->handler(*request, *this);
+        // A handler that fails must not leave its request among the active ones.
+        try {
+            co_await m_shared->handler(*request, *this);
+        } catch (...) {
+            Core::logUncaughtException(std::current_exception());
+        }
         --m_shared->activeRequests;
         endWatch();
         if (m_isEnded && !m_hasEnd)
@@ -422,7 +427,7 @@
     std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket), admission);
     connection->watchSilence();
     Asio::co_spawn(
-        executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Asio::detached);
+        executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Core::logUncaughtException);
     return connection;
 }
 
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -108,6 +108,24 @@
     });
 }
 
+// Guards against a request that counts as active for ever, so that its server never becomes idle, because its handler has failed.
+TEST_F(HttpServer, AHandlerThatThrowsEndsItsRequest)
+{
+    Http::Server& server = start([](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        if (request.target == "/throws")
+            throw std::runtime_error("a fault of the handler");
+        co_await echo(request, writer);
+    });
+    run([&]() -> Asio::awaitable<void> {
+        Http::Request bad { "GET", "/throws", {}, {} };
+        Core::Result<Http::Response> failed = co_await m_client->fetch(m_endpoint, bad);
+        EXPECT_TRUE(failed.has_error());
+        Core::Result<Http::Response> next = co_await m_client->fetch(m_endpoint, Http::Request());
+        EXPECT_EQ(next.value().status, 200);
+        EXPECT_EQ(server.activeRequests(), 0U);
+    });
+}
+
 TEST_F(HttpServer, BrokenStreamIsAnErrorThatMayHaveRun)
 {
     start([](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
