--- a/Tests/platform/TestRecords.cpp
+++ b/Tests/platform/TestRecords.cpp
@@ -47,6 +47,22 @@
     }
 }
 
+// Guards against a configuration whose numbers overflow clocks and counters, and which replaces a good one.
+TEST(PlatformRecords, ANumberThatIsTooLargeOrNoneAtAllMakesAConfigurationUnusable)
+{
+    std::string const sound = R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"safe","timeout_ms":5000,"goal_ms":1,"max_attempts":2,"priority":1,"service":"a"}],"services":[{"name":"a","engine":{"slots":64,"kv_cap_tokens":5,"kv_hold_s":5.5}}],"limits":{"max_body_bytes":2000,"header_timeout_ms":3000},"tenants":[{"name":"t","api_keys":["k"],"priority":null}]})";
+    ASSERT_TRUE(configuration(sound).has_value());
+    std::vector<std::string> const fields { R"("timeout_ms":5000)", R"("goal_ms":1)", R"("max_attempts":2)", R"("priority":1)", R"("slots":64)", R"("kv_cap_tokens":5)", R"("kv_hold_s":5.5)", R"("max_body_bytes":2000)", R"("header_timeout_ms":3000)" };
+    for (std::string const& field : fields) {
+        for (std::string_view value : { "1e300", "4294967296000", "18446744073709551616", "-1", "[]", R"("5")" }) {
+            std::string text = sound;
+            std::size_t valueAt = field.find(':') + 1;
+            text.replace(text.find(field) + valueAt, field.size() - valueAt, value);
+            EXPECT_TRUE(configuration(text).has_error()) << text;
+        }
+    }
+}
+
 TEST(PlatformRecords, ATargetsEntry)
 {
     Daemon::StoreCodec codec = UsersPlatform::storeCodec();
