Tests: Let a release join while a daemon is out of step

Other operators reported streams of a release that joined while one machine stood still or was cut off, and that went on there at another release. Two tests with real daemons play it: one daemon stands still, or cannot reach the store, while engines of a newer release join; streams that began there through the other daemons are resumed at it, all within its first moment.

Not played: cuts between daemons, and sites with more than three of them.

--- a/Tests/Processes/TestStreamReleases.cpp
+++ b/Tests/Processes/TestStreamReleases.cpp
@@ -5,8 +5,10 @@
 #include "StreamEvents.h"
 
 #include <LibDaemon/RelayHeaders.h>
+#include <array>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace {
 
@@ -127,6 +129,63 @@
     }
 };
 
+/// Serves with engines of one release; those of another one join while a daemon is out of step.
+class JoiningRelease : public StreamReleases {
+protected:
+    JoiningRelease()
+        : StreamReleases(settings())
+    {
+    }
+
+    void SetUp() override
+    {
+        StreamReleases::SetUp();
+        for (std::string_view name : newer)
+            process(std::string(name)).kill();
+        removeEntries("llm");
+        for (std::size_t n = 0; n < daemonCount(); ++n)
+            ASSERT_TRUE(waitFor([&] { return releasesIn(eventsIn(ask(n, "POST", "/h/1", "older-" + std::to_string(m_asked++)).body)).contains("v1"); }));
+    }
+
+    /// Starts the engines of the newer release. Returns streams that have begun there, at the first two daemons.
+    std::vector<HeldStream> joinAndBegin(std::string const& prefix)
+    {
+        for (std::string_view name : newer)
+            startTarget(std::string(name));
+        std::vector<HeldStream> streams;
+        std::ignore = waitFor([&] {
+            HeldStream stream = begin(m_asked % 2, prefix + "-" + std::to_string(m_asked), {});
+            ++m_asked;
+            if (releasesIn(stream.events).contains("v2"))
+                streams.push_back(std::move(stream));
+            return streams.size() == streamCount;
+        },
+            5s);
+        EXPECT_FALSE(streams.empty()) << "no stream begins at the newer release";
+        return streams;
+    }
+
+    /// All at the same time: those of the first moment count.
+    void resumeAllAtOnce(std::vector<HeldStream>& streams, std::size_t daemon)
+    {
+        std::vector<std::thread> threads;
+        for (HeldStream& stream : streams)
+            threads.emplace_back([this, &stream, daemon] { std::ignore = resume(daemon, stream, stream.id + "-again"); });
+        for (std::thread& it : threads)
+            it.join();
+    }
+
+    static KeyedSiteSettings settings()
+    {
+        KeyedSiteSettings settings = twoReleases();
+        settings.hasForwarders = true;
+        return settings;
+    }
+
+    static constexpr std::array<std::string_view, 3> newer { "engine-1", "engine-4", "engine-5" };
+    std::size_t m_asked { 0 };
+};
+
 /// Starts with engines of one release; another one replaces it while no daemon lives.
 class ReplacedRelease : public StreamReleases {
 protected:
@@ -253,6 +312,26 @@
     EXPECT_EQ(ask(0, "POST", "/h/1", "new").status, 200);
 }
 
+// Guards against a stream of a release that joined while a daemon stood still, and that goes on there at a target of another release.
+TEST_F(JoiningRelease, AStreamResumedAtADaemonThatStoodStillHoldsEventsOfOneRelease)
+{
+    process(daemonName(2)).send(SIGSTOP);
+    std::vector<HeldStream> streams = joinAndBegin("stood-still");
+    process(daemonName(2)).send(SIGCONT);
+    resumeAllAtOnce(streams, 2);
+    expectUnjoined(streams, 0);
+}
+
+// Guards against the same where the daemon is cut off from the store.
+TEST_F(JoiningRelease, AStreamResumedAtADaemonWithoutTheStoreHoldsEventsOfOneRelease)
+{
+    post(forwarderAdmin(storeForwarder(2)), "/pause", R"({"direction":"both"})");
+    std::vector<HeldStream> streams = joinAndBegin("without-store");
+    resumeAllAtOnce(streams, 2);
+    post(forwarderAdmin(storeForwarder(2)), "/resume", "{}");
+    expectUnjoined(streams, 0);
+}
+
 // Guards against a stream that a daemon began for a peer, whose caller got it from another release, and that goes on at that daemon.
 TEST_F(StreamReleases, AStreamThatAPeerHasBegunAgainHoldsEventsOfOneRelease)
 {
