currantvaled: Do not let a signal end a process that is ending

In the soak with SIGHUPs beside planned stops, daemons that were asked to stop ended by signal 1 (status 129), which reads as a daemon that has failed.

The handlers of the daemon, and those that main sets up behind it, go before the process does; from then on SIGHUP had its default action, which ends the process. Signals are now blocked at that point, where nothing is left that they could change.

--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -63,6 +63,10 @@
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     daemon.value().reset(); // Connections that are still open log their end.
     Core::stopEventLog();
+    // Its handlers go as well, and by their default actions signals would end a process that has ended well as if it had failed.
+    sigset_t signalsAtEnd;
+    sigfillset(&signalsAtEnd);
+    pthread_sigmask(SIG_BLOCK, &signalsAtEnd, nullptr);
     return EXIT_SUCCESS;
 }
 
--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -186,6 +186,24 @@
     EXPECT_EQ(m_site->process(KeyedSite::daemonName(0)).status(), 0);
 }
 
+// Guards against a daemon that a SIGHUP ends in the last moments of its stop, so that it seems to have failed.
+TEST_F(PlannedStops, ASignalToReloadDoesNotEndADaemonThatEnds)
+{
+    start(5s);
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n) {
+        Process& daemon = m_site->process(KeyedSite::daemonName(n));
+        daemon.send(SIGTERM);
+        std::optional<int> status;
+        std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + 10s;
+        while (!status && std::chrono::steady_clock::now() < end) {
+            daemon.send(SIGHUP);
+            std::this_thread::sleep_for(500us);
+            status = daemon.status();
+        }
+        EXPECT_EQ(status, 0);
+    }
+}
+
 // Guards against a daemon that a SIGHUP ends while it starts: here while it reads its settings.
 TEST(Start, ASignalToReloadDoesNotEndADaemonThatStarts)
 {
