Tests: Soak daemons with a processor quota, reloads, and own ends judged

Users lost requests in real processes on small VMs (0.12 of a core), which no run of ours had played. The soak can now hold daemons to a share of a processor (--processor-percent: stopped for the rest of each 100 ms once it is used), send SIGHUPs beside everything else (--reloads), and let callers pause (--pause-ms). A daemon that ends by itself, or that ends with an error when it is asked to stop, breaks a promise: that is how the signal at the end of a stop was found.

--- a/Tests/Processes/FaultInjector.cpp
+++ b/Tests/Processes/FaultInjector.cpp
@@ -7,6 +7,17 @@
 
 namespace Processes {
 
+namespace {
+
+// One that was asked to stop before it had come to take requests ends by the signal.
+bool isStopStatus(int status)
+{
+    constexpr int signalStatus = 128;
+    return status == 0 || status == signalStatus + SIGTERM;
+}
+
+}
+
 FaultInjector::FaultInjector(KeyedSite& site, std::uint64_t seed, Faults faults)
     : m_site(site)
     , m_faults(faults)
@@ -39,10 +50,20 @@
             injectPlanned();
         else
             inject();
+        if (m_hasReloads)
+            reload();
         Clock::time_point next = Clock::now() + between(50, 600);
         undoUntil(std::min(next, end));
     }
     undoUntil(Clock::time_point::max());
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+        checkAlive(KeyedSite::daemonName(n));
+}
+
+void FaultInjector::checkAlive(std::string const& name)
+{
+    if (std::optional<int> status = m_site.process(name).status())
+        m_ownEnds.push_back(name + " has ended by itself with status " + std::to_string(*status));
 }
 
 void FaultInjector::note(std::string text)
@@ -142,6 +163,7 @@
         return;
     // A daemon that was asked to stop has its time to do so.
     Milliseconds time = signal == SIGTERM ? Milliseconds(stopWithin) : between(50, 1'500);
+    checkAlive(name);
     note(std::string(signal == SIGTERM ? "stop " : "kill ") + name + ", start it " + std::to_string(time.count()) + " ms later");
     Clock::time_point from = Clock::now();
     send(name, signal);
@@ -149,6 +171,8 @@
         if (!m_site.process(name).status()) {
             send(name, SIGKILL);
             m_site.process(name).kill();
+        } else if (signal == SIGTERM && !isStopStatus(*m_site.process(name).status())) {
+            m_ownEnds.push_back(name + " was asked to stop and ended with status " + std::to_string(*m_site.process(name).status()));
         }
         m_site.startDaemon(n);
         if (signal != SIGTERM)
@@ -239,6 +263,14 @@
     });
 }
 
+// Also of daemons that are starting or leaving.
+void FaultInjector::reload()
+{
+    std::string name = KeyedSite::daemonName(below(KeyedSite::daemonCount()));
+    note("reload " + name);
+    send(name, SIGHUP);
+}
+
 void FaultInjector::configure()
 {
     if (m_busy.contains("store"))
--- a/Tests/Processes/FaultInjector.h
+++ b/Tests/Processes/FaultInjector.h
@@ -37,6 +37,9 @@
     /// Precondition: the site has forwarders and outlives the object.
     FaultInjector(KeyedSite&, std::uint64_t seed, Faults = Faults::All);
 
+    /// Lets daemons also read their settings anew (SIGHUP), now and then.
+    void setReloads(bool hasReloads) { m_hasReloads = hasReloads; }
+
     /// Injects faults for this long and then undoes what is left. Errors: std::runtime_error when a process cannot be started.
     void run(std::chrono::milliseconds duration);
 
@@ -49,6 +52,9 @@
     /// Returns what daemons and targets were sent, in the order of time.
     std::vector<SentSignal> const& signals() const { return m_signals; }
 
+    /// Returns a line for each daemon that ended though nobody had asked it to, or with an error. Precondition: `run` has returned.
+    std::vector<std::string> const& ownEnds() const { return m_ownEnds; }
+
     /// Returns the version of the last configuration that was written.
     std::uint64_t version() const { return m_version; }
 
@@ -78,10 +84,13 @@
     void slowDown();
     void cut(std::string const& link);
     void spoil();
+    void reload();
+    void checkAlive(std::string const& name);
     void configure();
 
     KeyedSite& m_site;
     Faults m_faults { Faults::All };
+    bool m_hasReloads { false };
     std::mt19937_64 m_rng;
     std::mt19937_64 m_rateRng; ///< Of its own, so that the other faults of a seed are what they were before links had rates.
     Clock::time_point m_start;
@@ -90,6 +99,7 @@
     std::vector<std::string> m_done;
     std::vector<Impairment> m_impairments;
     std::vector<SentSignal> m_signals;
+    std::vector<std::string> m_ownEnds;
     std::uint64_t m_version { 1 };
 };
 
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t mostShown = 100; ///< Of a text, in an error.
+
 std::string program(std::string const& name)
 {
     return std::string(CURRANTVALE_BINARY_DIR "/") + name;
@@ -95,9 +97,9 @@
     return waitFor([&] { return m_settings.hasFixedRoles || countEngines("decode") == 2; }) && waitFor([&] { return ask(0, "POST", "/h/1", "warm-up").status == 200; });
 }
 
-void KeyedSite::spawn(std::string const& name, std::vector<std::string> const& arguments)
+void KeyedSite::spawn(std::string const& name, std::vector<std::string> const& arguments, double processorShare)
 {
-    m_processes[name] = std::make_unique<Process>(arguments, (m_folder / (name + ".out")).string(), (m_folder / (name + ".log")).string());
+    m_processes[name] = std::make_unique<Process>(arguments, (m_folder / (name + ".out")).string(), (m_folder / (name + ".log")).string(), processorShare);
 }
 
 // Returns the address that the stand-in prints, and what follows it on the line.
@@ -238,7 +240,7 @@
     replaceAll(settings, "metrics = 127.0.0.1:9464\n", "");
     std::string name = (m_folder / (daemonName(n) + ".ini")).string();
     std::ofstream(name) << settings;
-    spawn(daemonName(n), { program("currantvaled"), "--settings", name });
+    spawn(daemonName(n), { program("currantvaled"), "--settings", name }, m_settings.processorShare);
 }
 
 void KeyedSite::configure(std::uint64_t version, std::string const& service)
@@ -250,9 +252,14 @@
                     R"({"name":"texts","host":"a.example","path_prefix":"/t/","kind":"stream","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2,"resumable":true,"gap_target_ms":150},)"
                     R"({"name":"open","host":"a.example","path_prefix":"/o/","kind":"safe","timeout_ms":3000,"goal_ms":150,"priority":2,"service":"app","max_attempts":2,"public":true})";
     std::string config = R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"llm","engine":{"slots":8,"kv_cap_tokens":100000,"stage_switch_s":0.5,"kv_hold_s":5}},{"name":"app"},{"name":"none"}])" + (m_organisations.empty() ? "" : R"(,"tenants":)" + m_organisations) + "}";
-    Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", config) };
+    writeConfiguration(config);
+}
+
+void KeyedSite::writeConfiguration(std::string const& text)
+{
+    Http::Request request { "POST", "/currantvale/log-append?topic=keyed.op&part=0", {}, UsersPlatform::encodeRecord("config", text) };
     if (fetch(m_store, request).status != 200)
-        throw std::runtime_error("the store does not take configuration " + std::to_string(version));
+        throw std::runtime_error("the store does not take the configuration " + text.substr(0, mostShown));
 }
 
 Http::Request KeyedSite::request(std::string const& method, std::string const& path, std::string const& id)
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -33,6 +33,7 @@
     bool isStrict { false }; ///< Daemons accept keys only by a configuration that was confirmed within two seconds.
     bool hasLongStreams { false }; ///< Streams last one to four seconds, by their engine, as on the sites; else a tenth of one.
     bool isUneven { false }; ///< Targets of a service differ in speed, and plain ones have few places.
+    double processorShare { 1 }; ///< Of a daemon, as on small VMs; 1: no quota.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
 
@@ -76,6 +77,8 @@
 
     /// Writes a whole configuration, as operators do. Calls below /c/ go to `service`.
     void configure(std::uint64_t version, std::string const& service);
+    /// Writes the text of a configuration, whatever it is.
+    void writeConfiguration(std::string const& text);
 
     /// Sets the organisations that configurations from now on have, as a JSON array; empty: none, and requests need no keys.
     void setOrganisations(std::string json) { m_organisations = std::move(json); }
@@ -122,7 +125,7 @@
         Endpoint listen;
     };
 
-    void spawn(std::string const& name, std::vector<std::string> const& arguments);
+    void spawn(std::string const& name, std::vector<std::string> const& arguments, double processorShare = 1);
     std::string spawnStandIn(std::string const& name, std::vector<std::string> arguments);
     Endpoint startForwarder(std::string const& name, Endpoint const& to);
     void addTarget(std::string const& name, std::string const& service, SiteEngine const&);
--- a/Tests/Processes/Process.cpp
+++ b/Tests/Processes/Process.cpp
@@ -1,5 +1,7 @@
 #include "Process.h"
 
+#include "ProcessorQuota.h"
+
 #include <csignal>
 #include <fcntl.h>
 #include <spawn.h>
@@ -21,7 +23,7 @@
 
 }
 
-Process::Process(std::vector<std::string> const& arguments, std::string const& outputFile, std::string const& logFile)
+Process::Process(std::vector<std::string> const& arguments, std::string const& outputFile, std::string const& logFile, double processorShare)
 {
     std::vector<char*> pointers;
     for (std::string const& it : arguments)
@@ -37,6 +39,8 @@
     posix_spawn_file_actions_destroy(&actions);
     if (ec != 0)
         throw std::runtime_error("cannot start " + arguments.front());
+    if (processorShare < 1)
+        m_quota = std::make_unique<ProcessorQuota>(m_pid, processorShare);
 }
 
 Process::~Process()
@@ -46,7 +50,12 @@
 
 void Process::send(int signal) const
 {
-    if (!m_status)
+    if (m_status)
+        return;
+    bool isPause = signal == SIGSTOP || signal == SIGCONT;
+    if (m_quota && isPause)
+        m_quota->setPaused(signal == SIGSTOP);
+    else
         ::kill(m_pid, signal);
 }
 
@@ -54,18 +63,30 @@
 {
     if (m_status)
         return;
-    send(SIGKILL);
-    int waited = 0;
-    if (waitpid(m_pid, &waited, 0) == m_pid)
-        m_status = statusOf(waited);
+    ::kill(m_pid, SIGKILL);
+    reap();
 }
 
 std::optional<int> Process::status()
 {
+    if (!m_status && hasEnded())
+        reap();
+    return m_status;
+}
+
+// Leaves it to be reaped.
+bool Process::hasEnded() const
+{
+    siginfo_t info {};
+    return waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == m_pid;
+}
+
+void Process::reap()
+{
+    m_quota.reset();
     int waited = 0;
-    if (!m_status && waitpid(m_pid, &waited, WNOHANG) == m_pid)
+    if (waitpid(m_pid, &waited, 0) == m_pid)
         m_status = statusOf(waited);
-    return m_status;
 }
 
 }
--- a/Tests/Processes/Soak.cpp
+++ b/Tests/Processes/Soak.cpp
@@ -30,8 +30,6 @@
 using Milliseconds = std::chrono::milliseconds;
 
 constexpr std::chrono::seconds callerPatience { 8 }; // Longer than any route's time.
-// A daemon that is down refuses connections at once: callers do not ask it thousands of times a second.
-constexpr Milliseconds betweenRequests { 10 };
 constexpr std::chrono::seconds recoveryBound { 20 }; // The users ask for 12 s; a busy machine needs time to start processes.
 // The users' bounds: for a connection that ends without an answer although its request was not passed on, and behind a route's time.
 constexpr Milliseconds unansweredBound { 200 };
@@ -97,13 +95,15 @@
 class Caller {
 public:
     /// `hasOwnWork`: no two streams ask for the same work. One that many targets were killed with would be quarantined.
-    /// `resumesStreams`: its next request resumes a stream that broke off.
-    Caller(KeyedSite const& site, std::uint64_t seed, std::string name, bool hasOwnWork, bool resumesStreams)
+    /// `resumesStreams`: its next request resumes a stream that broke off. `pause`: a daemon that is down refuses connections at once,
+    /// and is not to be asked thousands of times a second.
+    Caller(KeyedSite const& site, std::uint64_t seed, std::string name, bool hasOwnWork, bool resumesStreams, Milliseconds pause)
         : m_site(site)
         , m_rng(seed)
         , m_name(std::move(name))
         , m_hasOwnWork(hasOwnWork)
         , m_resumesStreams(resumesStreams)
+        , m_pause(pause)
     {
     }
 
@@ -148,7 +148,7 @@
         asked.answer = co_await askTimed(client, m_site.front(asked.daemon), std::move(request));
         noteBroken(asked);
         m_asked.push_back(std::move(asked));
-        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, betweenRequests);
+        boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor, m_pause);
         boost::system::error_code ec;
         co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     }
@@ -170,6 +170,7 @@
     std::string m_name;
     bool m_hasOwnWork { false };
     bool m_resumesStreams { false };
+    Milliseconds m_pause { 0 };
     std::vector<Asked> m_asked;
 };
 
@@ -179,7 +180,7 @@
     Callers(KeyedSite const& site, SoakSettings const& settings)
     {
         for (std::size_t n = 0; n < settings.callers; ++n) {
-            m_callers.push_back(std::make_unique<Caller>(site, settings.seed * 1'000 + n, "soak-" + std::to_string(n), settings.isUneven, settings.hasTwoReleases));
+            m_callers.push_back(std::make_unique<Caller>(site, settings.seed * 1'000 + n, "soak-" + std::to_string(n), settings.isUneven, settings.hasTwoReleases, settings.pause));
             m_threads.emplace_back([this, caller = m_callers.back().get()] { caller->run(m_isStopped); });
         }
     }
@@ -404,6 +405,7 @@
     siteSettings.leaveHoldMs = 1'000;
     siteSettings.hasLongStreams = settings.hasLongStreams;
     siteSettings.isUneven = settings.isUneven;
+    siteSettings.processorShare = settings.processorShare;
     // Whoever goes on with a stream at the other release shows in its events.
     if (settings.hasTwoReleases)
         siteSettings.engines = { { "prefill", "v1" }, { "decode", "v1" }, { "decode", "v1" }, { "prefill", "v2" }, { "decode", "v2" }, { "decode", "v2" } };
@@ -415,9 +417,11 @@
     }
     Callers callers(site, settings);
     FaultInjector injector(site, settings.seed, settings.hasOnlyPlannedFaults ? FaultInjector::Faults::Planned : FaultInjector::Faults::All);
+    injector.setReloads(settings.hasReloads);
     injector.run(settings.duration);
     callers.stop();
     report.faults = injector.done();
+    report.violations = injector.ownEnds();
     for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
         report.divisions += site.logLines(KeyedSite::daemonName(n), "places-divided").size();
     checkRecovery(site, injector.version(), report);
--- a/Tests/Processes/Soak.h
+++ b/Tests/Processes/Soak.h
@@ -15,6 +15,9 @@
     bool hasLongStreams { false }; ///< Streams last one to four seconds.
     bool hasOnlyPlannedFaults { false }; ///< Daemons are stopped and the configuration changes; nothing fails.
     bool hasTwoReleases { false }; ///< Engines are of two software releases, and callers resume streams that broke off.
+    bool hasReloads { false }; ///< Daemons read their settings anew now and then (SIGHUP).
+    double processorShare { 1 }; ///< Of a daemon, as on small VMs; 1: no quota.
+    std::chrono::milliseconds pause { 10 }; ///< Of a caller between two requests.
     bool isUneven { false }; ///< Targets differ in speed, and plain ones have fewer places than there are callers.
 };
 
@@ -36,7 +39,7 @@
 /// or both, cut and slowed down, the store goes away, targets lose answers, the configuration changes. Faults overlap.
 /// Checked: a request that may not be repeated runs once at most, and not at all where the caller was told so; an answer is
 /// its target's own and whole; a request that a daemon took while it was not impaired gets an answer, in time, around planned
-/// stops too; a stream holds events of one release, also over the requests with which its caller resumes it; a stream that has begun is not broken off by a planned stop while its daemon has time for it; nothing that is configured is denied; at the end all is served again, by the newest
+/// stops too; a stream holds events of one release, also over the requests with which its caller resumes it; a stream that has begun is not broken off by a planned stop while its daemon has time for it; nothing that is configured is denied; no daemon ends by itself; at the end all is served again, by the newest
 /// configuration. Errors: std::runtime_error when the processes cannot be started.
 SoakReport runSoak(SoakSettings const&);
 
--- a/Tests/Processes/SoakMain.cpp
+++ b/Tests/Processes/SoakMain.cpp
@@ -36,6 +36,9 @@
     options.add_options()("two-releases", "Engines are of two software releases, and callers resume streams that broke off");
     options.add_options()("planned", "Nothing but planned stops and configurations");
     options.add_options()("callers", "How many callers, from 1 to 1000", cxxopts::value<std::uint64_t>()->default_value("6"), "N");
+    options.add_options()("reloads", "Daemons also get SIGHUP, some seconds apart or less");
+    options.add_options()("processor-percent", "How much of one processor a daemon may use, from 1 to 100", cxxopts::value<std::uint64_t>()->default_value("100"), "P");
+    options.add_options()("pause-ms", "How long a caller waits between two requests, from 1 to 60000", cxxopts::value<std::uint64_t>()->default_value("10"), "MS");
     options.add_options()("report", "Print faults and requests without a whole answer, also where all promises were kept");
     options.add_options()("h,help", "Print this help");
     try {
@@ -43,6 +46,8 @@
         std::uint64_t seeds = arguments["seeds"].as<std::uint64_t>();
         std::uint64_t callers = arguments["callers"].as<std::uint64_t>();
         std::uint64_t seconds = arguments["seconds"].as<std::uint64_t>();
+        std::uint64_t percent = arguments["processor-percent"].as<std::uint64_t>();
+        std::uint64_t pause = arguments["pause-ms"].as<std::uint64_t>();
         if (arguments.count("help") != 0) {
             std::cout << options.help() << "\nExits with 1 when a promise was broken.\n";
             return 0;
@@ -51,7 +56,14 @@
             std::cerr << "currantvale-soak: --seeds is from 1 to 10000, --seconds from 1 to 3600 and --callers from 1 to 1000\n";
             return 2;
         }
+        if (percent < 1 || percent > 100 || pause < 1 || pause > 60'000) {
+            std::cerr << "currantvale-soak: --processor-percent is from 1 to 100, and --pause-ms from 1 to 60000\n";
+            return 2;
+        }
         Processes::SoakSettings settings;
+        settings.hasReloads = arguments.count("reloads") != 0;
+        settings.processorShare = static_cast<double>(percent) / 100;
+        settings.pause = std::chrono::milliseconds(pause);
         settings.seed = arguments["first"].as<std::uint64_t>();
         settings.duration = std::chrono::seconds(seconds);
         settings.isUneven = arguments.count("uneven") != 0;
