Tests: Play late second answers beside a load of real processes

What both deployments' sheets have in common is targets that answer a second time, late.

The test guards the whole way, from a target's fault to other callers' requests.

--- a/Tests/Processes/RawTarget.cpp
+++ b/Tests/Processes/RawTarget.cpp
@@ -90,6 +90,10 @@
         ++m_requests;
         Answer answer = m_respond(*request, number);
         Asio::write(socket, Asio::buffer(answer.bytes), ec);
+        if (!ec && !answer.late.empty()) {
+            std::this_thread::sleep_for(answer.lateBy);
+            Asio::write(socket, Asio::buffer(answer.late), ec);
+        }
         while (!ec && !answer.endless.empty() && !m_isStopping)
             m_endlessBytes += Asio::write(socket, Asio::buffer(answer.endless), ec);
         if (answer.then == Then::Keep)
--- a/Tests/Processes/RawTarget.h
+++ b/Tests/Processes/RawTarget.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -27,6 +28,8 @@
     struct Answer {
         std::string bytes;
         Then then { Then::Keep };
+        std::string late {}; ///< Written this much later, when the next request may be on its way already; empty: nothing is.
+        std::chrono::milliseconds lateBy { 0 };
         std::string endless {}; ///< Written again and again behind the bytes, until the other side closes; empty: nothing is.
     };
 
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -1,13 +1,16 @@
 // Targets that answer with bytes that no sound target sends: no daemon ends, and other callers are served.
 
+#include "ConnectionLoad.h"
 #include "KeyedSite.h"
 #include "RawTarget.h"
 
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace {
 
 using namespace Processes;
+using namespace std::chrono_literals;
 
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 constexpr std::string_view idleReport = R"({"stage":"prefill","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":2,"queued":0,"running":0,"kv_used":0,"kv_total":90000,"kv_handles":0})";
@@ -88,6 +91,33 @@
     expectAllAlive();
 }
 
+// Guards against requests of other callers that are lost with their daemon when late second answers cross the next request.
+TEST_F(FaultyTargets, LateSecondAnswersLoseNoRequestOfTheLoad)
+{
+    constexpr std::size_t perLateAnswer = 20; // So many have none.
+    RawTarget target([](Http::Request const& request, std::size_t number) {
+        RawTarget::Answer answer { RawTarget::soundAnswer(request, "sound") };
+        if (number % perLateAnswer == perLateAnswer - 1) {
+            answer.late = RawTarget::chunkedHead(std::string(*request.fields.find("X-Request-Id"))) + RawTarget::chunkOf("again") + std::string(lastChunk);
+            answer.lateBy = 2ms;
+        }
+        return answer;
+    });
+    m_site.writeEntry("i-raw", target.entry("app"));
+    ConnectionLoad load(m_site, { 100, 4, 50ms, 1 });
+    std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + 6s;
+    while (std::chrono::steady_clock::now() < end) {
+        m_site.writeEntry("i-raw", target.entry("app"));
+        std::this_thread::sleep_for(500ms);
+    }
+    load.stop();
+    EXPECT_GT(target.requests(), 1'000U);
+    EXPECT_GT(load.sent(), 5'000U);
+    std::vector<Unanswered> unanswered = load.unanswered();
+    EXPECT_EQ(unanswered.size(), 0U) << "of " << load.sent();
+    expectAllAlive();
+}
+
 // Guards against a prompt that is computed again because a late second answer to an earlier request came in front of its own.
 TEST_F(FaultyTargets, ALateSecondAnswerInFrontOfAPromptsIsSkipped)
 {
