LibDaemon: Leave out targets whose address is a daemon's

One odd entry that names a daemon's own address made requests go round: a daemon sent them there as to a target, where they came in again as a caller's under the same id and were routed anew.

A peer that is not heard any more may have given its address up.

OddEntries.ThatNameADaemonsOwnAddressDoNotKeepCallersFromTargets serves 60 of 60 beside entries that name all daemons.

--- a/Libraries/LibDaemon/StoreControl.h
+++ b/Libraries/LibDaemon/StoreControl.h
@@ -197,6 +197,8 @@
     FleetTarget describeTarget(Fleet::BookedTarget const&);
     bool isLeaving(Fleet::BookedTarget const& target, std::uint64_t key) const { return target.listed.isLeaving || m_leaving.contains(key) || m_replacedTargets.contains(target.listed.id); }
     std::set<std::string> findReplacedTargets() const;
+    std::set<boost::asio::ip::tcp::endpoint> findDaemonAddresses(Core::BootClock::time_point now) const;
+    void logDaemonAddress(Platform::ListedTarget const&);
     std::optional<Routing::TargetRole> nextRole(Fleet::BookedTarget const&, std::uint64_t key) const;
     std::string whyClosed(Fleet::BookedTarget const&, std::uint64_t key) const;
 
--- a/Libraries/LibDaemon/StoreFleet.cpp
+++ b/Libraries/LibDaemon/StoreFleet.cpp
@@ -404,6 +404,24 @@
     return replaced;
 }
 
+// A request that is sent there as to a target comes in again as a caller's.
+std::set<boost::asio::ip::tcp::endpoint> StoreControl::findDaemonAddresses(Clock::time_point now) const
+{
+    std::set<boost::asio::ip::tcp::endpoint> addresses { m_settings.callers.listen, m_settings.callers.directory, m_settings.callers.ready, m_settings.peers.listen, m_settings.operators.listen, m_settings.operators.metrics };
+    for (std::pair<std::string const, Fleet::BookedDaemon> const& it : m_beacons->book().daemons()) {
+        if (m_beacons->book().isLive(it.second, now))
+            addresses.insert({ it.second.listed.callerAddress, it.second.listed.peerAddress });
+    }
+    return addresses;
+}
+
+void StoreControl::logDaemonAddress(Platform::ListedTarget const& listed)
+{
+    bool isNew = m_unusableEntries.size() < mostUnusableEntries && m_unusableEntries.insert(std::hash<std::string>()(listed.id + " at " + Http::toString(listed.address))).second;
+    if (isNew)
+        Core::logEvent(Core::Severity::Error, Core::Event::TargetEntryUnusable, { { "target", listed.id }, { "error", "a daemon listens at its address" }, { "read", Http::toString(listed.address) } });
+}
+
 void StoreControl::rebuild()
 {
     if (!m_labels)
@@ -413,7 +431,12 @@
     std::shared_ptr<FleetSnapshot> fleet = std::make_shared<FleetSnapshot>();
     std::set<std::uint64_t> keys;
     std::map<std::string, std::set<std::string>> releases;
+    std::set<boost::asio::ip::tcp::endpoint> daemonAddresses = findDaemonAddresses(Clock::now());
     for (std::pair<std::string const, Fleet::BookedTarget> const& it : m_targets.targets()) {
+        if (daemonAddresses.contains(it.second.listed.address)) {
+            logDaemonAddress(it.second.listed);
+            continue;
+        }
         State::ServiceTerms const* terms = m_services->find(it.second.listed.service);
         // An engine that does not say which part of a request it does is none to send work to.
         if (terms && terms->engine && !it.second.listed.role)
--- a/Tests/Processes/TestOddEntries.cpp
+++ b/Tests/Processes/TestOddEntries.cpp
@@ -98,6 +98,22 @@
         EXPECT_TRUE(m_site.logLines(KeyedSite::daemonName(n), "uncaught-exception").empty());
 }
 
+// Guards against requests that go round among daemons because an entry names the address of one of them as a target's.
+TEST_F(OddEntries, ThatNameADaemonsOwnAddressDoNotKeepCallersFromTargets)
+{
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n) {
+        m_site.writeEntry("i-own-" + std::to_string(n), entryWith("addr", "\"" + Http::toString(m_site.front(n)) + "\""));
+    }
+    for (std::size_t n = 0; n < KeyedSite::daemonCount(); ++n)
+        EXPECT_TRUE(waitFor([&] { return m_site.logLines(KeyedSite::daemonName(n), "a daemon listens at its address").size() >= KeyedSite::daemonCount(); }));
+    std::size_t served = 0;
+    constexpr std::size_t asked = 60;
+    for (std::size_t n = 0; n < asked; ++n)
+        served += m_site.ask(n % KeyedSite::daemonCount(), "POST", "/h/1", "own-address-" + std::to_string(n)).status == 200 ? 1 : 0;
+    EXPECT_EQ(served, asked);
+    EXPECT_TRUE(isServedByAll("later-"));
+}
+
 // Guards against an odd configuration that replaces a good one, or after which no good one is taken any more.
 TEST_F(OddEntries, OfTheConfigurationLeaveTheLastGoodOneInForce)
 {
