--- a/Tests/Processes/TestOddEntries.cpp
+++ b/Tests/Processes/TestOddEntries.cpp
@@ -80,7 +80,7 @@
     std::vector<std::string> entries = oddEntries();
     for (std::size_t n = 0; n < entries.size(); ++n)
         m_site.writeEntry("i-odd-" + std::to_string(n), entries[n]);
-    for (std::string const& key : { std::string(5'000, 'k'), std::string("\x01\xff\n"), std::string("i-\0-null", 9) })
+    for (std::string const& key : { std::string(5'000, 'k'), std::string("\x01\xff\n"), std::string("i-\0-null", 8) })
         m_site.writeEntry(key, entryWith("slots", "8"));
     EXPECT_TRUE(isServedByAll("beside-"));
     // All that served until now is gone, so that only who follows the list can serve.
