LibHttp: Log how a waiting caller's connection failed

Of a caller whose host answered no probe the log said reason=no_answer and error=-, as of one that closed its connection (hushed on: 96 lines alike), so that an operator cannot tell a caller who left from a connection that the kernel gave up. The watch of the connection reads the kernel's error to learn that it has ended, and dropped it. It keeps it now, and the line of the connection's end names it.

ServerClosing.AConnectionThatFailsWhileItsCallerWaitsTellsHow failed before (system:0 in place of connection reset).

--- a/Libraries/LibHttp/CloseWatch.cpp
+++ b/Libraries/LibHttp/CloseWatch.cpp
@@ -10,25 +10,6 @@
 // A socket with unread bytes is always readable, so that its end cannot be waited for.
 constexpr std::chrono::milliseconds checkInterval { 100 };
 
-enum class PeerState : std::uint8_t {
-    Open,
-    OpenWithUnreadBytes,
-    Closed,
-};
-
-PeerState peerStateOf(int handle)
-{
-    char byte = 0;
-    ssize_t n = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (n == 0)
-        return PeerState::Closed;
-    if (n < 0)
-        return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? PeerState::Open : PeerState::Closed;
-    pollfd descriptor { handle, POLLRDHUP, 0 };
-    bool isHungUp = ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-    return isHungUp ? PeerState::Closed : PeerState::OpenWithUnreadBytes;
-}
-
 }
 
 std::shared_ptr<CloseWatch> CloseWatch::create(boost::asio::ip::tcp::socket& socket)
@@ -58,7 +39,25 @@
 
 bool CloseWatch::isClosed() const
 {
-    return !m_socket.is_open() || peerStateOf(m_socket.native_handle()) == PeerState::Closed;
+    return !m_socket.is_open() || peerState() == PeerState::Closed;
+}
+
+CloseWatch::PeerState CloseWatch::peerState() const
+{
+    int handle = m_socket.native_handle();
+    char byte = 0;
+    ssize_t n = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n == 0)
+        return PeerState::Closed;
+    if (n < 0) {
+        if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+            return PeerState::Open;
+        m_error.assign(errno, boost::system::system_category());
+        return PeerState::Closed;
+    }
+    pollfd descriptor { handle, POLLRDHUP, 0 };
+    bool isHungUp = ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return isHungUp ? PeerState::Closed : PeerState::OpenWithUnreadBytes;
 }
 
 void CloseWatch::waitUntilReadable()
@@ -88,7 +87,7 @@
 {
     if (generation != m_generation || !m_socket.is_open())
         return;
-    switch (peerStateOf(m_socket.native_handle())) {
+    switch (peerState()) {
     case PeerState::Open:
         waitUntilReadable();
         return;
--- a/Libraries/LibHttp/CloseWatch.h
+++ b/Libraries/LibHttp/CloseWatch.h
@@ -27,17 +27,28 @@
     /// Returns whether the peer has closed the connection or it has failed. Needs no watch.
     bool isClosed() const;
 
+    /// Returns how the connection failed, or no error if it has not, or if the peer closed it.
+    boost::system::error_code error() const { return m_error; }
+
 private:
+    enum class PeerState : std::uint8_t {
+        Open,
+        OpenWithUnreadBytes,
+        Closed,
+    };
+
     explicit CloseWatch(boost::asio::ip::tcp::socket&);
     void waitUntilReadable();
     void waitForInterval();
     void check(std::uint64_t generation);
+    PeerState peerState() const;
 
     boost::asio::ip::tcp::socket& m_socket;
     boost::asio::steady_timer m_timer;
     std::function<void()> m_onClosed;
     std::uint64_t m_generation { 0 }; ///< Of the present watch; waits of former ones change nothing.
     std::size_t m_waits { 0 };
+    mutable boost::system::error_code m_error; ///< The kernel tells it once.
 };
 
 }
--- a/Libraries/LibHttp/ConnectionEnd.h
+++ b/Libraries/LibHttp/ConnectionEnd.h
@@ -46,7 +46,7 @@
     std::uint64_t answers { 0 }; ///< Complete answers that were written.
     std::size_t unreadBytes { 0 }; ///< Received, and of no request that was handled.
     std::size_t unsentBytes { 0 }; ///< Written, and not acknowledged by the caller's host.
-    boost::system::error_code error {}; ///< Of the operation that failed, if one did.
+    boost::system::error_code error {}; ///< Of the operation that failed, or of the connection while its caller waited.
     std::optional<TransmitState> transmit {}; ///< Empty if the kernel did not tell.
 
     /// Returns whether the caller sent something that got no answer.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -287,7 +287,7 @@
         if (m_isEnded && !m_hasEnd)
             ++m_end.answers;
         if (!m_isEnded)
-            noteEnd(ConnectionEndReason::NoAnswer);
+            noteEnd(ConnectionEndReason::NoAnswer, m_closeWatch->error());
         if (!m_isEnded)
             abort(); // A handler that gave up in mid-answer must not look like one that ended it.
         co_return !m_isLastRequest;
--- a/Tests/LibHttp/TestServerClosing.cpp
+++ b/Tests/LibHttp/TestServerClosing.cpp
@@ -220,3 +220,32 @@
     end();
     EXPECT_FALSE(m_handled.contains("/beyond"));
 }
+
+// Guards against connections of waiting callers that fail without a trace of how: a reset looks like one that was closed.
+TEST_F(ServerClosing, AConnectionThatFailsWhileItsCallerWaitsTellsHow)
+{
+    std::promise<void> isWaiting;
+    std::promise<Http::ConnectionEnd> connectionEnd;
+    start([&](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        Asio::steady_timer timer(m_context, 20s);
+        writer.onCallerGone([&timer] { timer.cancel(); });
+        isWaiting.set_value();
+        boost::system::error_code ec;
+        co_await timer.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        writer.onCallerGone(nullptr);
+    });
+    post([&] { m_server->onConnectionEnd([&](Http::ConnectionEnd const& it) { connectionEnd.set_value(it); }); });
+    Asio::io_context context;
+    Tcp::socket socket(context);
+    keepBusy(0ms);
+    socket.connect(m_endpoint);
+    Asio::write(socket, Asio::buffer(headOf("waiting")));
+    isWaiting.get_future().wait();
+    socket.set_option(Asio::socket_base::linger(true, 0));
+    socket.close();
+    std::future<Http::ConnectionEnd> ended = connectionEnd.get_future();
+    ASSERT_EQ(ended.wait_for(20s), std::future_status::ready);
+    Http::ConnectionEnd end = ended.get();
+    EXPECT_EQ(end.reason, Http::ConnectionEndReason::NoAnswer);
+    EXPECT_EQ(end.error, Asio::error::connection_reset);
+}
