Tests: Show requests that end by a short silence of a host, and ones sent late in a stop

A silence of 1.3 s of a target's host, or one packet in twenty lost, ends requests that may not be repeated and cuts streams; a silence of a caller's host that meets one probe, or lasts for longer than three seconds while its answer is written, ends its connection. In a stop, requests that have waited for a place are sent to a target although the stop ends before they do.

--- a/Tests/Processes/RawCaller.cpp
+++ b/Tests/Processes/RawCaller.cpp
@@ -1,5 +1,7 @@
 #include "RawCaller.h"
 
+#include "PacketLoss.h"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <poll.h>
@@ -37,6 +39,11 @@
     return bytes;
 }
 
+void RawCaller::setLoss(double share)
+{
+    dropArriving(m_socket.native_handle(), share);
+}
+
 void RawCaller::close(Closing closing)
 {
     boost::system::error_code ec;
--- a/Tests/Processes/RawCaller.h
+++ b/Tests/Processes/RawCaller.h
@@ -28,6 +28,9 @@
     /// Reads until `size` bytes have come, nothing more comes for `patience`, or the connection ends. Returns all that was read.
     std::string read(std::size_t size, std::chrono::milliseconds patience);
 
+    /// Drops a share of all that arrives from now on: with 1 its host is silent.
+    void setLoss(double share);
+
     void close(Closing);
 
     /// Returns a request as it goes over the connection.
--- a/Tests/Processes/RawTarget.cpp
+++ b/Tests/Processes/RawTarget.cpp
@@ -1,5 +1,7 @@
 #include "RawTarget.h"
 
+#include "PacketLoss.h"
+
 #include <LibHttp/Client.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -49,8 +51,20 @@
 {
 }
 
+void RawTarget::setLoss(double share)
+{
+    std::lock_guard lock(m_mutex);
+    m_loss = share;
+    dropArriving(m_acceptor.native_handle(), share);
+    for (Socket& socket : m_sockets) {
+        if (socket.is_open())
+            dropArriving(socket.native_handle(), share);
+    }
+}
+
 RawTarget::~RawTarget()
 {
+    setLoss(0);
     m_isStopping = true;
     boost::system::error_code ec;
     // Wakes the thread that waits for a connection.
@@ -75,6 +89,8 @@
             continue;
         std::lock_guard lock(m_mutex);
         Socket& kept = m_sockets.emplace_back(std::move(socket));
+        if (m_loss > 0)
+            dropArriving(kept.native_handle(), m_loss);
         m_threads.emplace_back([this, &kept] { serve(kept); });
     }
 }
--- a/Tests/Processes/RawTarget.h
+++ b/Tests/Processes/RawTarget.h
@@ -44,6 +44,9 @@
     /// Returns its entry for the store. `role` is empty for a plain service.
     std::string entry(std::string const& service, std::string const& role = {}, std::string const& release = {}) const;
 
+    /// Drops a share of all that arrives from now on, at its listener too: with 1 its host is silent. Thread-safe.
+    void setLoss(double share);
+
     /// How many requests it has read whole. Thread-safe.
     std::size_t requests() const { return m_requests; }
 
@@ -69,6 +72,7 @@
     std::atomic<std::size_t> m_endlessBytes { 0 };
     std::atomic<bool> m_isStopping { false };
     std::mutex m_mutex;
+    double m_loss { 0 };
     std::list<Socket> m_sockets;
     std::list<std::thread> m_threads;
     std::thread m_acceptThread;
--- a/Tests/Processes/TestPlannedStops.cpp
+++ b/Tests/Processes/TestPlannedStops.cpp
@@ -186,6 +186,39 @@
     EXPECT_EQ(m_site->process(KeyedSite::daemonName(0)).status(), 0);
 }
 
+// Guards against requests that are sent to a target late in a stop, after a wait for a place, and interrupted by the end of the stop.
+TEST_F(PlannedStops, RequestsThatWaitForAPlaceAreNotSentWhenTheExitWouldInterruptThem)
+{
+    constexpr std::size_t requests = 12;
+    KeyedSiteSettings settings;
+    settings.stopWithinSeconds = 5;
+    settings.leaveHoldMs = 1'000;
+    settings.isUneven = true; // One place each.
+    m_site.emplace(settings);
+    ASSERT_TRUE(m_site->waitUntilServing());
+    m_site->writeConfiguration(R"({"version":2,"routes":[{"name":"confirm","host":"a.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":15000,"goal_ms":300,"priority":2,"service":"app","max_attempts":2}],"services":[{"name":"app"}]})");
+    ASSERT_TRUE(waitFor([&] { return m_site->ask(0, "GET", "/s/1", "gone").status == 404; }));
+    makeTargetsWork(2'500ms);
+    std::vector<std::future<std::uint16_t>> statuses;
+    for (std::size_t n = 0; n < requests; ++n) {
+        statuses.push_back(std::async(std::launch::async, [this, n] {
+            Http::Request request = KeyedSite::request("POST", "/c/1", "waits-" + std::to_string(n));
+            request.fields.set("X-Deadline-Ms", "15000");
+            return fetch(m_site->front(0), request).status;
+        }));
+    }
+    std::this_thread::sleep_for(300ms);
+    m_site->process(KeyedSite::daemonName(0)).send(SIGTERM);
+    std::size_t served = 0;
+    for (std::size_t n = 0; n < requests; ++n) {
+        std::uint16_t status = statuses[n].get();
+        std::uint64_t runs = m_site->runs(m_site->apps(), "waits-" + std::to_string(n));
+        served += status == 200 ? 1 : 0;
+        EXPECT_TRUE(status == 200 || (status == 503 && runs == 0)) << "waits-" << n << " got " << status << ", runs: " << runs;
+    }
+    EXPECT_GT(served, 0U);
+}
+
 // Guards against a daemon that a SIGHUP ends in the last moments of its stop, so that it seems to have failed.
 TEST_F(PlannedStops, ASignalToReloadDoesNotEndADaemonThatEnds)
 {
