LibHttp+LibDaemon+LibRequest: End no wait because a host is silent for a while

Callers saw streams cut in the middle, and 502 for requests that may not be repeated, although their targets were sound; and their own connections reset while they waited. Cause: a silence counted as proof that a host is gone. The kernel was told to end a connection at the first probe without an answer, one lost packet, once a second to targets and every two to callers; and a target's host that acknowledged nothing for 0.8 s was taken for gone.

Now what a silence ends depends on who waits. A connection that nobody waits on ends after three probes, and is not used while one has no answer. A caller who waits is not given up for probes. A request that may be sent elsewhere, and has an attempt left, is sent elsewhere after the limit, as before. Any other waits until its time is over, unless the host answers new connections, one before and one behind two segments that it does not acknowledge on this one: then the connection is lost, and the request fails. That decides on evidence where no time could: a silence for good still ends what waits, within seconds.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -126,12 +126,19 @@
     co_await readAnswer(leg, send);
 }
 
+// A silent host may still be at work. What has nowhere else to go waits for it.
+void RequestRunner::setOnSilence(UpstreamLeg& leg) const
+{
+    leg.exchange->setOnSilence(m_machine.maySendElsewhere() ? Http::OnSilence::Fail : Http::OnSilence::Wait);
+}
+
 // Skips responses to earlier requests on the connection.
 boost::asio::awaitable<Core::Result<void>> RequestRunner::sendAndReadHead(LegPointer leg, Http::Request request, TargetSend send)
 {
     FleetTarget const* target = targetOf(m_target);
     Core::BootClock::time_point sentAt = Core::BootClock::now();
     watchAcknowledgement(leg, *target);
+    setOnSilence(*leg);
     Core::Result<void> started = co_await leg->exchange->start(request);
     bool isForeign = started.has_value() && noteHead(*target, leg->exchange->head(), send, sentAt);
     for (int n = 0; n < maxForeignAnswers && !leg->isAbandoned && isForeign; ++n) {
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -89,6 +89,7 @@
     if (m_origin)
         writeStreamRelease(request.fields, m_origin->release);
     writeRelayAttempts(request.fields, { m_machine.grantedToPeer(), m_machine.triedTargets() });
+    setOnSilence(*leg);
     Core::Result<void> started = co_await leg->exchange->start(request);
     if (leg->isAbandoned)
         co_return;
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -86,6 +86,7 @@
     void watchAcknowledgement(LegPointer const&, FleetTarget const&);
     boost::asio::awaitable<void> probePath(LegPointer, FleetTarget);
     boost::asio::awaitable<bool> connect(LegPointer, FleetTarget const&);
+    void setOnSilence(UpstreamLeg&) const;
     boost::asio::awaitable<Core::Result<void>> sendAndReadHead(LegPointer, Http::Request, TargetSend);
     boost::asio::awaitable<void> readAnswer(LegPointer, TargetSend);
     boost::asio::awaitable<void> readEvents(LegPointer, std::uint64_t firstIndex, bool isContinued);
--- a/Libraries/LibDaemon/StoreControl.cpp
+++ b/Libraries/LibDaemon/StoreControl.cpp
@@ -46,6 +46,7 @@
     settings.pieceTimeout = readSlack;
     settings.writeTimeout = readSlack;
     settings.liveness = { std::chrono::milliseconds(1'000), std::chrono::seconds(1), 2 };
+    settings.onSilence = Http::OnSilence::Fail; // What became of a call is read from the store.
     return settings;
 }
 
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,6 +1,8 @@
 #include <LibHttp/Client.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/HostProbes.h>
 #include <LibHttp/SocketQueue.h>
+#include <LibHttp/StreamConnect.h>
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -38,6 +40,13 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// A host that leaves probes unanswered may be silent.
+bool answersProbes(ClientConnection& connection)
+{
+    std::optional<TransmitState> state = kernelTimes() == KernelTimes::Told ? transmitStateOf(connection.stream.socket()) : std::nullopt;
+    return !state || state->unansweredProbes == 0;
+}
+
 bool hasCarried(ClientConnection const& connection, std::size_t id)
 {
     return std::find(connection.carriedIds.begin(), connection.carriedIds.end(), id) != connection.carriedIds.end();
@@ -49,6 +58,7 @@
         : m_context(context)
         , m_settings(settings)
         , m_pool(std::make_shared<Pool>())
+        , m_hosts(HostProbes::create(context.get_executor(), settings.localAddress, settings.connectTimeout))
     {
     }
 
@@ -124,7 +134,7 @@
                 continue;
             std::shared_ptr<ClientConnection> connection = std::move(kept[n - 1]);
             kept.erase(kept.begin() + static_cast<Connections::difference_type>(n - 1));
-            if (now < connection->keepUntil && isQuiet(*connection))
+            if (now < connection->keepUntil && isQuiet(*connection) && answersProbes(*connection))
                 return connection;
         }
         return nullptr;
@@ -155,41 +165,37 @@
         co_return std::move(connection);
     }
 
-    static void bindTo(Asio::ip::address const& address, Tcp::socket& socket, boost::system::error_code& ec)
-    {
-        Tcp::endpoint local(address, 0);
-        socket.open(local.protocol(), ec);
-        if (!ec)
-            socket.bind(local, ec);
-    }
-
     Asio::awaitable<std::shared_ptr<ClientConnection>> connectSocket(Tcp::endpoint endpoint, std::shared_ptr<CancelSlot> slot, boost::system::error_code& ec)
     {
         std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(m_context.get_executor());
-        if (m_settings.localAddress)
-            bindTo(*m_settings.localAddress, connection->stream.socket(), ec);
-        if (ec)
-            co_return std::move(connection);
         if (slot)
             slot->cancel = [raw = connection.get()] { raw->stream.cancel(); };
-        connection->stream.expires_after(m_settings.connectTimeout);
-        co_await connection->stream.async_connect(endpoint, Asio::redirect_error(Asio::use_awaitable, ec));
+        ec = co_await connectStream(connection->stream, endpoint, m_settings.localAddress, m_settings.connectTimeout);
         if (slot)
             slot->cancel = nullptr;
         if (ec)
             co_return std::move(connection);
         boost::system::error_code ignored; // It only costs delays.
         connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
-        connection->silenceWatch = watchLiveness(connection->stream.socket(), m_settings.liveness, [raw = connection.get()] {
-            raw->isSilent = true;
-            closeOrAbort(raw->stream.socket());
-        });
+        connection->silenceWatch = watchLiveness(connection->stream.socket(), m_settings.liveness, silenceHooks(*connection, endpoint));
         co_return std::move(connection);
     }
 
+    SilenceHooks silenceHooks(ClientConnection& connection, Tcp::endpoint const& endpoint) const
+    {
+        SilenceHooks hooks;
+        hooks.onSilent = [&connection](Silence silence) {
+            connection.silence = silence;
+            closeOrAbort(connection.stream.socket());
+        };
+        hooks.askHost = [hosts = m_hosts, endpoint] { return hosts->ask(endpoint); };
+        return hooks;
+    }
+
     Asio::io_context& m_context;
     ClientSettings m_settings;
     std::shared_ptr<Pool> m_pool;
+    std::shared_ptr<HostProbes> m_hosts;
 };
 
 }
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -13,6 +13,12 @@
 
 namespace Http {
 
+/// What becomes of an exchange when its server's host acknowledges nothing any more.
+enum class OnSilence : std::uint8_t {
+    Fail, ///< For what may be sent again elsewhere.
+    Wait, ///< Until the host answers new connections and still nothing on this one, or until a timeout.
+};
+
 /// How long a client waits at each step, and for how long an unused connection is kept.
 struct ClientSettings {
     std::chrono::milliseconds connectTimeout { 1'000 };
@@ -23,7 +29,8 @@
     std::size_t keptPerEndpoint { 64 };
     std::size_t idsPerConnection { 512 }; ///< Then a connection, which remembers the ids of all its requests, is closed.
     std::size_t skippedLimit { 16 * 1024 * 1024 }; ///< Bytes of the body of a response to another request, which is read and dropped.
-    SocketLiveness liveness; ///< When a connection that went silent counts as lost.
+    SocketLiveness liveness; ///< When a connection counts as silent.
+    OnSilence onSilence { OnSilence::Wait };
     std::optional<boost::asio::ip::address> localAddress; ///< Connections are made from it; empty: the kernel chooses.
 };
 
@@ -55,6 +62,9 @@
     /// Sets the time that `read` waits for a piece.
     virtual void setPieceTimeout(std::chrono::milliseconds) = 0;
 
+    /// Sets what a silence of the server's host does, in place of the client's setting.
+    virtual void setOnSilence(OnSilence) = 0;
+
     /// Whether its connection was kept from an earlier exchange.
     virtual bool isOnKeptConnection() const = 0;
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -107,6 +107,10 @@
     (m_isHeadMethod ? m_connection->hasCarriedHead : m_connection->hasCarriedOther) = true;
     message.body() = request.body;
     message.prepare_payload();
+    if (m_connection->silenceWatch) {
+        m_connection->silenceWatch->setEndsUnexplained(m_settings.onSilence == OnSilence::Fail);
+        m_connection->silenceWatch->beginWait();
+    }
     // A server may read the rest of the request late, or answer first.
     m_connection->stream.expires_after(std::max(m_settings.writeTimeout, m_settings.headTimeout));
     Asio::co_spawn(m_connection->stream.get_executor(), writeAll(m_connection, m_writing), Core::logUncaughtException);
@@ -218,9 +222,18 @@
     if (std::optional<std::chrono::milliseconds> announced = keepAliveTimeout(m_head.fields))
         keep = std::min(keep, *announced * keepShareInTenths / 10);
     connection->keepUntil = Core::BootClock::now() + keep;
+    if (connection->silenceWatch)
+        connection->silenceWatch->endWait();
     m_return(std::move(connection));
 }
 
+void ConnectionExchange::setOnSilence(OnSilence onSilence)
+{
+    m_settings.onSilence = onSilence;
+    if (m_connection && m_connection->silenceWatch)
+        m_connection->silenceWatch->setEndsUnexplained(onSilence == OnSilence::Fail);
+}
+
 std::size_t ConnectionExchange::unacknowledgedBytes() const
 {
     return m_connection ? Http::unacknowledgedBytes(m_connection->stream.socket()) : 0;
@@ -241,12 +254,13 @@
 Core::Error ConnectionExchange::errorOf(boost::system::error_code ec, std::string_view step) const
 {
     Core::ErrorCode code = Core::ErrorCode::Unavailable;
-    bool isSilent = m_connection && m_connection->isSilent;
-    if (m_isCanceled || (ec == Asio::error::operation_aborted && !isSilent))
+    Silence silence = m_connection ? m_connection->silence : Silence::None;
+    if (m_isCanceled || (ec == Asio::error::operation_aborted && silence == Silence::None))
         code = Core::ErrorCode::Canceled;
     else if (ec == Beast::error::timeout)
         code = Core::ErrorCode::Timeout;
-    std::string message = "failed while " + std::string(step) + ": " + (isSilent ? "its host acknowledges nothing" : ec.message());
+    std::string reason = silence == Silence::None ? ec.message() : std::string(Core::nameOf(silenceNames, silence));
+    std::string message = "failed while " + std::string(step) + ": " + reason;
     return Core::Error { code, std::move(message), m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
 }
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -25,7 +25,7 @@
 
     boost::beast::flat_buffer buffer { bufferLimit };
     std::shared_ptr<SilenceWatch> silenceWatch; ///< Empty if no limit is set.
-    bool isSilent { false }; ///< The server's host acknowledged nothing any more.
+    Silence silence { Silence::None }; ///< Why the connection was ended, if it was for that.
     Core::BootClock::time_point keepUntil; ///< The server may have closed it after this time.
     std::vector<std::size_t> carriedIds; ///< Hashes of the ids of the requests that were sent on it.
     bool hasCarriedHead { false }; ///< A HEAD request was sent on it.
@@ -46,6 +46,7 @@
     boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() override;
     void setHeadTimeout(std::chrono::milliseconds timeout) override { m_settings.headTimeout = timeout; }
     void setPieceTimeout(std::chrono::milliseconds timeout) override { m_settings.pieceTimeout = timeout; }
+    void setOnSilence(OnSilence) override;
     bool isOnKeptConnection() const override { return m_isOnKeptConnection; }
     std::size_t unacknowledgedBytes() const override;
     void cancel() override;
--- /dev/null
+++ b/Libraries/LibHttp/HostProbes.cpp
@@ -0,0 +1,59 @@
+#include <LibCore/UncaughtException.h>
+#include <LibHttp/HostProbes.h>
+#include <LibHttp/StreamConnect.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <utility>
+
+namespace Http {
+
+namespace {
+
+// A host that is silent is asked at most this often.
+constexpr std::chrono::milliseconds leastInterval { 200 };
+constexpr std::chrono::seconds rememberedFor { 60 };
+
+}
+
+std::shared_ptr<HostProbes> HostProbes::create(boost::asio::any_io_executor executor, std::optional<boost::asio::ip::address> local, std::chrono::milliseconds connectTimeout)
+{
+    return std::shared_ptr<HostProbes>(new HostProbes(std::move(executor), std::move(local), connectTimeout));
+}
+
+HostProbes::HostProbes(boost::asio::any_io_executor executor, std::optional<boost::asio::ip::address> local, std::chrono::milliseconds connectTimeout)
+    : m_executor(std::move(executor))
+    , m_local(std::move(local))
+    , m_connectTimeout(connectTimeout)
+{
+}
+
+std::optional<HostProbes::Time> HostProbes::ask(boost::asio::ip::tcp::endpoint const& endpoint)
+{
+    Time now = std::chrono::steady_clock::now();
+    forgetOld(now);
+    Host& host = m_hosts[endpoint];
+    if (!host.isAsked && now - host.askedAt >= leastInterval) {
+        host.isAsked = true;
+        host.askedAt = now;
+        boost::asio::co_spawn(
+            m_executor, [self = shared_from_this(), endpoint, now]() { return self->connect(endpoint, now); }, Core::logUncaughtException);
+    }
+    return host.answeredAt;
+}
+
+boost::asio::awaitable<void> HostProbes::connect(boost::asio::ip::tcp::endpoint endpoint, Time begunAt)
+{
+    boost::beast::tcp_stream stream(m_executor);
+    boost::system::error_code ec = co_await connectStream(stream, endpoint, m_local, m_connectTimeout);
+    Host& host = m_hosts[endpoint];
+    host.isAsked = false;
+    if (!ec || ec == boost::asio::error::connection_refused)
+        host.answeredAt = begunAt;
+}
+
+void HostProbes::forgetOld(Time now)
+{
+    std::erase_if(m_hosts, [now](std::pair<boost::asio::ip::tcp::endpoint const, Host> const& it) { return !it.second.isAsked && now - it.second.askedAt > rememberedFor; });
+}
+
+}
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -73,11 +73,13 @@
 
     void watchSilence()
     {
-        m_silenceWatch = watchLiveness(m_stream.socket(), m_shared->settings.liveness, [this] {
+        SilenceHooks hooks;
+        hooks.onSilent = [this](Silence) {
             m_isLastRequest = true;
             noteEnd(ConnectionEndReason::CallerSilent);
             breakOff(m_stream.socket());
-        });
+        };
+        m_silenceWatch = watchLiveness(m_stream.socket(), m_shared->settings.liveness, std::move(hooks));
     }
 
     Asio::awaitable<void> run()
@@ -274,6 +276,8 @@
         if (!request)
             co_return false;
         m_state = ConnectionState::Serving;
+        if (m_silenceWatch)
+            m_silenceWatch->beginWait();
         ++m_end.requests;
         ++m_shared->activeRequests;
         // A handler that fails must not leave its request among the active ones.
@@ -283,6 +287,8 @@
             Core::logUncaughtException(std::current_exception());
         }
         --m_shared->activeRequests;
+        if (m_silenceWatch)
+            m_silenceWatch->endWait();
         endWatch();
         if (m_isEnded && !m_hasEnd)
             ++m_end.answers;
--- a/Libraries/LibHttp/SilenceWatch.cpp
+++ b/Libraries/LibHttp/SilenceWatch.cpp
@@ -11,21 +11,23 @@
 
 constexpr int checksPerLimit = 8;
 constexpr std::chrono::milliseconds leastInterval { 10 };
+// The most that TCP_KEEPCNT takes: with any interval of seconds longer than a request lasts.
+constexpr int mostProbes = 127;
 
 }
 
-std::shared_ptr<SilenceWatch> SilenceWatch::create(boost::asio::ip::tcp::socket& socket, SilenceLimits const& limits, std::function<void()> onSilent)
+std::shared_ptr<SilenceWatch> SilenceWatch::create(boost::asio::ip::tcp::socket& socket, SilenceLimits const& limits, SilenceHooks hooks)
 {
-    return std::shared_ptr<SilenceWatch>(new SilenceWatch(socket, limits, std::move(onSilent)));
+    return std::shared_ptr<SilenceWatch>(new SilenceWatch(socket, limits, std::move(hooks)));
 }
 
-SilenceWatch::SilenceWatch(boost::asio::ip::tcp::socket& socket, SilenceLimits const& limits, std::function<void()> onSilent)
+SilenceWatch::SilenceWatch(boost::asio::ip::tcp::socket& socket, SilenceLimits const& limits, SilenceHooks hooks)
     : m_socket(socket)
     , m_timer(socket.get_executor())
     , m_limits(limits)
     , m_interval(std::max(limits.unacknowledged / checksPerLimit, leastInterval))
     , m_detector(limits.unacknowledged)
-    , m_onSilent(std::move(onSilent))
+    , m_hooks(std::move(hooks))
 {
     kernelTimes() == KernelTimes::Told ? takeFromKernel() : leaveToKernel();
 }
@@ -40,9 +42,16 @@
 {
     if (std::exchange(m_isLeftToKernel, false))
         limitUnacknowledged(m_socket, std::chrono::milliseconds(0));
+    limitProbes();
+}
+
+void SilenceWatch::limitProbes()
+{
+    if (m_isLeftToKernel || m_limits.probeAfter.count() <= 0)
+        return;
+    int probes = m_isWaiting ? mostProbes : m_limits.idleProbes;
     // Best effort, as all options.
-    if (m_limits.idleProbes > 0)
-        static_cast<void>(::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_KEEPCNT, &m_limits.idleProbes, sizeof(m_limits.idleProbes)));
+    static_cast<void>(::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes)));
 }
 
 void SilenceWatch::beginWrite()
@@ -51,8 +60,8 @@
     if (kernelTimes() == KernelTimes::Missing)
         return;
     m_detector.noteWrite(std::chrono::steady_clock::now());
-    if (!std::exchange(m_isChecking, true))
-        checkLater();
+    if (!m_isChecking || m_isCheckSlow)
+        checkLater(m_interval);
 }
 
 void SilenceWatch::endWrite()
@@ -60,9 +69,37 @@
     --m_writes;
 }
 
-void SilenceWatch::checkLater()
+void SilenceWatch::beginWait()
+{
+    if (std::exchange(m_isWaiting, true) || kernelTimes() == KernelTimes::Missing)
+        return;
+    limitProbes();
+    if (!m_isChecking && needsIdleChecks())
+        checkLater(idleInterval());
+}
+
+void SilenceWatch::endWait()
+{
+    if (std::exchange(m_isWaiting, false) && kernelTimes() != KernelTimes::Missing)
+        limitProbes();
+}
+
+// Without traffic nothing but unanswered probes tells of a silence.
+bool SilenceWatch::needsIdleChecks() const
+{
+    return m_limits.probeAfter.count() > 0 && (m_isLeftToKernel || m_hooks.askHost);
+}
+
+std::chrono::milliseconds SilenceWatch::idleInterval() const
 {
-    m_timer.expires_after(m_interval);
+    return std::max(m_interval, std::chrono::milliseconds(m_limits.probeAfter) / 2);
+}
+
+void SilenceWatch::checkLater(std::chrono::milliseconds interval)
+{
+    m_isChecking = true;
+    m_isCheckSlow = interval > m_interval;
+    m_timer.expires_after(interval);
     m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
         std::shared_ptr<SilenceWatch> self = weak.lock();
         if (self && !ec)
@@ -73,7 +110,7 @@
 void SilenceWatch::check()
 {
     m_isChecking = false;
-    if (!m_socket.is_open() || !m_onSilent)
+    if (!m_socket.is_open() || !m_hooks.onSilent)
         return;
     std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     std::optional<TransmitState> state = transmitStateOf(m_socket);
@@ -84,14 +121,21 @@
         return;
     if (kernelTimes() == KernelTimes::Told && m_isLeftToKernel)
         takeFromKernel();
-    if (m_detector.isSilent(*state, now)) {
-        std::exchange(m_onSilent, nullptr)();
+    if (!state->isWaiting() && !m_hooks.askHost)
+        state->unansweredProbes = 0; // A caller that waits for its answer need not be heard.
+    Silence silence = m_detector.sample(*state, now, m_hostAnsweredAt);
+    if (silence == Silence::Unexplained && m_hooks.askHost)
+        m_hostAnsweredAt = m_hooks.askHost();
+    bool mayEnd = m_writes > 0 || m_isWaiting || state->isWaiting();
+    bool ends = silence == Silence::ConnectionLost || (silence == Silence::Unexplained && (m_endsUnexplained || !m_hooks.askHost));
+    if (ends && mayEnd) {
+        std::exchange(m_hooks.onSilent, nullptr)(silence);
         return;
     }
-    if (state->isWaiting() || m_writes > 0) {
-        m_isChecking = true;
-        checkLater();
-    }
+    if (state->isWaiting() || m_writes > 0 || silence != Silence::None)
+        checkLater(m_interval);
+    else if (m_isWaiting && needsIdleChecks())
+        checkLater(idleInterval());
 }
 
 }
--- a/Libraries/LibHttp/SocketLiveness.cpp
+++ b/Libraries/LibHttp/SocketLiveness.cpp
@@ -1,5 +1,4 @@
 #include <LibHttp/SocketLiveness.h>
-#include <algorithm>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -13,19 +12,9 @@
     static_cast<void>(::setsockopt(handle, level, option, &value, sizeof(value)));
 }
 
-// TCP_USER_TIMEOUT ends an idle connection with the first probe behind its time that was not answered; so does this number of probes.
-int probesWithin(SocketLiveness const& liveness)
-{
-    if (liveness.probeAfter.count() <= 0)
-        return 0;
-    std::chrono::milliseconds interval = liveness.probeAfter;
-    std::chrono::milliseconds rest = std::max(liveness.unacknowledged - interval, std::chrono::milliseconds(1));
-    return static_cast<int>((rest + interval - std::chrono::milliseconds(1)) / interval);
-}
-
 }
 
-std::shared_ptr<SilenceWatch> watchLiveness(boost::asio::ip::tcp::socket& socket, SocketLiveness const& liveness, std::function<void()> onSilent)
+std::shared_ptr<SilenceWatch> watchLiveness(boost::asio::ip::tcp::socket& socket, SocketLiveness const& liveness, SilenceHooks hooks)
 {
     int handle = socket.native_handle();
     if (liveness.probeAfter.count() > 0) {
@@ -36,7 +25,7 @@
     }
     if (liveness.unacknowledged.count() <= 0)
         return nullptr;
-    return SilenceWatch::create(socket, { liveness.unacknowledged, probesWithin(liveness) }, std::move(onSilent));
+    return SilenceWatch::create(socket, { liveness.unacknowledged, liveness.probeAfter, liveness.probes }, std::move(hooks));
 }
 
 void breakOff(boost::asio::ip::tcp::socket& socket)
--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -36,6 +36,17 @@
 {
 }
 
+bool RequestMachine::mayContinue() const
+{
+    return m_profile.isRepeatable && m_profile.mayContinue && m_endsEvent;
+}
+
+bool RequestMachine::maySendElsewhere() const
+{
+    bool isRepeatable = m_delivered == 0 ? m_profile.isRepeatable && !m_profile.goesToHome : mayContinue();
+    return isRepeatable && m_allowance.left() > 0;
+}
+
 Core::Verdict RequestMachine::verdict() const
 {
     return m_wasWritten || m_mayHaveRunBefore ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun;
@@ -317,7 +328,7 @@
         return;
     }
     cancelAttempt(false);
-    bool mayGoOn = m_delivered == 0 ? isRepeatable : m_profile.isRepeatable && m_profile.mayContinue && m_endsEvent;
+    bool mayGoOn = m_delivered == 0 ? isRepeatable : mayContinue();
     if (!mayGoOn) {
         finishWith(Core::ErrorCode::Unavailable, message);
         return;
--- a/Libraries/LibRequest/RequestMachine.h
+++ b/Libraries/LibRequest/RequestMachine.h
@@ -68,6 +68,9 @@
     /// The targets that have been tried, here or at other daemons.
     std::vector<std::string> const& triedTargets() const { return m_excluded; }
 
+    /// Whether another target may get the request if the current one is lost now, by its kind and its attempts.
+    bool maySendElsewhere() const;
+
     /// How many pieces have been delivered.
     std::uint64_t deliveredPieces() const { return m_delivered; }
 
@@ -106,6 +109,7 @@
     void act(Action);
     bool isCurrent(Leg const&) const;
     bool isAnswering() const;
+    bool mayContinue() const;
     void connectionLost(TimePoint);
     void resume();
     void attemptLost(TimePoint);
--- a/Tests/LibHttp/TestSilentHosts.cpp
+++ b/Tests/LibHttp/TestSilentHosts.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
+#include <list>
 
 namespace {
 
@@ -17,6 +18,7 @@
 constexpr std::chrono::milliseconds untilSilent { 500 };
 constexpr std::chrono::milliseconds silence { 1'300 }; // Several times the limit, and one probe or two.
 constexpr std::chrono::milliseconds untilAnswer { 1'500 }; // So that the next probe comes before the answer.
+constexpr std::size_t bodyLimit { 1'000 };
 constexpr std::string_view okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 Http::SocketLiveness liveness()
@@ -83,7 +85,7 @@
                 Http::Request request;
                 request.method = "POST";
                 request.body = std::string(bodySize, 'x');
-                result.emplace(co_await m_client->fetch(m_endpoint, std::move(request)));
+                result.emplace(co_await exchange(std::move(request)));
                 m_context.stop();
             },
             Asio::detached);
@@ -91,6 +93,19 @@
         return *result;
     }
 
+    Asio::awaitable<Core::Result<Http::Response>> exchange(Http::Request request)
+    {
+        Core::Result<std::unique_ptr<Http::Exchange>> connected = co_await m_client->connect(m_endpoint, Http::ConnectionChoice::Kept);
+        if (connected.has_error())
+            co_return Core::Result<Http::Response>(connected.error());
+        connected.value()->setOnSilence(m_onSilence);
+        Core::Result<void> started = co_await connected.value()->start(request);
+        if (started.has_error())
+            co_return Core::Result<Http::Response>(started.error());
+        co_return co_await Http::readWhole(*connected.value(), bodyLimit);
+    }
+
+    Http::OnSilence m_onSilence { Http::OnSilence::Wait };
     Asio::io_context m_context;
     Tcp::acceptor m_acceptor { m_context, Tcp::endpoint(Asio::ip::address_v4::loopback(), 0) };
     Tcp::endpoint m_endpoint { m_acceptor.local_endpoint() };
@@ -165,6 +180,44 @@
     EXPECT_LT(std::chrono::steady_clock::now() - begin, bound);
 }
 
+// Guards against requests that wait for a silent host although they may be sent elsewhere.
+TEST_F(SilentTargets, ARequestThatMayBeSentElsewhereFailsAfterTheLimit)
+{
+    constexpr std::chrono::seconds bound { 2 };
+    m_onSilence = Http::OnSilence::Fail;
+    std::optional<Tcp::socket> socket;
+    play([&]() -> Asio::awaitable<void> {
+        socket.emplace(co_await m_acceptor.async_accept(Asio::use_awaitable));
+        SocketPeers::goSilent(m_acceptor);
+        SocketPeers::goSilent(*socket);
+    });
+    std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+    Core::Result<Http::Response> answer = fetch(4'000'000);
+    ASSERT_TRUE(answer.has_error());
+    EXPECT_EQ(answer.error().verdict, Core::Verdict::MayHaveRun);
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, bound);
+}
+
+// Guards against requests that are written on a kept connection whose host does not answer its probes.
+TEST_F(SilentTargets, AKeptConnectionWithAProbeWithoutAnAnswerIsNotUsed)
+{
+    std::list<Tcp::socket> sockets;
+    play([&]() -> Asio::awaitable<void> {
+        while (true) {
+            Tcp::socket& socket = sockets.emplace_back(co_await m_acceptor.async_accept(Asio::use_awaitable));
+            co_await readBytes(socket, 1);
+            co_await Asio::async_write(socket, Asio::buffer(okAnswer), Asio::use_awaitable);
+        }
+    });
+    ASSERT_TRUE(fetch(10).has_value());
+    SocketPeers::goSilent(sockets.front());
+    m_context.restart();
+    m_context.run_for(untilSilent + silence); // One probe, and not yet the end of the connection.
+    m_context.restart();
+    EXPECT_TRUE(fetch(10).has_value());
+    EXPECT_EQ(sockets.size(), 2U);
+}
+
 // Guards against callers that lose their answer because one probe of their connection had no answer while they waited.
 TEST_F(SilentCallers, ACallerWhoseHostWasSilentWhileItWaitedGetsItsAnswer)
 {
--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -130,6 +130,31 @@
     }
 }
 
+// Guards against requests that a silence of their target's host ends although they have nowhere else to go.
+TEST(RequestMachine, SaysWhetherAnotherTargetMayGetTheRequest)
+{
+    for (bool isRepeatable : { true, false }) {
+        for (bool mayContinue : { true, false }) {
+            RequestProfile profile = repeatable();
+            profile.isRepeatable = isRepeatable;
+            profile.mayContinue = mayContinue;
+            profile.maxAttempts = 2;
+            Case it(profile);
+            it.stream(0);
+            EXPECT_EQ(it.machine.maySendElsewhere(), isRepeatable) << "nothing is delivered";
+            it.feed(Piece { { 1, 1 }, 0, "x", true });
+            EXPECT_EQ(it.machine.maySendElsewhere(), isRepeatable && mayContinue);
+            it.feed(Piece { { 1, 1 }, 1, "x", false });
+            EXPECT_FALSE(it.machine.maySendElsewhere()) << "in the middle of an event";
+        }
+    }
+    RequestProfile profile = repeatable();
+    profile.maxAttempts = 1;
+    Case it(profile);
+    it.stream(0);
+    EXPECT_FALSE(it.machine.maySendElsewhere()) << "no attempt is left";
+}
+
 TEST(RequestMachine, AnErrorHeadNeverFollowsWhatWasDelivered)
 {
     Case it(repeatable());
