LibDaemon: Send nothing to a target that the end of a stop would interrupt

Callers got 502, as for requests that may have run, at the end of a daemon's stop: they had waited for a place and were sent to a target although the stop ended before they could. Cause: whether a request fits into the stop was decided once, when it was read, and not when it was sent. Now it is decided before each send as well; one that no longer fits is refused as not run.

PlannedStops.RequestsThatWaitForAPlaceAreNotSentWhenTheExitWouldInterruptThem failed before (two of twelve got 502 and ran) and passes.

--- a/Libraries/LibDaemon/LeaveTimes.h
+++ b/Libraries/LibDaemon/LeaveTimes.h
@@ -21,6 +21,14 @@
         std::chrono::duration<double> left = processEnds - now;
         return timeout <= left || (now < holdEnds && expected <= left);
     }
+
+    /// Returns whether an accepted request that has so much time left may still be sent to a target. One that has waited until the
+    /// exit would interrupt it has not run, and another daemon can serve it. Thread-safe.
+    bool maySend(std::chrono::duration<double> timeLeft, std::chrono::duration<double> expected, Time now) const
+    {
+        bool fits = expected.count() > 0 && processEnds != Time::max() && expected <= processEnds - now;
+        return fits || accepts(timeLeft, expected, now);
+    }
 };
 
 }
--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -99,7 +99,7 @@
         co_return;
     FleetTarget const* target = targetOf(m_target);
     post(Request::TargetPicked { leg->leg.attempt, m_target });
-    if (!co_await connect(leg, *target) || finishIfQuarantined(leg))
+    if (!co_await connect(leg, *target) || finishIfNotSendable(leg))
         co_return;
     // The target may meanwhile have announced that it leaves or accepts no requests for now.
     if (!m_context.dispatcher.mayWrite(*target, m_placement)) {
@@ -159,7 +159,7 @@
         dropKv();
     if (dispatch.isWhole)
         phase = Routing::Phase::Decode;
-    while (!finishIfQuarantined(leg)) {
+    while (!finishIfNotSendable(leg)) {
         PlacementOutcome outcome = co_await place(dispatch.excluded, phase);
         if (leg->isAbandoned)
             co_return false;
--- a/Libraries/LibDaemon/RequestPrefill.cpp
+++ b/Libraries/LibDaemon/RequestPrefill.cpp
@@ -29,7 +29,7 @@
     m_context.metrics.countConnection(leg->exchange->isOnKeptConnection());
     if (!leg->exchange->isOnKeptConnection())
         m_context.dispatcher.paths().note(target->key, Routing::PathEvidence::Connected);
-    if (std::optional<Core::Error> refusal = quarantineError())
+    if (std::optional<Core::Error> refusal = sendingError())
         co_return Core::Result<std::string>(std::move(*refusal));
     if (!maySend())
         co_return Core::Result<std::string>(Core::makeError(Core::ErrorCode::Canceled, "the caller left before the prompt was written"));
--- a/Libraries/LibDaemon/RequestRelay.cpp
+++ b/Libraries/LibDaemon/RequestRelay.cpp
@@ -77,6 +77,8 @@
         co_return;
     }
     leg->exchange = std::move(connected.value());
+    if (finishIfNotSendable(leg))
+        co_return;
     post(Request::Connected { leg->leg, {} });
     co_await leg->goAhead.wait();
     if (leg->isAbandoned || !maySend())
--- a/Libraries/LibDaemon/RequestRunner.h
+++ b/Libraries/LibDaemon/RequestRunner.h
@@ -100,8 +100,9 @@
     void postFailure(LegPointer const&, Core::Error const&);
     static bool isEventStream(Http::ResponseHead const&);
     static std::string partsText(std::vector<std::uint64_t> const&);
+    std::optional<Core::Error> sendingError() const;
     std::optional<Core::Error> quarantineError() const;
-    bool finishIfQuarantined(LegPointer const&);
+    bool finishIfNotSendable(LegPointer const&);
     void excludeOtherSuspects(std::vector<std::string>& excluded) const;
     /// What a target that has been sent the request is to do.
     enum class RunStep : std::uint8_t { Prompt,
--- a/Libraries/LibDaemon/RequestSuspicion.cpp
+++ b/Libraries/LibDaemon/RequestSuspicion.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/EventLog.h>
 #include <LibCore/UncaughtException.h>
+#include <LibDaemon/CallerShared.h>
 #include <LibDaemon/RequestRunner.h>
 #include <algorithm>
 #include <array>
@@ -34,6 +35,17 @@
     return text.empty() ? "-" : text;
 }
 
+// Called before each send: why nothing of the request may go to a target now.
+std::optional<Core::Error> RequestRunner::sendingError() const
+{
+    if (m_context.shared.isLeaving) {
+        std::chrono::duration<double> expected { m_context.dispatcher.expectedOutputSeconds(*m_fleet, m_work.name, m_work.shape) };
+        if (!m_context.shared.leaveTimes.maySend(timeLeft(), expected, std::chrono::steady_clock::now()))
+            return Core::makeError(Core::ErrorCode::Unavailable, "This daemon is stopping, and would end before the answer does.");
+    }
+    return quarantineError();
+}
+
 std::optional<Core::Error> RequestRunner::quarantineError() const
 {
     for (std::size_t n = 0; n < m_parts.size(); ++n) {
@@ -57,9 +69,9 @@
 }
 
 // Returns whether the attempt was ended.
-bool RequestRunner::finishIfQuarantined(LegPointer const& leg)
+bool RequestRunner::finishIfNotSendable(LegPointer const& leg)
 {
-    std::optional<Core::Error> error = quarantineError();
+    std::optional<Core::Error> error = sendingError();
     if (!error)
         return false;
     std::chrono::milliseconds retryAfter = error->code == Core::ErrorCode::Quarantined ? retryAfterQuarantine : std::chrono::milliseconds(0);
--- a/Libraries/LibDaemon/TrafficContext.h
+++ b/Libraries/LibDaemon/TrafficContext.h
@@ -27,6 +27,7 @@
 using FindingsHook = std::function<void(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> cleared)>;
 
 class RequestRunner;
+struct CallerShared;
 
 /// What the requests of one traffic thread work with. Only the dispatcher, the budget and the guard are shared with other
 /// threads. Use from the thread only.
@@ -51,6 +52,7 @@
     OriginHook findOrigin; ///< Empty: nothing but `origins` tells.
     FleetPointer fleet; ///< The newest; a request keeps the one that it began with.
     std::set<RequestRunner*>& runners; ///< All that exist, also those whose caller is gone. Outlives the event loop.
+    CallerShared const& shared;
 };
 
 }
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -53,7 +53,7 @@
     , m_peerClient(Http::Client::create(m_context, peerClientSettings(parts.settings.targets)))
     , m_engines(Platform::createHttpEngineControl(*m_client))
     , m_peers(std::move(peers))
-    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_peerClient, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, parts.origins, parts.findOrigin, std::make_shared<FleetSnapshot>(), m_runners }
+    , m_traffic { m_context, parts.settings, parts.dispatcher, parts.budgetOf, *m_client, *m_peerClient, *m_engines, parts.targets, parts.callers, *m_peers, parts.mix, parts.shared.metrics, parts.guard, parts.usage, parts.onFindings, parts.onLeaving, parts.origins, parts.findOrigin, std::make_shared<FleetSnapshot>(), m_runners, parts.shared }
     , m_api(std::make_unique<CallerApi>(m_traffic, parts.shared))
     , m_idleTimer(m_context)
 {
--- a/Tests/LibDaemon/TestLeaveTimes.cpp
+++ b/Tests/LibDaemon/TestLeaveTimes.cpp
@@ -23,8 +23,19 @@
     EXPECT_FALSE(times.accepts(1500ms, 0s, start + 6s));
 }
 
+// Guards against requests that wait for a place, and are sent to a target when the exit would interrupt them.
+TEST(LeaveTimes, SendsWhatCanEndBeforeTheExit)
+{
+    EXPECT_TRUE(times.maySend(15s, 0s, start + 1s)) << "its duration is unknown, and callers still connect";
+    EXPECT_FALSE(times.maySend(15s, 0s, start + 4s)) << "its duration is unknown, and it may take longer";
+    EXPECT_TRUE(times.maySend(15s, 2s, start + 4s)) << "it has been accepted";
+    EXPECT_FALSE(times.maySend(15s, 4s, start + 4s));
+    EXPECT_TRUE(times.maySend(3s, 0s, start + 4s)) << "its time is over before";
+}
+
 TEST(LeaveTimes, AcceptsEverythingWithoutAProcessEnd)
 {
     constexpr Daemon::LeaveTimes endless { start + 3s, Time::max() };
     EXPECT_TRUE(endless.accepts(600s, 500s, start + 100s));
+    EXPECT_TRUE(endless.maySend(600s, 500s, start + 100s));
 }
