LibRequest: Have a silent host's prompt computed elsewhere

Since a silence no longer ends what has nowhere else to go, a prompt of a request that may not be repeated waited for a silent target too. Computing a prompt has no effects: it may be sent elsewhere as long as an attempt is left, as before.

RequestMachine.SaysWhetherAnotherTargetMayGetTheRequest demands it, and failed without the change.

--- a/Libraries/LibRequest/RequestMachine.cpp
+++ b/Libraries/LibRequest/RequestMachine.cpp
@@ -43,8 +43,9 @@
 
 bool RequestMachine::maySendElsewhere() const
 {
-    bool isRepeatable = m_delivered == 0 ? m_profile.isRepeatable && !m_profile.goesToHome : mayContinue();
-    return isRepeatable && m_allowance.left() > 0;
+    // Until the request is written, nothing but its prompt can be at a target.
+    bool isRepeatable = m_phase == Phase::Connecting || (m_profile.isRepeatable && !m_profile.goesToHome);
+    return (m_delivered == 0 ? isRepeatable : mayContinue()) && m_allowance.left() > 0;
 }
 
 Core::Verdict RequestMachine::verdict() const
--- a/Tests/LibRequest/TestRequestMachine.cpp
+++ b/Tests/LibRequest/TestRequestMachine.cpp
@@ -140,7 +140,11 @@
             profile.mayContinue = mayContinue;
             profile.maxAttempts = 2;
             Case it(profile);
-            it.stream(0);
+            it.feed(Admitted {});
+            it.feed(TargetPicked { 1, "prefill-1" });
+            EXPECT_TRUE(it.machine.maySendElsewhere()) << "a prompt may be computed twice";
+            it.write(1);
+            it.feed(ResponseHead { { 1, 1 }, 200 });
             EXPECT_EQ(it.machine.maySendElsewhere(), isRepeatable) << "nothing is delivered";
             it.feed(Piece { { 1, 1 }, 0, "x", true });
             EXPECT_EQ(it.machine.maySendElsewhere(), isRepeatable && mayContinue);
