LibHttp: Ask no host on whose connection nobody waits

A check that was still due when a response had ended asked a silent host by new connections, on behalf of a kept connection that the kernel's probes end anyway. It costs the host connections and tells nobody anything. TestHttp's Silen* and Slow* pass (22), as do the three of SilentHosts; no test failed before, since asking too often is no fault to a caller.

--- a/Libraries/LibHttp/SilenceWatch.cpp
+++ b/Libraries/LibHttp/SilenceWatch.cpp
@@ -121,20 +121,23 @@
         return;
     if (kernelTimes() == KernelTimes::Told && m_isLeftToKernel)
         takeFromKernel();
+    // What nobody waits for is left to the kernel's probes.
+    if (m_writes == 0 && !m_isWaiting && !state->isWaiting())
+        return;
+    // A caller that waits for its answer need not be heard.
     if (!state->isWaiting() && !m_hooks.askHost)
-        state->unansweredProbes = 0; // A caller that waits for its answer need not be heard.
+        state->unansweredProbes = 0;
     Silence silence = m_detector.sample(*state, now, m_hostAnsweredAt);
     if (silence == Silence::Unexplained && m_hooks.askHost)
         m_hostAnsweredAt = m_hooks.askHost();
-    bool mayEnd = m_writes > 0 || m_isWaiting || state->isWaiting();
-    bool ends = silence == Silence::ConnectionLost || (silence == Silence::Unexplained && (m_endsUnexplained || !m_hooks.askHost));
-    if (ends && mayEnd) {
+    bool endsUnexplained = m_endsUnexplained || !m_hooks.askHost;
+    if (silence == Silence::ConnectionLost || (silence == Silence::Unexplained && endsUnexplained)) {
         std::exchange(m_hooks.onSilent, nullptr)(silence);
         return;
     }
     if (state->isWaiting() || m_writes > 0 || silence != Silence::None)
         checkLater(m_interval);
-    else if (m_isWaiting && needsIdleChecks())
+    else if (needsIdleChecks())
         checkLater(idleInterval());
 }
 
