LibHttp: Ask a silent host less often the longer it does not answer

Each endpoint whose connections are silent was asked by a new connection five times a second: where a zone of many targets is out of reach, each daemon would open hundreds of connections a second to hosts that do not answer. The interval doubles now up to 1.6 s while a host does not answer. By reading; no test failed before. HostProbes.ManyWhoAskAtOnceMakeOneConnection and two more hold what is asked of the class.

--- a/Libraries/LibHttp/HostProbes.cpp
+++ b/Libraries/LibHttp/HostProbes.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/UncaughtException.h>
 #include <LibHttp/HostProbes.h>
 #include <LibHttp/StreamConnect.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <utility>
@@ -9,8 +10,9 @@
 
 namespace {
 
-// A host that is silent is asked at most this often.
+// Between two connections to a host; it doubles while the host does not answer, since many may be silent at once.
 constexpr std::chrono::milliseconds leastInterval { 200 };
+constexpr std::chrono::milliseconds longestInterval { 1'600 };
 constexpr std::chrono::seconds rememberedFor { 60 };
 
 }
@@ -32,7 +34,7 @@
     Time now = std::chrono::steady_clock::now();
     forgetOld(now);
     Host& host = m_hosts[endpoint];
-    if (!host.isAsked && now - host.askedAt >= leastInterval) {
+    if (!host.isAsked && now - host.askedAt >= std::max(host.interval, leastInterval)) {
         host.isAsked = true;
         host.askedAt = now;
         boost::asio::co_spawn(
@@ -47,8 +49,10 @@
     boost::system::error_code ec = co_await connectStream(stream, endpoint, m_local, m_connectTimeout);
     Host& host = m_hosts[endpoint];
     host.isAsked = false;
-    if (!ec || ec == boost::asio::error::connection_refused)
+    bool hasAnswered = !ec || ec == boost::asio::error::connection_refused;
+    if (hasAnswered)
         host.answeredAt = begunAt;
+    host.interval = hasAnswered ? leastInterval : std::min(2 * std::max(host.interval, leastInterval), longestInterval);
 }
 
 void HostProbes::forgetOld(Time now)
--- a/Libraries/LibHttp/HostProbes.h
+++ b/Libraries/LibHttp/HostProbes.h
@@ -11,8 +11,8 @@
 
 namespace Http {
 
-/// Finds out with new connections whether hosts answer: one connection at a time for each endpoint, whoever asks. A host that refuses
-/// a connection answers as well. Use from the executor's thread only.
+/// Finds out with new connections whether hosts answer: one connection at a time for each endpoint, whoever asks, and
+/// fewer while a host does not answer. One that refuses a connection answers as well. Use from the executor's thread only.
 class HostProbes : public std::enable_shared_from_this<HostProbes> {
 public:
     using Time = std::chrono::steady_clock::time_point;
@@ -28,6 +28,7 @@
     struct Host {
         std::optional<Time> answeredAt; ///< When the connection was begun.
         Time askedAt;
+        std::chrono::milliseconds interval { 0 }; ///< Until the next one at least.
         bool isAsked { false }; ///< A connection is under way.
     };
 
