--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -126,7 +126,7 @@
     co_await readAnswer(leg, send);
 }
 
-// A silent host may still be at work. What has nowhere else to go waits for it.
+// The target of a silent host may still be at work: a request that has nowhere else to go waits for it.
 void RequestRunner::setOnSilence(UpstreamLeg& leg) const
 {
     leg.exchange->setOnSilence(m_machine.maySendElsewhere() ? Http::OnSilence::Fail : Http::OnSilence::Wait);
--- a/Libraries/LibDaemon/RequestRunner.cpp
+++ b/Libraries/LibDaemon/RequestRunner.cpp
@@ -223,7 +223,7 @@
     } else if (Request::DeliverPiece* piece = std::get_if<Request::DeliverPiece>(&action)) {
         Clock::time_point now = Clock::now();
         m_streamTarget = m_target;
-        // What has been delivered may keep the rest from another target.
+        // Once a part is delivered, the rest may have to come from the same target.
         if (m_leg && m_leg->exchange)
             setOnSilence(*m_leg);
         if (piece->position == 0) {
--- a/Libraries/LibHttp/HostProbes.h
+++ b/Libraries/LibHttp/HostProbes.h
@@ -39,7 +39,7 @@
     boost::asio::any_io_executor m_executor;
     std::optional<boost::asio::ip::address> m_local;
     std::chrono::milliseconds m_connectTimeout;
-    std::map<boost::asio::ip::tcp::endpoint, Host> m_hosts; ///< Those that were asked of late.
+    std::map<boost::asio::ip::tcp::endpoint, Host> m_hosts; ///< Endpoints asked within the last minute.
 };
 
 }
--- a/Libraries/LibHttp/SilenceDetector.cpp
+++ b/Libraries/LibHttp/SilenceDetector.cpp
@@ -6,9 +6,9 @@
 
 // The kernel rounds times to ticks, so that an older acknowledgement may seem to be a new one.
 constexpr std::chrono::milliseconds tick { 10 };
-// One that has no answer may be lost, and a host limits how often it answers window probes.
+// A single probe may be lost, and a host limits how often it answers window probes.
 constexpr std::uint32_t leastUnansweredProbes = 2;
-// Segments that a host does not acknowledge while it answers new connections; one may be lost.
+// Segments without an acknowledgement while the host answers new connections; a single one may be lost.
 constexpr std::uint32_t leastUnansweredByLiveHost = 2;
 
 }
