LibHttp: Hold a request's body once

Cause: the body was copied from the request that was read into the one for the target, from there into each attempt's, and again into the message that is written.

Change: Http::Body shares the bytes, immutable, between all of these; the message that is written refers to them.

It works because nobody changes a body behind the reader: what differs between attempts are fields.

--- a/Libraries/LibDaemon/PeerMessages.cpp
+++ b/Libraries/LibDaemon/PeerMessages.cpp
@@ -105,7 +105,7 @@
     message.set_method(forwarded.request.method);
     message.set_target(forwarded.request.target);
     addFields(message, forwarded.request.fields);
-    message.set_body(forwarded.request.body);
+    message.set_body(forwarded.request.body.text());
     message.set_request_id(forwarded.requestId);
     message.set_is_collection(forwarded.isCollection);
     if (forwarded.from.unit == Request::AnswerOffset::Unit::Bytes)
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -53,7 +53,8 @@
 
 /// A request on its way to the server. Shared with the coroutine that writes it, which may outlive the exchange.
 struct ConnectionExchange::Writing {
-    Beast::http::request<Beast::http::string_body> message;
+    Beast::http::request<Beast::http::span_body<char const>> message;
+    Body body; ///< That the message refers to.
     bool hasWritten { false }; ///< The kernel took at least one byte.
     bool isDone { false };
     boost::system::error_code ec;
@@ -93,7 +94,7 @@
 void ConnectionExchange::beginWriting(Request const& request)
 {
     m_writing = std::make_shared<Writing>();
-    Beast::http::request<Beast::http::string_body>& message = m_writing->message;
+    Beast::http::request<Beast::http::span_body<char const>>& message = m_writing->message;
     message.version(httpVersion11);
     message.method_string(request.method);
     message.target(request.target);
@@ -105,7 +106,8 @@
     }
     m_isHeadMethod = message.method() == Beast::http::verb::head;
     (m_isHeadMethod ? m_connection->hasCarriedHead : m_connection->hasCarriedOther) = true;
-    message.body() = request.body;
+    m_writing->body = request.body;
+    message.body() = { request.body.text().data(), request.body.size() };
     message.prepare_payload();
     if (m_connection->silenceWatch) {
         m_connection->silenceWatch->setEndsUnexplained(m_settings.onSilence == OnSilence::Fail);
@@ -118,7 +120,7 @@
 
 Asio::awaitable<void> ConnectionExchange::writeAll(std::shared_ptr<ClientConnection> connection, std::shared_ptr<Writing> writing)
 {
-    Beast::http::request_serializer<Beast::http::string_body> serializer(writing->message);
+    Beast::http::request_serializer<Beast::http::span_body<char const>> serializer(writing->message);
     while (!writing->ec && !serializer.is_done()) {
         if (connection->silenceWatch)
             connection->silenceWatch->beginWrite();
--- a/Libraries/LibHttp/Message.h
+++ b/Libraries/LibHttp/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/Body.h>
 #include <LibHttp/Fields.h>
 #include <LibHttp/Status.h>
 #include <chrono>
@@ -13,7 +14,7 @@
     std::string method { "GET" };
     std::string target { "/" }; ///< Path and query, as sent.
     Fields fields;
-    std::string body;
+    Body body;
     std::chrono::milliseconds waited { 0 }; ///< Of one that a server has read: since its last byte arrived; 0 if the kernel does not tell.
 };
 
--- a/Libraries/LibStandIn/DutyServiceApi.cpp
+++ b/Libraries/LibStandIn/DutyServiceApi.cpp
@@ -56,7 +56,7 @@
 {
     Http::Response response = take(request, "usage");
     if (response.status == static_cast<std::uint16_t>(Http::Status::Ok)) {
-        boost::json::object report = boost::json::parse(request.body).as_object();
+        boost::json::object report = boost::json::parse(request.body.text()).as_object();
         report["holder"] = std::string(request.fields.find("X-Duty-Holder").value_or(""));
         report["fencing"] = fencingOf(request);
         m_reports.push_back(std::move(report));
@@ -66,7 +66,7 @@
 
 Http::Response DutyServiceApi::takeOrder(Http::Request const& request)
 {
-    boost::json::object order = boost::json::parse(request.body).as_object();
+    boost::json::object order = boost::json::parse(request.body.text()).as_object();
     Http::Response response = take(request, std::string(order.at("service").as_string()) + "/" + std::string(order.at("zone").as_string()));
     if (response.status == static_cast<std::uint16_t>(Http::Status::Ok))
         m_orders.push_back(std::move(order));
--- a/Libraries/LibStandIn/LogApi.cpp
+++ b/Libraries/LibStandIn/LogApi.cpp
@@ -68,7 +68,7 @@
 boost::asio::awaitable<void> LogApi::serveAppend(std::string const& stream, Http::Request& request, Http::ResponseWriter& writer)
 {
     co_await delay(m_store.faults());
-    Core::Result<std::uint64_t> offset = m_store.append(stream, std::move(request.body));
+    Core::Result<std::uint64_t> offset = m_store.append(stream, request.body.text());
     if (!offset) {
         (void)co_await writer.send(errorResponse(offset.error()));
         co_return;
--- a/Libraries/LibStandIn/RunnerApi.cpp
+++ b/Libraries/LibStandIn/RunnerApi.cpp
@@ -78,11 +78,12 @@
         std::string value = entry(address);
         std::string const& key = m_settings.incarnation;
         std::uint32_t size = static_cast<std::uint32_t>(1 + key.size() + value.size());
-        Http::Request request { "POST", "/currantvale/log-append?topic=keyed.servers&part=0", {}, {} };
+        std::string record;
         for (unsigned shift : { 24U, 16U, 8U, 0U })
-            request.body += static_cast<char>(size >> shift & 0xffU);
-        request.body += static_cast<char>(key.size());
-        request.body += key + value;
+            record += static_cast<char>(size >> shift & 0xffU);
+        record += static_cast<char>(key.size());
+        record += key + value;
+        Http::Request request { "POST", "/currantvale/log-append?topic=keyed.servers&part=0", {}, std::move(record) };
         // A heartbeat that is lost is followed by the next.
         std::ignore = co_await m_client->fetch(m_settings.store, request);
         timer.expires_after(heartbeatInterval);
@@ -135,7 +136,7 @@
 
 Http::Response RunnerApi::order(Http::Request const& request)
 {
-    boost::json::object body = boost::json::parse(request.body).as_object();
+    boost::json::object body = boost::json::parse(request.body.text()).as_object();
     std::uint64_t fencing = numberUnder(body, "fence_token", 0);
     Http::Response response;
     if (fencing < m_fencing)
@@ -253,7 +254,7 @@
         writer.abort();
         co_return;
     }
-    Http::Response response { 200, sealed(request), request.method + " " + request.target + " " + request.body };
+    Http::Response response { 200, sealed(request), request.method + " " + request.target + " " + request.body.text() };
     std::ignore = co_await writer.send(std::move(response));
 }
 
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -68,7 +68,7 @@
 
 Http::Response echoOf(Http::Request const& request)
 {
-    return { 200, { { "X-Method", request.method } }, request.body };
+    return { 200, { { "X-Method", request.method } }, request.body.text() };
 }
 
 Asio::awaitable<void> echo(Http::Request& request, Http::ResponseWriter& writer)
--- a/Tests/Processes/RawCaller.cpp
+++ b/Tests/Processes/RawCaller.cpp
@@ -57,7 +57,7 @@
     std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (Http::Fields::Entry const& it : request.fields.entries())
         bytes += it.first + ": " + it.second + "\r\n";
-    return bytes + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+    return bytes + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body.text();
 }
 
 }
--- a/Tests/platform/TestKeys.cpp
+++ b/Tests/platform/TestKeys.cpp
@@ -52,7 +52,7 @@
 
 std::string textOf(Http::Request const& request)
 {
-    std::string text = request.method + request.target + request.body;
+    std::string text = request.method + request.target + request.body.text();
     for (Http::Fields::Entry const& entry : request.fields.entries())
         text += entry.first + ":" + entry.second + "\n";
     return text;
