LibHttp: Take a request's fields from its head alone

What callers saw: fields behind a chunked body reached the target as fields of the request (trial on: X-Trailed arrived), and a trailer named Host, Connection or X-Request-Id changed what the head had said of the request.

Cause: the parser adds trailers to the message's fields, and the request was made of them when its body had come.

Evidence: HttpServer.TrailersAreNoFieldsOfTheRequest failed on (400, "exactly one Host field is required").

Change: the request is made of the head before the body is read; what comes behind the body is dropped (RFC 9110, section 6.5.1). What is wrong with a head is now told before its body has come.

Why it works: nothing reads the parser's fields once the body is being read.

--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -20,14 +20,13 @@
 
 std::string toString(Beast::string_view text) { return { text.data(), text.size() }; }
 
-Request takeRequest(Beast::http::request<Beast::http::string_body>& message)
+Request takeHead(Beast::http::request<Beast::http::string_body> const& message)
 {
     Request request;
     request.method = toString(message.method_string());
     request.target = toString(message.target());
     for (Beast::http::fields::value_type const& field : message)
         request.fields.add(toString(field.name_string()), toString(field.value()));
-    request.body = std::move(message.body());
     return request;
 }
 
@@ -83,16 +82,19 @@
     parser.header_limit(static_cast<std::uint32_t>(m_settings.headLimit));
     parser.body_limit(m_settings.bodyLimit);
     co_await Beast::http::async_read_header(m_stream, m_buffer, parser, Asio::redirect_error(Asio::use_awaitable, ec));
-    if (!ec)
-        ec = co_await readBody(parser);
     if (ec)
         co_return failed(ec);
+    // RFC 9110, section 6.5.1: the parser adds trailers to the fields, which hold for the request only as the head has them.
     RequestRead read;
     read.version = parser.get().version();
     read.keepsAlive = parser.get().keep_alive();
-    read.request = takeRequest(parser.get());
+    read.request = takeHead(parser.get());
     if (std::string_view invalid = problemOf(*read.request, read.version >= httpVersion11); !invalid.empty())
         co_return rejected(Status::BadRequest, std::string(invalid));
+    ec = co_await readBody(parser);
+    if (ec)
+        co_return failed(ec);
+    read.request->body = std::move(parser.get().body());
     co_return read;
 }
 
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -126,6 +126,23 @@
     });
 }
 
+// Guards against trailers that a target takes for fields of the head, and that end or confuse the connection: RFC 9110, section 6.5.1.
+TEST_F(HttpServer, TrailersAreNoFieldsOfTheRequest)
+{
+    start([](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        Http::Response response;
+        response.body = "trailed: " + std::string(request.fields.find("X-Trailed").value_or("no"));
+        std::ignore = co_await writer.send(std::move(response));
+    });
+    std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n";
+    std::string body = "\r\n4\r\nbody\r\n0\r\nX-Trailed: yes\r\nHost: b\r\nConnection: close\r\n\r\n";
+    std::string answers = exchangeRaw(head + body + head + "Connection: close\r\n" + body);
+    EXPECT_EQ(answers.find("trailed: yes"), std::string::npos) << answers;
+    std::size_t first = answers.find("trailed: no");
+    EXPECT_NE(first, std::string::npos) << answers;
+    EXPECT_NE(answers.find("trailed: no", first + 1), std::string::npos) << answers;
+}
+
 TEST_F(HttpServer, BrokenStreamIsAnErrorThatMayHaveRun)
 {
     start([](Http::Request&, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
