LibDaemon: Bound the memory of all requests by one budget

What callers saw: a daemon that ran out of memory and ended, and all of its callers' requests with it, because some clients sent many large bodies, whole, or stopping just short of their end, or chunked ones without an end.

Cause: nothing bounded the sum. Each of some thousand connections could hold a body of the largest legal size, for the 30 seconds that a body may take; freed memory stayed with the process; the kernel held megabytes more of each connection that was not read at once.

Change: Core::MemoryBudget, a quarter of the process's memory ([limits] memory_mb, which the platform fills in, else the machine's). A request claims what it is going to hold at its head, a chunked one as it comes; the claim goes with the shared body. Beyond the budget the request is refused with 503, after what arrives slowest, and has had a second for it, has made room. A quarter of the budget is for requests up to 64 KiB. Callers' receive buffers are bounded so that all of them together hold an eighth of the memory, answers that nobody reads as much ([limits] held_answer_bytes, which had no limit by default). Large buffers go back to the kernel when they are free.

Why it works: whatever the number of connections and threads, what requests hold is asked for before it is used, and the parts add up to less than the memory. 503 is true: a request that is not whole has not been handed to anyone.

--- a/Libraries/LibCore/Event.h
+++ b/Libraries/LibCore/Event.h
@@ -43,6 +43,7 @@
     ConnectionsAcceptedLate = 2024,
     StreamContinued = 2025,
     StreamRefused = 2026,
+    MemoryRefused = 2027,
     ConfigurationAccepted = 3001,
     ConfigurationRefused = 3002,
     LogUnavailable = 3003,
@@ -90,7 +91,7 @@
     EnginesOrdered = 7006,
 };
 
-inline constexpr EnumNames<Event, 79> eventNames { {
+inline constexpr EnumNames<Event, 80> eventNames { {
     { Event::ProcessStarted, "process-started" },
     { Event::ProcessStopped, "process-stopped" },
     { Event::ShutdownStarted, "shutdown-started" },
@@ -125,6 +126,7 @@
     { Event::ConnectionsAcceptedLate, "connections-accepted-late" },
     { Event::StreamContinued, "stream-continued" },
     { Event::StreamRefused, "stream-refused" },
+    { Event::MemoryRefused, "memory-refused" },
     { Event::ConfigurationAccepted, "configuration-accepted" },
     { Event::ConfigurationRefused, "configuration-refused" },
     { Event::LogUnavailable, "log-unavailable" },
--- a/Libraries/LibDaemon/AnswerRoom.h
+++ b/Libraries/LibDaemon/AnswerRoom.h
@@ -52,6 +52,9 @@
     /// Precondition: the room outlives the share. Thread-safe.
     std::unique_ptr<Share> add(std::function<void(std::uint64_t heldBytes)> cut);
 
+    /// Returns whether there is a limit. Thread-safe.
+    bool hasLimit() const { return m_limit > 0; }
+
     /// Returns the bytes held. Thread-safe.
     std::uint64_t heldBytes() const;
 
--- a/Libraries/LibDaemon/CallerApi.cpp
+++ b/Libraries/LibDaemon/CallerApi.cpp
@@ -157,7 +157,7 @@
         if (std::shared_ptr<RequestRunner> alive = weak.lock())
             alive->callerLeft();
     });
-    if (m_context.settings.limits.heldAnswerBytes > 0)
+    if (m_shared.answerRoom.hasLimit())
         sink->limitBy(m_shared.answerRoom, m_context.context.get_executor(), [weak = std::weak_ptr<RequestRunner>(runner)] {
             if (std::shared_ptr<RequestRunner> alive = weak.lock())
                 alive->callerLeft();
--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -72,8 +72,18 @@
     return daemon;
 }
 
+std::uint64_t Daemon::heldAnswerLimit() const
+{
+    return m_settings.limits.heldAnswerBytes > 0 ? m_settings.limits.heldAnswerBytes : m_memoryPlan.answerBytes;
+}
+
 Core::Result<void> Daemon::setUp()
 {
+    ProcessLimits process = ProcessLimits::read(m_settings.limits.memoryMegabytes);
+    m_memoryPlan = MemoryPlan::of(process, m_settings.callers.server.connectionLimit * m_settings.daemon.trafficThreads);
+    Core::MemoryBudget::Settings memory;
+    memory.limitBytes = m_memoryPlan.requestBytes;
+    m_memory = Core::MemoryBudget::create(memory);
     BOOST_OUTCOME_TRY(m_dispatcher, Dispatcher::create(m_settings, randomNumber()));
     std::vector<std::uint8_t> secret(secretSize);
     fillRandom(secret);
@@ -83,7 +93,7 @@
     limits.maxAnswerBytes = std::min(limits.maxAnswerBytes, limits.maxBytes);
     BOOST_OUTCOME_TRY(m_keeper, AnswerKeeper::create(std::move(issuer), limits, Request::OnceTable::Settings()));
     std::string prefix = m_settings.daemon.name + "-" + Request::formatIncarnation(m_incarnation).substr(0, 8) + "-";
-    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, m_metrics, false, 1, {}, AnswerRoom(m_settings.limits.heldAnswerBytes) });
+    m_shared.reset(new CallerShared { m_settings.daemon.name, std::move(prefix), *m_keeper, m_metrics, false, 1, {}, AnswerRoom(heldAnswerLimit()) });
     Peer::Settings peers;
     peers.senderName = m_settings.daemon.name;
     peers.senderIncarnation = m_incarnation;
@@ -100,7 +110,7 @@
     BudgetHook budgetOf = [this](Work const& work) -> Request::RetryBudget& {
         return m_settings.limits.retryExtra > 0 ? m_sharedBudgets.of(work.name) : m_retryBudget;
     };
-    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, m_usage, nullptr, nullptr, m_origins, nullptr };
+    TrafficParts parts { m_settings, *m_dispatcher, m_mix, *m_shared, m_adapters.targets, m_adapters.callers, std::move(budgetOf), m_guard, m_usage, nullptr, nullptr, m_origins, nullptr, m_memoryPlan, m_memory };
     parts.onFindings = [this](std::vector<Quarantine::Finding> const& findings, std::optional<Quarantine::WorkKey> const& cleared) {
         boost::asio::post(m_control, [this, findings, cleared] { noteFindings(findings, cleared); });
     };
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -33,6 +33,7 @@
 private:
     Daemon(Settings::DaemonSettings, Adapters, SettingsReader);
     Core::Result<void> setUp();
+    std::uint64_t heldAnswerLimit() const;
     void publish(FleetPointer const&);
     void callWhenApplied(std::function<void()>);
     Core::Result<void> createTraffic(Peer::Settings const&);
@@ -84,6 +85,8 @@
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<AnswerKeeper> m_keeper;
     std::unique_ptr<CallerShared> m_shared;
+    MemoryPlan m_memoryPlan;
+    std::shared_ptr<Core::MemoryBudget> m_memory; ///< Of all listeners together.
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     std::unique_ptr<Control> m_plane;
     StoreControl* m_storeControl { nullptr }; ///< `m_plane`, where the platform has a store.
--- a/Libraries/LibDaemon/DaemonOperators.cpp
+++ b/Libraries/LibDaemon/DaemonOperators.cpp
@@ -118,6 +118,7 @@
     sample.targetListAge = m_storeControl->targetListAge().value_or(std::chrono::milliseconds(0));
     sample.heldAnswerBytes = m_shared->answerRoom.heldBytes();
     sample.slowReadersCut = m_shared->answerRoom.cutCount();
+    sample.memory = m_memory->usage();
     sample.unsentRecordBytes = m_storeControl->unsentRecordBytes();
     sample.liveDaemons = m_storeControl->liveDaemons();
     for (FleetTarget const& target : m_storeControl->fleet()->targets)
--- a/Libraries/LibDaemon/Metrics.cpp
+++ b/Libraries/LibDaemon/Metrics.cpp
@@ -211,6 +211,11 @@
     m_values.Add({ { "of", "target_list_age_seconds" } }).Set(std::chrono::duration<double>(sample.targetListAge).count());
     m_values.Add({ { "of", "held_answer_bytes" } }).Set(static_cast<double>(sample.heldAnswerBytes));
     m_values.Add({ { "of", "slow_readers_cut" } }).Set(static_cast<double>(sample.slowReadersCut));
+    m_values.Add({ { "of", "request_memory_limit_bytes" } }).Set(static_cast<double>(sample.memory.limitBytes));
+    m_values.Add({ { "of", "arriving_request_bytes" } }).Set(static_cast<double>(sample.memory.arrivingBytes));
+    m_values.Add({ { "of", "whole_request_bytes" } }).Set(static_cast<double>(sample.memory.wholeBytes));
+    m_values.Add({ { "of", "request_memory_refusals" } }).Set(static_cast<double>(sample.memory.refusals));
+    m_values.Add({ { "of", "request_memory_revocations" } }).Set(static_cast<double>(sample.memory.revocations));
     m_values.Add({ { "of", "unsent_record_bytes" } }).Set(static_cast<double>(sample.unsentRecordBytes));
     m_values.Add({ { "of", "live_daemons" } }).Set(static_cast<double>(sample.liveDaemons));
     m_values.Add({ { "of", "open_targets" } }).Set(static_cast<double>(sample.openTargets));
--- a/Libraries/LibDaemon/Metrics.h
+++ b/Libraries/LibDaemon/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibCore/Verdict.h>
 #include <LibFleet/ReadTurn.h>
 #include <LibHttp/ConnectionEnd.h>
@@ -29,6 +30,7 @@
     std::uint64_t keptAnswerBytes { 0 };
     std::uint64_t heldAnswerBytes { 0 }; ///< For callers that have not read them yet; counted with `[limits] held_answer_bytes`.
     std::uint64_t slowReadersCut { 0 };
+    Core::MemoryBudget::Usage memory {}; ///< Of requests.
     std::size_t rememberedTickets { 0 };
     std::size_t blockedChanges { 0 };
     std::uint64_t roleChanges { 0 };
--- a/Libraries/LibDaemon/TrafficThread.cpp
+++ b/Libraries/LibDaemon/TrafficThread.cpp
@@ -5,15 +5,12 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
-#include <limits>
-#include <sys/resource.h>
 
 namespace Daemon {
 
 namespace {
 
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
-constexpr rlim_t callerDescriptorsInQuarters = 3; ///< Callers' connections' share of the process's descriptors.
 constexpr std::chrono::milliseconds lateAccept { 200 }; ///< For an event beside the metric.
 
 // Peers are reached over the VM's own network, whatever leads to the targets.
@@ -23,15 +20,6 @@
     return settings;
 }
 
-// Targets, peers, the store and the other listeners need descriptors too: without them no request can be served.
-std::size_t mostCallerConnections(std::size_t threads)
-{
-    rlimit limit {};
-    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
-        return std::numeric_limits<std::size_t>::max();
-    return std::max<std::size_t>(limit.rlim_cur * callerDescriptorsInQuarters / 4 / threads, 1);
-}
-
 std::string windowText(Http::ConnectionEnd const& end)
 {
     return !end.transmit ? "-" : end.transmit->isWindowClosed ? "closed"
@@ -65,7 +53,9 @@
     BOOST_OUTCOME_TRY(std::shared_ptr<Peer::Clients> clients, Peer::Clients::create(*context, peers));
     std::unique_ptr<TrafficThread> thread(new TrafficThread(std::move(context), std::move(clients), parts));
     Http::ServerSettings server = parts.settings.callers.server;
-    server.connectionLimit = std::min(server.connectionLimit, mostCallerConnections(parts.settings.daemon.trafficThreads));
+    // Targets, peers, the store and the other listeners need descriptors too: without them no request can be served.
+    server.connectionLimit = std::max<std::size_t>(parts.plan.callerConnections / parts.settings.daemon.trafficThreads, 1);
+    server.receiveBuffer = parts.plan.receiveBuffer;
     server.isPortShared = parts.settings.daemon.trafficThreads > 1;
     CallerApi* api = thread->m_api.get();
     Http::Handler handler = [api](Http::Request& request, Http::ResponseWriter& writer) { return api->handle(request, writer); };
@@ -75,6 +65,7 @@
         if (end.isUnanswered())
             logUnanswered(end);
     });
+    thread->m_server->limitMemory(parts.memory, [](Http::MemoryRefusal const& refusal) { logMemoryRefusal(refusal, "callers"); });
     thread->m_server->onAccepted([&metrics = parts.shared.metrics](Http::AcceptedConnections const& accepted) {
         if (accepted.longestWait)
             metrics.observe(TimeOf::Accept, *accepted.longestWait);
--- a/Libraries/LibDaemon/TrafficThread.h
+++ b/Libraries/LibDaemon/TrafficThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDaemon/CallerApi.h>
+#include <LibDaemon/MemoryPlan.h>
 #include <LibDaemon/PeerApi.h>
 #include <LibHttp/Server.h>
 #include <boost/asio/executor_work_guard.hpp>
@@ -27,6 +28,8 @@
     std::function<void(std::uint64_t target)> onLeaving;
     Streams::OriginBook& origins;
     OriginHook findOrigin;
+    MemoryPlan const& plan;
+    std::shared_ptr<Core::MemoryBudget> memory;
 };
 
 /// One thread that serves callers: its own event loop, listener, connections and view of the fleet.
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -20,7 +20,7 @@
 
 std::string toString(Beast::string_view text) { return { text.data(), text.size() }; }
 
-Request takeHead(Beast::http::request<Beast::http::string_body> const& message)
+Request takeHead(Beast::http::request<ClaimedBody> const& message)
 {
     Request request;
     request.method = toString(message.method_string());
@@ -30,6 +30,14 @@
     return request;
 }
 
+std::size_t sizeOf(Request const& request)
+{
+    std::size_t size = request.target.size();
+    for (Fields::Entry const& it : request.fields.entries())
+        size += it.first.size() + it.second.size();
+    return size;
+}
+
 RequestRead rejected(Status problem, std::string message)
 {
     RequestRead read;
@@ -48,14 +56,36 @@
 {
 }
 
+void RequestReader::limitMemory(std::shared_ptr<Core::MemoryBudget> budget, std::function<void()> onRevoked)
+{
+    m_budget = std::move(budget);
+    m_onRevoked = std::move(onRevoked);
+}
+
 Asio::awaitable<RequestRead> RequestReader::read()
 {
     m_stream.expires_never();
+    m_memory.emplace(m_budget, m_onRevoked);
     RequestRead read = co_await readWithTimeouts();
     m_timer.cancel();
+    m_memory.reset();
+    releaseBuffer();
     co_return read;
 }
 
+void RequestReader::checkRevoked()
+{
+    if (m_memory && m_memory->isRevoked())
+        limitTime(std::chrono::milliseconds(0));
+}
+
+// A connection that is kept keeps no more of its buffer than a small request needs.
+void RequestReader::releaseBuffer()
+{
+    if (m_buffer.capacity() > RequestMemory::unclaimedBytes && m_buffer.size() <= readSize)
+        m_buffer.shrink_to_fit();
+}
+
 // Beast's own timeout closes the socket, which leaves no way to tell a slow sender so.
 void RequestReader::limitTime(std::chrono::milliseconds time)
 {
@@ -74,10 +104,19 @@
     Status problem = co_await receiveHead(ec);
     if (problem == Status::HeaderFieldsTooLarge)
         co_return rejected(problem, "the head is larger than " + std::to_string(m_settings.headLimit) + " bytes, or one of its lines larger than " + std::to_string(maxFieldValueSize) + ", which are the limits");
+    if (problem == Status::ServiceUnavailable)
+        co_return withoutRoom();
     if (problem != Status::Ok)
         co_return rejected(problem, "malformed HTTP: a line that does not end with CRLF, or a folded field");
     if (ec)
         co_return failed(ec);
+    co_return co_await readBehindHead();
+}
+
+// The head is whole in the buffer.
+Asio::awaitable<RequestRead> RequestReader::readBehindHead()
+{
+    boost::system::error_code ec;
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_settings.headLimit));
     parser.body_limit(m_settings.bodyLimit);
@@ -91,10 +130,19 @@
     read.request = takeHead(parser.get());
     if (std::string_view invalid = problemOf(*read.request, read.version >= httpVersion11); !invalid.empty())
         co_return rejected(Status::BadRequest, std::string(invalid));
+    std::size_t headBytes = sizeOf(*read.request);
+    parser.get().body().memory = &*m_memory;
+    parser.get().body().otherBytes = m_buffer.capacity();
+    // What has no room is refused before it is sent.
+    if (!m_memory->reserve(m_buffer.capacity() + static_cast<std::size_t>(parser.content_length().value_or(0))))
+        co_return withoutRoom();
     ec = co_await readBody(parser);
     if (ec)
         co_return failed(ec);
-    read.request->body = std::move(parser.get().body());
+    std::optional<Body> body = m_memory->finish(std::move(parser.get().body().text), headBytes);
+    if (!body)
+        co_return withoutRoom();
+    read.request->body = std::move(*body);
     co_return read;
 }
 
@@ -117,12 +165,15 @@
             co_return Status::HeaderFieldsTooLarge;
         // The last byte may be the CR whose LF is still to come.
         checked = head.empty() ? 0 : head.size() - 1;
+        if (!m_memory->grow(bytes.size() + readSize))
+            co_return Status::ServiceUnavailable;
         std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
         if (ec == Asio::error::eof)
             ec = Beast::http::error::partial_message;
         if (ec)
             co_return Status::Ok;
         m_buffer.commit(n);
+        m_memory->noteArrived(n);
     }
 }
 
@@ -145,9 +196,18 @@
     co_return ec;
 }
 
+RequestRead RequestReader::withoutRoom()
+{
+    RequestRead read = rejected(Status::ServiceUnavailable, "there is no memory left for the request beside those that are being received and served");
+    read.isWithoutRoom = true;
+    return read;
+}
+
 RequestRead RequestReader::failed(boost::system::error_code ec) const
 {
     using Problem = Beast::http::error;
+    if (m_memory->isRevoked() || ec == boost::system::errc::not_enough_memory)
+        return withoutRoom();
     if (m_isTimedOut)
         return rejected(Status::RequestTimeout, "the request did not arrive whole in time");
     if (ec == Problem::end_of_stream || ec == Asio::error::operation_aborted || ec == Asio::error::connection_reset)
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -75,6 +75,12 @@
 
     void onAccepted(AcceptHook hook) override { m_shared->onAccepted = std::move(hook); }
 
+    void limitMemory(std::shared_ptr<Core::MemoryBudget> budget, MemoryRefusalHook hook) override
+    {
+        m_shared->memory = std::move(budget);
+        m_shared->onMemoryRefused = std::move(hook);
+    }
+
     void start() override
     {
         Asio::co_spawn(m_acceptor->get_executor(), accept(m_acceptor, m_shared, m_connections), Core::logUncaughtException);
@@ -85,6 +91,7 @@
         ServerSettings kept = m_shared->settings;
         m_shared->settings = settings;
         m_shared->settings.connectionLimit = kept.connectionLimit;
+        m_shared->settings.receiveBuffer = kept.receiveBuffer;
         m_shared->settings.isPortShared = kept.isPortShared;
     }
 
@@ -190,6 +197,9 @@
         acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
     if (!ec && settings.isPortShared)
         acceptor.set_option(PortSharing(true), ec);
+    // Accepted sockets inherit it. It has to be set before the connection is made: the window is scaled by it.
+    if (!ec && settings.receiveBuffer > 0)
+        acceptor.set_option(Asio::socket_base::receive_buffer_size(static_cast<int>(settings.receiveBuffer)), ec);
     if (!ec)
         acceptor.bind(endpoint, ec);
     if (!ec)
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibHttp/ConnectionEnd.h>
 #include <LibHttp/ResponseWriter.h>
 #include <LibHttp/SocketLiveness.h>
@@ -30,6 +31,15 @@
 /// Takes what was accepted. Called on the server's thread.
 using AcceptHook = std::function<void(AcceptedConnections const&)>;
 
+/// A request that was refused because there was no memory for it.
+struct MemoryRefusal {
+    boost::asio::ip::tcp::endpoint caller;
+    Core::MemoryBudget::Usage usage; ///< Behind the refusal.
+};
+
+/// Takes a refused request. Called on the server's thread.
+using MemoryRefusalHook = std::function<void(MemoryRefusal const&)>;
+
 /// Limits and timeouts of a listener.
 struct ServerSettings {
     std::size_t headLimit { 16 * 1024 }; ///< Bytes of request line and fields.
@@ -39,6 +49,7 @@
     std::chrono::milliseconds idleTimeout { 75'000 }; ///< Between requests on a connection.
     std::chrono::milliseconds writeTimeout { 30'000 }; ///< For the peer to take one piece.
     std::size_t connectionLimit { 20'000 };
+    std::size_t receiveBuffer { 0 }; ///< Bytes that the kernel takes of a connection before they are read, about; 0: as many as it likes.
     SocketLiveness liveness; ///< When a caller's connection that went silent counts as lost.
     bool isPortShared { false }; ///< SO_REUSEPORT: several servers of this process share the port.
 };
@@ -59,10 +70,14 @@
     /// Calls `hook` for connections that were accepted. Precondition: as for `onConnectionEnd`.
     virtual void onAccepted(AcceptHook hook) = 0;
 
+    /// Claims what requests hold from `budget`, and calls `hook` for those that find no room. Precondition: as for `onConnectionEnd`.
+    virtual void limitMemory(std::shared_ptr<Core::MemoryBudget> budget, MemoryRefusalHook hook) = 0;
+
     /// Begins to accept connections. Precondition: called once.
     virtual void start() = 0;
 
-    /// Changes limits and timeouts for what is read from now on. The connection limit and the sharing of the port stay.
+    /// Changes limits and timeouts for what is read from now on. Those of connections, their receive buffers and the sharing of the port
+    /// stay.
     virtual void setLimits(ServerSettings const&) = 0;
 
     /// Returns the bound port, also when port 0 was asked for.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/ServerConnection.h>
 #include <LibHttp/SocketQueue.h>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -82,6 +83,18 @@
         m_silenceWatch = watchLiveness(m_stream.socket(), m_shared->settings.liveness, std::move(hooks));
     }
 
+    void limitMemory()
+    {
+        if (!m_shared->memory)
+            return;
+        m_reader.limitMemory(m_shared->memory, [weak = weak_from_this(), executor = m_stream.get_executor()] {
+            Asio::post(executor, [weak] {
+                if (std::shared_ptr<Connection> self = weak.lock())
+                    self->m_reader.checkRevoked();
+            });
+        });
+    }
+
     Asio::awaitable<void> run()
     {
         // A co_await as the condition of a loop makes g++ 12 lose the frame's `this`.
@@ -307,6 +320,8 @@
             co_return std::nullopt;
         m_state = ConnectionState::Reading;
         RequestRead read = co_await m_reader.read();
+        if (read.isWithoutRoom)
+            noteMemoryRefusal();
         if (read.problem != Status::Ok) {
             co_await sendRejection(read.problem, read.message);
             co_return std::nullopt;
@@ -328,6 +343,14 @@
         co_return read.request;
     }
 
+    void noteMemoryRefusal()
+    {
+        if (!m_shared->onMemoryRefused)
+            return;
+        boost::system::error_code ec; // The address is for a log alone.
+        m_shared->onMemoryRefused({ m_stream.socket().remote_endpoint(ec), m_shared->memory->usage() });
+    }
+
     // Waits until the buffer holds the first bytes of a request. Nothing is read before the wait is over, whatever ends it:
     // what the kernel has received by then is served, however late the event loop comes to it.
     Asio::awaitable<bool> waitForRequest()
@@ -399,7 +422,8 @@
         boost::system::error_code ec;
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
         m_stream.expires_after(lingerTime);
-        std::array<char, 16 * 1024> waste;
+        // Nobody looks at what is read, so all connections of a thread read into the same memory.
+        thread_local std::array<char, 16 * 1024> waste;
         for (std::size_t total = 0; !ec && total < lingerLimit;)
             total += co_await m_stream.async_read_some(Asio::buffer(waste), Asio::redirect_error(Asio::use_awaitable, ec));
     }
@@ -432,6 +456,7 @@
     Asio::any_io_executor executor = socket.get_executor();
     std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(shared), std::move(socket), admission);
     connection->watchSilence();
+    connection->limitMemory();
     Asio::co_spawn(
         executor, [connection]() -> Asio::awaitable<void> { co_await connection->run(); }, Core::logUncaughtException);
     return connection;
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -15,6 +15,8 @@
     RejectionHandler rejection;
     ConnectionEndHook onConnectionEnd;
     AcceptHook onAccepted;
+    std::shared_ptr<Core::MemoryBudget> memory; ///< That requests are held in; null: without a limit.
+    MemoryRefusalHook onMemoryRefused;
     std::size_t activeRequests { 0 };
     std::size_t connections { 0 };
     std::size_t refusedConnections { 0 }; ///< Open ones beyond the limit; not of `connections`.
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -103,7 +103,8 @@
         bool sharesPlaces { false }; ///< Daemons divide the places of scarce targets among themselves.
         bool repeatsOverduePrompts { false }; ///< A prompt whose answer is overdue is computed at another target.
         std::uint64_t eventBytes { 1U << 20U }; ///< Of one event of a stream, which is held until it is whole.
-        std::uint64_t heldAnswerBytes { 0 }; ///< Memory for answers that callers have not read yet; 0: no limit.
+        std::uint64_t memoryMegabytes { 0 }; ///< That the process may hold; 0: that of the machine.
+        std::uint64_t heldAnswerBytes { 0 }; ///< Memory for answers that callers have not read yet; 0: an eighth of the process's.
     };
 
     Daemon daemon;
--- a/Services/currantvaled/main.cpp
+++ b/Services/currantvaled/main.cpp
@@ -8,12 +8,14 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <platform/Adapters.h>
 #include <sstream>
 
 namespace {
 
 constexpr int exitBadInput = 2;
+constexpr int mappedBytes = 64 * 1024;
 
 cxxopts::Options makeOptions()
 {
@@ -104,6 +106,9 @@
 
 int main(int argc, char** argv)
 {
+    // Buffers of this size and more are the kernel's again as soon as they are free. By default the threshold grows with what is freed,
+    // and the memory of a burst of large requests stays with the process.
+    ::mallopt(M_MMAP_THRESHOLD, mappedBytes);
     // A SIGHUP that comes while the process starts asks for settings that are about to be read.
     std::signal(SIGHUP, SIG_IGN);
     cxxopts::Options options = makeOptions();
--- a/Tests/Processes/KeyedSite.cpp
+++ b/Tests/Processes/KeyedSite.cpp
@@ -1,5 +1,7 @@
 #include "KeyedSite.h"
 
+#include "DescriptorLimit.h"
+
 #include <LibHttp/Client.h>
 #include <LibPlatform/Json.h>
 #include <algorithm>
@@ -222,6 +224,8 @@
     std::string settings = text.str();
     values["bounds.strict_revoke"] = m_settings.isStrict ? "true" : "false";
     values["bounds.revoke_ms"] = "2000";
+    if (m_settings.memoryMegabytes > 0)
+        values["limits.memory_mb"] = std::to_string(m_settings.memoryMegabytes);
     if (m_settings.hasDuties) {
         values["cloud.addr"] = Http::toString(m_dutyService);
         values["cloud.duty_per_s"] = "50";
@@ -240,6 +244,9 @@
     replaceAll(settings, "metrics = 127.0.0.1:9464\n", "");
     std::string name = (m_folder / (daemonName(n) + ".ini")).string();
     std::ofstream(name) << settings;
+    std::optional<DescriptorLimit> limit;
+    if (m_settings.descriptorLimit > 0)
+        limit.emplace(m_settings.descriptorLimit);
     spawn(daemonName(n), { program("currantvaled"), "--settings", name }, m_settings.processorShare);
 }
 
--- a/Tests/Processes/KeyedSite.h
+++ b/Tests/Processes/KeyedSite.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <sys/resource.h>
 #include <vector>
 
 namespace Processes {
@@ -34,6 +35,8 @@
     bool hasLongStreams { false }; ///< Streams last one to four seconds, by their engine, as on the sites; else a tenth of one.
     bool isUneven { false }; ///< Targets of a service differ in speed, and plain ones have few places.
     double processorShare { 1 }; ///< Of a daemon, as on small VMs; 1: no quota.
+    std::size_t memoryMegabytes { 0 }; ///< Of a daemon's VM; 0: of this machine.
+    rlim_t descriptorLimit { 0 }; ///< Of a daemon; 0: that of this process.
     int leaveHoldMs { 8'000 }; ///< How long a leaving daemon accepts: a slow machine needs time to ask it.
 };
 
@@ -102,6 +105,8 @@
     Endpoint const& dutyService() const { return m_dutyService; }
     Endpoint const& store() const { return m_store; }
     Endpoint const& front(std::size_t daemon) const { return m_daemons.at(daemon).front; }
+    Endpoint const& directory(std::size_t daemon) const { return m_daemons.at(daemon).directory; }
+    Endpoint const& ready(std::size_t daemon) const { return m_daemons.at(daemon).ready; }
     Endpoint const& operators(std::size_t daemon) const { return m_daemons.at(daemon).operators; }
     std::vector<Endpoint> engines() const { return endpointsOf("engine-"); }
     std::vector<Endpoint> apps() const { return endpointsOf("app-"); }
--- a/Tests/Processes/Process.h
+++ b/Tests/Processes/Process.h
@@ -24,6 +24,7 @@
     void send(int signal) const;
     /// Kills it and waits until it is gone.
     void kill();
+    pid_t id() const { return m_pid; }
     /// Returns the exit status once it has ended (128 + N after signal N), or nothing while it runs.
     std::optional<int> status();
 
--- a/Tests/Processes/TestDescriptorLimit.cpp
+++ b/Tests/Processes/TestDescriptorLimit.cpp
@@ -1,12 +1,12 @@
 // More callers than a daemon has descriptors for.
 
+#include "DescriptorLimit.h"
 #include "KeyedSite.h"
 #include "RawCaller.h"
 
 #include <csignal>
 #include <gtest/gtest.h>
 #include <memory>
-#include <sys/resource.h>
 
 using namespace Processes;
 using namespace std::chrono_literals;
@@ -15,24 +15,6 @@
 
 constexpr rlim_t descriptors = 300;
 
-/// Lowers what processes that are started from now on may open, until this object ends.
-class DescriptorLimit {
-public:
-    explicit DescriptorLimit(rlim_t limit)
-    {
-        EXPECT_EQ(::getrlimit(RLIMIT_NOFILE, &m_former), 0);
-        rlimit lowered { limit, m_former.rlim_max };
-        EXPECT_EQ(::setrlimit(RLIMIT_NOFILE, &lowered), 0);
-    }
-
-    ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &m_former); }
-    DescriptorLimit(DescriptorLimit const&) = delete;
-    DescriptorLimit& operator=(DescriptorLimit const&) = delete;
-
-private:
-    rlimit m_former {};
-};
-
 }
 
 // Guards against idle callers who take all descriptors, so that nobody is served and those who wait are reset when their daemon stops.
