LibDaemon: Bound what callers take up at listeners that need no body

What callers saw: the same end of a daemon, by bodies sent to the directory, the platform's checks or operators' listener; and requests that got no connection while a crowd held idle ones at the directory.

Cause: these listeners took bodies of 8 MB, which nothing needs, and 20,000 connections each, from the descriptors that targets, the store and callers need.

Change: bodies of 4 KiB at most there (but for an operators' configuration on the own platform, which claims from the same budget), a sixteenth of the descriptors for the directory, a 64th for each of the others. At that limit the oldest connection that serves nothing is closed, rather than the new one refused.

Why it works: what is open there has a bound beside callers' three quarters, and whoever connects anew and asks is served at once, so that idle connections keep nobody out.

--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -148,7 +148,10 @@
     }));
     m_operatorApi = std::make_unique<OperatorApi>(m_settings, *raw, *m_dispatcher, *m_keeper, m_metrics);
     Http::Handler handler = [this](Http::Request& request, Http::ResponseWriter& writer) { return m_operatorApi->handle(request, writer); };
-    BOOST_OUTCOME_TRY(m_operatorServer, Http::Server::create(m_control, m_settings.operators.listen, Http::ServerSettings(), std::move(handler), rejectionResponse));
+    Http::ServerSettings settings = m_memoryPlan.entrySettings(m_memoryPlan.statusConnections);
+    settings.bodyLimit = Http::ServerSettings().bodyLimit; // For the records of a configuration.
+    BOOST_OUTCOME_TRY(m_operatorServer, Http::Server::create(m_control, m_settings.operators.listen, settings, std::move(handler), rejectionResponse));
+    m_operatorServer->limitMemory(m_memory, [](Http::MemoryRefusal const& refusal) { logMemoryRefusal(refusal, "operators"); });
     return Core::ok();
 }
 
@@ -197,7 +200,7 @@
     BOOST_OUTCOME_TRY(std::unique_ptr<StoreControl> control, StoreControl::create(m_control, m_settings, m_adapters, m_guard, m_usage, m_origins, m_incarnation, std::move(hooks)));
     m_storeControl = control.get();
     m_plane = std::move(control);
-    BOOST_OUTCOME_TRY(m_operatorServer, createServer(m_settings.operators.listen, [this](Http::Request const& request) { return respondToOperators(request); }));
+    BOOST_OUTCOME_TRY(m_operatorServer, createServer("operators", m_settings.operators.listen, m_memoryPlan.entrySettings(m_memoryPlan.statusConnections), [this](Http::Request const& request) { return respondToOperators(request); }));
     return Core::ok();
 }
 
@@ -205,11 +208,11 @@
 Core::Result<void> Daemon::createEntryServers()
 {
     if (m_settings.callers.directory.port() != 0) {
-        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.callers.directory, [this](Http::Request const&) { return m_adapters.callers.entries(m_storeControl->entries()); }));
+        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer("directory", m_settings.callers.directory, m_memoryPlan.entrySettings(m_memoryPlan.directoryConnections), [this](Http::Request const&) { return m_adapters.callers.entries(m_storeControl->entries()); }));
         m_entryServers.push_back(std::move(server));
     }
     if (m_settings.callers.ready.port() != 0) {
-        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.callers.ready, [this](Http::Request const&) {
+        BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer("ready", m_settings.callers.ready, m_memoryPlan.entrySettings(m_memoryPlan.statusConnections), [this](Http::Request const&) {
             return Http::jsonResponse(m_storeControl->isReady() ? Http::Status::Ok : Http::Status::ServiceUnavailable, "{}");
         }));
         m_entryServers.push_back(std::move(server));
@@ -221,17 +224,19 @@
 {
     if (m_settings.operators.metrics.port() == 0)
         return Core::ok();
-    BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer(m_settings.operators.metrics, [this](Http::Request const& request) { return respondToOperators(request); }));
+    BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, createServer("metrics", m_settings.operators.metrics, m_memoryPlan.entrySettings(m_memoryPlan.statusConnections), [this](Http::Request const& request) { return respondToOperators(request); }));
     m_entryServers.push_back(std::move(server));
     return Core::ok();
 }
 
-Core::Result<std::unique_ptr<Http::Server>> Daemon::createServer(boost::asio::ip::tcp::endpoint const& endpoint, std::function<Http::Response(Http::Request const&)> respond)
+Core::Result<std::unique_ptr<Http::Server>> Daemon::createServer(std::string_view name, boost::asio::ip::tcp::endpoint const& endpoint, Http::ServerSettings const& settings, std::function<Http::Response(Http::Request const&)> respond)
 {
     Http::Handler handler = [respond = std::move(respond)](Http::Request& request, Http::ResponseWriter& writer) -> boost::asio::awaitable<void> {
         std::ignore = co_await writer.send(respond(request));
     };
-    return Http::Server::create(m_control, endpoint, Http::ServerSettings(), std::move(handler), rejectionResponse);
+    BOOST_OUTCOME_TRY(std::unique_ptr<Http::Server> server, Http::Server::create(m_control, endpoint, settings, std::move(handler), rejectionResponse));
+    server->limitMemory(m_memory, [name](Http::MemoryRefusal const& refusal) { logMemoryRefusal(refusal, name); });
+    return server;
 }
 
 void Daemon::setCallerLimits(State::CallerLimits const& limits)
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -49,7 +49,7 @@
     void sampleDuties(MetricsSample&) const;
     void noteFindings(std::vector<Quarantine::Finding> const&, std::optional<Quarantine::WorkKey> const& cleared);
     void noteTargetsGone(std::vector<std::uint64_t> const&);
-    Core::Result<std::unique_ptr<Http::Server>> createServer(boost::asio::ip::tcp::endpoint const&, std::function<Http::Response(Http::Request const&)> respond);
+    Core::Result<std::unique_ptr<Http::Server>> createServer(std::string_view name, boost::asio::ip::tcp::endpoint const&, Http::ServerSettings const&, std::function<Http::Response(Http::Request const&)> respond);
     Http::Response respondToOperators(Http::Request const&);
     void setCallerLimits(State::CallerLimits const&);
     bool usesStore() const { return m_settings.platform.kind == Settings::DaemonSettings::PlatformKind::KeyedStore; }
--- a/Libraries/LibDaemon/MemoryPlan.cpp
+++ b/Libraries/LibDaemon/MemoryPlan.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t mostReceiveBuffer = 128 * 1024;
 constexpr std::uint64_t receivedPerBuffer = 2; ///< The kernel doubles the size that it is given (socket(7), SO_RCVBUF).
 constexpr std::size_t callerDescriptorsInQuarters = 3;
+constexpr std::size_t directoryDivisor = 16; ///< Of the descriptors, as the next one.
+constexpr std::size_t statusDivisor = 64;
+constexpr std::size_t leastEntryConnections = 8;
+constexpr std::size_t entryBodyLimit = 4 * 1024; ///< For clients that send an empty object with a question.
 
 }
 
@@ -39,11 +43,23 @@
     plan.requestBytes = limits.memoryBytes / requestsDivisor;
     plan.answerBytes = limits.memoryBytes / answersDivisor;
     plan.callerConnections = std::clamp<std::size_t>(limits.descriptors / 4 * callerDescriptorsInQuarters, 1, connectionLimit);
+    plan.directoryConnections = std::clamp(limits.descriptors / directoryDivisor, leastEntryConnections, connectionLimit);
+    plan.statusConnections = std::clamp(limits.descriptors / statusDivisor, leastEntryConnections, connectionLimit);
     if (limits.memoryBytes > 0)
         plan.receiveBuffer = std::clamp<std::size_t>(limits.memoryBytes / receivedDivisor / receivedPerBuffer / plan.callerConnections, leastReceiveBuffer, mostReceiveBuffer);
     return plan;
 }
 
+Http::ServerSettings MemoryPlan::entrySettings(std::size_t connections) const
+{
+    Http::ServerSettings settings;
+    settings.bodyLimit = entryBodyLimit;
+    settings.connectionLimit = connections;
+    settings.whenFull = Http::WhenFull::DropOldest;
+    settings.receiveBuffer = leastReceiveBuffer;
+    return settings;
+}
+
 // Of severity info: an event of these is written so many times a second at most.
 void logMemoryRefusal(Http::MemoryRefusal const& refusal, std::string_view listener)
 {
--- a/Libraries/LibDaemon/MemoryPlan.h
+++ b/Libraries/LibDaemon/MemoryPlan.h
@@ -24,9 +24,14 @@
     std::uint64_t answerBytes { 0 }; ///< For answers that callers have not read yet.
     std::size_t receiveBuffer { 0 }; ///< Bytes that the kernel takes of a caller's connection before they are read, about.
     std::size_t callerConnections { 0 }; ///< Of all traffic threads.
+    std::size_t directoryConnections { 0 };
+    std::size_t statusConnections { 0 }; ///< Of each listener for operators, metrics and the platform's checks.
 
     /// `connectionLimit`: most connections that the settings allow all traffic threads together.
     static MemoryPlan of(ProcessLimits const&, std::size_t connectionLimit);
+
+    /// Returns the settings of a listener whose requests have no bodies.
+    Http::ServerSettings entrySettings(std::size_t connections) const;
 };
 
 /// Writes the log's line on a request that a listener refused for want of memory. Thread-safe.
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -46,6 +46,15 @@
         }
     }
 
+    // Handles are in the order in which their connections were accepted. Returns whether one was closed.
+    bool dropOldest() const
+    {
+        return std::any_of(m_handles.begin(), m_handles.end(), [](std::weak_ptr<ServedConnection> const& it) {
+            std::shared_ptr<ServedConnection> connection = it.lock();
+            return connection && connection->drop();
+        });
+    }
+
 private:
     static constexpr std::size_t leastSweep = 64;
 
@@ -91,6 +100,7 @@
         ServerSettings kept = m_shared->settings;
         m_shared->settings = settings;
         m_shared->settings.connectionLimit = kept.connectionLimit;
+        m_shared->settings.whenFull = kept.whenFull;
         m_shared->settings.receiveBuffer = kept.receiveBuffer;
         m_shared->settings.isPortShared = kept.isPortShared;
     }
@@ -134,7 +144,10 @@
 
     static void serve(Tcp::socket socket, std::shared_ptr<ServerShared> const& shared, Connections& connections)
     {
-        Admission admission = shared->connections < shared->settings.connectionLimit ? Admission::Served : Admission::Refused;
+        bool hasRoom = shared->connections < shared->settings.connectionLimit;
+        if (!hasRoom && shared->settings.whenFull == WhenFull::DropOldest)
+            hasRoom = connections.dropOldest();
+        Admission admission = hasRoom ? Admission::Served : Admission::Refused;
         if (admission == Admission::Refused && shared->refusedConnections >= std::clamp(shared->settings.connectionLimit / refusedDivisor, leastRefused, mostRefused)) {
             if (shared->onConnectionEnd)
                 shared->onConnectionEnd({ ConnectionEndReason::ConnectionLimit, 0, 0, unreadBytes(socket), 0 });
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -40,6 +40,12 @@
 /// Takes a refused request. Called on the server's thread.
 using MemoryRefusalHook = std::function<void(MemoryRefusal const&)>;
 
+/// What a listener with as many connections as it may have does with one more.
+enum class WhenFull : std::uint8_t {
+    Refuse, ///< Its one request is told so.
+    DropOldest, ///< It is served, and the oldest connection that serves no request is closed.
+};
+
 /// Limits and timeouts of a listener.
 struct ServerSettings {
     std::size_t headLimit { 16 * 1024 }; ///< Bytes of request line and fields.
@@ -49,6 +55,7 @@
     std::chrono::milliseconds idleTimeout { 75'000 }; ///< Between requests on a connection.
     std::chrono::milliseconds writeTimeout { 30'000 }; ///< For the peer to take one piece.
     std::size_t connectionLimit { 20'000 };
+    WhenFull whenFull { WhenFull::Refuse };
     std::size_t receiveBuffer { 0 }; ///< Bytes that the kernel takes of a connection before they are read, about; 0: as many as it likes.
     SocketLiveness liveness; ///< When a caller's connection that went silent counts as lost.
     bool isPortShared { false }; ///< SO_REUSEPORT: several servers of this process share the port.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -125,6 +125,15 @@
         abort();
     }
 
+    bool drop() override
+    {
+        if (m_state == ConnectionState::Serving || !m_stream.socket().is_open())
+            return false;
+        noteEnd(ConnectionEndReason::ConnectionLimit);
+        abort();
+        return true;
+    }
+
     Asio::awaitable<Core::Result<void>> send(Response response) override
     {
         m_hasBegun = true;
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -34,6 +34,9 @@
 
     /// Closes the connection at once, unless it serves a request.
     virtual void closeUnlessServing() = 0;
+
+    /// Closes the connection at once, unless it serves a request or is closed. Returns whether it did.
+    virtual bool drop() = 0;
 };
 
 /// Whether the server has room for a connection.
--- a/Tests/LibDaemon/TestMemoryPlan.cpp
+++ b/Tests/LibDaemon/TestMemoryPlan.cpp
@@ -16,6 +16,7 @@
         Daemon::MemoryPlan plan = Daemon::MemoryPlan::of(vm, connectionLimit);
         std::uint64_t received = plan.callerConnections * plan.receiveBuffer * receivedPerBuffer;
         EXPECT_LE(plan.requestBytes + plan.answerBytes + received, vm.memoryBytes * 11 / 20) << vm.memoryBytes;
+        EXPECT_LE(plan.callerConnections + plan.directoryConnections + 3 * plan.statusConnections, vm.descriptors * 9 / 10) << vm.descriptors;
         EXPECT_GE(plan.callerConnections, vm.descriptors * 7 / 10) << vm.descriptors;
     }
 }
--- a/Tests/LibHttp/TestServerOverload.cpp
+++ b/Tests/LibHttp/TestServerOverload.cpp
@@ -119,3 +119,36 @@
         EXPECT_GE(waited, (busyTime - tolerance).count()) << (isKept ? "kept" : "new");
     }
 }
+
+// Guards against idle connections that keep new callers out of a listener with few connections, and against closing one that is served.
+TEST_F(ServerOverload, TheOldestIdleConnectionYieldsToANewOne)
+{
+    constexpr std::size_t limit = 8;
+    Http::ServerSettings settings;
+    settings.connectionLimit = limit;
+    settings.whenFull = Http::WhenFull::DropOldest;
+    std::promise<void> isServed;
+    Asio::steady_timer hold(m_context, Asio::steady_timer::time_point::max());
+    start([&](Http::Request& request, Http::ResponseWriter& writer) -> Asio::awaitable<void> {
+        boost::system::error_code ec;
+        if (request.target == "/held") {
+            isServed.set_value();
+            co_await hold.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+        }
+        std::ignore = co_await writer.send(Http::Response());
+    },
+        settings);
+    Caller held(m_endpoint);
+    held.write(headOf("held"));
+    isServed.get_future().wait();
+    std::vector<std::unique_ptr<Caller>> idle;
+    for (std::size_t n = 0; n < 3 * limit; ++n)
+        idle.push_back(std::make_unique<Caller>(m_endpoint));
+    Caller late(m_endpoint);
+    late.write(headOf("late"));
+    EXPECT_TRUE(late.readAnswer());
+    EXPECT_FALSE(idle.front()->readAnswer());
+    EXPECT_LE(countOpen(), limit);
+    post([&] { hold.cancel(); });
+    EXPECT_TRUE(held.readAnswer());
+}
--- a/Tests/Processes/TestCrowds.cpp
+++ b/Tests/Processes/TestCrowds.cpp
@@ -170,6 +170,30 @@
     play(m_site.front(0), 280, { "GET /s/1 HTTP/1.1\r\nHost: a.example\r\nX-A: " + std::string(8'000, 'a') + "\r\nX-B: " + std::string(7'900, 'b') });
 }
 
+// Guards against bodies at a listener that needs none, in the memory that requests need.
+TEST_F(Crowds, LargeBodiesAtTheDirectoryStayWithinTheMemory)
+{
+    play(m_site.directory(0), 60, { headOf(lengthField(largeBody), "/currantvale/resolve?name=a.example"), std::string(blockSize, 'b'), largeBody - 10 });
+}
+
+// Guards against the same where the platform asks whether the daemon is ready.
+TEST_F(Crowds, LargeBodiesAtTheReadyListenerStayWithinTheMemory)
+{
+    play(m_site.ready(0), 60, { headOf(lengthField(largeBody), "/currantvale/ready"), std::string(blockSize, 'b'), largeBody - 10 });
+}
+
+// Guards against the same at the operators' listener.
+TEST_F(Crowds, LargeBodiesAtTheOperatorsListenerStayWithinTheMemory)
+{
+    play(m_site.operators(0), 60, { headOf(lengthField(largeBody), "/metrics"), std::string(blockSize, 'b'), largeBody - 10 });
+}
+
+// Guards against idle connections at the directory that take the descriptors of requests, targets and the store.
+TEST_F(Crowds, ConnectionsAtTheDirectoryLeaveDescriptorsForRequests)
+{
+    play(m_site.directory(0), descriptorLimit + 50, { "GET /currantvale/resolve HTTP/1.1\r\n" });
+}
+
 // Guards against callers that ask for large answers and read none of them: they hold the places of targets, also when they have left.
 TEST_F(Crowds, CallersThatNeverReadLeaveTargetsToOthers)
 {
