--- a/Libraries/LibHttp/ClaimedBody.h
+++ b/Libraries/LibHttp/ClaimedBody.h
@@ -14,16 +14,16 @@
 
 /// A body for Beast's parser that is read into a string, each part only when its memory has room for it.
 struct ClaimedBody {
-    struct value_type {
+    struct Value {
         std::string text;
         RequestMemory* memory { nullptr }; ///< Set before the body is read.
         std::size_t otherBytes { 0 }; ///< That the request holds beside its body.
     };
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename HeadFields>
-        explicit reader(boost::beast::http::header<isRequest, HeadFields>&, value_type& value)
+        explicit Reader(boost::beast::http::header<isRequest, HeadFields>&, Value& value)
             : m_value(value)
         {
         }
@@ -53,8 +53,12 @@
         void finish(boost::system::error_code& ec) { ec = {}; }
 
     private:
-        value_type& m_value;
+        Value& m_value;
     };
+
+    using value_type = Value;
+    // NOLINTNEXTLINE(readability-identifier-naming): Beast's requirements on bodies name it.
+    using reader = Reader;
 };
 
 }
