LibDaemon: Give a target's place back when its answer has come whole

What callers saw: 503, "No target was free within the time that the request may wait", from a daemon whose targets had nothing to do, while some callers asked for answers and read none of them.

Cause: the place was given back when the request had its final answer, that is when its caller had taken it. Callers that never read held all places for the 30 seconds that a write may take; and what daemons learn of a target's speed included the time that callers took.

Change: RequestRunner releases the placement where the answer's end has come in from the target.

Why it works: the exchange with the target is over then, and whatever waits for the caller is bounded by AnswerRoom. Answers that are larger than what is held of one still hold their place in the middle.

--- a/Libraries/LibDaemon/RequestAttempt.cpp
+++ b/Libraries/LibDaemon/RequestAttempt.cpp
@@ -377,12 +377,15 @@
             co_return;
         }
     }
-    bool isEnded = splitter.hasSeenDone() || !m_context.targets.marksStreamEnd;
-    noteAnswerEnd(leg->head, isEnded && !splitter.hasPartialEvent());
-    if (isEnded && !splitter.hasPartialEvent())
-        post(Request::StreamEnded { leg->leg, index });
-    else
+    bool isWhole = (splitter.hasSeenDone() || !m_context.targets.marksStreamEnd) && !splitter.hasPartialEvent();
+    noteAnswerEnd(leg->head, isWhole);
+    if (!isWhole) {
         post(Request::StreamBroken { leg->leg });
+        co_return;
+    }
+    // The target is done with it, however long its caller takes to read the rest.
+    releasePlacement();
+    post(Request::StreamEnded { leg->leg, index });
 }
 
 // What was delivered stays whole: the caller may go on behind it.
@@ -426,6 +429,7 @@
         co_return;
     }
     noteAnswerEnd(leg->head, true);
+    releasePlacement();
     if (!isHeadPosted)
         post(Request::ResponseHead { leg->leg, leg->head.status });
     if (!body.empty())
--- a/Tests/Processes/TestCrowds.cpp
+++ b/Tests/Processes/TestCrowds.cpp
@@ -203,3 +203,22 @@
     std::string request = headOf(lengthField(size), "/s/1") + std::string(size, 'b');
     play(m_site.front(0), 60, { "", request, requests * request.size() }, smallBuffer);
 }
+
+// Guards against answers that have come whole from their target and hold its place until their caller reads them: no target is left for
+// others while such callers stay.
+TEST_F(Crowds, AnswersThatNobodyReadsHoldNoPlacesOfTargets)
+{
+    constexpr std::size_t size = 150'000; ///< The daemon takes such an answer whole.
+    constexpr std::size_t requests = 60; ///< Of each member: their answers exceed what the kernel takes.
+    constexpr int smallBuffer = 8'192;
+    std::string request = headOf(lengthField(size), "/s/1") + std::string(size, 'b');
+    Crowd crowd(m_site.front(0), 60, { "", request, requests * request.size() }, smallBuffer);
+    // Until no answer is taken any more, the members' next requests are read.
+    std::size_t sent = 0;
+    EXPECT_TRUE(waitFor([&] {
+        std::this_thread::sleep_for(lateTime);
+        return std::exchange(sent, crowd.sentBytes()) == crowd.sentBytes();
+    }));
+    EXPECT_FALSE(crowd.isSpent());
+    EXPECT_EQ(m_site.ask(0, "POST", "/c/1", "beside").status, 200);
+}
