--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -431,7 +431,7 @@
         boost::system::error_code ec;
         m_stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
         m_stream.expires_after(lingerTime);
-        // Nobody looks at what is read, so all connections of a thread read into the same memory.
+        // The bytes are discarded, so that all connections of a thread share one buffer.
         thread_local std::array<char, 16 * 1024> waste;
         for (std::size_t total = 0; !ec && total < lingerLimit;)
             total += co_await m_stream.async_read_some(Asio::buffer(waste), Asio::redirect_error(Asio::use_awaitable, ec));
