--- a/review/standin-2/Net.cpp
+++ b/review/standin-2/Net.cpp
@@ -37,6 +37,14 @@
     return bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
 }
 
+bool canBind(int type, std::string const& ip, std::uint16_t port)
+{
+    int handle = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    bool isBound = bindTo(handle, ip, port);
+    close(handle);
+    return isBound;
+}
+
 }
 
 std::optional<std::string> Message::find(std::string const& name) const
@@ -204,23 +212,19 @@
     return ntohs(address.sin_port);
 }
 
-std::uint16_t freePort(std::vector<std::string> const& ips)
+std::uint16_t freePorts(std::vector<std::string> const& ips, int count)
 {
     constexpr std::uint16_t first = 21000;
     constexpr std::uint16_t last = 29000;
-    static std::uint16_t next = static_cast<std::uint16_t>(first + getpid() % 4000);
-    for (; next < last; ++next) {
-        bool isFree = std::all_of(ips.begin(), ips.end(), [](std::string const& ip) {
-            bool isBound = true;
-            for (int type : { SOCK_STREAM, SOCK_DGRAM }) {
-                int handle = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-                isBound = isBound && bindTo(handle, ip, next);
-                close(handle);
-            }
-            return isBound;
+    constexpr std::uint16_t spread = 4000; // Cases that run at one time begin at different ports.
+    int inARow = 0;
+    for (std::uint16_t port = static_cast<std::uint16_t>(first + getpid() * 10 % spread); port < last; ++port) {
+        bool isFree = std::all_of(ips.begin(), ips.end(), [port](std::string const& ip) {
+            return canBind(SOCK_STREAM, ip, port) && canBind(SOCK_DGRAM, ip, port);
         });
-        if (isFree)
-            return next++;
+        inARow = isFree ? inARow + 1 : 0;
+        if (inARow == count)
+            return static_cast<std::uint16_t>(port - count + 1);
     }
     return 0;
 }
--- a/review/standin-2/Net.h
+++ b/review/standin-2/Net.h
@@ -54,8 +54,8 @@
 /// Serves each connection in a thread of its own until the process ends. Returns the port, 0 if it cannot listen.
 std::uint16_t serve(std::string const& ip, std::uint16_t port, std::function<void(Connection&)> handler);
 
-/// Returns a port on which nothing listens at any of the addresses.
-std::uint16_t freePort(std::vector<std::string> const& ips);
+/// Returns the first of so many ports in a row on which nothing listens at any of the addresses, 0 if there are none.
+std::uint16_t freePorts(std::vector<std::string> const& ips, int count);
 
 std::string response(int status, std::string const& body, std::vector<std::pair<std::string, std::string>> const& fields = {});
 
--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -208,11 +208,16 @@
 
 bool Daemon::hasEnded()
 {
-    if (m_process > 0 && waitpid(m_process, nullptr, WNOHANG) == m_process)
+    if (m_process > 0 && waitpid(m_process, &m_status, WNOHANG) == m_process)
         m_process = -1;
     return m_process < 0;
 }
 
+std::string Daemon::endedBy() const
+{
+    return WIFSIGNALED(m_status) ? "signal " + std::to_string(WTERMSIG(m_status)) : std::to_string(WEXITSTATUS(m_status));
+}
+
 bool Daemon::waitForEnd(int timeoutMs)
 {
     for (std::int64_t end = nowMs() + timeoutMs; !hasEnded() && nowMs() < end;)
--- a/review/standin-2/Site.h
+++ b/review/standin-2/Site.h
@@ -53,6 +53,8 @@
     /// Whether the process has ended by itself.
     bool hasEnded();
     bool isReady() const;
+    /// How the last process that was waited for has ended, as text.
+    std::string endedBy() const;
 
     std::string const& name() const { return m_name; }
     std::string const& ip() const { return m_ip; }
@@ -67,6 +69,7 @@
     std::uint16_t m_firstPort;
     std::string m_folder;
     pid_t m_process { -1 };
+    int m_status { 0 };
 };
 
 /// Figures of the small deployment that the users' pages describe, by their names in the template.
