--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -3,6 +3,7 @@
 #include "../standin-2/Site.h"
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <memory>
 #include <unistd.h>
 
@@ -79,6 +80,7 @@
         it->waitForEnd(2'000);
     }
     record.note("processes ended by themselves three times on " + std::to_string(machinesThatFailed) + " of " + std::to_string(daemons) + " machines");
+    std::filesystem::remove_all(folder);
     if (!isUp)
         return 2;
     return machinesThatFailed >= 2 ? 1 : 0;
--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -193,6 +194,7 @@
     m_process = fork();
     if (m_process != 0)
         return m_process > 0;
+    prctl(PR_SET_PDEATHSIG, SIGKILL); // A script that is ended leaves no daemon behind.
     int handle = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(handle, STDOUT_FILENO);
     dup2(handle, STDERR_FILENO);
