--- a/Libraries/LibDaemon/Daemon.cpp
+++ b/Libraries/LibDaemon/Daemon.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::seconds expiryInterval { 1 };
 // A changed file is in force within the second that operators wait for.
 constexpr std::chrono::milliseconds settingsInterval { 1'000 };
+
 void fillRandom(std::span<std::uint8_t> bytes)
 {
     if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1)
@@ -39,6 +40,16 @@
     return static_cast<std::uint64_t>(since1970.count()) << randomBits | (randomNumber() >> (64 - randomBits));
 }
 
+// Delivers what has come since the process began. Whoever started it may have left any of them blocked.
+void unblockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&signals, signal);
+    ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 Request::RetryBudget::Settings budgetOf(Settings::DaemonSettings const& settings)
 {
     Request::RetryBudget::Settings budget;
@@ -306,6 +317,7 @@
 {
     Core::logEvent(Core::Severity::Info, Core::Event::ProcessStarted, { { "daemon", m_settings.daemon.name }, { "incarnation", Request::formatIncarnation(m_incarnation) }, { "availability_zone", m_settings.daemon.availabilityZone }, { "callers", Http::toString(m_settings.callers.listen) }, { "operators", Http::toString(m_settings.operators.listen) } });
     waitForSignal();
+    unblockSignals();
     watchSettings();
     expireAnswers();
     m_plane->start();
--- a/Libraries/LibDaemon/Daemon.h
+++ b/Libraries/LibDaemon/Daemon.h
@@ -27,7 +27,8 @@
 
     ~Daemon();
 
-    /// Runs on the calling thread, as the control thread, until SIGTERM or SIGINT has led to a graceful end.
+    /// Runs on the calling thread, as the control thread, until SIGTERM or SIGINT has led to a graceful end. Unblocks these and SIGHUP
+    /// there: one that is pending takes effect at once.
     void run();
 
 private:
