LibHttp: Take a reset for no end of a body

Cause: the kernel reports a reset once. The request's writer took the error, and the reader then saw an ordinary end of the stream, which ends a body without framing.

Change: such a body is whole only if no write has failed, but with EPIPE: that is what the kernel reports for a reset that comes behind a FIN. While a write is under way on a connection that has hung up, its result is awaited.

Why it works: on these sockets only the reader and the writer make calls that take the error, and each now counts for the other.

--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -47,7 +47,7 @@
     /// Returns the response's head. Precondition: `start` succeeded.
     virtual ResponseHead const& head() const = 0;
 
-    /// Returns the next piece of the body, or nothing at its end.
+    /// Returns the next piece of the body, or nothing at its end. A body without framing is whole only if the server closed the connection.
     /// Errors: Timeout after silence, Unavailable when the connection breaks before the end, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::optional<std::string>>> read() = 0;
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -53,11 +54,19 @@
 
 /// A request on its way to the server. Shared with the coroutine that writes it, which may outlive the exchange.
 struct ConnectionExchange::Writing {
+    explicit Writing(Asio::any_io_executor executor)
+        : ended(std::move(executor), Asio::steady_timer::time_point::max())
+    {
+    }
+
+    bool hasEnded() const { return isDone || ec; }
+
     Beast::http::request<Beast::http::span_body<char const>> message;
     Body body; ///< That the message refers to.
     bool hasWritten { false }; ///< The kernel took at least one byte.
     bool isDone { false };
     boost::system::error_code ec;
+    Asio::steady_timer ended; ///< Canceled once the writer has ended.
 };
 
 ConnectionExchange::ConnectionExchange(std::shared_ptr<ClientConnection> connection, ClientSettings const& settings, ConnectionReturn giveBack)
@@ -93,7 +102,7 @@
 // RFC 9112, section 9.5: a server may answer before it has read the request, so the response is read meanwhile.
 void ConnectionExchange::beginWriting(Request const& request)
 {
-    m_writing = std::make_shared<Writing>();
+    m_writing = std::make_shared<Writing>(m_connection->stream.get_executor());
     Beast::http::request<Beast::http::span_body<char const>>& message = m_writing->message;
     message.version(httpVersion11);
     message.method_string(request.method);
@@ -135,6 +144,7 @@
         boost::system::error_code ec;
         connection->stream.socket().close(ec);
     }
+    writing->ended.cancel();
 }
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::readHead()
@@ -205,12 +215,27 @@
     co_await Beast::http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
     if (ec == Beast::http::error::need_buffer)
         ec = {};
+    if (!ec && m_parser->is_done() && m_parser->need_eof())
+        ec = co_await errorBehindEnd();
     if (ec)
         co_return Core::Result<std::string>(errorOf(ec, "reading the response"));
     piece.resize(piece.size() - m_parser->get().body().size);
     co_return piece;
 }
 
+// RFC 9112, section 8: a body that ends with its connection is whole only if its sender closed the connection. The kernel reports a
+// reset once: if the write takes the error, the read behind it sees an ordinary end.
+Asio::awaitable<boost::system::error_code> ConnectionExchange::errorBehindEnd()
+{
+    // On a connection that has failed a write cannot wait.
+    while (!m_writing->hasEnded() && hasHungUp(m_connection->stream.socket())) {
+        boost::system::error_code ec;
+        co_await m_writing->ended.async_wait(Asio::redirect_error(Asio::use_awaitable, ec));
+    }
+    // A reset behind the sender's close fails the write so.
+    co_return m_writing->ec == Asio::error::broken_pipe ? boost::system::error_code() : m_writing->ec;
+}
+
 // RFC 9112, section 9.3: a connection is reused only if both messages ended on it as their framing says.
 void ConnectionExchange::giveBack()
 {
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -60,6 +60,7 @@
     static boost::asio::awaitable<void> writeAll(std::shared_ptr<ClientConnection>, std::shared_ptr<Writing>);
     boost::asio::awaitable<Core::Result<void>> readHead();
     boost::asio::awaitable<Core::Result<std::string>> readPiece();
+    boost::asio::awaitable<boost::system::error_code> errorBehindEnd();
     void renewParser();
     void giveBack();
     static Core::Error canceledError();
--- a/Libraries/LibHttp/SocketQueue.cpp
+++ b/Libraries/LibHttp/SocketQueue.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/SocketQueue.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -27,6 +28,12 @@
     return ::getsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_unacked : 0;
 }
 
+bool hasHungUp(boost::asio::ip::tcp::socket& socket)
+{
+    pollfd state { socket.native_handle(), 0, 0 };
+    return ::poll(&state, 1, 0) < 0 || (state.revents & (POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 void limitUnacknowledged(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds time)
 {
     int value = static_cast<int>(time.count());
--- a/Libraries/LibHttp/SocketQueue.h
+++ b/Libraries/LibHttp/SocketQueue.h
@@ -17,6 +17,10 @@
 /// Use from the acceptor's thread only.
 std::size_t acceptQueueLength(boost::asio::ip::tcp::acceptor&);
 
+/// Returns whether nothing more can be sent on a connection either (POLLHUP): it was reset or has failed, or both sides have closed it.
+/// Leaves its error to the next call that takes it. Use from the socket's thread only.
+bool hasHungUp(boost::asio::ip::tcp::socket&);
+
 /// Lets the kernel give up bytes that it has held for this long, also behind the socket's close (TCP_USER_TIMEOUT); the time in which
 /// the peer does not read counts. Thread-safe.
 void limitUnacknowledged(boost::asio::ip::tcp::socket&, std::chrono::milliseconds);
