LibHttp: Refuse responses whose heads are no proper HTTP

A status of 000 was not taken for a head at all: 504 after the whole deadline.

Cause: requests were judged strictly, responses by the parser alone, which takes any three digits, unfolds fields, and takes a body with an unknown coding for one that ends with its connection.

Change: HeadScanner, taken out of RequestReader, judges the lines of both before the parser sees them; problemOf judges a response's status and coding. What fails ends the exchange as one that may have run.

Why it works: all answers that daemons read over HTTP/1.1 come through this client, and no byte of a head reaches the parser before its lines are judged.

--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -128,7 +128,7 @@
     virtual boost::asio::awaitable<Reach> reach(boost::asio::ip::tcp::endpoint) = 0;
 
     /// Connects, sends a request and reads the response's head.
-    /// Errors: Unavailable (cannot connect, connection broke), Timeout, Canceled, BadInput (malformed response).
+    /// Errors: Unavailable (cannot connect, connection broke, improper response), Timeout, Canceled.
     virtual boost::asio::awaitable<Core::Result<std::unique_ptr<Exchange>>> open(boost::asio::ip::tcp::endpoint, Request, ConnectionChoice, std::shared_ptr<CancelSlot> = nullptr) = 0;
 
     /// Sends a request and reads the whole response, of `bodyLimit` bytes at most.
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/UncaughtException.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/HeadLines.h>
 #include <LibHttp/SocketQueue.h>
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -18,7 +19,9 @@
 namespace Beast = boost::beast;
 
 constexpr std::size_t pieceSize = 16 * 1024;
+constexpr std::size_t headReadSize = 4 * 1024;
 constexpr unsigned httpVersion11 = 11;
+constexpr std::uint32_t headLimit = 8 * 1024;
 // Of the time that a server says it keeps an idle connection: it and the network need the rest to cross our request.
 constexpr int keepShareInTenths = 7;
 
@@ -75,7 +78,6 @@
     , m_return(std::move(giveBack))
     , m_isOnKeptConnection(m_connection->keepUntil != Core::BootClock::time_point())
 {
-    renewParser();
 }
 
 ConnectionExchange::~ConnectionExchange()
@@ -88,7 +90,9 @@
 void ConnectionExchange::renewParser()
 {
     m_parser.emplace();
+    m_parser->header_limit(headLimit);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->skip(m_isHeadMethod);
 }
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::start(Request const& request)
@@ -149,17 +153,54 @@
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::readHead()
 {
-    m_parser->skip(m_isHeadMethod);
+    renewParser();
     m_connection->stream.expires_after(m_settings.headTimeout);
-    boost::system::error_code ec;
-    co_await Beast::http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Asio::redirect_error(Asio::use_awaitable, ec));
+    boost::system::error_code ec = co_await receiveHead();
     if (ec)
         co_return boost::outcome_v2::failure(errorOf(ec, "waiting for the response"));
+    co_return takeHead();
+}
+
+// Reads until the head is whole in the buffer.
+Asio::awaitable<boost::system::error_code> ConnectionExchange::receiveHead()
+{
+    Beast::flat_buffer& buffer = m_connection->buffer;
+    HeadScanner scanner;
+    while (true) {
+        std::string_view bytes(static_cast<char const*>(buffer.data().data()), buffer.size());
+        HeadScanner::Progress progress = scanner.scan(bytes);
+        if (progress == HeadScanner::Progress::Malformed)
+            co_return Beast::http::error::bad_line_ending;
+        if (progress == HeadScanner::Progress::Whole)
+            co_return boost::system::error_code();
+        if (bytes.size() > headLimit)
+            co_return Beast::http::error::header_limit;
+        boost::system::error_code ec;
+        std::size_t n = co_await m_connection->stream.async_read_some(buffer.prepare(headReadSize), Asio::redirect_error(Asio::use_awaitable, ec));
+        if (ec == Asio::error::eof)
+            ec = buffer.size() == 0 ? Beast::http::error::end_of_stream : Beast::http::error::partial_message;
+        if (ec)
+            co_return ec;
+        buffer.commit(n);
+    }
+}
+
+// Precondition: the head is whole in the buffer.
+Core::Result<void> ConnectionExchange::takeHead()
+{
+    boost::system::error_code ec;
+    m_connection->buffer.consume(m_parser->put(m_connection->buffer.data(), ec));
+    if (!ec && !m_parser->is_header_done())
+        ec = Beast::http::error::partial_message;
+    if (ec)
+        return boost::outcome_v2::failure(errorOf(ec, "reading the response's head"));
     m_head = ResponseHead();
     m_head.status = static_cast<std::uint16_t>(m_parser->get().result_int());
     for (Beast::http::fields::value_type const& field : m_parser->get())
         m_head.fields.add(std::string(field.name_string()), std::string(field.value()));
-    co_return Core::ok();
+    if (std::string_view problem = problemOf(m_head, m_parser->get().version()); !problem.empty())
+        return boost::outcome_v2::failure(errorOf(problem));
+    return Core::ok();
 }
 
 Asio::awaitable<Core::Result<void>> ConnectionExchange::skipResponse()
@@ -181,7 +222,6 @@
         if (skipped > m_settings.skippedLimit)
             co_return boost::outcome_v2::failure(Core::makeUncertainError(Core::ErrorCode::Unavailable, "a response to another request is larger than " + std::to_string(m_settings.skippedLimit) + " bytes"));
     }
-    renewParser();
     co_return co_await readHead();
 }
 
@@ -288,7 +328,17 @@
         code = Core::ErrorCode::Timeout;
     std::string reason = silence == Silence::None ? ec.message() : std::string(Core::nameOf(silenceNames, silence));
     std::string message = "failed while " + std::string(step) + ": " + reason;
-    return Core::Error { code, std::move(message), m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun };
+    return Core::Error { code, std::move(message), verdict() };
+}
+
+Core::Error ConnectionExchange::errorOf(std::string_view problem) const
+{
+    return Core::Error { Core::ErrorCode::Unavailable, "the response is unacceptable: " + std::string(problem), verdict() };
+}
+
+Core::Verdict ConnectionExchange::verdict() const
+{
+    return m_writing && m_writing->hasWritten ? Core::Verdict::MayHaveRun : Core::Verdict::NotRun;
 }
 
 }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -59,12 +59,16 @@
     void beginWriting(Request const&);
     static boost::asio::awaitable<void> writeAll(std::shared_ptr<ClientConnection>, std::shared_ptr<Writing>);
     boost::asio::awaitable<Core::Result<void>> readHead();
+    boost::asio::awaitable<boost::system::error_code> receiveHead();
+    Core::Result<void> takeHead();
     boost::asio::awaitable<Core::Result<std::string>> readPiece();
     boost::asio::awaitable<boost::system::error_code> errorBehindEnd();
     void renewParser();
     void giveBack();
     static Core::Error canceledError();
     Core::Error errorOf(boost::system::error_code, std::string_view step) const;
+    Core::Error errorOf(std::string_view problem) const;
+    Core::Verdict verdict() const;
 
     std::shared_ptr<ClientConnection> m_connection; ///< Empty once the response was read to its end.
     ClientSettings m_settings;
--- a/Libraries/LibHttp/RequestReader.cpp
+++ b/Libraries/LibHttp/RequestReader.cpp
@@ -146,25 +146,19 @@
     co_return read;
 }
 
-// Reads until the head is whole in the buffer. The parser takes bare line feeds and folded fields as the RFC allows
-// it to (RFC 9112, sections 2.2 and 5.2); what stands before or behind us may see other requests in them, so a head
-// with either is refused. Returns Ok for a head that the parser may look at, also a broken one.
+// Reads until the head is whole in the buffer. Returns Ok for a head that the parser may look at, also a broken one.
 Asio::awaitable<Status> RequestReader::receiveHead(boost::system::error_code& ec)
 {
-    constexpr std::string_view end = "\r\n\r\n";
-    std::size_t checked = 0;
+    HeadScanner scanner;
     while (true) {
         std::string_view bytes(static_cast<char const*>(m_buffer.data().data()), m_buffer.size());
-        std::size_t at = bytes.find(end);
-        std::string_view head = bytes.substr(0, at == std::string_view::npos ? bytes.size() : at + 2);
-        if (!hasStrictLines(head, checked))
+        HeadScanner::Progress progress = scanner.scan(bytes);
+        if (progress == HeadScanner::Progress::Malformed)
             co_return Status::BadRequest;
-        if (at != std::string_view::npos)
-            co_return hasShortLines(head) ? Status::Ok : Status::HeaderFieldsTooLarge;
+        if (progress == HeadScanner::Progress::Whole)
+            co_return hasShortLines(scanner.head(bytes)) ? Status::Ok : Status::HeaderFieldsTooLarge;
         if (bytes.size() > m_settings.headLimit)
             co_return Status::HeaderFieldsTooLarge;
-        // The last byte may be the CR whose LF is still to come.
-        checked = head.empty() ? 0 : head.size() - 1;
         if (!m_memory->grow(bytes.size() + readSize))
             co_return Status::ServiceUnavailable;
         std::size_t n = co_await m_stream.async_read_some(m_buffer.prepare(readSize), Asio::redirect_error(Asio::use_awaitable, ec));
