--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t pieceSize = 16 * 1024;
 constexpr std::size_t headReadSize = 4 * 1024;
 constexpr unsigned httpVersion11 = 11;
-constexpr std::uint32_t headLimit = 8 * 1024;
+constexpr std::uint32_t headLimit = 8 * 1024; // The parser's own default.
 // RFC 9110, section 15.2, sets no limit; servers send one or two.
 constexpr int mostInterimResponses = 16;
 constexpr std::uint16_t firstFinalStatus = 200;
