LibHttp: Pass an executor as the linter wants it

Tests: A spoiled literal without a gap, and a test by whole daemons: FaultyTargets.SpoiledHeadsOfCallsAreNoAnswers holds that a call which may not be repeated ends with 502 and is sent once, for seven spoiled heads.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -60,8 +60,8 @@
 
 /// A request on its way to the server. Shared with the coroutine that writes it, which may outlive the exchange.
 struct ConnectionExchange::Writing {
-    explicit Writing(Asio::any_io_executor executor)
-        : ended(std::move(executor), Asio::steady_timer::time_point::max())
+    explicit Writing(Asio::any_io_executor const& executor)
+        : ended(executor, Asio::steady_timer::time_point::max())
     {
     }
 
--- a/Tests/LibHttp/TestResponseHeads.cpp
+++ b/Tests/LibHttp/TestResponseHeads.cpp
@@ -62,8 +62,7 @@
     for (std::string const& field : { std::string("X-A B: 1"), std::string("X-A : 1"), std::string("X-A\t: 1"), std::string("X-A\x01Y: 1"), std::string("X-A\x7f: 1"), std::string("X-\x80: 1"), std::string("X-\0A: 1", 7), std::string("X-\rA: 1"), std::string(": 1"), std::string("X-A"), std::string("X(A): 1"), std::string("X-A: 1\x01"), std::string("X-A: 1\r2"), std::string("X-A: \x7f"), std::string("X-A: 1\n"), std::string("X-B: 1\r\n X-A: 1"), std::string("X-B: 1\r\n\tX-A: 1"), std::string("X-B: 1\r\n  ") })
         heads.push_back(withLength(field + "\r\n"));
     heads.push_back(std::string(line200) + " X-A: 1\r\nContent-Length: 10\r\n\r\n" + std::string(tenBytes));
-    for (char const* coding : { "", "identity", "gzip", "chunked, gzip", "gzip, chunked", "xchunked", "chunked, chunked", "chunked\r\nTransfer-Encoding: chunked", "\x0b"
-                                                                                                                                                                   "chunked" })
+    for (char const* coding : { "", "identity", "gzip", "chunked, gzip", "gzip, chunked", "xchunked", "chunked, chunked", "chunked\r\nTransfer-Encoding: chunked", "\vchunked" })
         heads.push_back(withCoding(std::string("Transfer-Encoding: ") + coding));
     heads.push_back(withCoding(" Transfer-Encoding: chunked"));
     heads.push_back(withCoding("Transfer-Encoding : chunked"));
--- a/Tests/Processes/TestFaultyTargets.cpp
+++ b/Tests/Processes/TestFaultyTargets.cpp
@@ -4,6 +4,7 @@
 #include "KeyedSite.h"
 #include "RawTarget.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -17,6 +18,32 @@
 constexpr std::string_view soundBody = "sound";
 constexpr std::size_t oversized = 70'000; ///< More than a field of a message holds.
 
+/// Spoils the head of a sound answer in one of several ways.
+using Spoil = std::function<std::string(std::string)>;
+
+std::string withFields(std::string answer, std::string const& lines)
+{
+    return answer.insert(answer.find("\r\n") + 2, lines);
+}
+
+std::string withStatus(std::string answer, std::string const& status)
+{
+    return answer.replace(answer.find("200"), status.size(), status);
+}
+
+std::vector<Spoil> spoils()
+{
+    return {
+        [](std::string answer) { return withStatus(std::move(answer), "000"); },
+        [](std::string answer) { return withStatus(std::move(answer), "099"); },
+        [](std::string answer) { return withStatus(std::move(answer), "700"); },
+        [](std::string answer) { return withFields(std::move(answer), "X A: 1\r\n"); },
+        [](std::string answer) { return withFields(std::move(answer), "X-\x01: 1\r\n"); },
+        [](std::string answer) { return withFields(std::move(answer), "X-A: 1\r\n 2\r\n"); },
+        [](std::string answer) { return withFields(std::move(answer), "Transfer-Encoding: gzip\r\n"); },
+    };
+}
+
 class FaultyTargets : public testing::Test {
 protected:
     FaultyTargets()
@@ -194,3 +221,30 @@
     for (int n = 0; n < 5; ++n)
         EXPECT_EQ(m_site.ask(0, "POST", "/h/1", newId()).body, KeyedSite::wholeStream(m_site.pieces()));
 }
+
+// Guards against spoiled heads that callers of calls which may not be repeated get as answers, get no answer for, or that have them repeated.
+TEST_F(FaultyTargets, SpoiledHeadsOfCallsAreNoAnswers)
+{
+    constexpr std::string_view spoiledPath = "/c/spoiled-";
+    std::vector<Spoil> const ways = spoils();
+    std::atomic<std::size_t> spoiled { 0 };
+    RawTarget target([&](Http::Request const& request, std::size_t) {
+        std::string sound = RawTarget::soundAnswer(request, std::string(soundBody));
+        if (!request.target.starts_with(spoiledPath))
+            return RawTarget::Answer { sound };
+        ++spoiled;
+        return RawTarget::Answer { ways.at(std::stoul(request.target.substr(spoiledPath.size())))(sound) };
+    });
+    ASSERT_TRUE(serveCallsBy(target));
+    for (std::size_t n = 0; n < ways.size(); ++n) {
+        // The target may have been closed for its last answer.
+        ASSERT_TRUE(waitFor([&] {
+            m_site.writeEntry("i-raw", target.entry("none"));
+            return m_site.ask(0, "POST", "/c/1", newId()).body == soundBody;
+        }));
+        Http::Response response = m_site.ask(0, "POST", std::string(spoiledPath) + std::to_string(n), newId());
+        EXPECT_EQ(response.status, 502) << "way " << n << ": " << response.body;
+        EXPECT_EQ(spoiled, n + 1);
+    }
+    expectAllAlive();
+}
